--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! almondpass: the command-line tool for callers and operators.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration document: rule checks, numbered versions, propagation and diffs.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! almondpassd: one instance, assembled from settings; and the demo.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point; everything lives in the library.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' HTTP interface: requests relayed to upstreams, jobs, limits and truthful outcomes.
--- /dev/null
+++ b/crates/hall/src/lib.rs
@@ -0,0 +1,1 @@
+//! The hall scheduler: ownership by epoch, worker leases, gangs, intents, takeover.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls between our own processes: MessagePack over HTTP, typed by message.
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay library: traces, baselines and measurements.
--- /dev/null
+++ b/crates/replay/src/main.rs
@@ -0,0 +1,3 @@
+//! Replays seeded traces against the decision core and its baselines.
+
+fn main() {}
