--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,4 @@
+//! Who is live: the platform's lagging list joined with the instances' own beats.
+
+pub mod rendezvous;
+pub mod snapshot;
--- /dev/null
+++ b/crates/peer/src/call.rs
@@ -0,0 +1,93 @@
+//! Which message is answered by which, and under which path.
+
+use std::fmt;
+
+use almondpass_schema::{ids, model};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A message that is answered by exactly one kind of reply.
+pub trait PeerCall:
+    Clone + fmt::Debug + Serialize + DeserializeOwned + Send + Sync + 'static
+{
+    /// Path of the call, with the version of the message.
+    const PATH: &'static str;
+    /// What answers it.
+    type Reply: Clone + fmt::Debug + Serialize + DeserializeOwned + Send + Sync + 'static;
+}
+
+/// A call that the scheduler of one hall answers.
+pub trait HallCall: PeerCall {
+    /// The hall.
+    fn hall(&self) -> &ids::HallName;
+
+    /// Where the reply says that another instance schedules the hall: that instance, if known.
+    fn redirect(reply: &Self::Reply) -> Option<Option<&ids::PeerAddress>>;
+}
+
+macro_rules! calls {
+    ($($path:literal $call:ident => $reply:ident;)*) => {
+        $(impl PeerCall for model::$call {
+            const PATH: &'static str = $path;
+            type Reply = model::$reply;
+        })*
+    };
+}
+
+macro_rules! hall_calls {
+    ($($call:ident => $reply:ident;)*) => {
+        $(impl HallCall for model::$call {
+            fn hall(&self) -> &ids::HallName {
+                &self.hall
+            }
+
+            fn redirect(reply: &Self::Reply) -> Option<Option<&ids::PeerAddress>> {
+                match reply {
+                    model::$reply::NotHolder { holder } => Some(holder.as_ref()),
+                    _ => None,
+                }
+            }
+        })*
+    };
+}
+
+// The platform's interfaces, as docs/PLATFORM.md assumes them.
+calls! {
+    "/v1/table/transact" TableTransaction => TableOutcome;
+    "/v1/table/get" TableGet => TableRows;
+    "/v1/table/scan" TableScan => TableRows;
+    "/v1/objects/put" ObjectPut => ObjectPutOutcome;
+    "/v1/objects/get" ObjectGet => ObjectFound;
+    "/v1/objects/list" ObjectList => ObjectKeys;
+    "/v1/instances" InstanceQuery => InstanceListing;
+    "/v1/worker/reserve" LeaseReserve => LeaseReserved;
+    "/v1/worker/start" TaskStart => TaskStarted;
+    "/v1/worker/renew" LeaseRenew => LeaseListing;
+    "/v1/worker/signal" TaskSignal => Ack;
+    "/v1/worker/release" LeaseRelease => Ack;
+    "/v1/worker/leases" LeaseList => LeaseListing;
+}
+
+// Between instances.
+calls! {
+    "/v1/peer/beat" PeerBeat => PeerBeat;
+    "/v1/peer/config" ConfigFetch => ConfigFetched;
+    "/v1/peer/hand-over" HandOver => Ack;
+    "/v1/hall/grant" GrantRequest => GrantReply;
+    "/v1/hall/returns" GrantReturns => ReturnReply;
+    "/v1/hall/report" GrantReport => ReturnReply;
+    "/v1/hall/submit" JobSubmit => JobReply;
+    "/v1/hall/job" JobQuery => JobReply;
+    "/v1/hall/cancel" JobCancel => JobReply;
+    "/v1/hall/picture" HallQuery => HallReply;
+}
+
+hall_calls! {
+    GrantRequest => GrantReply;
+    GrantReturns => ReturnReply;
+    GrantReport => ReturnReply;
+    JobSubmit => JobReply;
+    JobQuery => JobReply;
+    JobCancel => JobReply;
+    HallQuery => HallReply;
+}
--- /dev/null
+++ b/crates/peer/src/error.rs
@@ -0,0 +1,50 @@
+//! What can go wrong with a call.
+
+use std::time::Duration;
+
+use almondpass_schema::ids;
+use thiserror::Error;
+
+/// A failed call, with the step and the peer at which it failed.
+#[derive(Clone, Debug, Error, PartialEq)]
+#[error("{step} at {peer}: {fault}")]
+pub struct CallError {
+    /// What was being done; the path of the call.
+    pub step: &'static str,
+    /// Whom it was asked of.
+    pub peer: ids::PeerAddress,
+    /// What went wrong.
+    pub fault: CallFault,
+}
+
+/// What went wrong, told apart by what the peer may have done.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum CallFault {
+    /// Nothing reached the peer; the call had no effect.
+    #[error("expected a connection, found {0}")]
+    NotSent(String),
+    /// The peer may or may not have acted: the answer is missing.
+    #[error("expected an answer, found {0}")]
+    NoAnswer(String),
+    /// No answer within the deadline; the peer may or may not have acted.
+    #[error("expected an answer within {0:?}, found none")]
+    TimedOut(Duration),
+    /// The peer refused before acting.
+    #[error("refused with status {status}: {detail}")]
+    Refused {
+        /// HTTP status of the refusal.
+        status: u16,
+        /// Its reason.
+        detail: String,
+    },
+    /// The answer could not be understood; the peer may have acted.
+    #[error("expected a valid answer, found {0}")]
+    Malformed(String),
+}
+
+impl CallFault {
+    /// Whether the peer certainly did not act.
+    pub fn had_no_effect(&self) -> bool {
+        matches!(self, CallFault::NotSent(_) | CallFault::Refused { .. })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,8 @@
-//! One small trait for each interface of the platform, its HTTP client, and the store client with deadlines and retries.
+//! The platform's interfaces: one small trait each, and the clients that speak to them.
+
+pub mod clock;
+pub mod instances;
+pub mod keys;
+pub mod objects;
+pub mod table;
+pub mod worker;
--- /dev/null
+++ b/crates/platform/src/worker.rs
@@ -0,0 +1,51 @@
+//! The control interface of the workers.
+
+use std::future::Future;
+
+use almondpass_peer::error;
+use almondpass_schema::{ids, model};
+
+/// Leases and tasks on the worker whose control address is `worker`. A worker knows nothing of
+/// our tenures: exclusivity of what a lease holds is all that it gives.
+pub trait WorkerControl: Clone + Send + Sync + 'static {
+    /// Reserves exclusively, all or none; idempotent by lease.
+    fn reserve(
+        &self,
+        worker: &ids::PeerAddress,
+        reserve: model::LeaseReserve,
+    ) -> impl Future<Output = Result<model::LeaseReserved, error::CallError>> + Send;
+
+    /// Starts the task of a lease; idempotent by lease.
+    fn start(
+        &self,
+        worker: &ids::PeerAddress,
+        start: model::TaskStart,
+    ) -> impl Future<Output = Result<model::TaskStarted, error::CallError>> + Send;
+
+    /// Renews leases and reads how they do, in one message.
+    fn renew(
+        &self,
+        worker: &ids::PeerAddress,
+        renew: model::LeaseRenew,
+    ) -> impl Future<Output = Result<model::LeaseListing, error::CallError>> + Send;
+
+    /// Asks a task to checkpoint, to throttle itself, or to stop.
+    fn signal(
+        &self,
+        worker: &ids::PeerAddress,
+        signal: model::TaskSignal,
+    ) -> impl Future<Output = Result<model::Ack, error::CallError>> + Send;
+
+    /// Gives leases back, stopping their tasks.
+    fn release(
+        &self,
+        worker: &ids::PeerAddress,
+        release: model::LeaseRelease,
+    ) -> impl Future<Output = Result<model::Ack, error::CallError>> + Send;
+
+    /// Lists all leases: the ground truth of what a worker runs.
+    fn leases(
+        &self,
+        worker: &ids::PeerAddress,
+    ) -> impl Future<Output = Result<model::LeaseListing, error::CallError>> + Send;
+}
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1511,6 +1511,20 @@
         value.parse()
     }
 }
+///Answer to grants given back or reported.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum ReturnReply {
+    ///Taken note of.
+    #[serde(rename = "noted")]
+    Noted,
+    ///This instance does not schedule the hall.
+    #[serde(rename = "not_holder")]
+    NotHolder {
+        ///Who may.
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        holder: ::std::option::Option<crate::ids::PeerAddress>,
+    },
+}
 ///Row of the table by which one instance schedules a hall.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SchedulerRow {
