--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -257,30 +257,6 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub operator: ::std::option::Option<bool>,
 }
-///Answer to POST /v1/config, and to a drain, which is a change of the configuration too.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub enum ConfigAnswer {
-    ///It is accepted and will be in force everywhere within seconds. Status 201.
-    #[serde(rename = "accepted")]
-    Accepted {
-        ///Its number.
-        version: crate::ids::ConfigVersion,
-    },
-    ///It has faults; nothing changed. Status 422.
-    #[serde(rename = "faulty")]
-    Faulty {
-        ///Every fault.
-        faults: ::std::vec::Vec<ConfigFault>,
-    },
-    ///Another operator was first; nothing changed. Status 409.
-    #[serde(rename = "conflict")]
-    Conflict {
-        ///What it changed since the base of the draft, line by line.
-        diff: ::std::string::String,
-        ///The version that was accepted meanwhile.
-        newest: ConfigEntry,
-    },
-}
 ///The configuration in force: one document, accepted as a whole.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -305,28 +281,6 @@
     ///Kinds of worker.
     pub worker_kinds: ::std::vec::Vec<WorkerKind>,
 }
-///An accepted version without its document.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ConfigEntry {
-    ///When.
-    pub accepted_at: crate::time::WallTime,
-    ///Why, in the operator's words.
-    pub note: ::std::string::String,
-    ///By whom.
-    pub operator: ::std::string::String,
-    ///Its number.
-    pub version: crate::ids::ConfigVersion,
-}
-///One fault of a configuration document.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ConfigFault {
-    ///What the document should say there.
-    pub expected: ::std::string::String,
-    ///What it says.
-    pub found: ::std::string::String,
-    ///Where, as in `accounts[2].guarantees[0]`.
-    pub path: ::std::string::String,
-}
 ///Asks a peer for a configuration version, for when the store is down.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigFetch {
@@ -342,12 +296,6 @@
     ///Its number; 0 where the peer has none.
     pub version: crate::ids::ConfigVersion,
 }
-///Accepted versions; the answer to GET /v1/config/history.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ConfigHistory {
-    ///The versions, newest first.
-    pub versions: ::std::vec::Vec<ConfigEntry>,
-}
 ///An operator's draft.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -376,22 +324,6 @@
     ///Its number.
     pub version: crate::ids::ConfigVersion,
 }
-///The configuration in force here, and where else; the answer to GET /v1/config.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ConfigStatus {
-    ///The document.
-    pub document: ConfigDocument,
-    ///Instances with the version in force on each.
-    pub instances: ::std::vec::Vec<InstanceConfig>,
-    ///Its number.
-    pub version: crate::ids::ConfigVersion,
-}
-///Answer to POST /v1/config/check.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ConfigVerdict {
-    ///Every fault; none where the document could be accepted.
-    pub faults: ::std::vec::Vec<ConfigFault>,
-}
 ///No new work for a worker or an upstream.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -405,17 +337,6 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
-///Body of POST and DELETE /v1/drains; names a worker, an upstream, or an upstream on a worker.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct DrainRequest {
-    ///The upstream.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub upstream: ::std::option::Option<crate::ids::UpstreamName>,
-    ///The worker.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub worker: ::std::option::Option<crate::ids::WorkerId>,
-}
 ///Answer to a grant request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum GrantReply {
@@ -633,12 +554,6 @@
     ///Its region.
     pub region: crate::ids::Region,
 }
-///Every hall of the configuration; the answer to GET /v1/halls.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct HallListing {
-    ///The halls, in the order of the configuration.
-    pub halls: ::std::vec::Vec<HallSummary>,
-}
 ///A hall as its scheduler sees it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct HallPicture {
@@ -680,39 +595,6 @@
         holder: ::std::option::Option<crate::ids::PeerAddress>,
     },
 }
-///A hall in one line.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct HallSummary {
-    ///Its accelerators.
-    pub accelerators: u32,
-    ///Those that are free.
-    pub accelerators_free: u32,
-    ///Tenure of the scheduler; 0 where nobody answered.
-    pub epoch: crate::ids::Epoch,
-    ///Share of free accelerators in no free run of the largest shape wanted.
-    pub fragmentation: f64,
-    ///Guarantees at home here that could not be claimed now.
-    pub guarantees_lost: u32,
-    ///The hall.
-    pub hall: crate::ids::HallName,
-    ///Who schedules it; absent where nobody answered.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub holder: ::std::option::Option<crate::ids::InstanceId>,
-    ///Work that waits.
-    pub queued: u32,
-    ///Its workers.
-    pub workers: u32,
-    ///Those that take work.
-    pub workers_live: u32,
-}
-///A worker with the hall that it stands in.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct HallWorker {
-    ///The hall.
-    pub hall: crate::ids::HallName,
-    ///The worker.
-    pub view: WorkerView,
-}
 ///A leaving holder asks a peer to take its hall at once.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct HandOver {
@@ -721,14 +603,6 @@
     ///The hall.
     pub hall: crate::ids::HallName,
 }
-///Which version is in force on an instance.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct InstanceConfig {
-    ///The instance.
-    pub instance: crate::ids::InstanceId,
-    ///The version; 0 where it is not known.
-    pub version: crate::ids::ConfigVersion,
-}
 ///One instance of the platform's lagging list.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct InstanceEntry {
@@ -1968,12 +1842,6 @@
     ///Which upstream.
     pub upstream: crate::ids::UpstreamName,
 }
-///Every upstream; the answer to GET /v1/upstreams.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct UpstreamListing {
-    ///The upstreams, in the order of the configuration.
-    pub upstreams: ::std::vec::Vec<UpstreamSummary>,
-}
 ///A service that runs work on the workers.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1983,20 +1851,6 @@
     ///Its name.
     pub name: crate::ids::UpstreamName,
 }
-///An upstream in one line.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct UpstreamSummary {
-    ///Those on which an operator drains it.
-    pub draining: u32,
-    ///Halls that have it.
-    pub halls: ::std::vec::Vec<crate::ids::HallName>,
-    ///Those on which it leaves.
-    pub leaving: u32,
-    ///Its name.
-    pub upstream: crate::ids::UpstreamName,
-    ///Workers that it runs on.
-    pub workers: u32,
-}
 ///Why work waits or is refused.
 #[derive(
     ::serde::Deserialize,
@@ -2156,12 +2010,6 @@
     ///Requests at a time.
     pub slots: u32,
 }
-///Workers of every hall; the answer to GET /v1/workers.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct WorkerListing {
-    ///The workers, by hall and in the order in which they stand.
-    pub workers: ::std::vec::Vec<HallWorker>,
-}
 ///Whether a worker takes work.
 #[derive(
     ::serde::Deserialize,
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -8,8 +8,7 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, merged into one set of definitions so that they may refer to each other.
-const SCHEMA_FILES: [&str; 6] =
-    ["ids", "platform", "messages", "configuration", "operators", "settings"];
+const SCHEMA_FILES: [&str; 5] = ["ids", "platform", "messages", "configuration", "settings"];
 
 /// Definitions written by hand, with the type that stands for each.
 const HAND_WRITTEN: [(&str, &str); 26] = [
