Shape the operators' bodies, take operator keys away from client accounts

Operators sign in apart from callers, so an account's keys cannot make an operator; the flag is gone. A proposal has an id, by which its author knows it again when the answer of the store is lost.

--- a/crates/schema/src/ids.rs
+++ b/crates/schema/src/ids.rs
@@ -34,6 +34,8 @@
 pub type ObjectKey = String;
 /// IP address and port, as text.
 pub type PeerAddress = String;
+/// Id of one draft of a configuration.
+pub type ProposalId = Uuid;
 /// Name of a rack within its hall.
 pub type RackName = String;
 /// Name of a region.
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -253,9 +253,40 @@
     pub limits: AccountLimits,
     ///For people.
     pub name: ::std::string::String,
-    ///Whether its keys also sign operators in.
+}
+///A draft became the configuration in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigAccepted {
+    ///Its number.
+    pub version: crate::ids::ConfigVersion,
+}
+///One difference between two versions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigChange {
+    ///What stands there now; absent where it was removed.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub operator: ::std::option::Option<bool>,
+    pub after: ::std::option::Option<::std::string::String>,
+    ///What stood there; absent where it was added.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub before: ::std::option::Option<::std::string::String>,
+    ///Where, such as `accounts[kutch].limits.queued_jobs`.
+    pub path: ::std::string::String,
+}
+///Another operator was first; nothing was written.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigConflict {
+    ///The version that was edited.
+    pub base: crate::ids::ConfigVersion,
+    ///Paths that both change.
+    pub both: ::std::vec::Vec<::std::string::String>,
+    ///Its document.
+    pub document: ConfigDocument,
+    ///The version that stands instead.
+    pub newest: ConfigSummary,
+    ///What changed since the base.
+    pub theirs: ::std::vec::Vec<ConfigChange>,
+    ///What the draft changes of the base.
+    pub yours: ::std::vec::Vec<ConfigChange>,
 }
 ///The configuration in force: one document, accepted as a whole.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -281,6 +312,22 @@
     ///Kinds of worker.
     pub worker_kinds: ::std::vec::Vec<WorkerKind>,
 }
+///One thing that is wrong with a document.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigFault {
+    ///What would be right.
+    pub expected: ::std::string::String,
+    ///What stands there.
+    pub found: ::std::string::String,
+    ///Where, such as `accounts[kutch].limits.queued_jobs`.
+    pub path: ::std::string::String,
+}
+///Everything that is wrong with a document.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigFaults {
+    ///The faults, in the order of the document.
+    pub faults: ::std::vec::Vec<ConfigFault>,
+}
 ///Asks a peer for a configuration version, for when the store is down.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigFetch {
@@ -296,6 +343,33 @@
     ///Its number; 0 where the peer has none.
     pub version: crate::ids::ConfigVersion,
 }
+///Row of the table that names the newest configuration version.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigHead {
+    ///Its number.
+    pub version: crate::ids::ConfigVersion,
+}
+///A page of accepted versions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigHistory {
+    ///Where the next, older page begins; absent on the last.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub before: ::std::option::Option<crate::ids::ConfigVersion>,
+    ///The versions, newest first.
+    pub versions: ::std::vec::Vec<ConfigSummary>,
+}
+///The configuration in force and where.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigInForce {
+    ///The document; absent where there is none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub document: ::std::option::Option<ConfigDocument>,
+    ///What each instance has.
+    pub instances: ::std::vec::Vec<InstanceConfig>,
+    ///Its number; 0 where there is none.
+    pub version: crate::ids::ConfigVersion,
+}
 ///An operator's draft.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -308,6 +382,9 @@
     pub note: ::std::string::String,
     ///Who.
     pub operator: ::std::string::String,
+    ///Names the draft when it is sent again after a lost answer; chosen by the server when absent.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub proposal: ::std::option::Option<crate::ids::ProposalId>,
 }
 ///Row of the table that holds a configuration version.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -321,9 +398,31 @@
     pub note: ::std::string::String,
     ///By whom.
     pub operator: ::std::string::String,
+    ///The proposal that was accepted, so that its author knows it again when the answer is lost.
+    pub proposal: crate::ids::ProposalId,
     ///Its number.
     pub version: crate::ids::ConfigVersion,
 }
+///An accepted version without its document.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigSummary {
+    ///When.
+    pub accepted_at: crate::time::WallTime,
+    ///Why, in the operator's words.
+    pub note: ::std::string::String,
+    ///By whom.
+    pub operator: ::std::string::String,
+    ///Its number.
+    pub version: crate::ids::ConfigVersion,
+}
+///Drains in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DrainListing {
+    ///The drains.
+    pub drains: ::std::vec::Vec<DrainOrder>,
+    ///The configuration that has them.
+    pub version: crate::ids::ConfigVersion,
+}
 ///No new work for a worker or an upstream.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -337,6 +436,17 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
+///Names what takes no new work; body of POST and DELETE /v1/drains.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    ///The upstream, on that worker or everywhere.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub upstream: ::std::option::Option<crate::ids::UpstreamName>,
+    ///The worker.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub worker: ::std::option::Option<crate::ids::WorkerId>,
+}
 ///Answer to a grant request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum GrantReply {
@@ -554,6 +664,12 @@
     ///Its region.
     pub region: crate::ids::Region,
 }
+///All halls of the configuration.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HallListing {
+    ///The halls in the order of the configuration.
+    pub halls: ::std::vec::Vec<HallSummary>,
+}
 ///A hall as its scheduler sees it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct HallPicture {
@@ -595,6 +711,32 @@
         holder: ::std::option::Option<crate::ids::PeerAddress>,
     },
 }
+///A hall and how it stands.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HallSummary {
+    ///Accelerators by the configuration.
+    pub accelerators: u32,
+    ///What its scheduler last said; absent where none is known.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub beat: ::std::option::Option<HallBeat>,
+    ///Where it is.
+    pub data_center: crate::ids::DataCenter,
+    ///Its name.
+    pub hall: crate::ids::HallName,
+    ///Workers by the configuration.
+    pub workers: u32,
+}
+///The workers of one hall.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HallWorkers {
+    ///The hall.
+    pub hall: crate::ids::HallName,
+    ///Why its scheduler did not answer.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub unavailable: ::std::option::Option<::std::string::String>,
+    ///Its workers in order.
+    pub workers: ::std::vec::Vec<WorkerView>,
+}
 ///A leaving holder asks a peer to take its hall at once.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct HandOver {
@@ -603,6 +745,16 @@
     ///The hall.
     pub hall: crate::ids::HallName,
 }
+///The configuration of one instance.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceConfig {
+    ///Which instance.
+    pub instance: crate::ids::InstanceId,
+    ///Whether it shuts down.
+    pub leaving: bool,
+    ///Number in force there.
+    pub version: crate::ids::ConfigVersion,
+}
 ///One instance of the platform's lagging list.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct InstanceEntry {
@@ -1842,6 +1994,12 @@
     ///Which upstream.
     pub upstream: crate::ids::UpstreamName,
 }
+///All upstreams of the configuration.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct UpstreamListing {
+    ///The upstreams.
+    pub upstreams: ::std::vec::Vec<UpstreamSummary>,
+}
 ///A service that runs work on the workers.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1851,6 +2009,20 @@
     ///Its name.
     pub name: crate::ids::UpstreamName,
 }
+///An upstream and how many of its services are there.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct UpstreamSummary {
+    ///Whether an operator drains it everywhere.
+    pub drained: bool,
+    ///Halls that have it.
+    pub halls: ::std::vec::Vec<crate::ids::HallName>,
+    ///Workers on which it leaves.
+    pub leaving: u32,
+    ///Workers on which it takes work.
+    pub live: u32,
+    ///Its name.
+    pub upstream: crate::ids::UpstreamName,
+}
 ///Why work waits or is refused.
 #[derive(
     ::serde::Deserialize,
@@ -2010,6 +2182,12 @@
     ///Requests at a time.
     pub slots: u32,
 }
+///All workers of the halls whose schedulers answered.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct WorkerListing {
+    ///The workers by hall.
+    pub halls: ::std::vec::Vec<HallWorkers>,
+}
 ///Whether a worker takes work.
 #[derive(
     ::serde::Deserialize,
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -8,10 +8,11 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, merged into one set of definitions so that they may refer to each other.
-const SCHEMA_FILES: [&str; 5] = ["ids", "platform", "messages", "configuration", "settings"];
+const SCHEMA_FILES: [&str; 6] =
+    ["ids", "platform", "messages", "configuration", "operator", "settings"];
 
 /// Definitions written by hand, with the type that stands for each.
-const HAND_WRITTEN: [(&str, &str); 26] = [
+const HAND_WRITTEN: [(&str, &str); 27] = [
     ("AccountId", "crate::ids::AccountId"),
     ("Blob", "crate::blob::Blob"),
     ("CheckpointId", "crate::ids::CheckpointId"),
@@ -29,6 +30,7 @@
     ("LeaseId", "crate::ids::LeaseId"),
     ("ObjectKey", "crate::ids::ObjectKey"),
     ("PeerAddress", "crate::ids::PeerAddress"),
+    ("ProposalId", "crate::ids::ProposalId"),
     ("RackName", "crate::ids::RackName"),
     ("Region", "crate::ids::Region"),
     ("RequestId", "crate::ids::RequestId"),
