Number beats and let them carry rumours

Cause: with beats to a few peers in turn, each peer is heard directly only every few seconds, and a new instance that the lagging list does not show stays unknown to other new ones. Change: PeerBeat gets a number that grows with each beat and a few rumours of others.

--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1513,6 +1513,25 @@
     pub halls: ::std::vec::Vec<HallBeat>,
     ///Whether it shuts down.
     pub leaving: bool,
+    ///Grows with each beat of the sender.
+    pub number: u64,
+    ///What it heard of a few others.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rumours: ::std::vec::Vec<PeerRumour>,
+}
+///What one instance heard of another.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerRumour {
+    ///Its peer address.
+    pub address: crate::ids::PeerAddress,
+    ///Where it is.
+    pub data_center: crate::ids::DataCenter,
+    ///The other.
+    pub from: crate::ids::InstanceId,
+    ///Whether it shuts down.
+    pub leaving: bool,
+    ///Number of its newest beat that was heard of.
+    pub number: u64,
 }
 ///Where the platform's services are.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
