Add the daemon's command line with a stub of the demo

Cause: the demo is written apart and needs a place to start from. Change: Arguments, Subcommand, demo::run(DemoArgs); the demo says that it is not written yet.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point; everything lives in the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    almondpass_daemon::run()
+}
--- /dev/null
+++ b/crates/daemon/src/subcommand.rs
@@ -0,0 +1,21 @@
+//! What the program can do, one module each.
+
+use std::process::ExitCode;
+
+use crate::demo;
+
+/// What to do.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Subcommand {
+    /// Shows a whole site at work in one process, on loopback.
+    Demo(demo::DemoArgs),
+}
+
+impl Subcommand {
+    /// Does it.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        match self {
+            Subcommand::Demo(args) => demo::run(args),
+        }
+    }
+}
