Name the lease in grants and the grant in intents; add the tenure row

Cause: a new holder could not tell which serving lease a reported grant uses; outcomes in two intent logs (table and object store) had no order between them when a key was tried again after not_run; the scheduler row's version changes with each renewal and cannot be a condition. Change: SlotGrant.lease, IntentEntry.*.grant, JobRecord.cancel_requested, TenureRow, IntentFloor, keys for the tenure, the ended jobs and the log's floor.

--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -1,12 +1,17 @@
 //! Keys of our rows in the table service and of our objects in the object store.
 
-use almondpass_schema::ids;
+use almondpass_schema::{ids, time};
 
 /// Row that names the scheduler of a hall.
 pub fn scheduler(hall: &str) -> ids::RowKey {
     format!("scheduler/{hall}")
 }
 
+/// Row that changes only with the tenure of a hall; the holder's writes are conditional on it.
+pub fn tenure(hall: &str) -> ids::RowKey {
+    format!("scheduler-epoch/{hall}")
+}
+
 /// Row with the number of the newest accepted configuration.
 pub fn config_head() -> ids::RowKey {
     "config-head".to_owned()
@@ -37,6 +42,21 @@
     format!("hall-job/{hall}/{job}")
 }
 
+/// Prefix of the rows that index a hall's ended jobs in the order in which they ended.
+pub fn ended_jobs(hall: &str) -> ids::RowKey {
+    format!("ended-job/{hall}/")
+}
+
+/// Row that indexes one ended job of a hall until it is dropped; its value is the account's name.
+pub fn ended_job(hall: &str, ended_at: time::WallTime, job: &ids::JobId) -> ids::RowKey {
+    format!("ended-job/{hall}/{:018}/{job}", ended_at.0.as_micros())
+}
+
+/// Row that tells where the part of a hall's intent log begins that still matters.
+pub fn intent_floor(hall: &str) -> ids::RowKey {
+    format!("intent-floor/{hall}")
+}
+
 /// Prefix of the batches of a hall's intent log, in the table as in the object store.
 pub fn intent_log(hall: &str) -> ids::RowKey {
     format!("intent/{hall}/")
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -961,6 +961,8 @@
     Intent {
         ///Whose it is.
         account: crate::ids::AccountId,
+        ///The one grant that may send it; a later try has another.
+        grant: crate::ids::GrantId,
         ///The caller's key.
         key: crate::ids::IdempotencyKey,
         ///The request.
@@ -973,12 +975,22 @@
     Outcome {
         ///Whose it is.
         account: crate::ids::AccountId,
+        ///The grant that it ends.
+        grant: crate::ids::GrantId,
         ///The caller's key.
         key: crate::ids::IdempotencyKey,
         ///The outcome.
         outcome: RequestOutcome,
     },
 }
+///Row of the table that tells where the part of a hall's intent log begins that still matters.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct IntentFloor {
+    ///First batch of the object store that still matters.
+    pub objects: u64,
+    ///First batch kept in the table.
+    pub table: u64,
+}
 ///Cancels a job; repeated, it changes nothing.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JobCancel {
@@ -1055,6 +1067,9 @@
     pub account: crate::ids::AccountId,
     ///Starts so far.
     pub attempt: u32,
+    ///Whether its account cancelled it.
+    #[serde(default)]
+    pub cancel_requested: bool,
     ///Where it would resume.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub checkpoint: ::std::option::Option<crate::ids::CheckpointId>,
@@ -1727,6 +1742,8 @@
     pub grant: crate::ids::GrantId,
     ///Hall of the worker.
     pub hall: crate::ids::HallName,
+    ///Worker lease under the slot, so that a report tells a new scheduler which are in use.
+    pub lease: crate::ids::LeaseId,
     ///The request it is for.
     pub request: crate::ids::RequestId,
     ///The first byte goes out within this of receipt, or not at all.
@@ -1943,6 +1960,14 @@
         reason: ::std::string::String,
     },
 }
+///Row of the table that changes only with the tenure of a hall, so that the holder's writes can be conditional on it while the scheduler row changes with each renewal.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TenureRow {
+    ///The tenure.
+    pub epoch: crate::ids::Epoch,
+    ///Whose it is.
+    pub holder: crate::ids::InstanceId,
+}
 ///Terms and intervals.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
