--- /dev/null
+++ b/crates/policy/src/baseline_best_fit.rs
@@ -0,0 +1,139 @@
+//! Baseline: order of arrival with EASY backfill, each at the place that fits most tightly.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_schema::{ids, model, time};
+
+use crate::baseline_board;
+use crate::baseline_room;
+use crate::decision;
+use crate::event;
+use crate::scheduler;
+use crate::work;
+
+/// Run time assumed of work whose class is not configured.
+const UNKNOWN_RUN: Duration = Duration::from_secs(60);
+
+/// Best fit with backfill: the first work that does not fit has its place and time reserved, and
+/// later work starts only where it does not delay that. No guarantees and no priorities.
+pub struct BestFit {
+    board: baseline_board::BaselineBoard,
+}
+
+/// Where and when the first waiting work that does not fit is expected to start.
+struct HeadPlan {
+    at: time::WallTime,
+    placement: Vec<work::TaskSlot>,
+}
+
+impl HeadPlan {
+    fn is_clear_of(&self, placement: &[work::TaskSlot]) -> bool {
+        !placement.iter().any(|slot| {
+            self.placement.iter().any(|planned| {
+                planned.worker == slot.worker
+                    && (slot.accelerators.is_empty()
+                        || slot.accelerators.iter().any(|it| planned.accelerators.contains(it)))
+            })
+        })
+    }
+}
+
+impl BestFit {
+    fn expected_run(&self, item: &work::WorkItem) -> Duration {
+        let class = self.board.config.classes.iter().find(|it| it.name == item.class);
+        let prior = class.map_or(UNKNOWN_RUN, |it| it.expected_run.0);
+        item.declared_run.unwrap_or(prior).saturating_sub(item.saved_run)
+    }
+
+    fn plan(&self, item: &work::WorkItem, now: time::WallTime) -> Option<HeadPlan> {
+        let mut ends = self.expected_ends(now);
+        ends.sort_unstable();
+        let steps: Vec<usize> = (1..=ends.len()).collect();
+        let fits_after = |n_ends: usize| {
+            let mut room = self.board.room.clone();
+            for (_, work) in &ends[..n_ends] {
+                let entry = &self.board.works[work];
+                room.give_back(&entry.item.demand, &entry.placement);
+            }
+            room.place(item, baseline_room::PlaceChoice::Tightest)
+        };
+        let index = steps.partition_point(|it| fits_after(*it).is_none());
+        let n_ends = *steps.get(index)?;
+        Some(HeadPlan { at: ends[n_ends - 1].0, placement: fits_after(n_ends)? })
+    }
+
+    fn expected_ends(&self, now: time::WallTime) -> Vec<(time::WallTime, work::WorkId)> {
+        let end = |entry: &baseline_board::WorkEntry| match entry.stage {
+            baseline_board::WorkStage::Waiting(_) => None,
+            baseline_board::WorkStage::Starting => Some(now + self.expected_run(&entry.item)),
+            baseline_board::WorkStage::Running(since) => {
+                Some((since + self.expected_run(&entry.item)).max(now))
+            }
+        };
+        self.board.works.values().filter_map(|it| end(it).map(|at| (at, it.item.work))).collect()
+    }
+}
+
+impl scheduler::HallPolicy for BestFit {
+    fn new(
+        hall: &ids::HallName,
+        config: Arc<model::ConfigDocument>,
+        _now: time::WallTime,
+    ) -> Result<BestFit, scheduler::PolicyFault> {
+        Ok(BestFit { board: baseline_board::BaselineBoard::new(hall, config)? })
+    }
+
+    fn configure(
+        &mut self,
+        config: Arc<model::ConfigDocument>,
+        _now: time::WallTime,
+    ) -> Result<(), scheduler::PolicyFault> {
+        self.board.configure(config)
+    }
+
+    fn apply(&mut self, event: event::HallEvent, now: time::WallTime) {
+        self.board.apply(event, now);
+    }
+
+    fn turn(&mut self, now: time::WallTime) -> Vec<decision::Decision> {
+        let mut unfit = Vec::new();
+        let mut head: Option<HeadPlan> = None;
+        for work in self.board.ready(now) {
+            let item = &self.board.works[&work].item;
+            let key = baseline_room::ShapeKey::of(item);
+            if key.as_ref().is_some_and(|it| unfit.contains(it)) {
+                continue;
+            }
+            let Some(placement) = self.board.room.place(item, baseline_room::PlaceChoice::Tightest)
+            else {
+                unfit.extend(key);
+                if head.is_none() {
+                    head = self.plan(item, now);
+                }
+                continue;
+            };
+            let end = now + self.expected_run(item);
+            if head.as_ref().is_none_or(|it| end <= it.at || it.is_clear_of(&placement)) {
+                self.board.start(work, placement);
+            }
+        }
+        std::mem::take(&mut self.board.out)
+    }
+
+    fn next_wake(&self, now: time::WallTime) -> Option<time::WallTime> {
+        self.board.next_wake(now)
+    }
+
+    fn reason(&self, work: &work::WorkId, _now: time::WallTime) -> Option<model::WaitReason> {
+        self.board.reason(work)
+    }
+
+    fn admits(&self, item: &work::WorkItem) -> Result<(), model::WaitReason> {
+        self.board.admits(item)
+    }
+
+    fn picture(&self, _now: time::WallTime) -> model::HallPicture {
+        self.board.picture()
+    }
+}
