Give each idempotency key one home hall for as long as its window lasts

Cause: rendezvous over the halls of today moves a key to a hall that never heard of it when the upstream's halls change, where a retry would run a second time.

--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -447,6 +447,15 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
+///Halls that an upstream had; keys made before `until` keep their home among them.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FormerHalls {
+    ///The halls.
+    pub halls: ::std::vec::Vec<crate::ids::HallName>,
+    ///When the next set took over; at least a minute after the change is accepted, so that it is in force on all instances by then.
+    pub until: crate::time::WallTime,
+}
 ///Answer to a grant request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum GrantReply {
@@ -2048,6 +2057,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamSpec {
+    ///Halls that it had before, for as long as idempotency keys of that time are accepted.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub former_halls: ::std::vec::Vec<FormerHalls>,
     ///Halls that have it.
     pub halls: ::std::vec::Vec<crate::ids::HallName>,
     ///Its name.
