Join the lagging instance list with beats, and find hall schedulers

Cause: the list lags by up to 30 s, while a new, replaced or leaving instance must be known within seconds, within 3 KB/s of control traffic an instance. Change: MemberTable joins list and numbered beats; two peers a beat in turn, three rumours a beat, at once to everyone on joining, leaving and on taking a hall. HallDirectory finds the holder from beats, redirects and at last the table's row, and sends again only what certainly had no effect.

--- /dev/null
+++ b/crates/membership/src/known.rs
@@ -0,0 +1,95 @@
+//! What is remembered of one other instance.
+
+use std::time::Duration;
+
+use almondpass_schema::{ids, model};
+use tokio::time::Instant;
+
+/// One other instance, live or lost.
+#[derive(Clone, Debug)]
+pub struct KnownMember {
+    /// Its id; the list's name for it until it was heard.
+    pub id: ids::InstanceId,
+    /// Where it is.
+    pub data_center: ids::DataCenter,
+    /// Whether the latest list has it.
+    pub listed: bool,
+    /// Whether the latest list says that it leaves.
+    pub listed_leaving: bool,
+    /// Whether it said itself that it leaves; never taken back.
+    pub leaving: bool,
+    /// Newest beat of it that was heard or heard of; 0 while there was none.
+    pub number: u64,
+    /// Latest sign of life, or when it first stood on the list.
+    pub alive_at: Instant,
+    /// Calls in a row that did not reach it, since the latest sign of life.
+    pub strikes: u32,
+    /// Whether it is taken for dead.
+    pub lost: bool,
+    /// Beats that told of its latest change.
+    pub told: u32,
+}
+
+impl KnownMember {
+    /// An instance of the list that was not heard yet.
+    pub fn listed(entry: &model::InstanceEntry, now: Instant) -> KnownMember {
+        KnownMember {
+            id: entry.id.clone(),
+            data_center: entry.data_center.clone(),
+            listed: true,
+            listed_leaving: entry.state == model::InstanceState::Leaving,
+            leaving: false,
+            number: 0,
+            alive_at: now,
+            strikes: 0,
+            lost: false,
+            told: 0,
+        }
+    }
+
+    /// An instance that a beat told of, by itself or through another.
+    pub fn rumoured(rumour: &model::PeerRumour, now: Instant) -> KnownMember {
+        KnownMember {
+            id: rumour.from.clone(),
+            data_center: rumour.data_center.clone(),
+            listed: false,
+            listed_leaving: false,
+            leaving: rumour.leaving,
+            number: rumour.number,
+            alive_at: now,
+            strikes: 0,
+            lost: false,
+            told: 0,
+        }
+    }
+
+    /// Takes note of a sign of life of the same process; an old one changes nothing.
+    pub fn alive(&mut self, rumour: &model::PeerRumour, now: Instant) {
+        if rumour.leaving && !self.leaving {
+            self.leaving = true;
+            self.told = 0;
+        }
+        if rumour.number <= self.number {
+            return;
+        }
+        if self.lost {
+            self.told = 0;
+        }
+        self.number = rumour.number;
+        self.alive_at = now;
+        self.strikes = 0;
+        self.lost = false;
+    }
+
+    /// Whether it shuts down, by its own word or the platform's.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.listed_leaving
+    }
+
+    /// Whether it has been silent for so long that it is taken for dead.
+    pub fn is_silent(&self, lapse: Duration, now: Instant) -> bool {
+        let silence = now.saturating_duration_since(self.alive_at);
+        let refused = 2 <= self.strikes || (1 <= self.strikes && self.is_leaving());
+        lapse <= silence || (refused && lapse / 2 <= silence)
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,13 @@
-//! Who is live: the platform's lagging list joined with the instances' own beats.
+//! Who is live: the platform's lagging list joined with the instances' own beats; and where each
+//! hall's scheduler is.
 
+pub mod content;
+pub mod directory;
+pub mod holders;
 pub mod home;
+pub mod known;
+pub mod local;
+pub mod members;
 pub mod rendezvous;
+pub mod service;
 pub mod snapshot;
--- /dev/null
+++ b/crates/membership/src/service.rs
@@ -0,0 +1,242 @@
+//! Sends and answers beats, polls the list, and publishes what is believed.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use almondpass_peer::link;
+use almondpass_platform::instances;
+use almondpass_schema::{ids, model};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{self, Instant, MissedTickBehavior};
+use tracing::{debug, info};
+
+use crate::content;
+use crate::holders;
+use crate::members;
+use crate::snapshot;
+
+/// Intervals of membership.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberTiming {
+    /// Between beats.
+    pub beat: Duration,
+    /// Between looks at the instance list.
+    pub poll: Duration,
+}
+
+/// Membership of one instance.
+#[derive(Debug)]
+pub struct MemberService<L, C> {
+    shared: Arc<SharedState<L, C>>,
+}
+
+#[derive(Debug)]
+struct SharedState<L, C> {
+    timing: MemberTiming,
+    link: L,
+    content: C,
+    holders: holders::HolderTable,
+    table: Mutex<members::MemberTable>,
+    published: watch::Sender<Arc<snapshot::MemberSnapshot>>,
+    held: Mutex<Vec<HallTenure>>,
+}
+
+/// A hall and the tenure in which it is held.
+type HallTenure = (ids::HallName, ids::Epoch);
+
+impl<L, C> Clone for MemberService<L, C> {
+    fn clone(&self) -> MemberService<L, C> {
+        MemberService { shared: self.shared.clone() }
+    }
+}
+
+impl<L: link::PeerLink, C: content::BeatContent> MemberService<L, C> {
+    /// Membership that knows only of the instance itself; `run` makes it go.
+    pub fn new(
+        own: members::MemberIdentity,
+        timing: MemberTiming,
+        link: L,
+        content: C,
+    ) -> MemberService<L, C> {
+        let table = members::MemberTable::new(own, timing.beat, Instant::now());
+        let (published, _) = watch::channel(Arc::new(table.snapshot()));
+        let shared = SharedState {
+            timing,
+            link,
+            content,
+            holders: holders::HolderTable::default(),
+            table: Mutex::new(table),
+            published,
+            held: Mutex::default(),
+        };
+        MemberService { shared: Arc::new(shared) }
+    }
+
+    /// What is believed; changes only when something changed.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<snapshot::MemberSnapshot>> {
+        self.shared.published.subscribe()
+    }
+
+    /// Holders of halls, as far as heard.
+    pub fn holders(&self) -> holders::HolderTable {
+        self.shared.holders.clone()
+    }
+
+    /// Takes another instance's beat and answers with our own.
+    pub fn hear(&self, beat: &model::PeerBeat) -> model::PeerBeat {
+        self.shared.hear(beat);
+        self.shared.beat(Some(&beat.address))
+    }
+
+    /// Beats and polls until dropped.
+    pub async fn run<I: instances::InstanceList>(&self, list: I) {
+        self.join(&list).await;
+        tokio::join!(self.poll_list(&list), self.send_beats());
+    }
+
+    /// Tells everyone that this instance leaves, and waits for them to know or for one beat to
+    /// pass. Halls then go elsewhere, and nobody prefers this instance any more.
+    pub async fn leave(&self) {
+        self.shared.lock().leave();
+        self.shared.publish();
+        self.announce().await;
+    }
+
+    /// Beats to everyone at once.
+    pub async fn announce(&self) {
+        let everyone = self.shared.lock().everyone();
+        self.send_to(everyone).await;
+    }
+
+    /// Looks at the list once and makes this instance known to all on it.
+    async fn join<I: instances::InstanceList>(&self, list: &I) {
+        self.shared.look(list).await;
+        self.announce().await;
+    }
+
+    async fn poll_list<I: instances::InstanceList>(&self, list: &I) {
+        let mut interval = time::interval(self.shared.timing.poll);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.shared.look(list).await;
+        }
+    }
+
+    async fn send_beats(&self) {
+        let mut interval = time::interval(self.shared.timing.beat);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut calls = JoinSet::new();
+        loop {
+            interval.tick().await;
+            while calls.try_join_next().is_some() {}
+            let targets = self.shared.tick();
+            for peer in targets {
+                let shared = self.shared.clone();
+                calls.spawn(async move { shared.exchange(peer).await });
+            }
+        }
+    }
+
+    async fn send_to(&self, peers: Vec<ids::PeerAddress>) {
+        let mut calls = JoinSet::new();
+        for peer in peers {
+            let shared = self.shared.clone();
+            calls.spawn(async move { shared.exchange(peer).await });
+        }
+        while calls.join_next().await.is_some() {}
+    }
+}
+
+impl<L: link::PeerLink, C: content::BeatContent> SharedState<L, C> {
+    /// Begins a beat and tells whom it goes to: to everyone when a hall was just taken, or callers
+    /// would be sent to the former holder until the rotation comes round.
+    fn tick(&self) -> Vec<ids::PeerAddress> {
+        let own = self.beat(None);
+        self.holders.hear(&own);
+        let lost = self.lock().tick(Instant::now());
+        for address in &lost {
+            info!(step = "membership", peer = address, "an instance is silent and taken for dead");
+            self.holders.lose(address);
+        }
+        self.publish();
+        if self.took_hall(&own.halls) {
+            return self.lock().everyone();
+        }
+        self.lock().targets()
+    }
+
+    fn took_hall(&self, halls: &[model::HallBeat]) -> bool {
+        let now_held = halls.iter().map(|it| (it.hall.clone(), it.epoch)).collect::<Vec<_>>();
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let took = now_held.iter().any(|it| !held.contains(it));
+        *held = now_held;
+        took
+    }
+
+    async fn exchange(&self, peer: ids::PeerAddress) {
+        let beat = self.beat(Some(&peer));
+        match self.link.call(&peer, beat, self.timing.beat).await {
+            Ok(reply) => self.hear(&reply),
+            Err(error) => {
+                debug!(%error, "a beat was not answered");
+                if error.fault.had_no_effect() {
+                    self.lock().strike(&peer);
+                }
+            }
+        }
+    }
+
+    fn hear(&self, beat: &model::PeerBeat) {
+        self.lock().hear(beat, Instant::now());
+        self.holders.hear(beat);
+        self.content.heard(beat);
+        self.publish();
+    }
+
+    /// Reads the list; where that fails the last one stays in use.
+    async fn look<I: instances::InstanceList>(&self, list: &I) {
+        match list.list().await {
+            Ok(listing) => {
+                self.lock().list(&listing, Instant::now());
+                self.publish();
+            }
+            Err(error) => debug!(%error, "the instance list cannot be read; the last one stays"),
+        }
+    }
+
+    fn beat(&self, receiver: Option<&str>) -> model::PeerBeat {
+        let config_version = self.content.config_version();
+        let halls = self.content.halls();
+        let mut table = self.lock();
+        let rumours = receiver.map(|it| table.rumours(Some(it))).unwrap_or_default();
+        let own = table.own();
+        model::PeerBeat {
+            from: own.id.clone(),
+            address: own.address.clone(),
+            data_center: own.data_center.clone(),
+            leaving: table.is_leaving(),
+            config_version,
+            halls,
+            number: table.number(),
+            rumours,
+        }
+    }
+
+    fn publish(&self) {
+        let snapshot = self.lock().snapshot();
+        metrics::gauge!("membership_instances").set(snapshot.instances.len() as f64);
+        self.published.send_if_modified(|published| {
+            let changed = **published != snapshot;
+            if changed {
+                *published = Arc::new(snapshot);
+            }
+            changed
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, members::MemberTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
