Check configuration documents and settings by schema and by rules

Others need example documents and one way to read them. Guarantees are checked by count until the policy assigns homes.

--- /dev/null
+++ b/crates/config/src/rules/capacity.rs
@@ -0,0 +1,65 @@
+//! Whether the guarantees fit the halls, each by itself and all together.
+
+use almondpass_schema::model;
+
+use crate::fault;
+use crate::path;
+
+pub(super) fn check(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
+    let list = path::FieldPath::root().member("accounts");
+    let mut each_fits = true;
+    for (index, account) in document.accounts.iter().enumerate() {
+        let shapes = list.item(index).member("guarantees");
+        for (index, shape) in account.guarantees.iter().enumerate() {
+            let most = largest_block(shape, document);
+            let fits = shape.accelerators <= most;
+            each_fits &= fits;
+            let expected = format!("at most {most}, the most that lie so close");
+            let path = shapes.item(index).member("accelerators");
+            faults.require(fits, &path, expected, shape.accelerators);
+        }
+    }
+    if each_fits {
+        check_together(document, faults);
+    }
+}
+
+/// Largest block of the shape's adjacency in the halls where it may live.
+fn largest_block(shape: &model::GuaranteedShape, document: &model::ConfigDocument) -> u32 {
+    let halls =
+        document.halls.iter().filter(|it| shape.hall.as_ref().is_none_or(|home| *home == it.name));
+    let blocks = halls.map(|hall| match shape.adjacency {
+        model::Adjacency::Any | model::Adjacency::Hall => hall_accelerators(hall, document),
+        model::Adjacency::Rack => {
+            hall.racks.iter().map(|it| rack_accelerators(it, document)).max().unwrap_or(0)
+        }
+        model::Adjacency::Worker => {
+            hall.racks.iter().map(|it| worker_accelerators(it, document)).max().unwrap_or(0)
+        }
+    });
+    blocks.max().unwrap_or(0)
+}
+
+fn check_together(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
+    let shapes = document.accounts.iter().flat_map(|it| &it.guarantees);
+    let wanted = shapes.map(|it| u64::from(it.accelerators)).sum::<u64>();
+    let halls = document.halls.iter();
+    let there = halls.map(|it| u64::from(hall_accelerators(it, document))).sum::<u64>();
+    let path = path::FieldPath::root().member("accounts");
+    let expected = format!("guarantees of at most {there} accelerators together");
+    faults.require(wanted <= there, &path, expected, wanted);
+}
+
+fn hall_accelerators(hall: &model::HallLayout, document: &model::ConfigDocument) -> u32 {
+    let racks = hall.racks.iter().map(|it| rack_accelerators(it, document));
+    racks.fold(0, u32::saturating_add)
+}
+
+fn rack_accelerators(rack: &model::RackLayout, document: &model::ConfigDocument) -> u32 {
+    worker_accelerators(rack, document).saturating_mul(rack.workers)
+}
+
+fn worker_accelerators(rack: &model::RackLayout, document: &model::ConfigDocument) -> u32 {
+    let kind = document.worker_kinds.iter().find(|it| it.name == rack.kind);
+    kind.map_or(0, |it| it.accelerators)
+}
