--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -48,3 +48,17 @@
         matches!(self, CallFault::NotSent(_) | CallFault::Refused { .. })
     }
 }
+
+/// Why a service gave no answer to a call that reached it.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ServeFault {
+    /// The call could not be read; it had no effect.
+    #[error("expected a valid call, found {0}")]
+    Unreadable(String),
+    /// The service refuses for now; the call had no effect.
+    #[error("expected a ready service, found {0}")]
+    Unavailable(String),
+    /// The connection ends without an answer; the call may have had an effect. Fakes use it.
+    #[error("expected an answer, found none")]
+    Silent,
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -39,5 +39,5 @@
     fn serve(&self, path: &str, body: Bytes) -> impl Future<Output = Option<ServedReply>> + Send;
 }
 
-/// The MessagePack of an answer, or why the call could not be read.
-pub type ServedReply = Result<Bytes, String>;
+/// The MessagePack of an answer, or why there is none.
+pub type ServedReply = Result<Bytes, error::ServeFault>;
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -97,29 +97,9 @@
     pub running_requests: u32,
 }
 ///An answer without content.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(transparent)]
-pub struct Ack(pub ::serde_json::Map<::std::string::String, ::serde_json::Value>);
-impl ::std::ops::Deref for Ack {
-    type Target = ::serde_json::Map<::std::string::String, ::serde_json::Value>;
-    fn deref(&self) -> &::serde_json::Map<::std::string::String, ::serde_json::Value> {
-        &self.0
-    }
-}
-impl ::std::convert::From<Ack>
-for ::serde_json::Map<::std::string::String, ::serde_json::Value> {
-    fn from(value: Ack) -> Self {
-        value.0
-    }
-}
-impl ::std::convert::From<::serde_json::Map<::std::string::String, ::serde_json::Value>>
-for Ack {
-    fn from(
-        value: ::serde_json::Map<::std::string::String, ::serde_json::Value>,
-    ) -> Self {
-        Self(value)
-    }
-}
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Ack {}
 ///How close accelerators must lie.
 #[derive(
     ::serde::Deserialize,
@@ -788,31 +768,9 @@
     pub instances: ::std::vec::Vec<InstanceEntry>,
 }
 ///Asks for the instance list.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(transparent)]
-pub struct InstanceQuery(
-    pub ::serde_json::Map<::std::string::String, ::serde_json::Value>,
-);
-impl ::std::ops::Deref for InstanceQuery {
-    type Target = ::serde_json::Map<::std::string::String, ::serde_json::Value>;
-    fn deref(&self) -> &::serde_json::Map<::std::string::String, ::serde_json::Value> {
-        &self.0
-    }
-}
-impl ::std::convert::From<InstanceQuery>
-for ::serde_json::Map<::std::string::String, ::serde_json::Value> {
-    fn from(value: InstanceQuery) -> Self {
-        value.0
-    }
-}
-impl ::std::convert::From<::serde_json::Map<::std::string::String, ::serde_json::Value>>
-for InstanceQuery {
-    fn from(
-        value: ::serde_json::Map<::std::string::String, ::serde_json::Value>,
-    ) -> Self {
-        Self(value)
-    }
-}
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceQuery {}
 ///What an instance is.
 #[derive(
     ::serde::Deserialize,
@@ -1266,29 +1224,9 @@
     pub submission: JobSubmission,
 }
 ///Asks for all leases of a worker.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(transparent)]
-pub struct LeaseList(pub ::serde_json::Map<::std::string::String, ::serde_json::Value>);
-impl ::std::ops::Deref for LeaseList {
-    type Target = ::serde_json::Map<::std::string::String, ::serde_json::Value>;
-    fn deref(&self) -> &::serde_json::Map<::std::string::String, ::serde_json::Value> {
-        &self.0
-    }
-}
-impl ::std::convert::From<LeaseList>
-for ::serde_json::Map<::std::string::String, ::serde_json::Value> {
-    fn from(value: LeaseList) -> Self {
-        value.0
-    }
-}
-impl ::std::convert::From<::serde_json::Map<::std::string::String, ::serde_json::Value>>
-for LeaseList {
-    fn from(
-        value: ::serde_json::Map<::std::string::String, ::serde_json::Value>,
-    ) -> Self {
-        Self(value)
-    }
-}
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseList {}
 ///Leases of a worker.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LeaseListing {
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,191 @@
+//! Workers, in memory, behind one handle.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use almondpass_peer::call::PeerCall;
+use almondpass_peer::error;
+use almondpass_platform::worker as control;
+use almondpass_schema::{ids, model};
+use tokio::time::Instant;
+
+use crate::fault;
+use crate::run;
+use crate::script;
+use crate::state;
+use crate::worker;
+
+/// A handle of all workers, found by their control addresses; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerFleet {
+    workers: Arc<Mutex<BTreeMap<ids::PeerAddress, WorkerFake>>>,
+    scripts: script::ScriptBook,
+    log: run::RunLog,
+    path: fault::FaultPlan,
+}
+
+/// A handle of one worker.
+#[derive(Clone, Debug)]
+pub struct WorkerFake {
+    state: Arc<Mutex<worker::WorkerState>>,
+    plan: fault::FaultPlan,
+}
+
+impl WorkerFleet {
+    /// A fleet without workers.
+    pub fn new() -> WorkerFleet {
+        WorkerFleet::default()
+    }
+
+    /// The same fleet behind a path of its own, such as one instance's.
+    pub fn seen_through(&self, path: fault::FaultPlan) -> WorkerFleet {
+        WorkerFleet { path, ..self.clone() }
+    }
+
+    /// Adds a worker under its control address.
+    pub fn add(&self, address: &str, shape: worker::WorkerShape) -> WorkerFake {
+        let state = worker::WorkerState::new(shape, self.scripts.clone(), self.log.clone());
+        let state = Arc::new(Mutex::new(state));
+        let fake = WorkerFake { state, plan: fault::FaultPlan::new() };
+        state::lock(&self.workers).insert(address.to_owned(), fake.clone());
+        fake
+    }
+
+    /// The worker at a control address.
+    pub fn worker(&self, address: &str) -> Option<WorkerFake> {
+        state::lock(&self.workers).get(address).cloned()
+    }
+
+    /// All workers, by control address.
+    pub fn workers(&self) -> Vec<(ids::PeerAddress, WorkerFake)> {
+        let workers = state::lock(&self.workers);
+        workers.iter().map(|(address, it)| (address.clone(), it.clone())).collect()
+    }
+
+    /// How tasks run.
+    pub fn scripts(&self) -> &script::ScriptBook {
+        &self.scripts
+    }
+
+    /// What really ran, with all that ended by now.
+    pub fn runs(&self) -> Vec<run::TaskRun> {
+        let now = Instant::now();
+        for (_, worker) in self.workers() {
+            state::lock(&worker.state).settle(now);
+        }
+        self.log.runs()
+    }
+
+    async fn pass<T: Send + 'static>(
+        &self,
+        address: &ids::PeerAddress,
+        step: &'static str,
+        effect: impl FnOnce(&mut worker::WorkerState, Instant) -> T + Send + 'static,
+    ) -> Result<T, error::CallError> {
+        let Some(worker) = self.worker(address) else {
+            let fault = error::CallFault::NotSent("no worker there".to_owned());
+            return Err(fault::call_error(address, step, fault));
+        };
+        let effect = move || effect(&mut state::lock(&worker.state), Instant::now());
+        fault::pass(&[&self.path, &worker.plan], address, step, effect).await
+    }
+}
+
+impl WorkerFake {
+    /// Faults of its control interface, for every caller.
+    pub fn faults(&self) -> &fault::FaultPlan {
+        &self.plan
+    }
+
+    /// What it has.
+    pub fn shape(&self) -> worker::WorkerShape {
+        state::lock(&self.state).shape().clone()
+    }
+
+    /// Makes it fail what it starts, or not.
+    pub fn set_health(&self, health: worker::WorkerHealth) {
+        state::lock(&self.state).set_health(health);
+    }
+
+    /// Stops its clock and holds calls to it until [`WorkerFake::resume`].
+    pub fn pause(&self) {
+        self.plan.set(fault::Condition::Held);
+        state::lock(&self.state).set_paused(true, Instant::now());
+    }
+
+    /// Goes on; what fell due meanwhile happens first, then the calls that were held.
+    pub fn resume(&self) {
+        state::lock(&self.state).set_paused(false, Instant::now());
+        self.plan.set(fault::Condition::Up);
+    }
+
+    /// Kills it: its tasks end, its leases are gone, and connections are refused.
+    pub fn crash(&self) {
+        self.plan.set(fault::Condition::Refusing);
+        state::lock(&self.state).lose(Instant::now());
+    }
+
+    /// Starts it again, empty.
+    pub fn restart(&self) {
+        self.plan.set(fault::Condition::Up);
+    }
+
+    /// Its leases as they are, past all faults, for oracles.
+    pub fn peek(&self) -> Vec<model::LeaseStatus> {
+        state::lock(&self.state).list(Instant::now()).leases
+    }
+}
+
+impl control::WorkerControl for WorkerFleet {
+    async fn reserve(
+        &self,
+        worker: &ids::PeerAddress,
+        reserve: model::LeaseReserve,
+    ) -> Result<model::LeaseReserved, error::CallError> {
+        let step = model::LeaseReserve::PATH;
+        self.pass(worker, step, move |state, now| state.reserve(reserve, now)).await
+    }
+
+    async fn start(
+        &self,
+        worker: &ids::PeerAddress,
+        start: model::TaskStart,
+    ) -> Result<model::TaskStarted, error::CallError> {
+        let step = model::TaskStart::PATH;
+        self.pass(worker, step, move |state, now| state.start(start, now)).await
+    }
+
+    async fn renew(
+        &self,
+        worker: &ids::PeerAddress,
+        renew: model::LeaseRenew,
+    ) -> Result<model::LeaseListing, error::CallError> {
+        let step = model::LeaseRenew::PATH;
+        self.pass(worker, step, move |state, now| state.renew(renew, now)).await
+    }
+
+    async fn signal(
+        &self,
+        worker: &ids::PeerAddress,
+        signal: model::TaskSignal,
+    ) -> Result<model::Ack, error::CallError> {
+        let step = model::TaskSignal::PATH;
+        self.pass(worker, step, move |state, now| state.signal(&signal, now)).await
+    }
+
+    async fn release(
+        &self,
+        worker: &ids::PeerAddress,
+        release: model::LeaseRelease,
+    ) -> Result<model::Ack, error::CallError> {
+        let step = model::LeaseRelease::PATH;
+        self.pass(worker, step, move |state, now| state.release(&release, now)).await
+    }
+
+    async fn leases(
+        &self,
+        worker: &ids::PeerAddress,
+    ) -> Result<model::LeaseListing, error::CallError> {
+        self.pass(worker, model::LeaseList::PATH, move |state, now| state.list(now)).await
+    }
+}
--- /dev/null
+++ b/crates/standin/src/object.rs
@@ -0,0 +1,98 @@
+//! The object store, in memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Arc, Mutex};
+
+use almondpass_peer::call::PeerCall;
+use almondpass_peer::error;
+use almondpass_platform::objects;
+use almondpass_schema::{blob, ids, model};
+
+use crate::fault;
+use crate::state;
+
+/// A handle of the object store; clones share the objects.
+#[derive(Clone, Debug, Default)]
+pub struct ObjectFake {
+    objects: Arc<Mutex<ObjectMap>>,
+    plan: fault::FaultPlan,
+    path: fault::FaultPlan,
+}
+
+/// Name of the fake in errors.
+const PEER: &str = "objects";
+
+type ObjectMap = BTreeMap<ids::ObjectKey, blob::Blob>;
+
+impl ObjectFake {
+    /// An empty store.
+    pub fn new() -> ObjectFake {
+        ObjectFake::default()
+    }
+
+    /// The same store behind a path of its own, such as one instance's.
+    pub fn seen_through(&self, path: fault::FaultPlan) -> ObjectFake {
+        ObjectFake { path, ..self.clone() }
+    }
+
+    /// Faults of the service itself, for every caller.
+    pub fn faults(&self) -> &fault::FaultPlan {
+        &self.plan
+    }
+
+    /// Keys below a prefix as they are, past all faults, for oracles.
+    pub fn peek(&self, prefix: &str) -> Vec<ids::ObjectKey> {
+        let keys = state::lock(&self.objects);
+        keys.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
+    }
+
+    async fn pass<T: Send + 'static>(
+        &self,
+        step: &'static str,
+        effect: impl FnOnce(&mut ObjectMap) -> T + Send + 'static,
+    ) -> Result<T, error::CallError> {
+        let objects = Arc::clone(&self.objects);
+        let effect = move || effect(&mut state::lock(&objects));
+        fault::pass(&[&self.path, &self.plan], PEER, step, effect).await
+    }
+}
+
+impl objects::ObjectStore for ObjectFake {
+    async fn put(
+        &self,
+        put: model::ObjectPut,
+    ) -> Result<model::ObjectPutOutcome, error::CallError> {
+        self.pass(model::ObjectPut::PATH, move |objects| create(objects, put)).await
+    }
+
+    async fn get(&self, get: model::ObjectGet) -> Result<model::ObjectFound, error::CallError> {
+        let step = model::ObjectGet::PATH;
+        let read = move |objects: &mut ObjectMap| objects.get(&get.key).cloned();
+        self.pass(step, move |objects| model::ObjectFound { value: read(objects) }).await
+    }
+
+    async fn list(&self, list: model::ObjectList) -> Result<model::ObjectKeys, error::CallError> {
+        self.pass(model::ObjectList::PATH, move |objects| keys_of(objects, &list)).await
+    }
+}
+
+fn create(objects: &mut ObjectMap, put: model::ObjectPut) -> model::ObjectPutOutcome {
+    if objects.contains_key(&put.key) {
+        return model::ObjectPutOutcome::Exists;
+    }
+    objects.insert(put.key, put.value);
+    model::ObjectPutOutcome::Created
+}
+
+fn keys_of(objects: &ObjectMap, list: &model::ObjectList) -> model::ObjectKeys {
+    let first = match &list.after {
+        Some(after) if list.prefix <= *after => Bound::Excluded(after.clone()),
+        _ => Bound::Included(list.prefix.clone()),
+    };
+    let below = objects.range((first, Bound::Unbounded)).map(|(key, _)| key);
+    let mut below = below.take_while(|it| it.starts_with(&list.prefix));
+    let limit = usize::try_from(list.limit).unwrap_or(usize::MAX);
+    let keys = below.by_ref().take(limit).cloned().collect();
+    model::ObjectKeys { keys, more: below.next().is_some() }
+}
--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,146 @@
+//! The table service, in memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Arc, Mutex};
+
+use almondpass_peer::call::PeerCall;
+use almondpass_peer::error;
+use almondpass_platform::table;
+use almondpass_schema::{blob, ids, model};
+
+use crate::fault;
+use crate::state;
+
+/// A handle of the table; clones share the rows.
+#[derive(Clone, Debug, Default)]
+pub struct TableFake {
+    rows: Arc<Mutex<TableRows>>,
+    plan: fault::FaultPlan,
+    path: fault::FaultPlan,
+}
+
+/// Name of the fake in errors.
+const PEER: &str = "table";
+
+#[derive(Debug, Default)]
+struct TableRows {
+    rows: BTreeMap<ids::RowKey, StoredRow>,
+    transactions: u64,
+}
+
+/// A row as stored. A deleted row keeps its version, so that a row written again never shows a
+/// version that it had before.
+#[derive(Clone, Debug)]
+struct StoredRow {
+    version: ids::RowVersion,
+    value: Option<blob::Blob>,
+}
+
+impl TableFake {
+    /// An empty table.
+    pub fn new() -> TableFake {
+        TableFake::default()
+    }
+
+    /// The same table behind a path of its own, such as one instance's.
+    pub fn seen_through(&self, path: fault::FaultPlan) -> TableFake {
+        TableFake { path, ..self.clone() }
+    }
+
+    /// Faults of the service itself, for every caller.
+    pub fn faults(&self) -> &fault::FaultPlan {
+        &self.plan
+    }
+
+    /// Transactions that committed so far.
+    pub fn committed(&self) -> u64 {
+        state::lock(&self.rows).transactions
+    }
+
+    /// The rows below a prefix as they are, past all faults, for oracles.
+    pub fn peek(&self, prefix: &str) -> Vec<model::TableRow> {
+        let scan = model::TableScan { prefix: prefix.to_owned(), after: None, limit: u32::MAX };
+        state::lock(&self.rows).scan(&scan).rows
+    }
+
+    async fn pass<T: Send + 'static>(
+        &self,
+        step: &'static str,
+        effect: impl FnOnce(&mut TableRows) -> T + Send + 'static,
+    ) -> Result<T, error::CallError> {
+        let rows = Arc::clone(&self.rows);
+        let effect = move || effect(&mut state::lock(&rows));
+        fault::pass(&[&self.path, &self.plan], PEER, step, effect).await
+    }
+}
+
+impl table::TableService for TableFake {
+    async fn transact(
+        &self,
+        transaction: model::TableTransaction,
+    ) -> Result<model::TableOutcome, error::CallError> {
+        let step = model::TableTransaction::PATH;
+        self.pass(step, move |rows| rows.transact(transaction)).await
+    }
+
+    async fn get(&self, get: model::TableGet) -> Result<model::TableRows, error::CallError> {
+        self.pass(model::TableGet::PATH, move |rows| rows.get(&get)).await
+    }
+
+    async fn scan(&self, scan: model::TableScan) -> Result<model::TableRows, error::CallError> {
+        self.pass(model::TableScan::PATH, move |rows| rows.scan(&scan)).await
+    }
+}
+
+impl TableRows {
+    fn transact(&mut self, transaction: model::TableTransaction) -> model::TableOutcome {
+        let failed = transaction.conditions.iter().map(|it| (it, self.read(&it.key)));
+        let failed = failed.filter(|(condition, row)| condition.version != row.version);
+        let rows = failed.map(|(_, row)| row).collect::<Vec<_>>();
+        if !rows.is_empty() {
+            return model::TableOutcome::Conflict { rows };
+        }
+        self.transactions += 1;
+        let writes = transaction.writes.into_iter();
+        model::TableOutcome::Committed { versions: writes.map(|it| self.write(it)).collect() }
+    }
+
+    fn get(&self, get: &model::TableGet) -> model::TableRows {
+        let rows = get.keys.iter().map(|it| self.read(it)).collect();
+        model::TableRows { rows, more: false }
+    }
+
+    fn scan(&self, scan: &model::TableScan) -> model::TableRows {
+        let first = match &scan.after {
+            Some(after) if scan.prefix <= *after => Bound::Excluded(after.clone()),
+            _ => Bound::Included(scan.prefix.clone()),
+        };
+        let below = self.rows.range((first, Bound::Unbounded));
+        let below = below.take_while(|(key, _)| key.starts_with(&scan.prefix));
+        let mut live = below.filter(|(_, row)| row.value.is_some());
+        let limit = usize::try_from(scan.limit).unwrap_or(usize::MAX);
+        let rows = live.by_ref().take(limit).map(|(key, row)| row.shown(key)).collect();
+        model::TableRows { rows, more: live.next().is_some() }
+    }
+
+    fn read(&self, key: &ids::RowKey) -> model::TableRow {
+        match self.rows.get(key) {
+            Some(row) if row.value.is_some() => row.shown(key),
+            _ => model::TableRow { key: key.clone(), version: 0, value: None },
+        }
+    }
+
+    fn write(&mut self, write: model::TableWrite) -> ids::RowVersion {
+        let row = self.rows.entry(write.key).or_insert(StoredRow { version: 0, value: None });
+        row.version += 1;
+        row.value = write.value;
+        row.version
+    }
+}
+
+impl StoredRow {
+    fn shown(&self, key: &ids::RowKey) -> model::TableRow {
+        model::TableRow { key: key.clone(), version: self.version, value: self.value.clone() }
+    }
+}
