--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -99,6 +99,19 @@
         }
     }
 
+    /// What a program reads instead of a result, where there is more than the message.
+    pub(crate) fn body(&self) -> Option<serde_json::Value> {
+        let body = match self {
+            Error::Problem { problem, .. } => serde_json::to_value(problem),
+            Error::Conflict { conflict, .. } => serde_json::to_value(conflict),
+            Error::Document { faults, .. } | Error::Faults { faults, .. } => {
+                serde_json::to_value(model::ConfigFaults { faults: faults.clone() })
+            }
+            _ => return None,
+        };
+        body.ok()
+    }
+
     /// Whether the server said that nothing ran and that coming back later helps.
     pub(crate) fn retry_after(&self) -> Option<almondpass_schema::time::TimeSpan> {
         match self {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -31,14 +31,14 @@
         Ok(arguments) => arguments,
         Err(error) => return show_usage(&error, out, err),
     };
-    match execute(arguments, out) {
-        Ok(()) => exit::DONE,
-        Err(error) => {
-            // Nothing is left to tell the user by where even this cannot be written.
-            let _ = writeln!(err, "almondpass: {error}");
-            error.exit_status()
-        }
+    let json = arguments.common.json;
+    let Err(error) = execute(arguments, out) else { return exit::DONE };
+    // Nothing is left to tell the user by where even this cannot be written.
+    if let Some(body) = error.body().filter(|_| json) {
+        let _ = writeln!(out, "{body:#}");
     }
+    let _ = writeln!(err, "almondpass: {error}");
+    error.exit_status()
 }
 
 fn execute<O: Write>(arguments: arguments::Arguments, out: &mut O) -> Result<(), error::Error> {
--- a/crates/cli/src/subcommand/config/check.rs
+++ b/crates/cli/src/subcommand/config/check.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
+use almondpass_config::document;
 use almondpass_schema::model;
 
 use crate::error;
@@ -31,12 +32,6 @@
 pub(crate) fn read_document(path: &Path) -> Result<model::ConfigDocument, error::Error> {
     let text = fs::read_to_string(path)
         .map_err(|source| error::Error::ReadFile { path: path.to_owned(), source })?;
-    serde_yaml_ng::from_str(&text).map_err(|fault| error::Error::Document {
-        path: path.to_owned(),
-        faults: vec![model::ConfigFault {
-            path: String::new(),
-            expected: "a configuration document".to_owned(),
-            found: fault.to_string(),
-        }],
-    })
+    document::check(&path.display().to_string(), &text)
+        .map_err(|found| error::Error::Document { path: path.to_owned(), faults: found.faults })
 }
