Keep numbered configuration versions, propagate them, diff and merge them

Versions are written on condition of the head row; a proposal's id settles a lost answer; a racing operator gets both changes and a merge.

--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -81,7 +81,11 @@
         if self.faults.is_empty() {
             return Ok(());
         }
-        Err(ConfigFaults { source_name: source_name.to_owned(), faults: self.faults })
+        Err(self.into_faults(source_name))
+    }
+
+    pub(crate) fn into_faults(self, source_name: &str) -> ConfigFaults {
+        ConfigFaults { source_name: source_name.to_owned(), faults: self.faults }
     }
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,17 @@
 //! The configuration document: rule checks, numbered versions, propagation and diffs.
 
 pub mod active;
+pub mod canonical;
+pub mod changes;
 pub mod document;
 pub mod fault;
+mod heard;
+mod history;
+pub mod keeper;
+pub mod merge;
 pub mod path;
+pub mod proposal;
 pub mod rules;
 pub mod schema_check;
 pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/config/src/proposal.rs
@@ -0,0 +1,201 @@
+//! Making an operator's draft the newest version.
+
+use std::time::Duration;
+
+use almondpass_platform::{clock, table};
+use almondpass_schema::{ids, model};
+use backon::{BackoffBuilder, ExponentialBuilder};
+use thiserror::Error;
+use tokio::time;
+use uuid::Uuid;
+
+use crate::changes;
+use crate::fault;
+use crate::history;
+use crate::merge;
+use crate::rules;
+use crate::store;
+
+/// First pause before an unsettled write is looked at again.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Looks at an unsettled write before the operator is told that it is unsettled.
+const MAX_ATTEMPTS: usize = 6;
+/// Longest note of an operator, in characters.
+const MAX_NOTE_CHARS: usize = 1000;
+
+/// Why a draft is not the newest version.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum ProposalError {
+    /// The draft is wrong; nothing was written.
+    #[error(transparent)]
+    Faults(#[from] fault::ConfigFaults),
+    /// Another operator was first; nothing was written.
+    #[error("expected version {} to be the newest, found version {}", .0.base, .0.newest.version)]
+    Conflict(Box<model::ConfigConflict>),
+    /// The table service could not be asked; nothing was written.
+    #[error("the draft was not written: {0}")]
+    NotWritten(store::StoreFault),
+    /// The write was sent and the answer lost. It may have taken effect or may yet: the same
+    /// proposal sent again finds out, since its id is kept with the version.
+    #[error("proposal {proposal} may or may not be accepted, send it again: {fault}")]
+    Unsettled {
+        /// Id of the proposal.
+        proposal: ids::ProposalId,
+        /// What went wrong last.
+        fault: store::StoreFault,
+    },
+}
+
+impl ProposalError {
+    /// Its kind, for metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            ProposalError::Faults(_) => "faults",
+            ProposalError::Conflict(_) => "conflict",
+            ProposalError::NotWritten(_) => "not_written",
+            ProposalError::Unsettled { .. } => "unsettled",
+        }
+    }
+}
+
+/// Writes the draft as the version after its base. A lost answer is settled by reading back: the
+/// version's row carries the proposal's id, so its author knows it again, and the write can be
+/// repeated, since only one of both can find the head unchanged.
+pub(crate) async fn accept<T: table::TableService>(
+    store: &store::ConfigStore<T>,
+    clock: &clock::WallClock,
+    proposal: model::ConfigProposal,
+) -> Result<model::ConfigRow, ProposalError> {
+    rules::check("the draft", &proposal.document)?;
+    let row = model::ConfigRow {
+        version: proposal.base + 1,
+        accepted_at: clock.now(),
+        operator: proposal.operator,
+        note: proposal.note.chars().take(MAX_NOTE_CHARS).collect(),
+        proposal: proposal.proposal.unwrap_or_else(Uuid::now_v7),
+        document: proposal.document,
+    };
+    let mut progress = WriteProgress { may_have_written: false, row };
+    let mut pauses = pauses();
+    loop {
+        let fault = match progress.attempt(store).await {
+            WriteStep::Accepted => return Ok(progress.row),
+            WriteStep::Failed(error) => return Err(*error),
+            WriteStep::Unsettled(fault) => fault,
+        };
+        let Some(pause) = pauses.next() else {
+            return Err(progress.given_up(fault));
+        };
+        time::sleep(pause).await;
+    }
+}
+
+/// One draft on its way into the table.
+struct WriteProgress {
+    may_have_written: bool,
+    row: model::ConfigRow,
+}
+
+enum WriteStep {
+    Accepted,
+    Failed(Box<ProposalError>),
+    Unsettled(store::StoreFault),
+}
+
+impl WriteProgress {
+    async fn attempt<T: table::TableService>(
+        &mut self,
+        store: &store::ConfigStore<T>,
+    ) -> WriteStep {
+        let head = match store.head().await {
+            Ok(head) => head,
+            Err(fault) => return WriteStep::Unsettled(fault),
+        };
+        if self.row.version <= head.version {
+            return self.compare(store, head.version).await;
+        }
+        if head.version + 1 < self.row.version {
+            // The base was in force somewhere, so it is in the table: this read is stale.
+            return WriteStep::Unsettled(stale_read(head.version, self.row.version - 1));
+        }
+        match store.append(head, &self.row).await {
+            store::StoredDraft::Committed => WriteStep::Accepted,
+            store::StoredDraft::Raced => match store.head().await {
+                Ok(head) if self.row.version <= head.version => {
+                    self.compare(store, head.version).await
+                }
+                Ok(head) => WriteStep::Unsettled(stale_read(head.version, self.row.version)),
+                Err(fault) => WriteStep::Unsettled(fault),
+            },
+            store::StoredDraft::NotWritten(fault) => WriteStep::Unsettled(fault),
+            store::StoredDraft::Unanswered(fault) => {
+                self.may_have_written = true;
+                WriteStep::Unsettled(fault)
+            }
+        }
+    }
+
+    /// Looks whose the version is that stands where the draft was to go.
+    async fn compare<T: table::TableService>(
+        &self,
+        store: &store::ConfigStore<T>,
+        newest: ids::ConfigVersion,
+    ) -> WriteStep {
+        match store.version(self.row.version).await {
+            Ok(Some(there)) if there.proposal == self.row.proposal => WriteStep::Accepted,
+            Ok(Some(_)) => match conflict(store, &self.row, newest).await {
+                Ok(conflict) => {
+                    WriteStep::Failed(Box::new(ProposalError::Conflict(Box::new(conflict))))
+                }
+                Err(fault) => WriteStep::Unsettled(fault),
+            },
+            Ok(None) => WriteStep::Unsettled(stale_read(self.row.version - 1, self.row.version)),
+            Err(fault) => WriteStep::Unsettled(fault),
+        }
+    }
+
+    fn given_up(&self, fault: store::StoreFault) -> ProposalError {
+        if self.may_have_written {
+            return ProposalError::Unsettled { proposal: self.row.proposal, fault };
+        }
+        ProposalError::NotWritten(fault)
+    }
+}
+
+async fn conflict<T: table::TableService>(
+    store: &store::ConfigStore<T>,
+    draft: &model::ConfigRow,
+    newest: ids::ConfigVersion,
+) -> Result<model::ConfigConflict, store::StoreFault> {
+    let base = draft.version - 1;
+    let newest_row = store.version(newest).await?;
+    let newest_row = newest_row.ok_or_else(|| stale_read(newest - 1, newest))?;
+    let base_row = if base == 0 { None } else { store.version(base).await? };
+    let theirs = newest_row.document.clone();
+    let newest = history::summary(newest_row);
+    // Before the first version there is nothing to compare with: the other's document stands for
+    // the base, and the draft's changes are told against it.
+    let base_document = base_row.map_or_else(|| theirs.clone(), |it| it.document);
+    let merged = merge::carry_over(&base_document, &theirs, &draft.document);
+    Ok(model::ConfigConflict {
+        base,
+        newest,
+        theirs: changes::between(&base_document, &theirs),
+        yours: changes::between(&base_document, &draft.document),
+        both: merged.both,
+        merged: merged.document,
+        document: theirs,
+    })
+}
+
+fn stale_read(found: ids::ConfigVersion, expected: ids::ConfigVersion) -> store::StoreFault {
+    store::StoreFault::Stale { expected, found }
+}
+
+fn pauses() -> impl Iterator<Item = Duration> {
+    ExponentialBuilder::default()
+        .with_min_delay(FIRST_PAUSE)
+        .with_max_times(MAX_ATTEMPTS - 1)
+        .with_jitter()
+        .build()
+}
--- a/crates/config/src/schema_check.rs
+++ b/crates/config/src/schema_check.rs
@@ -37,8 +37,12 @@
         report(&error, &mut faults);
     }
     faults.into_result(source_name)?;
-    T::deserialize(document).map_err(|error| {
-        fault::whole_document(source_name, format!("a {definition}"), error.to_string())
+    // The schema leaves to the type what it cannot state, such as the largest number of 32 bits.
+    serde_path_to_error::deserialize(document).map_err(|error| {
+        let mut faults = fault::FaultList::new(document);
+        let path = error.path().iter().filter_map(path_step).collect::<path::FieldPath>();
+        faults.push(&path, "a value that its type can hold", error.inner().to_string());
+        faults.into_faults(source_name)
     })
 }
 
@@ -70,6 +74,14 @@
     }
 }
 
+fn path_step(segment: &serde_path_to_error::Segment) -> Option<path::PathStep> {
+    match segment {
+        serde_path_to_error::Segment::Seq { index } => Some(path::PathStep::Item(*index)),
+        serde_path_to_error::Segment::Map { key } => Some(path::PathStep::Member(key.clone())),
+        _ => None,
+    }
+}
+
 fn field_path(error: &jsonschema::ValidationError<'_>) -> path::FieldPath {
     let location = error.instance_path();
     let steps = location.iter().map(|segment| match segment {
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -257,10 +257,12 @@
 pub struct ConfigConflict {
     ///The version that was edited.
     pub base: crate::ids::ConfigVersion,
-    ///Paths that both change.
+    ///Paths that both change differently.
     pub both: ::std::vec::Vec<::std::string::String>,
     ///Its document.
     pub document: ConfigDocument,
+    ///The newest document with the draft's changes on top; the draft's where both change one path.
+    pub merged: ConfigDocument,
     ///The version that stands instead.
     pub newest: ConfigSummary,
     ///What changed since the base.
