Carry calls between instances over HTTP

Instances and the platform's stand-in had no transport: PeerLink had no implementation over sockets.

PeerClient pools connections per peer, retries only a request that hyper gives back unsent on a pooled connection, and after one missed deadline forgets the peer's connections, so that a machine that died costs one deadline, not one for each connection. A fault says NotSent only where nothing was written. The server compares the cluster key in constant time, caps head, body and connections, times heads and bodies, runs each call in a task of its own so that a caller's giving up does not stop it half-way, and on shutdown finishes what is in flight. 18 tests over sockets on port 0.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,7 +1,13 @@
 //! Calls between our own processes: MessagePack over HTTP, typed by message.
 
 pub mod call;
+pub mod client;
 pub mod codec;
 pub mod dispatch;
 pub mod error;
+pub mod key;
 pub mod link;
+pub mod server;
+
+mod pool;
+mod wire;
--- /dev/null
+++ b/crates/peer/tests/calls.rs
@@ -0,0 +1,299 @@
+//! Calls over sockets: what reaches the peer, and what the caller learns of it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use almondpass_peer::call::PeerCall;
+use almondpass_peer::link::{PeerLink, PeerService};
+use almondpass_peer::{client, dispatch, error, key, link, server};
+use almondpass_schema::{ids, model};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+
+const KEY: &str = "shared by all instances";
+
+/// Long enough never to expire in these tests.
+const PATIENT: Duration = Duration::from_secs(60);
+
+/// Short, for peers that never answer.
+const IMPATIENT: Duration = Duration::from_millis(300);
+
+/// Answers hand-overs by the name of their hall.
+#[derive(Clone)]
+struct HandOverService {
+    served: Arc<AtomicU32>,
+    gate: Arc<Semaphore>,
+}
+
+impl PeerService for HandOverService {
+    async fn serve(&self, path: &str, body: Bytes) -> Option<link::ServedReply> {
+        match path {
+            model::HandOver::PATH => {
+                dispatch::try_answer(&body, async |call| self.take(call).await)
+            }
+            _ => return None,
+        }
+        .await
+    }
+}
+
+impl HandOverService {
+    async fn take(&self, call: model::HandOver) -> Result<model::Ack, error::ServeFault> {
+        self.served.fetch_add(1, Ordering::SeqCst);
+        match call.hall.as_str() {
+            "busy" => Err(error::ServeFault::Unavailable("a busy one".to_owned())),
+            "silent" => Err(error::ServeFault::Silent),
+            "gated" => {
+                self.gate.acquire().await.unwrap().forget();
+                Ok(model::Ack {})
+            }
+            _ => Ok(model::Ack {}),
+        }
+    }
+}
+
+struct PeerSite {
+    address: ids::PeerAddress,
+    service: HandOverService,
+    stop: oneshot::Sender<()>,
+    stopped: tokio::task::JoinHandle<()>,
+}
+
+async fn listen() -> (TcpListener, ids::PeerAddress) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+async fn start() -> PeerSite {
+    let (listener, address) = listen().await;
+    let service = HandOverService { served: Arc::default(), gate: Arc::new(Semaphore::new(0)) };
+    let config = server::ServerConfig {
+        cluster_key: Some(key::ClusterKey::new(KEY)),
+        max_body_bytes: 1024,
+        ..server::ServerConfig::default()
+    };
+    let (stop, stopping) = oneshot::channel::<()>();
+    let shutdown = async move { stopping.await.unwrap_or_default() };
+    let stopped = tokio::spawn(server::serve(listener, service.clone(), config, shutdown));
+    PeerSite { address, service, stop, stopped }
+}
+
+fn client_with(key: &str) -> client::PeerClient {
+    let cluster_key = Some(key::ClusterKey::new(key));
+    client::PeerClient::new(client::ClientConfig { cluster_key, ..Default::default() }).unwrap()
+}
+
+fn hand_over(hall: &str) -> model::HandOver {
+    model::HandOver { hall: hall.to_owned(), epoch: 1 }
+}
+
+async fn check(client: &client::PeerClient, peer: &str, hall: &str) -> error::CallFault {
+    let peer = ids::PeerAddress::from(peer);
+    let error = client.call(&peer, hand_over(hall), PATIENT).await.unwrap_err();
+    assert_eq!(error.peer, peer);
+    error.fault
+}
+
+fn refusal(fault: error::CallFault) -> u16 {
+    assert!(fault.had_no_effect());
+    match fault {
+        error::CallFault::Refused { status, .. } => status,
+        other => panic!("expected a refusal, found {other}"),
+    }
+}
+
+#[tokio::test]
+async fn call_is_answered() {
+    let site = start().await;
+    let client = client_with(KEY);
+    for _ in 0..3 {
+        let reply = client.call(&site.address, hand_over("vadodara"), PATIENT).await;
+        assert_eq!(reply, Ok(model::Ack {}));
+    }
+    assert_eq!(site.service.served.load(Ordering::SeqCst), 3);
+}
+
+macro_rules! refusals {
+    ($($name:ident: $key:expr, $hall:expr => $status:literal, $served:literal;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let site = start().await;
+            let fault = check(&client_with($key), &site.address, $hall).await;
+            assert_eq!(refusal(fault), $status);
+            assert_eq!(site.service.served.load(Ordering::SeqCst), $served);
+        })*
+    };
+}
+
+refusals! {
+    other_key_is_refused: "another", "vadodara" => 401, 0;
+    oversized_call_is_refused: KEY, &"x".repeat(2000) => 413, 0;
+    unready_service_is_a_refusal: KEY, "busy" => 503, 1;
+}
+
+#[tokio::test]
+async fn unknown_path_is_refused() {
+    let site = start().await;
+    let query = model::HallQuery { hall: "vadodara".to_owned() };
+    let error = client_with(KEY).call(&site.address, query, PATIENT).await.unwrap_err();
+    assert_eq!(refusal(error.fault), 404);
+}
+
+/// Sends `head` and `body` by hand, for what the client never sends.
+async fn raw_status(address: &str, headers: &[(&str, &str)], body: &[u8]) -> u16 {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.unwrap();
+    tokio::spawn(connection);
+    let mut request = http::Request::post(model::HandOver::PATH);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = Full::new(Bytes::copy_from_slice(body));
+    sender.send_request(request.body(body).unwrap()).await.unwrap().status().as_u16()
+}
+
+macro_rules! raw_calls {
+    ($($name:ident: $headers:expr, $body:expr => $status:literal;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let site = start().await;
+            assert_eq!(raw_status(&site.address, &$headers, $body).await, $status);
+            assert_eq!(site.service.served.load(Ordering::SeqCst), 0);
+        })*
+    };
+}
+
+raw_calls! {
+    missing_key_is_refused: [("x-message-version", "1")], b"\x80" => 401;
+    other_version_is_refused:
+        [("x-cluster-key", KEY), ("x-message-version", "2")], b"\x80" => 400;
+    unreadable_call_is_refused:
+        [("x-cluster-key", KEY), ("x-message-version", "1")], b"\xc1\xff" => 400;
+    deeply_nested_call_is_refused:
+        [("x-cluster-key", KEY), ("x-message-version", "1")], &[0x91; 1000] => 400;
+    oversized_head_is_refused:
+        [("x-cluster-key", KEY), ("x-filler", &"x".repeat(9000))], b"\x80" => 431;
+}
+
+#[tokio::test]
+async fn refused_connection_is_not_sent() {
+    let (listener, address) = listen().await;
+    drop(listener);
+    let fault = check(&client_with(KEY), &address, "vadodara").await;
+    assert!(matches!(fault, error::CallFault::NotSent(_)), "{fault}");
+}
+
+#[tokio::test]
+async fn name_instead_of_address_is_not_sent() {
+    let fault = check(&client_with(KEY), "localhost:80", "vadodara").await;
+    assert_eq!(fault, error::CallFault::NotSent("the address \"localhost:80\"".to_owned()));
+}
+
+#[tokio::test]
+async fn broken_connection_may_have_had_an_effect() {
+    let site = start().await;
+    let fault = check(&client_with(KEY), &site.address, "silent").await;
+    assert!(matches!(fault, error::CallFault::NoAnswer(_)), "{fault}");
+    assert!(!fault.had_no_effect());
+}
+
+#[tokio::test]
+async fn answer_cut_short_is_no_answer() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read(&mut [0; 1024]).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n\x80").await.unwrap();
+    });
+    let fault = check(&client_with(KEY), &address, "vadodara").await;
+    assert!(matches!(fault, error::CallFault::NoAnswer(_)), "{fault}");
+}
+
+/// Symptom: every pooled connection to a peer costs one deadline after its machine died.
+/// Sequence: a call over a pooled connection gets no answer in time; the next call must not use
+/// another old connection. Cause: a dead machine closes nothing.
+#[tokio::test]
+async fn missed_deadline_discards_the_peers_connections() {
+    let (listener, address) = listen().await;
+    let connected = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&connected);
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        loop {
+            held.push(listener.accept().await.unwrap());
+            counter.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    let client = client_with(KEY);
+    for n in 1..=2 {
+        let error = client.call(&address, hand_over("vadodara"), IMPATIENT).await.unwrap_err();
+        assert_eq!(error.fault, error::CallFault::TimedOut(IMPATIENT));
+        assert_eq!(connected.load(Ordering::SeqCst), n);
+    }
+}
+
+/// Symptom: the first call after a peer's restart fails though the peer is up. Sequence: a call
+/// pools its connection, the peer closes it, the next call takes it from the pool. Cause: a
+/// connection that is closed already carries nothing.
+#[tokio::test]
+async fn connection_closed_while_idle_is_replaced() {
+    let (listener, address) = listen().await;
+    let client = client_with(KEY);
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n\x80";
+    for _ in 0..2 {
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read(&mut [0; 1024]).await.unwrap();
+            stream.write_all(answer).await.unwrap();
+        };
+        let call = client.call(&address, hand_over("vadodara"), PATIENT);
+        let (reply, ()) = tokio::join!(call, serve);
+        assert_eq!(reply, Ok(model::Ack {}));
+    }
+}
+
+/// Symptom: a caller that gave up leaves a hand-over half done. Sequence: the call is being
+/// answered, its deadline passes, the connection closes. Cause: hyper drops the handler then.
+#[tokio::test]
+async fn handler_outlives_its_caller() {
+    let site = start().await;
+    let client = client_with(KEY);
+    let address = site.address.clone();
+    let call =
+        tokio::spawn(async move { client.call(&address, hand_over("gated"), PATIENT).await });
+    while site.service.served.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    call.abort();
+    assert!(call.await.is_err());
+    site.service.gate.add_permits(1);
+    while site.service.gate.available_permits() != 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn shutdown_finishes_calls_in_flight() {
+    let site = start().await;
+    let client = client_with(KEY);
+    let address = site.address.clone();
+    let call =
+        tokio::spawn(async move { client.call(&address, hand_over("gated"), PATIENT).await });
+    while site.service.served.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    site.stop.send(()).unwrap();
+    tokio::task::yield_now().await;
+    site.service.gate.add_permits(1);
+    assert_eq!(call.await.unwrap(), Ok(model::Ack {}));
+    site.stopped.await.unwrap();
+    let fault = check(&client_with(KEY), &site.address, "vadodara").await;
+    assert!(matches!(fault, error::CallFault::NotSent(_)), "{fault}");
+}
