--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -204,12 +204,16 @@
     assert!(!fault.had_no_effect());
 }
 
+async fn read_some(stream: &mut TcpStream) {
+    assert_ne!(stream.read(&mut [0; 1024]).await.unwrap(), 0);
+}
+
 #[tokio::test]
 async fn answer_cut_short_is_no_answer() {
     let (listener, address) = listen().await;
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        stream.read(&mut [0; 1024]).await.unwrap();
+        read_some(&mut stream).await;
         stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n\x80").await.unwrap();
     });
     let fault = check(&client_with(KEY), &address, "vadodara").await;
@@ -250,7 +254,7 @@
     for _ in 0..2 {
         let serve = async {
             let (mut stream, _) = listener.accept().await.unwrap();
-            stream.read(&mut [0; 1024]).await.unwrap();
+            read_some(&mut stream).await;
             stream.write_all(answer).await.unwrap();
         };
         let call = client.call(&address, hand_over("vadodara"), PATIENT);
