--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -95,7 +95,7 @@
                 // acted on any other, and what it then granted has to be settled by the asker.
                 Err(error) if error.fault.had_no_effect() => {
                     debug!(%error, hall = call.hall(), "the holder of a hall is not reached");
-                    self.parts.holders.forget(call.hall(), &address);
+                    self.parts.miss(call.hall(), &address, &error.fault);
                     answer = Err(error);
                 }
                 Err(error) => return Err(error),
@@ -159,6 +159,13 @@
         }
     }
 
+    /// A holder that refuses is there and may be ready soon; one without a connection is not.
+    fn miss(&self, hall: &ids::HallName, asked: &ids::PeerAddress, fault: &error::CallFault) {
+        if matches!(fault, error::CallFault::NotSent(_)) {
+            self.holders.forget(hall, asked);
+        }
+    }
+
     async fn read_row(&self, hall: &ids::HallName) -> Option<ids::PeerAddress> {
         if !self.may_read(hall) {
             return None;
--- a/crates/membership/src/known.rs
+++ b/crates/membership/src/known.rs
@@ -26,6 +26,8 @@
     pub strikes: u32,
     /// Whether it is taken for dead.
     pub lost: bool,
+    /// Configuration in force there when it last said so; 0 where it never did.
+    pub config_version: ids::ConfigVersion,
     /// Beats that told of its latest change.
     pub told: u32,
 }
@@ -43,6 +45,7 @@
             alive_at: now,
             strikes: 0,
             lost: false,
+            config_version: 0,
             told: 0,
         }
     }
@@ -59,6 +62,7 @@
             alive_at: now,
             strikes: 0,
             lost: false,
+            config_version: 0,
             told: 0,
         }
     }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -97,6 +97,9 @@
             number: beat.number,
         };
         self.hear_sender(&word, now);
+        if let Some(member) = self.known.get_mut(&beat.address) {
+            member.config_version = member.config_version.max(beat.config_version);
+        }
         for rumour in &beat.rumours {
             self.hear_rumour(rumour, now);
         }
@@ -185,12 +188,13 @@
         &self.own
     }
 
-    /// What is believed now.
-    pub fn snapshot(&self) -> snapshot::MemberSnapshot {
+    /// What is believed now, while `config_version` is in force here.
+    pub fn snapshot(&self, config_version: ids::ConfigVersion) -> snapshot::MemberSnapshot {
         let own = snapshot::MemberEntry {
             address: self.own.address.clone(),
             data_center: self.own.data_center.clone(),
             leaving: self.leaving,
+            config_version,
         };
         let mut instances = self
             .known
@@ -322,5 +326,6 @@
         address: address.clone(),
         data_center: member.data_center.clone(),
         leaving: member.is_leaving(),
+        config_version: member.config_version,
     }
 }
--- a/crates/membership/src/service.rs
+++ b/crates/membership/src/service.rs
@@ -16,6 +16,9 @@
 use crate::members;
 use crate::snapshot;
 
+/// For one look at the instance list.
+const LIST_DEADLINE: Duration = Duration::from_secs(2);
+
 /// Intervals of membership.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberTiming {
@@ -60,7 +63,8 @@
         content: C,
     ) -> MemberService<L, C> {
         let table = members::MemberTable::new(own, timing.beat, Instant::now());
-        let (published, _) = watch::channel(Arc::new(table.snapshot()));
+        let snapshot = table.snapshot(content.config_version());
+        let (published, _) = watch::channel(Arc::new(snapshot));
         let shared = SharedState {
             timing,
             link,
@@ -91,7 +95,6 @@
 
     /// Beats and polls until dropped.
     pub async fn run<I: instances::InstanceList>(&self, list: I) {
-        self.join(&list).await;
         tokio::join!(self.poll_list(&list), self.send_beats());
     }
 
@@ -109,18 +112,19 @@
         self.send_to(everyone).await;
     }
 
-    /// Looks at the list once and makes this instance known to all on it.
-    async fn join<I: instances::InstanceList>(&self, list: &I) {
-        self.shared.look(list).await;
-        self.announce().await;
-    }
-
+    /// Looks at the list, and makes this instance known to all on it once it was read. The list
+    /// may not show this instance for a while, so nobody would come to it by themselves.
     async fn poll_list<I: instances::InstanceList>(&self, list: &I) {
         let mut interval = time::interval(self.shared.timing.poll);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut announced = false;
         loop {
             interval.tick().await;
-            self.shared.look(list).await;
+            let read = self.shared.look(list).await;
+            if read && !announced {
+                announced = true;
+                self.announce().await;
+            }
         }
     }
 
@@ -195,14 +199,22 @@
         self.publish();
     }
 
-    /// Reads the list; where that fails the last one stays in use.
-    async fn look<I: instances::InstanceList>(&self, list: &I) {
-        match list.list().await {
-            Ok(listing) => {
+    /// Reads the list and tells whether that went well; where it fails the last one stays in use.
+    async fn look<I: instances::InstanceList>(&self, list: &I) -> bool {
+        match time::timeout(LIST_DEADLINE, list.list()).await {
+            Ok(Ok(listing)) => {
                 self.lock().list(&listing, Instant::now());
                 self.publish();
+                true
+            }
+            Ok(Err(error)) => {
+                debug!(%error, "the instance list cannot be read; the last one stays");
+                false
+            }
+            Err(_) => {
+                debug!(step = "instance list", "no answer within {LIST_DEADLINE:?}");
+                false
             }
-            Err(error) => debug!(%error, "the instance list cannot be read; the last one stays"),
         }
     }
 
@@ -225,8 +237,8 @@
     }
 
     fn publish(&self) {
-        let snapshot = self.lock().snapshot();
-        metrics::gauge!("membership_instances").set(snapshot.instances.len() as f64);
+        let snapshot = self.lock().snapshot(self.content.config_version());
+        metrics::gauge!("almondpass_membership_instances").set(snapshot.instances.len() as f64);
         self.published.send_if_modified(|published| {
             let changed = **published != snapshot;
             if changed {
--- a/crates/membership/src/snapshot.rs
+++ b/crates/membership/src/snapshot.rs
@@ -22,6 +22,8 @@
     pub data_center: ids::DataCenter,
     /// Whether it shuts down.
     pub leaving: bool,
+    /// Configuration in force there when it last said so; 0 where it never did.
+    pub config_version: ids::ConfigVersion,
 }
 
 /// One worker.
