--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::arguments;
 use crate::connection;
 use crate::error;
 
@@ -19,8 +20,6 @@
 const SHOWN_CHARS: usize = 200;
 /// Retries of one call.
 const RETRIES: usize = 3;
-/// Pause before the first retry.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Speaks JSON with one server, under one set of credentials.
 #[derive(Clone)]
@@ -28,6 +27,7 @@
     connection: connection::ServerConnection,
     authorization: http::HeaderValue,
     timeout: Duration,
+    retry_pause: Duration,
 }
 
 /// One call.
@@ -100,11 +100,13 @@
     pub(crate) fn new(
         connection: connection::ServerConnection,
         authorization: &str,
-        timeout: Duration,
+        common: &arguments::CommonArgs,
     ) -> Result<ApiClient, error::Error> {
         let mut authorization = header_value("authorization", authorization)?;
         authorization.set_sensitive(true);
-        Ok(ApiClient { connection, authorization, timeout })
+        let timeout = common.timeout.0;
+        let retry_pause = common.retry_pause.0;
+        Ok(ApiClient { connection, authorization, timeout, retry_pause })
     }
 
     /// Name of the server.
@@ -121,7 +123,7 @@
     /// proof for its own attempt only.
     pub(crate) async fn call<T: DeserializeOwned>(&self, call: ApiCall) -> Result<T, error::Error> {
         let mut pauses = ExponentialBuilder::default()
-            .with_min_delay(RETRY_PAUSE)
+            .with_min_delay(self.retry_pause)
             .with_max_times(RETRIES)
             .with_jitter()
             .build();
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -35,6 +35,9 @@
     /// Waits at most this long for each answer.
     #[arg(long, global = true, value_name = "SPAN", default_value = "30s")]
     pub(crate) timeout: time::TimeSpan,
+    /// Pause before a call is repeated whose answer was lost; it doubles each time.
+    #[arg(long, global = true, value_name = "SPAN", default_value = "100ms")]
+    pub(crate) retry_pause: time::TimeSpan,
     /// PEM file with the certificates to trust for `https://` servers.
     #[arg(long, global = true, env = "ALMONDPASS_CA", hide_env_values = true, value_name = "FILE")]
     pub(crate) ca: Option<std::path::PathBuf>,
--- a/crates/cli/src/caller.rs
+++ b/crates/cli/src/caller.rs
@@ -51,7 +51,7 @@
     ) -> Result<CallerClient, error::Error> {
         let connection = connection::ServerConnection::new(&caller.server, common.ca.as_deref())?;
         let authorization = format!("Bearer {}", caller.key);
-        let api = api::ApiClient::new(connection, &authorization, common.timeout.0)?;
+        let api = api::ApiClient::new(connection, &authorization, common)?;
         Ok(CallerClient { api })
     }
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -145,6 +145,9 @@
 }
 
 fn listed_changes(changes: &[model::ConfigChange]) -> String {
+    if changes.is_empty() {
+        return " nothing".to_owned();
+    }
     changes.iter().fold(String::new(), |mut text, it| {
         let before = it.before.as_deref().unwrap_or("nothing");
         let after = it.after.as_deref().unwrap_or("nothing");
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -25,7 +25,7 @@
             connection::ServerConnection::new(&operator.console, common.ca.as_deref())?;
         let credentials = format!("{}:{}", operator.operator, operator.password);
         let authorization = format!("Basic {}", general_purpose::STANDARD.encode(credentials));
-        let api = api::ApiClient::new(connection, &authorization, common.timeout.0)?;
+        let api = api::ApiClient::new(connection, &authorization, common)?;
         Ok(OperatorClient { api, name: operator.operator.clone() })
     }
 
--- a/crates/cli/src/subcommand/submit.rs
+++ b/crates/cli/src/subcommand/submit.rs
@@ -25,8 +25,6 @@
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(3600);
 /// How long past its deadline the server may take to say so.
 const DEADLINE_GRACE: Duration = Duration::from_secs(5);
-/// Pause before a request that did not run is sent again, where the server names none.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Header of an answer with the id of its request.
 const REQUEST_HEADER: &str = "x-request-id";
 
@@ -169,9 +167,10 @@
     let client = caller::CallerClient::new(common, &args.caller)?;
     // The key stays the same over every repeat: that is how the server knows them for one.
     let key = args.idempotency_key.unwrap_or_else(Uuid::now_v7);
+    let retry = RetryWindow::open(&args, common);
     match &args.request.body {
-        Some(body) => submit_request(&client, &args, body, key, printer).await,
-        None => submit_job(&client, &args, key, printer).await,
+        Some(body) => submit_request(&client, &args, body, key, &retry, printer).await,
+        None => submit_job(&client, &args, key, &retry, printer).await,
     }
 }
 
@@ -179,6 +178,7 @@
     client: &caller::CallerClient,
     args: &SubmitArgs,
     key: ids::IdempotencyKey,
+    retry: &RetryWindow,
     printer: &mut printer::OutputPrinter<'_, O>,
 ) -> Result<(), error::Error> {
     let job = &args.job;
@@ -195,11 +195,10 @@
         deadline: args.deadline.map(|it| it.at(wall_now())),
         arguments: job.arguments.clone(),
     };
-    let started = Instant::now();
     let record = loop {
         match client.submit_job(&submission, key).await {
             Ok(record) => break record,
-            Err(fault) => pause_or_fail(fault, started, args.retry_for).await?,
+            Err(fault) => retry.pause_or_fail(fault).await?,
         }
     };
     if job.wait {
@@ -214,6 +213,7 @@
     args: &SubmitArgs,
     path: &Path,
     key: ids::IdempotencyKey,
+    retry: &RetryWindow,
     printer: &mut printer::OutputPrinter<'_, O>,
 ) -> Result<(), error::Error> {
     let deadline = args.deadline.map(|it| it.at(wall_now()));
@@ -225,35 +225,47 @@
     };
     let limit =
         deadline.map_or(EXCHANGE_LIMIT, |it| it.since(wall_now()).saturating_add(DEADLINE_GRACE));
-    let started = Instant::now();
     loop {
         let body = request_body(path).await?;
         match client.request(&form, body, limit).await {
             Ok(response) => return print_answer(client, response, limit, printer).await,
             // What was read from standard input cannot be sent again.
             Err(fault) if path == Path::new(STDIN_NAME) => return Err(fault),
-            Err(fault) => pause_or_fail(fault, started, args.retry_for).await?,
+            Err(fault) => retry.pause_or_fail(fault).await?,
         }
     }
 }
 
-/// Pauses before a repeat that is safe, or hands the fault back. Only a proof that nothing ran
-/// allows one: after a lost answer the first copy may still run, and for a repeatable class, whose
-/// keys the server does not record, a second would run beside it.
-async fn pause_or_fail(
-    fault: error::Error,
+/// For how long work that did not run is submitted again.
+struct RetryWindow {
     started: Instant,
-    retry_for: time::TimeSpan,
-) -> Result<(), error::Error> {
-    let pause = match &fault {
-        error::Error::Unreachable { .. } => Some(RETRY_PAUSE),
-        fault => fault.retry_after().map(|it| it.0.max(RETRY_PAUSE)),
-    };
-    let Some(pause) = pause.filter(|it| started.elapsed() + *it <= retry_for.0) else {
-        return Err(fault);
-    };
-    tokio::time::sleep(pause).await;
-    Ok(())
+    length: Duration,
+    least_pause: Duration,
+}
+
+impl RetryWindow {
+    fn open(args: &SubmitArgs, common: &arguments::CommonArgs) -> RetryWindow {
+        RetryWindow {
+            started: Instant::now(),
+            length: args.retry_for.0,
+            least_pause: common.retry_pause.0,
+        }
+    }
+
+    /// Pauses before a repeat that is safe, or hands the fault back. Only a proof that nothing ran
+    /// allows one: after a lost answer the first copy may still run, and for a repeatable class,
+    /// whose keys the server does not record, a second would run beside it.
+    async fn pause_or_fail(&self, fault: error::Error) -> Result<(), error::Error> {
+        let pause = match &fault {
+            error::Error::Unreachable { .. } => Some(self.least_pause),
+            fault => fault.retry_after().map(|it| it.0.max(self.least_pause)),
+        };
+        let Some(pause) = pause.filter(|it| self.started.elapsed() + *it <= self.length) else {
+            return Err(fault);
+        };
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
 }
 
 async fn request_body(path: &Path) -> Result<connection::RequestBody, error::Error> {
