--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -1,7 +1,7 @@
 //! A document in one fixed form, so that two versions differ only where their content does.
 
 use almondpass_schema::model;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use serde_yaml_ng::Mapping;
 
 /// Members that come first, in this order; the others follow by name. What names an item leads
@@ -26,6 +26,11 @@
     "guarantees",
 ];
 
+/// Characters of the hash of a key.
+const HASH_CHARS: usize = 64;
+/// Digits shown of one; enough to tell two apart.
+const SHOWN_DIGITS: usize = 12;
+
 /// The document as YAML, defaults written out.
 pub fn to_yaml(document: &model::ConfigDocument) -> String {
     let yaml = ordered(to_value(document));
@@ -39,8 +44,8 @@
 
 /// Names of the members of two objects together, in canonical order.
 pub(crate) fn member_names<'a>(
-    before: &'a serde_json::Map<String, Value>,
-    after: &'a serde_json::Map<String, Value>,
+    before: &'a Map<String, Value>,
+    after: &'a Map<String, Value>,
 ) -> Vec<&'a str> {
     let mut names = before.keys().chain(after.keys()).map(String::as_str).collect::<Vec<_>>();
     names.sort_by_key(|it| rank(it));
@@ -48,26 +53,34 @@
     names
 }
 
-/// A value on one line, for people.
+/// A value on one line, for people; hashes of keys are cut short.
 pub(crate) fn inline(value: &Value) -> String {
     match value {
-        Value::String(text) => text.clone(),
-        Value::Array(items) => items.iter().map(inline).collect::<Vec<_>>().join(", "),
+        Value::String(text) => shortened(text),
+        Value::Array(items) => items.iter().map(nested).collect::<Vec<_>>().join(", "),
         Value::Object(members) => {
-            let nothing = serde_json::Map::new();
+            let nothing = Map::new();
             let names = member_names(members, &nothing).into_iter();
-            let members = names.map(|it| match &members[it] {
-                value @ (Value::Array(_) | Value::Object(_)) => {
-                    format!("{it}: [{}]", inline(value))
-                }
-                value => format!("{it}: {}", inline(value)),
-            });
+            let members = names.map(|it| format!("{it}: {}", nested(&members[it])));
             members.collect::<Vec<_>>().join(", ")
         }
         scalar => scalar.to_string(),
     }
 }
 
+fn nested(value: &Value) -> String {
+    match value {
+        Value::Array(_) => format!("[{}]", inline(value)),
+        Value::Object(_) => format!("{{{}}}", inline(value)),
+        scalar => inline(scalar),
+    }
+}
+
+fn shortened(text: &str) -> String {
+    let is_hash = text.len() == HASH_CHARS && text.bytes().all(|it| it.is_ascii_hexdigit());
+    if is_hash { format!("{}...", &text[..SHOWN_DIGITS]) } else { text.to_owned() }
+}
+
 fn ordered(value: Value) -> serde_yaml_ng::Value {
     match value {
         Value::Object(members) => {
--- a/crates/config/src/changes.rs
+++ b/crates/config/src/changes.rs
@@ -8,8 +8,6 @@
 
 /// Lines that stand around a change in the text.
 const CONTEXT_LINES: usize = 3;
-/// Digits shown of a hash of a key; enough to tell two apart.
-const SHOWN_DIGITS: usize = 12;
 
 /// The differences, in the order of the document. Items of a list are told apart by name, so
 /// that one taken out does not look like a change of all that follow it.
@@ -117,14 +115,7 @@
     }
 
     fn push(&mut self, path: String, before: Option<&Value>, after: Option<&Value>) {
-        let is_key = path.ends_with(".keys");
-        let shown = |value: &Value| match value {
-            Value::String(hash) if is_key => {
-                hash.chars().take(SHOWN_DIGITS).chain("...".chars()).collect()
-            }
-            value => canonical::inline(value),
-        };
-        let (before, after) = (before.map(shown), after.map(shown));
+        let (before, after) = (before.map(canonical::inline), after.map(canonical::inline));
         self.changes.push(model::ConfigChange { path, before, after });
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod proposal;
 pub mod rules;
 pub mod schema_check;
+pub mod service;
 pub mod settings;
 pub mod store;
--- a/crates/config/src/rules/capacity.rs
+++ b/crates/config/src/rules/capacity.rs
@@ -11,7 +11,10 @@
     for (index, account) in document.accounts.iter().enumerate() {
         let shapes = list.item(index).member("guarantees");
         for (index, shape) in account.guarantees.iter().enumerate() {
-            let most = largest_block(shape, document);
+            let Some(most) = largest_block(shape, document) else {
+                each_fits = false;
+                continue;
+            };
             let fits = shape.accelerators <= most;
             each_fits &= fits;
             let expected = format!("at most {most}, the most that lie so close");
@@ -24,8 +27,9 @@
     }
 }
 
-/// Largest block of the shape's adjacency in the halls where it may live.
-fn largest_block(shape: &model::GuaranteedShape, document: &model::ConfigDocument) -> u32 {
+/// Largest block of the shape's adjacency in the halls where it may live; `None` where there is
+/// no such hall, which has a fault of its own.
+fn largest_block(shape: &model::GuaranteedShape, document: &model::ConfigDocument) -> Option<u32> {
     let halls =
         document.halls.iter().filter(|it| shape.hall.as_ref().is_none_or(|home| *home == it.name));
     let blocks = halls.map(|hall| match shape.adjacency {
@@ -37,7 +41,7 @@
             hall.racks.iter().map(|it| worker_accelerators(it, document)).max().unwrap_or(0)
         }
     });
-    blocks.max().unwrap_or(0)
+    blocks.max()
 }
 
 fn check_together(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_peer::error;
+use almondpass_peer::{codec, error};
 use almondpass_platform::{keys, table};
 use almondpass_schema::{blob, ids, model};
 use serde::Serialize;
@@ -162,12 +162,12 @@
 }
 
 fn encode(row: &impl Serialize) -> blob::Blob {
-    let bytes = rmp_serde::to_vec_named(row).expect("rows of the schema are writable");
-    blob::Blob::from(bytes)
+    let bytes = codec::encode(row).expect("rows of the schema are writable");
+    blob::Blob::from(bytes.to_vec())
 }
 
 fn decode<R: DeserializeOwned>(row: &model::TableRow) -> Result<R, StoreFault> {
     let value = row.value.as_ref().map_or(&[][..], |it| it.as_slice());
-    rmp_serde::from_slice(value)
+    codec::decode(value)
         .map_err(|error| StoreFault::Unreadable { key: row.key.clone(), detail: error.to_string() })
 }
--- /dev/null
+++ b/crates/config/tests/rules.rs
@@ -0,0 +1,114 @@
+//! What operators read when a document is wrong: every fault at once, with path, expected, found.
+
+use almondpass_config::{document, settings};
+
+const LABORATORIES: &str = include_str!("../../../examples/laboratories.config.yaml");
+
+/// Replaces parts of the Laboratories' example and returns what the check says.
+fn faults_after(edits: &[(&str, &str)]) -> String {
+    let mut text = LABORATORIES.to_owned();
+    for (from, to) in edits {
+        assert!(text.contains(from), "the example has no {from:?}");
+        text = text.replacen(from, to, 1);
+    }
+    document::check("site.yaml", &text).expect_err("expected faults").to_string()
+}
+
+macro_rules! faults {
+    ($($name:ident: $($from:literal => $to:literal),+;)*) => {
+        $(#[test]
+        fn $name() {
+            insta::assert_snapshot!(stringify!($name), faults_after(&[$(($from, $to)),+]));
+        })*
+    };
+}
+
+faults! {
+    schema_faults_come_all_at_once:
+        "site: laboratories" => "sites: laboratories",
+        "priority: 9" => "priority: high",
+        "kind: request" => "kind: requests",
+        "reclaim: 30s" => "reclaim: soon";
+    key_that_stands_twice:
+        "site: laboratories" => "site: laboratories\nsite: laboratory";
+    number_beyond_its_type:
+        "queued_jobs: 2000" => "queued_jobs: 5000000000";
+    weights_and_bounds:
+        "completion_time: 0.35" => "completion_time: 0.5",
+        "checkpoint_grace: 10s" => "checkpoint_grace: 30s",
+        "urgent_start: 2s" => "urgent_start: 2h",
+        "overrun: 1.5" => "overrun: 0.5",
+        "idempotency_window: 1day" => "idempotency_window: 1m";
+    names_that_resolve_to_nothing:
+        "kind: standard" => "kind: large",
+        "halls: [vadodara, rajkot, bharuch]" => "halls: [vadodara, surat]",
+        "upstream: oil-analysis" => "upstream: oil",
+        "hall: rajkot" => "hall: surat";
+    names_that_are_misspelt_or_stand_twice:
+        "- name: vadodara" => "- name: vadodara/1",
+        "name: report-check" => "name: diagnosis",
+        "id: girnar-discom" => "id: gujarat-grid",
+        "name: r2" => "name: r1";
+    classes:
+        "priority: 9" => "priority: 10",
+        "expected_run: 2s" => "expected_run: 2m",
+        "accelerators: 1" => "accelerators: 9",
+        "memory_mb: 2048" => "memory_mb: 70000",
+        "urgent: true" => "urgent: true\n  checkpoint: true";
+    accounts:
+        "keys: [" => "keys: [my-key-in-clear, ",
+        "accelerators: 160" => "accelerators: 10",
+        "running_requests: 512" => "running_requests: 0";
+    guarantees_that_fit_nowhere:
+        "{name: ageing, accelerators: 64, adjacency: rack}" => "{name: ageing, accelerators: 65, adjacency: rack}",
+        "{name: diagnosis, accelerators: 8, adjacency: worker}" => "{name: diagnosis, accelerators: 9, adjacency: worker}";
+    guarantees_that_do_not_fit_together:
+        "{name: ageing, accelerators: 64, adjacency: rack}" => "{name: ageing, accelerators: 128, adjacency: hall}",
+        "{name: ageing, accelerators: 32, adjacency: rack}" => "{name: ageing, accelerators: 128, adjacency: hall}",
+        "{name: diagnosis, accelerators: 16, adjacency: rack, hall: rajkot}" => "{name: diagnosis, accelerators: 128, adjacency: hall}";
+    drains:
+        "accounts:" => "drains:\n- {since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-08, since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-9, since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-08, since: 2026-12-02T19:00:00Z}\naccounts:";
+    worker_names_that_two_racks_would_give:
+        "- name: rajkot" => "- name: vadodara-r1",
+        "halls: [vadodara, rajkot, bharuch]" => "halls: [vadodara]",
+        "{name: r1, workers: 8, kind: standard}" => "{name: r1-r2, workers: 8, kind: standard}",
+        "hall: rajkot" => "hall: vadodara";
+}
+
+#[test]
+fn document_beyond_the_size_limit() {
+    let text = format!("{LABORATORIES}# {}", "x".repeat(document::MAX_DOCUMENT_BYTES));
+    let faults = document::check("site.yaml", &text).unwrap_err().to_string();
+    assert!(faults.contains("expected at most 524288 bytes"), "{faults}");
+}
+
+#[test]
+fn aliases_that_multiply_are_refused() {
+    // Symptom: the process runs out of memory while it reads a small document.
+    // Sequence: an operator sends YAML whose aliases name lists of aliases, nine deep.
+    // Cause: each alias is expanded where it stands.
+    let mut text = "a0: &a0 [x, x, x, x, x, x, x, x, x]\n".to_owned();
+    for depth in 1..12 {
+        let inner = format!("*a{}", depth - 1);
+        let items = vec![inner; 9].join(", ");
+        text.push_str(&format!("a{depth}: &a{depth} [{items}]\n"));
+    }
+    let faults = document::check("site.yaml", &text).unwrap_err().to_string();
+    assert!(faults.contains("repetition limit"), "{faults}");
+}
+
+#[test]
+fn settings_name_file_path_expected_and_found() {
+    let text = "
+data_center: vadodara
+listen: {callers: 127.0.0.1:8080, operators: 127.0.0.1:8081}
+advertise: 127.0.0.1:8082
+platform: {table: 127.0.0.1:9000, objects: 127.0.0.1:9000, instances: 127.0.0.1:9000}
+cluster_key_file: key
+operators: []
+timing: {beat: fast}
+colour: green
+";
+    let faults = settings::check("almondpass.yaml", text).unwrap_err().to_string();
+    insta::assert_snapshot!("settings", faults);
+}
