Serve a whole site of stand-ins over sockets, and speak to it

The daemon and its demo need a platform they really reach over TCP, and tests of the entry need upstreams that misbehave.

site::SiteFakes holds the fakes of a site, site::SiteServer serves them on free ports of loopback: one for the platform's services, one for each worker's control, one for each upstream on it; plan::workers_of reads the workers from a configuration document. Upstreams echo the body and the request id, run for a time the body may name, and misbehave on request: refuse, hang up, late, crossed or missing id, cut short, extra bytes, duplicate, slow, silent, error. The execution log counts by request id and idempotency key, and keeps the peaks of connections and requests per worker. platform::remote implements the platform's traits over any PeerLink.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod instances;
 pub mod keys;
 pub mod objects;
+pub mod remote;
 pub mod table;
 pub mod worker;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,15 +3,20 @@
 //! The fakes implement the traits of `almondpass_platform` directly, on tokio's clock, so that a
 //! test may pause it. A handle's [`fault::FaultPlan`] says what goes wrong with its calls.
 
+pub mod execution;
 pub mod fault;
 pub mod fleet;
 pub mod instance;
 pub mod net;
 pub mod object;
+pub mod plan;
 pub mod run;
 pub mod script;
 pub mod service;
+pub mod site;
 pub mod table;
+pub mod upstream;
 pub mod worker;
 
+mod rig;
 mod state;
