--- /dev/null
+++ b/crates/entry/tests/entry/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the callers' interface over fakes, on real sockets.
+
+mod relay;
+mod support;
