--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,8 +5,16 @@
 use clap::Parser;
 
 pub mod arguments;
+pub mod certificate;
 pub mod demo;
+pub mod health;
+pub mod logging;
+pub mod meters;
+pub mod secret_file;
+pub mod settings;
+pub mod shutdown;
 pub mod subcommand;
+pub mod threads;
 
 /// Runs the program with the arguments of the process.
 pub fn run() -> ExitCode {
--- a/crates/daemon/src/subcommand.rs
+++ b/crates/daemon/src/subcommand.rs
@@ -4,9 +4,13 @@
 
 use crate::demo;
 
+pub mod check;
+
 /// What to do.
 #[derive(Clone, Debug, clap::Subcommand)]
 pub enum Subcommand {
+    /// Checks a settings file and the files it names.
+    Check(check::CheckArgs),
     /// Shows a whole site at work in one process, on loopback.
     Demo(demo::DemoArgs),
 }
@@ -15,6 +19,7 @@
     /// Does it.
     pub fn run(self) -> anyhow::Result<ExitCode> {
         match self {
+            Subcommand::Check(args) => check::run(&args),
             Subcommand::Demo(args) => demo::run(args),
         }
     }
