--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,194 @@
+//! Work that could never run is refused on arrival, with the reason.
+
+use almondpass_schema::model;
+
+use crate::catalog::ClassRule;
+use crate::core::HallCore;
+use crate::ledger::Usage;
+use crate::placement::{self, EmptyRule, PlaceAsk, PlaceRule};
+use crate::reasons;
+use crate::topology::NONE;
+use crate::work;
+
+/// An empty hall without the home blocks of others, for work that may not run in these.
+struct OutsideRule<'a> {
+    core: &'a HallCore,
+    homes: Vec<bool>,
+    n_homes: Vec<u32>,
+    usage: Usage,
+}
+
+impl PlaceRule for OutsideRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        !self.homes[accelerator as usize] && self.core.topology.host(accelerator).rack != NONE
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        let spec = &self.core.topology.workers[worker as usize];
+        if spec.rack == NONE {
+            return 0;
+        }
+        let kept = Usage::share(spec, self.n_homes[worker as usize]);
+        Usage::capacity(spec).minus(kept).tasks(self.usage)
+    }
+
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
+    }
+}
+
+impl HallCore {
+    /// Whether the hall could ever run the work.
+    pub(crate) fn check_admission(&self, item: &work::WorkItem) -> Result<(), model::WaitReason> {
+        let Some(rule) = self.catalog.known_class(&item.class) else {
+            let text = format!("expected a configured job class, found {}", item.class);
+            return Err(reasons::plain(model::WaitCode::UnknownClass, text));
+        };
+        let Some(account) = self.catalog.known_account(&item.account) else {
+            let text = format!("expected a configured client account, found {}", item.account);
+            return Err(reasons::plain(model::WaitCode::UnknownAccount, text));
+        };
+        if !rule.served {
+            let text =
+                format!("upstream {} of {} is not in {}", rule.upstream, rule.name, self.hall);
+            return Err(reasons::plain(model::WaitCode::UpstreamUnavailable, text));
+        }
+        if item.tasks == 0 {
+            return Err(never("expected a gang of at least 1 task, found 0"));
+        }
+        self.check_limit(item, account)?;
+        if item.guarantee.is_some() {
+            return self.check_claim(item, account);
+        }
+        let ask = PlaceAsk::of(item);
+        let empty = EmptyRule { topology: &self.topology, usage: ask.usage };
+        if placement::best(&self.topology, &ask, &empty).is_none() {
+            return Err(self.never_fits(item));
+        }
+        self.check_outside(item, rule, account, &ask)
+    }
+
+    fn check_limit(&self, item: &work::WorkItem, account: u32) -> Result<(), model::WaitReason> {
+        let width = u64::from(item.tasks) * u64::from(item.demand.accelerators);
+        match self.catalog.accounts[account as usize].accelerators {
+            Some(limit) if u64::from(limit) < width => Err(never(format!(
+                "needs {width} accelerators, and the limit of {} is {limit}",
+                item.account
+            ))),
+            _ if u64::from(self.topology.n_accelerators()) < width => Err(self.never_fits(item)),
+            _ => Ok(()),
+        }
+    }
+
+    fn never_fits(&self, item: &work::WorkItem) -> model::WaitReason {
+        let demand = &item.demand;
+        let tasks = reasons::count(item.tasks as usize, "task");
+        never(format!(
+            "{tasks} of {} accelerators, {} cores and {} MiB each with adjacency {} fit in no \
+             block of {}, even when it is empty",
+            demand.accelerators, demand.cores, demand.memory_mb, item.adjacency, self.hall
+        ))
+    }
+
+    /// A named guarantee has to be at home here and large enough.
+    fn check_claim(&self, item: &work::WorkItem, account: u32) -> Result<(), model::WaitReason> {
+        let name = item.guarantee.as_deref().unwrap_or_default();
+        let mut mine = self.all_homes.iter().filter(|it| it.account == item.account);
+        let Some(home) = mine.find(|it| it.guarantee == name) else {
+            let text = format!("{} has no guarantee {name}", item.account);
+            return Err(reasons::plain(model::WaitCode::NotPermitted, text));
+        };
+        if home.hall != self.hall {
+            let text =
+                format!("guarantee {name} is at home in {}, not in {}", home.hall, self.hall);
+            return Err(never(text));
+        }
+        if self.fits_some_home(item, account) {
+            return Ok(());
+        }
+        Err(never(format!(
+            "{} of {} accelerators fit not in guarantee {name}, of {} accelerators ({})",
+            reasons::count(item.tasks as usize, "task"),
+            item.demand.accelerators,
+            home.accelerators,
+            home.adjacency
+        )))
+    }
+
+    /// Whether the work fits a guarantee of its account as it is in an empty hall.
+    fn fits_some_home(&self, item: &work::WorkItem, account: u32) -> bool {
+        let ask = PlaceAsk::of(item);
+        self.homes.iter().any(|it| {
+            let named = item.guarantee.as_ref().is_none_or(|name| *name == it.guarantee);
+            let rule = CanonicalRule { core: self, block: &it.canonical, ask: &ask };
+            it.account == account
+                && named
+                && 0 < ask.total()
+                && ask.total() <= it.size
+                && placement::best(&self.topology, &ask, &rule).is_some()
+        })
+    }
+
+    /// Work that can't be reclaimed needs a place beside all home blocks, or a guarantee.
+    fn check_outside(
+        &self,
+        item: &work::WorkItem,
+        rule: &ClassRule,
+        account: u32,
+        ask: &PlaceAsk,
+    ) -> Result<(), model::WaitReason> {
+        if !self.is_hard(rule) || self.fits_some_home(item, account) {
+            return Ok(());
+        }
+        let mut homes = vec![false; self.topology.n_accelerators() as usize];
+        let mut n_homes = vec![0; self.topology.workers.len()];
+        for it in self.homes.iter().flat_map(|it| &it.canonical) {
+            homes[*it as usize] = true;
+            n_homes[self.topology.worker_of[*it as usize] as usize] += 1;
+        }
+        let rule = OutsideRule { core: self, homes, n_homes, usage: ask.usage };
+        if placement::best(&self.topology, ask, &rule).is_some() {
+            return Ok(());
+        }
+        Err(never(format!(
+            "class {} can't be reclaimed in time, and beside the guarantees at home in {} there is \
+             no block for it",
+            item.class, self.hall
+        )))
+    }
+}
+
+/// A guaranteed shape in an empty hall.
+struct CanonicalRule<'a> {
+    core: &'a HallCore,
+    block: &'a [u32],
+    ask: &'a PlaceAsk,
+}
+
+impl PlaceRule for CanonicalRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        self.block.binary_search(&accelerator).is_ok()
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        let spec = &self.core.topology.workers[worker as usize];
+        let fits = Usage::share(spec, self.ask.width).covers(self.ask.usage);
+        if fits { u32::MAX } else { 0 }
+    }
+
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
+    }
+}
+
+fn never(text: impl Into<String>) -> model::WaitReason {
+    reasons::plain(model::WaitCode::NeverFits, text)
+}
--- /dev/null
+++ b/crates/policy/src/claims.rs
@@ -0,0 +1,120 @@
+//! Claims: work of an account that fits a guaranteed shape of it.
+
+use almondpass_schema::model;
+
+use crate::core::HallCore;
+use crate::item::ReserveKind;
+use crate::ledger::HeldTask;
+use crate::placement::{self, PlaceAsk, PlaceRule};
+use crate::queue::GroupKey;
+use crate::reasons;
+use crate::reclaim;
+use crate::rules::ClaimRule;
+
+/// Claims looked at in one turn.
+const CLAIMS_A_TURN: usize = 64;
+
+impl HallCore {
+    /// Starts what fits an unclaimed shape of its account, reclaiming it where it must.
+    pub(crate) fn serve_claims(&mut self) {
+        if self.homes.is_empty() {
+            return;
+        }
+        let mut budget = CLAIMS_A_TURN;
+        for group in self.ranked_groups(|core, key| core.may_claim(key)) {
+            while self.serve_claim(group) {
+                budget -= 1;
+                if budget == 0 {
+                    self.leftover = true;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Whether a shape of the account has room for the work by count.
+    fn may_claim(&self, key: &GroupKey) -> bool {
+        let width = key.tasks * key.demand.accelerators;
+        0 < width && (0..self.homes.len() as u32).any(|it| self.home_fits(it, key, width))
+    }
+
+    fn home_fits(&self, home: u32, key: &GroupKey, width: u32) -> bool {
+        let shape = &self.homes[home as usize];
+        shape.account == key.account
+            && shape.settled()
+            && key.guarantee.as_ref().is_none_or(|it| *it == shape.guarantee)
+            && self.claimed(home) + width <= shape.size
+    }
+
+    /// Serves the first of a group; false where it can't be served now.
+    fn serve_claim(&mut self, group: u32) -> bool {
+        let Some(it) = self.queue.group(group) else { return false };
+        let key = it.key.clone();
+        let Some(entry) = it.entries.first().copied() else { return false };
+        let index = entry.item;
+        if self.held_back(index).is_some() {
+            return false;
+        }
+        let width = key.tasks * key.demand.accelerators;
+        let homes: Vec<u32> =
+            (0..self.homes.len() as u32).filter(|it| self.home_fits(*it, &key, width)).collect();
+        let ask = PlaceAsk::of(&self.items.at(index).work);
+        for home in &homes {
+            if let Some(tasks) = self.place_claim(index, *home, &ask) {
+                return self.start_claim(index, *home, tasks, "home block is free");
+            }
+        }
+        // Free accelerators elsewhere cost nobody anything.
+        if key.guarantee.is_none() && self.place_open(index) {
+            return true;
+        }
+        for home in &homes {
+            if self.move_to_free(*home)
+                && let Some(tasks) = self.place_claim(index, *home, &ask)
+            {
+                return self.start_claim(index, *home, tasks, "block was moved to a free one");
+            }
+        }
+        homes.iter().any(|it| self.reclaim_home(index, *it, &ask))
+    }
+
+    fn start_claim(&mut self, index: u32, home: u32, tasks: Vec<HeldTask>, how: &str) -> bool {
+        let reason = self.claim_reason(home, how);
+        self.dequeue(index);
+        self.start(index, tasks, Some(home), reason);
+        true
+    }
+
+    pub(crate) fn claim_reason(&self, home: u32, how: &str) -> model::WaitReason {
+        let label = self.homes[home as usize].label();
+        reasons::plain(model::WaitCode::GuaranteeKept, format!("claims guarantee {label}: {how}"))
+    }
+
+    /// A free place in the home block.
+    fn place_claim(&self, index: u32, home: u32, ask: &PlaceAsk) -> Option<Vec<HeldTask>> {
+        let exclude = &self.items.at(index).exclude;
+        let rule = ClaimRule { core: self, home, ask, reclaims: false, exclude };
+        placement::best(&self.topology, ask, &rule)
+    }
+
+    /// Reserves the cheapest place in the home block and sends away whoever is there.
+    fn reclaim_home(&mut self, index: u32, home: u32, ask: &PlaceAsk) -> bool {
+        let exclude = &self.items.at(index).exclude;
+        let rule = ClaimRule { core: self, home, ask, reclaims: true, exclude };
+        let Some(tasks) = self.cheapest_place(ask, &rule, home) else { return false };
+        self.dequeue(index);
+        self.reserve(index, tasks, ReserveKind::Claim, Some(home));
+        self.send_away(index, ReserveKind::Claim);
+        true
+    }
+
+    fn cheapest_place(
+        &self,
+        ask: &PlaceAsk,
+        rule: &impl PlaceRule,
+        home: u32,
+    ) -> Option<Vec<HeldTask>> {
+        let block = &self.homes[home as usize].block;
+        reclaim::cheapest(self, ask, rule, block)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/clearing.rs
@@ -0,0 +1,272 @@
+//! Clearing a block for a waiting gang.
+//!
+//! Small work scatters, and a gang that needs a run waits for a coincidence that may never come.
+//! So a run is reserved for it: the one whose holders are expected to be gone first. New work goes
+//! there only if it is gone by then. Once the gang has waited `gang_wait`, only the certain end of
+//! new work counts, so that the gang starts within `gang_wait` and the longest run ahead of it.
+
+use almondpass_schema::time;
+
+use crate::core::HallCore;
+use crate::item::{ItemState, ReserveKind};
+use crate::ledger::{Booking, HeldTask, Usage};
+use crate::placement::{self, PlaceAsk, PlaceRule};
+use crate::queue::GroupKey;
+use crate::reasons;
+use crate::topology::NONE;
+
+/// Gangs for which a block is sought in one turn.
+const SEARCHES_A_TURN: usize = 4;
+/// A block whose opening slips by more than this part of the wait is chosen anew.
+const SLIP: f64 = 0.25;
+
+/// Everything that will be free some day.
+struct ClearRule<'a> {
+    core: &'a HallCore,
+    index: u32,
+    usage: Usage,
+    hard: bool,
+    /// Whether blocks that are cleared for younger gangs may be taken.
+    overdue: bool,
+    exclude: &'a [u32],
+}
+
+impl PlaceRule for ClearRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        let at = accelerator as usize;
+        let ledger = &self.core.ledger;
+        let worker = self.core.topology.worker_of[at];
+        let reserved = ledger.reserved[at];
+        self.core.health[worker as usize].usable()
+            && !self.exclude.contains(&worker)
+            && (!self.hard || ledger.home[at] == NONE)
+            && (reserved == NONE || self.overdue && self.goes_before(reserved))
+            && (ledger.holder[at] == NONE || self.core.items.at(ledger.holder[at]).claim.is_none())
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        let spec = &self.core.topology.workers[worker as usize];
+        let book = &self.core.ledger.workers[worker as usize];
+        let whole = Usage::capacity(spec);
+        let kept = if self.hard { book.home_accelerators } else { 0 };
+        whole.minus(Usage::share(spec, kept)).tasks(self.usage)
+    }
+
+    fn penalty(&self, accelerator: u32) -> u32 {
+        u32::from(self.core.ledger.home[accelerator as usize] != NONE)
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
+    }
+}
+
+impl ClearRule<'_> {
+    fn goes_before(&self, other: u32) -> bool {
+        let clearing = ItemState::Reserving(ReserveKind::Clearing);
+        let core = self.core;
+        core.items.at(other).state == clearing && core.submitted(self.index) < core.submitted(other)
+    }
+}
+
+/// A block and when it opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ClearScore {
+    in_homes: bool,
+    opening: time::WallTime,
+    n_held: usize,
+    start: u32,
+}
+
+impl HallCore {
+    /// Whether a gang has waited its bound.
+    pub(crate) fn overdue(&self, index: u32) -> bool {
+        self.terms.gang_wait <= self.waited(index)
+    }
+
+    /// Reserves blocks for the gangs that waited long enough.
+    pub(crate) fn clear_blocks(&mut self) {
+        let clearing = ItemState::Reserving(ReserveKind::Clearing);
+        let mut n_clearing =
+            self.reserving.iter().filter(|it| self.items.at(**it).state == clearing).count();
+        let wants = |core: &HallCore, key: &GroupKey| {
+            let width = key.tasks * key.demand.accelerators;
+            1 < width && !core.catalog.classes[key.class as usize].urgent
+        };
+        let mut wake: Option<time::WallTime> = None;
+        let mut searches = 0;
+        for group in self.ranked_groups(wants) {
+            let Some(it) = self.queue.group(group) else { continue };
+            if it.blocked_at != Some(self.version) {
+                continue;
+            }
+            let Some(entry) = it.entries.first().copied() else { continue };
+            let due = entry.submitted_at + self.terms.clearing_after();
+            if self.now < due {
+                wake = Some(wake.map_or(due, |it| it.min(due)));
+                continue;
+            }
+            let full = self.terms.clearings() <= n_clearing && !self.overdue(entry.item);
+            if full || self.held_back(entry.item).is_some() {
+                continue;
+            }
+            if SEARCHES_A_TURN <= searches {
+                break;
+            }
+            searches += 1;
+            if self.clear_block(entry.item) {
+                n_clearing += 1;
+            }
+        }
+        if let Some(at) = wake {
+            self.set_timer(at, crate::timers::TimerKind::Clearing, NONE);
+        }
+    }
+
+    fn clear_block(&mut self, index: u32) -> bool {
+        let item = self.items.at(index);
+        let ask = PlaceAsk::of(&item.work);
+        let rule = ClearRule {
+            core: self,
+            index,
+            usage: ask.usage,
+            hard: self.booking_of(index) == Booking::Hard,
+            overdue: self.overdue(index),
+            exclude: &item.exclude,
+        };
+        let ends = self.ends();
+        let scattered = 1 < ask.tasks && ask.adjacency == almondpass_schema::model::Adjacency::Any;
+        let found = if scattered {
+            self.earliest_scattered(&ask, &rule, &ends)
+        } else {
+            self.earliest_run(&ask, &rule, &ends)
+        };
+        let Some(tasks) = found else { return false };
+        self.dequeue(index);
+        self.reserve(index, tasks, ReserveKind::Clearing, None);
+        true
+    }
+
+    /// Expected end of the holder of each accelerator.
+    fn ends(&self) -> Vec<time::WallTime> {
+        let mut last = (NONE, self.now);
+        let mut end = |holder: u32| {
+            if holder == NONE {
+                return self.now;
+            }
+            if holder != last.0 {
+                last = (holder, self.expected_end(self.items.at(holder)));
+            }
+            last.1
+        };
+        self.ledger.holder.iter().map(|it| end(*it)).collect()
+    }
+
+    fn earliest_run(
+        &self,
+        ask: &PlaceAsk,
+        rule: &ClearRule<'_>,
+        ends: &[time::WallTime],
+    ) -> Option<Vec<HeldTask>> {
+        let mut starts = Vec::new();
+        let mut best: Option<ClearScore> = None;
+        for spec in self.topology.workers.iter().filter(|it| 0 < it.accelerators) {
+            let inner = if ask.total() < spec.accelerators { spec.end() } else { spec.first + 1 };
+            for start in spec.first..inner {
+                let Some(end) = placement::walk(&self.topology, ask, rule, start, &mut starts)
+                else {
+                    continue;
+                };
+                let all = start as usize..end as usize;
+                let held = &self.ledger.holder[all.clone()];
+                let score = ClearScore {
+                    in_homes: (start..end).any(|it| 0 < rule.penalty(it)),
+                    opening: ends[all].iter().copied().max().unwrap_or(self.now),
+                    n_held: held.iter().filter(|it| **it != NONE).count(),
+                    start,
+                };
+                if best.is_none_or(|it| score < it) {
+                    best = Some(score);
+                }
+            }
+        }
+        placement::walk(&self.topology, ask, rule, best?.start, &mut starts)?;
+        Some(placement::held(&self.topology, ask.width, &starts))
+    }
+
+    fn earliest_scattered(
+        &self,
+        ask: &PlaceAsk,
+        rule: &ClearRule<'_>,
+        ends: &[time::WallTime],
+    ) -> Option<Vec<HeldTask>> {
+        let single = PlaceAsk { tasks: 1, ..*ask };
+        let mut task = Vec::new();
+        let mut places = Vec::new();
+        for spec in self.topology.workers.iter().filter(|it| 0 < it.accelerators) {
+            let mut start = spec.first;
+            while start + ask.width <= spec.end() {
+                if placement::walk(&self.topology, &single, rule, start, &mut task).is_none() {
+                    start += 1;
+                    continue;
+                }
+                let all = start as usize..(start + ask.width) as usize;
+                places.push((ends[all].iter().copied().max().unwrap_or(self.now), start));
+                start += ask.width;
+            }
+        }
+        places.sort_unstable();
+        let mut used = vec![0; self.topology.workers.len()];
+        let mut chosen: Vec<u32> = Vec::new();
+        for (_, start) in places {
+            let worker = self.topology.worker_of[start as usize];
+            let full = ask.tasks <= chosen.len() as u32;
+            if !full && used[worker as usize] < rule.room(worker) {
+                used[worker as usize] += 1;
+                chosen.push(start);
+            }
+        }
+        chosen.sort_unstable();
+        (chosen.len() as u32 == ask.tasks)
+            .then(|| placement::held(&self.topology, ask.width, &chosen))
+    }
+
+    /// Looks again at a block that is being cleared: another place may be free, or its opening may
+    /// have slipped.
+    pub(crate) fn refresh_clearing(&mut self, index: u32) {
+        let item = self.items.at(index);
+        let ask = PlaceAsk::of(&item.work);
+        let rule = crate::rules::OpenRule::new(self, index);
+        if let Some(tasks) = placement::best(&self.topology, &ask, &rule) {
+            let reason = self.start_reason(&tasks);
+            self.unreserve(index);
+            self.start(index, tasks, None, reason);
+            return;
+        }
+        let opening = self.opening(index, &item.tasks);
+        let planned = item.opening.since(item.since);
+        let slipped = opening.since(item.opening);
+        if planned.mul_f64(SLIP) < slipped && !self.overdue(index) {
+            self.withdraw(index);
+        } else {
+            self.items.at_mut(index).opening = opening;
+        }
+    }
+
+    /// `3 more adjacent workers in rack r2 of vadodara`, for a reason.
+    pub(crate) fn missing_workers(&self, index: u32) -> String {
+        let item = self.items.at(index);
+        let held = |it: &u32| self.ledger.holder[*it as usize] != NONE;
+        let mut workers: Vec<u32> = item
+            .tasks
+            .iter()
+            .filter(|it| it.accelerators.iter().any(held))
+            .map(|it| it.worker)
+            .collect();
+        workers.dedup();
+        let first = workers.first().or(item.tasks.first().map(|it| &it.worker)).copied();
+        let rack = first.map_or("", |it| self.topology.rack_name(it));
+        let n = reasons::count(workers.len(), "more adjacent worker");
+        format!("{n} in rack {rack} of {}", self.hall)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/core.rs
@@ -0,0 +1,321 @@
+//! The policy of a hall: state and the order of a turn. Each step has its own module.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use almondpass_schema::{ids, model, time};
+
+use crate::catalog::RuleCatalog;
+use crate::decision;
+use crate::estimates::EstimateTable;
+use crate::event;
+use crate::guarantee::HomeBlock;
+use crate::health::WorkerHealth;
+use crate::homes;
+use crate::item_table::ItemTable;
+use crate::ledger::{Booking, HallLedger, Usage};
+use crate::queue::WaitQueue;
+use crate::scheduler;
+use crate::share::{AccountUse, HallCapacity};
+use crate::terms::PolicyTerms;
+use crate::timers::{TimerEntry, TimerKind, TimerQueue};
+use crate::topology::{HallTopology, NONE, WorkerSpec};
+use crate::work;
+
+/// A guarantee without a block is not reported as lost within this after the start: workers of a
+/// new scheduler come back one by one.
+pub(crate) const SETTLE_TIME: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Decides for one hall.
+pub struct HallCore {
+    pub(crate) hall: ids::HallName,
+    pub(crate) layout: model::HallLayout,
+    pub(crate) kinds: Vec<model::WorkerKind>,
+    pub(crate) terms: PolicyTerms,
+    pub(crate) topology: HallTopology,
+    pub(crate) capacity: HallCapacity,
+    pub(crate) catalog: RuleCatalog,
+    pub(crate) ledger: HallLedger,
+    pub(crate) items: ItemTable,
+    pub(crate) queue: WaitQueue,
+    /// Items whose place is reserved.
+    pub(crate) reserving: BTreeSet<u32>,
+    pub(crate) homes: Vec<HomeBlock>,
+    /// Every guarantee of the configuration, for refusals that name the right hall.
+    pub(crate) all_homes: Vec<homes::Home>,
+    pub(crate) homes_dirty: bool,
+    pub(crate) homes_version: u64,
+    pub(crate) health: Vec<WorkerHealth>,
+    /// State of each worker as last decided.
+    pub(crate) told: Vec<model::WorkerState>,
+    pub(crate) failures: crate::probing::FailureRates,
+    pub(crate) estimates: EstimateTable,
+    pub(crate) uses: Vec<AccountUse>,
+    pub(crate) timers: TimerQueue,
+    pub(crate) outbox: Vec<decision::Decision>,
+    /// Grows with everything by which work may fit that did not before.
+    pub(crate) version: u64,
+    pub(crate) reserved_version: u64,
+    /// Whether the last turn stopped at its bound.
+    pub(crate) leftover: bool,
+    /// Whether something was learned since the last turn.
+    pub(crate) stirred: bool,
+    pub(crate) began: time::WallTime,
+    pub(crate) now: time::WallTime,
+}
+
+impl scheduler::HallPolicy for HallCore {
+    fn new(
+        hall: &ids::HallName,
+        config: Arc<model::ConfigDocument>,
+        now: time::WallTime,
+    ) -> Result<HallCore, scheduler::PolicyFault> {
+        let layout = find_hall(&config, hall)?.clone();
+        let all_homes = homes::assign(&config)?;
+        let topology = HallTopology::new(&layout, &config.worker_kinds);
+        let mut core = HallCore {
+            hall: hall.clone(),
+            layout,
+            kinds: config.worker_kinds.clone(),
+            terms: PolicyTerms::new(&config),
+            capacity: HallCapacity::default(),
+            catalog: RuleCatalog::default(),
+            ledger: HallLedger::new(&topology),
+            items: ItemTable::default(),
+            queue: WaitQueue::default(),
+            reserving: BTreeSet::new(),
+            homes: Vec::new(),
+            all_homes,
+            homes_dirty: true,
+            homes_version: 0,
+            health: topology.workers.iter().map(|_| WorkerHealth::new()).collect(),
+            told: vec![model::WorkerState::Lost; topology.workers.len()],
+            failures: crate::probing::FailureRates::default(),
+            estimates: EstimateTable::default(),
+            uses: Vec::new(),
+            timers: TimerQueue::default(),
+            outbox: Vec::new(),
+            version: 1,
+            reserved_version: 0,
+            leftover: false,
+            stirred: true,
+            began: now,
+            now,
+            topology,
+        };
+        core.adopt_rules(&config);
+        core.set_timer(now + SETTLE_TIME, TimerKind::Capacity, NONE);
+        Ok(core)
+    }
+
+    fn configure(
+        &mut self,
+        config: Arc<model::ConfigDocument>,
+        now: time::WallTime,
+    ) -> Result<(), scheduler::PolicyFault> {
+        let layout = find_hall(&config, &self.hall)?.clone();
+        let all_homes = homes::assign(&config)?;
+        self.now = now;
+        self.all_homes = all_homes;
+        if layout != self.layout || config.worker_kinds != self.kinds {
+            self.layout = layout;
+            self.kinds = config.worker_kinds.clone();
+            self.rebuild();
+        }
+        self.terms = PolicyTerms::new(&config);
+        self.adopt_rules(&config);
+        self.rebook_all();
+        self.queue.unblock();
+        self.bump();
+        Ok(())
+    }
+
+    fn apply(&mut self, event: event::HallEvent, now: time::WallTime) {
+        self.now = now;
+        self.stirred = true;
+        self.take_in(event);
+    }
+
+    fn turn(&mut self, now: time::WallTime) -> Vec<decision::Decision> {
+        self.now = now;
+        self.leftover = false;
+        self.stirred = false;
+        self.fire_timers();
+        self.tell_workers();
+        self.keep_homes();
+        self.check_reservations();
+        self.serve_claims();
+        self.dispatch();
+        self.clear_blocks();
+        self.probe_workers();
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn next_wake(&self, now: time::WallTime) -> Option<time::WallTime> {
+        if self.leftover || self.stirred || !self.outbox.is_empty() {
+            return Some(now);
+        }
+        self.timers.next()
+    }
+
+    fn reason(&self, work: &work::WorkId, now: time::WallTime) -> Option<model::WaitReason> {
+        let item = self.items.find(work)?;
+        Some(self.explain(item, now))
+    }
+
+    fn admits(&self, item: &work::WorkItem) -> Result<(), model::WaitReason> {
+        self.check_admission(item)
+    }
+
+    fn picture(&self, now: time::WallTime) -> model::HallPicture {
+        self.draw(now)
+    }
+}
+
+impl HallCore {
+    /// Takes classes, accounts, drains and guarantees from a configuration.
+    fn adopt_rules(&mut self, config: &model::ConfigDocument) {
+        self.catalog.configure(&self.hall, config);
+        self.uses.resize(self.catalog.accounts.len(), AccountUse::default());
+        for (worker, health) in self.health.iter_mut().enumerate() {
+            let name = &self.topology.workers[worker].name;
+            health.drained = config
+                .drains
+                .iter()
+                .any(|it| it.upstream.is_none() && it.worker.as_ref() == Some(name));
+        }
+        self.capacity = HallCapacity::default();
+        for spec in self.topology.workers.iter().filter(|it| it.rack != NONE) {
+            self.capacity.accelerators += spec.accelerators;
+            self.capacity.usage.add(Usage::capacity(spec));
+        }
+        self.adopt_homes();
+    }
+
+    /// Lays the hall out anew and books running work again. Workers that the configuration no
+    /// longer has stay behind the others while work runs on them.
+    fn rebuild(&mut self) {
+        let old = std::mem::take(&mut self.topology);
+        let old_health = std::mem::take(&mut self.health);
+        let reserving: Vec<u32> = self.reserving.iter().copied().collect();
+        self.topology = old.clone();
+        for it in reserving {
+            self.withdraw(it);
+        }
+        self.leave_homes();
+        self.topology = HallTopology::new(&self.layout, &self.kinds);
+        let mut moved: Vec<u32> = Vec::with_capacity(old.workers.len());
+        for spec in &old.workers {
+            let index = self.topology.find(&spec.name);
+            let busy = !self.ledger.workers[moved.len()].items.is_empty();
+            let lacks = index.is_none_or(|it| {
+                self.topology.workers[it as usize].accelerators < spec.accelerators
+            });
+            moved.push(match index {
+                Some(index) if !(busy && lacks) => index,
+                _ if busy => self.topology.push(WorkerSpec { rack: NONE, ..spec.clone() }),
+                _ => NONE,
+            });
+        }
+        self.ledger = HallLedger::new(&self.topology);
+        self.health = self.topology.workers.iter().map(|_| WorkerHealth::new()).collect();
+        self.told = vec![model::WorkerState::Lost; self.health.len()];
+        for (index, health) in old_health.into_iter().enumerate() {
+            if moved[index] != NONE {
+                self.told[moved[index] as usize] = health.state(self.now);
+                self.health[moved[index] as usize] = health;
+            }
+        }
+        self.rebook_moved(&old, &moved);
+    }
+
+    /// Books everything that is held on the new layout.
+    fn rebook_moved(&mut self, old: &HallTopology, moved: &[u32]) {
+        let all: Vec<u32> = self.items.iter().map(|(index, _)| index).collect();
+        for index in all {
+            let topology = &self.topology;
+            let item = self.items.at_mut(index);
+            let there = |it: &u32| moved.get(*it as usize).copied().filter(|it| *it != NONE);
+            item.exclude = item.exclude.iter().filter_map(there).collect();
+            item.failed_on = item.failed_on.iter().filter_map(there).collect();
+            if !item.state.holds() {
+                continue;
+            }
+            for task in &mut item.tasks {
+                let from = old.workers[task.worker as usize].first;
+                task.worker = moved[task.worker as usize];
+                let to = topology.workers[task.worker as usize].first;
+                for it in &mut task.accelerators {
+                    *it = *it - from + to;
+                }
+            }
+            let usage = Usage::of(&item.work.demand);
+            let booking = item.booking;
+            let tasks = item.tasks.clone();
+            self.ledger.hold(index, &tasks, usage, booking);
+        }
+    }
+
+    /// Books running work by the rules in force now.
+    fn rebook_all(&mut self) {
+        let all: Vec<u32> = self
+            .items
+            .iter()
+            .filter(|(_, it)| it.state.holds() && it.booking != Booking::Claim)
+            .map(|(index, _)| index)
+            .collect();
+        for index in all {
+            let booking = self.booking_of(index);
+            self.rebook(index, booking);
+        }
+        self.homes_dirty = true;
+    }
+
+    /// Changes how held work is booked.
+    pub(crate) fn rebook(&mut self, index: u32, booking: Booking) {
+        let item = self.items.at_mut(index);
+        let usage = Usage::of(&item.work.demand);
+        self.ledger.rebook(&item.tasks, usage, item.booking, booking);
+        item.booking = booking;
+    }
+
+    /// Notes that work may fit that did not before.
+    pub(crate) fn bump(&mut self) {
+        self.version += 1;
+        self.stirred = true;
+    }
+
+    /// Looks at an item again at a time.
+    pub(crate) fn set_timer(&mut self, at: time::WallTime, kind: TimerKind, item: u32) {
+        let generation = if item == NONE { 0 } else { self.items.generation(item) };
+        self.timers.set(TimerEntry { at, kind, item, generation });
+    }
+
+    /// Items known, waiting items, and pairs with learned run times.
+    pub fn sizes(&self) -> CoreSizes {
+        CoreSizes {
+            items: self.items.len(),
+            waiting: self.queue.len(),
+            estimates: self.estimates.len(),
+        }
+    }
+}
+
+/// How much the core holds, for metrics and for the proof that it is bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CoreSizes {
+    /// Requests and jobs.
+    pub items: usize,
+    /// Those that wait.
+    pub waiting: usize,
+    /// Pairs of account and class with learned run times.
+    pub estimates: usize,
+}
+
+fn find_hall<'a>(
+    config: &'a model::ConfigDocument,
+    hall: &ids::HallName,
+) -> Result<&'a model::HallLayout, scheduler::PolicyFault> {
+    let found = config.halls.iter().find(|it| it.name == *hall);
+    found.ok_or_else(|| scheduler::PolicyFault::NoHall(hall.clone()))
+}
--- /dev/null
+++ b/crates/policy/src/dispatch.rs
@@ -0,0 +1,217 @@
+//! The order of waiting work, and what starts now.
+//!
+//! Urgent work first; then by priority, raised by one for each ageing step waited; then the account
+//! with the least dominant share above its guarantee; then the eldest.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use almondpass_schema::{model, time};
+
+use crate::core::HallCore;
+use crate::item::{QueueItem, ReserveKind};
+use crate::ledger::{Booking, HeldTask};
+use crate::placement::{self, PlaceAsk};
+use crate::queue::{GroupKey, QueueEntry};
+use crate::reasons;
+use crate::reclaim;
+use crate::rules::OpenRule;
+
+/// Ageing raises work up to this priority; urgent work stays before it.
+const HIGHEST_LEVEL: u64 = 9;
+/// Accelerators and workers looked at in one turn; bounds its time.
+const STEPS_A_TURN: usize = 250_000;
+/// Starts decided in one turn.
+const STARTS_A_TURN: usize = 256;
+/// Elder work of a group that excludes workers may fail to fit where the next would.
+const TRIES_A_GROUP: usize = 4;
+
+/// Place of a group in the order; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct GroupRank {
+    not_urgent: bool,
+    level: Reverse<u64>,
+    share: u32,
+    eldest: QueueEntry,
+}
+
+impl HallCore {
+    /// Priority with ageing.
+    pub(crate) fn level(&self, item: &QueueItem, priority: u8) -> u64 {
+        let waited = self.now.since(item.work.submitted_at);
+        let steps = waited.as_millis() / self.terms.ageing_step.as_millis().max(1);
+        (u64::from(priority) + steps as u64).min(HIGHEST_LEVEL.max(u64::from(priority)))
+    }
+
+    fn rank(&self, group: u32) -> Option<GroupRank> {
+        let group = self.queue.group(group)?;
+        let eldest = *group.entries.first()?;
+        let rule = &self.catalog.classes[group.key.class as usize];
+        let item = self.items.at(eldest.item);
+        Some(GroupRank {
+            not_urgent: !rule.urgent,
+            level: Reverse(self.level(item, rule.priority)),
+            share: self.uses[group.key.account as usize].dominant(&self.capacity),
+            eldest,
+        })
+    }
+
+    /// Groups in order, as of now.
+    pub(crate) fn ranked_groups(&self, filter: impl Fn(&HallCore, &GroupKey) -> bool) -> Vec<u32> {
+        let mut ranked: Vec<(GroupRank, u32)> = self
+            .queue
+            .active()
+            .filter(|it| self.queue.group(*it).is_some_and(|group| filter(self, &group.key)))
+            .filter_map(|it| Some((self.rank(it)?, it)))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, it)| it).collect()
+    }
+
+    /// Starts what fits, in order, within the bound of a turn.
+    pub(crate) fn dispatch(&mut self) {
+        let fresh = |it: &u32| {
+            self.queue.group(*it).is_some_and(|group| group.blocked_at != Some(self.version))
+        };
+        let mut heap: BinaryHeap<Reverse<(GroupRank, u32)>> = self
+            .queue
+            .active()
+            .filter(fresh)
+            .filter_map(|it| Some(Reverse((self.rank(it)?, it))))
+            .collect();
+        let step = self.topology.worker_of.len() + self.topology.workers.len() + 1;
+        let mut steps = 0;
+        let mut starts = 0;
+        while let Some(Reverse((rank, group))) = heap.pop() {
+            if STEPS_A_TURN <= steps || STARTS_A_TURN <= starts {
+                self.leftover = true;
+                return;
+            }
+            // Shares grow with each start of the turn.
+            let Some(now) = self.rank(group) else { continue };
+            if rank < now {
+                heap.push(Reverse((now, group)));
+                continue;
+            }
+            steps += step;
+            if self.try_group(group) {
+                starts += 1;
+                if let Some(now) = self.rank(group) {
+                    heap.push(Reverse((now, group)));
+                }
+            }
+        }
+    }
+
+    /// Starts one of a group, or notes why it waits.
+    fn try_group(&mut self, group: u32) -> bool {
+        let Some(it) = self.queue.group(group) else { return false };
+        let entries: Vec<QueueEntry> = it.entries.iter().copied().take(TRIES_A_GROUP).collect();
+        let urgent = self.catalog.classes[it.key.class as usize].urgent;
+        let mut code = model::WaitCode::NoCapacity;
+        for entry in entries {
+            match self.held_back(entry.item) {
+                Some(it) => code = it,
+                None if self.place_open(entry.item) => return true,
+                None if urgent && self.reclaim_urgent(entry.item) => return true,
+                None => code = self.blocked_by(entry.item),
+            }
+            if self.items.at(entry.item).exclude.is_empty() {
+                break;
+            }
+        }
+        let version = self.version;
+        if let Some(it) = self.queue.group_mut(group) {
+            it.blocked_at = Some(version);
+            it.block = code;
+        }
+        false
+    }
+
+    /// Why work may not start whatever is free.
+    pub(crate) fn held_back(&self, index: u32) -> Option<model::WaitCode> {
+        let item = self.items.at(index);
+        let rule = &self.catalog.classes[item.class as usize];
+        let account = &self.catalog.accounts[item.account as usize];
+        let uses = &self.uses[item.account as usize];
+        if !rule.known {
+            return Some(model::WaitCode::UnknownClass);
+        }
+        if !account.known {
+            return Some(model::WaitCode::UnknownAccount);
+        }
+        if rule.drained || !rule.served {
+            return Some(model::WaitCode::UpstreamUnavailable);
+        }
+        let above = account.accelerators.is_some_and(|it| it < uses.accelerators + item.width());
+        let many = rule.request && account.running_requests <= uses.requests;
+        (above || many).then_some(model::WaitCode::AccountLimit)
+    }
+
+    /// Starts work in free capacity above the guarantee.
+    pub(crate) fn place_open(&mut self, index: u32) -> bool {
+        let ask = PlaceAsk::of(&self.items.at(index).work);
+        let rule = OpenRule::new(self, index);
+        let Some(tasks) = placement::best(&self.topology, &ask, &rule) else { return false };
+        let reason = self.start_reason(&tasks);
+        self.dequeue(index);
+        self.start(index, tasks, None, reason);
+        true
+    }
+
+    pub(crate) fn start_reason(&self, tasks: &[HeldTask]) -> model::WaitReason {
+        let first = &self.topology.workers[tasks[0].worker as usize].name;
+        let mut workers: Vec<u32> = tasks.iter().map(|it| it.worker).collect();
+        workers.dedup();
+        let text = match workers.len() {
+            1 => format!("fits on {first}"),
+            n => format!("fits on {} from {first}", reasons::count(n, "worker")),
+        };
+        reasons::plain(model::WaitCode::Queued, text)
+    }
+
+    /// The nearest reason for which free capacity does not do.
+    fn blocked_by(&self, index: u32) -> model::WaitCode {
+        let item = self.items.at(index);
+        if self.booking_of(index) == Booking::Hard && self.fits_in_homes(index) {
+            return model::WaitCode::GuaranteeKept;
+        }
+        if 1 < item.work.tasks && item.work.adjacency != model::Adjacency::Any {
+            return model::WaitCode::Adjacency;
+        }
+        model::WaitCode::NoCapacity
+    }
+
+    /// Whether work that can't be reclaimed would fit if home blocks were open to it.
+    fn fits_in_homes(&self, index: u32) -> bool {
+        let ask = PlaceAsk::of(&self.items.at(index).work);
+        let rule = OpenRule { hard: false, ..OpenRule::new(self, index) };
+        placement::best(&self.topology, &ask, &rule).is_some()
+    }
+
+    /// Reserves a place for urgent work whose holders are repeatable, of lower priority and above
+    /// their guarantee, where nothing opens by itself in time.
+    fn reclaim_urgent(&mut self, index: u32) -> bool {
+        let ask = PlaceAsk::of(&self.items.at(index).work);
+        if ask.width == 0 {
+            return false;
+        }
+        let rule = crate::urgent::UrgentRule::new(self, index);
+        let starts: Vec<u32> = (0..self.topology.n_accelerators()).collect();
+        let Some(tasks) = reclaim::cheapest(self, &ask, &rule, &starts) else { return false };
+        self.dequeue(index);
+        self.reserve(index, tasks, ReserveKind::Urgent, None);
+        self.send_away(index, ReserveKind::Urgent);
+        true
+    }
+
+    /// How long work of a group has waited at most.
+    pub(crate) fn waited(&self, index: u32) -> std::time::Duration {
+        self.now.since(self.items.at(index).work.submitted_at)
+    }
+
+    /// When work was submitted.
+    pub(crate) fn submitted(&self, index: u32) -> time::WallTime {
+        self.items.at(index).work.submitted_at
+    }
+}
--- /dev/null
+++ b/crates/policy/src/intake.rs
@@ -0,0 +1,274 @@
+//! Events, as they come in.
+
+use std::time::Duration;
+
+use almondpass_schema::{model, time};
+
+use crate::core::HallCore;
+use crate::decision::StopFate;
+use crate::event::{HallEvent, StartFault, WorkExit};
+use crate::item::{ItemState, QueueItem};
+use crate::ledger::{Booking, HeldTask, Usage};
+use crate::reasons;
+use crate::timers::TimerKind;
+use crate::topology::{NONE, WorkerSpec};
+use crate::work;
+
+impl HallCore {
+    /// Learns of an event.
+    pub(crate) fn take_in(&mut self, event: HallEvent) {
+        match event {
+            HallEvent::Arrived(item) => self.arrive(item),
+            HallEvent::Adopted { item, placement, started_at } => {
+                self.adopt(item, &placement, started_at);
+            }
+            HallEvent::Cancelled(work) => self.with(&work, HallCore::cancel),
+            HallEvent::Started(work) => self.with(&work, HallCore::started),
+            HallEvent::StartFailed { work, worker, fault } => {
+                let worker = worker.and_then(|it| self.topology.find(&it));
+                self.with(&work, |core, it| core.start_failed(it, worker, fault));
+            }
+            HallEvent::Checkpointed(work) => self.with(&work, HallCore::checkpointed),
+            HallEvent::Ended { work, exit } => {
+                self.with(&work, |core, it| core.ended(it, &exit));
+            }
+            HallEvent::WorkerLost(name) => self.worker_changed(&name, |it| it.present = false),
+            HallEvent::WorkerBack(name) => self.worker_changed(&name, |it| it.present = true),
+            HallEvent::WorkerDraining(name) => self.worker_changed(&name, |it| it.draining = true),
+            HallEvent::WorkerUndrained(name) => {
+                self.worker_changed(&name, |it| it.draining = false);
+            }
+        }
+    }
+
+    /// Late and repeated events name work that is gone; they change nothing.
+    fn with(&mut self, work: &work::WorkId, act: impl FnOnce(&mut HallCore, u32)) {
+        if let Some(index) = self.items.find(work) {
+            act(self, index);
+        }
+    }
+
+    fn arrive(&mut self, work: work::WorkItem) {
+        if self.items.find(&work.work).is_some() {
+            return;
+        }
+        let refusal = self.check_admission(&work).err();
+        let index = self.insert(work, self.now);
+        if let Some(reason) = refusal {
+            self.finish_unrun(index, reason);
+            return;
+        }
+        self.enqueue(index);
+        if let Some(at) = self.items.at(index).work.deadline {
+            self.set_timer(at.min(self.now), TimerKind::Deadline, index);
+        }
+    }
+
+    fn insert(&mut self, work: work::WorkItem, started_at: time::WallTime) -> u32 {
+        let class = self.catalog.class(&work.class, 0 < work.demand.slots);
+        let account = self.catalog.account(&work.account);
+        self.uses.resize(self.catalog.accounts.len(), Default::default());
+        let exclude = work.exclude.iter().filter_map(|it| self.topology.find(it)).collect();
+        self.items.insert(QueueItem {
+            class,
+            account,
+            state: ItemState::Waiting,
+            since: self.now,
+            tasks: Vec::new(),
+            booking: Booking::Soft,
+            claim: None,
+            started_at,
+            saved_at: started_at,
+            opening: self.now,
+            stop_by: self.now,
+            fate: StopFate::Requeue,
+            begun: false,
+            ran: 0 < work.attempt,
+            cancelled: false,
+            throttled: false,
+            overran: false,
+            failed_on: Vec::new(),
+            failures: 0,
+            exclude,
+            reclaimed: 0,
+            work,
+        })
+    }
+
+    /// Takes over a gang that another scheduler started.
+    fn adopt(
+        &mut self,
+        work: work::WorkItem,
+        placement: &[work::TaskSlot],
+        started_at: time::WallTime,
+    ) {
+        if let Some(known) = self.items.find(&work.work) {
+            if self.items.at(known).state != ItemState::Waiting {
+                return;
+            }
+            self.dequeue(known);
+            self.forget(known);
+        }
+        let tasks: Vec<HeldTask> = placement.iter().map(|it| self.adopted_task(it)).collect();
+        let index = self.insert(work, started_at);
+        let item = self.items.at_mut(index);
+        item.begun = true;
+        item.ran = true;
+        let booking = self.booking_of(index);
+        self.hold(index, tasks, booking, None);
+        let item = self.items.at_mut(index);
+        item.state = ItemState::Running;
+        self.set_run_timers(index);
+        self.homes_dirty = true;
+    }
+
+    fn adopted_task(&mut self, slot: &work::TaskSlot) -> HeldTask {
+        let most = slot.accelerators.iter().max().map_or(0, |it| it + 1);
+        let known = self.topology.find(&slot.worker);
+        let worker = match known {
+            Some(it) if most <= self.topology.workers[it as usize].accelerators => it,
+            _ => self.add_removed_worker(&slot.worker, most),
+        };
+        let first = self.topology.workers[worker as usize].first;
+        HeldTask { worker, accelerators: slot.accelerators.iter().map(|it| first + it).collect() }
+    }
+
+    /// A worker on which work runs though the configuration does not have it.
+    fn add_removed_worker(&mut self, name: &str, accelerators: u32) -> u32 {
+        let worker = self.topology.push(WorkerSpec {
+            name: name.to_owned(),
+            rack: NONE,
+            first: 0,
+            accelerators,
+            cores: 0,
+            memory_mb: 0,
+            slots: 0,
+        });
+        let n = self.topology.worker_of.len();
+        self.ledger.holder.resize(n, NONE);
+        self.ledger.reserved.resize(n, NONE);
+        self.ledger.home.resize(n, NONE);
+        self.ledger.workers.push(crate::ledger::WorkerBook {
+            free_accelerators: accelerators,
+            ..Default::default()
+        });
+        self.health.push(crate::health::WorkerHealth::new());
+        self.told.push(model::WorkerState::Lost);
+        worker
+    }
+
+    fn cancel(&mut self, index: u32) {
+        let item = self.items.at_mut(index);
+        item.cancelled = true;
+        item.fate = StopFate::End;
+        match item.state {
+            ItemState::Waiting | ItemState::Delayed | ItemState::Reserving(_) => {
+                self.finish_unrun(index, reasons::cancelled());
+            }
+            ItemState::Starting | ItemState::Running | ItemState::Checkpointing => {
+                self.stop(index, StopFate::End, reasons::cancelled());
+            }
+            ItemState::Stopping => {}
+        }
+    }
+
+    fn started(&mut self, index: u32) {
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        if !matches!(item.state, ItemState::Starting | ItemState::Stopping) || item.begun {
+            return;
+        }
+        item.begun = true;
+        item.ran = true;
+        item.work.attempt += 1;
+        item.started_at = now;
+        item.saved_at = now;
+        if item.state == ItemState::Starting {
+            item.state = ItemState::Running;
+            item.since = now;
+            self.set_run_timers(index);
+        }
+    }
+
+    fn start_failed(&mut self, index: u32, worker: Option<u32>, fault: StartFault) {
+        let state = self.items.at(index).state;
+        if !matches!(state, ItemState::Starting | ItemState::Stopping) {
+            return;
+        }
+        let work = self.items.at(index).work.work;
+        self.unprobe(index);
+        self.release(index);
+        if let Some(worker) = worker {
+            match fault {
+                StartFault::Refused => self.pause_worker(worker),
+                StartFault::Unreachable | StartFault::Failed => {
+                    self.pause_worker(worker);
+                    self.blame(index, worker, work);
+                }
+                StartFault::Withdrawn => {}
+            }
+        }
+        if self.items.at(index).fate == StopFate::End && state == ItemState::Stopping {
+            self.finish_unrun(index, reasons::cancelled());
+            return;
+        }
+        let wait = if worker.is_none() && fault != StartFault::Withdrawn {
+            Duration::from_secs(1)
+        } else {
+            Duration::ZERO
+        };
+        self.requeue(index, wait, reasons::start_failed(fault));
+    }
+
+    fn checkpointed(&mut self, index: u32) {
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        if !item.state.holds() || item.state == ItemState::Starting {
+            return;
+        }
+        item.work.saved_run += now.since(item.saved_at);
+        item.saved_at = now;
+        if item.state == ItemState::Checkpointing {
+            let fate = item.fate;
+            self.stop(index, fate, reasons::checkpoint_kept());
+        }
+    }
+
+    fn ended(&mut self, index: u32, exit: &WorkExit) {
+        if !self.items.at(index).state.holds() {
+            return;
+        }
+        match exit {
+            WorkExit::Succeeded => self.succeeded(index),
+            WorkExit::Stopped => self.stopped(index),
+            WorkExit::Failed { worker } => {
+                let worker = self.topology.find(worker);
+                self.failed(index, worker);
+            }
+            WorkExit::Lost { worker } => {
+                let name = worker.clone();
+                self.lost(index, &name);
+            }
+        }
+    }
+
+    fn worker_changed(
+        &mut self,
+        name: &str,
+        change: impl FnOnce(&mut crate::health::WorkerHealth),
+    ) {
+        let Some(worker) = self.topology.find(name) else { return };
+        let health = &mut self.health[worker as usize];
+        let before = health.usable();
+        change(health);
+        if health.usable() != before {
+            self.homes_dirty = true;
+        }
+        self.bump();
+    }
+
+    /// Capacity of what one task uses.
+    pub(crate) fn usage_of(&self, index: u32) -> Usage {
+        Usage::of(&self.items.at(index).work.demand)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/item.rs
@@ -0,0 +1,113 @@
+//! Work in the core, and where it stands.
+
+use std::time::Duration;
+
+use almondpass_schema::time;
+
+use crate::decision;
+use crate::ledger;
+use crate::work;
+
+/// Why accelerators are reserved for work that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReserveKind {
+    /// It claims a guarantee; whoever is there is stopped.
+    Claim,
+    /// It is urgent; whoever is there is stopped.
+    Urgent,
+    /// A gang for which a block is cleared as work there ends.
+    Clearing,
+}
+
+/// Where work stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ItemState {
+    /// In the queue.
+    Waiting,
+    /// Out of the queue until a time, after a failure.
+    Delayed,
+    /// Its place is reserved and becomes free.
+    Reserving(ReserveKind),
+    /// `Start` was decided.
+    Starting,
+    /// It runs.
+    Running,
+    /// A checkpoint was asked for, `Stop` follows.
+    Checkpointing,
+    /// `Stop` was decided.
+    Stopping,
+}
+
+impl ItemState {
+    /// Whether it holds accelerators.
+    pub(crate) fn holds(self) -> bool {
+        matches!(
+            self,
+            ItemState::Starting
+                | ItemState::Running
+                | ItemState::Checkpointing
+                | ItemState::Stopping
+        )
+    }
+}
+
+/// One request or job.
+#[derive(Clone, Debug)]
+pub(crate) struct QueueItem {
+    pub(crate) work: work::WorkItem,
+    pub(crate) class: u32,
+    pub(crate) account: u32,
+    pub(crate) state: ItemState,
+    /// Since when it stands so.
+    pub(crate) since: time::WallTime,
+    /// Where it is held or reserved.
+    pub(crate) tasks: Vec<ledger::HeldTask>,
+    pub(crate) booking: ledger::Booking,
+    /// Home block that it claims.
+    pub(crate) claim: Option<u32>,
+    pub(crate) started_at: time::WallTime,
+    /// Run time saved up to this point of the attempt.
+    pub(crate) saved_at: time::WallTime,
+    /// When its place is expected to open, while reserving.
+    pub(crate) opening: time::WallTime,
+    /// When the checkpoint under way is cut short.
+    pub(crate) stop_by: time::WallTime,
+    /// What becomes of it after the stop under way.
+    pub(crate) fate: decision::StopFate,
+    /// Whether this attempt was reported as started.
+    pub(crate) begun: bool,
+    /// Whether it ever started, so that `not run` would be untrue.
+    pub(crate) ran: bool,
+    pub(crate) cancelled: bool,
+    pub(crate) throttled: bool,
+    /// Stopped for an overrun; the reason of its end.
+    pub(crate) overran: bool,
+    /// Workers on which it failed by itself.
+    pub(crate) failed_on: Vec<u32>,
+    pub(crate) failures: u32,
+    /// Workers on which it must not start again.
+    pub(crate) exclude: Vec<u32>,
+    /// Times it was a victim.
+    pub(crate) reclaimed: u32,
+}
+
+impl QueueItem {
+    /// Run time that a stop now would lose over all accelerators, in accelerator seconds.
+    pub(crate) fn lost_work(&self, now: time::WallTime) -> f64 {
+        if self.state == ItemState::Starting {
+            return 0.0;
+        }
+        let width = f64::from(self.work.tasks * self.work.demand.accelerators.max(1));
+        now.since(self.saved_at).as_secs_f64() * width
+    }
+
+    /// Run time in this attempt.
+    pub(crate) fn run(&self, now: time::WallTime) -> Duration {
+        now.since(self.started_at)
+    }
+
+    /// Accelerators of the whole gang.
+    pub(crate) fn width(&self) -> u32 {
+        self.work.tasks * self.work.demand.accelerators
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,11 +3,42 @@
 //! Pure, synchronous and deterministic; time is passed in. A scheduler feeds it [`event::HallEvent`]s
 //! and carries out the [`decision::Decision`]s of each turn. Baselines implement the same trait.
 
+mod admission;
 pub mod baseline_best_fit;
 mod baseline_board;
 pub mod baseline_first_fit;
 mod baseline_room;
+mod blocks;
+mod catalog;
+mod claims;
+mod clearing;
+pub mod core;
 pub mod decision;
+mod dispatch;
+mod estimates;
 pub mod event;
+mod guarantee;
+mod health;
+pub mod homes;
+mod intake;
+pub mod invariants;
+mod item;
+mod item_table;
+mod ledger;
+mod lifecycle;
+mod picture;
+mod placement;
+mod probing;
+mod queue;
+mod reasons;
+mod reclaim;
+mod rehome;
+mod reserve;
+mod rules;
 pub mod scheduler;
+mod share;
+mod terms;
+mod timers;
+mod topology;
+mod urgent;
 pub mod work;
--- /dev/null
+++ b/crates/policy/src/lifecycle.rs
@@ -0,0 +1,461 @@
+//! Work on its way through the hall: queued, started, stopped, ended.
+
+use std::time::Duration;
+
+use almondpass_schema::{model, time};
+
+use crate::catalog::ClassRule;
+use crate::core::HallCore;
+use crate::decision::{Decision, StopFate};
+use crate::item::{ItemState, QueueItem};
+use crate::ledger::{Booking, HeldTask};
+use crate::queue::{GroupKey, QueueEntry};
+use crate::reasons;
+use crate::timers::TimerKind;
+use crate::topology::NONE;
+use crate::work;
+
+/// Distinct healthy workers on which work fails before it is its own fault.
+const FAULTY_AFTER: usize = 3;
+/// Failures after which it is given up in any case.
+const MOST_FAILURES: u32 = 8;
+/// Pause after the first failure; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// Longest pause after a failure.
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// Timers looked at in one turn.
+const TIMERS_A_TURN: usize = 512;
+
+impl HallCore {
+    /// The group of a waiting item.
+    pub(crate) fn group_key(&self, index: u32) -> GroupKey {
+        let item = self.items.at(index);
+        GroupKey {
+            account: item.account,
+            class: item.class,
+            tasks: item.work.tasks,
+            demand: item.work.demand,
+            adjacency: item.work.adjacency,
+            guarantee: item.work.guarantee.clone(),
+        }
+    }
+
+    fn entry(&self, index: u32) -> QueueEntry {
+        let work = &self.items.at(index).work;
+        QueueEntry { submitted_at: work.submitted_at, work: work.work, item: index }
+    }
+
+    /// Puts an item in the queue.
+    pub(crate) fn enqueue(&mut self, index: u32) {
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        item.state = ItemState::Waiting;
+        item.since = now;
+        self.queue.push(self.group_key(index), self.entry(index));
+        self.stirred = true;
+    }
+
+    /// Takes an item out of the queue.
+    pub(crate) fn dequeue(&mut self, index: u32) {
+        self.queue.remove(&self.group_key(index), &self.entry(index));
+    }
+
+    /// Books an item on its accelerators.
+    pub(crate) fn hold(
+        &mut self,
+        index: u32,
+        tasks: Vec<HeldTask>,
+        booking: Booking,
+        claim: Option<u32>,
+    ) {
+        let usage = self.usage_of(index);
+        self.ledger.hold(index, &tasks, usage, booking);
+        let request = self.catalog.classes[self.items.at(index).class as usize].request;
+        let item = self.items.at_mut(index);
+        let width = item.width();
+        let account = &mut self.uses[item.account as usize];
+        account.accelerators += width;
+        account.usage.add(usage.times(item.work.tasks));
+        account.requests += u32::from(request);
+        item.tasks = tasks;
+        item.booking = booking;
+        if let Some(home) = claim {
+            self.attach(index, home);
+        }
+    }
+
+    /// Frees what an item holds.
+    pub(crate) fn release(&mut self, index: u32) {
+        self.detach(index);
+        let usage = self.usage_of(index);
+        let request = self.catalog.classes[self.items.at(index).class as usize].request;
+        let item = self.items.at_mut(index);
+        let tasks = std::mem::take(&mut item.tasks);
+        let width = item.width();
+        let account = &mut self.uses[item.account as usize];
+        account.accelerators -= width;
+        account.usage.sub(usage.times(item.work.tasks));
+        account.requests -= u32::from(request);
+        let booking = item.booking;
+        self.ledger.release(index, &tasks, usage, booking);
+        self.bump();
+    }
+
+    /// Starts an item that is in no queue and reserves nothing.
+    pub(crate) fn start(
+        &mut self,
+        index: u32,
+        tasks: Vec<HeldTask>,
+        claim: Option<u32>,
+        reason: model::WaitReason,
+    ) {
+        let booking = match claim {
+            Some(_) => Booking::Claim,
+            None => self.booking_of(index),
+        };
+        let placement = self.slots(&tasks);
+        self.hold(index, tasks, booking, claim);
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        item.state = ItemState::Starting;
+        item.since = now;
+        item.begun = false;
+        item.started_at = now;
+        item.saved_at = now;
+        item.fate = StopFate::Requeue;
+        item.throttled = false;
+        let work = item.work.work;
+        self.outbox.push(Decision::Start { work, placement, reason });
+    }
+
+    /// Tasks as the scheduler knows them.
+    pub(crate) fn slots(&self, tasks: &[HeldTask]) -> Vec<work::TaskSlot> {
+        let slot = |(rank, it): (usize, &HeldTask)| {
+            let spec = &self.topology.workers[it.worker as usize];
+            work::TaskSlot {
+                rank: rank as u32,
+                worker: spec.name.clone(),
+                accelerators: it.accelerators.iter().map(|it| it - spec.first).collect(),
+            }
+        };
+        tasks.iter().enumerate().map(slot).collect()
+    }
+
+    /// Orders a whole gang to stop at once.
+    pub(crate) fn stop(&mut self, index: u32, fate: StopFate, reason: model::WaitReason) {
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        item.state = ItemState::Stopping;
+        item.since = now;
+        item.fate = fate;
+        let work = item.work.work;
+        self.outbox.push(Decision::Stop { work, fate, reason });
+    }
+
+    /// Asks a gang for a checkpoint within a grace, where it can make one, and then stops it.
+    pub(crate) fn wind_down(
+        &mut self,
+        index: u32,
+        grace: Duration,
+        fate: StopFate,
+        reason: model::WaitReason,
+    ) {
+        let item = self.items.at(index);
+        let able = self.catalog.classes[item.class as usize].checkpoint;
+        if item.state != ItemState::Running || !able || grace.is_zero() {
+            self.stop(index, fate, reason);
+            return;
+        }
+        let stop_by = self.now + grace;
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        item.state = ItemState::Checkpointing;
+        item.since = now;
+        item.stop_by = stop_by;
+        item.fate = fate;
+        let work = item.work.work;
+        self.outbox.push(Decision::Checkpoint { work, stop_by, reason });
+        self.set_timer(stop_by, TimerKind::Grace, index);
+    }
+
+    /// Queues an item again after its attempt ended, with its age and checkpoint.
+    pub(crate) fn requeue(&mut self, index: u32, wait: Duration, reason: model::WaitReason) {
+        let item = self.items.at(index);
+        let work = item.work.work;
+        if item.cancelled {
+            self.finish_unrun(index, reasons::cancelled());
+            return;
+        }
+        self.outbox.push(Decision::Requeue { work, reason });
+        if wait.is_zero() {
+            self.enqueue(index);
+        } else {
+            let now = self.now;
+            let item = self.items.at_mut(index);
+            item.state = ItemState::Delayed;
+            item.since = now;
+            self.set_timer(now + wait, TimerKind::Retry, index);
+        }
+        if let Some(at) = self.items.at(index).work.deadline {
+            self.set_timer(at.min(self.now), TimerKind::Deadline, index);
+        }
+    }
+
+    /// Ends an item that holds nothing now: `not run` only where it never ran.
+    pub(crate) fn finish_unrun(&mut self, index: u32, reason: model::WaitReason) {
+        let outcome = match self.items.at(index).ran {
+            true => model::RequestOutcome::Failed,
+            false => model::RequestOutcome::NotRun,
+        };
+        match self.items.at(index).state {
+            ItemState::Waiting => self.dequeue(index),
+            ItemState::Reserving(_) => self.unreserve(index),
+            _ => {}
+        }
+        self.finish(index, outcome, reason);
+    }
+
+    fn finish(&mut self, index: u32, outcome: model::RequestOutcome, reason: model::WaitReason) {
+        let work = self.items.at(index).work.work;
+        self.outbox.push(Decision::Finish { work, outcome, reason });
+        self.forget(index);
+    }
+
+    /// Forgets an item that holds nothing.
+    pub(crate) fn forget(&mut self, index: u32) {
+        self.items.remove(index);
+    }
+
+    pub(crate) fn succeeded(&mut self, index: u32) {
+        let item = self.items.at(index);
+        let run = item.work.saved_run + self.now.since(item.saved_at);
+        let (account, class, declared) = (item.account, item.class, item.work.declared_run);
+        self.estimates.record(account, class, run, declared);
+        self.credit(index);
+        self.release(index);
+        self.finish(index, model::RequestOutcome::Done, reasons::done());
+    }
+
+    pub(crate) fn stopped(&mut self, index: u32) {
+        self.unprobe(index);
+        self.release(index);
+        let item = self.items.at(index);
+        let asked = matches!(item.state, ItemState::Stopping | ItemState::Checkpointing);
+        if item.overran {
+            let reason = reasons::overran(&self.catalog.classes[item.class as usize]);
+            self.finish(index, model::RequestOutcome::Failed, reason);
+        } else if item.fate == StopFate::End && asked {
+            self.finish_unrun(index, reasons::cancelled());
+        } else if asked || self.retries(index) {
+            self.items.at_mut(index).reclaimed += 1;
+            self.requeue(index, Duration::ZERO, reasons::stopped());
+        } else {
+            self.finish(index, model::RequestOutcome::Unknown, reasons::stopped());
+        }
+    }
+
+    /// Whether the core may start it once more. A request is retried by the entry that has its
+    /// body, under the entry's budget.
+    fn retries(&self, index: u32) -> bool {
+        let rule = &self.catalog.classes[self.items.at(index).class as usize];
+        rule.repeatable && !rule.request
+    }
+
+    pub(crate) fn failed(&mut self, index: u32, worker: Option<u32>) {
+        let work = self.items.at(index).work.work;
+        if let Some(worker) = worker {
+            self.blame(index, worker, work);
+        }
+        self.unprobe(index);
+        self.release(index);
+        let healthy = |it: &&u32| self.health[**it as usize].usable();
+        let item = self.items.at(index);
+        let n_workers = item.failed_on.iter().filter(healthy).count();
+        let faulty = FAULTY_AFTER <= n_workers || MOST_FAILURES <= item.failures;
+        if item.cancelled || !self.retries(index) {
+            self.finish(index, model::RequestOutcome::Failed, reasons::failed());
+        } else if faulty {
+            let reason = reasons::faulty(n_workers, item.failures);
+            self.forgive_all(index);
+            self.finish(index, model::RequestOutcome::Failed, reason);
+        } else {
+            let doubled = FIRST_PAUSE * (1 << (item.failures.min(6)));
+            self.requeue(index, doubled.min(LONGEST_PAUSE), reasons::failed_retry());
+        }
+    }
+
+    pub(crate) fn lost(&mut self, index: u32, worker: &str) {
+        self.unprobe(index);
+        self.release(index);
+        let reason = reasons::worker_lost(worker);
+        if self.items.at(index).cancelled {
+            self.finish_unrun(index, reason);
+        } else if self.retries(index) {
+            self.requeue(index, Duration::ZERO, reason);
+        } else {
+            self.finish(index, model::RequestOutcome::Unknown, reason);
+        }
+    }
+
+    /// Sets the times at which a run is looked at. Requests are bounded by the term of their grant.
+    pub(crate) fn set_run_timers(&mut self, index: u32) {
+        let item = self.items.at(index);
+        let rule = &self.catalog.classes[item.class as usize];
+        let deadline = item.work.deadline;
+        if !rule.request {
+            let left = |limit: Duration| limit.saturating_sub(item.work.saved_run);
+            let throttle = item.saved_at + left(rule.max_run);
+            let overrun = item.saved_at + left(rule.max_run.mul_f64(self.terms.overrun));
+            self.set_timer(throttle, TimerKind::Throttle, index);
+            self.set_timer(overrun, TimerKind::Overrun, index);
+            if let Some(at) = deadline {
+                self.set_timer(at, TimerKind::Deadline, index);
+            }
+        }
+    }
+
+    /// Looks at everything that is due.
+    pub(crate) fn fire_timers(&mut self) {
+        for _ in 0..TIMERS_A_TURN {
+            let Some(it) = self.timers.pop(self.now) else { return };
+            if it.item == NONE {
+                self.version += 1;
+                self.homes_dirty = true;
+            } else if self.items.get(it.item, it.generation).is_some() {
+                self.fire(it.item, it.kind);
+            }
+        }
+        self.leftover = true;
+    }
+
+    fn fire(&mut self, index: u32, kind: TimerKind) {
+        let item = self.items.at(index);
+        match (kind, item.state) {
+            // A timer of an earlier attempt must not cut this checkpoint short.
+            (TimerKind::Grace, ItemState::Checkpointing) if item.stop_by <= self.now => {
+                self.stop(index, item.fate, reasons::grace_over());
+            }
+            (TimerKind::Throttle, ItemState::Running) => self.throttle(index),
+            (TimerKind::Overrun, ItemState::Running) => self.overrun(index),
+            (TimerKind::Deadline, _) => self.check_deadline(index),
+            (TimerKind::Retry, ItemState::Delayed) => self.enqueue(index),
+            _ => {}
+        }
+    }
+
+    fn throttle(&mut self, index: u32) {
+        let total = self.total_run(index);
+        let item = self.items.at(index);
+        let rule = &self.catalog.classes[item.class as usize];
+        if item.throttled || total < rule.max_run {
+            return;
+        }
+        let reason = reasons::throttled(rule);
+        let work = item.work.work;
+        self.items.at_mut(index).throttled = true;
+        self.outbox.push(Decision::Throttle { work, reason });
+    }
+
+    fn overrun(&mut self, index: u32) {
+        let total = self.total_run(index);
+        let rule = &self.catalog.classes[self.items.at(index).class as usize];
+        if total < rule.max_run.mul_f64(self.terms.overrun) {
+            return;
+        }
+        let reason = reasons::overran(rule);
+        self.items.at_mut(index).overran = true;
+        self.wind_down(index, self.terms.grace, StopFate::End, reason);
+    }
+
+    /// Run time over all attempts that counts.
+    fn total_run(&self, index: u32) -> Duration {
+        let item = self.items.at(index);
+        item.work.saved_run + self.now.since(item.saved_at)
+    }
+
+    /// Tells waiting work early that its deadline can't be met any more, and stops repeatable runs
+    /// whose result has become worthless.
+    fn check_deadline(&mut self, index: u32) {
+        let item = self.items.at(index);
+        let Some(deadline) = item.work.deadline else { return };
+        let rule = &self.catalog.classes[item.class as usize];
+        match item.state {
+            ItemState::Waiting | ItemState::Delayed | ItemState::Reserving(_) => {
+                let least = self.estimate(item).low.saturating_sub(item.work.saved_run);
+                let latest = deadline - least;
+                if latest < self.now || deadline <= self.now {
+                    self.finish_unrun(index, reasons::deadline(deadline, least));
+                } else {
+                    let soon = Duration::from_millis(1);
+                    self.set_timer(latest + soon, TimerKind::Deadline, index);
+                }
+            }
+            ItemState::Running if rule.repeatable && !rule.request && deadline <= self.now => {
+                self.stop(index, StopFate::End, reasons::deadline(deadline, Duration::ZERO));
+            }
+            _ => {}
+        }
+    }
+
+    /// Expected run time of an item, all attempts together.
+    pub(crate) fn estimate(&self, item: &QueueItem) -> crate::estimates::RunEstimate {
+        let rule = &self.catalog.classes[item.class as usize];
+        self.estimates.estimate(
+            item.account,
+            item.class,
+            item.work.declared_run,
+            rule.expected_run,
+            rule.max_run,
+        )
+    }
+
+    /// When a held item is expected to end.
+    pub(crate) fn expected_end(&self, item: &QueueItem) -> time::WallTime {
+        if item.state == ItemState::Stopping {
+            return self.now + self.terms.margin;
+        }
+        if item.state == ItemState::Checkpointing {
+            return self.now + self.terms.grace + self.terms.margin;
+        }
+        let whole = self.estimate(item).median.saturating_sub(item.work.saved_run);
+        let end = item.saved_at + whole;
+        // An overrun goes on for about a tenth of what it has taken already.
+        let least = self.now + (item.run(self.now) / 10).max(Duration::from_secs(1));
+        if self.now < end { end } else { least }
+    }
+
+    /// The time by which a held item is over in any case.
+    pub(crate) fn certain_end(&self, item: &QueueItem) -> time::WallTime {
+        let rule = &self.catalog.classes[item.class as usize];
+        if rule.request {
+            return item.started_at + rule.max_run;
+        }
+        let bound = self.terms.run_bound(rule.max_run);
+        item.saved_at + bound.saturating_sub(item.work.saved_run)
+    }
+
+    /// Whether held work is off its accelerators within the reclaim bound whenever that is asked.
+    pub(crate) fn freeable(&self, item: &QueueItem) -> bool {
+        let rule = &self.catalog.classes[item.class as usize];
+        let stopping = matches!(item.state, ItemState::Stopping | ItemState::Checkpointing);
+        let stoppable = !rule.request && (rule.repeatable || stopping);
+        stoppable || self.certain_end(item) <= self.now + self.terms.reclaim
+    }
+
+    /// How an item that claims nothing is booked when it starts.
+    pub(crate) fn booking_of(&self, index: u32) -> Booking {
+        let rule = &self.catalog.classes[self.items.at(index).class as usize];
+        if self.is_hard(rule) { Booking::Hard } else { Booking::Soft }
+    }
+
+    /// Whether work of a class can be neither stopped nor awaited within the reclaim bound.
+    pub(crate) fn is_hard(&self, rule: &ClassRule) -> bool {
+        let stoppable = !rule.request && rule.repeatable;
+        let bound = if rule.request {
+            rule.max_run + self.terms.margin
+        } else {
+            self.terms.run_bound(rule.max_run)
+        };
+        !stoppable && self.terms.reclaim < bound
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,344 @@
+//! Where work fits: adjacent runs, scattered tasks, and tasks without accelerators.
+//!
+//! A run is walked in the order of the hall: each task takes the next accelerators of one worker;
+//! what is left of a worker that cannot hold one more task is skipped, everything else must be
+//! contiguous.
+
+use almondpass_schema::model;
+
+use crate::ledger::{HeldTask, Usage};
+use crate::topology::{HallTopology, NONE, WorkerSpec};
+use crate::work;
+
+/// What is looked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PlaceAsk {
+    pub(crate) tasks: u32,
+    /// Accelerators of a task.
+    pub(crate) width: u32,
+    pub(crate) usage: Usage,
+    pub(crate) adjacency: model::Adjacency,
+}
+
+impl PlaceAsk {
+    pub(crate) fn of(item: &work::WorkItem) -> PlaceAsk {
+        PlaceAsk {
+            tasks: item.tasks,
+            width: item.demand.accelerators,
+            usage: Usage::of(&item.demand),
+            adjacency: item.adjacency,
+        }
+    }
+
+    /// Accelerators of all tasks.
+    pub(crate) fn total(&self) -> u32 {
+        self.tasks * self.width
+    }
+
+    /// Whether the tasks must form one run.
+    fn contiguous(&self) -> bool {
+        self.width > 0 && (self.tasks == 1 || self.adjacency != model::Adjacency::Any)
+    }
+
+    /// How many of the tasks an empty worker holds by its cores, memory and slots.
+    fn most(&self, spec: &WorkerSpec) -> u32 {
+        Usage::capacity(spec).tasks(self.usage)
+    }
+}
+
+/// What a search may use.
+pub(crate) trait PlaceRule {
+    /// Whether the accelerator may be used.
+    fn allows(&self, accelerator: u32) -> bool;
+    /// How many tasks of the ask the worker's cores, memory and slots allow now; 0 where the
+    /// worker may not be used.
+    fn room(&self, worker: u32) -> u32;
+    /// How unwelcome the accelerator is.
+    fn penalty(&self, accelerator: u32) -> u32;
+    /// How unwelcome a task without accelerators is on this worker; lower first.
+    fn bare_rank(&self, worker: u32) -> i64;
+}
+
+/// A maximal stretch of allowed accelerators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FreeRun {
+    pub(crate) start: u32,
+    /// Index behind the last.
+    pub(crate) end: u32,
+}
+
+impl FreeRun {
+    pub(crate) fn len(self) -> u32 {
+        self.end - self.start
+    }
+}
+
+/// Every maximal run of allowed accelerators, in order.
+pub(crate) fn runs(
+    topology: &HallTopology,
+    adjacency: model::Adjacency,
+    allows: impl Fn(u32) -> bool,
+) -> Vec<FreeRun> {
+    let mut runs: Vec<FreeRun> = Vec::new();
+    let mut open: Option<(FreeRun, u32)> = None;
+    for (worker, spec) in topology.workers.iter().enumerate() {
+        let worker = worker as u32;
+        for at in spec.first..spec.end() {
+            if !allows(at) {
+                runs.extend(open.take().map(|(run, _)| run));
+                continue;
+            }
+            open = match open {
+                Some((run, last)) if last == worker || topology.joins(last, worker, adjacency) => {
+                    Some((FreeRun { end: at + 1, ..run }, worker))
+                }
+                other => {
+                    runs.extend(other.map(|(run, _)| run));
+                    Some((FreeRun { start: at, end: at + 1 }, worker))
+                }
+            };
+        }
+    }
+    runs.extend(open.map(|(run, _)| run));
+    runs
+}
+
+/// Walks a run from `start`. Returns the accelerator behind it, or nothing where it does not hold
+/// the whole ask; `tasks` receives the first accelerator of each task.
+pub(crate) fn walk(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+    start: u32,
+    tasks: &mut Vec<u32>,
+) -> Option<u32> {
+    tasks.clear();
+    let n = topology.n_accelerators();
+    if n <= start || ask.width == 0 {
+        return None;
+    }
+    let mut at = start;
+    let mut worker = topology.worker_of[start as usize];
+    let mut used = 0;
+    while (tasks.len() as u32) < ask.tasks {
+        let spec = &topology.workers[worker as usize];
+        let full = spec.end() < at + ask.width || ask.most(spec) <= used;
+        if full {
+            if used == 0 {
+                return None;
+            }
+            at = spec.end();
+            if n <= at {
+                return None;
+            }
+            let next = topology.worker_of[at as usize];
+            if !topology.joins(worker, next, ask.adjacency) {
+                return None;
+            }
+            worker = next;
+            used = 0;
+            continue;
+        }
+        if rule.room(worker) <= used || (at..at + ask.width).any(|it| !rule.allows(it)) {
+            return None;
+        }
+        tasks.push(at);
+        at += ask.width;
+        used += 1;
+    }
+    Some(at)
+}
+
+/// Tasks that begin at these accelerators.
+pub(crate) fn held(topology: &HallTopology, width: u32, starts: &[u32]) -> Vec<HeldTask> {
+    let task = |at: &u32| HeldTask {
+        worker: topology.worker_of[*at as usize],
+        accelerators: (*at..at + width).collect(),
+    };
+    starts.iter().map(task).collect()
+}
+
+/// The best free place for an ask.
+pub(crate) fn best(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+) -> Option<Vec<HeldTask>> {
+    if ask.width == 0 {
+        best_bare(topology, ask, rule)
+    } else if ask.contiguous() {
+        best_run(topology, ask, rule)
+    } else {
+        best_scattered(topology, ask, rule)
+    }
+}
+
+/// The adjacency by which runs are measured: a single task is kept inside its worker by the walk,
+/// yet it should break up the shortest run of its rack.
+fn measure(ask: &PlaceAsk) -> model::Adjacency {
+    if ask.tasks == 1 { model::Adjacency::Rack } else { ask.adjacency }
+}
+
+/// Best fit over maximal runs: the least unwelcome accelerators, then the shortest run that holds
+/// the ask, at one of its ends.
+fn best_run(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+) -> Option<Vec<HeldTask>> {
+    let total = ask.total();
+    let mut best: Option<(RunScore, u32)> = None;
+    let mut starts = Vec::new();
+    for run in runs(topology, measure(ask), |it| rule.allows(it)) {
+        if run.len() < total {
+            continue;
+        }
+        let shortest = best.is_some_and(|(score, _)| score.penalty == 0 && score.run <= run.len());
+        if shortest {
+            continue;
+        }
+        for start in candidates(topology, ask, run) {
+            let Some(end) = walk(topology, ask, rule, start, &mut starts) else { continue };
+            let score = RunScore {
+                penalty: (start..end).map(|it| rule.penalty(it)).sum(),
+                run: run.len(),
+                split: start != run.start && end != run.end,
+                start,
+            };
+            if best.is_none_or(|(it, _)| score < it) {
+                best = Some((score, start));
+            }
+            if score.penalty == 0 && !score.split {
+                break;
+            }
+        }
+    }
+    let (_, start) = best?;
+    walk(topology, ask, rule, start, &mut starts)?;
+    Some(held(topology, ask.width, &starts))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct RunScore {
+    penalty: u32,
+    run: u32,
+    split: bool,
+    start: u32,
+}
+
+/// Where in a run a walk may begin: at its ends and at each worker.
+fn candidates(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    run: FreeRun,
+) -> impl Iterator<Item = u32> + use<> {
+    let first = topology.worker_of[run.start as usize];
+    let last = topology.worker_of[run.end as usize - 1];
+    let heads: Vec<u32> =
+        (first + 1..=last).map(|it| topology.workers[it as usize].first).collect();
+    let tail = run.end - ask.total().min(run.len());
+    [run.start, tail].into_iter().chain(heads)
+}
+
+/// Task by task into the shortest runs.
+fn best_scattered(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+) -> Option<Vec<HeldTask>> {
+    let mut runs = runs(topology, model::Adjacency::Rack, |it| rule.allows(it));
+    runs.sort_by_key(|run| {
+        let penalty = (run.start..run.end).map(|it| rule.penalty(it)).max().unwrap_or(0);
+        (penalty, run.len(), run.start)
+    });
+    let mut used = vec![0; topology.workers.len()];
+    let mut starts = Vec::new();
+    for run in runs {
+        let mut at = run.start;
+        while at + ask.width <= run.end && (starts.len() as u32) < ask.tasks {
+            let worker = topology.worker_of[at as usize];
+            let end = topology.workers[worker as usize].end();
+            if end < at + ask.width || rule.room(worker) <= used[worker as usize] {
+                at = end;
+                continue;
+            }
+            starts.push(at);
+            used[worker as usize] += 1;
+            at += ask.width;
+        }
+    }
+    (starts.len() as u32 == ask.tasks).then(|| held(topology, ask.width, &starts))
+}
+
+/// Tasks without accelerators, which only need room.
+fn best_bare(
+    topology: &HallTopology,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+) -> Option<Vec<HeldTask>> {
+    let n = topology.workers.len() as u32;
+    let mut rooms: Vec<(i64, u32, u32)> = (0..n)
+        .map(|it| (rule.bare_rank(it), it, rule.room(it).min(ask.tasks)))
+        .filter(|(_, _, room)| 0 < *room)
+        .collect();
+    match ask.adjacency {
+        model::Adjacency::Worker => rooms.retain(|(_, _, room)| *room == ask.tasks),
+        model::Adjacency::Rack => {
+            let rack = best_rack(topology, ask, &rooms)?;
+            rooms.retain(|(_, worker, _)| topology.workers[*worker as usize].rack == rack);
+        }
+        model::Adjacency::Hall | model::Adjacency::Any => {}
+    }
+    if ask.tasks == 1 {
+        let (_, worker, _) = rooms.into_iter().min()?;
+        return Some(vec![HeldTask { worker, accelerators: Vec::new() }]);
+    }
+    rooms.sort_unstable();
+    let mut tasks = Vec::new();
+    for (_, worker, room) in rooms {
+        let missing = ask.tasks - tasks.len() as u32;
+        let task = HeldTask { worker, accelerators: Vec::new() };
+        tasks.extend(std::iter::repeat_n(task, room.min(missing) as usize));
+    }
+    (tasks.len() as u32 == ask.tasks).then_some(tasks)
+}
+
+/// The rack with the least room that is enough.
+fn best_rack(topology: &HallTopology, ask: &PlaceAsk, rooms: &[(i64, u32, u32)]) -> Option<u32> {
+    let mut totals = vec![0_u64; topology.racks.len()];
+    for (_, worker, room) in rooms {
+        let rack = topology.workers[*worker as usize].rack;
+        if rack != NONE {
+            totals[rack as usize] += u64::from(*room);
+        }
+    }
+    let enough = |(rack, total): (usize, u64)| {
+        (u64::from(ask.tasks) <= total).then_some((total, rack as u32))
+    };
+    totals.into_iter().enumerate().filter_map(enough).min().map(|(_, rack)| rack)
+}
+
+/// An empty hall: what could ever fit.
+pub(crate) struct EmptyRule<'a> {
+    pub(crate) topology: &'a HallTopology,
+    pub(crate) usage: Usage,
+}
+
+impl PlaceRule for EmptyRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        self.topology.host(accelerator).rack != NONE
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        let spec = &self.topology.workers[worker as usize];
+        if spec.rack == NONE { 0 } else { Usage::capacity(spec).tasks(self.usage) }
+    }
+
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
+    }
+}
--- /dev/null
+++ b/crates/policy/src/reclaim.rs
@@ -0,0 +1,230 @@
+//! Reclaim: whose accelerators are taken back, and how.
+
+use std::time::Duration;
+
+use almondpass_schema::model;
+
+use crate::core::HallCore;
+use crate::decision::StopFate;
+use crate::item::{ItemState, QueueItem, ReserveKind};
+use crate::ledger::HeldTask;
+use crate::placement::{self, PlaceAsk, PlaceRule};
+use crate::reasons;
+use crate::topology::NONE;
+
+/// Added to the lost work of each victim, in accelerator seconds: a stop and a start cost
+/// something even where no run time is lost.
+const STOP_COST: f64 = 5.0;
+/// Work that was a victim before counts as dearer by this part each time, so that the same job is
+/// not sent away again and again.
+const REPEAT_COST: f64 = 0.5;
+
+/// The place among allowed accelerators that costs least, whole gangs counted. `starts` are the
+/// accelerators at which a run may begin.
+pub(crate) fn cheapest(
+    core: &HallCore,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+    starts: &[u32],
+) -> Option<Vec<HeldTask>> {
+    let scattered = 1 < ask.tasks && ask.adjacency == model::Adjacency::Any;
+    if scattered {
+        return cheapest_scattered(core, ask, rule, starts);
+    }
+    let mut tasks = Vec::new();
+    let mut best: Option<(f64, u32)> = None;
+    for start in starts {
+        if placement::walk(&core.topology, ask, rule, *start, &mut tasks).is_none() {
+            continue;
+        }
+        let limit = best.map_or(f64::INFINITY, |(cost, _)| cost);
+        let cost = cost(core, ask.width, &tasks, &[], limit);
+        if cost < limit {
+            best = Some((cost, *start));
+        }
+        if cost == 0.0 {
+            break;
+        }
+    }
+    let (_, start) = best?;
+    placement::walk(&core.topology, ask, rule, start, &mut tasks)?;
+    Some(placement::held(&core.topology, ask.width, &tasks))
+}
+
+/// Task by task; victims already chosen cost nothing more.
+fn cheapest_scattered(
+    core: &HallCore,
+    ask: &PlaceAsk,
+    rule: &impl PlaceRule,
+    starts: &[u32],
+) -> Option<Vec<HeldTask>> {
+    let single = PlaceAsk { tasks: 1, ..*ask };
+    let mut victims: Vec<u32> = Vec::new();
+    let mut chosen: Vec<u32> = Vec::new();
+    let mut used = vec![0; core.topology.workers.len()];
+    let mut task = Vec::new();
+    while (chosen.len() as u32) < ask.tasks {
+        let mut best: Option<(f64, u32)> = None;
+        for start in starts {
+            let worker = core.topology.worker_of[*start as usize];
+            let overlaps = |it: &u32| *it < start + ask.width && *start < it + ask.width;
+            if rule.room(worker) <= used[worker as usize]
+                || chosen.iter().any(overlaps)
+                || placement::walk(&core.topology, &single, rule, *start, &mut task).is_none()
+            {
+                continue;
+            }
+            let limit = best.map_or(f64::INFINITY, |(cost, _)| cost);
+            let cost = cost(core, ask.width, &task, &victims, limit);
+            if cost < limit {
+                best = Some((cost, *start));
+            }
+            if cost == 0.0 {
+                break;
+            }
+        }
+        let (_, start) = best?;
+        used[core.topology.worker_of[start as usize] as usize] += 1;
+        victims.extend((start..start + ask.width).map(|it| core.ledger.holder[it as usize]));
+        chosen.push(start);
+    }
+    chosen.sort_unstable();
+    Some(placement::held(&core.topology, ask.width, &chosen))
+}
+
+/// What it costs to free the tasks that begin at `tasks`, or `limit` where it is no less.
+fn cost(core: &HallCore, width: u32, tasks: &[u32], victims: &[u32], limit: f64) -> f64 {
+    let mut seen: Vec<u32> = Vec::new();
+    let mut sum = 0.0;
+    for it in tasks.iter().flat_map(|at| *at..at + width) {
+        let holder = core.ledger.holder[it as usize];
+        if holder == NONE || victims.contains(&holder) || seen.contains(&holder) {
+            continue;
+        }
+        seen.push(holder);
+        sum += core.victim_cost(core.items.at(holder));
+        if limit <= sum {
+            return limit;
+        }
+    }
+    sum
+}
+
+impl HallCore {
+    /// What sending a gang away costs.
+    pub(crate) fn victim_cost(&self, item: &QueueItem) -> f64 {
+        if matches!(item.state, ItemState::Stopping) {
+            return 0.1;
+        }
+        let rule = &self.catalog.classes[item.class as usize];
+        // A checkpoint saves the run up to the stop.
+        let lost = if rule.checkpoint && item.state == ItemState::Running {
+            0.0
+        } else {
+            item.lost_work(self.now)
+        };
+        let repeat = 1.0 + REPEAT_COST * f64::from(item.reclaimed);
+        let weight = 1.0 + f64::from(rule.priority) / 10.0;
+        let width = f64::from(item.width().max(1));
+        (lost + width + STOP_COST) * repeat * weight
+    }
+
+    /// Sends away whoever is in the place reserved for an item.
+    pub(crate) fn send_away(&mut self, index: u32, kind: ReserveKind) {
+        let grace = match kind {
+            ReserveKind::Urgent => self.terms.urgent_grace(),
+            ReserveKind::Claim | ReserveKind::Clearing => self.terms.grace,
+        };
+        let text = self.reclaim_text(index);
+        for it in self.victims(index) {
+            let reason = reasons::plain(model::WaitCode::Reclaiming, text.clone());
+            self.send_away_one(it, grace, reason);
+        }
+    }
+
+    fn send_away_one(&mut self, victim: u32, grace: Duration, reason: model::WaitReason) {
+        let item = self.items.at(victim);
+        let rule = &self.catalog.classes[item.class as usize];
+        // Requests and what is not repeatable end by themselves, within the bound.
+        let stoppable = !rule.request && rule.repeatable;
+        if stoppable && matches!(item.state, ItemState::Starting | ItemState::Running) {
+            self.wind_down(victim, grace, StopFate::Requeue, reason);
+        }
+    }
+
+    /// Who holds the accelerators, and as many others as must go for the cores, memory and slots.
+    fn victims(&self, index: u32) -> Vec<u32> {
+        let item = self.items.at(index);
+        let usage = self.usage_of(index);
+        let holder = |it: &u32| self.ledger.holder[*it as usize];
+        let mut victims: Vec<u32> = item
+            .tasks
+            .iter()
+            .flat_map(|it| &it.accelerators)
+            .map(holder)
+            .filter(|it| *it != NONE)
+            .collect();
+        victims.sort_unstable();
+        victims.dedup();
+        let mut at = 0;
+        while at < item.tasks.len() {
+            let worker = item.tasks[at].worker;
+            let here = item.tasks[at..].iter().take_while(|it| it.worker == worker).count();
+            self.more_victims(worker, usage.times(here as u32), &mut victims);
+            at += here;
+        }
+        victims
+    }
+
+    /// Adds the cheapest other work on a worker until its cores, memory and slots suffice.
+    fn more_victims(&self, worker: u32, needed: crate::ledger::Usage, victims: &mut Vec<u32>) {
+        let book = &self.ledger.workers[worker as usize];
+        let mut free = book.free;
+        let leaves = |it: &&u32| victims.contains(it) || self.goes_anyway(**it);
+        book.items.iter().filter(leaves).for_each(|it| free.add(self.usage_of(*it)));
+        if free.covers(needed) {
+            return;
+        }
+        let mut others: Vec<u32> = book
+            .items
+            .iter()
+            .copied()
+            .filter(|it| !victims.contains(it) && !self.goes_anyway(*it))
+            .filter(|it| {
+                let item = self.items.at(*it);
+                item.claim.is_none() && self.freeable(item)
+            })
+            .collect();
+        others.sort_by(|a, b| {
+            let cost = |it: &u32| self.victim_cost(self.items.at(*it));
+            cost(a).total_cmp(&cost(b)).then(a.cmp(b))
+        });
+        others.dedup();
+        for it in others {
+            if free.covers(needed) {
+                return;
+            }
+            let n = book.items.iter().filter(|other| **other == it).count();
+            free.add(self.usage_of(it).times(n as u32));
+            victims.push(it);
+        }
+    }
+
+    fn goes_anyway(&self, index: u32) -> bool {
+        matches!(self.items.at(index).state, ItemState::Stopping | ItemState::Checkpointing)
+    }
+
+    fn reclaim_text(&self, index: u32) -> String {
+        let item = self.items.at(index);
+        match item.claim {
+            Some(home) => {
+                let label = self.homes[home as usize].label();
+                format!("its accelerators are reclaimed for guarantee {label}")
+            }
+            None => {
+                let class = &self.catalog.classes[item.class as usize].name;
+                format!("its accelerators are reclaimed for urgent work of class {class}")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rehome.rs
@@ -0,0 +1,423 @@
+//! Keeping every guaranteed shape at home in a block that can be reclaimed.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use almondpass_schema::model;
+
+use crate::blocks;
+use crate::core::{HallCore, SETTLE_TIME};
+use crate::decision::Decision;
+use crate::guarantee::HomeBlock;
+use crate::ledger::{Booking, Usage};
+use crate::reasons;
+use crate::topology::NONE;
+
+/// How dear a block is as a home: what a claim would cost now, then how far it is from where the
+/// shape is at home in an empty hall, then what it leaves of its run.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct HomeCost {
+    lost_work: f64,
+    moved: bool,
+    slack: u32,
+    first: u32,
+}
+
+impl HallCore {
+    /// Takes over the guarantees that the configuration puts into this hall; blocks of those that
+    /// stay the same are kept.
+    pub(crate) fn adopt_homes(&mut self) {
+        let old = std::mem::take(&mut self.homes);
+        self.leave_blocks(&old);
+        let mine: Vec<HomeBlock> = self
+            .all_homes
+            .iter()
+            .filter(|it| it.hall == self.hall)
+            .map(|it| (it, self.catalog.known_account(&it.account)))
+            .map(|(it, account)| HomeBlock::new(it, account.unwrap_or(NONE)))
+            .collect();
+        self.homes = mine;
+        for was in old {
+            let same = |it: &HomeBlock| {
+                it.account == was.account
+                    && it.guarantee == was.guarantee
+                    && it.size == was.size
+                    && it.adjacency == was.adjacency
+            };
+            let Some(home) = self.homes.iter().position(same) else { continue };
+            self.homes[home].reported = was.reported;
+            if was.settled() {
+                self.settle(home as u32, was.block);
+            }
+        }
+        self.homes_dirty = true;
+    }
+
+    /// Takes every block away, as before the hall is laid out anew.
+    pub(crate) fn leave_homes(&mut self) {
+        let mut homes = std::mem::take(&mut self.homes);
+        self.leave_blocks(&homes);
+        for it in &mut homes {
+            it.block.clear();
+            it.claims.clear();
+        }
+        self.homes = homes;
+    }
+
+    /// Frees blocks and makes their claims ordinary work; reservations go back to the queue.
+    fn leave_blocks(&mut self, homes: &[HomeBlock]) {
+        for it in homes {
+            for claim in &it.claims {
+                let item = self.items.at_mut(*claim);
+                item.claim = None;
+                let width = item.width();
+                self.uses[item.account as usize].claimed -= width;
+                if self.items.at(*claim).state.holds() {
+                    let booking = self.booking_of(*claim);
+                    self.rebook(*claim, booking);
+                } else {
+                    self.withdraw(*claim);
+                }
+            }
+            self.ledger.unsettle(&it.block, &self.topology);
+        }
+    }
+
+    /// Takes the block of one home away.
+    fn leave(&mut self, home: u32) {
+        let was = self.homes[home as usize].clone();
+        self.homes[home as usize].block.clear();
+        self.homes[home as usize].claims.clear();
+        self.leave_blocks(&[was]);
+    }
+
+    /// Makes a block the home of a shape. Work of the same account inside becomes its claim.
+    fn settle(&mut self, home: u32, block: Vec<u32>) {
+        self.ledger.settle(home, &block, &self.topology);
+        let account = self.homes[home as usize].account;
+        let holders: BTreeSet<u32> =
+            block.iter().map(|it| self.ledger.holder[*it as usize]).collect();
+        self.homes[home as usize].block = block;
+        for it in holders.into_iter().filter(|it| *it != NONE) {
+            let item = self.items.at(it);
+            if item.account == account && item.claim.is_none() && self.lies_in(it, home) {
+                self.rebook(it, Booking::Claim);
+                self.attach(it, home);
+            }
+        }
+        self.homes_version += 1;
+        self.bump();
+    }
+
+    /// Whether all accelerators of held work lie in a home block, and no more of each worker is
+    /// used than goes with them.
+    fn lies_in(&self, index: u32, home: u32) -> bool {
+        let item = self.items.at(index);
+        item.tasks.iter().all(|task| {
+            let spec = &self.topology.workers[task.worker as usize];
+            let share = Usage::share(spec, task.accelerators.len() as u32);
+            let inside = |it: &u32| self.ledger.home[*it as usize] == home;
+            share.covers(Usage::of(&item.work.demand))
+                && !task.accelerators.is_empty()
+                && task.accelerators.iter().all(inside)
+        })
+    }
+
+    /// Notes a claim.
+    pub(crate) fn attach(&mut self, index: u32, home: u32) {
+        self.items.at_mut(index).claim = Some(home);
+        let claims = &mut self.homes[home as usize].claims;
+        if claims.contains(&index) {
+            return;
+        }
+        claims.push(index);
+        let item = self.items.at(index);
+        let width = item.width();
+        self.uses[item.account as usize].claimed += width;
+    }
+
+    /// Forgets a claim.
+    pub(crate) fn detach(&mut self, index: u32) {
+        let item = self.items.at_mut(index);
+        let Some(home) = item.claim.take() else { return };
+        let width = item.width();
+        let account = item.account as usize;
+        self.uses[account].claimed -= width;
+        self.homes[home as usize].claims.retain(|it| *it != index);
+    }
+
+    /// Accelerators of a home that work claims.
+    pub(crate) fn claimed(&self, home: u32) -> u32 {
+        let width = |it: &u32| self.items.at(*it).width();
+        self.homes[home as usize].claims.iter().map(width).sum()
+    }
+
+    /// Gives every shape whose block is damaged another one, and reports what changed.
+    pub(crate) fn keep_homes(&mut self) {
+        if !self.homes_dirty {
+            return;
+        }
+        self.homes_dirty = false;
+        let before: Vec<Vec<u32>> = self.homes.iter().map(|it| it.block.clone()).collect();
+        for home in 0..self.homes.len() as u32 {
+            if self.homes[home as usize].settled() && !self.holds_good(home) {
+                self.leave(home);
+            }
+        }
+        self.settle_lost();
+        if self.homes.iter().any(|it| !it.settled()) {
+            self.settle_afresh();
+        }
+        self.report_homes(&before);
+    }
+
+    /// Shapes in the order in which blocks are chosen: those that fit in few places first.
+    fn lost_homes(&self) -> Vec<u32> {
+        let mut lost: Vec<u32> =
+            (0..self.homes.len() as u32).filter(|it| !self.homes[*it as usize].settled()).collect();
+        lost.sort_by_key(|it| {
+            let home = &self.homes[*it as usize];
+            (home.adjacency == model::Adjacency::Any, Reverse(home.size), *it)
+        });
+        lost
+    }
+
+    fn settle_lost(&mut self) {
+        for home in self.lost_homes() {
+            if let Some(block) = self.cheapest_home(home) {
+                self.settle(home, block);
+            }
+        }
+    }
+
+    /// Chooses all unclaimed blocks anew, largest first, where one after the other left a shape
+    /// without one; goes back where that houses no more shapes.
+    fn settle_afresh(&mut self) {
+        let n_before = self.homes.iter().filter(|it| it.settled()).count();
+        let moved: Vec<(u32, Vec<u32>)> = (0..self.homes.len() as u32)
+            .filter(|it| {
+                let home = &self.homes[*it as usize];
+                home.settled() && home.claims.is_empty()
+            })
+            .map(|it| (it, self.homes[it as usize].block.clone()))
+            .collect();
+        if moved.is_empty() {
+            return;
+        }
+        moved.iter().for_each(|(home, _)| self.leave(*home));
+        self.settle_lost();
+        if n_before < self.homes.iter().filter(|it| it.settled()).count() {
+            return;
+        }
+        for home in 0..self.homes.len() as u32 {
+            let home_block = &self.homes[home as usize];
+            if home_block.settled() && home_block.claims.is_empty() {
+                self.leave(home);
+            }
+        }
+        for (home, block) in moved {
+            if !self.homes[home as usize].settled() {
+                self.settle(home, block);
+            }
+        }
+        self.settle_lost();
+    }
+
+    /// Whether a block can still be had: usable workers, and nobody in it who can't be sent away.
+    fn holds_good(&self, home: u32) -> bool {
+        let block = &self.homes[home as usize].block;
+        let sound = |it: &u32| self.home_allows(home, *it);
+        block.iter().all(sound) && self.shares_kept(block, false) && self.holders_fit(home, block)
+    }
+
+    /// Whether an accelerator may lie in a home block, whoever else's it is.
+    fn home_allows(&self, home: u32, accelerator: u32) -> bool {
+        let at = accelerator as usize;
+        let worker = self.topology.worker_of[at];
+        let other = self.ledger.home[at];
+        if !self.health[worker as usize].usable() || (other != NONE && other != home) {
+            return false;
+        }
+        let holder = self.ledger.holder[at];
+        if holder == NONE {
+            return true;
+        }
+        let item = self.items.at(holder);
+        self.freeable(item) || item.account == self.homes[home as usize].account
+    }
+
+    /// Whether work that can't be reclaimed leaves each worker the cores, memory and slots that go
+    /// with its home blocks.
+    fn shares_kept(&self, block: &[u32], adds: bool) -> bool {
+        let mut at = 0;
+        while at < block.len() {
+            let worker = self.topology.worker_of[block[at] as usize];
+            let same = |it: &&u32| self.topology.worker_of[**it as usize] == worker;
+            let n = block[at..].iter().take_while(same).count();
+            let spec = &self.topology.workers[worker as usize];
+            let book = &self.ledger.workers[worker as usize];
+            let homes = book.home_accelerators + if adds { n as u32 } else { 0 };
+            let left = Usage::capacity(spec).minus(Usage::share(spec, homes));
+            if !left.covers(book.hard) {
+                return false;
+            }
+            at += n;
+        }
+        true
+    }
+
+    /// Whether everything in a block can be sent away or is the account's own and all inside.
+    fn holders_fit(&self, home: u32, block: &[u32]) -> bool {
+        let account = self.homes[home as usize].account;
+        let mut last = NONE;
+        block.iter().all(|it| {
+            let holder = self.ledger.holder[*it as usize];
+            if holder == NONE || holder == last {
+                return true;
+            }
+            last = holder;
+            let item = self.items.at(holder);
+            if self.freeable(item) || item.claim == Some(home) {
+                return true;
+            }
+            let inside = |it: &u32| block.binary_search(it).is_ok();
+            item.account == account && item.tasks.iter().flat_map(|it| &it.accelerators).all(inside)
+        })
+    }
+
+    /// The cheapest block for a shape that has none.
+    fn cheapest_home(&self, home: u32) -> Option<Vec<u32>> {
+        let shape = &self.homes[home as usize];
+        let allows = |it: u32| self.home_allows(home, it);
+        let choices = blocks::choices(&self.topology, shape.size, shape.adjacency, allows);
+        choices
+            .into_iter()
+            .filter(|it| self.shares_kept(&it.accelerators, true))
+            .filter(|it| self.holders_fit(home, &it.accelerators))
+            .map(|it| (self.home_cost(home, &it), it))
+            .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))
+            .map(|(_, it)| it.accelerators)
+    }
+
+    fn home_cost(&self, home: u32, choice: &blocks::BlockChoice) -> HomeCost {
+        let shape = &self.homes[home as usize];
+        let mut holders: Vec<u32> = choice
+            .accelerators
+            .iter()
+            .map(|it| self.ledger.holder[*it as usize])
+            .filter(|it| *it != NONE)
+            .collect();
+        holders.sort_unstable();
+        holders.dedup();
+        let cost = |it: &u32| {
+            let item = self.items.at(*it);
+            let own = item.account == shape.account;
+            if own { 0.0 } else { item.lost_work(self.now) + 1.0 }
+        };
+        HomeCost {
+            lost_work: holders.iter().map(cost).sum(),
+            moved: choice.accelerators != shape.canonical,
+            slack: choice.slack,
+            first: choice.accelerators[0],
+        }
+    }
+
+    /// Moves an unclaimed home to a wholly free block elsewhere; false where there is none.
+    pub(crate) fn move_to_free(&mut self, home: u32) -> bool {
+        let shape = &self.homes[home as usize];
+        if !shape.claims.is_empty() {
+            return false;
+        }
+        let free = |it: u32| {
+            let at = it as usize;
+            self.ledger.holder[at] == NONE
+                && self.ledger.home[at] == NONE
+                && self.ledger.reserved[at] == NONE
+                && self.health[self.topology.worker_of[at] as usize].open(self.now)
+        };
+        let choices = blocks::choices(&self.topology, shape.size, shape.adjacency, free);
+        let choice = choices
+            .into_iter()
+            .filter(|it| self.shares_kept(&it.accelerators, true))
+            .min_by_key(|it| (it.slack, it.accelerators[0]));
+        let Some(choice) = choice else { return false };
+        self.leave(home);
+        self.settle(home, choice.accelerators);
+        self.report(home, "moved to a free block");
+        true
+    }
+
+    fn report_homes(&mut self, before: &[Vec<u32>]) {
+        let settling = self.now.since(self.began) < SETTLE_TIME;
+        for home in 0..self.homes.len() as u32 {
+            let now_settled = self.homes[home as usize].settled();
+            let was = self.homes[home as usize].reported;
+            if now_settled {
+                if was == Some(true) && before[home as usize] != self.homes[home as usize].block {
+                    self.report(home, "moved: its block was damaged or is no longer reclaimable");
+                } else if was == Some(false) {
+                    self.report(home, "whole again");
+                }
+                self.homes[home as usize].reported = Some(true);
+            } else if was != Some(false) && !settling {
+                self.homes[home as usize].reported = Some(false);
+                self.report_lost(home);
+            }
+        }
+    }
+
+    fn report(&mut self, home: u32, what: &str) {
+        let shape = &self.homes[home as usize];
+        let first = self.topology.host(shape.block[0]);
+        let reason = reasons::plain(
+            model::WaitCode::GuaranteeKept,
+            format!("guarantee {} {what}; now at home from {}", shape.label(), first.name),
+        );
+        self.push_guarantee(home, reason);
+    }
+
+    fn report_lost(&mut self, home: u32) {
+        let shape = &self.homes[home as usize];
+        let n_live = self.health.iter().filter(|it| it.usable()).count();
+        let reason = reasons::plain(
+            model::WaitCode::NoCapacity,
+            format!(
+                "guarantee {} lost: no block of {} accelerators ({}) in {} can be reclaimed, with \
+                 {} of {} live",
+                shape.label(),
+                shape.size,
+                shape.adjacency,
+                self.hall,
+                n_live,
+                reasons::count(self.health.len(), "worker"),
+            ),
+        );
+        self.push_guarantee(home, reason);
+    }
+
+    fn push_guarantee(&mut self, home: u32, reason: model::WaitReason) {
+        let state = self.home_state(home);
+        let shape = &self.homes[home as usize];
+        self.outbox.push(Decision::Guarantee {
+            account: shape.account_id.clone(),
+            guarantee: shape.guarantee.clone(),
+            state,
+            reason,
+        });
+    }
+
+    /// How a guarantee stands.
+    pub(crate) fn home_state(&self, home: u32) -> model::GuaranteeState {
+        let shape = &self.homes[home as usize];
+        let free = |it: &u32| self.ledger.holder[*it as usize] == NONE;
+        if !shape.settled() {
+            model::GuaranteeState::Lost
+        } else if !shape.claims.is_empty() {
+            model::GuaranteeState::Claimed
+        } else if shape.block.iter().all(free) {
+            model::GuaranteeState::Free
+        } else {
+            model::GuaranteeState::Reclaimable
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/reserve.rs
@@ -0,0 +1,144 @@
+//! Places that are reserved for work until whoever is there has gone.
+
+use almondpass_schema::{model, time};
+
+use crate::core::HallCore;
+use crate::item::{ItemState, ReserveKind};
+use crate::ledger::{HeldTask, Usage};
+use crate::reasons;
+use crate::topology::NONE;
+
+impl HallCore {
+    /// Reserves a place for an item that is in no queue. Reservations in the way are given up;
+    /// callers have made sure that these weigh less.
+    pub(crate) fn reserve(
+        &mut self,
+        index: u32,
+        tasks: Vec<HeldTask>,
+        kind: ReserveKind,
+        claim: Option<u32>,
+    ) {
+        let mut others: Vec<u32> = tasks
+            .iter()
+            .flat_map(|it| &it.accelerators)
+            .map(|it| self.ledger.reserved[*it as usize])
+            .filter(|it| *it != NONE)
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        for it in others {
+            self.withdraw(it);
+        }
+        let usage = self.usage_of(index);
+        self.ledger.reserve(index, &tasks, usage);
+        let opening = self.opening(index, &tasks);
+        let now = self.now;
+        let item = self.items.at_mut(index);
+        item.tasks = tasks;
+        item.state = ItemState::Reserving(kind);
+        item.since = now;
+        item.opening = opening;
+        self.reserving.insert(index);
+        if let Some(home) = claim {
+            self.attach(index, home);
+        }
+        self.reserved_version = 0;
+    }
+
+    /// Gives the place up; the item is then in no queue.
+    pub(crate) fn unreserve(&mut self, index: u32) {
+        self.detach(index);
+        let usage = self.usage_of(index);
+        let tasks = std::mem::take(&mut self.items.at_mut(index).tasks);
+        self.ledger.unreserve(&tasks, usage);
+        self.reserving.remove(&index);
+        self.bump();
+    }
+
+    /// Gives the place up and queues the item again.
+    pub(crate) fn withdraw(&mut self, index: u32) {
+        self.unreserve(index);
+        self.enqueue(index);
+    }
+
+    /// When a place is expected to be free: when the last of its holders has gone.
+    pub(crate) fn opening(&self, index: u32, tasks: &[HeldTask]) -> time::WallTime {
+        let holder = |it: &u32| self.ledger.holder[*it as usize];
+        let mut latest = self.now;
+        let mut last = NONE;
+        for it in tasks.iter().flat_map(|it| &it.accelerators).map(holder) {
+            if it != NONE && it != last && it != index {
+                latest = latest.max(self.expected_end(self.items.at(it)));
+                last = it;
+            }
+        }
+        latest
+    }
+
+    /// Starts what has its whole place free, and sees to it that the rest goes on.
+    pub(crate) fn check_reservations(&mut self) {
+        if self.reserved_version == self.version {
+            return;
+        }
+        self.reserved_version = self.version;
+        let all: Vec<u32> = self.reserving.iter().copied().collect();
+        for index in all {
+            // An earlier one of this round may have pushed it aside.
+            if self.reserving.contains(&index) {
+                self.check_reservation(index);
+            }
+        }
+    }
+
+    fn check_reservation(&mut self, index: u32) {
+        let tasks = self.items.at(index).tasks.clone();
+        let open = |it: &HeldTask| self.health[it.worker as usize].usable();
+        if !tasks.iter().all(open) {
+            self.withdraw(index);
+            return;
+        }
+        let ItemState::Reserving(kind) = self.items.at(index).state else { return };
+        if self.is_free(index, &tasks) {
+            self.start_reserved(index, kind);
+        } else if kind == ReserveKind::Clearing {
+            self.refresh_clearing(index);
+        } else {
+            self.send_away(index, kind);
+        }
+    }
+
+    /// Whether every accelerator, and the cores, memory and slots beside them, are free.
+    fn is_free(&self, index: u32, tasks: &[HeldTask]) -> bool {
+        let usage = self.usage_of(index);
+        let mut at = 0;
+        while at < tasks.len() {
+            let worker = tasks[at].worker;
+            let here = tasks[at..].iter().take_while(|it| it.worker == worker).count();
+            let free = |it: &u32| self.ledger.holder[*it as usize] == NONE;
+            let group = &tasks[at..at + here];
+            if !group.iter().flat_map(|it| &it.accelerators).all(free) {
+                return false;
+            }
+            let needed: Usage = usage.times(here as u32);
+            if !self.ledger.workers[worker as usize].free.covers(needed) {
+                return false;
+            }
+            at += here;
+        }
+        true
+    }
+
+    fn start_reserved(&mut self, index: u32, kind: ReserveKind) {
+        let claim = self.items.at(index).claim;
+        let tasks = self.items.at(index).tasks.clone();
+        self.unreserve(index);
+        let reason = match (kind, claim) {
+            (ReserveKind::Claim, Some(home)) => self.claim_reason(home, "was reclaimed"),
+            (ReserveKind::Urgent, _) => {
+                reasons::plain(model::WaitCode::Reclaiming, "urgent: its place was reclaimed")
+            }
+            _ => reasons::plain(model::WaitCode::ClearingBlock, "the block cleared for it is free"),
+        };
+        self.start(index, tasks, claim, reason);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rules.rs
@@ -0,0 +1,192 @@
+//! What a piece of work may use of the hall now.
+
+use std::time::Duration;
+
+use almondpass_schema::time;
+
+use crate::core::HallCore;
+use crate::item::{ItemState, ReserveKind};
+use crate::ledger::{Booking, Usage};
+use crate::placement::{PlaceAsk, PlaceRule};
+use crate::topology::NONE;
+
+/// Failures on a worker make it less welcome by this, and an accelerator in a home block by one.
+const SUSPECT_PENALTY: u32 = 4;
+
+/// Free capacity above the guarantee.
+pub(crate) struct OpenRule<'a> {
+    pub(crate) core: &'a HallCore,
+    pub(crate) index: u32,
+    pub(crate) usage: Usage,
+    /// Can't be reclaimed, so that home blocks are closed to it.
+    pub(crate) hard: bool,
+    /// Long enough that a home block is no good place for it.
+    pub(crate) long: bool,
+    /// By when it is expected to be gone, for backfill.
+    pub(crate) expected_end: time::WallTime,
+    /// By when it is gone in any case.
+    pub(crate) certain_end: time::WallTime,
+    pub(crate) exclude: &'a [u32],
+}
+
+impl<'a> OpenRule<'a> {
+    /// Rule for an item that claims nothing.
+    pub(crate) fn new(core: &'a HallCore, index: u32) -> OpenRule<'a> {
+        let item = core.items.at(index);
+        let rule = &core.catalog.classes[item.class as usize];
+        let estimate = core.estimate(item);
+        let left = |whole: Duration| whole.saturating_sub(item.work.saved_run);
+        let bound = if rule.request { rule.max_run } else { core.terms.run_bound(rule.max_run) };
+        // Where fragmentation counts more, only what is nearly sure to be gone in time goes in.
+        let likely = if 0.5 <= core.terms.fragmentation { estimate.high } else { estimate.median };
+        OpenRule {
+            core,
+            index,
+            usage: Usage::of(&item.work.demand),
+            hard: core.booking_of(index) == Booking::Hard,
+            long: core.terms.reclaim < left(estimate.median),
+            expected_end: core.now + left(likely),
+            certain_end: core.now + left(bound),
+            exclude: &item.exclude,
+        }
+    }
+
+    /// Whether it may run in a block that is cleared for a gang.
+    fn backfills(&self, reserved_for: u32) -> bool {
+        if reserved_for == self.index {
+            return true;
+        }
+        let gang = self.core.items.at(reserved_for);
+        if gang.state != ItemState::Reserving(ReserveKind::Clearing) {
+            return false;
+        }
+        // A gang past its bound is held up by no run that might outlast the opening.
+        let end =
+            if self.core.overdue(reserved_for) { self.certain_end } else { self.expected_end };
+        end <= gang.opening
+    }
+
+    /// What reservations keep from this work on a worker.
+    fn kept(&self, worker: u32) -> Usage {
+        let reserved = self.core.ledger.workers[worker as usize].reserved;
+        if reserved == Usage::default() {
+            return reserved;
+        }
+        let spec = &self.core.topology.workers[worker as usize];
+        let closed = |it: u32| {
+            let other = self.core.ledger.reserved[it as usize];
+            other != NONE && !self.backfills(other)
+        };
+        if (spec.first..spec.end()).any(closed) { reserved } else { Usage::default() }
+    }
+
+    fn open(&self, worker: u32) -> bool {
+        self.core.health[worker as usize].open(self.core.now) && !self.exclude.contains(&worker)
+    }
+}
+
+impl PlaceRule for OpenRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        let at = accelerator as usize;
+        let ledger = &self.core.ledger;
+        ledger.holder[at] == NONE
+            && (!self.hard || ledger.home[at] == NONE)
+            && self.open(self.core.topology.worker_of[at])
+            && (ledger.reserved[at] == NONE || self.backfills(ledger.reserved[at]))
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        if !self.open(worker) {
+            return 0;
+        }
+        let book = &self.core.ledger.workers[worker as usize];
+        let room = book.free.minus(self.kept(worker)).tasks(self.usage);
+        if !self.hard {
+            return room;
+        }
+        let hard_room = self.core.ledger.hard_room(worker, &self.core.topology);
+        room.min(hard_room.tasks(self.usage))
+    }
+
+    fn penalty(&self, accelerator: u32) -> u32 {
+        let at = accelerator as usize;
+        let home = self.long && self.core.ledger.home[at] != NONE;
+        let worker = self.core.topology.worker_of[at];
+        let suspect = self.core.health[worker as usize].suspect();
+        u32::from(home) + SUSPECT_PENALTY * u32::from(suspect)
+    }
+
+    /// Cores and memory that free accelerators will need are used last, then the fullest worker
+    /// goes first.
+    fn bare_rank(&self, worker: u32) -> i64 {
+        let spec = &self.core.topology.workers[worker as usize];
+        let book = &self.core.ledger.workers[worker as usize];
+        let kept = Usage::share(spec, book.free_accelerators);
+        let strands = !book.free.minus(kept).covers(self.usage);
+        let suspect = self.core.health[worker as usize].suspect();
+        let rank = book.free.cores + 10_000 * i64::from(strands);
+        rank + 100_000 * i64::from(suspect)
+    }
+}
+
+/// The home block of a claim.
+pub(crate) struct ClaimRule<'a> {
+    pub(crate) core: &'a HallCore,
+    pub(crate) home: u32,
+    pub(crate) ask: &'a PlaceAsk,
+    /// Whether it may take what others hold, to be reclaimed.
+    pub(crate) reclaims: bool,
+    pub(crate) exclude: &'a [u32],
+}
+
+impl ClaimRule<'_> {
+    /// A claim uses no more of a worker than goes with its accelerators: the same is kept for the
+    /// other guarantees there.
+    fn within_share(&self, worker: u32) -> bool {
+        let spec = &self.core.topology.workers[worker as usize];
+        Usage::share(spec, self.ask.width).covers(self.ask.usage)
+    }
+
+    /// Whether the holder can be sent away, or leaves by itself in time.
+    fn takes(&self, holder: u32) -> bool {
+        let item = self.core.items.at(holder);
+        item.claim.is_none() && self.core.freeable(item)
+    }
+}
+
+impl PlaceRule for ClaimRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        let at = accelerator as usize;
+        let ledger = &self.core.ledger;
+        let worker = self.core.topology.worker_of[at];
+        if ledger.home[at] != self.home || !self.core.health[worker as usize].open(self.core.now) {
+            return false;
+        }
+        let holder = ledger.holder[at];
+        let reserved = ledger.reserved[at];
+        if !self.reclaims {
+            return holder == NONE && reserved == NONE;
+        }
+        let reservable = reserved == NONE || self.core.items.at(reserved).claim != Some(self.home);
+        reservable && (holder == NONE || self.takes(holder))
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        if self.exclude.contains(&worker) || !self.within_share(worker) {
+            return 0;
+        }
+        if self.reclaims {
+            return u32::MAX;
+        }
+        let book = &self.core.ledger.workers[worker as usize];
+        book.free.minus(book.reserved).tasks(self.ask.usage)
+    }
+
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
+    }
+}
