--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -51,7 +51,6 @@
         id: id.to_owned(),
         name: id.to_owned(),
         keys: Vec::new(),
-        operator: None,
         guarantees: Vec::new(),
         limits: model::AccountLimits {
             accelerators: None,
@@ -129,6 +128,7 @@
         upstreams: vec![model::UpstreamSpec {
             name: "lab".to_owned(),
             halls: vec!["vadodara".to_owned()],
+            former_halls: Vec::new(),
         }],
         classes: vec![
             class("batch", model::ClassKind::Job, 2),
