Count the bytes of calls

Cause: control traffic has a budget of 3 KB/s an instance, and nothing measured it. Change: almondpass_peer_{sent,received}_bytes_total by side, heads included, counted at the socket.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -20,6 +20,7 @@
 use crate::error;
 use crate::key;
 use crate::link;
+use crate::meter;
 use crate::pool;
 use crate::wire;
 
@@ -203,7 +204,8 @@
     let address = address.map_err(|_| not_sent(format!("the address {peer:?}")))?;
     let stream = TcpStream::connect(address).await.map_err(not_sent)?;
     stream.set_nodelay(true).map_err(not_sent)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
+    let stream = TokioIo::new(meter::MeteredStream::new(stream, "client"));
+    let (sender, connection) = http1::handshake(stream).await.map_err(not_sent)?;
     // Drives the connection until its sender is dropped or the peer closes it; what goes wrong
     // reaches the call through its sender.
     tokio::spawn(connection);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod link;
 pub mod server;
 
+mod meter;
 mod pool;
 mod wire;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -20,6 +20,7 @@
 use crate::error;
 use crate::key;
 use crate::link;
+use crate::meter;
 use crate::wire;
 
 /// How a server behaves.
@@ -118,7 +119,8 @@
         let config = Arc::clone(&config);
         async move { handle(request, service, &config).await }
     });
-    builder.serve_connection(TokioIo::new(stream), handler)
+    let stream = TokioIo::new(meter::MeteredStream::new(stream, "server"));
+    builder.serve_connection(stream, handler)
 }
 
 async fn handle<S: link::PeerService>(
