--- /dev/null
+++ b/crates/hall/src/actor.rs
@@ -0,0 +1,214 @@
+//! The scheduler of one hall: an actor around the policy. It never awaits a call inside a handler;
+//! calls run in tasks that report back as messages.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use almondpass_config::active;
+use almondpass_membership::snapshot;
+use almondpass_policy::{event, scheduler::HallPolicy};
+use almondpass_schema::{ids, model, time};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
+use xtra::{Actor, Context, Handler, Mailbox};
+
+use crate::backend;
+use crate::commit;
+use crate::gang_task;
+use crate::grant_table;
+use crate::intent_task;
+use crate::job_table;
+use crate::lease_table;
+use crate::options;
+use crate::request;
+use crate::serve_task;
+use crate::sync_task;
+use crate::tenure;
+use crate::worker_node;
+
+/// The scheduler of one hall.
+pub struct HallActor<B: backend::HallBackend> {
+    pub(crate) ports: backend::HallPorts<B>,
+    pub(crate) options: options::HallOptions,
+    pub(crate) hall: ids::HallName,
+    pub(crate) tenure: tenure::TenureWatch,
+    pub(crate) config: Arc<active::ActiveConfig>,
+    pub(crate) members: Arc<snapshot::MemberSnapshot>,
+    pub(crate) policy: B::Policy,
+    pub(crate) nodes: BTreeMap<ids::WorkerId, worker_node::WorkerNode>,
+    pub(crate) leases: lease_table::LeaseTable,
+    pub(crate) grants: grant_table::GrantTable,
+    pub(crate) jobs: job_table::JobTable,
+    pub(crate) intents: intent_task::IntentState,
+    /// Events that the policy learns later, such as a start withdrawn during an outage: told at
+    /// once, it would decide the same again in a tight loop.
+    pub(crate) deferred: VecDeque<DeferredEvent>,
+    /// Set once a write showed a newer tenure.
+    pub(crate) fenced: bool,
+    /// Answered once nothing is in flight; from then on nothing is begun.
+    pub(crate) freeze: Option<oneshot::Sender<()>>,
+    pub(crate) frozen: bool,
+    pub(crate) summary: watch::Sender<Option<model::HallBeat>>,
+    pub(crate) next_summary: Instant,
+    pub(crate) wake: Arc<Notify>,
+    pub(crate) address: Option<xtra::WeakAddress<HallActor<B>>>,
+}
+
+/// An event and when the policy is to learn it.
+pub(crate) struct DeferredEvent {
+    pub(crate) at: Instant,
+    pub(crate) event: event::HallEvent,
+}
+
+/// Decide, look at timers, and say when to be called next.
+pub(crate) struct Turn;
+/// Begin nothing, and answer when nothing is in flight any more.
+pub struct Freeze;
+/// Another instance schedules the hall: stop.
+pub struct Resign;
+/// The configuration changed.
+pub(crate) struct Configured(pub(crate) Arc<active::ActiveConfig>);
+/// Instances or workers changed.
+pub(crate) struct MembersChanged(pub(crate) Arc<snapshot::MemberSnapshot>);
+
+impl<B: backend::HallBackend> Actor for HallActor<B> {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.address = Some(mailbox.address());
+        spawn_turns(mailbox.address(), Arc::clone(&self.wake));
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+/// Calls for turns: when something happened, several happenings in one, and when one is due.
+fn spawn_turns<B: backend::HallBackend>(
+    address: xtra::WeakAddress<HallActor<B>>,
+    wake: Arc<Notify>,
+) {
+    tokio::spawn(async move {
+        loop {
+            let Ok(next) = address.send(Turn).await else { return };
+            tokio::select! {
+                () = wake.notified() => {}
+                () = tokio::time::sleep_until(next) => {}
+            }
+        }
+    });
+}
+
+macro_rules! handlers {
+    ($($message:ty => $method:ident -> $return:ty;)*) => {
+        $(impl<B: backend::HallBackend> Handler<$message> for HallActor<B> {
+            type Return = $return;
+
+            async fn handle(&mut self, message: $message, _: &mut Context<Self>) -> $return {
+                self.$method(message)
+            }
+        })*
+    };
+}
+
+handlers! {
+    Turn => on_turn -> Instant;
+    Freeze => on_freeze -> oneshot::Receiver<()>;
+    Configured => on_configured -> ();
+    MembersChanged => on_members -> ();
+    request::HallRequest => on_request -> ();
+    sync_task::SyncReport => on_synced -> ();
+    gang_task::GangReserved => on_gang_reserved -> oneshot::Receiver<bool>;
+    gang_task::GangReport => on_gang_report -> ();
+    serve_task::ServeReport => on_serve_report -> ();
+    commit::CommitReport => on_committed -> ();
+    intent_task::AppendReport => on_appended -> ();
+    intent_task::SealReport => on_sealed -> ();
+    intent_task::TrimReport => on_trimmed -> ();
+}
+
+impl<B: backend::HallBackend> Handler<Resign> for HallActor<B> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Resign, context: &mut Context<Self>) {
+        context.stop_self();
+    }
+}
+
+impl<B: backend::HallBackend> HallActor<B> {
+    /// Whether the scheduler may begin something.
+    pub(crate) fn may_act(&self) -> bool {
+        !self.frozen && !self.fenced && self.tenure.may_act()
+    }
+
+    /// Whether nobody else can hold the hall.
+    pub(crate) fn is_firm(&self) -> bool {
+        !self.fenced && self.tenure.standing() == tenure::TenureStanding::Firm
+    }
+
+    pub(crate) fn wall(&self) -> time::WallTime {
+        self.options.clock.now()
+    }
+
+    /// Tells the policy something; it decides at the next turn.
+    pub(crate) fn tell(&mut self, event: event::HallEvent) {
+        let now = self.wall();
+        self.policy.apply(event, now);
+        self.wake.notify_one();
+    }
+
+    /// Tells the policy something later.
+    pub(crate) fn tell_at(&mut self, at: Instant, event: event::HallEvent) {
+        self.deferred.push_back(DeferredEvent { at, event });
+    }
+
+    /// Where tasks report to.
+    pub(crate) fn reports(&self) -> xtra::WeakAddress<HallActor<B>> {
+        self.address.clone().expect("a started actor knows its address")
+    }
+
+    fn on_request(&mut self, request: request::HallRequest) {
+        match request {
+            request::HallRequest::Grant(it) => self.on_grant_request(it),
+            request::HallRequest::Returns(it) => self.on_grant_returns(it),
+            request::HallRequest::Report(it) => self.on_grant_report(it),
+            request::HallRequest::Submit(it) => self.on_job_submit(it),
+            request::HallRequest::Query(it) => self.on_job_query(it),
+            request::HallRequest::Cancel(it) => self.on_job_cancel(it),
+            request::HallRequest::Picture(it) => self.on_picture(it),
+        }
+    }
+
+    fn on_picture(&mut self, pending: request::PendingCall<model::HallQuery>) {
+        let picture = self.picture();
+        let _ = pending.reply.send(model::HallReply::Picture { picture });
+    }
+
+    pub(crate) fn picture(&self) -> model::HallPicture {
+        let mut picture = self.policy.picture(self.wall());
+        picture.epoch = self.tenure.epoch();
+        picture.holder = self.options.instance.clone();
+        picture
+    }
+
+    fn on_freeze(&mut self, _: Freeze) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.frozen = true;
+        self.freeze = Some(sender);
+        self.settle_freeze();
+        receiver
+    }
+
+    /// Answers a hand-over once every write and every start in flight is settled: the successor
+    /// reads rows and leases, and would take a gang in the middle of its start for incomplete.
+    pub(crate) fn settle_freeze(&mut self) {
+        let busy = self.jobs.is_busy() || self.intents.is_busy() || self.grants.is_starting();
+        if busy {
+            return;
+        }
+        if let Some(freeze) = self.freeze.take() {
+            self.grants.drop_waiting();
+            let _ = freeze.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/hall/src/gangs.rs
@@ -0,0 +1,515 @@
+//! How the scheduler starts, watches and stops gangs: whole or not at all.
+
+use almondpass_platform::worker::WorkerControl;
+use almondpass_policy::{decision, event, work};
+use almondpass_schema::{blob, ids, model};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::actor::HallActor;
+use crate::backend;
+use crate::gang_task;
+use crate::job_table::{Gang, GangEnding, GangMember, GangPhase};
+use crate::lease;
+use crate::lease_table::LeaseState;
+use crate::metric;
+
+impl<B: backend::HallBackend> HallActor<B> {
+    /// Decisions about jobs.
+    pub(crate) fn decide_job(&mut self, decision: decision::Decision) {
+        match decision {
+            decision::Decision::Start { work, placement, reason } => {
+                self.start_gang(work, placement, reason);
+            }
+            decision::Decision::Checkpoint { work, .. } => self.checkpoint_gang(work),
+            decision::Decision::Stop { work, reason, .. } => {
+                self.note_reason(work, reason);
+                let ending = GangEnding::Ended(event::WorkExit::Stopped);
+                self.stop_gang(work, ending);
+            }
+            decision::Decision::Throttle { work, reason } => {
+                self.note_reason(work, reason);
+                self.signal_gang(work, model::TaskSignalKind::Throttle);
+            }
+            decision::Decision::Requeue { work, reason } => self.requeue_job(work, reason),
+            decision::Decision::Finish { work, outcome, reason } => {
+                self.finish_job(work, outcome, reason);
+            }
+            decision::Decision::Worker { .. } | decision::Decision::Guarantee { .. } => {}
+        }
+    }
+
+    fn start_gang(
+        &mut self,
+        job: ids::JobId,
+        placement: Vec<work::TaskSlot>,
+        reason: model::WaitReason,
+    ) {
+        let Some(entry) = self.jobs.entries.get_mut(&job) else {
+            let fault = event::StartFault::Withdrawn;
+            self.tell(event::HallEvent::Cancelled(job));
+            self.tell(event::HallEvent::StartFailed { work: job, worker: None, fault });
+            return;
+        };
+        let (repeatable, class) = (entry.repeatable, entry.record.submission.class.clone());
+        let upstream = self.config.class(&class).map(|it| it.upstream.clone());
+        let servable = upstream.as_ref().is_some_and(|upstream| {
+            placement.iter().all(|it| self.has_upstream(&it.worker, upstream))
+        });
+        // Work that may run only once needs its row first, which a cut-off holder cannot write.
+        if !servable || (!repeatable && !self.is_firm()) {
+            let fault = event::StartFault::Withdrawn;
+            let failed = event::HallEvent::StartFailed { work: job, worker: None, fault };
+            self.tell_at(Instant::now() + WITHDRAWN_DELAY, failed);
+            return;
+        }
+        let Some(plan) = self.plan_gang(job, &placement, upstream.unwrap_or_default()) else {
+            return;
+        };
+        tracing::info!(hall = self.hall, job = %job, n_tasks = placement.len(), reason = reason.text,
+            "starts a gang");
+        self.note_reason(job, reason);
+        let (workers, tenure, reports) =
+            (self.ports.workers.clone(), self.tenure.clone(), self.reports());
+        tokio::spawn(gang_task::run::<B>(workers, tenure, plan, reports));
+    }
+
+    fn plan_gang(
+        &mut self,
+        job: ids::JobId,
+        placement: &[work::TaskSlot],
+        upstream: ids::UpstreamName,
+    ) -> Option<gang_task::GangPlan> {
+        let entry = self.jobs.entries.get_mut(&job)?;
+        if entry.gang.is_some() || entry.is_over() {
+            return None;
+        }
+        entry.tries += 1;
+        let start = lease::StartNumber { epoch: self.tenure.epoch(), attempt: entry.tries };
+        let submission = entry.record.submission.clone();
+        let checkpoint = entry.record.checkpoint.clone();
+        let demand = work::TaskDemand {
+            accelerators: submission.accelerators,
+            cores: submission.cores,
+            memory_mb: submission.memory_mb,
+            slots: 0,
+        };
+        let mut members = Vec::new();
+        let mut plans = Vec::new();
+        for slot in placement {
+            let evict = self.make_room(slot, &demand);
+            let purpose = lease::LeasePurpose::Task { job, start, rank: slot.rank };
+            let name = self.insert_reserving(purpose, slot, demand);
+            let node = self.nodes.get(&slot.worker);
+            plans.push(gang_task::MemberPlan {
+                rank: slot.rank,
+                worker: slot.worker.clone(),
+                address: node.and_then(|it| it.address().cloned()).unwrap_or_default(),
+                evict,
+                reserve: self.reservation(&name, slot, &demand),
+            });
+            members.push(GangMember {
+                slot: slot.clone(),
+                lease: name,
+                exit: None,
+                checkpoint_before: None,
+                checkpoint: None,
+            });
+        }
+        let entry = self.jobs.entries.get_mut(&job)?;
+        entry.gang = Some(Gang {
+            start,
+            members,
+            phase: GangPhase::Reserving,
+            started_at: Instant::now(),
+            checkpoint_asked: false,
+            stop_wanted: false,
+            start_sent: false,
+            reported: false,
+        });
+        let arguments = submission.arguments.unwrap_or_default().into_bytes();
+        Some(gang_task::GangPlan {
+            job,
+            start,
+            members: plans,
+            upstream,
+            arguments: blob::Blob::from(arguments),
+            checkpoint,
+            deadline: self.options.call_deadline(),
+        })
+    }
+
+    /// All members are reserved: go on, unless the job was cancelled or the tenure ended.
+    pub(crate) fn on_gang_reserved(
+        &mut self,
+        reserved: gang_task::GangReserved,
+    ) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        let may_act = !self.fenced && self.tenure.may_act();
+        let wall = self.wall();
+        let leases = self.member_leases(reserved.job, reserved.start);
+        for (rank, sent_at) in &reserved.sent_at {
+            if let Some((_, lease)) = leases.iter().find(|(it, _)| it == rank) {
+                self.note_reserved(lease, *sent_at);
+            }
+        }
+        let Some(entry) = self.jobs.entries.get_mut(&reserved.job) else { return receiver };
+        let repeatable = entry.repeatable;
+        let cancelled = entry.record.cancel_requested;
+        let Some(gang) = entry.gang_of(reserved.start) else { return receiver };
+        if cancelled || gang.stop_wanted || !may_act || !matches!(gang.phase, GangPhase::Reserving)
+        {
+            // A dropped sender calls the start off.
+            return receiver;
+        }
+        gang.start_sent = true;
+        if repeatable {
+            gang.phase = GangPhase::Starting;
+            let _ = sender.send(true);
+        } else {
+            gang.phase = GangPhase::Logging(sender);
+        }
+        // From here on a start may be sent, and the row must never claim less.
+        entry.record.attempt += 1;
+        entry.record.state = model::JobState::Starting;
+        entry.record.state_since = wall;
+        entry.record.placement = placements(entry.gang.as_ref());
+        self.mark_dirty(reserved.job);
+        receiver
+    }
+
+    /// The row says that a start may have been sent: send it.
+    pub(crate) fn release_logged_start(&mut self, job: ids::JobId) {
+        let firm = self.is_firm();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let durable = entry.committed.as_ref().is_some_and(|it| {
+            it.state == model::JobState::Starting && it.attempt == entry.record.attempt
+        });
+        let cancelled = entry.record.cancel_requested;
+        let Some(gang) = entry.gang.as_mut() else { return };
+        if !durable || !matches!(gang.phase, GangPhase::Logging(_)) {
+            return;
+        }
+        let phase = std::mem::replace(&mut gang.phase, GangPhase::Starting);
+        if let GangPhase::Logging(sender) = phase {
+            let _ = sender.send(firm && !cancelled);
+        }
+    }
+
+    pub(crate) fn on_gang_report(&mut self, report: gang_task::GangReport) {
+        let job = report.job;
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let cancelled = entry.record.cancel_requested;
+        let waited = entry.arrived.elapsed();
+        let Some(gang) = entry.gang_of(report.start) else { return };
+        gang.reported = true;
+        let unwanted = cancelled || gang.stop_wanted;
+        match report.outcome {
+            gang_task::GangOutcome::Started => {
+                gang.phase = GangPhase::Running;
+                gang.started_at = Instant::now();
+                entry.record.state = model::JobState::Running;
+                entry.record.state_since = wall;
+                let (account, class) =
+                    (entry.record.account.clone(), entry.record.submission.class.clone());
+                metric::wait(&account, &class, waited);
+                self.mark_dirty(job);
+                self.tell(event::HallEvent::Started(job));
+                for worker in self.gang_workers(job) {
+                    self.sync_soon(&worker);
+                }
+                if unwanted {
+                    // The policy wanted it stopped while it was starting.
+                    self.stop_gang(job, GangEnding::Ended(event::WorkExit::Stopped));
+                }
+            }
+            gang_task::GangOutcome::NotReserved { worker, fault, holders } => {
+                metric::start_failed(&self.hall);
+                self.release_strays(&worker, &holders);
+                let worker = Some(worker);
+                self.stop_gang(job, GangEnding::NotStarted { worker, fault });
+            }
+            gang_task::GangOutcome::Withdrawn => {
+                self.start_was_not_sent(job);
+                let fault = event::StartFault::Withdrawn;
+                self.stop_gang(job, GangEnding::NotStarted { worker: None, fault });
+            }
+            gang_task::GangOutcome::NotStarted { worker, fault } => {
+                metric::start_failed(&self.hall);
+                let worker = Some(worker);
+                self.stop_gang(job, GangEnding::NotStarted { worker, fault });
+            }
+        }
+        self.settle_freeze();
+    }
+
+    /// Takes back that a start may have been sent. Proof: the task that would have sent it says
+    /// that it was called off before, and it sends nothing afterwards.
+    fn start_was_not_sent(&mut self, job: ids::JobId) {
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        if let Some(gang) = entry.gang.as_mut() {
+            gang.start_sent = false;
+        }
+        if entry.record.state == model::JobState::Starting {
+            entry.record.attempt -= 1;
+            entry.record.state = model::JobState::Queued;
+            entry.record.state_since = wall;
+            entry.record.placement = Vec::new();
+            self.mark_dirty(job);
+        }
+    }
+
+    /// Stops a gang whole: every member's lease is released, and what follows waits until all are
+    /// proven gone.
+    pub(crate) fn stop_gang(&mut self, job: ids::JobId, ending: GangEnding) {
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let Some(gang) = entry.gang.as_mut() else {
+            return;
+        };
+        match gang.phase {
+            GangPhase::Stopping { .. } => return,
+            // The task that starts it is under way: a reservation of its that landed behind our
+            // release would hold accelerators for a term. Its report comes soon.
+            GangPhase::Reserving | GangPhase::Starting if !gang.reported => {
+                gang.stop_wanted = true;
+                return;
+            }
+            // Dropping the sender calls the start off.
+            GangPhase::Logging(_) => {
+                gang.stop_wanted = true;
+                gang.phase = GangPhase::Reserving;
+                return;
+            }
+            _ => {}
+        }
+        gang.phase = GangPhase::Stopping { ending, since: Instant::now() };
+        let leases = gang.members.iter().map(|it| it.lease.clone()).collect::<Vec<_>>();
+        for lease in &leases {
+            self.release(lease);
+        }
+        self.look_at_gang(job);
+    }
+
+    /// A member's lease lapsed: the others stop too.
+    pub(crate) fn member_lapsed(
+        &mut self,
+        job: ids::JobId,
+        start: lease::StartNumber,
+        worker: &ids::WorkerId,
+    ) {
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let Some(gang) = entry.gang_of(start) else { return };
+        if let GangPhase::Running = gang.phase {
+            let exit = event::WorkExit::Lost { worker: worker.clone() };
+            self.stop_gang(job, GangEnding::Ended(exit));
+        }
+    }
+
+    /// Stops gangs of which a member may have lapsed: its worker did not answer for a term.
+    pub(crate) fn stop_lapsed_gangs(&mut self, now: Instant) {
+        let lapsed = self
+            .leases
+            .iter()
+            .filter(|(_, it)| it.state == LeaseState::Held && it.firm_until <= now);
+        let lapsed = lapsed.filter_map(|(_, it)| match it.purpose {
+            lease::LeasePurpose::Task { job, start, .. } => Some((job, start, it.worker.clone())),
+            lease::LeasePurpose::Serve { .. } => None,
+        });
+        for (job, start, worker) in lapsed.collect::<Vec<_>>() {
+            self.member_lapsed(job, start, &worker);
+        }
+        for (lease, entry) in self.leases.expire(now) {
+            self.grants.idle.remove(&lease);
+            if let lease::LeasePurpose::Task { job, .. } = entry.purpose {
+                self.look_at_gang(job);
+            }
+        }
+    }
+
+    /// Sees what follows from a gang's members.
+    pub(crate) fn look_at_gang(&mut self, job: ids::JobId) {
+        let Some(gang) = self.jobs.entries.get(&job).and_then(|it| it.gang.as_ref()) else {
+            return;
+        };
+        match &gang.phase {
+            GangPhase::Stopping { .. }
+                if gang.members.iter().all(|it| self.is_given_back(gang, it)) =>
+            {
+                self.gang_stopped(job);
+            }
+            GangPhase::Running => self.look_at_exits(job),
+            _ => {}
+        }
+    }
+
+    /// Whether a member of a stopping gang holds nothing any more. Where no start was sent,
+    /// nothing can run under a lease whose worker does not answer: its accelerators are not to be
+    /// had anyhow, and the job need not wait until it lapses.
+    fn is_given_back(&self, gang: &Gang, member: &GangMember) -> bool {
+        let Some(lease) = self.leases.get(&member.lease) else { return true };
+        let silent = self.nodes.get(&lease.worker).is_none_or(|it| 0 < it.failures);
+        !gang.start_sent && silent
+    }
+
+    fn look_at_exits(&mut self, job: ids::JobId) {
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let Some(gang) = entry.gang.as_mut() else { return };
+        let ended = |it: &&GangMember| {
+            matches!(it.exit, Some(model::TaskExit::Failed { .. } | model::TaskExit::Stopped))
+        };
+        if let Some(member) = gang.members.iter().find(ended) {
+            let worker = member.slot.worker.clone();
+            let exit = match member.exit {
+                Some(model::TaskExit::Failed { .. }) => event::WorkExit::Failed { worker },
+                _ => event::WorkExit::Lost { worker },
+            };
+            self.stop_gang(job, GangEnding::Ended(exit));
+            return;
+        }
+        if gang.members.iter().all(|it| it.exit == Some(model::TaskExit::Succeeded)) {
+            self.gang_succeeded(job);
+            return;
+        }
+        let durable = gang.checkpoint_asked
+            && gang.members.iter().all(|it| {
+                it.exit.is_some()
+                    || it.checkpoint.is_some() && it.checkpoint != it.checkpoint_before
+            });
+        if durable {
+            gang.checkpoint_asked = false;
+            let first = gang.members.iter().find(|it| it.slot.rank == 0);
+            entry.record.checkpoint = first.and_then(|it| it.checkpoint.clone());
+            entry.saved_run = gang.started_at.elapsed();
+            self.mark_dirty(job);
+            self.tell(event::HallEvent::Checkpointed(job));
+        }
+    }
+
+    /// Work that may run only once keeps its leases until its end is durable: a successor that
+    /// found neither the end in the row nor the leases at the workers could not tell it.
+    fn gang_succeeded(&mut self, job: ids::JobId) {
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        if !entry.repeatable {
+            let durable =
+                entry.committed.as_ref().is_some_and(|it| it.state == model::JobState::Done);
+            if !durable {
+                if entry.record.state != model::JobState::Done {
+                    entry.record.state = model::JobState::Done;
+                    entry.record.state_since = wall;
+                    self.mark_dirty(job);
+                }
+                return;
+            }
+        }
+        self.stop_gang(job, GangEnding::Ended(event::WorkExit::Succeeded));
+    }
+
+    /// Nothing of the gang is held any more.
+    fn gang_stopped(&mut self, job: ids::JobId) {
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let Some(gang) = entry.gang.take() else { return };
+        let GangPhase::Stopping { ending, since } = gang.phase else { return };
+        let (account, class) =
+            (entry.record.account.clone(), entry.record.submission.class.clone());
+        let ran = gang.started_at.elapsed();
+        let never_again = !entry.repeatable && entry.record.state == model::JobState::Starting;
+        match ending {
+            GangEnding::NotStarted { .. } if never_again => self.lose_job(job),
+            GangEnding::NotStarted { worker, fault } => {
+                self.requeue_row(job);
+                let failed = event::HallEvent::StartFailed { work: job, worker, fault };
+                self.tell(failed);
+            }
+            GangEnding::Ended(exit) => {
+                if exit == event::WorkExit::Stopped {
+                    metric::reclaim(&account, &class, since.elapsed());
+                }
+                metric::run(&account, &class, ran);
+                let ambiguous = matches!(exit, event::WorkExit::Lost { .. });
+                if !entry.repeatable && ambiguous {
+                    self.lose_job(job);
+                    return;
+                }
+                if let event::WorkExit::Failed { worker } = &exit {
+                    entry.record.failed_on.push(worker.clone());
+                }
+                self.tell(event::HallEvent::Ended { work: job, exit });
+            }
+        }
+    }
+
+    fn checkpoint_gang(&mut self, job: ids::JobId) {
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        let Some(gang) = entry.gang.as_mut() else { return };
+        gang.checkpoint_asked = true;
+        for member in &mut gang.members {
+            member.checkpoint_before = member.checkpoint.clone();
+        }
+        entry.record.state = model::JobState::Checkpointing;
+        entry.record.state_since = wall;
+        self.mark_dirty(job);
+        self.signal_gang(job, model::TaskSignalKind::Checkpoint);
+        for worker in self.gang_workers(job) {
+            self.sync_soon(&worker);
+        }
+    }
+
+    fn signal_gang(&self, job: ids::JobId, signal: model::TaskSignalKind) {
+        let Some(gang) = self.jobs.entries.get(&job).and_then(|it| it.gang.as_ref()) else {
+            return;
+        };
+        for member in &gang.members {
+            let node = self.nodes.get(&member.slot.worker);
+            let Some(address) = node.and_then(|it| it.address().cloned()) else { continue };
+            let workers = self.ports.workers.clone();
+            let deadline = self.options.call_deadline();
+            let signal = model::TaskSignal { lease: member.lease.clone(), signal };
+            tokio::spawn(async move {
+                // Asked twice at most: whoever asked for it stops the gang when it does not come.
+                for _ in 0..SIGNAL_TRIES {
+                    let call = workers.signal(&address, signal.clone());
+                    if let Ok(Ok(_)) = tokio::time::timeout(deadline, call).await {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    pub(crate) fn gang_workers(&self, job: ids::JobId) -> Vec<ids::WorkerId> {
+        let gang = self.jobs.entries.get(&job).and_then(|it| it.gang.as_ref());
+        let members = gang.map_or(&[][..], |it| it.members.as_slice());
+        members.iter().map(|it| it.slot.worker.clone()).collect()
+    }
+
+    fn member_leases(
+        &mut self,
+        job: ids::JobId,
+        start: lease::StartNumber,
+    ) -> Vec<(u32, ids::LeaseId)> {
+        let entry = self.jobs.entries.get_mut(&job);
+        let gang = entry.and_then(|it| it.gang_of(start));
+        let members = gang.map_or(&[][..], |it| it.members.as_slice());
+        members.iter().map(|it| (it.slot.rank, it.lease.clone())).collect()
+    }
+}
+
+/// Where the members of a gang are, for the row.
+pub(crate) fn placements(gang: Option<&Gang>) -> Vec<model::TaskPlacement> {
+    let members = gang.map_or(&[][..], |it| it.members.as_slice());
+    let placements = members.iter().map(|it| model::TaskPlacement {
+        rank: it.slot.rank,
+        worker: it.slot.worker.clone(),
+        accelerators: it.slot.accelerators.clone(),
+        lease: it.lease.clone(),
+    });
+    placements.collect()
+}
+
+/// A start that the scheduler itself withdraws is told to the policy after this.
+const WITHDRAWN_DELAY: std::time::Duration = std::time::Duration::from_secs(2);
+const SIGNAL_TRIES: usize = 2;
--- /dev/null
+++ b/crates/hall/src/grant_table.rs
@@ -0,0 +1,202 @@
+//! Requests that wait for a slot or hold one.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use almondpass_schema::{ids, model, time};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// How far a request has come.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum GrantStage {
+    /// The policy has not placed it yet.
+    Waiting,
+    /// A serving lease is being reserved for it.
+    Reserving {
+        /// The lease.
+        lease: ids::LeaseId,
+    },
+    /// Its intent is on its way to the log. Nothing may be sent yet.
+    Logging {
+        /// The lease.
+        lease: ids::LeaseId,
+        /// Since when.
+        since: Instant,
+    },
+    /// An entry may send it.
+    Granted {
+        /// The slot as told.
+        grant: model::SlotGrant,
+        /// Since when.
+        since: Instant,
+    },
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct GrantWork {
+    /// What was asked.
+    pub(crate) call: model::GrantRequest,
+    /// Where the answer goes; `None` once it is given.
+    pub(crate) reply: Option<oneshot::Sender<model::GrantReply>>,
+    /// Its class as it was on arrival.
+    pub(crate) class: model::JobClass,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+    /// How far it has come.
+    pub(crate) stage: GrantStage,
+    /// When it is given up: the caller's deadline, or the end of the grant's term.
+    pub(crate) until: Instant,
+}
+
+/// A serving lease of an earlier tenure, held until it is known that no entry uses it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct AdoptedSlot {
+    /// Work that stands for it in the policy.
+    pub(crate) work: ids::GrantId,
+    /// Grant that uses it, once an entry reported one.
+    pub(crate) grant: Option<ids::GrantId>,
+    /// When every grant of an earlier tenure has run out.
+    pub(crate) until: Instant,
+}
+
+/// Requests by grant, and the serving leases under them.
+#[derive(Debug, Default)]
+pub(crate) struct GrantTable {
+    works: BTreeMap<ids::GrantId, GrantWork>,
+    by_request: HashMap<ids::RequestId, ids::GrantId>,
+    timers: BTreeSet<(Instant, ids::GrantId)>,
+    /// Serving leases that no request uses, and until when they are kept.
+    pub(crate) idle: BTreeMap<ids::LeaseId, Instant>,
+    /// Serving leases of earlier tenures.
+    pub(crate) adopted: BTreeMap<ids::LeaseId, AdoptedSlot>,
+    /// Entries that have not said yet which grants of earlier tenures they use.
+    pub(crate) unreported: BTreeSet<ids::InstanceId>,
+}
+
+impl GrantTable {
+    /// Adds a request.
+    pub(crate) fn insert(&mut self, grant: ids::GrantId, work: GrantWork) {
+        self.by_request.insert(work.call.request, grant);
+        self.timers.insert((work.until, grant));
+        self.works.insert(grant, work);
+    }
+
+    /// The request of a grant.
+    pub(crate) fn get(&self, grant: &ids::GrantId) -> Option<&GrantWork> {
+        self.works.get(grant)
+    }
+
+    /// The request of a grant.
+    pub(crate) fn get_mut(&mut self, grant: &ids::GrantId) -> Option<&mut GrantWork> {
+        self.works.get_mut(grant)
+    }
+
+    /// The grant under which a request waits or runs.
+    pub(crate) fn grant_of(&self, request: &ids::RequestId) -> Option<ids::GrantId> {
+        self.by_request.get(request).copied()
+    }
+
+    /// Moves the time at which a request is given up.
+    pub(crate) fn set_until(&mut self, grant: &ids::GrantId, until: Instant) {
+        if let Some(work) = self.works.get_mut(grant) {
+            self.timers.remove(&(work.until, *grant));
+            work.until = until;
+            self.timers.insert((until, *grant));
+        }
+    }
+
+    /// Forgets a request.
+    pub(crate) fn remove(&mut self, grant: &ids::GrantId) -> Option<GrantWork> {
+        let work = self.works.remove(grant)?;
+        self.timers.remove(&(work.until, *grant));
+        if self.by_request.get(&work.call.request) == Some(grant) {
+            self.by_request.remove(&work.call.request);
+        }
+        Some(work)
+    }
+
+    /// Requests whose time is over by `now`.
+    pub(crate) fn due(&self, now: Instant) -> Vec<ids::GrantId> {
+        self.timers.iter().take_while(|(at, _)| *at <= now).map(|(_, it)| *it).collect()
+    }
+
+    /// When the next request's time is over.
+    pub(crate) fn next_due(&self) -> Option<Instant> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Requests of an account that wait.
+    pub(crate) fn n_waiting(&self, account: &str) -> usize {
+        let waiting = self.works.values().filter(|it| it.is_waiting());
+        waiting.filter(|it| it.call.account == account).count()
+    }
+
+    /// Grants that wait for a slot.
+    pub(crate) fn waiting(&self) -> Vec<ids::GrantId> {
+        let waiting = self.works.iter().filter(|(_, it)| it.is_waiting());
+        waiting.map(|(grant, _)| *grant).collect()
+    }
+
+    /// Whether a request is between placement and grant.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.works
+            .values()
+            .any(|it| matches!(it.stage, GrantStage::Reserving { .. } | GrantStage::Logging { .. }))
+    }
+
+    /// Forgets who waits for an answer, so that they ask the next holder.
+    pub(crate) fn drop_waiting(&mut self) {
+        for work in self.works.values_mut() {
+            work.reply = None;
+        }
+    }
+
+    /// Waiting or running request under an idempotency key.
+    pub(crate) fn under_key(
+        &self,
+        account: &str,
+        key: ids::IdempotencyKey,
+    ) -> Option<(&ids::GrantId, &GrantWork)> {
+        self.works
+            .iter()
+            .find(|(_, it)| it.call.idempotency == Some(key) && it.call.account == account)
+    }
+}
+
+impl GrantWork {
+    /// Whether the policy has not placed it yet.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.stage == GrantStage::Waiting
+    }
+
+    /// The lease under it.
+    pub(crate) fn lease(&self) -> Option<&ids::LeaseId> {
+        match &self.stage {
+            GrantStage::Waiting => None,
+            GrantStage::Reserving { lease } | GrantStage::Logging { lease, .. } => Some(lease),
+            GrantStage::Granted { grant, .. } => Some(&grant.lease),
+        }
+    }
+
+    /// Answers, if nobody did before; whether the answer found its reader.
+    pub(crate) fn answer(&mut self, reply: model::GrantReply) -> bool {
+        self.reply.take().is_some_and(|it| it.send(reply).is_ok())
+    }
+}
+
+/// "Not now; nothing was sent", with when to come back.
+pub(crate) fn busy(
+    code: model::WaitCode,
+    text: impl Into<String>,
+    retry_after: time::TimeSpan,
+) -> model::GrantReply {
+    let reason = model::WaitReason { code, text: text.into(), until: None };
+    model::GrantReply::Busy { reason, retry_after }
+}
+
+/// "Never here; nothing was sent".
+pub(crate) fn refused(code: model::WaitCode, text: impl Into<String>) -> model::GrantReply {
+    let reason = model::WaitReason { code, text: text.into(), until: None };
+    model::GrantReply::Refused { reason }
+}
--- /dev/null
+++ b/crates/hall/src/intents.rs
@@ -0,0 +1,220 @@
+//! How the scheduler uses the intent log.
+
+use std::time::Duration;
+
+use almondpass_schema::{ids, model};
+use tokio::time::Instant;
+
+use crate::actor::HallActor;
+use crate::backend;
+use crate::intent_book;
+use crate::intent_log;
+use crate::intent_task;
+use crate::metric;
+
+impl<B: backend::HallBackend> HallActor<B> {
+    /// Puts an intent on its way to the log.
+    pub(crate) fn log_intent(&mut self, entry: model::IntentEntry) {
+        self.intents.intents.push(entry);
+        self.append_intents(Instant::now());
+    }
+
+    /// Notes the outcome of a grant under a key, and sees that the log learns it.
+    pub(crate) fn log_outcome(&mut self, grant: ids::GrantId, outcome: model::RequestOutcome) {
+        let Some(entry) = self.intents.book.settle(grant, outcome) else { return };
+        self.intents.outcomes.push(entry);
+        let flush_at = Instant::now() + OUTCOME_DELAY;
+        self.intents.flush_at.get_or_insert(flush_at);
+        self.wake.notify_one();
+    }
+
+    /// Appends what is due, if nothing is on its way: lines that come meanwhile go together.
+    pub(crate) fn append_intents(&mut self, now: Instant) {
+        let outcomes_due = self.intents.flush_at.is_some_and(|it| it <= now) || self.frozen;
+        let due =
+            !self.intents.intents.is_empty() || (outcomes_due && !self.intents.outcomes.is_empty());
+        if !due || !self.tenure.may_act() || self.fenced {
+            return;
+        }
+        let Some(before) = self.intents.cursors.take() else { return };
+        let mut entries = std::mem::take(&mut self.intents.outcomes);
+        entries.append(&mut self.intents.intents);
+        self.intents.flush_at = None;
+        let log = self.intent_log();
+        let reports = self.reports();
+        tokio::spawn(async move {
+            let report = intent_task::append(log, before, entries).await;
+            let _ = reports.send(report).await;
+        });
+    }
+
+    pub(crate) fn on_appended(&mut self, report: intent_task::AppendReport) {
+        let durable = match report.outcome {
+            intent_log::AppendOutcome::InTable => Some("table"),
+            intent_log::AppendOutcome::InObjects => Some("objects"),
+            intent_log::AppendOutcome::NotDurable => None,
+            intent_log::AppendOutcome::Fenced => {
+                self.fenced = true;
+                None
+            }
+        };
+        self.note_batches(&report);
+        self.intents.cursors = Some(report.cursors);
+        for grant in intent_task::granted(&report.entries) {
+            match durable {
+                Some(place) => self.on_intent_durable(grant, place),
+                // Proof for "not run": the grant was not told to anybody and never will be, so
+                // no entry can send the request. The intent itself may be in a store, where a
+                // later holder would read it as unknown; the outcome that follows corrects it.
+                None => self.withdraw_intent(grant),
+            }
+        }
+        if durable.is_none() {
+            self.retry_outcomes(report.entries);
+        }
+        self.append_intents(Instant::now());
+        self.settle_freeze();
+    }
+
+    fn retry_outcomes(&mut self, entries: Vec<model::IntentEntry>) {
+        let outcomes = entries.into_iter();
+        let outcomes = outcomes.filter(|it| matches!(it, model::IntentEntry::Outcome { .. }));
+        self.intents.outcomes.extend(outcomes);
+        if !self.intents.outcomes.is_empty() {
+            self.intents.flush_at = Some(Instant::now() + OUTCOME_RETRY);
+        }
+    }
+
+    fn note_batches(&mut self, report: &intent_task::AppendReport) {
+        // A batch of an earlier try may have taken its number with this append, so the bound is
+        // that of the youngest key there can be.
+        let window = self.config.document.bounds.idempotency_window.0;
+        let until = self.wall() + window + intent_book::CLOCK_SLACK * 2;
+        for number in report.before.table.next..report.cursors.table.next {
+            self.intents.table_batches.push_back(intent_task::BatchAge { number, until });
+        }
+        for number in report.before.objects.next..report.cursors.objects.next {
+            self.intents.object_batches.push_back(intent_task::BatchAge { number, until });
+        }
+    }
+
+    /// Seals the log and reads it, again and again until both stores answered.
+    pub(crate) fn seal_intents(&self, delay: Duration) {
+        let log = self.intent_log();
+        let reports = self.reports();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let report = intent_task::seal(log).await;
+            let _ = reports.send(report).await;
+        });
+    }
+
+    pub(crate) fn on_sealed(&mut self, report: intent_task::SealReport) {
+        if report.fenced {
+            self.fenced = true;
+            return;
+        }
+        let Some(sealed) = report.sealed else {
+            self.seal_intents(SEAL_RETRY);
+            return;
+        };
+        self.take_log(sealed);
+        self.wake.notify_one();
+    }
+
+    /// Takes over what earlier tenures logged.
+    pub(crate) fn take_log(&mut self, sealed: intent_task::SealedLog) {
+        let window = self.config.document.bounds.idempotency_window.0;
+        let batches = || sealed.table.iter().chain(&sealed.objects);
+        for stored in batches() {
+            self.intents.book.replay(&stored.batch.entries);
+        }
+        for stored in batches() {
+            self.intents.book.replay_outcomes(&stored.batch.entries);
+        }
+        let age = |stored: &intent_log::StoredBatch| intent_task::BatchAge {
+            number: stored.number,
+            until: stored
+                .batch
+                .entries
+                .iter()
+                .map(|it| intent_book::matters_until(it, window))
+                .max()
+                .unwrap_or_default(),
+        };
+        self.intents.table_batches = sealed.table.iter().map(age).collect();
+        self.intents.object_batches = sealed.objects.iter().map(age).collect();
+        self.intents.cursors = Some(sealed.cursors);
+        self.intents.sealed = true;
+        let n_open = self.intents.book.open_grants().len();
+        tracing::info!(
+            hall = self.hall,
+            n_keys = self.intents.book.n_keys(),
+            n_open,
+            "read intents"
+        );
+    }
+
+    /// Drops what no longer matters from memory and from the stores.
+    pub(crate) fn trim_intents(&mut self, now: Instant) {
+        if self.intents.next_trim.is_some_and(|it| now < it) || !self.is_firm() {
+            return;
+        }
+        self.intents.next_trim = Some(now + TRIM_INTERVAL);
+        let wall = self.wall();
+        let window = self.config.document.bounds.idempotency_window.0;
+        self.intents.book.trim(wall - (window + intent_book::CLOCK_SLACK));
+        metric::intent_keys(&self.hall, self.intents.book.n_keys());
+        let Some(cursors) = self.intents.cursors.clone() else { return };
+        let objects = &mut self.intents.object_batches;
+        let n_objects = objects.len();
+        while objects.front().is_some_and(|it| it.until < wall) {
+            objects.pop_front();
+        }
+        let old = self.intents.table_batches.iter().take_while(|it| it.until < wall);
+        let numbers = old.map(|it| it.number).take(TRIM_PAGE).collect::<Vec<_>>();
+        if numbers.is_empty() && n_objects == self.intents.object_batches.len() {
+            return;
+        }
+        let kept = self.intents.table_batches.get(numbers.len());
+        let object = self.intents.object_batches.front();
+        let floor = model::IntentFloor {
+            table: kept.map_or(cursors.table.next, |it| it.number),
+            objects: object.map_or(cursors.objects.next, |it| it.number),
+        };
+        let log = self.intent_log();
+        let reports = self.reports();
+        tokio::spawn(async move {
+            let _ = reports.send(intent_task::trim(log, numbers, floor).await).await;
+        });
+    }
+
+    pub(crate) fn on_trimmed(&mut self, report: intent_task::TrimReport) {
+        if !report.done {
+            return;
+        }
+        let batches = &mut self.intents.table_batches;
+        while batches.front().is_some_and(|it| report.numbers.contains(&it.number)) {
+            batches.pop_front();
+        }
+    }
+
+    fn intent_log(&self) -> intent_log::IntentLog<B> {
+        intent_log::IntentLog {
+            ports: self.ports.clone(),
+            hall: self.hall.clone(),
+            tenure: self.tenure.clone(),
+        }
+    }
+}
+
+/// Outcomes wait this long for an intent to go with.
+const OUTCOME_DELAY: Duration = Duration::from_millis(300);
+/// Outcomes that did not get through are tried again after this.
+const OUTCOME_RETRY: Duration = Duration::from_secs(2);
+/// Sealing is tried again after this.
+pub(crate) const SEAL_RETRY: Duration = Duration::from_secs(1);
+/// Between two trims.
+const TRIM_INTERVAL: Duration = Duration::from_secs(60);
+/// Batches dropped from the table in one transaction.
+const TRIM_PAGE: usize = 64;
--- /dev/null
+++ b/crates/hall/src/jobs.rs
@@ -0,0 +1,479 @@
+//! How the scheduler accepts jobs, answers about them and keeps their rows.
+
+use std::time::Duration;
+
+use almondpass_platform::{keys, table::TableService};
+use almondpass_policy::{event, scheduler::HallPolicy, work};
+use almondpass_schema::{ids, model, time};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::actor::HallActor;
+use crate::backend;
+use crate::codec;
+use crate::commit::{self, CommitOutcome};
+use crate::grants::RETRY_STORE;
+use crate::job_table::{self, JobEntry};
+use crate::metric;
+use crate::request;
+use crate::tenure;
+
+impl<B: backend::HallBackend> HallActor<B> {
+    pub(crate) fn on_job_submit(&mut self, pending: request::PendingCall<model::JobSubmit>) {
+        if self.frozen || self.fenced || self.tenure.standing() == tenure::TenureStanding::Ended {
+            return;
+        }
+        let request::PendingCall { call, reply } = pending;
+        if let Some(entry) = self.jobs.entries.get_mut(&call.job) {
+            if entry.record.account != call.account {
+                let _ = reply.send(model::JobReply::NotFound);
+                return;
+            }
+            match &entry.committed {
+                Some(record) => {
+                    let _ = reply.send(model::JobReply::Record { record: record.clone() });
+                }
+                None => entry.waiters.push(reply),
+            }
+            return;
+        }
+        // Proof for "not run" of every refusal here: the job is in no row and in no queue.
+        if let Some(refusal) = self.refuse_job(&call) {
+            let _ = reply.send(refusal);
+            return;
+        }
+        let record = self.new_record(&call);
+        let repeatable = self.config.class(&call.submission.class).is_none_or(|it| it.repeatable);
+        let entry = JobEntry {
+            record,
+            committed: None,
+            repeatable,
+            waiters: vec![reply],
+            gang: None,
+            tries: 0,
+            saved_run: Duration::ZERO,
+            arrived: Instant::now(),
+        };
+        self.jobs.entries.insert(call.job, entry);
+        self.mark_dirty(call.job);
+    }
+
+    fn refuse_job(&self, call: &model::JobSubmit) -> Option<model::JobReply> {
+        let class = self.config.class(&call.submission.class);
+        let Some(class) = class.filter(|it| it.kind == model::ClassKind::Job) else {
+            let text = format!("expected a class for jobs, found {}", call.submission.class);
+            return Some(refused(model::WaitCode::UnknownClass, text, None));
+        };
+        let Some(account) = self.config.account(&call.account) else {
+            let text = format!("expected a known client account, found {}", call.account);
+            return Some(refused(model::WaitCode::UnknownAccount, text, None));
+        };
+        if !self.is_firm() {
+            let text = "a job is accepted only once it is durable, and the table does not answer";
+            return Some(refused(model::WaitCode::StoreUnavailable, text, Some(RETRY_STORE)));
+        }
+        let n_queued = self.jobs.n_queued(&call.account);
+        if (account.limits.queued_jobs as usize) <= n_queued {
+            let text = format!("{n_queued} jobs of the account wait already");
+            return Some(refused(model::WaitCode::AccountLimit, text, Some(RETRY_STORE)));
+        }
+        let record = self.new_record(call);
+        let item = self.job_item(&record, class, Duration::ZERO);
+        let reason = self.policy.admits(&item).err()?;
+        Some(model::JobReply::Refused { reason, retry_after: None })
+    }
+
+    fn new_record(&self, call: &model::JobSubmit) -> model::JobRecord {
+        let now = self.wall();
+        model::JobRecord {
+            job: call.job,
+            account: call.account.clone(),
+            hall: self.hall.clone(),
+            submission: call.submission.clone(),
+            submitted_at: now,
+            state: model::JobState::Queued,
+            state_since: now,
+            attempt: 0,
+            reason: None,
+            checkpoint: None,
+            placement: Vec::new(),
+            failed_on: Vec::new(),
+            cancel_requested: false,
+        }
+    }
+
+    /// The job as the policy sees it.
+    pub(crate) fn job_item(
+        &self,
+        record: &model::JobRecord,
+        class: &model::JobClass,
+        saved_run: Duration,
+    ) -> work::WorkItem {
+        let submission = &record.submission;
+        let mut exclude = record.failed_on.clone();
+        exclude.extend(self.workers_without(&class.upstream));
+        work::WorkItem {
+            work: record.job,
+            account: record.account.clone(),
+            class: submission.class.clone(),
+            tasks: submission.tasks,
+            demand: work::TaskDemand {
+                accelerators: submission.accelerators,
+                cores: submission.cores,
+                memory_mb: submission.memory_mb,
+                slots: 0,
+            },
+            adjacency: submission.adjacency,
+            guarantee: submission.guarantee.clone(),
+            declared_run: submission.run_time.map(|it| it.0),
+            deadline: submission.deadline,
+            submitted_at: record.submitted_at,
+            attempt: record.attempt,
+            saved_run,
+            exclude,
+        }
+    }
+
+    pub(crate) fn on_job_query(&mut self, pending: request::PendingCall<model::JobQuery>) {
+        let request::PendingCall { call, reply } = pending;
+        let entry = self.jobs.entries.get(&call.job);
+        let entry = entry.filter(|it| it.record.account == call.account);
+        match entry.and_then(|it| it.committed.clone()) {
+            Some(record) => {
+                let record = self.with_reason(record);
+                let _ = reply.send(model::JobReply::Record { record });
+            }
+            None => self.read_job(call.account, call.job, reply),
+        }
+    }
+
+    /// Answers from the row of a job that is over, or of another hall.
+    fn read_job(
+        &self,
+        account: ids::AccountId,
+        job: ids::JobId,
+        reply: oneshot::Sender<model::JobReply>,
+    ) {
+        let table = self.ports.table.clone();
+        tokio::spawn(async move {
+            let get = model::TableGet { keys: vec![keys::job(&account, &job)] };
+            // Without an answer the reply is dropped: "not found" would be a guess.
+            let Ok(rows) = table.get(get).await else { return };
+            let row = rows.rows.first();
+            let record = row.and_then(|it| codec::decode_row("read a job", it).ok().flatten());
+            let found = record.map(|record| model::JobReply::Record { record });
+            let _ = reply.send(found.unwrap_or(model::JobReply::NotFound));
+        });
+    }
+
+    /// Adds why a job waits now.
+    fn with_reason(&self, mut record: model::JobRecord) -> model::JobRecord {
+        if !job_table::is_terminal(record.state)
+            && let Some(reason) = self.policy.reason(&record.job, self.wall())
+        {
+            record.reason = Some(reason);
+        }
+        record
+    }
+
+    pub(crate) fn on_job_cancel(&mut self, pending: request::PendingCall<model::JobCancel>) {
+        let request::PendingCall { call, reply } = pending;
+        if self.frozen || self.fenced {
+            return;
+        }
+        let entry = self.jobs.entries.get_mut(&call.job);
+        let Some(entry) = entry.filter(|it| it.record.account == call.account) else {
+            self.read_job(call.account, call.job, reply);
+            return;
+        };
+        if entry.record.cancel_requested || entry.is_over() {
+            match &entry.committed {
+                Some(record) if record.cancel_requested || job_table::is_terminal(record.state) => {
+                    let record = record.clone();
+                    let _ = reply.send(model::JobReply::Record { record });
+                }
+                _ => entry.waiters.push(reply),
+            }
+            return;
+        }
+        entry.record.cancel_requested = true;
+        // Answered once durable: a successor must know of it too.
+        entry.waiters.push(reply);
+        self.mark_dirty(call.job);
+        self.tell(event::HallEvent::Cancelled(call.job));
+    }
+
+    /// The row of a job differs from what is known.
+    pub(crate) fn mark_dirty(&mut self, job: ids::JobId) {
+        self.jobs.dirty.insert(job);
+        let due = Instant::now() + COMMIT_DELAY;
+        self.jobs.next_commit.get_or_insert(due);
+        self.wake.notify_one();
+    }
+
+    pub(crate) fn note_reason(&mut self, job: ids::JobId, reason: model::WaitReason) {
+        if let Some(entry) = self.jobs.entries.get_mut(&job) {
+            entry.record.reason = Some(reason);
+        }
+    }
+
+    /// The policy queued a job again.
+    pub(crate) fn requeue_job(&mut self, job: ids::JobId, reason: model::WaitReason) {
+        self.note_reason(job, reason);
+        self.requeue_row(job);
+    }
+
+    pub(crate) fn requeue_row(&mut self, job: ids::JobId) {
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        if entry.is_over() || entry.gang.is_some() {
+            return;
+        }
+        entry.record.placement = Vec::new();
+        if entry.record.state != model::JobState::Queued {
+            entry.record.state = model::JobState::Queued;
+            entry.record.state_since = wall;
+            self.mark_dirty(job);
+        }
+    }
+
+    /// Nobody can tell what became of work that may run only once. It is never started again.
+    pub(crate) fn lose_job(&mut self, job: ids::JobId) {
+        self.tell(event::HallEvent::Cancelled(job));
+        self.tell(event::HallEvent::Ended { work: job, exit: event::WorkExit::Stopped });
+        let reason = model::WaitReason {
+            code: model::WaitCode::JobFaulty,
+            text: "it may have run, and no worker can tell".to_owned(),
+            until: None,
+        };
+        self.end_job(job, model::JobState::Unknown, reason);
+    }
+
+    /// The policy says that a job is over.
+    pub(crate) fn finish_job(
+        &mut self,
+        job: ids::JobId,
+        outcome: model::RequestOutcome,
+        reason: model::WaitReason,
+    ) {
+        let Some(entry) = self.jobs.entries.get(&job) else { return };
+        let record = &entry.record;
+        let state = match outcome {
+            model::RequestOutcome::Done => model::JobState::Done,
+            model::RequestOutcome::Unknown => model::JobState::Unknown,
+            _ if record.cancel_requested => model::JobState::Cancelled,
+            // Proof for "not run": `attempt` counts the starts that may have been sent. A victim
+            // that ran before and is given up now did run.
+            model::RequestOutcome::NotRun if record.attempt == 0 => model::JobState::NotRun,
+            model::RequestOutcome::NotRun | model::RequestOutcome::Failed => {
+                model::JobState::Failed
+            }
+        };
+        self.end_job(job, state, reason);
+    }
+
+    fn end_job(&mut self, job: ids::JobId, state: model::JobState, reason: model::WaitReason) {
+        let wall = self.wall();
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        if entry.is_over() {
+            return;
+        }
+        entry.record.state = state;
+        entry.record.state_since = wall;
+        entry.record.reason = Some(reason);
+        entry.record.placement = Vec::new();
+        let (account, class) =
+            (entry.record.account.clone(), entry.record.submission.class.clone());
+        metric::completion(&account, &class, wall.since(entry.record.submitted_at));
+        metric::outcome(&account, &class, outcome_of(state));
+        tracing::info!(hall = self.hall, job = %job, state = %state, "a job is over");
+        self.mark_dirty(job);
+    }
+
+    /// Sends a group of rows on its way, or the one again whose outcome is not known.
+    pub(crate) fn commit_jobs(&mut self, now: Instant) {
+        if self.jobs.committing || self.fenced || !self.tenure.may_act() {
+            return;
+        }
+        if self.jobs.next_commit.is_none_or(|it| now < it) && !self.frozen {
+            return;
+        }
+        if self.jobs.commit.is_none() {
+            self.jobs.commit = self.next_group();
+        }
+        let Some(plan) = self.jobs.commit.clone() else {
+            self.jobs.next_commit = None;
+            return;
+        };
+        self.jobs.committing = true;
+        let (table, tenure, reports) =
+            (self.ports.table.clone(), self.tenure.clone(), self.reports());
+        let deadline = self.options.call_deadline();
+        tokio::spawn(async move {
+            let _ = reports.send(commit::run(table, tenure, plan, deadline).await).await;
+        });
+    }
+
+    fn next_group(&mut self) -> Option<commit::CommitPlan> {
+        let group = self.jobs.dirty.iter().take(COMMIT_GROUP).copied().collect::<Vec<_>>();
+        let mut writes = Vec::new();
+        for job in group {
+            self.jobs.dirty.remove(&job);
+            let Some(entry) = self.jobs.entries.get(&job) else { continue };
+            if entry.committed.as_ref() == Some(&entry.record) {
+                continue;
+            }
+            let create = entry.committed.is_none();
+            writes.push(commit::JobWrite { record: entry.record.clone(), create });
+        }
+        let hall = self.hall.clone();
+        (!writes.is_empty()).then_some(commit::CommitPlan { hall, writes, unsure: false })
+    }
+
+    pub(crate) fn on_committed(&mut self, report: commit::CommitReport) {
+        self.jobs.committing = false;
+        let now = Instant::now();
+        match report.outcome {
+            CommitOutcome::Committed => {
+                self.jobs.commit = None;
+                for write in report.plan.writes {
+                    self.job_committed(write);
+                }
+                self.jobs.next_commit = (!self.jobs.dirty.is_empty()).then_some(now + COMMIT_DELAY);
+            }
+            CommitOutcome::Known(records) => {
+                self.jobs.commit = None;
+                for record in records {
+                    self.job_was_known(record);
+                }
+                self.write_again(report.plan, false);
+                self.jobs.next_commit = Some(now);
+            }
+            CommitOutcome::Fenced => {
+                self.fenced = true;
+                self.jobs.commit = None;
+            }
+            CommitOutcome::Unsent => {
+                self.jobs.commit = None;
+                self.write_again(report.plan, true);
+                self.jobs.next_commit = Some(now + COMMIT_RETRY);
+            }
+            CommitOutcome::Unsure => {
+                self.jobs.commit = Some(commit::CommitPlan { unsure: true, ..report.plan });
+                self.jobs.next_commit = Some(now + COMMIT_RETRY);
+            }
+        }
+        self.wake.notify_one();
+        self.settle_freeze();
+    }
+
+    fn job_committed(&mut self, write: commit::JobWrite) {
+        let job = write.record.job;
+        let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
+        entry.committed = Some(write.record.clone());
+        // A cancellation that came while this group was on its way waits for the next one.
+        if entry.record == write.record {
+            for waiter in entry.waiters.drain(..) {
+                let _ = waiter.send(model::JobReply::Record { record: write.record.clone() });
+            }
+        }
+        if write.create {
+            let record = write.record.clone();
+            let saved_run = entry.saved_run;
+            if let Some(class) = self.config.class(&record.submission.class).cloned() {
+                let item = self.job_item(&record, &class, saved_run);
+                self.tell(event::HallEvent::Arrived(item));
+            }
+            if self.jobs.entries.get(&job).is_some_and(|it| it.record.cancel_requested) {
+                self.tell(event::HallEvent::Cancelled(job));
+            }
+        }
+        self.release_logged_start(job);
+        self.look_at_gang(job);
+        let entry = self.jobs.entries.get(&job);
+        let over = entry.is_some_and(|it| {
+            it.gang.is_none() && it.is_over() && it.committed.as_ref() == Some(&it.record)
+        });
+        if over {
+            self.jobs.entries.remove(&job);
+            self.jobs.dirty.remove(&job);
+        }
+    }
+
+    /// A submitted job existed before: the submission is a repeat.
+    fn job_was_known(&mut self, record: model::JobRecord) {
+        let Some(entry) = self.jobs.entries.remove(&record.job) else { return };
+        for waiter in entry.waiters {
+            let _ = waiter.send(model::JobReply::Record { record: record.clone() });
+        }
+    }
+
+    /// A group was certainly not written: its changes wait for the next one.
+    fn write_again(&mut self, plan: commit::CommitPlan, refuse: bool) {
+        for write in plan.writes {
+            let job = write.record.job;
+            let Some(entry) = self.jobs.entries.get(&job) else { continue };
+            if write.create && refuse && entry.committed.is_none() {
+                // Proof for "not run": the table did not get the row, no later group of this
+                // tenure has it, and the policy has not heard of the job.
+                let text = "the job could not be made durable";
+                let entry = self.jobs.entries.remove(&job);
+                self.jobs.dirty.remove(&job);
+                for waiter in entry.into_iter().flat_map(|it| it.waiters) {
+                    let code = model::WaitCode::StoreUnavailable;
+                    let _ = waiter.send(refused(code, text, Some(RETRY_STORE)));
+                }
+            } else {
+                self.jobs.dirty.insert(job);
+            }
+        }
+    }
+
+    /// Drops jobs that ended long ago.
+    pub(crate) fn sweep_jobs(&mut self, now: Instant) {
+        if self.jobs.next_sweep.is_some_and(|it| now < it) || !self.is_firm() {
+            return;
+        }
+        self.jobs.next_sweep = Some(now + SWEEP_INTERVAL);
+        let oldest = self.wall() - self.config.document.bounds.job_retention.0;
+        let (table, tenure, hall) =
+            (self.ports.table.clone(), self.tenure.clone(), self.hall.clone());
+        tokio::spawn(async move {
+            for _ in 0..SWEEP_PAGES {
+                let page = commit::sweep(table.clone(), tenure.clone(), hall.clone(), oldest);
+                if !page.await {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn outcome_of(state: model::JobState) -> model::RequestOutcome {
+    match state {
+        model::JobState::Done => model::RequestOutcome::Done,
+        model::JobState::Failed => model::RequestOutcome::Failed,
+        model::JobState::Unknown => model::RequestOutcome::Unknown,
+        _ => model::RequestOutcome::NotRun,
+    }
+}
+
+fn refused(
+    code: model::WaitCode,
+    text: impl Into<String>,
+    retry_after: Option<time::TimeSpan>,
+) -> model::JobReply {
+    let reason = model::WaitReason { code, text: text.into(), until: None };
+    model::JobReply::Refused { reason, retry_after }
+}
+
+/// Changes wait this long for others to go with.
+const COMMIT_DELAY: Duration = Duration::from_millis(20);
+/// A group that got no certain answer is tried again after this.
+const COMMIT_RETRY: Duration = Duration::from_millis(500);
+/// Jobs in one transaction.
+const COMMIT_GROUP: usize = 128;
+/// Between two looks for ended jobs to drop.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
+/// Pages dropped at one look.
+const SWEEP_PAGES: usize = 8;
--- a/crates/hall/src/lib.rs
+++ b/crates/hall/src/lib.rs
@@ -1,1 +1,39 @@
 //! The hall scheduler: ownership by epoch, worker leases, gangs, intents, takeover.
+//!
+//! [`service::HallService`] runs one [`seat`] for every hall on every instance. The seat that holds
+//! a hall runs an [`actor::HallActor`] around the policy; the others tell who does.
+
+pub mod actor;
+mod adopt;
+pub mod backend;
+mod changes;
+mod codec;
+mod commit;
+pub mod error;
+mod gang_task;
+mod gangs;
+mod grant_table;
+mod grants;
+mod hall_layout;
+pub mod intent_book;
+pub mod intent_log;
+mod intent_task;
+mod intents;
+mod job_table;
+mod jobs;
+pub mod lease;
+mod lease_table;
+mod leases;
+mod metric;
+pub mod options;
+pub mod ownership;
+pub mod request;
+pub mod seat;
+mod serve_task;
+pub mod service;
+mod sync;
+mod sync_task;
+mod takeover;
+pub mod tenure;
+mod turn;
+mod worker_node;
--- /dev/null
+++ b/crates/hall/src/seat.rs
@@ -0,0 +1,396 @@
+//! One candidate for one hall on one instance: watches, takes, renews, hands over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_config::active;
+use almondpass_membership::{rendezvous, snapshot};
+use almondpass_peer::link::PeerLink;
+use almondpass_schema::{ids, model};
+use tokio::sync::{Notify, watch};
+use tokio::time::{self, Instant};
+
+use crate::actor;
+use crate::backend;
+use crate::metric;
+use crate::options;
+use crate::ownership;
+use crate::takeover;
+use crate::tenure;
+
+/// What a seat is built upon.
+pub struct SeatParts<B: backend::HallBackend> {
+    /// Clients.
+    pub ports: backend::HallPorts<B>,
+    /// This instance.
+    pub options: options::HallOptions,
+    /// The hall.
+    pub hall: ids::HallName,
+    /// Configuration in force.
+    pub config: watch::Receiver<Arc<active::ActiveConfig>>,
+    /// Instances and workers.
+    pub members: watch::Receiver<Arc<snapshot::MemberSnapshot>>,
+    /// Turns true when the hall is to be given up for good.
+    pub leaving: watch::Receiver<bool>,
+    /// Highest tenure of the hall that anybody was heard to hold.
+    pub heard: watch::Receiver<ids::Epoch>,
+    /// Rung when a leaving holder asks this instance to take the hall.
+    pub nudge: Arc<Notify>,
+    /// Where the seat says how it stands.
+    pub view: watch::Sender<SeatView<B>>,
+}
+
+/// How a seat stands.
+pub enum SeatView<B: backend::HallBackend> {
+    /// Another instance schedules the hall, if any does.
+    Watching {
+        /// Its address, if known.
+        holder: Option<ids::PeerAddress>,
+    },
+    /// This instance took the hall and learns how it stands.
+    TakingOver,
+    /// This instance schedules the hall.
+    Holding {
+        /// Its scheduler.
+        address: xtra::Address<actor::HallActor<B>>,
+        /// What it last said of the hall.
+        summary: watch::Receiver<Option<model::HallBeat>>,
+    },
+}
+
+/// Runs the seat until it is to leave.
+pub async fn run<B: backend::HallBackend>(mut parts: SeatParts<B>) {
+    loop {
+        let Some(owned) = watch_hall(&mut parts).await else { return };
+        hold(&mut parts, owned).await;
+    }
+}
+
+/// What a watcher saw, by its own monotonic clock.
+struct Sighting {
+    rows: ownership::OwnerRows,
+    since: Instant,
+}
+
+async fn watch_hall<B: backend::HallBackend>(
+    parts: &mut SeatParts<B>,
+) -> Option<ownership::OwnedTenure> {
+    let mut sighting: Option<Sighting> = None;
+    loop {
+        if *parts.leaving.borrow() {
+            return None;
+        }
+        match read_rows(parts).await {
+            Some(rows) => {
+                let seen_since = match sighting.take() {
+                    Some(it) if it.rows.scheduler == rows.scheduler => it.since,
+                    _ => Instant::now(),
+                };
+                publish_holder(parts, &rows);
+                if may_take(parts, &rows, seen_since)
+                    && let Some(owned) = take(parts, &rows).await
+                {
+                    return Some(owned);
+                }
+                sighting = Some(Sighting { rows, since: seen_since });
+            }
+            // While the table does not answer, the holder cannot renew either. Counting that
+            // time against it would depose a live holder in the moment the table comes back.
+            None => sighting = None,
+        }
+        let pause = watch_interval(parts, sighting.as_ref());
+        tokio::select! {
+            () = time::sleep(pause) => {}
+            () = parts.nudge.notified() => {}
+            _ = parts.leaving.changed() => {}
+        }
+    }
+}
+
+async fn read_rows<B: backend::HallBackend>(parts: &SeatParts<B>) -> Option<ownership::OwnerRows> {
+    let read = ownership::read(&parts.ports.table, &parts.hall);
+    match time::timeout(parts.options.call_deadline(), read).await {
+        Ok(Ok(rows)) => Some(rows),
+        Ok(Err(fault)) => {
+            tracing::debug!(hall = parts.hall, %fault, "cannot read who schedules the hall");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+async fn take<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    rows: &ownership::OwnerRows,
+) -> Option<ownership::OwnedTenure> {
+    let take = ownership::take(&parts.ports.table, &parts.options, &parts.hall, rows);
+    match time::timeout(parts.options.call_deadline() * 2, take).await {
+        Ok(Ok(owned)) => owned,
+        Ok(Err(fault)) => {
+            tracing::warn!(hall = parts.hall, %fault, "cannot take the hall");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn publish_holder<B: backend::HallBackend>(parts: &SeatParts<B>, rows: &ownership::OwnerRows) {
+    let row = rows.scheduler.as_ref().filter(|it| !it.released);
+    let found = row.map(|it| it.address.clone());
+    parts.view.send_if_modified(|view| match view {
+        SeatView::Watching { holder } if *holder == found => false,
+        _ => {
+            *view = SeatView::Watching { holder: found };
+            true
+        }
+    });
+}
+
+/// Whether the hall is free for this instance after what it saw since `since`.
+fn may_take<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    rows: &ownership::OwnerRows,
+    since: Instant,
+) -> bool {
+    let seen = since.elapsed();
+    match &rows.scheduler {
+        // An earlier try of this very process took effect without its knowledge.
+        Some(row) if row.holder == parts.options.instance => true,
+        Some(row) if !row.released => row.term.0 + preference_delay(parts, Some(row)) <= seen,
+        other => preference_delay(parts, other.as_ref()) <= seen,
+    }
+}
+
+/// How long this instance leaves the hall to more preferred ones. Without it all would write at
+/// once, and the halls would not spread.
+fn preference_delay<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    row: Option<&model::SchedulerRow>,
+) -> Duration {
+    let rank = preference_rank(parts, row);
+    (PREFERENCE_STEP * rank).min(PREFERENCE_LIMIT)
+}
+
+fn preference_rank<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    row: Option<&model::SchedulerRow>,
+) -> u32 {
+    let former = row.map(|it| it.holder.as_str());
+    let members = parts.members.borrow();
+    let live = members.instances.iter().filter(|(_, it)| !it.leaving);
+    let candidates = live.map(|(id, _)| id.as_str()).filter(|it| Some(*it) != former);
+    let ranked = rendezvous::ranked(&parts.hall, candidates);
+    let rank = ranked.iter().position(|it| *it == parts.options.instance);
+    u32::try_from(rank.unwrap_or(ranked.len())).unwrap_or(u32::MAX)
+}
+
+/// The most preferred look often, the others seldom: reads are limited.
+fn watch_interval<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    sighting: Option<&Sighting>,
+) -> Duration {
+    let row = sighting.and_then(|it| it.rows.scheduler.as_ref());
+    let free = sighting.is_some() && row.is_none_or(|it| it.released);
+    let rank = preference_rank(parts, row);
+    let term = parts.options.tenure_term();
+    match rank {
+        _ if free => term / FREE_LOOKS,
+        0 | 1 => term / PREFERRED_LOOKS,
+        _ => term / OTHER_LOOKS,
+    }
+}
+
+async fn hold<B: backend::HallBackend>(
+    parts: &mut SeatParts<B>,
+    mut owned: ownership::OwnedTenure,
+) {
+    let taken_at = Instant::now();
+    let hall = parts.hall.clone();
+    let epoch = owned.row.epoch;
+    tracing::info!(hall, epoch, "took the hall");
+    metric::ownership(&hall, true);
+    let (state, watch) = tenure::TenureWatch::new(tenure_state(parts, &owned));
+    parts.view.send_replace(SeatView::TakingOver);
+
+    let mut launch = tokio::spawn(takeover::run(takeover::TakeoverParts {
+        ports: parts.ports.clone(),
+        options: parts.options.clone(),
+        hall: hall.clone(),
+        config: parts.config.clone(),
+        members: parts.members.clone(),
+        tenure: watch,
+    }));
+    let mut scheduler: Option<xtra::Address<actor::HallActor<B>>> = None;
+    let mut next_renewal = owned.counted_from + parts.options.renewal_interval();
+    let successor = loop {
+        tokio::select! {
+            started = &mut launch, if scheduler.is_none() => {
+                let Ok(Some(takeover::StartedHall { address, summary })) = started else {
+                    tracing::error!(hall, epoch, "the hall could not be taken over");
+                    let _ = ownership::release(&parts.ports.table, &mut owned).await;
+                    tokio::select! {
+                        () = time::sleep(FAILED_TAKEOVER_PAUSE) => {}
+                        () = told_to_leave(&mut parts.leaving) => {}
+                    }
+                    break None;
+                };
+                let took = taken_at.elapsed();
+                metric::takeover(&hall, took);
+                tracing::info!(hall, epoch, seconds = took.as_secs_f64(), "took the hall over");
+                parts.view.send_replace(SeatView::Holding { address: address.clone(), summary });
+                scheduler = Some(address);
+            }
+            () = time::sleep_until(next_renewal) => {
+                match renew(parts, &state, &mut owned).await {
+                    RenewalStep::Next(at) => next_renewal = at,
+                    RenewalStep::Lost(holder) => break holder,
+                }
+            }
+            // A higher tenure is proof that this one is over, also where the table cannot be
+            // reached from here: tenures only grow by conditional writes.
+            () = heard_newer(&mut parts.heard, epoch) => {
+                tracing::warn!(hall, epoch, "another instance holds a newer tenure");
+                break None;
+            }
+            () = told_to_leave(&mut parts.leaving) => {
+                break hand_over(parts, &mut owned, scheduler.as_ref()).await;
+            }
+        }
+    };
+    state.send_modify(|it| it.ended = true);
+    launch.abort();
+    parts.view.send_replace(SeatView::Watching { holder: successor });
+    metric::ownership(&hall, false);
+    if let Some(address) = scheduler {
+        let _ = address.send(actor::Resign).await;
+    }
+    tracing::info!(hall, epoch, "gave the hall up");
+}
+
+async fn heard_newer(heard: &mut watch::Receiver<ids::Epoch>, epoch: ids::Epoch) {
+    if heard.wait_for(|it| epoch < *it).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Also when nobody is left who could tell.
+async fn told_to_leave(leaving: &mut watch::Receiver<bool>) {
+    let _ = leaving.wait_for(|it| *it).await;
+}
+
+enum RenewalStep {
+    Next(Instant),
+    Lost(Option<ids::PeerAddress>),
+}
+
+async fn renew<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    state: &watch::Sender<tenure::TenureState>,
+    owned: &mut ownership::OwnedTenure,
+) -> RenewalStep {
+    let interval = parts.options.renewal_interval();
+    let deadline = parts.options.call_deadline();
+    let sent_at = Instant::now();
+    let renewal = ownership::renew(&parts.ports.table, owned);
+    match time::timeout(deadline, renewal).await {
+        Ok(Ok(ownership::RenewalOutcome::Renewed(renewed))) => {
+            *owned = renewed;
+            state.send_modify(|it| {
+                it.firm_until = firm_until(parts, owned);
+                it.outage_seen = None;
+            });
+            metric::tenure_margin(&parts.hall, firm_until(parts, owned));
+            RenewalStep::Next(sent_at + interval)
+        }
+        Ok(Ok(ownership::RenewalOutcome::Lost(row))) => {
+            tracing::warn!(hall = parts.hall, "another instance took the hall");
+            RenewalStep::Lost(row.filter(|it| !it.released).map(|it| it.address))
+        }
+        Ok(Err(_)) | Err(_) => {
+            // Seen from before the try: a process paused during the call must not take the
+            // table for down at the moment it wakes.
+            state.send_modify(|it| it.outage_seen = Some(sent_at));
+            metric::renewal_failed(&parts.hall);
+            RenewalStep::Next(Instant::now() + interval / FAILED_RENEWAL_SHARE)
+        }
+    }
+}
+
+/// Gives the hall to the preferred live instance; returns its address.
+async fn hand_over<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    owned: &mut ownership::OwnedTenure,
+    scheduler: Option<&xtra::Address<actor::HallActor<B>>>,
+) -> Option<ids::PeerAddress> {
+    let started = Instant::now();
+    if let Some(address) = scheduler {
+        let settled = address.send(actor::Freeze);
+        let settled = async { settled.await.ok()?.await.ok() };
+        let _ = time::timeout(FREEZE_LIMIT, settled).await;
+    }
+    let released = ownership::release(&parts.ports.table, owned);
+    let released = time::timeout(parts.options.call_deadline(), released).await;
+    if !matches!(released, Ok(Ok(_))) {
+        // The table is down: the hall lapses instead, and nobody can take it before it is back.
+        tracing::warn!(hall = parts.hall, "cannot give the hall up in the table");
+        return None;
+    }
+    let successor = successor(parts)?;
+    let call = model::HandOver { hall: parts.hall.clone(), epoch: owned.row.epoch };
+    let told = parts.ports.link.call(&successor, call, HAND_OVER_DEADLINE).await;
+    if let Err(fault) = told {
+        // The successor sees the released row at its next look.
+        tracing::warn!(hall = parts.hall, %fault, "cannot tell the successor of the hall");
+    }
+    metric::hand_over(&parts.hall, started.elapsed());
+    Some(successor)
+}
+
+fn successor<B: backend::HallBackend>(parts: &SeatParts<B>) -> Option<ids::PeerAddress> {
+    let members = parts.members.borrow();
+    let live = members.instances.iter().filter(|(_, it)| !it.leaving);
+    let others = live.map(|(id, _)| id.as_str()).filter(|it| *it != parts.options.instance);
+    let preferred = rendezvous::preferred(&parts.hall, others)?;
+    members.instances.get(preferred).map(|it| it.address.clone())
+}
+
+fn tenure_state<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    owned: &ownership::OwnedTenure,
+) -> tenure::TenureState {
+    tenure::TenureState {
+        hall: parts.hall.clone(),
+        epoch: owned.row.epoch,
+        row_version: owned.tenure_version,
+        firm_until: firm_until(parts, owned),
+        outage_seen: None,
+        outage_memory: parts.options.renewal_interval() + parts.options.call_deadline(),
+        ended: false,
+    }
+}
+
+fn firm_until<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    owned: &ownership::OwnedTenure,
+) -> Instant {
+    owned.counted_from + owned.row.term.0.saturating_sub(parts.options.tenure_margin())
+}
+
+/// What each less preferred candidate waits longer.
+const PREFERENCE_STEP: Duration = Duration::from_millis(250);
+/// What the least preferred waits at most.
+const PREFERENCE_LIMIT: Duration = Duration::from_millis(1000);
+/// Looks per term of the two most preferred candidates.
+const PREFERRED_LOOKS: u32 = 8;
+/// Looks per term of the others.
+const OTHER_LOOKS: u32 = 3;
+/// Looks per term while the hall is free.
+const FREE_LOOKS: u32 = 24;
+/// A failed renewal is tried again after this part of the interval.
+const FAILED_RENEWAL_SHARE: u32 = 4;
+/// How long a hand-over waits for writes in flight.
+const FREEZE_LIMIT: Duration = Duration::from_millis(400);
+/// A hall that could not be taken over is left to others for this long.
+const FAILED_TAKEOVER_PAUSE: Duration = Duration::from_secs(3);
+/// For telling the successor.
+const HAND_OVER_DEADLINE: Duration = Duration::from_millis(400);
--- /dev/null
+++ b/crates/hall/src/sync_task.rs
@@ -0,0 +1,83 @@
+//! One exchange with a worker: release what is given back, then renew or list in one message.
+
+use std::time::Duration;
+
+use almondpass_platform::worker::WorkerControl;
+use almondpass_schema::{ids, model, time};
+use tokio::time::Instant;
+
+/// What to tell a worker and ask of it.
+#[derive(Clone, Debug)]
+pub(crate) struct SyncPlan {
+    /// The worker.
+    pub(crate) worker: ids::WorkerId,
+    /// Its control address.
+    pub(crate) address: ids::PeerAddress,
+    /// Leases to release.
+    pub(crate) release: Vec<ids::LeaseId>,
+    /// What to ask.
+    pub(crate) query: SyncQuery,
+    /// For each call.
+    pub(crate) deadline: Duration,
+}
+
+/// What to ask of a worker.
+#[derive(Clone, Debug)]
+pub(crate) enum SyncQuery {
+    /// Renew these leases.
+    Renew {
+        /// The leases.
+        leases: Vec<ids::LeaseId>,
+        /// Their new term.
+        term: Duration,
+    },
+    /// List every lease.
+    List,
+}
+
+/// What a worker said.
+#[derive(Clone, Debug)]
+pub(crate) struct SyncReport {
+    /// What was asked.
+    pub(crate) plan: SyncPlan,
+    /// When the renewal was sent.
+    pub(crate) sent_at: Instant,
+    /// Whether the release was confirmed.
+    pub(crate) released: bool,
+    /// The leases; `None` without an answer.
+    pub(crate) listing: Option<model::LeaseListing>,
+}
+
+/// Carries the plan out.
+pub(crate) async fn run<W: WorkerControl>(workers: W, plan: SyncPlan) -> SyncReport {
+    let released = release(&workers, &plan).await;
+    let sent_at = Instant::now();
+    let listing = async {
+        match &plan.query {
+            SyncQuery::Renew { leases, term } => {
+                let term = time::TimeSpan(*term);
+                let renew = model::LeaseRenew { leases: leases.clone(), term };
+                workers.renew(&plan.address, renew).await
+            }
+            SyncQuery::List => workers.leases(&plan.address).await,
+        }
+    };
+    let listing = match tokio::time::timeout(plan.deadline, listing).await {
+        Ok(Ok(listing)) => Some(listing),
+        Ok(Err(fault)) => {
+            tracing::debug!(worker = plan.worker, %fault, "a worker did not answer");
+            None
+        }
+        Err(_) => None,
+    };
+    SyncReport { plan, sent_at, released, listing }
+}
+
+async fn release<W: WorkerControl>(workers: &W, plan: &SyncPlan) -> bool {
+    if plan.release.is_empty() {
+        return true;
+    }
+    let release = model::LeaseRelease { leases: plan.release.clone() };
+    let released = workers.release(&plan.address, release);
+    matches!(tokio::time::timeout(plan.deadline, released).await, Ok(Ok(_)))
+}
--- /dev/null
+++ b/crates/hall/src/takeover.rs
@@ -0,0 +1,239 @@
+//! Learns how a hall stands after taking it: rows and intents from the stores, leases from the
+//! workers, which are the ground truth of what runs.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_config::active;
+use almondpass_membership::snapshot;
+use almondpass_platform::{keys, table::TableService, worker::WorkerControl};
+use almondpass_policy::scheduler::HallPolicy;
+use almondpass_schema::{ids, model};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::actor::{self, HallActor};
+use crate::adopt;
+use crate::backend;
+use crate::changes;
+use crate::codec;
+use crate::error;
+use crate::grant_table;
+use crate::intent_log;
+use crate::intent_task;
+use crate::intents;
+use crate::job_table;
+use crate::lease_table;
+use crate::options;
+use crate::tenure;
+
+/// What a takeover is built upon.
+pub(crate) struct TakeoverParts<B: backend::HallBackend> {
+    /// Clients.
+    pub(crate) ports: backend::HallPorts<B>,
+    /// This instance.
+    pub(crate) options: options::HallOptions,
+    /// The hall.
+    pub(crate) hall: ids::HallName,
+    /// Configuration in force.
+    pub(crate) config: watch::Receiver<Arc<active::ActiveConfig>>,
+    /// Instances and workers.
+    pub(crate) members: watch::Receiver<Arc<snapshot::MemberSnapshot>>,
+    /// The new tenure.
+    pub(crate) tenure: tenure::TenureWatch,
+}
+
+/// Leases of the workers that answered.
+pub(crate) type WorkerListings = BTreeMap<ids::WorkerId, model::LeaseListing>;
+
+/// A scheduler that was started.
+pub(crate) struct StartedHall<B: backend::HallBackend> {
+    /// Where it takes messages.
+    pub(crate) address: xtra::Address<HallActor<B>>,
+    /// What it last said of the hall.
+    pub(crate) summary: watch::Receiver<Option<model::HallBeat>>,
+}
+
+/// Takes the hall over and starts its scheduler; `None` where that cannot be.
+pub(crate) async fn run<B: backend::HallBackend>(
+    mut parts: TakeoverParts<B>,
+) -> Option<StartedHall<B>> {
+    let config = Arc::clone(&parts.config.borrow_and_update());
+    let members = Arc::clone(&parts.members.borrow_and_update());
+    let now = parts.options.clock.now();
+    let policy = match B::Policy::new(&parts.hall, Arc::clone(&config.document), now) {
+        Ok(policy) => policy,
+        Err(fault) => {
+            tracing::error!(hall = parts.hall, %fault, "the hall cannot be scheduled");
+            return None;
+        }
+    };
+    let nodes = changes::first_nodes(&config, &members, &parts.hall);
+    let log = intent_log::IntentLog {
+        ports: parts.ports.clone(),
+        hall: parts.hall.clone(),
+        tenure: parts.tenure.clone(),
+    };
+    let (records, listings, sealed) =
+        tokio::join!(read_jobs(&parts), list_workers(&parts, &nodes), intent_task::seal(log),);
+    let records = records?;
+    let mut actor = HallActor {
+        ports: parts.ports,
+        options: parts.options,
+        hall: parts.hall.clone(),
+        tenure: parts.tenure,
+        config,
+        members,
+        policy,
+        nodes,
+        leases: lease_table::LeaseTable::default(),
+        grants: grant_table::GrantTable::default(),
+        jobs: job_table::JobTable::default(),
+        intents: intent_task::IntentState::default(),
+        deferred: VecDeque::new(),
+        fenced: sealed.fenced,
+        freeze: None,
+        frozen: false,
+        summary: watch::channel(None).0,
+        next_summary: Instant::now(),
+        wake: Arc::new(Notify::new()),
+        address: None,
+    };
+    let summary = actor.summary.subscribe();
+    let log_sealed = sealed.sealed.is_some();
+    if let Some(sealed) = sealed.sealed {
+        actor.take_log(sealed);
+    }
+    adopt::adopt(&mut actor, records, &listings);
+    adopt::release_strays(&mut actor).await;
+    let (address, mailbox) = xtra::Mailbox::bounded(MAILBOX);
+    actor.address = Some(mailbox.address());
+    if !log_sealed && !actor.fenced {
+        actor.seal_intents(intents::SEAL_RETRY);
+    }
+    forward_changes(&address, parts.config, parts.members);
+    tokio::spawn(xtra::run(mailbox, actor));
+    Some(StartedHall { address, summary })
+}
+
+/// Passes changes of the configuration and of the members on.
+fn forward_changes<B: backend::HallBackend>(
+    address: &xtra::Address<HallActor<B>>,
+    mut config: watch::Receiver<Arc<active::ActiveConfig>>,
+    mut members: watch::Receiver<Arc<snapshot::MemberSnapshot>>,
+) {
+    let address = address.downgrade();
+    tokio::spawn(async move {
+        loop {
+            let sent = tokio::select! {
+                Ok(()) = config.changed() => {
+                    let config = Arc::clone(&config.borrow_and_update());
+                    address.send(actor::Configured(config)).await
+                }
+                Ok(()) = members.changed() => {
+                    let members = Arc::clone(&members.borrow_and_update());
+                    address.send(actor::MembersChanged(members)).await
+                }
+                else => return,
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Reads the rows of the hall's jobs, again and again while the tenure lasts.
+async fn read_jobs<B: backend::HallBackend>(
+    parts: &TakeoverParts<B>,
+) -> Option<Vec<model::JobRecord>> {
+    loop {
+        match read_jobs_once::<B>(&parts.ports.table, &parts.hall).await {
+            Ok(records) => return Some(records),
+            Err(fault) => {
+                tracing::warn!(hall = parts.hall, %fault, "cannot read the jobs of the hall");
+            }
+        }
+        if parts.tenure.standing() == tenure::TenureStanding::Ended {
+            return None;
+        }
+        tokio::time::sleep(READ_RETRY).await;
+    }
+}
+
+async fn read_jobs_once<B: backend::HallBackend>(
+    table: &B::Table,
+    hall: &str,
+) -> Result<Vec<model::JobRecord>, error::HallError> {
+    let mut records = Vec::new();
+    let mut after = None;
+    loop {
+        let prefix = keys::hall_jobs(hall);
+        let scan = model::TableScan { prefix, after: after.take(), limit: READ_PAGE };
+        let page = table.scan(scan).await?;
+        let rows = page.rows.iter().filter_map(job_row_key).collect::<Vec<_>>();
+        if !rows.is_empty() {
+            for row in table.get(model::TableGet { keys: rows }).await?.rows {
+                records.extend(codec::decode_row::<model::JobRecord>("read a job", &row)?);
+            }
+        }
+        after = page.rows.last().map(|it| it.key.clone());
+        if !page.more || after.is_none() {
+            return Ok(records);
+        }
+    }
+}
+
+fn job_row_key(index: &model::TableRow) -> Option<ids::RowKey> {
+    let job = index.key.rsplit('/').next()?.parse().ok()?;
+    let account = std::str::from_utf8(index.value.as_ref()?).ok()?;
+    Some(keys::job(account, &job))
+}
+
+/// Lists the leases of every worker at once; those that do not answer soon are left out.
+async fn list_workers<B: backend::HallBackend>(
+    parts: &TakeoverParts<B>,
+    nodes: &BTreeMap<ids::WorkerId, crate::worker_node::WorkerNode>,
+) -> WorkerListings {
+    let permits = Arc::new(Semaphore::new(LIST_CONCURRENCY));
+    let mut tasks = JoinSet::new();
+    for (worker, node) in nodes {
+        let Some(address) = node.address().cloned() else { continue };
+        let (workers, permits) = (parts.ports.workers.clone(), Arc::clone(&permits));
+        let worker = worker.clone();
+        tasks.spawn(async move {
+            let _permit = permits.acquire().await;
+            (worker, list_worker(&workers, &address).await)
+        });
+    }
+    let mut listings = WorkerListings::new();
+    while let Some(listed) = tasks.join_next().await {
+        if let Ok((worker, Some(listing))) = listed {
+            listings.insert(worker, listing);
+        }
+    }
+    listings
+}
+
+async fn list_worker<W: WorkerControl>(
+    workers: &W,
+    address: &ids::PeerAddress,
+) -> Option<model::LeaseListing> {
+    for _ in 0..LIST_TRIES {
+        let listing = tokio::time::timeout(LIST_DEADLINE, workers.leases(address)).await;
+        if let Ok(Ok(listing)) = listing {
+            return Some(listing);
+        }
+    }
+    None
+}
+
+const MAILBOX: usize = 8192;
+const READ_PAGE: u32 = 256;
+const READ_RETRY: Duration = Duration::from_millis(300);
+const LIST_CONCURRENCY: usize = 64;
+const LIST_TRIES: usize = 2;
+/// A worker that answers later counts as lost until the next call.
+const LIST_DEADLINE: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/hall/src/turn.rs
@@ -0,0 +1,160 @@
+//! One turn of the scheduler: timers, decisions, writes.
+
+use std::time::Duration;
+
+use almondpass_policy::{decision, scheduler::HallPolicy};
+use almondpass_schema::{model, time};
+use tokio::time::Instant;
+
+use crate::actor::{HallActor, Turn};
+use crate::backend;
+use crate::metric;
+
+impl<B: backend::HallBackend> HallActor<B> {
+    pub(crate) fn on_turn(&mut self, _: Turn) -> Instant {
+        let now = Instant::now();
+        self.stop_lapsed_gangs(now);
+        self.expire_grants(now);
+        self.tell_deferred(now);
+        if self.may_act() {
+            self.decide();
+        }
+        self.sync_workers(now);
+        self.commit_jobs(now);
+        self.append_intents(now);
+        self.trim_intents(now);
+        self.sweep_jobs(now);
+        self.summarise(now);
+        self.settle_freeze();
+        self.next_wake(now)
+    }
+
+    fn tell_deferred(&mut self, now: Instant) {
+        for _ in 0..self.deferred.len() {
+            let Some(deferred) = self.deferred.pop_front() else { return };
+            if deferred.at <= now {
+                self.tell(deferred.event);
+            } else {
+                self.deferred.push_back(deferred);
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        let started = std::time::Instant::now();
+        let wall = self.wall();
+        let decisions = self.policy.turn(wall);
+        metric::turn(&self.hall, started.elapsed());
+        for decision in decisions {
+            self.carry_out(decision);
+        }
+    }
+
+    fn carry_out(&mut self, decision: decision::Decision) {
+        let work = match &decision {
+            decision::Decision::Start { work, .. }
+            | decision::Decision::Checkpoint { work, .. }
+            | decision::Decision::Stop { work, .. }
+            | decision::Decision::Throttle { work, .. }
+            | decision::Decision::Requeue { work, .. }
+            | decision::Decision::Finish { work, .. } => *work,
+            decision::Decision::Worker { worker, state, reason } => {
+                tracing::info!(hall = self.hall, worker, state = %state, reason = reason.text,
+                    "a worker changed its state");
+                return;
+            }
+            decision::Decision::Guarantee { account, guarantee, state, reason } => {
+                tracing::info!(hall = self.hall, account, guarantee, state = %state,
+                    reason = reason.text, "a guarantee changed its state");
+                return;
+            }
+        };
+        if self.jobs.entries.contains_key(&work) {
+            self.decide_job(decision);
+        } else if self.is_request(&work) {
+            self.decide_request(decision);
+        } else {
+            self.decide_unknown(decision);
+        }
+    }
+
+    /// Work that was answered in the meantime.
+    fn decide_unknown(&mut self, decision: decision::Decision) {
+        let decision::Decision::Start { work, .. } = decision else { return };
+        self.tell(almondpass_policy::event::HallEvent::Cancelled(work));
+        self.tell(almondpass_policy::event::HallEvent::StartFailed {
+            work,
+            worker: None,
+            fault: almondpass_policy::event::StartFault::Withdrawn,
+        });
+    }
+
+    fn summarise(&mut self, now: Instant) {
+        if now < self.next_summary {
+            return;
+        }
+        self.next_summary = now + SUMMARY_INTERVAL;
+        let picture = self.picture();
+        let beat = self.beat(&picture);
+        metric::picture(&self.hall, &beat, picture.fragmentation);
+        self.summary.send_replace(Some(beat));
+    }
+
+    fn beat(&self, picture: &model::HallPicture) -> model::HallBeat {
+        let mut free = 0;
+        let mut run = 0;
+        let mut longest = 0;
+        for worker in &picture.workers {
+            for view in &worker.accelerators {
+                let is_free = view.state == model::AcceleratorState::Free
+                    && worker.state == model::WorkerState::Live;
+                free += u32::from(is_free);
+                run = if is_free { run + 1 } else { 0 };
+                longest = longest.max(run);
+            }
+        }
+        let queued = u32::try_from(picture.queue.len()).unwrap_or(u32::MAX);
+        model::HallBeat {
+            hall: self.hall.clone(),
+            epoch: self.tenure.epoch(),
+            free_accelerators: free,
+            longest_run: longest,
+            queued,
+            wait: time::TimeSpan(self.oldest_wait()),
+        }
+    }
+
+    /// How long the request waits that waits longest.
+    fn oldest_wait(&self) -> Duration {
+        let waiting = self.grants.waiting();
+        let waits = waiting.iter().filter_map(|it| self.grants.get(it));
+        waits.map(|it| it.arrived.elapsed()).max().unwrap_or_default()
+    }
+
+    fn next_wake(&self, now: Instant) -> Instant {
+        let wall = self.wall();
+        let policy = self.policy.next_wake(wall).filter(|_| self.may_act());
+        let policy = policy.map(|it| now + it.since(wall).max(SHORTEST_WAKE));
+        let syncs = self.nodes.values().filter(|it| !it.syncing).map(|it| it.next_sync).min();
+        let commit = self.jobs.next_commit.filter(|_| !self.jobs.committing);
+        let flush = self.intents.flush_at.filter(|_| self.intents.cursors.is_some());
+        let deferred = self.deferred.iter().map(|it| it.at).min();
+        let timers = [
+            policy,
+            syncs,
+            commit,
+            flush,
+            deferred,
+            self.grants.next_due(),
+            self.leases.next_expiry(),
+        ];
+        let next = timers.into_iter().flatten().min();
+        let latest = now + SUMMARY_INTERVAL;
+        next.unwrap_or(latest).clamp(now + SHORTEST_WAKE, latest)
+    }
+}
+
+/// Between two summaries, and the longest time between two turns.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// The shortest time between two turns that nothing asked for.
+const SHORTEST_WAKE: Duration = Duration::from_millis(1);
--- /dev/null
+++ b/crates/hall/src/worker_node.rs
@@ -0,0 +1,60 @@
+//! One worker as its hall's scheduler sees it.
+
+use almondpass_membership::snapshot;
+use almondpass_schema::{ids, model};
+use tokio::time::Instant;
+
+/// Whether the policy counts on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NodeState {
+    /// Its leases are to be listed before anything is placed on it.
+    Unlisted,
+    /// It answers, and nothing unknown is on it.
+    Live,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerNode {
+    /// What the instance list says of it; `None` while it is not listed.
+    pub(crate) entry: Option<snapshot::WorkerEntry>,
+    /// Its kind.
+    pub(crate) kind: model::WorkerKind,
+    /// Whether it is counted on.
+    pub(crate) state: NodeState,
+    /// Whether the policy was told that it takes no new work.
+    pub(crate) draining: bool,
+    /// Calls without an answer since the last answer.
+    pub(crate) failures: u32,
+    /// Whether a call is on its way.
+    pub(crate) syncing: bool,
+    /// When it is to be called next.
+    pub(crate) next_sync: Instant,
+}
+
+impl WorkerNode {
+    /// A worker that was never called.
+    pub(crate) fn new(kind: model::WorkerKind, now: Instant) -> WorkerNode {
+        WorkerNode {
+            entry: None,
+            kind,
+            state: NodeState::Unlisted,
+            draining: false,
+            failures: 0,
+            syncing: false,
+            next_sync: now,
+        }
+    }
+
+    /// Its control address.
+    pub(crate) fn address(&self) -> Option<&ids::PeerAddress> {
+        self.entry.as_ref().map(|it| &it.address)
+    }
+
+    /// Where an upstream answers on it, unless that leaves.
+    pub(crate) fn upstream(&self, name: &str) -> Option<&ids::PeerAddress> {
+        let upstreams = self.entry.as_ref().map_or(&[][..], |it| it.upstreams.as_slice());
+        let found = upstreams.iter().find(|it| it.upstream == name && !it.leaving)?;
+        Some(&found.address)
+    }
+}
--- /dev/null
+++ b/crates/hall/tests/hall/support.rs
@@ -0,0 +1,432 @@
+//! A small site with a few instances, and what tests ask of it.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_config::active;
+use almondpass_hall::{backend, options, service};
+use almondpass_membership::snapshot;
+use almondpass_platform::{clock, keys, table::TableService};
+use almondpass_policy::core;
+use almondpass_schema::{ids, model, time};
+use almondpass_standin::{fault, fleet, net, object, plan, table};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+/// Types of the tests.
+pub(crate) type TestBackend = backend::BackendOf<
+    core::HallCore,
+    table::TableFake,
+    object::ObjectFake,
+    fleet::WorkerFleet,
+    net::FakeLink,
+>;
+
+/// The hall of most tests.
+pub(crate) const HALL: &str = "vadodara";
+/// The account of most tests.
+pub(crate) const ACCOUNT: &str = "utility";
+/// Requests that may run more than once.
+pub(crate) const CHECK: &str = "check";
+/// Requests that may run only once.
+pub(crate) const TICKET: &str = "ticket";
+/// Jobs that may run more than once.
+pub(crate) const BATCH: &str = "batch";
+/// Jobs that may run only once.
+pub(crate) const PRINT: &str = "print";
+/// Workers of the hall.
+pub(crate) const N_WORKERS: u32 = 4;
+/// Accelerators of each.
+pub(crate) const N_ACCELERATORS: u32 = 4;
+
+/// The platform and the network.
+pub(crate) struct TestSite {
+    pub(crate) net: net::FakeNet,
+    pub(crate) table: table::TableFake,
+    pub(crate) objects: object::ObjectFake,
+    pub(crate) fleet: fleet::WorkerFleet,
+    pub(crate) config: watch::Sender<Arc<active::ActiveConfig>>,
+    pub(crate) members: watch::Sender<Arc<snapshot::MemberSnapshot>>,
+    pub(crate) clock: clock::WallClock,
+}
+
+/// One instance, with the faults of its own ways to the platform.
+pub(crate) struct TestInstance {
+    pub(crate) id: ids::InstanceId,
+    pub(crate) address: ids::PeerAddress,
+    pub(crate) service: service::HallService<TestBackend>,
+    pub(crate) to_table: fault::FaultPlan,
+    pub(crate) to_objects: fault::FaultPlan,
+    pub(crate) to_workers: fault::FaultPlan,
+}
+
+impl TestSite {
+    /// A site without instances.
+    pub(crate) fn new() -> TestSite {
+        let document = Arc::new(document());
+        let site = TestSite {
+            net: net::FakeNet::new(),
+            table: table::TableFake::new(),
+            objects: object::ObjectFake::new(),
+            fleet: fleet::WorkerFleet::new(),
+            config: watch::channel(active_config(1, Arc::clone(&document))).0,
+            members: watch::channel(Arc::default()).0,
+            clock: clock::WallClock::starting_at(time::WallTime(EPOCH)),
+        };
+        let workers = plan::workers_of(&document).into_iter().map(|it| {
+            let address = format!("{}:control", it.shape.id);
+            site.fleet.add(&address, it.shape.clone());
+            let upstreams = it.upstreams.iter().map(|name| snapshot::UpstreamEntry {
+                upstream: name.clone(),
+                address: format!("{}:{name}", it.shape.id),
+                leaving: false,
+            });
+            let upstreams = upstreams.collect();
+            (it.shape.id, snapshot::WorkerEntry { address, leaving: false, upstreams })
+        });
+        let workers = workers.collect();
+        let members = snapshot::MemberSnapshot { workers, ..Default::default() };
+        site.members.send_replace(Arc::new(members));
+        site
+    }
+
+    /// Starts an instance.
+    pub(crate) fn start(&self, id: &str) -> TestInstance {
+        let address = format!("{id}:peer");
+        self.change_members(|members| {
+            let entry = snapshot::MemberEntry {
+                address: address.clone(),
+                data_center: "dc".to_owned(),
+                leaving: false,
+                config_version: 1,
+            };
+            members.instances.insert(id.to_owned(), entry);
+        });
+        let to_table = fault::FaultPlan::new();
+        let to_objects = fault::FaultPlan::new();
+        let to_workers = fault::FaultPlan::new();
+        let ports = backend::HallPorts {
+            table: self.table.seen_through(to_table.clone()),
+            objects: self.objects.seen_through(to_objects.clone()),
+            workers: self.fleet.seen_through(to_workers.clone()),
+            link: self.net.link(&address),
+        };
+        let service = service::HallService::start(service::ServiceParts {
+            ports,
+            options: options::HallOptions {
+                instance: id.to_owned(),
+                address: address.clone(),
+                timing: model::TimingSettings::default(),
+                clock: self.clock,
+            },
+            config: self.config.subscribe(),
+            members: self.members.subscribe(),
+        });
+        self.net.register(&address, service.clone());
+        TestInstance { id: id.to_owned(), address, service, to_table, to_objects, to_workers }
+    }
+
+    /// Starts an instance and waits until it schedules the hall.
+    pub(crate) async fn start_holder(&self, id: &str) -> TestInstance {
+        let instance = self.start(id);
+        until("the first instance schedules the hall", async || instance.holds()).await;
+        instance
+    }
+
+    /// Takes an instance off the list, as after its death.
+    pub(crate) fn remove_member(&self, id: &str) {
+        self.change_members(|members| {
+            members.instances.remove(id);
+        });
+    }
+
+    /// Changes what is known of instances and workers.
+    pub(crate) fn change_members(&self, change: impl FnOnce(&mut snapshot::MemberSnapshot)) {
+        self.members.send_modify(|it| change(Arc::make_mut(it)));
+    }
+
+    /// Puts a changed configuration in force.
+    pub(crate) fn change_config(&self, change: impl FnOnce(&mut model::ConfigDocument)) {
+        let active = self.config.borrow().clone();
+        let mut document = (*active.document).clone();
+        change(&mut document);
+        self.config.send_replace(active_config(active.version + 1, Arc::new(document)));
+    }
+
+    /// Time of day.
+    pub(crate) fn now(&self) -> time::WallTime {
+        self.clock.now()
+    }
+
+    /// A new key for a request that may run only once.
+    pub(crate) fn key(&self) -> ids::IdempotencyKey {
+        key_made_at(self.now())
+    }
+
+    /// Reads a row past all faults.
+    pub(crate) fn row<R: DeserializeOwned>(&self, key: &str) -> Option<R> {
+        let rows = self.table.peek(key);
+        let row = rows.into_iter().find(|it| it.key == key)?;
+        rmp_serde::from_slice(&row.value?).ok()
+    }
+
+    /// Who schedules the hall, by its row.
+    pub(crate) fn scheduler(&self) -> Option<model::SchedulerRow> {
+        self.row(&keys::scheduler(HALL))
+    }
+
+    /// The row of a job.
+    pub(crate) fn job(&self, job: ids::JobId) -> Option<model::JobRecord> {
+        self.row(&keys::job(ACCOUNT, &job))
+    }
+
+    /// Waits until the row of a job shows a state.
+    pub(crate) async fn until_job(&self, job: ids::JobId, state: model::JobState) {
+        let step = format!("job {job} is {state}");
+        until(&step, async || self.job(job).is_some_and(|it| it.state == state)).await;
+    }
+
+    /// Tasks of a job that run now.
+    pub(crate) fn n_running(&self, job: ids::JobId) -> usize {
+        let runs = self.fleet.runs();
+        runs.iter().filter(|it| it.job == job && it.ended.is_none()).count()
+    }
+
+    /// Times at which part of a gang ran without the rest for longer than `slack`.
+    pub(crate) fn partial_runs(&self, job: ids::JobId, n_tasks: usize, slack: Duration) -> usize {
+        let runs = self.fleet.runs();
+        let runs = runs.iter().filter(|it| it.job == job).collect::<Vec<_>>();
+        let ends = runs.iter().filter_map(|it| it.ended.as_ref().map(|it| it.at));
+        let mut edges = runs.iter().map(|it| it.started).chain(ends).collect::<Vec<_>>();
+        edges.push(Instant::now());
+        edges.sort();
+        let spans = edges.windows(2).filter(|it| slack < it[1] - it[0]);
+        let partial = spans.filter(|span| {
+            let n_up = runs.iter().filter(|it| it.overlaps(span[0], span[1])).count();
+            n_up != 0 && n_up != n_tasks
+        });
+        partial.count()
+    }
+}
+
+impl TestInstance {
+    /// Whether it schedules the hall.
+    pub(crate) fn holds(&self) -> bool {
+        let beats = self.service.summaries();
+        beats.iter().any(|it| it.hall == HALL)
+    }
+
+    /// Asks for a slot.
+    pub(crate) async fn grant(&self, request: model::GrantRequest) -> model::GrantReply {
+        self.service.ask(request).await
+    }
+
+    /// Asks for a slot and expects it.
+    pub(crate) async fn granted(&self, request: model::GrantRequest) -> model::SlotGrant {
+        match self.grant(request).await {
+            model::GrantReply::Granted { grant } => grant,
+            other => panic!("expected a grant, found {other:?}"),
+        }
+    }
+
+    /// Gives a slot back.
+    pub(crate) async fn give_back(&self, grant: &model::SlotGrant, outcome: model::RequestOutcome) {
+        let returned = model::GrantReturn {
+            grant: grant.grant,
+            request: grant.request,
+            hall: HALL.to_owned(),
+            outcome,
+            worker_fault: false,
+            elapsed: time::TimeSpan::from_millis(10),
+        };
+        let returns = model::GrantReturns {
+            entry: self.id.clone(),
+            hall: HALL.to_owned(),
+            returns: vec![returned],
+        };
+        self.service.ask(returns).await;
+    }
+
+    /// Submits a job.
+    pub(crate) async fn submit(
+        &self,
+        job: ids::JobId,
+        submission: model::JobSubmission,
+    ) -> model::JobReply {
+        let submit = model::JobSubmit {
+            job,
+            hall: HALL.to_owned(),
+            account: ACCOUNT.to_owned(),
+            submission,
+        };
+        self.service.ask(submit).await
+    }
+
+    /// Submits a gang and waits until its row says that it runs.
+    pub(crate) async fn run(&self, site: &TestSite, class: &str, n_tasks: u32) -> ids::JobId {
+        let job = site.key();
+        accepted(self.submit(job, gang(class, n_tasks)).await);
+        site.until_job(job, model::JobState::Running).await;
+        job
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn cancel(&self, job: ids::JobId) -> model::JobReply {
+        let cancel = model::JobCancel { job, hall: HALL.to_owned(), account: ACCOUNT.to_owned() };
+        self.service.ask(cancel).await
+    }
+
+    /// Asks for a job.
+    pub(crate) async fn query(&self, job: ids::JobId) -> model::JobReply {
+        let query = model::JobQuery { job, hall: HALL.to_owned(), account: ACCOUNT.to_owned() };
+        self.service.ask(query).await
+    }
+
+    /// Cuts it off from the table, as by a failure of the network between them.
+    pub(crate) fn cut_off_from_table(&self) {
+        self.to_table.set(fault::Condition::Silent);
+    }
+
+    /// Kills it, as far as anybody else can see: nothing it does has an effect any more.
+    pub(crate) fn crash(&self, site: &TestSite) {
+        self.to_table.set(fault::Condition::Silent);
+        self.to_objects.set(fault::Condition::Silent);
+        self.to_workers.set(fault::Condition::Silent);
+        site.net.crash(&self.address);
+        site.remove_member(&self.id);
+    }
+}
+
+/// A request for a slot.
+pub(crate) fn request(site: &TestSite, class: &str) -> model::GrantRequest {
+    model::GrantRequest {
+        request: site.key(),
+        hall: HALL.to_owned(),
+        account: ACCOUNT.to_owned(),
+        class: class.to_owned(),
+        deadline: site.now() + Duration::from_secs(10),
+        attempt: 0,
+        exclude: Vec::new(),
+        idempotency: None,
+        entry: "entry".to_owned(),
+    }
+}
+
+/// A request that may run only once.
+pub(crate) fn keyed(site: &TestSite, key: ids::IdempotencyKey) -> model::GrantRequest {
+    model::GrantRequest { idempotency: Some(key), ..request(site, TICKET) }
+}
+
+/// A gang of tasks with one worker's accelerators each.
+pub(crate) fn gang(class: &str, n_tasks: u32) -> model::JobSubmission {
+    let submission = json!({
+        "class": class,
+        "tasks": n_tasks,
+        "accelerators": N_ACCELERATORS,
+        "adjacency": "rack",
+    });
+    serde_json::from_value(submission).expect("a valid submission")
+}
+
+/// The record of an accepted job.
+pub(crate) fn accepted(reply: model::JobReply) -> model::JobRecord {
+    match reply {
+        model::JobReply::Record { record } => record,
+        other => panic!("expected the job's record, found {other:?}"),
+    }
+}
+
+/// A key made at some time.
+pub(crate) fn key_made_at(made_at: time::WallTime) -> ids::IdempotencyKey {
+    let seconds = made_at.0.as_secs();
+    let stamp = uuid::Timestamp::from_unix(uuid::NoContext, seconds, made_at.0.subsec_nanos());
+    Uuid::new_v7(stamp)
+}
+
+/// Lets time pass until something holds; fails after a while that no test needs.
+pub(crate) async fn until(step: &str, mut check: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !check().await {
+        assert!(started.elapsed() < PATIENCE, "waited in vain until {step}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Lets time pass.
+pub(crate) async fn pass(span: Duration) {
+    tokio::time::sleep(span).await;
+}
+
+/// Seconds.
+pub(crate) const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// Writes past all faults that a test sets for instances.
+pub(crate) async fn write_row<R: serde::Serialize>(site: &TestSite, key: ids::RowKey, row: &R) {
+    let value = rmp_serde::to_vec_named(row).expect("a row that encodes");
+    let write = model::TableWrite { key, value: Some(value.into()) };
+    let transaction = model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
+    site.table.transact(transaction).await.expect("a table that is up");
+}
+
+fn active_config(
+    version: ids::ConfigVersion,
+    document: Arc<model::ConfigDocument>,
+) -> Arc<active::ActiveConfig> {
+    Arc::new(active::ActiveConfig { version, document })
+}
+
+fn document() -> model::ConfigDocument {
+    let class = |name: &str, kind: &str, repeatable: bool| {
+        json!({
+            "name": name, "kind": kind, "priority": 5, "repeatable": repeatable,
+            "checkpoint": repeatable, "upstream": "oil-analysis",
+            "accelerators": if kind == "request" { 1 } else { 0 },
+            "expected_run": "5s", "max_run": if kind == "request" { "20s" } else { "2h" },
+            "deadline": "1h",
+        })
+    };
+    let account = |id: &str| {
+        json!({
+            "id": id, "name": id, "keys": [],
+            "limits": { "queued_jobs": 1000, "running_requests": 64, "queued_requests": 64 },
+        })
+    };
+    let document = json!({
+        "site": "test",
+        "objective": { "completion_time": 0.5, "fragmentation": 0.5 },
+        "bounds": {
+            "reclaim": "30s", "checkpoint_grace": "10s", "urgent_start": "3s",
+            "ageing_step": "1m", "gang_wait": "10m", "overrun": 2.0,
+            "idempotency_window": "1h", "job_retention": "10m",
+        },
+        "worker_kinds": [{
+            "name": "k", "cores": 32, "memory_mb": 65536, "accelerators": N_ACCELERATORS,
+            "slots": 4, "connections": 64,
+        }],
+        "halls": [{
+            "name": HALL, "region": "gujarat", "data_center": "dc",
+            "racks": [{ "name": "r1", "workers": N_WORKERS, "kind": "k" }],
+        }],
+        "upstreams": [{ "name": "oil-analysis", "halls": [HALL] }],
+        "classes": [
+            class(CHECK, "request", true),
+            class(TICKET, "request", false),
+            class(BATCH, "job", true),
+            class(PRINT, "job", false),
+        ],
+        "accounts": [account(ACCOUNT), account("other")],
+    });
+    serde_json::from_value(document).expect("a valid document")
+}
+
+/// The time of day at which tests begin.
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+/// Longer than any step of a test takes.
+const PATIENCE: Duration = Duration::from_secs(300);
