--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -33,12 +33,17 @@
 
 /// The document as YAML, defaults written out.
 pub fn to_yaml(document: &model::ConfigDocument) -> String {
-    let yaml = ordered(to_value(document));
+    value_to_yaml(to_value(document))
+}
+
+/// A draft as YAML, which need not have the right form yet.
+pub fn value_to_yaml(value: Value) -> String {
+    let yaml = ordered(value);
     serde_yaml_ng::to_string(&yaml).expect("a tree of strings, numbers and lists is writable")
 }
 
 /// The document as a tree.
-pub(crate) fn to_value(document: &model::ConfigDocument) -> Value {
+pub fn to_value(document: &model::ConfigDocument) -> Value {
     serde_json::to_value(document).expect("a document has string keys only")
 }
 
--- a/crates/config/src/changes.rs
+++ b/crates/config/src/changes.rs
@@ -15,9 +15,13 @@
     before: &model::ConfigDocument,
     after: &model::ConfigDocument,
 ) -> Vec<model::ConfigChange> {
-    let (before, after) = (canonical::to_value(before), canonical::to_value(after));
+    between_values(&canonical::to_value(before), &canonical::to_value(after))
+}
+
+/// Like [`between`], for drafts that need not have the right form yet.
+pub fn between_values(before: &Value, after: &Value) -> Vec<model::ConfigChange> {
     let mut walk = ChangeWalk { changes: Vec::new() };
-    walk.values("", Some(&before), Some(&after));
+    walk.values("", Some(before), Some(after));
     walk.changes
 }
 
--- a/crates/config/src/path.rs
+++ b/crates/config/src/path.rs
@@ -28,6 +28,18 @@
         FieldPath::default()
     }
 
+    /// The path that a JSON pointer names in `document`.
+    pub fn from_pointer(document: &Value, pointer: &str) -> FieldPath {
+        let mut value = Some(document);
+        let steps = pointer.split('/').skip(1).map(|name| {
+            let index = name.parse().ok().filter(|_| value.is_some_and(Value::is_array));
+            let step = index.map_or_else(|| PathStep::Member(name.to_owned()), PathStep::Item);
+            value = value.and_then(|it| step.descend(it));
+            step
+        });
+        steps.collect()
+    }
+
     /// The member `name` of what this path names.
     #[must_use]
     pub fn member(&self, name: impl Into<String>) -> FieldPath {
--- a/crates/config/src/proposal.rs
+++ b/crates/config/src/proposal.rs
@@ -10,6 +10,7 @@
 use uuid::Uuid;
 
 use crate::changes;
+use crate::document;
 use crate::fault;
 use crate::history;
 use crate::merge;
@@ -66,6 +67,7 @@
     clock: &clock::WallClock,
     proposal: model::ConfigProposal,
 ) -> Result<model::ConfigRow, ProposalError> {
+    document::check_size("the draft", &proposal.document)?;
     rules::check("the draft", &proposal.document)?;
     let row = model::ConfigRow {
         version: proposal.base + 1,
@@ -142,7 +144,7 @@
         newest: ids::ConfigVersion,
     ) -> WriteStep {
         match store.version(self.row.version).await {
-            Ok(Some(there)) if there.proposal == self.row.proposal => WriteStep::Accepted,
+            Ok(Some(there)) if self.is_own(&there) => WriteStep::Accepted,
             Ok(Some(_)) => match conflict(store, &self.row, newest).await {
                 Ok(conflict) => {
                     WriteStep::Failed(Box::new(ProposalError::Conflict(Box::new(conflict))))
@@ -154,6 +156,12 @@
         }
     }
 
+    /// An id alone could be used for another draft after an edit, and the author would be told
+    /// that the edit was accepted.
+    fn is_own(&self, there: &model::ConfigRow) -> bool {
+        there.proposal == self.row.proposal && there.document == self.row.document
+    }
+
     fn given_up(&self, fault: store::StoreFault) -> ProposalError {
         if self.may_have_written {
             return ProposalError::Unsettled { proposal: self.row.proposal, fault };
