Assemble an instance: callers, operators, peers, seats, keeper and membership

Cause: the parts stood alone; nothing could be started. Change: instance::Instance runs one instance on a runtime of its own (start, ask_to_leave, crash, metrics and processor time of its own threads); almondpassd run; operators' listener with console, /metrics, /healthz, /readyz; TLS on callers' and operators' listeners; shutdown that serves on, hands halls over, and finishes what is in flight.

--- a/crates/daemon/src/meters.rs
+++ b/crates/daemon/src/meters.rs
@@ -1,11 +1,12 @@
 //! The metrics of one instance.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use metrics_exporter_prometheus::{
-    Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
-};
+use almondpass_console::histogram;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use metrics_util::layers::{Fanout, FanoutBuilder};
 use tokio::time;
 
 /// Upper bounds of histograms of times, in seconds: from a grant within a machine to a batch job.
@@ -25,8 +26,15 @@
 /// a global recorder can be set only once, so each of an instance's threads gets its recorder.
 #[derive(Clone)]
 pub struct MeterRegistry {
-    recorder: &'static PrometheusRecorder,
+    recorder: &'static Fanout,
     handle: Arc<PrometheusHandle>,
+    histograms: histogram::HistogramBook,
+}
+
+impl fmt::Debug for MeterRegistry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MeterRegistry").finish_non_exhaustive()
+    }
 }
 
 impl MeterRegistry {
@@ -38,7 +46,12 @@
             .set_buckets(&COUNT_BUCKETS)?
             .build_recorder();
         let handle = Arc::new(recorder.handle());
-        Ok(MeterRegistry { recorder: Box::leak(Box::new(recorder)), handle })
+        let histograms = histogram::HistogramBook::default();
+        let recorder = FanoutBuilder::default()
+            .add_recorder(recorder)
+            .add_recorder(histograms.clone())
+            .build();
+        Ok(MeterRegistry { recorder: Box::leak(Box::new(recorder)), handle, histograms })
     }
 
     /// Makes the current thread record here until it ends.
@@ -46,6 +59,11 @@
         std::mem::forget(metrics::set_default_local_recorder(self.recorder));
     }
 
+    /// Histograms for the console.
+    pub fn histograms(&self) -> histogram::HistogramBook {
+        self.histograms.clone()
+    }
+
     /// All metrics in Prometheus' text format.
     pub fn render(&self) -> String {
         self.handle.render()
--- a/crates/daemon/src/subcommand.rs
+++ b/crates/daemon/src/subcommand.rs
@@ -5,6 +5,7 @@
 use crate::demo;
 
 pub mod check;
+pub mod run;
 
 /// What to do.
 #[derive(Clone, Debug, clap::Subcommand)]
@@ -13,6 +14,8 @@
     Check(check::CheckArgs),
     /// Shows a whole site at work in one process, on loopback.
     Demo(demo::DemoArgs),
+    /// Runs one instance.
+    Run(run::RunArgs),
 }
 
 impl Subcommand {
@@ -21,6 +24,7 @@
         match self {
             Subcommand::Check(args) => check::run(&args),
             Subcommand::Demo(args) => demo::run(args),
+            Subcommand::Run(args) => run::run(&args),
         }
     }
 }
--- a/crates/peer/src/key.rs
+++ b/crates/peer/src/key.rs
@@ -20,7 +20,8 @@
         self.0.as_bytes().ct_eq(offered).into()
     }
 
-    pub(crate) fn as_bytes(&self) -> &[u8] {
+    /// The key itself, for deriving others from it.
+    pub fn as_bytes(&self) -> &[u8] {
         self.0.as_bytes()
     }
 }
