--- a/crates/hall/src/actor.rs
+++ b/crates/hall/src/actor.rs
@@ -50,6 +50,7 @@
     pub(crate) frozen: bool,
     pub(crate) summary: watch::Sender<Option<model::HallBeat>>,
     pub(crate) next_summary: Instant,
+    pub(crate) next_lapse_look: Instant,
     pub(crate) wake: Arc<Notify>,
     pub(crate) address: Option<xtra::WeakAddress<HallActor<B>>>,
 }
--- a/crates/hall/src/gangs.rs
+++ b/crates/hall/src/gangs.rs
@@ -58,12 +58,11 @@
         });
         // Work that may run only once needs its row first, which a cut-off holder cannot write.
         if !servable || (!repeatable && !self.is_firm()) {
-            let fault = event::StartFault::Withdrawn;
-            let failed = event::HallEvent::StartFailed { work: job, worker: None, fault };
-            self.tell_at(Instant::now() + WITHDRAWN_DELAY, failed);
+            self.withdraw_start(job);
             return;
         }
         let Some(plan) = self.plan_gang(job, &placement, upstream.unwrap_or_default()) else {
+            self.withdraw_start(job);
             return;
         };
         tracing::info!(hall = self.hall, job = %job, n_tasks = placement.len(), reason = reason.text,
@@ -74,6 +73,13 @@
         tokio::spawn(gang_task::run::<B>(workers, tenure, plan, reports));
     }
 
+    /// Tells the policy after a while that a start came to nothing.
+    fn withdraw_start(&mut self, job: ids::JobId) {
+        let fault = event::StartFault::Withdrawn;
+        let failed = event::HallEvent::StartFailed { work: job, worker: None, fault };
+        self.tell_at(Instant::now() + WITHDRAWN_DELAY, failed);
+    }
+
     fn plan_gang(
         &mut self,
         job: ids::JobId,
@@ -309,6 +315,10 @@
 
     /// Stops gangs of which a member may have lapsed: its worker did not answer for a term.
     pub(crate) fn stop_lapsed_gangs(&mut self, now: Instant) {
+        if now < self.next_lapse_look {
+            return;
+        }
+        self.next_lapse_look = now + LAPSE_LOOK;
         let lapsed = self
             .leases
             .iter()
@@ -428,6 +438,9 @@
                     metric::reclaim(&account, &class, since.elapsed());
                 }
                 metric::run(&account, &class, ran);
+                // It had ended well and only waited for its row.
+                let done = entry.record.state == model::JobState::Done;
+                let exit = if done { event::WorkExit::Succeeded } else { exit };
                 let ambiguous = matches!(exit, event::WorkExit::Lost { .. });
                 if !entry.repeatable && ambiguous {
                     self.lose_job(job);
@@ -512,4 +525,6 @@
 
 /// A start that the scheduler itself withdraws is told to the policy after this.
 const WITHDRAWN_DELAY: std::time::Duration = std::time::Duration::from_secs(2);
+/// Between two looks for lapsed leases.
+const LAPSE_LOOK: std::time::Duration = std::time::Duration::from_millis(250);
 const SIGNAL_TRIES: usize = 2;
--- a/crates/hall/src/grants.rs
+++ b/crates/hall/src/grants.rs
@@ -523,7 +523,6 @@
     fn end_adopted(&mut self, lease: &ids::LeaseId) {
         let Some(slot) = self.grants.adopted.remove(lease) else { return };
         self.release(lease);
-        self.tell(event::HallEvent::Cancelled(slot.work));
         let exit = event::WorkExit::Stopped;
         self.tell(event::HallEvent::Ended { work: slot.work, exit });
     }
@@ -552,10 +551,7 @@
                 event::WorkExit::Stopped
             }
         };
-        if exit != event::WorkExit::Succeeded {
-            // The entry decides whether to try again, under a grant of its own.
-            self.tell(event::HallEvent::Cancelled(grant));
-        }
+        // Whether to try again is the entry's decision, under a grant of its own.
         self.tell(event::HallEvent::Ended { work: grant, exit });
     }
 
--- a/crates/hall/src/intent_log.rs
+++ b/crates/hall/src/intent_log.rs
@@ -1,12 +1,15 @@
 //! The durable log of intents: numbered batches in the table and, while that is down, in the
 //! object store. The two are independent sequences whose union is the log.
 
+use std::time::Duration;
+
 use almondpass_peer::error as peer_error;
 use almondpass_platform::{keys, objects::ObjectStore, table::TableService};
 use almondpass_schema::{ids, model};
 
 use crate::backend;
 use crate::codec;
+use crate::deadline;
 use crate::error;
 use crate::tenure;
 
@@ -60,6 +63,8 @@
     pub hall: ids::HallName,
     /// The tenure.
     pub tenure: tenure::TenureWatch,
+    /// For each call.
+    pub deadline: Duration,
 }
 
 enum BatchWrite {
@@ -130,7 +135,7 @@
             conditions: vec![self.tenure.condition(), absent],
             writes: vec![write],
         };
-        match self.ports.table.transact(transaction).await {
+        match self.transact(transaction).await {
             Ok(model::TableOutcome::Committed { .. }) => BatchWrite::Written,
             Ok(model::TableOutcome::Conflict { rows }) => {
                 let found = rows.iter().find(|it| it.key == key);
@@ -148,15 +153,13 @@
     async fn put_object(&self, number: u64, batch: &model::IntentBatch) -> BatchWrite {
         let key = keys::intent_batch(&self.hall, number);
         let put = model::ObjectPut { key: key.clone(), value: codec::encode(batch) };
-        match self.ports.objects.put(put).await {
+        match self.put(put).await {
             Ok(model::ObjectPutOutcome::Created) => BatchWrite::Written,
-            Ok(model::ObjectPutOutcome::Exists) => {
-                match self.ports.objects.get(model::ObjectGet { key }).await {
-                    Ok(model::ObjectFound { value: Some(value) }) => self.compare(&value, batch),
-                    Ok(model::ObjectFound { value: None }) => BatchWrite::Unsure,
-                    Err(_) => BatchWrite::Unsure,
-                }
-            }
+            Ok(model::ObjectPutOutcome::Exists) => match self.get_object(key).await {
+                Ok(model::ObjectFound { value: Some(value) }) => self.compare(&value, batch),
+                Ok(model::ObjectFound { value: None }) => BatchWrite::Unsure,
+                Err(_) => BatchWrite::Unsure,
+            },
             Err(fault) => lost(&fault),
         }
     }
@@ -202,7 +205,7 @@
             let number = batches.last().map_or(floor, |it| it.number + 1);
             let key = keys::intent_batch(&self.hall, number);
             let put = model::ObjectPut { key, value: codec::encode(&seal) };
-            let put = self.ports.objects.put(put).await;
+            let put = self.put(put).await;
             if matches!(put, Ok(model::ObjectPutOutcome::Created)) {
                 batches.push(StoredBatch { number, batch: seal });
                 return Ok((LogCursor { next: number + 1, unsure: None }, batches));
@@ -242,13 +245,14 @@
             conditions: vec![self.tenure.condition()],
             writes: deleted.chain([floor]).collect(),
         };
-        self.ports.table.transact(transaction).await?;
+        self.transact(transaction).await?;
         Ok(())
     }
 
     async fn floor(&self) -> Result<model::IntentFloor, error::HallError> {
         let get = model::TableGet { keys: vec![keys::intent_floor(&self.hall)] };
-        let rows = self.ports.table.get(get).await?.rows;
+        let rows = self.ports.table.get(get);
+        let rows = deadline::within(self.deadline, READ_STEP, deadline::TABLE, rows).await?.rows;
         let floor = rows.first().map(|it| codec::decode_row("read the floor of the intents", it));
         let floor = floor.transpose()?.flatten();
         Ok(floor.unwrap_or(model::IntentFloor { table: FIRST_BATCH, objects: FIRST_BATCH }))
@@ -263,7 +267,8 @@
                 after: after.take(),
                 limit: READ_PAGE,
             };
-            let page = self.ports.table.scan(scan).await?;
+            let page = self.ports.table.scan(scan);
+            let page = deadline::within(self.deadline, READ_STEP, deadline::TABLE, page).await?;
             for row in &page.rows {
                 let Some(number) = batch_number(&row.key) else { continue };
                 if let Some(batch) = codec::decode_row("read an intent batch", row)? {
@@ -286,7 +291,8 @@
                 after: after.take(),
                 limit: READ_PAGE,
             };
-            let page = self.ports.objects.list(list).await?;
+            let page = self.ports.objects.list(list);
+            let page = deadline::within(self.deadline, READ_STEP, deadline::OBJECTS, page).await?;
             for key in &page.keys {
                 let Some(number) = batch_number(key) else { continue };
                 if let Some(batch) = self.read_object(number).await? {
@@ -305,10 +311,34 @@
         number: u64,
     ) -> Result<Option<model::IntentBatch>, error::HallError> {
         let key = keys::intent_batch(&self.hall, number);
-        let found = self.ports.objects.get(model::ObjectGet { key }).await?;
+        let found = self.get_object(key).await?;
         found.value.map(|it| codec::decode("read an intent batch", &it)).transpose()
     }
 
+    async fn transact(
+        &self,
+        transaction: model::TableTransaction,
+    ) -> Result<model::TableOutcome, peer_error::CallError> {
+        let call = self.ports.table.transact(transaction);
+        deadline::within(self.deadline, WRITE_STEP, deadline::TABLE, call).await
+    }
+
+    async fn put(
+        &self,
+        put: model::ObjectPut,
+    ) -> Result<model::ObjectPutOutcome, peer_error::CallError> {
+        let call = self.ports.objects.put(put);
+        deadline::within(self.deadline, WRITE_STEP, deadline::OBJECTS, call).await
+    }
+
+    async fn get_object(
+        &self,
+        key: ids::ObjectKey,
+    ) -> Result<model::ObjectFound, peer_error::CallError> {
+        let call = self.ports.objects.get(model::ObjectGet { key });
+        deadline::within(self.deadline, READ_STEP, deadline::OBJECTS, call).await
+    }
+
     fn seal_batch(&self) -> model::IntentBatch {
         model::IntentBatch { epoch: self.tenure.epoch(), entries: Vec::new(), sealed: true }
     }
@@ -343,3 +373,5 @@
 
 const FIRST_BATCH: u64 = 1;
 const READ_PAGE: u32 = 256;
+const READ_STEP: &str = "read the intent log";
+const WRITE_STEP: &str = "write the intent log";
--- a/crates/hall/src/intents.rs
+++ b/crates/hall/src/intents.rs
@@ -204,6 +204,7 @@
             ports: self.ports.clone(),
             hall: self.hall.clone(),
             tenure: self.tenure.clone(),
+            deadline: self.options.call_deadline(),
         }
     }
 }
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -12,6 +12,7 @@
 use crate::backend;
 use crate::codec;
 use crate::commit::{self, CommitOutcome};
+use crate::deadline;
 use crate::grants::RETRY_STORE;
 use crate::job_table::{self, JobEntry};
 use crate::metric;
@@ -155,10 +156,12 @@
         reply: oneshot::Sender<model::JobReply>,
     ) {
         let table = self.ports.table.clone();
+        let deadline = self.options.call_deadline();
         tokio::spawn(async move {
             let get = model::TableGet { keys: vec![keys::job(&account, &job)] };
             // Without an answer the reply is dropped: "not found" would be a guess.
-            let Ok(rows) = table.get(get).await else { return };
+            let rows = deadline::within(deadline, "read a job", deadline::TABLE, table.get(get));
+            let Ok(rows) = rows.await else { return };
             let row = rows.rows.first();
             let record = row.and_then(|it| codec::decode_row("read a job", it).ok().flatten());
             let found = record.map(|record| model::JobReply::Record { record });
--- a/crates/hall/src/lease_table.rs
+++ b/crates/hall/src/lease_table.rs
@@ -107,9 +107,4 @@
         let names = lapsed.map(|(name, _)| name.clone()).collect::<Vec<_>>();
         names.into_iter().filter_map(|it| Some((it.clone(), self.remove(&it)?))).collect()
     }
-
-    /// When the first lease that is not renewed has lapsed.
-    pub(crate) fn next_expiry(&self) -> Option<Instant> {
-        self.entries.values().map(|it| it.gone_by).min()
-    }
 }
--- a/crates/hall/src/lib.rs
+++ b/crates/hall/src/lib.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod codec;
 mod commit;
+mod deadline;
 pub mod error;
 mod gang_task;
 mod gangs;
--- a/crates/hall/src/seat.rs
+++ b/crates/hall/src/seat.rs
@@ -294,13 +294,15 @@
     let renewal = ownership::renew(&parts.ports.table, owned);
     match time::timeout(deadline, renewal).await {
         Ok(Ok(ownership::RenewalOutcome::Renewed(renewed))) => {
+            // What was found is an earlier try that landed unheard: it only tells the version.
+            let at_once = renewed.counted_from == owned.counted_from;
             *owned = renewed;
             state.send_modify(|it| {
                 it.firm_until = firm_until(parts, owned);
                 it.outage_seen = None;
             });
             metric::tenure_margin(&parts.hall, firm_until(parts, owned));
-            RenewalStep::Next(sent_at + interval)
+            RenewalStep::Next(if at_once { Instant::now() } else { sent_at + interval })
         }
         Ok(Ok(ownership::RenewalOutcome::Lost(row))) => {
             tracing::warn!(hall = parts.hall, "another instance took the hall");
--- a/crates/hall/src/takeover.rs
+++ b/crates/hall/src/takeover.rs
@@ -19,6 +19,7 @@
 use crate::backend;
 use crate::changes;
 use crate::codec;
+use crate::deadline;
 use crate::error;
 use crate::grant_table;
 use crate::intent_log;
@@ -75,6 +76,7 @@
         ports: parts.ports.clone(),
         hall: parts.hall.clone(),
         tenure: parts.tenure.clone(),
+        deadline: parts.options.call_deadline(),
     };
     let (records, listings, sealed) =
         tokio::join!(read_jobs(&parts), list_workers(&parts, &nodes), intent_task::seal(log),);
@@ -98,6 +100,7 @@
         frozen: false,
         summary: watch::channel(None).0,
         next_summary: Instant::now(),
+        next_lapse_look: Instant::now(),
         wake: Arc::new(Notify::new()),
         address: None,
     };
@@ -150,7 +153,7 @@
     parts: &TakeoverParts<B>,
 ) -> Option<Vec<model::JobRecord>> {
     loop {
-        match read_jobs_once::<B>(&parts.ports.table, &parts.hall).await {
+        match read_jobs_once(parts).await {
             Ok(records) => return Some(records),
             Err(fault) => {
                 tracing::warn!(hall = parts.hall, %fault, "cannot read the jobs of the hall");
@@ -164,18 +167,20 @@
 }
 
 async fn read_jobs_once<B: backend::HallBackend>(
-    table: &B::Table,
-    hall: &str,
+    parts: &TakeoverParts<B>,
 ) -> Result<Vec<model::JobRecord>, error::HallError> {
     let mut records = Vec::new();
     let mut after = None;
     loop {
-        let prefix = keys::hall_jobs(hall);
+        let (table, deadline) = (&parts.ports.table, parts.options.call_deadline());
+        let prefix = keys::hall_jobs(&parts.hall);
         let scan = model::TableScan { prefix, after: after.take(), limit: READ_PAGE };
-        let page = table.scan(scan).await?;
+        let page = deadline::within(deadline, READ_STEP, deadline::TABLE, table.scan(scan)).await?;
         let rows = page.rows.iter().filter_map(job_row_key).collect::<Vec<_>>();
         if !rows.is_empty() {
-            for row in table.get(model::TableGet { keys: rows }).await?.rows {
+            let rows = table.get(model::TableGet { keys: rows });
+            let rows = deadline::within(deadline, READ_STEP, deadline::TABLE, rows).await?;
+            for row in rows.rows {
                 records.extend(codec::decode_row::<model::JobRecord>("read a job", &row)?);
             }
         }
@@ -231,6 +236,7 @@
 }
 
 const MAILBOX: usize = 8192;
+const READ_STEP: &str = "read the jobs of the hall";
 const READ_PAGE: u32 = 256;
 const READ_RETRY: Duration = Duration::from_millis(300);
 const LIST_CONCURRENCY: usize = 64;
--- a/crates/hall/src/turn.rs
+++ b/crates/hall/src/turn.rs
@@ -139,15 +139,7 @@
         let commit = self.jobs.next_commit.filter(|_| !self.jobs.committing);
         let flush = self.intents.flush_at.filter(|_| self.intents.cursors.is_some());
         let deferred = self.deferred.iter().map(|it| it.at).min();
-        let timers = [
-            policy,
-            syncs,
-            commit,
-            flush,
-            deferred,
-            self.grants.next_due(),
-            self.leases.next_expiry(),
-        ];
+        let timers = [policy, syncs, commit, flush, deferred, self.grants.next_due()];
         let next = timers.into_iter().flatten().min();
         let latest = now + SUMMARY_INTERVAL;
         next.unwrap_or(latest).clamp(now + SHORTEST_WAKE, latest)
--- a/crates/hall/tests/hall/main.rs
+++ b/crates/hall/tests/hall/main.rs
@@ -16,6 +16,7 @@
 
 mod changes;
 mod gangs;
+mod handover;
 mod intents;
 mod jobs;
 mod outage;
--- a/crates/hall/tests/hall/support.rs
+++ b/crates/hall/tests/hall/support.rs
@@ -234,19 +234,7 @@
 
     /// Gives a slot back.
     pub(crate) async fn give_back(&self, grant: &model::SlotGrant, outcome: model::RequestOutcome) {
-        let returned = model::GrantReturn {
-            grant: grant.grant,
-            request: grant.request,
-            hall: HALL.to_owned(),
-            outcome,
-            worker_fault: false,
-            elapsed: time::TimeSpan::from_millis(10),
-        };
-        let returns = model::GrantReturns {
-            entry: self.id.clone(),
-            hall: HALL.to_owned(),
-            returns: vec![returned],
-        };
+        let returns = returned(grant, outcome);
         self.service.ask(returns).await;
     }
 
@@ -315,6 +303,26 @@
     }
 }
 
+/// Gives a slot back.
+pub(crate) fn returned(
+    grant: &model::SlotGrant,
+    outcome: model::RequestOutcome,
+) -> model::GrantReturns {
+    let returned = model::GrantReturn {
+        grant: grant.grant,
+        request: grant.request,
+        hall: HALL.to_owned(),
+        outcome,
+        worker_fault: false,
+        elapsed: time::TimeSpan::from_millis(10),
+    };
+    model::GrantReturns {
+        entry: "entry".to_owned(),
+        hall: HALL.to_owned(),
+        returns: vec![returned],
+    }
+}
+
 /// A request that may run only once.
 pub(crate) fn keyed(site: &TestSite, key: ids::IdempotencyKey) -> model::GrantRequest {
     model::GrantRequest { idempotency: Some(key), ..request(site, TICKET) }
