Test the program itself: signals, JSON logs, TLS, refusals

Cause: SIGTERM, a second SIGTERM, TLS and the messages of a refused start were untested. Change: 4 tests that run almondpassd against the stand-in site; each log line must be JSON.

--- a/crates/daemon/tests/instances.rs
+++ b/crates/daemon/tests/site/instances.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use tokio::time::{self, Instant};
 
-mod common;
+use crate::common;
 
 /// A request, a job of one task and a gang, each through another instance.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- /dev/null
+++ b/crates/daemon/tests/site/main.rs
@@ -0,0 +1,5 @@
+//! Whole sites over real sockets.
+
+mod common;
+mod instances;
+mod process;
