--- a/crates/console/tests/support/mod.rs
+++ b/crates/console/tests/support/mod.rs
@@ -372,7 +372,9 @@
         0..=3 => job("gujarat-grid"),
         4 if index < 3 => (model::AcceleratorState::Request, Some("kutch-substations".to_owned())),
         6 => job("girnar-discom"),
-        7 if index % 3 == 0 => (model::AcceleratorState::Request, Some("narmada-works".to_owned())),
+        7 if index.is_multiple_of(3) => {
+            (model::AcceleratorState::Request, Some("narmada-works".to_owned()))
+        }
         8 => (model::AcceleratorState::Reserved, Some("gujarat-grid".to_owned())),
         13 if index < 5 => job("girnar-discom"),
         _ => (model::AcceleratorState::Free, None),
