Keep homes still where a claim does not fit, and hard work out of moved homes

Change: homes move only where the claim fits and the shares are free; reservations are checked against homes again before they start. Work that names its guarantee goes before work that merely fits it and makes such work of its own account yield; what can't be reclaimed looks outside its home first. Failed workers are avoided, not forbidden, so that a small hall can't run out of them. An ended start counts as having run; a stop for good keeps its reason.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::ledger::Usage;
 use crate::placement::{self, EmptyRule, PlaceAsk, PlaceRule};
 use crate::reasons;
+use crate::rules::BlockRule;
 use crate::topology::NONE;
 use crate::work;
 
@@ -124,7 +125,8 @@
         let ask = PlaceAsk::of(item);
         self.homes.iter().any(|it| {
             let named = item.guarantee.as_ref().is_none_or(|name| *name == it.guarantee);
-            let rule = CanonicalRule { core: self, block: &it.canonical, ask: &ask };
+            let block = &it.canonical;
+            let rule = BlockRule { topology: &self.topology, block, ask: &ask, exclude: &[] };
             it.account == account
                 && named
                 && 0 < ask.total()
@@ -162,33 +164,6 @@
     }
 }
 
-/// A guaranteed shape in an empty hall.
-struct CanonicalRule<'a> {
-    core: &'a HallCore,
-    block: &'a [u32],
-    ask: &'a PlaceAsk,
-}
-
-impl PlaceRule for CanonicalRule<'_> {
-    fn allows(&self, accelerator: u32) -> bool {
-        self.block.binary_search(&accelerator).is_ok()
-    }
-
-    fn room(&self, worker: u32) -> u32 {
-        let spec = &self.core.topology.workers[worker as usize];
-        let fits = Usage::share(spec, self.ask.width).covers(self.ask.usage);
-        if fits { u32::MAX } else { 0 }
-    }
-
-    fn penalty(&self, _accelerator: u32) -> u32 {
-        0
-    }
-
-    fn bare_rank(&self, _worker: u32) -> i64 {
-        0
-    }
-}
-
 fn never(text: impl Into<String>) -> model::WaitReason {
     reasons::plain(model::WaitCode::NeverFits, text)
 }
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -3,8 +3,8 @@
 use almondpass_schema::model;
 
 use crate::core::HallCore;
-use crate::item::ReserveKind;
-use crate::ledger::HeldTask;
+use crate::item::{ItemState, ReserveKind};
+use crate::ledger::{Booking, HeldTask};
 use crate::placement::{self, PlaceAsk, PlaceRule};
 use crate::queue::GroupKey;
 use crate::reasons;
@@ -21,7 +21,10 @@
             return;
         }
         let mut budget = CLAIMS_A_TURN;
-        for group in self.ranked_groups(|core, key| core.may_claim(key)) {
+        let mut groups = self.ranked_groups(|core, key| core.may_claim(key));
+        // Work that names its guarantee goes before what merely fits.
+        groups.sort_by_key(|it| self.queue.group(*it).is_some_and(|it| it.key.guarantee.is_none()));
+        for group in groups {
             while self.serve_claim(group) {
                 budget -= 1;
                 if budget == 0 {
@@ -43,7 +46,31 @@
         shape.account == key.account
             && shape.settled()
             && key.guarantee.as_ref().is_none_or(|it| *it == shape.guarantee)
-            && self.claimed(home) + width <= shape.size
+            && self.kept_claims(home, key) + width <= shape.size
+    }
+
+    /// Accelerators of a home whose claims do not yield to work of this kind.
+    fn kept_claims(&self, home: u32, key: &GroupKey) -> u32 {
+        let kept = |it: &&u32| !self.yields(**it, key);
+        let claims = self.homes[home as usize].claims.iter().filter(kept);
+        claims.map(|it| self.items.at(*it).width()).sum()
+    }
+
+    /// Whether a claim gives way to other work of its own account: it took the guarantee without
+    /// naming it, and the other names it or is urgent.
+    pub(crate) fn yields(&self, claim: u32, key: &GroupKey) -> bool {
+        let item = self.items.at(claim);
+        let rule = &self.catalog.classes[item.class as usize];
+        let other = &self.catalog.classes[key.class as usize];
+        let running = matches!(item.state, ItemState::Starting | ItemState::Running);
+        let stronger = key.guarantee.is_some() || other.urgent;
+        running
+            && stronger
+            && item.work.guarantee.is_none()
+            && !rule.urgent
+            && rule.repeatable
+            && !rule.request
+            && rule.priority <= other.priority
     }
 
     /// Serves the first of a group; false where it can't be served now.
@@ -59,23 +86,29 @@
         let homes: Vec<u32> =
             (0..self.homes.len() as u32).filter(|it| self.home_fits(*it, &key, width)).collect();
         let ask = PlaceAsk::of(&self.items.at(index).work);
+        // What can't be reclaimed is as safe elsewhere, and would stand in the way of a claim of the
+        // whole shape at home.
+        let hard = self.booking_of(index) == Booking::Hard;
+        if hard && key.guarantee.is_none() && self.place_open(index) {
+            return true;
+        }
         for home in &homes {
-            if let Some(tasks) = self.place_claim(index, *home, &ask) {
+            if let Some(tasks) = self.place_claim(index, *home, &ask, &key) {
                 return self.start_claim(index, *home, tasks, "home block is free");
             }
         }
         // Free accelerators elsewhere cost nobody anything.
-        if key.guarantee.is_none() && self.place_open(index) {
+        if key.guarantee.is_none() && !hard && self.place_open(index) {
             return true;
         }
         for home in &homes {
-            if self.move_to_free(*home)
-                && let Some(tasks) = self.place_claim(index, *home, &ask)
+            if self.move_to_free(*home, index)
+                && let Some(tasks) = self.place_claim(index, *home, &ask, &key)
             {
                 return self.start_claim(index, *home, tasks, "block was moved to a free one");
             }
         }
-        homes.iter().any(|it| self.reclaim_home(index, *it, &ask))
+        homes.iter().any(|it| self.reclaim_home(index, *it, &ask, &key))
     }
 
     fn start_claim(&mut self, index: u32, home: u32, tasks: Vec<HeldTask>, how: &str) -> bool {
@@ -91,16 +124,23 @@
     }
 
     /// A free place in the home block.
-    fn place_claim(&self, index: u32, home: u32, ask: &PlaceAsk) -> Option<Vec<HeldTask>> {
+    fn place_claim(
+        &self,
+        index: u32,
+        home: u32,
+        ask: &PlaceAsk,
+        key: &GroupKey,
+    ) -> Option<Vec<HeldTask>> {
         let exclude = &self.items.at(index).exclude;
-        let rule = ClaimRule { core: self, home, ask, reclaims: false, exclude };
+        let rule = ClaimRule { core: self, home, key, ask, reclaims: false, exclude };
         placement::best(&self.topology, ask, &rule)
     }
 
     /// Reserves the cheapest place in the home block and sends away whoever is there.
-    fn reclaim_home(&mut self, index: u32, home: u32, ask: &PlaceAsk) -> bool {
+    fn reclaim_home(&mut self, index: u32, home: u32, ask: &PlaceAsk, key: &GroupKey) -> bool {
+        self.move_to_cheaper(home, index);
         let exclude = &self.items.at(index).exclude;
-        let rule = ClaimRule { core: self, home, ask, reclaims: true, exclude };
+        let rule = ClaimRule { core: self, home, key, ask, reclaims: true, exclude };
         let Some(tasks) = self.cheapest_place(ask, &rule, home) else { return false };
         self.dequeue(index);
         self.reserve(index, tasks, ReserveKind::Claim, Some(home));
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -10,7 +10,6 @@
 use crate::item::{ItemState, QueueItem};
 use crate::ledger::{Booking, HeldTask, Usage};
 use crate::reasons;
-use crate::timers::TimerKind;
 use crate::topology::{NONE, WorkerSpec};
 use crate::work;
 
@@ -59,9 +58,7 @@
             return;
         }
         self.enqueue(index);
-        if let Some(at) = self.items.at(index).work.deadline {
-            self.set_timer(at.min(self.now), TimerKind::Deadline, index);
-        }
+        self.check_deadline(index);
     }
 
     fn insert(&mut self, work: work::WorkItem, started_at: time::WallTime) -> u32 {
@@ -90,6 +87,7 @@
             failed_on: Vec::new(),
             failures: 0,
             exclude,
+            end: None,
             reclaimed: 0,
             work,
         })
@@ -209,7 +207,8 @@
             }
         }
         if self.items.at(index).fate == StopFate::End && state == ItemState::Stopping {
-            self.finish_unrun(index, reasons::cancelled());
+            let reason = self.end_reason(index);
+            self.finish_unrun(index, reason);
             return;
         }
         let wait = if worker.is_none() && fault != StartFault::Withdrawn {
@@ -235,9 +234,12 @@
     }
 
     fn ended(&mut self, index: u32, exit: &WorkExit) {
-        if !self.items.at(index).state.holds() {
+        let item = self.items.at_mut(index);
+        if !item.state.holds() {
             return;
         }
+        // Unlike a failed start, an end says that some of it may have run.
+        item.ran = true;
         match exit {
             WorkExit::Succeeded => self.succeeded(index),
             WorkExit::Stopped => self.stopped(index),
--- a/crates/policy/src/item.rs
+++ b/crates/policy/src/item.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_schema::time;
+use almondpass_schema::{model, time};
 
 use crate::decision;
 use crate::ledger;
@@ -82,11 +82,13 @@
     pub(crate) throttled: bool,
     /// Stopped for an overrun; the reason of its end.
     pub(crate) overran: bool,
-    /// Workers on which it failed by itself.
+    /// Workers on which it failed by itself; it goes back there only where nothing else is free.
     pub(crate) failed_on: Vec<u32>,
     pub(crate) failures: u32,
     /// Workers on which it must not start again.
     pub(crate) exclude: Vec<u32>,
+    /// Why it ends, where a stop for good is under way.
+    pub(crate) end: Option<model::WaitReason>,
     /// Times it was a victim.
     pub(crate) reclaimed: u32,
 }
--- a/crates/policy/src/lifecycle.rs
+++ b/crates/policy/src/lifecycle.rs
@@ -148,6 +148,9 @@
         item.state = ItemState::Stopping;
         item.since = now;
         item.fate = fate;
+        if fate == StopFate::End && item.end.is_none() {
+            item.end = Some(reason.clone());
+        }
         let work = item.work.work;
         self.outbox.push(Decision::Stop { work, fate, reason });
     }
@@ -173,6 +176,9 @@
         item.since = now;
         item.stop_by = stop_by;
         item.fate = fate;
+        if fate == StopFate::End {
+            item.end = Some(reason.clone());
+        }
         let work = item.work.work;
         self.outbox.push(Decision::Checkpoint { work, stop_by, reason });
         self.set_timer(stop_by, TimerKind::Grace, index);
@@ -196,9 +202,12 @@
             item.since = now;
             self.set_timer(now + wait, TimerKind::Retry, index);
         }
-        if let Some(at) = self.items.at(index).work.deadline {
-            self.set_timer(at.min(self.now), TimerKind::Deadline, index);
-        }
+        self.check_deadline(index);
+    }
+
+    /// Why an item ends whose stop was ordered.
+    pub(crate) fn end_reason(&self, index: u32) -> model::WaitReason {
+        self.items.at(index).end.clone().unwrap_or_else(reasons::cancelled)
     }
 
     /// Ends an item that holds nothing now: `not run` only where it never ran.
@@ -241,11 +250,9 @@
         self.release(index);
         let item = self.items.at(index);
         let asked = matches!(item.state, ItemState::Stopping | ItemState::Checkpointing);
-        if item.overran {
-            let reason = reasons::overran(&self.catalog.classes[item.class as usize]);
-            self.finish(index, model::RequestOutcome::Failed, reason);
-        } else if item.fate == StopFate::End && asked {
-            self.finish_unrun(index, reasons::cancelled());
+        if item.fate == StopFate::End && asked {
+            let reason = self.end_reason(index);
+            self.finish_unrun(index, reason);
         } else if asked || self.retries(index) {
             self.items.at_mut(index).reclaimed += 1;
             self.requeue(index, Duration::ZERO, reasons::stopped());
@@ -375,7 +382,7 @@
 
     /// Tells waiting work early that its deadline can't be met any more, and stops repeatable runs
     /// whose result has become worthless.
-    fn check_deadline(&mut self, index: u32) {
+    pub(crate) fn check_deadline(&mut self, index: u32) {
         let item = self.items.at(index);
         let Some(deadline) = item.work.deadline else { return };
         let rule = &self.catalog.classes[item.class as usize];
--- a/crates/policy/src/picture.rs
+++ b/crates/policy/src/picture.rs
@@ -3,6 +3,7 @@
 use almondpass_schema::{model, time};
 
 use crate::core::HallCore;
+use crate::guarantee::HomeBlock;
 use crate::item::{ItemState, QueueItem, ReserveKind};
 use crate::placement;
 use crate::reasons;
@@ -87,12 +88,38 @@
         if group.blocked_at.is_none() {
             return reasons::plain(model::WaitCode::Queued, "queued; decided in the next turn");
         }
+        if item.work.guarantee.is_some() {
+            return self.explain_claim(item);
+        }
         match group.block {
             model::WaitCode::Adjacency => self.explain_adjacency(item),
             code => reasons::plain(code, self.waiting_text(item, code, now)),
         }
     }
 
+    /// Why work that names a guarantee does not have it.
+    fn explain_claim(&self, item: &QueueItem) -> model::WaitReason {
+        let named = |it: &&HomeBlock| {
+            it.account == item.account && Some(&it.guarantee) == item.work.guarantee.as_ref()
+        };
+        let Some(shape) = self.homes.iter().find(named) else {
+            let text = format!("its guarantee is not at home in {} now", self.hall);
+            return reasons::plain(model::WaitCode::NoCapacity, text);
+        };
+        let label = shape.label();
+        if !shape.settled() {
+            let text = format!("guarantee {label} is lost: too few workers of {}", self.hall);
+            return reasons::plain(model::WaitCode::NoCapacity, text);
+        }
+        let claimed: u32 = shape.claims.iter().map(|it| self.items.at(*it).width()).sum();
+        let text = format!(
+            "guarantee {label} is claimed already, with {claimed} of {} accelerators, and nothing \
+             above it is free",
+            shape.size
+        );
+        reasons::plain(model::WaitCode::NoCapacity, text)
+    }
+
     fn explain_adjacency(&self, item: &QueueItem) -> model::WaitReason {
         let need = item.width();
         let runs = placement::runs(&self.topology, item.work.adjacency, |it| self.is_open(it));
--- a/crates/policy/src/probing.rs
+++ b/crates/policy/src/probing.rs
@@ -19,8 +19,6 @@
 const NEWEST_PART: f64 = 0.2;
 /// A failure never counts for less than this against its worker.
 const LEAST_WEIGHT: f64 = 0.1;
-/// Workers that a piece of work avoids after failures, the newest ones.
-const MOST_EXCLUDED: usize = 4;
 /// Probes started in one turn.
 const PROBES_A_TURN: usize = 4;
 
@@ -78,12 +76,6 @@
         if !item.failed_on.contains(&worker) {
             item.failed_on.push(worker);
         }
-        if !item.exclude.contains(&worker) {
-            item.exclude.push(worker);
-        }
-        if MOST_EXCLUDED < item.exclude.len() {
-            item.exclude.remove(0);
-        }
         let (account, class) = (item.account, item.class);
         let elsewhere = 1 < item.failed_on.len();
         let first = !self.health[worker as usize].suspect();
--- a/crates/policy/src/reclaim.rs
+++ b/crates/policy/src/reclaim.rs
@@ -10,6 +10,7 @@
 use crate::ledger::HeldTask;
 use crate::placement::{self, PlaceAsk, PlaceRule};
 use crate::reasons;
+use crate::reserve;
 use crate::topology::NONE;
 
 /// Added to the lost work of each victim, in accelerator seconds: a stop and a start cost
@@ -148,6 +149,11 @@
         // Requests and what is not repeatable end by themselves, within the bound.
         let stoppable = !rule.request && rule.repeatable;
         if stoppable && matches!(item.state, ItemState::Starting | ItemState::Running) {
+            if item.claim.is_some() {
+                self.detach(victim);
+                let booking = self.booking_of(victim);
+                self.rebook(victim, booking);
+            }
             self.wind_down(victim, grace, StopFate::Requeue, reason);
         }
     }
@@ -166,12 +172,8 @@
             .collect();
         victims.sort_unstable();
         victims.dedup();
-        let mut at = 0;
-        while at < item.tasks.len() {
-            let worker = item.tasks[at].worker;
-            let here = item.tasks[at..].iter().take_while(|it| it.worker == worker).count();
-            self.more_victims(worker, usage.times(here as u32), &mut victims);
-            at += here;
+        for (worker, here) in reserve::by_worker(&item.tasks) {
+            self.more_victims(worker, usage.times(here.len() as u32), &mut victims);
         }
         victims
     }
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -10,9 +10,14 @@
 use crate::decision::Decision;
 use crate::guarantee::HomeBlock;
 use crate::ledger::{Booking, Usage};
+use crate::placement::{self, PlaceAsk};
 use crate::reasons;
+use crate::rules::BlockRule;
 use crate::topology::NONE;
 
+/// A home moves where a claim costs less than this part of what it costs in its present block.
+const WORTH_MOVING: f64 = 0.7;
+
 /// How dear a block is as a home: what a claim would cost now, then how far it is from where the
 /// shape is at home in an empty hall, then what it leaves of its run.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -184,7 +189,7 @@
 
     fn settle_lost(&mut self) {
         for home in self.lost_homes() {
-            if let Some(block) = self.cheapest_home(home) {
+            if let Some((_, block)) = self.cheapest_home(home, true) {
                 self.settle(home, block);
             }
         }
@@ -249,21 +254,46 @@
     /// Whether work that can't be reclaimed leaves each worker the cores, memory and slots that go
     /// with its home blocks.
     fn shares_kept(&self, block: &[u32], adds: bool) -> bool {
-        let mut at = 0;
-        while at < block.len() {
-            let worker = self.topology.worker_of[block[at] as usize];
-            let same = |it: &&u32| self.topology.worker_of[**it as usize] == worker;
-            let n = block[at..].iter().take_while(same).count();
+        self.by_worker(block).into_iter().all(|(worker, n)| {
             let spec = &self.topology.workers[worker as usize];
             let book = &self.ledger.workers[worker as usize];
-            let homes = book.home_accelerators + if adds { n as u32 } else { 0 };
+            let homes = book.home_accelerators + if adds { n } else { 0 };
             let left = Usage::capacity(spec).minus(Usage::share(spec, homes));
-            if !left.covers(book.hard) {
-                return false;
+            left.covers(book.hard)
+        })
+    }
+
+    /// Whether the cores, memory and slots that go with a block are free now. A home that moved to
+    /// a block without them would move again in each turn.
+    fn shares_free(&self, block: &[u32]) -> bool {
+        self.by_worker(block).into_iter().all(|(worker, n)| {
+            let spec = &self.topology.workers[worker as usize];
+            let book = &self.ledger.workers[worker as usize];
+            book.free.minus(book.reserved).covers(Usage::share(spec, n))
+        })
+    }
+
+    /// Whether work would fit a block if nothing else were there. A home that moved to one that its
+    /// claim does not fit would move again in each turn.
+    fn fits_block(&self, index: u32, block: &[u32]) -> bool {
+        let item = self.items.at(index);
+        let ask = PlaceAsk::of(&item.work);
+        let exclude = &item.exclude;
+        let rule = BlockRule { topology: &self.topology, block, ask: &ask, exclude };
+        placement::best(&self.topology, &ask, &rule).is_some()
+    }
+
+    /// Workers of a block with how many of its accelerators each has.
+    fn by_worker(&self, block: &[u32]) -> Vec<(u32, u32)> {
+        let mut counts: Vec<(u32, u32)> = Vec::new();
+        for it in block {
+            let worker = self.topology.worker_of[*it as usize];
+            match counts.last_mut() {
+                Some((last, n)) if *last == worker => *n += 1,
+                _ => counts.push((worker, 1)),
             }
-            at += n;
         }
-        true
+        counts
     }
 
     /// Whether everything in a block can be sent away or is the account's own and all inside.
@@ -286,7 +316,7 @@
     }
 
     /// The cheapest block for a shape that has none.
-    fn cheapest_home(&self, home: u32) -> Option<Vec<u32>> {
+    fn cheapest_home(&self, home: u32, own_free: bool) -> Option<(HomeCost, Vec<u32>)> {
         let shape = &self.homes[home as usize];
         let allows = |it: u32| self.home_allows(home, it);
         let choices = blocks::choices(&self.topology, shape.size, shape.adjacency, allows);
@@ -294,12 +324,14 @@
             .into_iter()
             .filter(|it| self.shares_kept(&it.accelerators, true))
             .filter(|it| self.holders_fit(home, &it.accelerators))
-            .map(|it| (self.home_cost(home, &it), it))
+            .map(|it| (self.home_cost(home, &it, own_free), it))
             .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))
-            .map(|(_, it)| it.accelerators)
+            .map(|(cost, it)| (cost, it.accelerators))
     }
 
-    fn home_cost(&self, home: u32, choice: &blocks::BlockChoice) -> HomeCost {
+    /// Prices a block. Where `own_free`, the account's own work in it costs nothing: it becomes a
+    /// claim.
+    fn home_cost(&self, home: u32, choice: &blocks::BlockChoice, own_free: bool) -> HomeCost {
         let shape = &self.homes[home as usize];
         let mut holders: Vec<u32> = choice
             .accelerators
@@ -312,7 +344,7 @@
         let cost = |it: &u32| {
             let item = self.items.at(*it);
             let own = item.account == shape.account;
-            if own { 0.0 } else { item.lost_work(self.now) + 1.0 }
+            if own && own_free { 0.0 } else { self.victim_cost(item) }
         };
         HomeCost {
             lost_work: holders.iter().map(cost).sum(),
@@ -322,8 +354,26 @@
         }
     }
 
+    /// Moves an unclaimed home to where a claim would cost clearly less.
+    pub(crate) fn move_to_cheaper(&mut self, home: u32, index: u32) {
+        let shape = &self.homes[home as usize];
+        if !shape.claims.is_empty() {
+            return;
+        }
+        let here = blocks::BlockChoice { accelerators: shape.block.clone(), slack: 0 };
+        let now = self.home_cost(home, &here, false).lost_work;
+        let Some((cost, block)) = self.cheapest_home(home, false) else { return };
+        let cheaper = cost.lost_work < now * WORTH_MOVING;
+        if block == here.accelerators || !cheaper || !self.fits_block(index, &block) {
+            return;
+        }
+        self.leave(home);
+        self.settle(home, block);
+        self.report(home, "moved to a block that costs less to reclaim");
+    }
+
     /// Moves an unclaimed home to a wholly free block elsewhere; false where there is none.
-    pub(crate) fn move_to_free(&mut self, home: u32) -> bool {
+    pub(crate) fn move_to_free(&mut self, home: u32, index: u32) -> bool {
         let shape = &self.homes[home as usize];
         if !shape.claims.is_empty() {
             return false;
@@ -339,6 +389,8 @@
         let choice = choices
             .into_iter()
             .filter(|it| self.shares_kept(&it.accelerators, true))
+            .filter(|it| self.shares_free(&it.accelerators))
+            .filter(|it| self.fits_block(index, &it.accelerators))
             .min_by_key(|it| (it.slack, it.accelerators[0]));
         let Some(choice) = choice else { return false };
         self.leave(home);
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -4,7 +4,7 @@
 
 use crate::core::HallCore;
 use crate::item::{ItemState, ReserveKind};
-use crate::ledger::{HeldTask, Usage};
+use crate::ledger::{Booking, HeldTask};
 use crate::reasons;
 use crate::topology::NONE;
 
@@ -93,7 +93,7 @@
     fn check_reservation(&mut self, index: u32) {
         let tasks = self.items.at(index).tasks.clone();
         let open = |it: &HeldTask| self.health[it.worker as usize].usable();
-        if !tasks.iter().all(open) {
+        if !tasks.iter().all(open) || !self.leaves_homes_alone(index, &tasks) {
             self.withdraw(index);
             return;
         }
@@ -107,25 +107,31 @@
         }
     }
 
+    /// Whether work that can't be reclaimed would still start beside all home blocks. A block may
+    /// have moved over a place after it was reserved; started there, the work would hold the
+    /// guarantee up for its whole run.
+    fn leaves_homes_alone(&self, index: u32, tasks: &[HeldTask]) -> bool {
+        if self.items.at(index).claim.is_some() || self.booking_of(index) != Booking::Hard {
+            return true;
+        }
+        let outside = |it: &u32| self.ledger.home[*it as usize] == NONE;
+        let usage = self.usage_of(index);
+        tasks.iter().flat_map(|it| &it.accelerators).all(outside)
+            && by_worker(tasks).all(|(worker, here)| {
+                let room = self.ledger.hard_room(worker, &self.topology);
+                room.covers(usage.times(here.len() as u32))
+            })
+    }
+
     /// Whether every accelerator, and the cores, memory and slots beside them, are free.
     fn is_free(&self, index: u32, tasks: &[HeldTask]) -> bool {
         let usage = self.usage_of(index);
-        let mut at = 0;
-        while at < tasks.len() {
-            let worker = tasks[at].worker;
-            let here = tasks[at..].iter().take_while(|it| it.worker == worker).count();
-            let free = |it: &u32| self.ledger.holder[*it as usize] == NONE;
-            let group = &tasks[at..at + here];
-            if !group.iter().flat_map(|it| &it.accelerators).all(free) {
-                return false;
-            }
-            let needed: Usage = usage.times(here as u32);
-            if !self.ledger.workers[worker as usize].free.covers(needed) {
-                return false;
-            }
-            at += here;
-        }
-        true
+        let free = |it: &u32| self.ledger.holder[*it as usize] == NONE;
+        by_worker(tasks).all(|(worker, here)| {
+            let needed = usage.times(here.len() as u32);
+            here.iter().flat_map(|it| &it.accelerators).all(free)
+                && self.ledger.workers[worker as usize].free.covers(needed)
+        })
     }
 
     fn start_reserved(&mut self, index: u32, kind: ReserveKind) {
@@ -142,3 +148,8 @@
         self.start(index, tasks, claim, reason);
     }
 }
+
+/// Tasks of each worker; tasks of one worker stand together.
+pub(crate) fn by_worker(tasks: &[HeldTask]) -> impl Iterator<Item = (u32, &[HeldTask])> {
+    tasks.chunk_by(|a, b| a.worker == b.worker).map(|it| (it[0].worker, it))
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -8,7 +8,8 @@
 use crate::item::{ItemState, ReserveKind};
 use crate::ledger::{Booking, Usage};
 use crate::placement::{PlaceAsk, PlaceRule};
-use crate::topology::NONE;
+use crate::queue::GroupKey;
+use crate::topology::{HallTopology, NONE};
 
 /// Failures on a worker make it less welcome by this, and an accelerator in a home block by one.
 const SUSPECT_PENALTY: u32 = 4;
@@ -27,6 +28,8 @@
     /// By when it is gone in any case.
     pub(crate) certain_end: time::WallTime,
     pub(crate) exclude: &'a [u32],
+    /// Workers on which it failed.
+    pub(crate) avoid: &'a [u32],
 }
 
 impl<'a> OpenRule<'a> {
@@ -48,6 +51,7 @@
             expected_end: core.now + left(likely),
             certain_end: core.now + left(bound),
             exclude: &item.exclude,
+            avoid: &item.failed_on,
         }
     }
 
@@ -66,6 +70,11 @@
         end <= gang.opening
     }
 
+    /// Whether something failed on the worker lately, or this very work did.
+    fn avoids(&self, worker: u32) -> bool {
+        self.core.health[worker as usize].suspect() || self.avoid.contains(&worker)
+    }
+
     /// What reservations keep from this work on a worker.
     fn kept(&self, worker: u32) -> Usage {
         let reserved = self.core.ledger.workers[worker as usize].reserved;
@@ -112,8 +121,7 @@
         let at = accelerator as usize;
         let home = self.long && self.core.ledger.home[at] != NONE;
         let worker = self.core.topology.worker_of[at];
-        let suspect = self.core.health[worker as usize].suspect();
-        u32::from(home) + SUSPECT_PENALTY * u32::from(suspect)
+        u32::from(home) + SUSPECT_PENALTY * u32::from(self.avoids(worker))
     }
 
     /// Cores and memory that free accelerators will need are used last, then the fullest worker
@@ -123,9 +131,37 @@
         let book = &self.core.ledger.workers[worker as usize];
         let kept = Usage::share(spec, book.free_accelerators);
         let strands = !book.free.minus(kept).covers(self.usage);
-        let suspect = self.core.health[worker as usize].suspect();
         let rank = book.free.cores + 10_000 * i64::from(strands);
-        rank + 100_000 * i64::from(suspect)
+        rank + 100_000 * i64::from(self.avoids(worker))
+    }
+}
+
+/// A block as if it were empty, to see whether work could ever claim it.
+pub(crate) struct BlockRule<'a> {
+    pub(crate) topology: &'a HallTopology,
+    /// Its accelerators, ascending.
+    pub(crate) block: &'a [u32],
+    pub(crate) ask: &'a PlaceAsk,
+    pub(crate) exclude: &'a [u32],
+}
+
+impl PlaceRule for BlockRule<'_> {
+    fn allows(&self, accelerator: u32) -> bool {
+        self.block.binary_search(&accelerator).is_ok()
+    }
+
+    fn room(&self, worker: u32) -> u32 {
+        let spec = &self.topology.workers[worker as usize];
+        let fits = Usage::share(spec, self.ask.width).covers(self.ask.usage);
+        if fits && !self.exclude.contains(&worker) { u32::MAX } else { 0 }
+    }
+
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
+    }
+
+    fn bare_rank(&self, _worker: u32) -> i64 {
+        0
     }
 }
 
@@ -133,6 +169,7 @@
 pub(crate) struct ClaimRule<'a> {
     pub(crate) core: &'a HallCore,
     pub(crate) home: u32,
+    pub(crate) key: &'a GroupKey,
     pub(crate) ask: &'a PlaceAsk,
     /// Whether it may take what others hold, to be reclaimed.
     pub(crate) reclaims: bool,
@@ -150,7 +187,8 @@
     /// Whether the holder can be sent away, or leaves by itself in time.
     fn takes(&self, holder: u32) -> bool {
         let item = self.core.items.at(holder);
-        item.claim.is_none() && self.core.freeable(item)
+        let own = item.claim.is_some() && self.core.yields(holder, self.key);
+        (item.claim.is_none() || own) && self.core.freeable(item)
     }
 }
 
