--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -43,6 +43,8 @@
     Refused,
     /// The service answers with an error before any effect.
     Unavailable,
+    /// The service rejects the call for good, as too large, before any effect.
+    Rejected,
     /// The call vanishes without effect or answer.
     RequestLost,
     /// The call has its effect; the answer is lost.
@@ -243,6 +245,10 @@
             let detail = "the service is unavailable".to_owned();
             Err(error::CallFault::Refused { status: 503, detail })
         }
+        Fault::Rejected => {
+            let detail = "the call is too large".to_owned();
+            Err(error::CallFault::Refused { status: 413, detail })
+        }
         Fault::RequestLost => {
             time::sleep(SILENCE).await;
             Err(no_answer())
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -220,6 +220,7 @@
     match fault {
         fault::Fault::Refused => Err(error::CallFault::NotSent("a refused one".to_owned())),
         fault::Fault::Unavailable => Err(refused(503, "the service is unavailable".to_owned())),
+        fault::Fault::Rejected => Err(refused(413, "the call is too large".to_owned())),
         fault::Fault::RequestLost => {
             time::sleep(fault::SILENCE).await;
             Err(no_answer())
