Fit guarantees as the policy does; mend what was unclear in the console

The pictures showed key hashes and paths cut in the middle, home blocks hidden under letters, free runs counted over workers that take no work, and an accept button without changes.

--- a/crates/config/src/rules/capacity.rs
+++ b/crates/config/src/rules/capacity.rs
@@ -1,5 +1,6 @@
 //! Whether the guarantees fit the halls, each by itself and all together.
 
+use almondpass_policy::{homes, scheduler};
 use almondpass_schema::model;
 
 use crate::fault;
@@ -44,14 +45,35 @@
     blocks.max()
 }
 
+/// Lays the shapes beside each other as the policy does, so that a document that is accepted here
+/// is never refused by a hall's scheduler.
 fn check_together(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
-    let shapes = document.accounts.iter().flat_map(|it| &it.guarantees);
-    let wanted = shapes.map(|it| u64::from(it.accelerators)).sum::<u64>();
-    let halls = document.halls.iter();
-    let there = halls.map(|it| u64::from(hall_accelerators(it, document))).sum::<u64>();
-    let path = path::FieldPath::root().member("accounts");
-    let expected = format!("guarantees of at most {there} accelerators together");
-    faults.require(wanted <= there, &path, expected, wanted);
+    let Err(fault) = homes::assign(document) else {
+        return;
+    };
+    let scheduler::PolicyFault::GuaranteeUnfit { account, guarantee, hall, detail } = fault else {
+        return faults.push(
+            &path::FieldPath::root(),
+            "halls for the guarantees",
+            fault.to_string(),
+        );
+    };
+    let path = shape_path(document, &account, &guarantee);
+    let expected = format!("room for it in hall {hall} beside the other guarantees");
+    faults.push(&path, expected, detail);
+}
+
+fn shape_path(document: &model::ConfigDocument, account: &str, guarantee: &str) -> path::FieldPath {
+    let list = path::FieldPath::root().member("accounts");
+    let Some(index) = document.accounts.iter().position(|it| it.id == account) else {
+        return list;
+    };
+    let shapes = list.item(index).member("guarantees");
+    let guarantees = &document.accounts[index].guarantees;
+    match guarantees.iter().position(|it| it.name == guarantee) {
+        Some(index) => shapes.item(index),
+        None => shapes,
+    }
 }
 
 fn hall_accelerators(hall: &model::HallLayout, document: &model::ConfigDocument) -> u32 {
--- a/crates/config/tests/rules.rs
+++ b/crates/config/tests/rules.rs
@@ -66,6 +66,11 @@
         "{name: ageing, accelerators: 64, adjacency: rack}" => "{name: ageing, accelerators: 128, adjacency: hall}",
         "{name: ageing, accelerators: 32, adjacency: rack}" => "{name: ageing, accelerators: 128, adjacency: hall}",
         "{name: diagnosis, accelerators: 16, adjacency: rack, hall: rajkot}" => "{name: diagnosis, accelerators: 128, adjacency: hall}";
+    guarantees_that_no_order_of_blocks_fits:
+        "hall: bharuch" => "hall: rajkot",
+        "{name: diagnosis, accelerators: 16, adjacency: rack, hall: rajkot}" => "{name: diagnosis, accelerators: 64, adjacency: rack, hall: rajkot}",
+        "limits: {queued_jobs: 200, running_requests: 64, queued_requests: 256, accelerators: 64}" => "limits: {queued_jobs: 200, running_requests: 64, queued_requests: 256}",
+        "{name: ageing, accelerators: 64, adjacency: rack}" => "{name: ageing, accelerators: 60, adjacency: rack, hall: rajkot}";
     drains:
         "accounts:" => "drains:\n- {since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-08, since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-9, since: 2026-12-02T18:00:00Z}\n- {worker: rajkot-r1-08, since: 2026-12-02T19:00:00Z}\naccounts:";
     worker_names_that_two_racks_would_give:
--- a/crates/console/src/page/changes.rs
+++ b/crates/console/src/page/changes.rs
@@ -15,7 +15,7 @@
                 tbody {
                     @for change in changes {
                         tr.both[is_marked(&change.path)] {
-                            td.path { (change.path) }
+                            td.path { (breakable(&change.path)) }
                             td { @if let Some(before) = &change.before { del { (before) } } }
                             td { @if let Some(after) = &change.after { ins { (after) } } }
                         }
@@ -26,6 +26,13 @@
     }
 }
 
+/// A path that a browser may break behind its steps rather than in the middle of a name.
+pub(crate) fn breakable(path: &str) -> Markup {
+    html! {
+        @for step in path.split_inclusive(['.', '[']) { (step) wbr; }
+    }
+}
+
 /// A unified diff, line by line.
 pub(crate) fn unified(text: &str) -> Markup {
     let class = |line: &str| match line.as_bytes().first() {
--- a/crates/console/src/page/conflict.rs
+++ b/crates/console/src/page/conflict.rs
@@ -18,8 +18,8 @@
         p.notice role="alert" {
             strong { (newest.operator) } " was first: version " (newest.version) " was accepted "
             (queues::clock(newest.accepted_at)) " while you edited version " (conflict.base) "."
-            @if !newest.note.is_empty() { " Note: " (newest.note) }
             " Nothing of yours was written, and nothing is lost."
+            @if !newest.note.is_empty() { br; "Their note: " q { (newest.note) } }
         }
         @if !conflict.both.is_empty() {
             p.fault {
@@ -37,7 +37,7 @@
                 (changes::table(&conflict.yours, &conflict.both))
             }
         }
-        form method="post" action="/console/config/draft" {
+        form.next method="post" action="/console/config/draft" {
             (layout::csrf_field(session))
             @for (name, value) in carried.carried() {
                 input type="hidden" name=(name) value=(value);
--- a/crates/console/src/page/draft.rs
+++ b/crates/console/src/page/draft.rs
@@ -37,6 +37,14 @@
     pub(crate) refusal: Option<String>,
 }
 
+impl DraftReview {
+    /// Whether there is something to accept, and nothing wrong with it.
+    fn can_be_accepted(&self) -> bool {
+        let unchanged = self.changes.as_ref().is_some_and(Vec::is_empty);
+        self.faults.is_empty() && !unchanged
+    }
+}
+
 impl DraftState {
     /// The hidden fields that carry the draft from page to page.
     pub(crate) fn carried(&self) -> Vec<(String, String)> {
@@ -73,7 +81,7 @@
             div.columns {
                 section.inputs {
                     (draft.section.inputs(&set, &text))
-                    p { button name="action" value="update" { "Update the draft" } }
+                    p { button name="action" value="update" { "Check and show changes" } }
                 }
                 aside {
                     (review_column(draft, review))
@@ -114,7 +122,7 @@
             (faults(&review.faults))
         }
         label { "Note for the history" input type="text" name="note" value=(draft.note) maxlength="200"; }
-        button.main name="action" value="accept" disabled[!review.faults.is_empty()] {
+        button.main name="action" value="accept" disabled[!review.can_be_accepted()] {
             "Accept as version " (draft.base + 1)
         }
     }
@@ -125,7 +133,7 @@
         ul.faults {
             @for fault in faults {
                 li {
-                    strong { (fault.path) }
+                    strong { (changes::breakable(&fault.path)) }
                     " expected " (fault.expected) ", found " (fault.found)
                 }
             }
--- a/crates/console/src/page/hall.rs
+++ b/crates/console/src/page/hall.rs
@@ -18,9 +18,9 @@
         p.facts {
             "Scheduled by " strong { (picture.holder) } ", tenure " (picture.epoch) ". "
             "Fragmentation " strong { (percent(picture.fragmentation)) } ". "
-            (count(picture, model::AcceleratorState::Free)) " of "
+            (free_accelerators(picture)) " of "
             (picture.workers.iter().map(|it| it.accelerators.len()).sum::<usize>())
-            " accelerators are free."
+            " accelerators are free on workers that take work."
         }
         (hall_svg::drawing(picture, &palette))
         (hall_svg::legend(&palette))
@@ -44,9 +44,10 @@
     }
 }
 
-fn count(picture: &model::HallPicture, state: model::AcceleratorState) -> usize {
-    let accelerators = picture.workers.iter().flat_map(|it| &it.accelerators);
-    accelerators.filter(|it| it.state == state).count()
+fn free_accelerators(picture: &model::HallPicture) -> usize {
+    let workers = picture.workers.iter().filter(|it| it.state == model::WorkerState::Live);
+    let accelerators = workers.flat_map(|it| &it.accelerators);
+    accelerators.filter(|it| it.state == model::AcceleratorState::Free).count()
 }
 
 fn percent(share: f64) -> String {
--- a/crates/console/src/page/hall_svg.rs
+++ b/crates/console/src/page/hall_svg.rs
@@ -7,8 +7,12 @@
 
 /// Side of an accelerator.
 const CELL: usize = 20;
-/// Between accelerators.
+/// Between accelerators beside each other.
 const GAP: usize = 2;
+/// Between lines of accelerators; holds the sign of the home block above it.
+const LINE_GAP: usize = 6;
+/// Thickness of the sign of a home block.
+const HOME: usize = 4;
 /// Accelerators in a line of a worker; they are in order from left to right, then down.
 const MAX_COLUMNS: usize = 4;
 /// Inside the frame of a worker.
@@ -80,8 +84,8 @@
             li { (sign("cell lost", "×")) "lost" }
             li {
                 svg.sign width=(CELL) height=(CELL) {
-                    rect.cell.free width=(CELL) height=(CELL) rx="2" {}
-                    rect.home.account-0 y=(CELL - 4) width=(CELL) height="4" {}
+                    rect.cell.free width=(CELL) height=(CELL - HOME - 1) rx="2" {}
+                    rect.home.account-0 y=(CELL - HOME) width=(CELL) height=(HOME) {}
                 }
                 "home block, in the account's colour"
             }
@@ -110,7 +114,7 @@
 
     fn worker_height(&self) -> usize {
         let most = self.workers.iter().map(|it| it.accelerators.len()).max().unwrap_or(0);
-        most.div_ceil(MAX_COLUMNS).max(1) * (CELL + GAP) - GAP + 2 * PADDING
+        most.div_ceil(MAX_COLUMNS).max(1) * (CELL + LINE_GAP) - LINE_GAP + HOME + 2 * PADDING
     }
 
     fn width(&self) -> usize {
@@ -179,7 +183,7 @@
     palette: &palette::AccountPalette<'_>,
 ) -> Markup {
     let x = PADDING + index % MAX_COLUMNS * (CELL + GAP);
-    let y = LABEL + PADDING + index / MAX_COLUMNS * (CELL + GAP);
+    let y = LABEL + PADDING + index / MAX_COLUMNS * (CELL + LINE_GAP);
     let colour = view.account.as_deref().map(|it| palette.class(it)).unwrap_or_default();
     let letter = match (&view.account, view.state) {
         (Some(account), _) => palette.letter(account).to_string(),
@@ -194,7 +198,7 @@
             @if !letter.is_empty() { text x=(CELL / 2) y="14" { (letter) } }
             @if let Some(account) = home {
                 rect class=(format!("home {}", palette.class(account)))
-                    y=(CELL - 4) width=(CELL) height="4" {}
+                    y=(CELL + 1) width=(CELL) height=(HOME) {}
             }
         }
     }
@@ -216,8 +220,11 @@
 
 /// The rack's accelerators in one line, so that a free run across workers is seen as one.
 fn draw_strip(rack: &RackPicture<'_>, top: usize) -> Markup {
-    let accelerators = rack.workers.iter().flat_map(|it| &it.accelerators);
-    let free = accelerators.map(|it| it.state == model::AcceleratorState::Free);
+    // What is free on a worker that takes no work is of no use to a gang.
+    let free = rack.workers.iter().flat_map(|worker| {
+        let live = worker.state == model::WorkerState::Live;
+        worker.accelerators.iter().map(move |it| live && it.state == model::AcceleratorState::Free)
+    });
     let runs = runs(&free.collect::<Vec<_>>());
     let n_accelerators = runs.iter().map(|it| it.length).sum::<usize>().max(1);
     let width = rack.width() - WORKER_GAP;
--- a/crates/console/src/page/input.rs
+++ b/crates/console/src/page/input.rs
@@ -89,7 +89,7 @@
     pub(crate) fn new_key(&self, pointer: &str) -> Markup {
         html! {
             input type="password" name=(field::FieldName::new(field::FieldKind::NewKey, pointer))
-                placeholder="new key; only its hash is kept" autocomplete="off" aria-label="New key";
+                placeholder="in clear; only its hash is kept" autocomplete="off" aria-label="New key";
         }
     }
 
@@ -151,7 +151,7 @@
 pub(crate) fn remove_button(pointer: &str, what: &str) -> Markup {
     html! {
         button.quiet name="action" value=(format!("remove:{pointer}")) title=(format!("Remove {what}")) {
-            "Remove"
+            "Remove" @if what.starts_with("the ") { " " (what) }
         }
     }
 }
--- a/crates/console/src/page/queues.rs
+++ b/crates/console/src/page/queues.rs
@@ -31,15 +31,15 @@
                 tbody {
                     @for waiting in queue {
                         tr {
-                            td { (waiting.account) }
-                            td { (waiting.class) }
-                            td.number { (span(now, waiting.since)) }
+                            td.whole { (waiting.account) }
+                            td.whole { (waiting.class) }
+                            td.number.whole { (span(now, waiting.since)) }
                             td {
                                 (waiting.reason.text) " "
                                 span.code { (waiting.reason.code) }
                             }
-                            td { @if let Some(until) = waiting.reason.until { (clock(until)) } }
-                            td.id { (waiting.job) }
+                            td.whole { @if let Some(until) = waiting.reason.until { (clock(until)) } }
+                            td.id.whole { (waiting.job) }
                         }
                     }
                 }
--- a/crates/console/src/page/sections.rs
+++ b/crates/console/src/page/sections.rs
@@ -93,20 +93,18 @@
 fn accounts(set: &input::InputSet<'_>) -> Markup {
     html! {
         p.hint { "Keys are kept as SHA-256 hashes, one a line. Type a key in clear to add its hash." }
-        table.form {
-            thead { tr { th { "Id" } th { "Name" } th { "Keys" } th {} } }
-            tbody {
-                @for (pointer, account) in set.items("/accounts") {
-                    tr {
-                        td { (set.text(&format!("{pointer}/id"))) }
-                        td { (set.text(&format!("{pointer}/name"))) }
-                        td.wide {
-                            (set.lines(&format!("{pointer}/keys")))
-                            (set.new_key(&format!("{pointer}/keys")))
-                        }
-                        td { (input::remove_button(&pointer, name_of(account))) }
-                    }
+        @for (pointer, account) in set.items("/accounts") {
+            fieldset {
+                legend { (name_of(account)) }
+                div.grid.roomy {
+                    label { "Id" (set.text(&format!("{pointer}/id"))) }
+                    label { "Name" (set.text(&format!("{pointer}/name"))) }
+                }
+                div.grid.single {
+                    label { "Keys" (set.lines(&format!("{pointer}/keys"))) }
+                    label { "New key" (set.new_key(&format!("{pointer}/keys"))) }
                 }
+                (input::remove_button(&pointer, name_of(account)))
             }
         }
         (input::add_button("/accounts", "Add an account"))
@@ -118,7 +116,7 @@
     html! {
         p.hint {
             "An account can always claim its shapes. Adjacent within: a worker, neighbouring workers of "
-            "a rack, or neighbouring racks of a hall."
+            "a rack, or neighbouring racks of a hall. In any hall: the system chooses one that has room."
         }
         @for (account_pointer, account) in set.items("/accounts") {
             @let list = format!("{account_pointer}/guarantees");
@@ -135,7 +133,7 @@
                                     td { (set.text(&format!("{pointer}/name"))) }
                                     td { (set.number(&format!("{pointer}/accelerators"))) }
                                     td { (set.select(&format!("{pointer}/adjacency"), &["any", "worker", "rack", "hall"], None)) }
-                                    td { (set.select(&format!("{pointer}/hall"), &halls, Some("chosen by the system"))) }
+                                    td { (set.select(&format!("{pointer}/hall"), &halls, Some("any hall"))) }
                                     td { (input::remove_button(&pointer, name_of(shape))) }
                                 }
                             }
@@ -275,7 +273,7 @@
                     }
                 }
                 (input::add_button(&list, "Add a rack")) " "
-                (input::remove_button(&hall_pointer, name_of(hall)))
+                (input::remove_button(&hall_pointer, &format!("the hall {}", name_of(hall))))
             }
         }
         (input::add_button("/halls", "Add a hall"))
