--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -89,9 +89,10 @@
         let demand = &item.demand;
         let tasks = reasons::count(item.tasks as usize, "task");
         never(format!(
-            "{tasks} of {} accelerators, {} cores and {} MiB each with adjacency {} fit in no \
-             block of {}, even when it is empty",
-            demand.accelerators, demand.cores, demand.memory_mb, item.adjacency, self.hall
+            "{tasks} of {} with adjacency {} can't be placed in {}, even when it is empty",
+            reasons::demand(demand),
+            item.adjacency,
+            self.hall
         ))
     }
 
@@ -112,10 +113,10 @@
             return Ok(());
         }
         Err(never(format!(
-            "{} of {} accelerators fit not in guarantee {name}, of {} accelerators ({})",
+            "{} of {} don't fit guarantee {name} of {} ({})",
             reasons::count(item.tasks as usize, "task"),
-            item.demand.accelerators,
-            home.accelerators,
+            reasons::count(item.demand.accelerators as usize, "accelerator"),
+            reasons::count(home.accelerators as usize, "accelerator"),
             home.adjacency
         )))
     }
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -97,17 +97,20 @@
                 return self.start_claim(index, *home, tasks, "home block is free");
             }
         }
-        // Free accelerators elsewhere cost nobody anything.
-        if key.guarantee.is_none() && !hard && self.place_open(index) {
-            return true;
-        }
+        // Free accelerators elsewhere cost nobody anything. The home moves there for work that uses
+        // most of it, so that it stays safe from others.
         for home in &homes {
-            if self.move_to_free(*home, index)
+            let most = self.homes[*home as usize].size <= 2 * width || key.guarantee.is_some();
+            if most
+                && self.move_to_free(*home, index)
                 && let Some(tasks) = self.place_claim(index, *home, &ask, &key)
             {
                 return self.start_claim(index, *home, tasks, "block was moved to a free one");
             }
         }
+        if key.guarantee.is_none() && !hard && self.place_open(index) {
+            return true;
+        }
         homes.iter().any(|it| self.reclaim_home(index, *it, &ask, &key))
     }
 
--- a/crates/policy/src/clearing.rs
+++ b/crates/policy/src/clearing.rs
@@ -5,7 +5,7 @@
 //! there only if it is gone by then. Once the gang has waited `gang_wait`, only the certain end of
 //! new work counts, so that the gang starts within `gang_wait` and the longest run ahead of it.
 
-use almondpass_schema::time;
+use almondpass_schema::{model, time};
 
 use crate::core::HallCore;
 use crate::item::{ItemState, ReserveKind};
@@ -13,6 +13,7 @@
 use crate::placement::{self, PlaceAsk, PlaceRule};
 use crate::queue::GroupKey;
 use crate::reasons;
+use crate::reserve;
 use crate::topology::NONE;
 
 /// Gangs for which a block is sought in one turn.
@@ -32,6 +33,13 @@
 }
 
 impl PlaceRule for ClearRule<'_> {
+    fn opens(&self, worker: u32) -> bool {
+        let others = &self.core.ledger.workers[worker as usize].reservations;
+        self.core.health[worker as usize].usable()
+            && !self.exclude.contains(&worker)
+            && others.iter().all(|it| self.overdue && self.goes_before(*it))
+    }
+
     fn allows(&self, accelerator: u32) -> bool {
         let at = accelerator as usize;
         let ledger = &self.core.ledger;
@@ -90,8 +98,8 @@
         let mut n_clearing =
             self.reserving.iter().filter(|it| self.items.at(**it).state == clearing).count();
         let wants = |core: &HallCore, key: &GroupKey| {
-            let width = key.tasks * key.demand.accelerators;
-            1 < width && !core.catalog.classes[key.class as usize].urgent
+            let narrow = key.tasks == 1 && key.demand.accelerators == 1;
+            !narrow && !core.catalog.classes[key.class as usize].urgent
         };
         let mut wake: Option<time::WallTime> = None;
         let mut searches = 0;
@@ -119,7 +127,7 @@
             }
         }
         if let Some(at) = wake {
-            self.set_timer(at, crate::timers::TimerKind::Clearing, NONE);
+            self.set_timer(at, crate::timers::TimerKind::Patience, NONE);
         }
     }
 
@@ -134,9 +142,11 @@
             overdue: self.overdue(index),
             exclude: &item.exclude,
         };
-        let ends = self.ends();
-        let scattered = 1 < ask.tasks && ask.adjacency == almondpass_schema::model::Adjacency::Any;
-        let found = if scattered {
+        let ends = if ask.width == 0 { Vec::new() } else { self.ends() };
+        let scattered = 1 < ask.tasks && ask.adjacency == model::Adjacency::Any;
+        let found = if ask.width == 0 {
+            self.earliest_bare(&ask, &rule)
+        } else if scattered {
             self.earliest_scattered(&ask, &rule, &ends)
         } else {
             self.earliest_run(&ask, &rule, &ends)
@@ -194,6 +204,43 @@
         Some(placement::held(&self.topology, ask.width, &starts))
     }
 
+    /// Workers whose cores, memory and slots are expected to be free first.
+    fn earliest_bare(&self, ask: &PlaceAsk, rule: &ClearRule<'_>) -> Option<Vec<HeldTask>> {
+        let together = ask.adjacency == model::Adjacency::Worker;
+        let mut places: Vec<(time::WallTime, u32)> = Vec::new();
+        for worker in 0..self.topology.workers.len() as u32 {
+            let most = if rule.opens(worker) { rule.room(worker).min(ask.tasks) } else { 0 };
+            let steps = if together { ask.tasks..=most } else { 1..=most };
+            let at = |n: u32| (self.usage_opening(worker, ask.usage.times(n)), worker);
+            places.extend(steps.map(at));
+        }
+        places.sort_unstable();
+        let task = |worker: u32| HeldTask { worker, accelerators: Vec::new() };
+        if together {
+            let (_, worker) = places.first()?;
+            return Some(vec![task(*worker); ask.tasks as usize]);
+        }
+        if ask.adjacency == model::Adjacency::Rack {
+            let rack = self.first_full_rack(ask, &places)?;
+            places.retain(|(_, worker)| self.topology.workers[*worker as usize].rack == rack);
+        }
+        let mut tasks: Vec<HeldTask> =
+            places.into_iter().take(ask.tasks as usize).map(|(_, it)| task(it)).collect();
+        tasks.sort_by_key(|it| it.worker);
+        (tasks.len() as u32 == ask.tasks).then_some(tasks)
+    }
+
+    /// The rack that first has room for all tasks.
+    fn first_full_rack(&self, ask: &PlaceAsk, places: &[(time::WallTime, u32)]) -> Option<u32> {
+        let mut counts = vec![0; self.topology.racks.len()];
+        places.iter().find_map(|(_, worker)| {
+            let rack = self.topology.workers[*worker as usize].rack;
+            let count = counts.get_mut(rack as usize)?;
+            *count += 1;
+            (*count == ask.tasks).then_some(rack)
+        })
+    }
+
     fn earliest_scattered(
         &self,
         ask: &PlaceAsk,
@@ -257,13 +304,14 @@
     pub(crate) fn missing_workers(&self, index: u32) -> String {
         let item = self.items.at(index);
         let held = |it: &u32| self.ledger.holder[*it as usize] != NONE;
-        let mut workers: Vec<u32> = item
-            .tasks
-            .iter()
-            .filter(|it| it.accelerators.iter().any(held))
-            .map(|it| it.worker)
-            .collect();
-        workers.dedup();
+        let usage = self.usage_of(index);
+        let missing = |(worker, here): &(u32, &[HeldTask])| {
+            let needed = usage.times(here.len() as u32);
+            here.iter().flat_map(|it| &it.accelerators).any(held)
+                || !self.ledger.workers[*worker as usize].free.covers(needed)
+        };
+        let workers: Vec<u32> =
+            reserve::by_worker(&item.tasks).filter(missing).map(|(worker, _)| worker).collect();
         let first = workers.first().or(item.tasks.first().map(|it| &it.worker)).copied();
         let rack = first.map_or("", |it| self.topology.rack_name(it));
         let n = reasons::count(workers.len(), "more adjacent worker");
--- a/crates/policy/src/core.rs
+++ b/crates/policy/src/core.rs
@@ -145,9 +145,9 @@
         self.keep_homes();
         self.check_reservations();
         self.serve_claims();
+        self.probe_workers();
         self.dispatch();
         self.clear_blocks();
-        self.probe_workers();
         std::mem::take(&mut self.outbox)
     }
 
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -12,17 +12,21 @@
 use crate::item::{QueueItem, ReserveKind};
 use crate::ledger::{Booking, HeldTask};
 use crate::placement::{self, PlaceAsk};
-use crate::queue::{GroupKey, QueueEntry};
+use crate::queue::{GroupKey, QueueEntry, QueueGroup};
 use crate::reasons;
 use crate::reclaim;
 use crate::rules::OpenRule;
+use crate::timers::TimerKind;
+use crate::topology::NONE;
 
 /// Ageing raises work up to this priority; urgent work stays before it.
 const HIGHEST_LEVEL: u64 = 9;
 /// Accelerators and workers looked at in one turn; bounds its time.
-const STEPS_A_TURN: usize = 250_000;
+const STEPS_A_TURN: usize = 200_000;
 /// Starts decided in one turn.
-const STARTS_A_TURN: usize = 256;
+const STARTS_A_TURN: usize = 112;
+/// Urgent work waits for runs to end by themselves for this part of its start bound.
+const URGENT_PATIENCE: u32 = 4;
 /// Elder work of a group that excludes workers may fail to fit where the next would.
 const TRIES_A_GROUP: usize = 4;
 
@@ -113,6 +117,7 @@
             match self.held_back(entry.item) {
                 Some(it) => code = it,
                 None if self.place_open(entry.item) => return true,
+                None if urgent && self.opens_soon(entry.item) => {}
                 None if urgent && self.reclaim_urgent(entry.item) => return true,
                 None => code = self.blocked_by(entry.item),
             }
@@ -176,6 +181,9 @@
         if self.booking_of(index) == Booking::Hard && self.fits_in_homes(index) {
             return model::WaitCode::GuaranteeKept;
         }
+        if !self.reserving.is_empty() && self.fits_in_blocks(index) {
+            return model::WaitCode::ClearingBlock;
+        }
         if 1 < item.work.tasks && item.work.adjacency != model::Adjacency::Any {
             return model::WaitCode::Adjacency;
         }
@@ -189,6 +197,34 @@
         placement::best(&self.topology, &ask, &rule).is_some()
     }
 
+    /// Whether work would fit if reserved places were open to it.
+    fn fits_in_blocks(&self, index: u32) -> bool {
+        let ask = PlaceAsk::of(&self.items.at(index).work);
+        let rule = OpenRule { keeps: false, ..OpenRule::new(self, index) };
+        placement::best(&self.topology, &ask, &rule).is_some()
+    }
+
+    /// Whether enough accelerators are expected to be free within a part of the urgent start bound
+    /// for all urgent work that waits. Short runs end all the time; stopping a long one for each
+    /// piece of a burst would lose much work for nothing.
+    fn opens_soon(&mut self, index: u32) -> bool {
+        let patience = self.submitted(index) + self.terms.urgent_start / URGENT_PATIENCE;
+        if patience <= self.now || 1 < self.items.at(index).width() {
+            return false;
+        }
+        let ends = |holder: &u32| self.expected_end(self.items.at(*holder)) <= patience;
+        let holders = self.ledger.holder.iter().filter(|it| **it != NONE);
+        let n_opening = holders.filter(|it| ends(it)).count();
+        let urgent = |it: &QueueGroup| self.catalog.classes[it.key.class as usize].urgent;
+        let groups = self.queue.active().filter_map(|it| self.queue.group(it));
+        let n_waiting: usize = groups.filter(|it| urgent(it)).map(|it| it.entries.len()).sum();
+        if n_opening < n_waiting {
+            return false;
+        }
+        self.set_timer(patience, TimerKind::Patience, NONE);
+        true
+    }
+
     /// Reserves a place for urgent work whose holders are repeatable, of lower priority and above
     /// their guarantee, where nothing opens by itself in time.
     fn reclaim_urgent(&mut self, index: u32) -> bool {
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -95,6 +95,8 @@
     pub(crate) hard: Usage,
     /// Wanted by reservations.
     pub(crate) reserved: Usage,
+    /// Work that reserves something here, once for each task.
+    pub(crate) reservations: Vec<u32>,
     pub(crate) free_accelerators: u32,
     /// Accelerators inside home blocks.
     pub(crate) home_accelerators: u32,
@@ -212,17 +214,23 @@
             for accelerator in &it.accelerators {
                 self.reserved[*accelerator as usize] = item;
             }
-            self.workers[it.worker as usize].reserved.add(usage);
+            let book = &mut self.workers[it.worker as usize];
+            book.reserved.add(usage);
+            book.reservations.push(item);
         }
     }
 
     /// Gives a reservation up.
-    pub(crate) fn unreserve(&mut self, tasks: &[HeldTask], usage: Usage) {
+    pub(crate) fn unreserve(&mut self, item: u32, tasks: &[HeldTask], usage: Usage) {
         for it in tasks {
             for accelerator in &it.accelerators {
                 self.reserved[*accelerator as usize] = NONE;
             }
-            self.workers[it.worker as usize].reserved.sub(usage);
+            let book = &mut self.workers[it.worker as usize];
+            book.reserved.sub(usage);
+            if let Some(at) = book.reservations.iter().position(|other| *other == item) {
+                book.reservations.swap_remove(at);
+            }
         }
     }
 
--- a/crates/policy/src/lifecycle.rs
+++ b/crates/policy/src/lifecycle.rs
@@ -327,7 +327,7 @@
             let Some(it) = self.timers.pop(self.now) else { return };
             if it.item == NONE {
                 self.version += 1;
-                self.homes_dirty = true;
+                self.homes_dirty |= it.kind == TimerKind::Capacity;
             } else if self.items.get(it.item, it.generation).is_some() {
                 self.fire(it.item, it.kind);
             }
@@ -394,7 +394,8 @@
                     self.finish_unrun(index, reasons::deadline(deadline, least));
                 } else {
                     let soon = Duration::from_millis(1);
-                    self.set_timer(latest + soon, TimerKind::Deadline, index);
+                    let at = deadline.min(latest + soon);
+                    self.set_timer(at, TimerKind::Deadline, index);
                 }
             }
             ItemState::Running if rule.repeatable && !rule.request && deadline <= self.now => {
--- a/crates/policy/src/picture.rs
+++ b/crates/policy/src/picture.rs
@@ -157,6 +157,10 @@
                  time",
                 rule.name
             ),
+            model::WaitCode::ClearingBlock => format!(
+                "what is free is kept for a gang, and a run of class {} may outlast its opening",
+                rule.name
+            ),
             model::WaitCode::UpstreamUnavailable => {
                 format!("upstream {} takes no new work", rule.upstream)
             }
@@ -165,11 +169,8 @@
                 format!("client account {} is not configured now", item.work.account)
             }
             _ => format!(
-                "needs {} accelerators, {} cores and {} MiB on one worker, which none has free; \
-                 waits {}",
-                item.work.demand.accelerators,
-                item.work.demand.cores,
-                item.work.demand.memory_mb,
+                "no worker has {} free for it; waits for {}",
+                reasons::demand(&item.work.demand),
                 reasons::span(now.since(item.work.submitted_at))
             ),
         }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -48,6 +48,10 @@
 
 /// What a search may use.
 pub(crate) trait PlaceRule {
+    /// Whether any accelerator of the worker may be allowed; spares a look at each.
+    fn opens(&self, _worker: u32) -> bool {
+        true
+    }
     /// Whether the accelerator may be used.
     fn allows(&self, accelerator: u32) -> bool;
     /// How many tasks of the ask the worker's cores, memory and slots allow now; 0 where the
@@ -78,11 +82,25 @@
     topology: &HallTopology,
     adjacency: model::Adjacency,
     allows: impl Fn(u32) -> bool,
+) -> Vec<FreeRun> {
+    runs_in(topology, adjacency, |_| true, allows)
+}
+
+/// The same, passing over workers that do not open.
+fn runs_in(
+    topology: &HallTopology,
+    adjacency: model::Adjacency,
+    opens: impl Fn(u32) -> bool,
+    allows: impl Fn(u32) -> bool,
 ) -> Vec<FreeRun> {
     let mut runs: Vec<FreeRun> = Vec::new();
     let mut open: Option<(FreeRun, u32)> = None;
     for (worker, spec) in topology.workers.iter().enumerate() {
         let worker = worker as u32;
+        if 0 < spec.accelerators && !opens(worker) {
+            runs.extend(open.take().map(|(run, _)| run));
+            continue;
+        }
         for at in spec.first..spec.end() {
             if !allows(at) {
                 runs.extend(open.take().map(|(run, _)| run));
@@ -189,7 +207,7 @@
     let total = ask.total();
     let mut best: Option<(RunScore, u32)> = None;
     let mut starts = Vec::new();
-    for run in runs(topology, measure(ask), |it| rule.allows(it)) {
+    for run in runs_in(topology, measure(ask), |it| rule.opens(it), |it| rule.allows(it)) {
         if run.len() < total {
             continue;
         }
@@ -246,7 +264,8 @@
     ask: &PlaceAsk,
     rule: &impl PlaceRule,
 ) -> Option<Vec<HeldTask>> {
-    let mut runs = runs(topology, model::Adjacency::Rack, |it| rule.allows(it));
+    let mut runs =
+        runs_in(topology, model::Adjacency::Rack, |it| rule.opens(it), |it| rule.allows(it));
     runs.sort_by_key(|run| {
         let penalty = (run.start..run.end).map(|it| rule.penalty(it)).max().unwrap_or(0);
         (penalty, run.len(), run.start)
--- a/crates/policy/src/reasons.rs
+++ b/crates/policy/src/reasons.rs
@@ -6,6 +6,7 @@
 
 use crate::catalog::ClassRule;
 use crate::event;
+use crate::work;
 
 /// A reason without a time.
 pub(crate) fn plain(code: model::WaitCode, text: impl Into<String>) -> model::WaitReason {
@@ -40,6 +41,13 @@
     if n == 1 { format!("1 {noun}") } else { format!("{n} {noun}s") }
 }
 
+/// What a task needs of its worker.
+pub(crate) fn demand(demand: &work::TaskDemand) -> String {
+    let accelerators = count(demand.accelerators as usize, "accelerator");
+    let cores = count(demand.cores as usize, "core");
+    format!("{accelerators}, {cores} and {} MiB", demand.memory_mb)
+}
+
 pub(crate) fn cancelled() -> model::WaitReason {
     plain(model::WaitCode::Queued, "cancelled by its caller")
 }
--- a/crates/policy/src/reclaim.rs
+++ b/crates/policy/src/reclaim.rs
@@ -13,9 +13,11 @@
 use crate::reserve;
 use crate::topology::NONE;
 
-/// Added to the lost work of each victim, in accelerator seconds: a stop and a start cost
-/// something even where no run time is lost.
+/// Added to the lost work of each victim, in accelerator seconds.
 const STOP_COST: f64 = 5.0;
+/// Added for each of its accelerators, in seconds: even where a checkpoint saves the run, a gang has
+/// to wait for its place again, the longer the wider it is.
+const RESTART_COST: f64 = 30.0;
 /// Work that was a victim before counts as dearer by this part each time, so that the same job is
 /// not sent away again and again.
 const REPEAT_COST: f64 = 0.5;
@@ -127,7 +129,7 @@
         let repeat = 1.0 + REPEAT_COST * f64::from(item.reclaimed);
         let weight = 1.0 + f64::from(rule.priority) / 10.0;
         let width = f64::from(item.width().max(1));
-        (lost + width + STOP_COST) * repeat * weight
+        (lost + width * RESTART_COST + STOP_COST) * repeat * weight
     }
 
     /// Sends away whoever is in the place reserved for an item.
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -4,7 +4,7 @@
 
 use crate::core::HallCore;
 use crate::item::{ItemState, ReserveKind};
-use crate::ledger::{Booking, HeldTask};
+use crate::ledger::{Booking, HeldTask, Usage};
 use crate::reasons;
 use crate::topology::NONE;
 
@@ -24,6 +24,13 @@
             .map(|it| self.ledger.reserved[*it as usize])
             .filter(|it| *it != NONE)
             .collect();
+        if kind == ReserveKind::Clearing {
+            // A gang of tasks without accelerators shares its workers with no other reservation.
+            let books = tasks.iter().filter(|it| it.accelerators.is_empty());
+            let there =
+                |it: &HeldTask| self.ledger.workers[it.worker as usize].reservations.clone();
+            others.extend(books.flat_map(there));
+        }
         others.sort_unstable();
         others.dedup();
         for it in others {
@@ -50,7 +57,7 @@
         self.detach(index);
         let usage = self.usage_of(index);
         let tasks = std::mem::take(&mut self.items.at_mut(index).tasks);
-        self.ledger.unreserve(&tasks, usage);
+        self.ledger.unreserve(index, &tasks, usage);
         self.reserving.remove(&index);
         self.bump();
     }
@@ -72,9 +79,32 @@
                 last = it;
             }
         }
+        for (worker, here) in by_worker(tasks) {
+            let needed = self.usage_of(index).times(here.len() as u32);
+            latest = latest.max(self.usage_opening(worker, needed));
+        }
         latest
     }
 
+    /// When a worker is expected to have cores, memory and slots free.
+    pub(crate) fn usage_opening(&self, worker: u32, needed: Usage) -> time::WallTime {
+        let book = &self.ledger.workers[worker as usize];
+        let mut free = book.free;
+        if free.covers(needed) {
+            return self.now;
+        }
+        let end = |it: &u32| (self.expected_end(self.items.at(*it)), *it);
+        let mut ends: Vec<(time::WallTime, u32)> = book.items.iter().map(end).collect();
+        ends.sort_unstable();
+        for (at, holder) in ends {
+            free.add(self.usage_of(holder));
+            if free.covers(needed) {
+                return at;
+            }
+        }
+        self.now + self.terms.run_bound(self.terms.gang_wait)
+    }
+
     /// Starts what has its whole place free, and sees to it that the rest goes on.
     pub(crate) fn check_reservations(&mut self) {
         if self.reserved_version == self.version {
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -28,6 +28,8 @@
     /// By when it is gone in any case.
     pub(crate) certain_end: time::WallTime,
     pub(crate) exclude: &'a [u32],
+    /// Whether places reserved for others are closed to it.
+    pub(crate) keeps: bool,
     /// Workers on which it failed.
     pub(crate) avoid: &'a [u32],
 }
@@ -51,13 +53,14 @@
             expected_end: core.now + left(likely),
             certain_end: core.now + left(bound),
             exclude: &item.exclude,
+            keeps: true,
             avoid: &item.failed_on,
         }
     }
 
     /// Whether it may run in a block that is cleared for a gang.
     fn backfills(&self, reserved_for: u32) -> bool {
-        if reserved_for == self.index {
+        if reserved_for == self.index || !self.keeps {
             return true;
         }
         let gang = self.core.items.at(reserved_for);
@@ -81,12 +84,9 @@
         if reserved == Usage::default() {
             return reserved;
         }
-        let spec = &self.core.topology.workers[worker as usize];
-        let closed = |it: u32| {
-            let other = self.core.ledger.reserved[it as usize];
-            other != NONE && !self.backfills(other)
-        };
-        if (spec.first..spec.end()).any(closed) { reserved } else { Usage::default() }
+        let closed = |it: &u32| !self.backfills(*it);
+        let reservations = &self.core.ledger.workers[worker as usize].reservations;
+        if reservations.iter().any(closed) { reserved } else { Usage::default() }
     }
 
     fn open(&self, worker: u32) -> bool {
@@ -95,12 +95,15 @@
 }
 
 impl PlaceRule for OpenRule<'_> {
+    fn opens(&self, worker: u32) -> bool {
+        0 < self.core.ledger.workers[worker as usize].free_accelerators && self.open(worker)
+    }
+
     fn allows(&self, accelerator: u32) -> bool {
         let at = accelerator as usize;
         let ledger = &self.core.ledger;
         ledger.holder[at] == NONE
             && (!self.hard || ledger.home[at] == NONE)
-            && self.open(self.core.topology.worker_of[at])
             && (ledger.reserved[at] == NONE || self.backfills(ledger.reserved[at]))
     }
 
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -17,8 +17,8 @@
     Deadline,
     /// Work may be tried again.
     Retry,
-    /// A gang has waited long enough for a block; of no item.
-    Clearing,
+    /// Something waited long enough for the next step; of no item.
+    Patience,
     /// Capacity may have come back; of no item.
     Capacity,
 }
