--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -26,7 +26,10 @@
 }
 
 macro_rules! calls {
-    ($($path:literal $call:ident => $reply:ident;)*) => {
+    ($(#[$doc:meta])* $paths:ident: $($path:literal $call:ident => $reply:ident;)*) => {
+        $(#[$doc])*
+        pub const $paths: &[&str] = &[$($path),*];
+
         $(impl PeerCall for model::$call {
             const PATH: &'static str = $path;
             type Reply = model::$reply;
@@ -51,8 +54,9 @@
     };
 }
 
-// The platform's interfaces, as docs/PLATFORM.md assumes them.
 calls! {
+    /// Paths of the platform's interfaces, as docs/PLATFORM.md assumes them.
+    PLATFORM_PATHS:
     "/v1/table/transact" TableTransaction => TableOutcome;
     "/v1/table/get" TableGet => TableRows;
     "/v1/table/scan" TableScan => TableRows;
@@ -68,8 +72,9 @@
     "/v1/worker/leases" LeaseList => LeaseListing;
 }
 
-// Between instances.
 calls! {
+    /// Paths of the calls between instances.
+    INSTANCE_PATHS:
     "/v1/peer/beat" PeerBeat => PeerBeat;
     "/v1/peer/config" ConfigFetch => ConfigFetched;
     "/v1/peer/hand-over" HandOver => Ack;
