--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -9,6 +9,7 @@
 use almondpass_peer::{codec, error, link};
 use almondpass_schema::ids;
 use bytes::Bytes;
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -46,6 +47,8 @@
 #[derive(Clone)]
 struct RegisteredService {
     serve: Arc<dyn Fn(&'static str, Bytes) -> ServeFuture + Send + Sync>,
+    /// Where its process runs.
+    runtime: Handle,
     /// Turns true when the process dies: calls in flight then break off.
     died: Arc<watch::Sender<bool>>,
 }
@@ -61,14 +64,16 @@
         state::lock(&self.state).latency = latency;
     }
 
-    /// Lets `service` answer at `address`.
+    /// Lets `service` answer at `address`, on the runtime that this is called from: a process that
+    /// has one of its own is paused or killed with it.
     pub fn register<S: link::PeerService>(&self, address: &str, service: S) {
         let serve = move |path: &'static str, body: Bytes| -> ServeFuture {
             let service = service.clone();
             Box::pin(async move { service.serve(path, body).await })
         };
         let died = Arc::new(watch::Sender::new(false));
-        let service = RegisteredService { serve: Arc::new(serve), died };
+        let runtime = Handle::current();
+        let service = RegisteredService { serve: Arc::new(serve), runtime, died };
         state::lock(&self.state).services.insert(address.to_owned(), service);
     }
 
@@ -196,7 +201,7 @@
         };
         let mut died = service.died.subscribe();
         let serve = (service.serve)(path, body);
-        let served = tokio::spawn(async move {
+        let served = service.runtime.spawn(async move {
             tokio::select! {
                 biased;
                 _ = died.wait_for(|it| *it) => Some(Err(error::ServeFault::Silent)),
