--- a/crates/schema/src/time.rs
+++ b/crates/schema/src/time.rs
@@ -78,7 +78,7 @@
     type Err = humantime::DurationError;
 
     fn from_str(text: &str) -> Result<TimeSpan, Self::Err> {
-        humantime::parse_duration(text).map(TimeSpan)
+        humantime::parse_duration(text).map(whole_micros).map(TimeSpan)
     }
 }
 
@@ -87,10 +87,16 @@
 
     fn from_str(text: &str) -> Result<WallTime, Self::Err> {
         let time = humantime::parse_rfc3339(text)?;
-        Ok(WallTime(time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()))
+        Ok(WallTime(whole_micros(time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default())))
     }
 }
 
+/// What MessagePack carries. With finer parts a message read from text would differ from the same
+/// message after a call: a job's first submission was taken for another one under its key.
+fn whole_micros(span: Duration) -> Duration {
+    Duration::new(span.as_secs(), span.subsec_micros() * 1_000)
+}
+
 impl Serialize for TimeSpan {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serialize(self, self.0, serializer)
