Replay seeded traces of both sites against the baselines

Cause: the decision core needs figures beside ordinary schedulers. Change: site documents, workloads with bursts, lying hints, cancellation waves and worker faults, an engine that carries decisions out with plausible latencies, and tables or JSON of completion, slowdown, waits, fragmentation, reclaim, lost work and utilisation.

--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,1 +1,11 @@
 //! Replay library: traces, baselines and measurements.
+
+pub mod args;
+pub mod compare;
+pub mod engine;
+pub mod floor;
+pub mod report;
+pub mod site;
+pub mod tally;
+pub mod trace;
+pub mod workload;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,3 +1,8 @@
 //! Replays seeded traces against the decision core and its baselines.
 
-fn main() {}
+use almondpass_replay::args;
+use clap::Parser;
+
+fn main() -> anyhow::Result<()> {
+    args::ReplayArgs::parse().run()
+}
