Bound the baselines' look at their queue; let histograms grow

Cause: a baseline turn walked the whole queue after every event, and the replay's histograms clipped spans at two seconds. Change: a baseline looks only when something arrived or became free, at 100 works a turn; room is a bit mask, copied cheaply; histograms resize.

--- a/crates/policy/src/baseline_best_fit.rs
+++ b/crates/policy/src/baseline_best_fit.rs
@@ -98,7 +98,8 @@
 
     fn turn(&mut self, now: time::WallTime) -> Vec<decision::Decision> {
         let mut unfit = Vec::new();
-        let mut head: Option<HeadPlan> = None;
+        let mut head: Option<work::WorkId> = None;
+        let mut plan: Option<HeadPlan> = None;
         for work in self.board.ready(now) {
             let item = &self.board.works[&work].item;
             let key = baseline_room::ShapeKey::of(item);
@@ -108,13 +109,16 @@
             let Some(placement) = self.board.room.place(item, baseline_room::PlaceChoice::Tightest)
             else {
                 unfit.extend(key);
-                if head.is_none() {
-                    head = self.plan(item, now);
-                }
+                head = head.or(Some(work));
                 continue;
             };
+            if plan.is_none()
+                && let Some(head) = &head
+            {
+                plan = self.plan(&self.board.works[head].item, now);
+            }
             let end = now + self.expected_run(item);
-            if head.as_ref().is_none_or(|it| end <= it.at || it.is_clear_of(&placement)) {
+            if plan.as_ref().is_none_or(|it| end <= it.at || it.is_clear_of(&placement)) {
                 self.board.start(work, placement);
             }
         }
--- a/crates/policy/src/baseline_board.rs
+++ b/crates/policy/src/baseline_board.rs
@@ -15,6 +15,9 @@
 /// Failed attempts after which a baseline gives work up.
 const MAX_FAILURES: u32 = 5;
 
+/// Waiting works looked at in a turn, as batch schedulers commonly bound their backfill.
+const TESTED_WORKS: usize = 100;
+
 /// Pause before work whose start failed is tried again.
 const START_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -46,10 +49,13 @@
     pub(crate) config: Arc<model::ConfigDocument>,
     hall: model::HallLayout,
     pub(crate) room: baseline_room::HallRoom,
+    empty: baseline_room::HallRoom,
     pub(crate) works: HashMap<work::WorkId, WorkEntry>,
     pub(crate) queue: BTreeMap<(time::WallTime, u64), work::WorkId>,
     pub(crate) out: Vec<decision::Decision>,
     next_position: u64,
+    changed: bool,
+    next_retry: Option<time::WallTime>,
 }
 
 impl BaselineBoard {
@@ -60,12 +66,15 @@
         let layout = find_hall(hall, &config)?.clone();
         Ok(BaselineBoard {
             room: baseline_room::HallRoom::of(&layout, &config),
+            empty: baseline_room::HallRoom::emptied(&layout, &config),
             hall: layout,
             config,
             works: HashMap::new(),
             queue: BTreeMap::new(),
             out: Vec::new(),
             next_position: 0,
+            changed: true,
+            next_retry: None,
         })
     }
 
@@ -80,6 +89,8 @@
     }
 
     pub(crate) fn apply(&mut self, event: event::HallEvent, now: time::WallTime) {
+        self.changed |=
+            !matches!(event, event::HallEvent::Started(_) | event::HallEvent::Checkpointed(_));
         match event {
             event::HallEvent::Arrived(item) => self.arrived(item, now),
             event::HallEvent::Adopted { item, placement, started_at } => {
@@ -101,8 +112,13 @@
         }
     }
 
-    /// Waiting work that may be tried now, in order of arrival.
-    pub(crate) fn ready(&self, now: time::WallTime) -> Vec<work::WorkId> {
+    /// The first waiting works that may be tried now, in order of arrival; none where nothing has
+    /// arrived or become free since the last time.
+    pub(crate) fn ready(&mut self, now: time::WallTime) -> Vec<work::WorkId> {
+        if !std::mem::take(&mut self.changed) && self.next_retry.is_none_or(|it| now < it) {
+            return Vec::new();
+        }
+        self.next_retry = self.next_wake(now);
         self.queue
             .values()
             .filter(|it| match self.works[*it].stage {
@@ -110,6 +126,7 @@
                 WorkStage::Starting | WorkStage::Running(_) => false,
             })
             .copied()
+            .take(TESTED_WORKS)
             .collect()
     }
 
@@ -124,6 +141,7 @@
         self.out.push(decision::Decision::Start { work, placement, reason });
     }
 
+    /// When work whose start failed is tried again.
     pub(crate) fn next_wake(&self, now: time::WallTime) -> Option<time::WallTime> {
         self.queue
             .values()
@@ -145,8 +163,7 @@
     }
 
     pub(crate) fn admits(&self, item: &work::WorkItem) -> Result<(), model::WaitReason> {
-        let empty = self.room.emptied(&self.config, &self.hall);
-        match empty.place(item, baseline_room::PlaceChoice::First) {
+        match self.empty.place(item, baseline_room::PlaceChoice::First) {
             Some(_) => Ok(()),
             None => Err(wait_reason(model::WaitCode::NeverFits, "the empty hall has no room")),
         }
@@ -251,7 +268,9 @@
             self.finish(work, untouched_outcome);
             return;
         }
-        entry.stage = WorkStage::Waiting(now + START_BACKOFF);
+        let retry = now + START_BACKOFF;
+        entry.stage = WorkStage::Waiting(retry);
+        self.next_retry = Some(self.next_retry.map_or(retry, |it| it.min(retry)));
         self.queue.insert((entry.item.submitted_at, entry.position), work);
     }
 
--- a/crates/policy/src/baseline_room.rs
+++ b/crates/policy/src/baseline_room.rs
@@ -1,6 +1,7 @@
 //! Free capacity of a hall and where the baselines place a gang in it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use almondpass_schema::{ids, model};
 
@@ -16,11 +17,12 @@
 }
 
 /// Free capacity of one worker.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerRoom {
-    name: ids::WorkerId,
     rack: usize,
-    free: Vec<bool>,
+    /// A bit for each free accelerator.
+    free: u64,
+    accelerators: u32,
     cores: u32,
     memory_mb: u64,
     slots: u32,
@@ -29,10 +31,6 @@
 }
 
 impl WorkerRoom {
-    fn takes(&self, item: &work::WorkItem) -> bool {
-        !self.lost && !self.draining && !item.exclude.contains(&self.name)
-    }
-
     fn spare_tasks(&self, demand: &work::TaskDemand) -> u32 {
         let cores = self.cores.checked_div(demand.cores).unwrap_or(u32::MAX);
         let memory = self.memory_mb.checked_div(demand.memory_mb).unwrap_or(u64::MAX);
@@ -40,39 +38,56 @@
         cores.min(u32::try_from(memory).unwrap_or(u32::MAX)).min(slots)
     }
 
-    fn is_run_free(&self, start: usize, len: usize) -> bool {
-        self.free.get(start..start + len).is_some_and(|it| it.iter().all(|free| *free))
+    fn is_run_free(&self, start: u32, len: u32) -> bool {
+        let run = run_mask(start, len);
+        start + len <= self.accelerators && self.free & run == run
     }
 
     /// Free accelerators directly below `start` and from `end` upwards.
-    fn free_beside(&self, start: usize, end: usize) -> usize {
-        let below = self.free[..start].iter().rev().take_while(|it| **it).count();
-        let above = self.free[end..].iter().take_while(|it| **it).count();
+    fn free_beside(&self, start: u32, end: u32) -> u32 {
+        let below = match start {
+            0 => 0,
+            _ => (self.free << (u64::BITS - start)).leading_ones(),
+        };
+        let above = self.free.checked_shr(end).unwrap_or(0).trailing_ones();
         below + above
     }
 }
 
+fn run_mask(start: u32, len: u32) -> u64 {
+    let run = 1_u64.checked_shl(len).unwrap_or(0).wrapping_sub(1);
+    run.checked_shl(start).unwrap_or(0)
+}
+
 /// Free capacity of a hall; copied to look ahead.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct HallRoom {
     workers: Vec<WorkerRoom>,
+    names: Arc<WorkerNames>,
+}
+
+#[derive(Debug, Default)]
+struct WorkerNames {
+    names: Vec<ids::WorkerId>,
     index: HashMap<ids::WorkerId, usize>,
 }
 
 impl HallRoom {
     pub(crate) fn of(hall: &model::HallLayout, config: &model::ConfigDocument) -> HallRoom {
-        let mut room = HallRoom::default();
+        let mut names = WorkerNames::default();
+        let mut workers = Vec::new();
         for (rack, layout) in hall.racks.iter().enumerate() {
             let Some(kind) = config.worker_kinds.iter().find(|it| it.name == layout.kind) else {
                 continue;
             };
             for number in 1..=layout.workers {
                 let name = format!("{}-{}-{number:02}", hall.name, layout.name);
-                room.index.insert(name.clone(), room.workers.len());
-                room.workers.push(WorkerRoom {
-                    name,
+                names.index.insert(name.clone(), workers.len());
+                names.names.push(name);
+                workers.push(WorkerRoom {
                     rack,
-                    free: vec![true; kind.accelerators as usize],
+                    free: run_mask(0, kind.accelerators),
+                    accelerators: kind.accelerators,
                     cores: kind.cores,
                     memory_mb: kind.memory_mb,
                     slots: kind.slots,
@@ -81,14 +96,20 @@
                 });
             }
         }
-        room
+        HallRoom { workers, names: Arc::new(names) }
     }
 
     pub(crate) fn worker_mut(&mut self, worker: &ids::WorkerId) -> Option<&mut WorkerRoom> {
-        let index = *self.index.get(worker)?;
+        let index = *self.names.index.get(worker)?;
         self.workers.get_mut(index)
     }
 
+    fn takes(&self, index: usize, item: &work::WorkItem) -> bool {
+        let worker = &self.workers[index];
+        let live = !worker.lost && !worker.draining;
+        live && (item.exclude.is_empty() || !item.exclude.contains(&self.names.names[index]))
+    }
+
     pub(crate) fn take(&mut self, demand: &work::TaskDemand, placement: &[work::TaskSlot]) {
         for slot in placement {
             let Some(worker) = self.worker_mut(&slot.worker) else { continue };
@@ -96,7 +117,7 @@
             worker.memory_mb = worker.memory_mb.saturating_sub(demand.memory_mb);
             worker.slots = worker.slots.saturating_sub(demand.slots);
             for accelerator in &slot.accelerators {
-                worker.free[*accelerator as usize] = false;
+                worker.free &= !run_mask(*accelerator, 1);
             }
         }
     }
@@ -108,7 +129,7 @@
             worker.memory_mb += demand.memory_mb;
             worker.slots += demand.slots;
             for accelerator in &slot.accelerators {
-                worker.free[*accelerator as usize] = true;
+                worker.free |= run_mask(*accelerator, 1);
             }
         }
     }
@@ -150,30 +171,27 @@
         rank: u32,
         choice: PlaceChoice,
     ) -> Option<work::TaskSlot> {
-        let len = item.demand.accelerators as usize;
-        let mut best: Option<(usize, work::TaskSlot)> = None;
-        for worker in self.workers.iter().filter(|it| it.takes(item)) {
-            if worker.spare_tasks(&item.demand) == 0 {
+        let len = item.demand.accelerators;
+        let mut best: Option<(u32, usize, u32)> = None;
+        for (index, worker) in self.workers.iter().enumerate() {
+            if !self.takes(index, item) || worker.spare_tasks(&item.demand) == 0 {
                 continue;
             }
-            for start in 0..=worker.free.len().saturating_sub(len) {
+            for start in 0..=worker.accelerators.saturating_sub(len) {
                 if !worker.is_run_free(start, len) {
                     continue;
                 }
-                let beside = if len == 0 {
-                    worker.cores as usize
-                } else {
-                    worker.free_beside(start, start + len)
-                };
-                if best.as_ref().is_none_or(|(least, _)| beside < *least) {
-                    best = Some((beside, task_slot(rank, &worker.name, start, len)));
+                let beside =
+                    if len == 0 { worker.cores } else { worker.free_beside(start, start + len) };
+                if best.is_none_or(|(least, _, _)| beside < least) {
+                    best = Some((beside, index, start));
                 }
                 if choice == PlaceChoice::First {
-                    return best.map(|(_, slot)| slot);
+                    return best.map(|(_, index, start)| self.task_slot(rank, index, start, len));
                 }
             }
         }
-        best.map(|(_, slot)| slot)
+        best.map(|(_, index, start)| self.task_slot(rank, index, start, len))
     }
 
     fn place_adjacent(
@@ -182,86 +200,91 @@
         adjacency: model::Adjacency,
         choice: PlaceChoice,
     ) -> Option<Vec<work::TaskSlot>> {
-        let mut best: Option<(usize, Vec<work::TaskSlot>)> = None;
+        let mut best: Option<(u32, usize, u32)> = None;
         for first in 0..self.workers.len() {
-            for offset in 0..self.workers[first].free.len() {
-                let Some((beside, placement)) = self.fill_from(item, adjacency, first, offset)
-                else {
+            for offset in 0..self.workers[first].accelerators {
+                let Some(beside) = self.room_from(item, adjacency, first, offset) else {
                     continue;
                 };
                 if choice == PlaceChoice::First {
-                    return Some(placement);
+                    return Some(self.fill_from(item, first, offset));
                 }
-                if best.as_ref().is_none_or(|(least, _)| beside < *least) {
-                    best = Some((beside, placement));
+                if best.is_none_or(|(least, _, _)| beside < least) {
+                    best = Some((beside, first, offset));
                 }
             }
         }
-        best.map(|(_, placement)| placement)
+        best.map(|(_, first, offset)| self.fill_from(item, first, offset))
     }
 
-    /// Fills neighbouring workers from accelerator `offset` of worker `first` on without a gap
-    /// that another task of the gang would fit in.
-    fn fill_from(
+    /// Free accelerators left beside a gang on neighbouring workers from accelerator `offset` of
+    /// worker `first` on, without a gap that another task of it would fit in.
+    fn room_from(
         &self,
         item: &work::WorkItem,
         adjacency: model::Adjacency,
         first: usize,
-        offset: usize,
-    ) -> Option<(usize, Vec<work::TaskSlot>)> {
-        let len = item.demand.accelerators as usize;
-        let mut placement = Vec::with_capacity(item.tasks as usize);
+        offset: u32,
+    ) -> Option<u32> {
+        let len = item.demand.accelerators;
+        let mut left = item.tasks;
         let mut beside = 0;
         let mut start = offset;
-        for worker in &self.workers[first..] {
+        for (index, worker) in self.workers.iter().enumerate().skip(first) {
             let in_reach = match adjacency {
-                model::Adjacency::Worker => start == offset && placement.is_empty(),
+                model::Adjacency::Worker => index == first,
                 model::Adjacency::Rack => worker.rack == self.workers[first].rack,
                 model::Adjacency::Hall | model::Adjacency::Any => true,
             };
-            if !in_reach || !worker.takes(item) {
+            let n_tasks = left.min(worker.accelerators.saturating_sub(start) / len);
+            let end = start + n_tasks * len;
+            let fits = in_reach
+                && 0 < n_tasks
+                && n_tasks <= worker.spare_tasks(&item.demand)
+                && worker.is_run_free(start, end - start)
+                && self.takes(index, item);
+            if !fits {
                 return None;
             }
-            let begin = start;
-            let mut spare = worker.spare_tasks(&item.demand);
-            while placement.len() < item.tasks as usize && start + len <= worker.free.len() {
-                if spare == 0 || !worker.is_run_free(start, len) {
-                    return None;
-                }
-                let rank = placement.len() as u32;
-                placement.push(task_slot(rank, &worker.name, start, len));
-                spare -= 1;
-                start += len;
-            }
-            if begin == start {
-                return None;
-            }
-            beside += worker.free_beside(begin, start);
-            if placement.len() == item.tasks as usize {
-                return Some((beside, placement));
+            beside += worker.free_beside(start, end);
+            left -= n_tasks;
+            if left == 0 {
+                return Some(beside);
             }
             start = 0;
         }
         None
     }
 
+    fn fill_from(&self, item: &work::WorkItem, first: usize, offset: u32) -> Vec<work::TaskSlot> {
+        let len = item.demand.accelerators;
+        let mut placement = Vec::with_capacity(item.tasks as usize);
+        let mut index = first;
+        let mut start = offset;
+        for rank in 0..item.tasks {
+            if self.workers[index].accelerators < start + len {
+                index += 1;
+                start = 0;
+            }
+            placement.push(self.task_slot(rank, index, start, len));
+            start += len;
+        }
+        placement
+    }
+
+    fn task_slot(&self, rank: u32, index: usize, start: u32, len: u32) -> work::TaskSlot {
+        let worker = self.names.names[index].clone();
+        work::TaskSlot { rank, worker, accelerators: (start..start + len).collect() }
+    }
+
     /// The same hall with nothing running and every worker live.
-    pub(crate) fn emptied(
-        &self,
-        config: &model::ConfigDocument,
-        hall: &model::HallLayout,
-    ) -> HallRoom {
+    pub(crate) fn emptied(hall: &model::HallLayout, config: &model::ConfigDocument) -> HallRoom {
         let mut room = HallRoom::of(hall, config);
         room.workers.iter_mut().for_each(|it| it.lost = false);
         room
     }
 }
 
-fn task_slot(rank: u32, worker: &ids::WorkerId, start: usize, len: usize) -> work::TaskSlot {
-    let accelerators = (start..start + len).map(|it| it as u32).collect();
-    work::TaskSlot { rank, worker: worker.clone(), accelerators }
-}
-
 /// A shape that did not fit in this turn; later work of the same shape does not either.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct ShapeKey {
--- a/crates/replay/src/site.rs
+++ b/crates/replay/src/site.rs
@@ -66,6 +66,7 @@
         upstreams: vec![model::UpstreamSpec {
             name: upstream.to_owned(),
             halls: vec![hall.clone()],
+            former_halls: Vec::new(),
         }],
         classes: vec![
             model::JobClass {
@@ -117,17 +118,18 @@
         upstreams: vec![model::UpstreamSpec {
             name: upstream.to_owned(),
             halls: vec![hall.clone()],
+            former_halls: Vec::new(),
         }],
         classes: vec![
             model::JobClass {
                 urgent: true,
                 repeatable: false,
                 priority: 9,
-                ..class("gate-ticket", model::ClassKind::Request, upstream, 6, 60)
+                ..class("gate-ticket", model::ClassKind::Request, upstream, 10, 60)
             },
             model::JobClass {
                 priority: 6,
-                ..class("metal-class", model::ClassKind::Request, upstream, 20, 200)
+                ..class("metal-class", model::ClassKind::Request, upstream, 45, 400)
             },
             model::JobClass {
                 priority: 1,
--- a/crates/replay/src/tally.rs
+++ b/crates/replay/src/tally.rs
@@ -29,12 +29,12 @@
 impl SpanHistogram {
     /// Records a span in milliseconds.
     pub fn record(&mut self, span: Duration) {
-        self.values.saturating_record(span.as_millis() as u64);
+        self.record_number(span.as_millis() as u64);
     }
 
     /// Records a number.
     pub fn record_number(&mut self, number: u64) {
-        self.values.saturating_record(number);
+        self.values.record(number).expect("a histogram that resizes");
     }
 
     /// Adds what another one recorded.
--- a/crates/replay/src/workload.rs
+++ b/crates/replay/src/workload.rs
@@ -137,7 +137,7 @@
     vec![
         ClassLoad {
             share: 0.15,
-            median_run: Duration::from_secs(5),
+            median_run: Duration::from_secs(8),
             run_sigma: 0.4,
             burst_share: 0.4,
             accounts: accounts(),
@@ -145,10 +145,10 @@
         },
         ClassLoad {
             share: 0.35,
-            median_run: Duration::from_secs(15),
+            median_run: Duration::from_secs(40),
             run_sigma: 0.5,
             accounts: accounts(),
-            ..requests("metal-class", Duration::from_secs(200))
+            ..requests("metal-class", Duration::from_secs(400))
         },
         ClassLoad {
             share: 0.50,
