--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use almondpass_config::keeper;
+use almondpass_config::{active, keeper};
 use almondpass_console::console;
 use almondpass_entry::{server as entry_server, service as entry_service, settings};
 use almondpass_hall::{backend, options, service as hall_service};
@@ -111,6 +111,11 @@
         self.addresses
     }
 
+    /// The configuration in force, as it changes.
+    pub fn configs(&self) -> watch::Receiver<Arc<active::ActiveConfig>> {
+        self.services.keeper.subscribe()
+    }
+
     /// Runs until it was asked to end and has ended.
     pub async fn run(self) {
         let timing = self.parts.settings.timing.clone().unwrap_or_default();
@@ -205,17 +210,18 @@
     ) -> anyhow::Result<InstanceServices> {
         let timing = settings.timing.clone().unwrap_or_default();
         let clock = clock::WallClock::from_system();
-        let link = link(Some(key.clone()))?;
+        let link = link("peers", Some(key.clone()))?;
         // The platform and the workers must not learn the cluster key.
-        let outside = self::link(None)?;
+        let platform = self::link("platform", None)?;
+        let workers = self::link("workers", None)?;
         let deadline = timing.store_deadline.0;
         let service = |address: &ids::PeerAddress| {
-            remote::RemoteService::new(outside.clone(), address.clone(), deadline)
+            remote::RemoteService::new(platform.clone(), address.clone(), deadline)
         };
         let table = remote::RemoteTable(service(&settings.platform.table));
         let objects = remote::RemoteObjects(service(&settings.platform.objects));
         let instances = remote::RemoteInstances(service(&settings.platform.instances));
-        let workers = remote::RemoteWorkers::new(outside.clone(), deadline);
+        let workers = remote::RemoteWorkers::new(workers, deadline);
 
         let keeper_timing = keeper::KeeperTiming::from(&timing);
         let keeper = wiring::Keeper::new(table.clone(), link.clone(), clock, keeper_timing);
@@ -253,8 +259,8 @@
     }
 }
 
-fn link(cluster_key: Option<key::ClusterKey>) -> anyhow::Result<wiring::Link> {
-    let config = client::ClientConfig { cluster_key, ..client::ClientConfig::default() };
+fn link(side: &'static str, cluster_key: Option<key::ClusterKey>) -> anyhow::Result<wiring::Link> {
+    let config = client::ClientConfig { cluster_key, side, ..client::ClientConfig::default() };
     client::PeerClient::new(config).context("cluster key")
 }
 
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -1,12 +1,14 @@
 //! One instance, with a runtime of its own, so that several can live and die in one process.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_config::active;
 use almondpass_schema::{ids, model};
 use anyhow::{Context, anyhow};
 use tokio::runtime;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
@@ -33,6 +35,7 @@
 pub struct Instance {
     id: ids::InstanceId,
     addresses: InstanceAddresses,
+    configs: watch::Receiver<Arc<active::ActiveConfig>>,
     health: health::HealthState,
     switch: shutdown::ShutdownSwitch,
     meters: meters::MeterRegistry,
@@ -79,7 +82,7 @@
         let running = runtime.spawn(async move {
             match assembly::Assembly::build(parts).await {
                 Ok(assembly) => {
-                    let _ = listening.send(Ok(assembly.addresses()));
+                    let _ = listening.send(Ok((assembly.addresses(), assembly.configs())));
                     assembly.run().await;
                 }
                 Err(error) => {
@@ -88,9 +91,9 @@
             }
         });
         let listens = listens.await;
-        let addresses = listens.map_err(|_| anyhow!("the start of instance {id} panicked"));
-        let addresses = match addresses.and_then(|it| it) {
-            Ok(addresses) => addresses,
+        let listens = listens.map_err(|_| anyhow!("the start of instance {id} panicked"));
+        let (addresses, configs) = match listens.and_then(|it| it) {
+            Ok(listening) => listening,
             Err(error) => {
                 // A runtime that is dropped within another one panics.
                 runtime.shutdown_background();
@@ -98,7 +101,7 @@
             }
         };
         let runtime = Some(runtime);
-        Ok(Instance { id, addresses, health, switch, meters, threads, runtime, running })
+        Ok(Instance { id, addresses, configs, health, switch, meters, threads, runtime, running })
     }
 
     /// Its id.
@@ -111,6 +114,11 @@
         self.addresses
     }
 
+    /// Number of the configuration in force there.
+    pub fn config_version(&self) -> ids::ConfigVersion {
+        self.configs.borrow().version
+    }
+
     /// How far it is.
     pub fn health(&self) -> &health::HealthState {
         &self.health
--- a/crates/daemon/tests/site/instances.rs
+++ b/crates/daemon/tests/site/instances.rs
@@ -120,10 +120,7 @@
     document.accounts[0].name = "renamed".to_owned();
     site.accept(1, document).await;
     common::eventually("version 2 on every instance", || {
-        let all = site
-            .instances
-            .values()
-            .all(|it| it.metrics().lines().any(|line| line == "almondpass_config_version 2"));
+        let all = site.instances.values().all(|it| it.config_version() == 2);
         all.then_some(())
     })
     .await;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -38,6 +38,8 @@
     pub idle_per_peer: usize,
     /// Largest answer.
     pub max_body_bytes: usize,
+    /// Under which side its bytes are counted, such as `workers`.
+    pub side: &'static str,
 }
 
 /// Sends calls over pooled connections; clones share the pool.
@@ -47,6 +49,7 @@
     key: Option<HeaderValue>,
     connect_timeout: Duration,
     max_body_bytes: usize,
+    side: &'static str,
 }
 
 /// Longest refusal that an error quotes, in bytes.
@@ -60,6 +63,7 @@
             idle_timeout: Duration::from_secs(15),
             idle_per_peer: 8,
             max_body_bytes: 8 << 20,
+            side: "client",
         }
     }
 }
@@ -77,6 +81,7 @@
             key,
             connect_timeout: config.connect_timeout,
             max_body_bytes: config.max_body_bytes,
+            side: config.side,
         })
     }
 
@@ -146,7 +151,7 @@
             return Ok(connection);
         }
         let limit = expires.min(Instant::now() + self.connect_timeout);
-        match time::timeout_at(limit, connect(peer)).await {
+        match time::timeout_at(limit, connect(peer, self.side)).await {
             Ok(sender) => Ok(self.pool.adopt(peer, sender?)),
             Err(_) => {
                 self.pool.distrust(peer);
@@ -199,12 +204,15 @@
     }
 }
 
-async fn connect(peer: &ids::PeerAddress) -> Result<pool::PeerSender, error::CallFault> {
+async fn connect(
+    peer: &ids::PeerAddress,
+    side: &'static str,
+) -> Result<pool::PeerSender, error::CallFault> {
     let address = peer.parse::<SocketAddr>();
     let address = address.map_err(|_| not_sent(format!("the address {peer:?}")))?;
     let stream = TcpStream::connect(address).await.map_err(not_sent)?;
     stream.set_nodelay(true).map_err(not_sent)?;
-    let stream = TokioIo::new(meter::MeteredStream::new(stream, "client"));
+    let stream = TokioIo::new(meter::MeteredStream::new(stream, side));
     let (sender, connection) = http1::handshake(stream).await.map_err(not_sent)?;
     // Drives the connection until its sender is dropped or the peer closes it; what goes wrong
     // reaches the call through its sender.
--- a/crates/peer/src/meter.rs
+++ b/crates/peer/src/meter.rs
@@ -16,7 +16,7 @@
 }
 
 impl<S> MeteredStream<S> {
-    /// Counts under `side`, which is `client` or `server`.
+    /// Counts under `side`, such as `server` or `workers`.
     pub(crate) fn new(stream: S, side: &'static str) -> MeteredStream<S> {
         let sent = metrics::counter!("almondpass_peer_sent_bytes_total", "side" => side);
         let received = metrics::counter!("almondpass_peer_received_bytes_total", "side" => side);
