--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use almondpass_policy::{baseline_best_fit, baseline_first_fit};
+use almondpass_policy::{baseline_best_fit, baseline_first_fit, core};
 use clap::{Args, ValueEnum};
 use serde::Serialize;
 
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PolicyName {
+    /// The policy.
+    Almondpass,
     /// First fit in arrival order.
     FirstFit,
     /// Best fit with backfill.
@@ -158,6 +160,7 @@
     let spec = trace::TraceSpec { site: task.site, load, span, seed: task.seed };
     let trace = trace::Trace::generate(&spec);
     match task.policy {
+        PolicyName::Almondpass => engine::replay::<core::HallCore>(&document, &trace, task.seed),
         PolicyName::FirstFit => {
             engine::replay::<baseline_first_fit::FirstFit>(&document, &trace, task.seed)
         }
