--- a/crates/entry/src/body_head.rs
+++ b/crates/entry/src/body_head.rs
@@ -2,11 +2,12 @@
 
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::task::Poll;
 
 use bytes::{Bytes, BytesMut};
-use http_body::Body;
+use http_body::{Body, Frame};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until};
 
 use crate::upload_body;
 
@@ -28,6 +29,7 @@
     pub async fn read(
         body: &mut Option<Incoming>,
         limits: upload_body::UploadLimits,
+        deadline: Instant,
     ) -> Result<BodyHead, upload_body::UploadFault> {
         let Some(incoming) = body else {
             return Ok(BodyHead { prefix: Bytes::new(), rest: None, limits });
@@ -36,14 +38,9 @@
         let mut joined = BytesMut::new();
         let mut n_bytes = 0;
         while n_bytes < REPLAY_BYTES {
-            let frame = poll_fn(|cx| Pin::new(&mut *incoming).poll_frame(cx));
-            let Ok(next) = timeout(limits.idle, frame).await else {
-                return Err(upload_body::UploadFault::Idle(limits.idle));
-            };
-            let Some(frame) = next else {
+            let Some(frame) = next_frame(incoming, limits, deadline).await? else {
                 return Ok(BodyHead { prefix: join(first, joined), rest: None, limits });
             };
-            let frame = frame.map_err(|it| upload_body::UploadFault::Cut(it.to_string()))?;
             let Ok(data) = frame.into_data() else { continue };
             n_bytes += data.len();
             if limits.max_bytes < n_bytes as u64 {
@@ -53,6 +50,9 @@
                 None => first = Some(data),
                 Some(_) => joined.extend_from_slice(&data),
             }
+            if incoming.is_end_stream() {
+                break;
+            }
         }
         let rest = body.take().filter(|it| !it.is_end_stream());
         Ok(BodyHead { prefix: join(first, joined), rest, limits })
@@ -77,6 +77,29 @@
     }
 }
 
+/// The next frame, `None` at the end. The timer is made only where the frame is not there yet.
+async fn next_frame(
+    incoming: &mut Incoming,
+    limits: upload_body::UploadLimits,
+    deadline: Instant,
+) -> Result<Option<Frame<Bytes>>, upload_body::UploadFault> {
+    let mut timer = None;
+    let next = poll_fn(|cx| {
+        if let Poll::Ready(next) = Pin::new(&mut *incoming).poll_frame(cx) {
+            return Poll::Ready(Some(next));
+        }
+        let until = || Box::pin(sleep_until(deadline.min(Instant::now() + limits.idle)));
+        timer.get_or_insert_with(until).as_mut().poll(cx).map(|()| None)
+    });
+    match next.await {
+        Some(frame) => {
+            frame.transpose().map_err(|it| upload_body::UploadFault::Cut(it.to_string()))
+        }
+        None if deadline <= Instant::now() => Err(upload_body::UploadFault::Late),
+        None => Err(upload_body::UploadFault::Idle(limits.idle)),
+    }
+}
+
 /// One frame is passed on as it is; copying starts with the second.
 fn join(first: Option<Bytes>, joined: BytesMut) -> Bytes {
     let first = first.unwrap_or_default();
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -27,7 +27,7 @@
 pub struct ExchangePlan<'a> {
     /// The request.
     pub request: ids::RequestId,
-    /// Headers for the upstream, without the request's id.
+    /// Headers of the caller.
     pub headers: &'a HeaderMap,
     /// Whether it may run more than once.
     pub repeatable: bool,
@@ -154,7 +154,7 @@
     let mut request = http::Request::new(body);
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static(UPSTREAM_PATH);
-    *request.headers_mut() = plan.headers.clone();
+    *request.headers_mut() = request_head::forwarded(plan.headers);
     let headers = request.headers_mut();
     headers.insert(request_head::REQUEST_HEADER, request_head::id_value(&plan.request));
     if let Ok(host) = HeaderValue::from_str(&grant.address) {
--- a/crates/entry/src/job_api.rs
+++ b/crates/entry/src/job_api.rs
@@ -1,6 +1,7 @@
 //! `/v1/jobs`: jobs that run for long, and how they stand.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondpass_membership::home;
 use almondpass_peer::link::HallLink;
@@ -10,6 +11,7 @@
 use http::header::{self, HeaderValue};
 use hyper::body::Incoming;
 use serde::Serialize;
+use tokio::time::Instant;
 use uuid::Uuid;
 
 use crate::body_head;
@@ -27,6 +29,8 @@
 const JOBS_PATH: &str = "/v1/jobs";
 /// Largest submission in bytes.
 const SUBMISSION_BYTES: u64 = 32 * 1024;
+/// For a submission to arrive.
+const SUBMISSION_TIME: Duration = Duration::from_secs(10);
 /// Jobs on a page whose caller names no number.
 const PAGE: u32 = 50;
 /// Jobs on a page at most.
@@ -89,7 +93,8 @@
     let limits =
         upload_body::UploadLimits { max_bytes: SUBMISSION_BYTES, idle: core.settings.body_idle };
     let mut body = Some(body);
-    let read = body_head::BodyHead::read(&mut body, limits).await;
+    let deadline = Instant::now() + SUBMISSION_TIME;
+    let read = body_head::BodyHead::read(&mut body, limits, deadline).await;
     let head = read.map_err(|fault| request_api::RefusedRequest {
         // Proof of `not_run`: a submission that did not arrive whole is handed to nobody.
         problem: request_api::upload_problem(&fault, model::RequestOutcome::NotRun),
--- a/crates/entry/src/request_api.rs
+++ b/crates/entry/src/request_api.rs
@@ -73,9 +73,9 @@
     core: &service::EntryCore<L, T>,
     caller: &config_index::CallerAccount,
     request: ids::RequestId,
-    headers: &HeaderMap,
+    headers: HeaderMap,
 ) -> Result<CheckedRequest, problem::Problem> {
-    let Some(name) = request_head::text(headers, &request_head::CLASS_HEADER)? else {
+    let Some(name) = request_head::text(&headers, &request_head::CLASS_HEADER)? else {
         return Err(request_head::invalid("expected a header x-job-class, found none"));
     };
     let class = caller.class(name).filter(|it| it.class().kind == model::ClassKind::Request);
@@ -83,8 +83,8 @@
         let detail = format!("expected a class of requests in x-job-class, found `{name}`");
         return Err(request_head::invalid(detail));
     };
-    let deadline = request_head::deadline(headers, &core.clock, class.class())?;
-    let key = match request_head::key(headers, &core.clock)? {
+    let deadline = request_head::deadline(&headers, &core.clock, class.class())?;
+    let key = match request_head::key(&headers, &core.clock)? {
         _ if class.class().repeatable => None,
         Some(key) => Some(key),
         None => {
@@ -92,12 +92,11 @@
             return Err(request_head::invalid(detail));
         }
     };
-    check_length(class.class(), headers)?;
+    check_length(class.class(), &headers)?;
     if deadline.passed() {
         return Err(too_late(untold(key), "request.head"));
     }
     let record = admit(core, &class, key)?;
-    let headers = request_head::forwarded(headers);
     Ok(CheckedRequest { request, class, key, deadline, headers, record })
 }
 
@@ -169,7 +168,7 @@
         let ticket = obtain(core, &checked, &attempts).await?;
         let replayable = head.replayable();
         let keyed = checked.key.is_some();
-        let attempt = attempt(Arc::clone(core), checked, ticket, head.upload());
+        let attempt = Box::pin(attempt(Arc::clone(core), checked, ticket, head.upload()));
         let result = if keyed { detached(attempt).await } else { Ok(attempt.await) };
         let failed = match result? {
             Ok((parts, body)) => return respond(parts, body).await,
@@ -204,11 +203,9 @@
         idle: core.settings.body_idle,
     };
     let mut incoming = Some(body);
-    let reading = body_head::BodyHead::read(&mut incoming, limits);
-    let read = match tokio::time::timeout_at(checked.deadline.instant, reading).await {
-        Ok(read) => read.map_err(|it| upload_problem(&it, untold(checked.key))),
-        Err(_) => Err(too_late(untold(checked.key), "request.body")),
-    };
+    let deadline = checked.deadline.instant;
+    let read = body_head::BodyHead::read(&mut incoming, limits, deadline).await;
+    let read = read.map_err(|it| upload_problem(&it, untold(checked.key)));
     read.map_err(|problem| RefusedRequest { problem, leftover: incoming, measured: false })
 }
 
@@ -291,7 +288,7 @@
         return Err(RefusedRequest { problem, leftover: None, measured: true });
     }
     let length = parts.headers.remove(http::header::CONTENT_LENGTH);
-    request_head::strip(&mut parts.headers);
+    parts.headers = request_head::forwarded(&parts.headers);
     if let Some(length) = length {
         parts.headers.insert(http::header::CONTENT_LENGTH, length);
     }
@@ -508,6 +505,7 @@
 ) -> problem::Problem {
     let kind = match fault {
         upload_body::UploadFault::TooLarge(_) => problem::ProblemKind::BodyTooLarge,
+        upload_body::UploadFault::Late => problem::ProblemKind::DeadlinePassed,
         upload_body::UploadFault::Idle(_) => problem::ProblemKind::RequestTimeout,
         upload_body::UploadFault::Cut(_) => problem::ProblemKind::InvalidRequest,
     };
--- a/crates/entry/src/request_head.rs
+++ b/crates/entry/src/request_head.rs
@@ -22,6 +22,9 @@
 /// Keys from further in the future than this are refused: their age could not be judged.
 const CLOCK_SKEW: Duration = Duration::from_secs(60);
 
+/// Headers that we add.
+const ADDED: usize = 4;
+
 /// Headers that belong to one connection, or to us, and go no further.
 const NOT_FORWARDED: [HeaderName; 14] = [
     header::AUTHORIZATION,
@@ -103,23 +106,20 @@
     Ok(Some(key))
 }
 
-/// Headers of the caller that the upstream gets.
+/// Headers that go beyond one connection.
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = headers.clone();
-    strip(&mut forwarded);
-    forwarded
-}
-
-/// Takes away what does not go beyond one connection.
-pub fn strip(headers: &mut HeaderMap) {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|it| it.to_str().ok());
     let named = named
         .flat_map(|it| it.split(','))
         .filter_map(|it| HeaderName::from_bytes(it.trim().as_bytes()).ok())
         .collect::<Vec<_>>();
-    for name in named.iter().chain(&NOT_FORWARDED) {
-        headers.remove(name);
+    let mut forwarded = HeaderMap::with_capacity(headers.len() + ADDED);
+    for (name, value) in headers {
+        if !NOT_FORWARDED.contains(name) && !named.contains(name) {
+            forwarded.append(name.clone(), value.clone());
+        }
     }
+    forwarded
 }
 
 /// A request id as a header.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use almondpass_peer::link::HallLink;
@@ -217,10 +219,24 @@
             .max_buf_size(n_buffer)
             .max_headers(HEADER_FIELDS)
             .serve_connection(TokioIo::new(stream), answer);
-        let end = tokio::select! {
-            end = poll_fn(|cx| connection.poll_without_shutdown(cx)) => end,
-            () = closing(&mut self.phase) => {
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
+        let watch = self.phase.clone();
+        let mut closing = std::pin::pin!(closing(&mut self.phase));
+        let mut watched = false;
+        let ended = poll_fn(|cx| {
+            if let Poll::Ready(end) = connection.poll_without_shutdown(cx) {
+                return Poll::Ready(Some(end));
+            }
+            // The task's waker stays the same, so one registration lasts until the phase changes.
+            if watched && !watch.has_changed().unwrap_or(true) {
+                return Poll::Pending;
+            }
+            watched = true;
+            closing.as_mut().poll(cx).map(|()| None)
+        });
+        let end = match ended.await {
+            Some(end) => end,
+            None => {
+                Pin::new(&mut connection).graceful_shutdown();
                 poll_fn(|cx| connection.poll_without_shutdown(cx)).await
             }
         };
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -159,18 +159,17 @@
         request: http::Request<Incoming>,
     ) -> Result<http::Response<EntryBody>, request_api::RefusedRequest> {
         let (parts, body) = request.into_parts();
-        let path = parts.uri.path().trim_end_matches('/');
         let caller = match self.admit(&parts) {
             Ok(caller) => caller,
             Err(problem) => return Err(refuse(problem, body)),
         };
-        if path != REQUESTS_PATH {
+        if parts.uri.path().trim_end_matches('/') != REQUESTS_PATH {
             return self.route_job(&caller, &parts, body).await;
         }
         if parts.method != http::Method::POST {
             return Err(refuse(wrong_method(&parts.method, "POST"), body));
         }
-        match request_api::check(&self.core, &caller, id, &parts.headers) {
+        match request_api::check(&self.core, &caller, id, parts.headers) {
             Ok(checked) => request_api::run(Arc::clone(&self.core), checked, body).await,
             Err(problem) => Err(refuse(problem, body)),
         }
@@ -210,7 +209,8 @@
         // no key is known either, so `unknown` is said.
         let outcome = model::RequestOutcome::NotRun;
         let largest = self.core.settings.limits.header_bytes as usize;
-        let n_bytes = request_head::n_bytes(&parts.headers) + parts.uri.to_string().len();
+        let n_path = parts.uri.path_and_query().map_or(0, |it| it.as_str().len());
+        let n_bytes = request_head::n_bytes(&parts.headers) + n_path;
         if largest < n_bytes {
             let kind = problem::ProblemKind::HeadTooLarge;
             let detail = format!("expected a head of at most {largest} bytes, found {n_bytes}");
--- a/crates/entry/src/upload_body.rs
+++ b/crates/entry/src/upload_body.rs
@@ -20,6 +20,9 @@
     /// It stood still.
     #[error("expected more of the body within {0:?}, found none")]
     Idle(Duration),
+    /// The deadline passed first.
+    #[error("expected the whole body by the deadline, found part of it")]
+    Late,
     /// It was cut off or garbled.
     #[error("expected the whole body, found {0}")]
     Cut(String),
--- a/crates/entry/src/upstream_pool.rs
+++ b/crates/entry/src/upstream_pool.rs
@@ -180,7 +180,11 @@
         wish: &ConnectionWish<'_>,
     ) -> Result<UpstreamConnection, ConnectFault> {
         let share = wish.share.max(1) as usize;
+        if let Some(connection) = self.reuse(wish).await {
+            return Ok(connection);
+        }
         loop {
+            // Made before the look, so that a place freed after it is not missed.
             let freed = self.state.freed.notified();
             if let Some(connection) = self.reuse(wish).await {
                 return Ok(connection);
