Compare keys under a hash with a secret of the process

Change: the table is keyed by the standard library's keyed hash, and the digest is still compared in constant time.

--- a/crates/entry/src/key_index.rs
+++ b/crates/entry/src/key_index.rs
@@ -1,6 +1,7 @@
 //! Which account a bearer key belongs to.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 
 use almondpass_schema::model;
 use sha2::Digest;
@@ -15,12 +16,12 @@
 ///
 /// A table keyed by the digests themselves would compare them byte by byte, and the time that
 /// takes would tell a patient caller how much of a digest it has guessed. The table is therefore
-/// keyed by a digest salted anew in every process, whose bytes no caller can predict, and the
-/// stored digest is compared in constant time after that.
-#[derive(Debug)]
+/// keyed by a hash with a secret of this process, which no caller can predict, and the stored
+/// digest is compared in constant time after that.
+#[derive(Debug, Default)]
 pub struct KeyIndex {
-    salt: KeyDigest,
-    accounts: HashMap<KeyDigest, KeyEntry>,
+    secret: RandomState,
+    entries: HashMap<u64, Vec<KeyEntry>>,
 }
 
 #[derive(Debug)]
@@ -32,15 +33,15 @@
 impl KeyIndex {
     /// Indexes the keys of `accounts`; entries that are no digest are left out.
     pub fn new(accounts: &[model::ClientAccount]) -> KeyIndex {
-        let salt = rand::random::<KeyDigest>();
-        let mut index = KeyIndex { salt, accounts: HashMap::new() };
+        let mut index = KeyIndex::default();
         for (account, it) in accounts.iter().enumerate() {
             for key in &it.keys {
                 let Some(digest) = parse_digest(key) else {
                     tracing::warn!(account = it.id, "expected a SHA-256 in hex as a key");
                     continue;
                 };
-                index.accounts.insert(index.salted(&digest), KeyEntry { digest, account });
+                let hash = index.secret.hash_one(digest);
+                index.entries.entry(hash).or_default().push(KeyEntry { digest, account });
             }
         }
         index
@@ -49,15 +50,8 @@
     /// Position of the account that owns `key`.
     pub fn account(&self, key: &[u8]) -> Option<usize> {
         let digest = KeyDigest::from(sha2::Sha256::digest(key));
-        let entry = self.accounts.get(&self.salted(&digest))?;
-        bool::from(entry.digest.ct_eq(&digest)).then_some(entry.account)
-    }
-
-    fn salted(&self, digest: &KeyDigest) -> KeyDigest {
-        let mut hasher = sha2::Sha256::new();
-        hasher.update(self.salt);
-        hasher.update(digest);
-        KeyDigest::from(hasher.finalize())
+        let entries = self.entries.get(&self.secret.hash_one(digest))?;
+        entries.iter().find(|it| bool::from(it.digest.ct_eq(&digest))).map(|it| it.account)
     }
 }
 
--- a/crates/entry/src/request_head.rs
+++ b/crates/entry/src/request_head.rs
@@ -26,7 +26,7 @@
 const ADDED: usize = 4;
 
 /// Headers that belong to one connection, or to us, and go no further.
-const NOT_FORWARDED: [HeaderName; 14] = [
+static NOT_FORWARDED: [HeaderName; 14] = [
     header::AUTHORIZATION,
     header::CONNECTION,
     header::CONTENT_LENGTH,
