Say in a refused grant whether the idempotency key was looked up

Cause: "busy" and "refused" are true of one request. A caller that used its key before, through another entry, would read not_run as true of the work, send it again under a new key, and the work would run twice. The scheduler sometimes refuses before it looked the key up: while it renews its tenure, before its record is sealed, when it is not the key's home. Change: GrantReply.busy and .refused carry `unrecorded`; the hall sets it for refusals that come after the look-up; the entry says not_run for a keyed request only where it is set, else unknown. Conclusion: not_run is now true of the key. The hall's own tests do not check the mark yet.

--- a/crates/entry/src/request_api.rs
+++ b/crates/entry/src/request_api.rs
@@ -407,14 +407,14 @@
     ) -> Reply {
         match reply {
             Ok(model::GrantReply::Granted { grant }) => Reply::Granted(Box::new(grant)),
-            Ok(model::GrantReply::Busy { reason, retry_after }) => {
-                // Proof of `not_run`: the home hall looked the key up before it said `busy`, so
-                // no earlier request ran under it; and this one was not sent.
+            Ok(model::GrantReply::Busy { reason, retry_after, unrecorded }) => {
                 let kind = kind_of(reason.code);
-                let problem = self.problem(kind, self.attempts.outcome(), &reason.text);
+                let problem = self.problem(kind, self.outcome(unrecorded), &reason.text);
                 Reply::Next(problem.because(reason).retry_after(retry_after.0))
             }
-            Ok(model::GrantReply::Refused { reason }) => self.refused(reason),
+            Ok(model::GrantReply::Refused { reason, unrecorded }) => {
+                self.refused(reason, unrecorded)
+            }
             Ok(model::GrantReply::Recorded { outcome, request }) => {
                 let detail = format!("expected a new key, found one that request {request} used");
                 Reply::Final(self.problem(problem::ProblemKind::Recorded, outcome, &detail))
@@ -431,15 +431,21 @@
         }
     }
 
-    fn refused(&self, reason: model::WaitReason) -> Reply {
+    /// What a refusal by a scheduler says. `busy` or `refused` mean that this request was not sent;
+    /// a key may have been used before all the same.
+    fn outcome(&self, unrecorded: bool) -> model::RequestOutcome {
+        if unrecorded {
+            // Proof of `not_run`: the home hall looked the key up and has no record of it, so no
+            // earlier request was sent under it; and this one was not sent either.
+            self.attempts.outcome()
+        } else {
+            asked_outcome(self.checked, self.attempts)
+        }
+    }
+
+    fn refused(&self, reason: model::WaitReason, unrecorded: bool) -> Reply {
         let kind = kind_of(reason.code);
-        let outcome = match reason.code {
-            // What ran under a key of which the record is gone is known to nobody.
-            model::WaitCode::KeyTooOld => model::RequestOutcome::Unknown,
-            // Proof of `not_run`: as for `busy`, the key is not on record and nothing was sent.
-            _ => self.attempts.outcome(),
-        };
-        let problem = self.problem(kind, outcome, &reason.text).because(reason);
+        let problem = self.problem(kind, self.outcome(unrecorded), &reason.text).because(reason);
         match kind {
             problem::ProblemKind::NeverFits
             | problem::ProblemKind::Busy
--- a/crates/entry/tests/entry/outcomes.rs
+++ b/crates/entry/tests/entry/outcomes.rs
@@ -16,11 +16,18 @@
 }
 
 pub(crate) fn busy(code: model::WaitCode) -> model::GrantReply {
-    model::GrantReply::Busy { reason: reason(code), retry_after: time::TimeSpan::from_millis(1500) }
+    let retry_after = time::TimeSpan::from_millis(1500);
+    model::GrantReply::Busy { reason: reason(code), retry_after, unrecorded: true }
 }
 
-fn refused(code: model::WaitCode) -> model::GrantReply {
-    model::GrantReply::Refused { reason: reason(code) }
+fn busy_before_the_key_was_looked_up() -> model::GrantReply {
+    let reason = reason(model::WaitCode::StoreUnavailable);
+    let retry_after = time::TimeSpan::from_millis(1500);
+    model::GrantReply::Busy { reason, retry_after, unrecorded: false }
+}
+
+fn refused(code: model::WaitCode, unrecorded: bool) -> model::GrantReply {
+    model::GrantReply::Refused { reason: reason(code), unrecorded }
 }
 
 fn recorded(outcome: model::RequestOutcome) -> model::GrantReply {
@@ -67,10 +74,14 @@
         => 503, NotRun;
     store_down: "ticket", GrantScript::Reply(busy(model::WaitCode::StoreUnavailable))
         => 503, NotRun;
-    never_fits: "check", GrantScript::Reply(refused(model::WaitCode::NeverFits)) => 422, NotRun;
-    deadline_cannot_be_met: "check", GrantScript::Reply(refused(model::WaitCode::DeadlineMissed))
+    record_not_read_yet: "check", GrantScript::Reply(busy_before_the_key_was_looked_up())
+        => 503, NotRun;
+    record_not_read_yet_for_a_key: "ticket",
+        GrantScript::Reply(busy_before_the_key_was_looked_up()) => 503, Unknown;
+    never_fits: "check", GrantScript::Reply(refused(model::WaitCode::NeverFits, true)) => 422, NotRun;
+    deadline_cannot_be_met: "check", GrantScript::Reply(refused(model::WaitCode::DeadlineMissed, true))
         => 504, NotRun;
-    key_too_old: "ticket", GrantScript::Reply(refused(model::WaitCode::KeyTooOld)) => 400, Unknown;
+    key_too_old: "ticket", GrantScript::Reply(refused(model::WaitCode::KeyTooOld, false)) => 400, Unknown;
     key_done_before: "ticket", GrantScript::Reply(recorded(model::RequestOutcome::Done))
         => 409, Done;
     key_unknown_before: "ticket", GrantScript::Reply(recorded(model::RequestOutcome::Unknown))
--- a/crates/hall/src/grant_table.rs
+++ b/crates/hall/src/grant_table.rs
@@ -192,11 +192,23 @@
     retry_after: time::TimeSpan,
 ) -> model::GrantReply {
     let reason = model::WaitReason { code, text: text.into(), until: None };
-    model::GrantReply::Busy { reason, retry_after }
+    model::GrantReply::Busy { reason, retry_after, unrecorded: false }
 }
 
 /// "Never here; nothing was sent".
 pub(crate) fn refused(code: model::WaitCode, text: impl Into<String>) -> model::GrantReply {
     let reason = model::WaitReason { code, text: text.into(), until: None };
-    model::GrantReply::Refused { reason }
+    model::GrantReply::Refused { reason, unrecorded: false }
+}
+
+/// Adds that the key was looked up and is not on record. Without it "nothing was sent" is true of
+/// this request only: the key may have been used before, and its caller must not be told that the
+/// work did not run.
+pub(crate) fn unrecorded(mut reply: model::GrantReply) -> model::GrantReply {
+    if let model::GrantReply::Busy { unrecorded, .. }
+    | model::GrantReply::Refused { unrecorded, .. } = &mut reply
+    {
+        *unrecorded = true;
+    }
+    reply
 }
--- a/crates/hall/src/grants.rs
+++ b/crates/hall/src/grants.rs
@@ -42,7 +42,8 @@
             Admission::Arrived(grant, mut work) => {
                 let item = self.work_item(grant, &work);
                 if let Err(reason) = self.policy.admits(&item) {
-                    let _ = reply.send(model::GrantReply::Refused { reason });
+                    let refusal = model::GrantReply::Refused { reason, unrecorded: true };
+                    let _ = reply.send(refusal);
                     return;
                 }
                 work.reply = Some(reply);
@@ -73,13 +74,14 @@
             return Admission::Answer(answer);
         }
         if let Some(answer) = self.check_limits(&call) {
-            return Admission::Answer(answer);
+            return Admission::Answer(grant_table::unrecorded(answer));
         }
         let left = call.deadline.since(self.wall());
         if left.is_zero() {
             let text = "the deadline passed before the request arrived";
             let code = model::WaitCode::DeadlineMissed;
-            return Admission::Answer(grant_table::busy(code, text, RETRY_SOON));
+            let answer = grant_table::busy(code, text, RETRY_SOON);
+            return Admission::Answer(grant_table::unrecorded(answer));
         }
         let now = Instant::now();
         let work = grant_table::GrantWork {
@@ -561,7 +563,8 @@
         if let Some(lease) = work.lease().cloned() {
             self.keep_idle(&lease);
         }
-        work.answer(answer);
+        // A keyed request waits only after its key was looked up.
+        work.answer(grant_table::unrecorded(answer));
         metric::outcome(&work.call.account, &work.call.class, model::RequestOutcome::NotRun);
         self.tell(event::HallEvent::Cancelled(grant));
         if !work.is_waiting() {
@@ -577,8 +580,8 @@
             model::WaitCode::NeverFits | model::WaitCode::JobFaulty | model::WaitCode::NotPermitted
         );
         let answer = match never {
-            true => model::GrantReply::Refused { reason },
-            false => model::GrantReply::Busy { reason, retry_after: RETRY_SOON },
+            true => model::GrantReply::Refused { reason, unrecorded: true },
+            false => model::GrantReply::Busy { reason, retry_after: RETRY_SOON, unrecorded: true },
         };
         // Proof for "not run": a request without a grant was sent by nobody.
         if self.grants.get(&grant).is_some_and(|it| it.is_waiting()) {
--- a/crates/hall/tests/hall/intents.rs
+++ b/crates/hall/tests/hall/intents.rs
@@ -210,7 +210,7 @@
         let instance = site.start_holder("a").await;
         let old = support::key_made_at(site.now() - support::secs(3601));
         let code = async |key| match instance.grant(support::keyed(&site, key)).await {
-            model::GrantReply::Refused { reason } => reason.code,
+            model::GrantReply::Refused { reason, .. } => reason.code,
             other => panic!("expected a refusal, found {other:?}"),
         };
         assert_eq!(code(old).await, model::WaitCode::KeyTooOld);
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -454,12 +454,18 @@
         reason: WaitReason,
         ///When to come back.
         retry_after: crate::time::TimeSpan,
+        ///The idempotency key was looked up, and nothing ran under it.
+        #[serde(default)]
+        unrecorded: bool,
     },
     ///Never here; nothing was sent.
     #[serde(rename = "refused")]
     Refused {
         ///Why.
         reason: WaitReason,
+        ///The idempotency key was looked up, and nothing ran under it.
+        #[serde(default)]
+        unrecorded: bool,
     },
     ///The idempotency key was used before; this is what became of it.
     #[serde(rename = "recorded")]
