Run the demo: three instances, a stand-in platform, a shutdown, a crash, eight conditions

Change: the course of the run: first configuration, two racing operators, gangs that fill the halls, three claims, a graceful shutdown, a drain and a leaving upstream, a crash, replacements. Upstreams misbehave in eight ways meanwhile.

--- a/crates/daemon/src/demo.rs
+++ b/crates/daemon/src/demo.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod checks;
 pub mod clock;
+pub mod cluster;
 pub mod evidence;
 pub mod gang_runs;
 pub mod gangs;
@@ -14,10 +15,15 @@
 pub mod ledger;
 pub mod operators;
 pub mod report;
+pub mod scenario;
 pub mod site;
 pub mod watcher;
 
 use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::runtime;
 
 use crate::logging;
 
@@ -44,5 +50,18 @@
 /// Runs the demo; succeeds only if all conditions held.
 pub fn run(args: DemoArgs) -> anyhow::Result<ExitCode> {
     logging::start(Some(&args.log))?;
-    anyhow::bail!("expected the demo, found that instances cannot be started yet")
+    let options = scenario::DemoOptions {
+        site: args.site,
+        seed: args.seed,
+        traffic: Duration::from_secs(args.seconds),
+    };
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build().context("runtime")?;
+    let evidence = runtime.block_on(scenario::run(options))?;
+    let report = report::DemoReport::new(args.seed, &evidence);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        println!("\n{}", report.text());
+    }
+    Ok(if report.held { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
