--- a/crates/entry/src/grant_ledger.rs
+++ b/crates/entry/src/grant_ledger.rs
@@ -43,7 +43,8 @@
 struct HallLedger {
     outstanding: HashMap<ids::GrantId, Arc<model::SlotGrant>>,
     returns: VecDeque<PendingReturn>,
-    epoch: ids::Epoch,
+    /// Newest tenure whose scheduler was told, or is about to be.
+    reported: ids::Epoch,
     report_due: bool,
     flushing: bool,
 }
@@ -74,7 +75,6 @@
         }
         if let Some(hall) = halls.get_mut(&grant.hall) {
             hall.outstanding.insert(grant.grant, Arc::clone(&grant));
-            hall.epoch = hall.epoch.max(grant.epoch);
         }
         drop(halls);
         GrantTicket {
@@ -86,25 +86,6 @@
         }
     }
 
-    /// Gives back a grant that may have been given without its answer arriving. The scheduler
-    /// would otherwise keep the slot for a request that will never be sent, until its term ends;
-    /// it finds the grant by the request, for its id never arrived.
-    pub fn forgo(&self, request: ids::RequestId, hall: &ids::HallName) {
-        let entry = model::GrantReturn {
-            grant: ids::GrantId::nil(),
-            request,
-            hall: hall.clone(),
-            // Proof of `not_run`: only this entry sends the request, and only under a grant that
-            // it was given; a late answer to its call finds nobody waiting for it.
-            outcome: model::RequestOutcome::NotRun,
-            worker_fault: false,
-            elapsed: time::TimeSpan::default(),
-        };
-        let lapses = Instant::now() + AFTER_TERM;
-        self.inner.lock().entry(hall.clone()).or_default();
-        self.inner.close(hall, PendingReturn { entry, lapses });
-    }
-
     /// Gives grants back and reports those in use to new schedulers, until dropped.
     pub async fn run<L: HallLink>(self, link: L, entry: ids::InstanceId) {
         let mut poll = interval(EPOCH_POLL);
@@ -147,14 +128,15 @@
 impl LedgerInner {
     /// A new scheduler of a hall does not know which grants of its predecessor are still in use,
     /// and could give their slots away a second time. One would notice more requests on a worker
-    /// than it has slots. Each entry therefore tells it as soon as it sees the new epoch.
+    /// than it has slots. Each entry therefore tells it as soon as it sees the new epoch, also
+    /// where it uses none: the slots of the others are kept until every entry has told.
     fn compare_epochs(&self, summaries: &[model::HallBeat]) {
         let mut halls = self.lock();
         for beat in summaries {
-            let Some(hall) = halls.get_mut(&beat.hall) else { continue };
-            if hall.epoch < beat.epoch {
-                hall.epoch = beat.epoch;
-                hall.report_due = !hall.outstanding.is_empty();
+            let hall = halls.entry(beat.hall.clone()).or_default();
+            if hall.reported < beat.epoch {
+                hall.reported = beat.epoch;
+                hall.report_due = true;
             }
         }
     }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -20,11 +20,13 @@
 use uuid::Uuid;
 
 use crate::admission;
+use crate::checked_request;
 use crate::config_index;
 use crate::grant_ledger;
 use crate::job_api;
 use crate::job_reader;
 use crate::problem;
+use crate::refused_request;
 use crate::relay_body;
 use crate::request_api;
 use crate::request_head;
@@ -157,7 +159,7 @@
         &self,
         id: ids::RequestId,
         request: http::Request<Incoming>,
-    ) -> Result<http::Response<EntryBody>, request_api::RefusedRequest> {
+    ) -> Result<http::Response<EntryBody>, refused_request::RefusedRequest> {
         let (parts, body) = request.into_parts();
         let caller = match self.admit(&parts) {
             Ok(caller) => caller,
@@ -169,7 +171,7 @@
         if parts.method != http::Method::POST {
             return Err(refuse(wrong_method(&parts.method, "POST"), body));
         }
-        match request_api::check(&self.core, &caller, id, parts.headers) {
+        match checked_request::check(&self.core, &caller, id, parts.headers) {
             Ok(checked) => request_api::run(Arc::clone(&self.core), checked, body).await,
             Err(problem) => Err(refuse(problem, body)),
         }
@@ -180,7 +182,7 @@
         caller: &config_index::CallerAccount,
         parts: &http::request::Parts,
         body: Incoming,
-    ) -> Result<http::Response<EntryBody>, request_api::RefusedRequest> {
+    ) -> Result<http::Response<EntryBody>, refused_request::RefusedRequest> {
         let n_accounts = caller.document().accounts.len();
         let entered = self.core.calls.enter(&caller.account().id, n_accounts, ACCOUNT_CALLS);
         let permit = match entered {
@@ -238,9 +240,9 @@
 const REQUESTS_PATH: &str = "/v1/requests";
 
 /// A refusal before the body was touched.
-pub(crate) fn refuse(problem: problem::Problem, body: Incoming) -> request_api::RefusedRequest {
+pub(crate) fn refuse(problem: problem::Problem, body: Incoming) -> refused_request::RefusedRequest {
     let leftover = Some(body).filter(|it| !it.is_end_stream());
-    request_api::RefusedRequest { problem, leftover, measured: false }
+    refused_request::RefusedRequest { problem, leftover, measured: false }
 }
 
 /// A method that the path does not know.
