Put the store client under the instance; wait for readiness in the test of TLS

Cause: the instance spoke to the table and the object store without retries, circuit or write cap. The test of TLS failed once in about ten runs: the entry answers 503 instead of 401 as long as the instance has no configuration, and the test did not wait for readiness. It now does, and checks the same answers. Change: store::open around both services, with the cap from the settings.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -10,7 +10,7 @@
 use almondpass_hall::{backend, options, service as hall_service};
 use almondpass_membership::{directory, members, service as member_service};
 use almondpass_peer::{client, key, server};
-use almondpass_platform::{clock, remote};
+use almondpass_platform::{clock, remote, store};
 use almondpass_schema::{ids, model};
 use anyhow::{Context, anyhow};
 use tokio::net::TcpListener;
@@ -218,8 +218,17 @@
         let service = |address: &ids::PeerAddress| {
             remote::RemoteService::new(platform.clone(), address.clone(), deadline)
         };
-        let table = remote::RemoteTable(service(&settings.platform.table));
-        let objects = remote::RemoteObjects(service(&settings.platform.objects));
+        let limits = settings.limits.clone().unwrap_or_default();
+        let store = store::StoreConfig {
+            deadline,
+            writes_per_second: limits.store_writes_per_second,
+            ..store::StoreConfig::default()
+        };
+        let (table, objects) = store::open(
+            remote::RemoteTable(service(&settings.platform.table)),
+            remote::RemoteObjects(service(&settings.platform.objects)),
+            store,
+        );
         let instances = remote::RemoteInstances(service(&settings.platform.instances));
         let workers = remote::RemoteWorkers::new(workers, deadline);
 
--- a/crates/daemon/src/wiring.rs
+++ b/crates/daemon/src/wiring.rs
@@ -5,7 +5,7 @@
 use almondpass_hall::{backend, service};
 use almondpass_membership::{directory, service as member};
 use almondpass_peer::client;
-use almondpass_platform::remote;
+use almondpass_platform::{remote, store_objects, store_table};
 use almondpass_policy::core;
 
 use crate::beats;
@@ -13,10 +13,10 @@
 
 /// Carries calls.
 pub type Link = client::PeerClient;
-/// The table service.
-pub type Table = remote::RemoteTable<Link>;
-/// The object store.
-pub type Objects = remote::RemoteObjects<Link>;
+/// The table service, with deadlines, retries, a circuit and our cap on writes.
+pub type Table = store_table::StoreTable<remote::RemoteTable<Link>>;
+/// The object store, likewise.
+pub type Objects = store_objects::StoreObjects<remote::RemoteObjects<Link>>;
 /// The workers.
 pub type Workers = remote::RemoteWorkers<Link>;
 /// What hall schedulers are built upon.
--- a/crates/daemon/tests/site/process.rs
+++ b/crates/daemon/tests/site/process.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, channel};
@@ -19,6 +20,7 @@
 use rustls::pki_types::{CertificateDer, ServerName};
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::time::{self, Instant};
 use tokio_rustls::TlsConnector;
 
 use crate::common;
@@ -167,15 +169,19 @@
         });
     });
     let listening = program.log("listening");
-    // Callers need a key also where there is nothing to be had.
-    let expected = [("callers", StatusCode::UNAUTHORIZED), ("operators", StatusCode::OK)];
-    for (listener, expected) in expected {
-        let to = address(&listening, listener);
-        assert_eq!(get_over_tls(to, &certificate_file).await, expected, "{listener}");
+    let operators = address(&listening, "operators");
+    let started = Instant::now();
+    while get_over_tls(operators, "/readyz", &certificate_file).await != StatusCode::OK {
+        assert!(started.elapsed() < common::LIMIT, "expected a ready instance");
+        time::sleep(Duration::from_millis(20)).await;
     }
+    // Callers need a key also where there is nothing to be had.
+    let callers = address(&listening, "callers");
+    let status = get_over_tls(callers, "/healthz", &certificate_file).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
 }
 
-async fn get_over_tls(to: SocketAddr, certificate: &std::path::Path) -> StatusCode {
+async fn get_over_tls(to: SocketAddr, path: &str, certificate: &Path) -> StatusCode {
     let mut roots = rustls::RootCertStore::empty();
     roots.add(CertificateDer::from_pem_file(certificate).expect("a certificate")).expect("a root");
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -189,7 +195,7 @@
     let stream = TlsConnector::from(Arc::new(config)).connect(name, stream).await.expect("TLS");
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
     tokio::spawn(connection);
-    let request = common::job_call(http::Method::GET, "/healthz", "", "");
+    let request = common::job_call(http::Method::GET, path, "", "");
     let response = sender.send_request(request).await.expect("an answer");
     let status = response.status();
     response.into_body().collect().await.expect("a whole answer");
