Keep room beside the homes, save long runs, protect shapes that are named

Change: work that can be reclaimed goes into home blocks first; beside them, as much stays free as urgent work and work that can't be reclaimed were seen to need; runs with checkpoints are saved every ten minutes (Decision::Checkpoint without stop_by: the gang runs on); a victim's price counts its checkpoint only where the grace is long enough; what can't be reclaimed no longer takes a shape that its account names or a gang's shape.

--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -3,6 +3,7 @@
 use almondpass_schema::model;
 
 use crate::core::HallCore;
+use crate::guarantee::HomeBlock;
 use crate::item::{ItemState, ReserveKind};
 use crate::ledger::{Booking, HeldTask};
 use crate::placement::{self, PlaceAsk, PlaceRule};
@@ -47,6 +48,15 @@
             && shape.settled()
             && key.guarantee.as_ref().is_none_or(|it| *it == shape.guarantee)
             && self.kept_claims(home, key) + width <= shape.size
+            && (key.guarantee.is_some() || !self.blocks_shape(shape, key, width))
+    }
+
+    /// Whether work that merely fits a shape would keep its account from claiming it whole in time.
+    /// What can't be reclaimed takes a shape that nobody names and that is not much larger.
+    fn blocks_shape(&self, shape: &HomeBlock, key: &GroupKey, width: u32) -> bool {
+        let rule = &self.catalog.classes[key.class as usize];
+        let gangs = shape.adjacency != model::Adjacency::Worker && 2 * width < shape.size;
+        self.is_hard(rule) && (shape.named || gangs)
     }
 
     /// Accelerators of a home whose claims do not yield to work of this kind.
@@ -158,6 +168,6 @@
         home: u32,
     ) -> Option<Vec<HeldTask>> {
         let block = &self.homes[home as usize].block;
-        reclaim::cheapest(self, ask, rule, block)
+        reclaim::cheapest(self, ask, rule, block, self.terms.grace)
     }
 }
--- a/crates/policy/src/clearing.rs
+++ b/crates/policy/src/clearing.rs
@@ -5,6 +5,8 @@
 //! there only if it is gone by then. Once the gang has waited `gang_wait`, only the certain end of
 //! new work counts, so that the gang starts within `gang_wait` and the longest run ahead of it.
 
+use std::time::Duration;
+
 use almondpass_schema::{model, time};
 
 use crate::core::HallCore;
@@ -14,10 +16,14 @@
 use crate::queue::GroupKey;
 use crate::reasons;
 use crate::reserve;
+use crate::rules::OpenRule;
 use crate::topology::NONE;
 
 /// Gangs for which a block is sought in one turn.
 const SEARCHES_A_TURN: usize = 4;
+/// A block that opens later by this for each accelerator is preferred if it lies in home blocks,
+/// which are closed to what can't be reclaimed.
+const OUTSIDE_DELAY: Duration = Duration::from_secs(60);
 /// A block whose opening slips by more than this part of the wait is chosen anew.
 const SLIP: f64 = 0.25;
 
@@ -27,6 +33,8 @@
     index: u32,
     usage: Usage,
     hard: bool,
+    /// Whether all that lies beside home blocks is needed by what can't be reclaimed.
+    homes_only: bool,
     /// Whether blocks that are cleared for younger gangs may be taken.
     overdue: bool,
     exclude: &'a [u32],
@@ -48,6 +56,7 @@
         self.core.health[worker as usize].usable()
             && !self.exclude.contains(&worker)
             && (!self.hard || ledger.home[at] == NONE)
+            && (!self.homes_only || ledger.home[at] != NONE)
             && (reserved == NONE || self.overdue && self.goes_before(reserved))
             && (ledger.holder[at] == NONE || self.core.items.at(ledger.holder[at]).claim.is_none())
     }
@@ -60,8 +69,8 @@
         whole.minus(Usage::share(spec, kept)).tasks(self.usage)
     }
 
-    fn penalty(&self, accelerator: u32) -> u32 {
-        u32::from(self.core.ledger.home[accelerator as usize] != NONE)
+    fn penalty(&self, _accelerator: u32) -> u32 {
+        0
     }
 
     fn bare_rank(&self, _worker: u32) -> i64 {
@@ -80,7 +89,6 @@
 /// A block and when it opens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ClearScore {
-    in_homes: bool,
     opening: time::WallTime,
     n_held: usize,
     start: u32,
@@ -139,6 +147,7 @@
             index,
             usage: ask.usage,
             hard: self.booking_of(index) == Booking::Hard,
+            homes_only: self.crowds(index) && !self.overdue(index),
             overdue: self.overdue(index),
             exclude: &item.exclude,
         };
@@ -190,8 +199,8 @@
                 let all = start as usize..end as usize;
                 let held = &self.ledger.holder[all.clone()];
                 let score = ClearScore {
-                    in_homes: (start..end).any(|it| 0 < rule.penalty(it)),
-                    opening: ends[all].iter().copied().max().unwrap_or(self.now),
+                    opening: ends[all].iter().copied().max().unwrap_or(self.now)
+                        + OUTSIDE_DELAY * self.n_outside(start, end),
                     n_held: held.iter().filter(|it| **it != NONE).count(),
                     start,
                 };
@@ -204,6 +213,12 @@
         Some(placement::held(&self.topology, ask.width, &starts))
     }
 
+    /// Accelerators of a run that lie beside home blocks.
+    fn n_outside(&self, start: u32, end: u32) -> u32 {
+        let outside = |it: &&u32| **it == NONE;
+        self.ledger.home[start as usize..end as usize].iter().filter(outside).count() as u32
+    }
+
     /// Workers whose cores, memory and slots are expected to be free first.
     fn earliest_bare(&self, ask: &PlaceAsk, rule: &ClearRule<'_>) -> Option<Vec<HeldTask>> {
         let together = ask.adjacency == model::Adjacency::Worker;
@@ -283,7 +298,7 @@
     pub(crate) fn refresh_clearing(&mut self, index: u32) {
         let item = self.items.at(index);
         let ask = PlaceAsk::of(&item.work);
-        let rule = crate::rules::OpenRule::new(self, index);
+        let rule = OpenRule { homes_only: false, ..OpenRule::new(self, index) };
         if let Some(tasks) = placement::best(&self.topology, &ask, &rule) {
             let reason = self.start_reason(&tasks);
             self.unreserve(index);
--- a/crates/policy/src/core.rs
+++ b/crates/policy/src/core.rs
@@ -10,6 +10,7 @@
 use crate::estimates::EstimateTable;
 use crate::event;
 use crate::guarantee::HomeBlock;
+use crate::headroom::HeadroomBook;
 use crate::health::WorkerHealth;
 use crate::homes;
 use crate::item_table::ItemTable;
@@ -51,6 +52,7 @@
     pub(crate) failures: crate::probing::FailureRates,
     pub(crate) estimates: EstimateTable,
     pub(crate) uses: Vec<AccountUse>,
+    pub(crate) headroom: HeadroomBook,
     pub(crate) timers: TimerQueue,
     pub(crate) outbox: Vec<decision::Decision>,
     /// Grows with everything by which work may fit that did not before.
@@ -93,6 +95,7 @@
             failures: crate::probing::FailureRates::default(),
             estimates: EstimateTable::default(),
             uses: Vec::new(),
+            headroom: HeadroomBook::default(),
             timers: TimerQueue::default(),
             outbox: Vec::new(),
             version: 1,
@@ -144,6 +147,7 @@
         self.tell_workers();
         self.keep_homes();
         self.check_reservations();
+        self.measure_headroom();
         self.serve_claims();
         self.probe_workers();
         self.dispatch();
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -20,8 +20,8 @@
     Checkpoint {
         /// The work.
         work: work::WorkId,
-        /// A `Stop` follows at this time at the latest.
-        stop_by: time::WallTime,
+        /// A `Stop` follows at this time at the latest; without one the gang runs on.
+        stop_by: Option<time::WallTime>,
         /// Why.
         reason: model::WaitReason,
     },
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -119,7 +119,12 @@
                 None if self.place_open(entry.item) => return true,
                 None if urgent && self.opens_soon(entry.item) => {}
                 None if urgent && self.reclaim_urgent(entry.item) => return true,
-                None => code = self.blocked_by(entry.item),
+                None => {
+                    code = self.blocked_by(entry.item);
+                    if self.kept_for_others(entry.item) {
+                        self.look_again();
+                    }
+                }
             }
             if self.items.at(entry.item).exclude.is_empty() {
                 break;
@@ -181,7 +186,8 @@
         if self.booking_of(index) == Booking::Hard && self.fits_in_homes(index) {
             return model::WaitCode::GuaranteeKept;
         }
-        if !self.reserving.is_empty() && self.fits_in_blocks(index) {
+        let kept = self.kept_for_others(index) || !self.reserving.is_empty();
+        if kept && self.fits_in_blocks(index) {
             return model::WaitCode::ClearingBlock;
         }
         if 1 < item.work.tasks && item.work.adjacency != model::Adjacency::Any {
@@ -193,14 +199,14 @@
     /// Whether work that can't be reclaimed would fit if home blocks were open to it.
     fn fits_in_homes(&self, index: u32) -> bool {
         let ask = PlaceAsk::of(&self.items.at(index).work);
-        let rule = OpenRule { hard: false, ..OpenRule::new(self, index) };
+        let rule = OpenRule { hard: false, homes_only: false, ..OpenRule::new(self, index) };
         placement::best(&self.topology, &ask, &rule).is_some()
     }
 
     /// Whether work would fit if reserved places were open to it.
     fn fits_in_blocks(&self, index: u32) -> bool {
         let ask = PlaceAsk::of(&self.items.at(index).work);
-        let rule = OpenRule { keeps: false, ..OpenRule::new(self, index) };
+        let rule = OpenRule { keeps: false, homes_only: false, ..OpenRule::new(self, index) };
         placement::best(&self.topology, &ask, &rule).is_some()
     }
 
@@ -234,7 +240,10 @@
         }
         let rule = crate::urgent::UrgentRule::new(self, index);
         let starts: Vec<u32> = (0..self.topology.n_accelerators()).collect();
-        let Some(tasks) = reclaim::cheapest(self, &ask, &rule, &starts) else { return false };
+        let grace = self.terms.urgent_grace();
+        let Some(tasks) = reclaim::cheapest(self, &ask, &rule, &starts, grace) else {
+            return false;
+        };
         self.dequeue(index);
         self.reserve(index, tasks, ReserveKind::Urgent, None);
         self.send_away(index, ReserveKind::Urgent);
--- a/crates/policy/src/guarantee.rs
+++ b/crates/policy/src/guarantee.rs
@@ -18,6 +18,8 @@
     pub(crate) block: Vec<u32>,
     /// Work that claims it, holding or reserving its accelerators.
     pub(crate) claims: Vec<u32>,
+    /// Whether work has named it since this scheduler began.
+    pub(crate) named: bool,
     /// Whether operators were last told that it has a block.
     pub(crate) reported: Option<bool>,
 }
@@ -33,6 +35,7 @@
             canonical: home.block.clone(),
             block: Vec::new(),
             claims: Vec::new(),
+            named: false,
             reported: None,
         }
     }
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -62,6 +62,13 @@
     }
 
     fn insert(&mut self, work: work::WorkItem, started_at: time::WallTime) -> u32 {
+        if let Some(name) = &work.guarantee {
+            let named = self
+                .homes
+                .iter_mut()
+                .find(|it| it.account_id == work.account && it.guarantee == *name);
+            named.into_iter().for_each(|it| it.named = true);
+        }
         let class = self.catalog.class(&work.class, 0 < work.demand.slots);
         let account = self.catalog.account(&work.account);
         self.uses.resize(self.catalog.accounts.len(), Default::default());
@@ -78,6 +85,8 @@
             saved_at: started_at,
             opening: self.now,
             stop_by: self.now,
+            urgent_width: 0,
+            asked_at: started_at,
             fate: StopFate::Requeue,
             begun: false,
             ran: 0 < work.attempt,
--- a/crates/policy/src/item.rs
+++ b/crates/policy/src/item.rs
@@ -70,6 +70,10 @@
     pub(crate) saved_at: time::WallTime,
     /// When its place is expected to open, while reserving.
     pub(crate) opening: time::WallTime,
+    /// Accelerators by which it counts as urgent use while held.
+    pub(crate) urgent_width: u32,
+    /// When a checkpoint of a run that goes on was last asked for.
+    pub(crate) asked_at: time::WallTime,
     /// When the checkpoint under way is cut short.
     pub(crate) stop_by: time::WallTime,
     /// What becomes of it after the stop under way.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod estimates;
 pub mod event;
 mod guarantee;
+mod headroom;
 mod health;
 pub mod homes;
 mod intake;
--- a/crates/policy/src/lifecycle.rs
+++ b/crates/policy/src/lifecycle.rs
@@ -23,6 +23,9 @@
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause after a failure.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// Between two checkpoints of a run that goes on. By Young's rule this suits a checkpoint of some
+/// 5 s and a loss or a reclaim every ten hours.
+const SAVE_INTERVAL: Duration = Duration::from_secs(600);
 /// Timers looked at in one turn.
 const TIMERS_A_TURN: usize = 512;
 
@@ -77,6 +80,10 @@
         account.accelerators += width;
         account.usage.add(usage.times(item.work.tasks));
         account.requests += u32::from(request);
+        if self.catalog.classes[item.class as usize].urgent {
+            item.urgent_width = width;
+            self.headroom.urgent_held += width;
+        }
         item.tasks = tasks;
         item.booking = booking;
         if let Some(home) = claim {
@@ -96,6 +103,8 @@
         account.accelerators -= width;
         account.usage.sub(usage.times(item.work.tasks));
         account.requests -= u32::from(request);
+        self.headroom.urgent_held -= item.urgent_width;
+        item.urgent_width = 0;
         let booking = item.booking;
         self.ledger.release(index, &tasks, usage, booking);
         self.bump();
@@ -113,6 +122,7 @@
             Some(_) => Booking::Claim,
             None => self.booking_of(index),
         };
+        self.spend(index, &tasks);
         let placement = self.slots(&tasks);
         self.hold(index, tasks, booking, claim);
         let now = self.now;
@@ -180,8 +190,9 @@
             item.end = Some(reason.clone());
         }
         let work = item.work.work;
+        let stop_by = Some(stop_by);
         self.outbox.push(Decision::Checkpoint { work, stop_by, reason });
-        self.set_timer(stop_by, TimerKind::Grace, index);
+        self.set_timer(now + grace, TimerKind::Grace, index);
     }
 
     /// Queues an item again after its attempt ended, with its age and checkpoint.
@@ -313,8 +324,12 @@
             let left = |limit: Duration| limit.saturating_sub(item.work.saved_run);
             let throttle = item.saved_at + left(rule.max_run);
             let overrun = item.saved_at + left(rule.max_run.mul_f64(self.terms.overrun));
+            let saves = rule.checkpoint;
             self.set_timer(throttle, TimerKind::Throttle, index);
             self.set_timer(overrun, TimerKind::Overrun, index);
+            if saves {
+                self.set_timer(self.now + SAVE_INTERVAL, TimerKind::Save, index);
+            }
             if let Some(at) = deadline {
                 self.set_timer(at, TimerKind::Deadline, index);
             }
@@ -343,6 +358,7 @@
                 self.stop(index, item.fate, reasons::grace_over());
             }
             (TimerKind::Throttle, ItemState::Running) => self.throttle(index),
+            (TimerKind::Save, ItemState::Running) => self.save(index),
             (TimerKind::Overrun, ItemState::Running) => self.overrun(index),
             (TimerKind::Deadline, _) => self.check_deadline(index),
             (TimerKind::Retry, ItemState::Delayed) => self.enqueue(index),
@@ -350,6 +366,23 @@
         }
     }
 
+    /// Has a gang save its run, so that little is lost when it must go without a grace or its
+    /// worker dies.
+    fn save(&mut self, index: u32) {
+        let item = self.items.at(index);
+        let due = item.saved_at.max(item.asked_at) + SAVE_INTERVAL;
+        if self.now < due {
+            self.set_timer(due, TimerKind::Save, index);
+            return;
+        }
+        let work = item.work.work;
+        let now = self.now;
+        self.items.at_mut(index).asked_at = now;
+        let reason = reasons::saved();
+        self.outbox.push(Decision::Checkpoint { work, stop_by: None, reason });
+        self.set_timer(now + SAVE_INTERVAL, TimerKind::Save, index);
+    }
+
     fn throttle(&mut self, index: u32) {
         let total = self.total_run(index);
         let item = self.items.at(index);
--- a/crates/policy/src/picture.rs
+++ b/crates/policy/src/picture.rs
@@ -158,7 +158,8 @@
                 rule.name
             ),
             model::WaitCode::ClearingBlock => format!(
-                "what is free is kept for a gang, and a run of class {} may outlast its opening",
+                "what is free is kept: for a gang, as a run of class {} may outlast its opening, or \
+                 for work that is urgent or can't be reclaimed",
                 rule.name
             ),
             model::WaitCode::UpstreamUnavailable => {
--- a/crates/policy/src/reasons.rs
+++ b/crates/policy/src/reasons.rs
@@ -80,6 +80,10 @@
     plain(model::WaitCode::Queued, format!("lost with worker {worker}"))
 }
 
+pub(crate) fn saved() -> model::WaitReason {
+    plain(model::WaitCode::Queued, "saves its run, and goes on")
+}
+
 pub(crate) fn checkpoint_kept() -> model::WaitReason {
     plain(model::WaitCode::Reclaiming, "its checkpoint is kept; stopped")
 }
--- a/crates/policy/src/reclaim.rs
+++ b/crates/policy/src/reclaim.rs
@@ -20,7 +20,7 @@
 const RESTART_COST: f64 = 30.0;
 /// Work that was a victim before counts as dearer by this part each time, so that the same job is
 /// not sent away again and again.
-const REPEAT_COST: f64 = 0.5;
+const REPEAT_COST: f64 = 1.0;
 
 /// The place among allowed accelerators that costs least, whole gangs counted. `starts` are the
 /// accelerators at which a run may begin.
@@ -29,10 +29,11 @@
     ask: &PlaceAsk,
     rule: &impl PlaceRule,
     starts: &[u32],
+    grace: Duration,
 ) -> Option<Vec<HeldTask>> {
     let scattered = 1 < ask.tasks && ask.adjacency == model::Adjacency::Any;
     if scattered {
-        return cheapest_scattered(core, ask, rule, starts);
+        return cheapest_scattered(core, ask, rule, starts, grace);
     }
     let mut tasks = Vec::new();
     let mut best: Option<(f64, u32)> = None;
@@ -41,7 +42,7 @@
             continue;
         }
         let limit = best.map_or(f64::INFINITY, |(cost, _)| cost);
-        let cost = cost(core, ask.width, &tasks, &[], limit);
+        let cost = cost(core, ask.width, &tasks, &[], limit, grace);
         if cost < limit {
             best = Some((cost, *start));
         }
@@ -60,6 +61,7 @@
     ask: &PlaceAsk,
     rule: &impl PlaceRule,
     starts: &[u32],
+    grace: Duration,
 ) -> Option<Vec<HeldTask>> {
     let single = PlaceAsk { tasks: 1, ..*ask };
     let mut victims: Vec<u32> = Vec::new();
@@ -78,7 +80,7 @@
                 continue;
             }
             let limit = best.map_or(f64::INFINITY, |(cost, _)| cost);
-            let cost = cost(core, ask.width, &task, &victims, limit);
+            let cost = cost(core, ask.width, &task, &victims, limit, grace);
             if cost < limit {
                 best = Some((cost, *start));
             }
@@ -96,7 +98,14 @@
 }
 
 /// What it costs to free the tasks that begin at `tasks`, or `limit` where it is no less.
-fn cost(core: &HallCore, width: u32, tasks: &[u32], victims: &[u32], limit: f64) -> f64 {
+fn cost(
+    core: &HallCore,
+    width: u32,
+    tasks: &[u32],
+    victims: &[u32],
+    limit: f64,
+    grace: Duration,
+) -> f64 {
     let mut seen: Vec<u32> = Vec::new();
     let mut sum = 0.0;
     for it in tasks.iter().flat_map(|at| *at..at + width) {
@@ -105,7 +114,7 @@
             continue;
         }
         seen.push(holder);
-        sum += core.victim_cost(core.items.at(holder));
+        sum += core.victim_cost(core.items.at(holder), grace);
         if limit <= sum {
             return limit;
         }
@@ -115,17 +124,15 @@
 
 impl HallCore {
     /// What sending a gang away costs.
-    pub(crate) fn victim_cost(&self, item: &QueueItem) -> f64 {
+    pub(crate) fn victim_cost(&self, item: &QueueItem, grace: Duration) -> f64 {
         if matches!(item.state, ItemState::Stopping) {
             return 0.1;
         }
         let rule = &self.catalog.classes[item.class as usize];
-        // A checkpoint saves the run up to the stop.
-        let lost = if rule.checkpoint && item.state == ItemState::Running {
-            0.0
-        } else {
-            item.lost_work(self.now)
-        };
+        // A checkpoint saves the run up to the stop, where there is time for one.
+        let saves = rule.checkpoint && self.terms.grace <= grace;
+        let lost =
+            if saves && item.state == ItemState::Running { 0.0 } else { item.lost_work(self.now) };
         let repeat = 1.0 + REPEAT_COST * f64::from(item.reclaimed);
         let weight = 1.0 + f64::from(rule.priority) / 10.0;
         let width = f64::from(item.width().max(1));
@@ -200,7 +207,7 @@
             })
             .collect();
         others.sort_by(|a, b| {
-            let cost = |it: &u32| self.victim_cost(self.items.at(*it));
+            let cost = |it: &u32| self.victim_cost(self.items.at(*it), self.terms.grace);
             cost(a).total_cmp(&cost(b)).then(a.cmp(b))
         });
         others.dedup();
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -51,6 +51,7 @@
             };
             let Some(home) = self.homes.iter().position(same) else { continue };
             self.homes[home].reported = was.reported;
+            self.homes[home].named = was.named;
             if was.settled() {
                 self.settle(home as u32, was.block);
             }
@@ -344,7 +345,7 @@
         let cost = |it: &u32| {
             let item = self.items.at(*it);
             let own = item.account == shape.account;
-            if own && own_free { 0.0 } else { self.victim_cost(item) }
+            if own && own_free { 0.0 } else { self.victim_cost(item, self.terms.grace) }
         };
         HomeCost {
             lost_work: holders.iter().map(cost).sum(),
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -21,8 +21,8 @@
     pub(crate) usage: Usage,
     /// Can't be reclaimed, so that home blocks are closed to it.
     pub(crate) hard: bool,
-    /// Long enough that a home block is no good place for it.
-    pub(crate) long: bool,
+    /// Whether all that is free beside home blocks is kept for other work.
+    pub(crate) homes_only: bool,
     /// By when it is expected to be gone, for backfill.
     pub(crate) expected_end: time::WallTime,
     /// By when it is gone in any case.
@@ -49,11 +49,12 @@
             index,
             usage: Usage::of(&item.work.demand),
             hard: core.booking_of(index) == Booking::Hard,
-            long: core.terms.reclaim < left(estimate.median),
+            homes_only: core.kept_for_others(index),
             expected_end: core.now + left(likely),
             certain_end: core.now + left(bound),
             exclude: &item.exclude,
             keeps: true,
+
             avoid: &item.failed_on,
         }
     }
@@ -104,6 +105,7 @@
         let ledger = &self.core.ledger;
         ledger.holder[at] == NONE
             && (!self.hard || ledger.home[at] == NONE)
+            && (!self.homes_only || ledger.home[at] != NONE)
             && (ledger.reserved[at] == NONE || self.backfills(ledger.reserved[at]))
     }
 
@@ -122,9 +124,11 @@
 
     fn penalty(&self, accelerator: u32) -> u32 {
         let at = accelerator as usize;
-        let home = self.long && self.core.ledger.home[at] != NONE;
+        // What can't be reclaimed has only the accelerators beside home blocks, so other work
+        // leaves these to it.
+        let unfit = !self.hard && self.core.ledger.home[at] == NONE;
         let worker = self.core.topology.worker_of[at];
-        u32::from(home) + SUSPECT_PENALTY * u32::from(self.avoids(worker))
+        u32::from(unfit) + SUSPECT_PENALTY * u32::from(self.avoids(worker))
     }
 
     /// Cores and memory that free accelerators will need are used last, then the fullest worker
--- a/crates/policy/src/timers.rs
+++ b/crates/policy/src/timers.rs
@@ -9,6 +9,8 @@
 pub(crate) enum TimerKind {
     /// The grace of a checkpoint ends.
     Grace,
+    /// A run is to be saved.
+    Save,
     /// A run reaches its limit.
     Throttle,
     /// A run reaches the overrun bound.
