Leave a submission unanswered when its scheduler stops in the middle of it

Cause: a dropped submission was answered 'not the holder': an entry that then went on to another hall and was refused there could say 'not run' while the row was still on its way to the table. Change: such a call gets no answer (unknown); calls that certainly had no effect are declined.

--- a/crates/hall/src/grants.rs
+++ b/crates/hall/src/grants.rs
@@ -24,7 +24,7 @@
 impl<B: backend::HallBackend> HallActor<B> {
     pub(crate) fn on_grant_request(&mut self, pending: request::PendingCall<model::GrantRequest>) {
         if self.frozen || self.fenced || self.tenure.standing() == tenure::TenureStanding::Ended {
-            // Dropped: the seat tells the entry who holds the hall.
+            pending.decline();
             return;
         }
         let request::PendingCall { call, reply } = pending;
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -22,6 +22,7 @@
 impl<B: backend::HallBackend> HallActor<B> {
     pub(crate) fn on_job_submit(&mut self, pending: request::PendingCall<model::JobSubmit>) {
         if self.frozen || self.fenced || self.tenure.standing() == tenure::TenureStanding::Ended {
+            pending.decline();
             return;
         }
         let request::PendingCall { call, reply } = pending;
@@ -180,10 +181,11 @@
     }
 
     pub(crate) fn on_job_cancel(&mut self, pending: request::PendingCall<model::JobCancel>) {
-        let request::PendingCall { call, reply } = pending;
         if self.frozen || self.fenced {
+            pending.decline();
             return;
         }
+        let request::PendingCall { call, reply } = pending;
         let entry = self.jobs.entries.get_mut(&call.job);
         let Some(entry) = entry.filter(|it| it.record.account == call.account) else {
             self.read_job(call.account, call.job, reply);
--- a/crates/hall/src/request.rs
+++ b/crates/hall/src/request.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 /// A call with where its answer goes. A dropped sender means that this instance stopped
-/// scheduling the hall before it answered.
+/// scheduling the hall while the call was under way.
 pub struct PendingCall<C: call::PeerCall> {
     /// The call.
     pub call: C,
@@ -31,8 +31,20 @@
     Picture(PendingCall<model::HallQuery>),
 }
 
+impl<C: SeatCall> PendingCall<C> {
+    /// Says that this instance does not schedule the hall; the call had no effect.
+    pub(crate) fn decline(self) {
+        let _ = self.reply.send(C::not_holder(None));
+    }
+}
+
 /// A call that a seat can pass to its scheduler.
 pub trait SeatCall: call::HallCall {
+    /// Whether a call that was under way when its scheduler stopped may be sent to the next one as
+    /// if it had had no effect. A submission may not: its row may be on its way to the table, and
+    /// an entry that goes on to another hall and is refused there would say "not run".
+    const MAY_MOVE_ON: bool;
+
     /// The call as a request.
     fn request(self, reply: oneshot::Sender<Self::Reply>) -> HallRequest;
 
@@ -41,8 +53,10 @@
 }
 
 macro_rules! seat_calls {
-    ($($call:ident => $reply:ident as $request:ident;)*) => {
+    ($($call:ident => $reply:ident as $request:ident, moves on: $moves:literal;)*) => {
         $(impl SeatCall for model::$call {
+            const MAY_MOVE_ON: bool = $moves;
+
             fn request(self, reply: oneshot::Sender<Self::Reply>) -> HallRequest {
                 HallRequest::$request(PendingCall { call: self, reply })
             }
@@ -55,11 +69,11 @@
 }
 
 seat_calls! {
-    GrantRequest => GrantReply as Grant;
-    GrantReturns => ReturnReply as Returns;
-    GrantReport => ReturnReply as Report;
-    JobSubmit => JobReply as Submit;
-    JobQuery => JobReply as Query;
-    JobCancel => JobReply as Cancel;
-    HallQuery => HallReply as Picture;
+    GrantRequest => GrantReply as Grant, moves on: true;
+    GrantReturns => ReturnReply as Returns, moves on: true;
+    GrantReport => ReturnReply as Report, moves on: true;
+    JobSubmit => JobReply as Submit, moves on: false;
+    JobQuery => JobReply as Query, moves on: true;
+    JobCancel => JobReply as Cancel, moves on: true;
+    HallQuery => HallReply as Picture, moves on: true;
 }
--- a/crates/hall/src/service.rs
+++ b/crates/hall/src/service.rs
@@ -69,26 +69,28 @@
         service
     }
 
-    /// Answers a call, or says who may.
-    pub async fn ask<C: SeatCall>(&self, call: C) -> C::Reply {
-        let Some(mut view) = self.view(call.hall()) else { return C::not_holder(None) };
+    /// Answers a call, or says who may. `None` where this instance stopped scheduling the hall
+    /// while the call was under way, and nobody can tell whether it had an effect.
+    pub async fn ask<C: SeatCall>(&self, call: C) -> Option<C::Reply> {
+        let Some(mut view) = self.view(call.hall()) else { return Some(C::not_holder(None)) };
         // Between taking a hall and knowing how it stands a call waits instead of being refused.
         let taken = view.wait_for(|it| !matches!(it, SeatView::TakingOver));
         let address = match time::timeout(TAKEOVER_WAIT, taken).await {
             Ok(Ok(view)) => match &*view {
                 SeatView::Holding { address, .. } => address.clone(),
-                SeatView::Watching { holder } => return C::not_holder(holder.clone()),
-                SeatView::TakingOver => return C::not_holder(None),
+                SeatView::Watching { holder } => return Some(C::not_holder(holder.clone())),
+                SeatView::TakingOver => return Some(C::not_holder(None)),
             },
-            _ => return C::not_holder(None),
+            _ => return Some(C::not_holder(None)),
         };
         let (reply, answer) = oneshot::channel();
-        if address.send(call.request(reply)).await.is_ok()
-            && let Ok(answer) = answer.await
-        {
-            return answer;
+        let passed = address.send(call.request(reply)).await.is_ok();
+        match answer.await {
+            Ok(answer) if C::redirect(&answer) != Some(None) => return Some(answer),
+            Err(_) if passed && !C::MAY_MOVE_ON => return None,
+            Ok(_) | Err(_) => {}
         }
-        C::not_holder(successor(view).await)
+        Some(C::not_holder(successor(view).await))
     }
 
     /// A leaving holder asks this instance to take a hall.
@@ -245,7 +247,10 @@
 
 impl<B: backend::HallBackend> HallService<B> {
     async fn serve_call<C: SeatCall>(&self, body: &Bytes) -> Option<link::ServedReply> {
-        dispatch::answer(body, async |call: C| self.ask(call).await).await
+        dispatch::try_answer(body, async |call: C| {
+            self.ask(call).await.ok_or(error::ServeFault::Silent)
+        })
+        .await
     }
 }
 
@@ -264,6 +269,9 @@
         let body = codec::encode(&call).map_err(|it| fault(malformed(it.to_string())))?;
         match link::PeerService::serve(self, C::PATH, body).await {
             Some(Ok(reply)) => codec::decode(&reply).map_err(|it| fault(malformed(it.to_string()))),
+            Some(Err(error::ServeFault::Silent)) => {
+                Err(fault(error::CallFault::NoAnswer("a scheduler that stopped".to_owned())))
+            }
             Some(Err(refusal)) => Err(fault(error::CallFault::Refused {
                 status: REFUSED_STATUS,
                 detail: refusal.to_string(),
--- a/crates/hall/tests/fuzz/world.rs
+++ b/crates/hall/tests/fuzz/world.rs
@@ -29,7 +29,9 @@
 
     async fn search<C: SeatCall>(&self, call: C) -> C::Reply {
         loop {
-            let reply = self.service.ask(call.clone()).await;
+            let Some(reply) = self.service.ask(call.clone()).await else {
+                std::future::pending().await
+            };
             let Some(holder) = C::redirect(&reply) else { return reply };
             if let Some(holder) = holder.cloned() {
                 match self.link.call(&holder, call.clone(), CALL_DEADLINE).await {
--- a/crates/hall/tests/hall/intents.rs
+++ b/crates/hall/tests/hall/intents.rs
@@ -59,7 +59,7 @@
         let key = site.key();
         let asks = [0, 1].map(|_| {
             let (service, ask) = (instance.service.clone(), support::keyed(&site, key));
-            tokio::spawn(async move { service.ask(ask).await })
+            tokio::spawn(async move { service.ask(ask).await.expect(support::ANSWER) })
         });
         let mut n_granted = 0;
         for ask in asks {
@@ -174,7 +174,7 @@
         old.to_objects.set(Condition::Held);
         let key = site.key();
         let (service, ask) = (old.service.clone(), support::keyed(&site, key));
-        let waiting = tokio::spawn(async move { service.ask(ask).await });
+        let waiting = tokio::spawn(async move { service.ask(ask).await.expect(support::ANSWER) });
         support::until("the new one holds", async || new.holds()).await;
         old.to_objects.set(Condition::Up);
         let grant = new.granted(support::keyed(&site, key)).await;
@@ -247,7 +247,7 @@
         let before = site.table.committed();
         let asks = (0..12).map(|_| {
             let (service, ask) = (instance.service.clone(), support::keyed(&site, site.key()));
-            tokio::spawn(async move { service.ask(ask).await })
+            tokio::spawn(async move { service.ask(ask).await.expect(support::ANSWER) })
         });
         for ask in asks.collect::<Vec<_>>() {
             let reply = ask.await.expect("a call that ends");
--- a/crates/hall/tests/hall/jobs.rs
+++ b/crates/hall/tests/hall/jobs.rs
@@ -80,7 +80,7 @@
             let submission = support::gang(support::BATCH, 1);
             let account = support::ACCOUNT.to_owned();
             let submit = model::JobSubmit { job, hall: HALL.to_owned(), account, submission };
-            tokio::spawn(async move { service.ask(submit).await })
+            tokio::spawn(async move { service.ask(submit).await.expect(support::ANSWER) })
         });
         for submit in submits.collect::<Vec<_>>() {
             support::accepted(submit.await.expect("a call that ends"));
@@ -90,7 +90,7 @@
             let (service, job) = (instance.service.clone(), *job);
             let account = support::ACCOUNT.to_owned();
             let cancel = model::JobCancel { job, hall: HALL.to_owned(), account };
-            tokio::spawn(async move { service.ask(cancel).await })
+            tokio::spawn(async move { service.ask(cancel).await.expect(support::ANSWER) })
         });
         for cancel in cancels.collect::<Vec<_>>() {
             support::accepted(cancel.await.expect("a call that ends"));
--- a/crates/hall/tests/hall/requests.rs
+++ b/crates/hall/tests/hall/requests.rs
@@ -81,7 +81,7 @@
         instance.run(&site, support::BATCH, support::N_WORKERS).await;
         let asks = (0..3).map(|_| {
             let (service, ask) = (instance.service.clone(), support::request(&site, support::CHECK));
-            tokio::spawn(async move { service.ask(ask).await })
+            tokio::spawn(async move { service.ask(ask).await.expect(support::ANSWER) })
         });
         let mut codes = Vec::new();
         for ask in asks.collect::<Vec<_>>() {
--- a/crates/hall/tests/hall/support.rs
+++ b/crates/hall/tests/hall/support.rs
@@ -224,7 +224,7 @@
 
     /// Asks for a slot.
     pub(crate) async fn grant(&self, request: model::GrantRequest) -> model::GrantReply {
-        self.service.ask(request).await
+        self.service.ask(request).await.expect(ANSWER)
     }
 
     /// Asks for a slot and expects it.
@@ -238,7 +238,7 @@
     /// Gives a slot back.
     pub(crate) async fn give_back(&self, grant: &model::SlotGrant, outcome: model::RequestOutcome) {
         let returns = returned(grant, outcome);
-        self.service.ask(returns).await;
+        self.service.ask(returns).await.expect(ANSWER);
     }
 
     /// Submits a job.
@@ -253,7 +253,7 @@
             account: ACCOUNT.to_owned(),
             submission,
         };
-        self.service.ask(submit).await
+        self.service.ask(submit).await.expect(ANSWER)
     }
 
     /// Submits a gang and waits until its row says that it runs.
@@ -267,13 +267,13 @@
     /// Cancels a job.
     pub(crate) async fn cancel(&self, job: ids::JobId) -> model::JobReply {
         let cancel = model::JobCancel { job, hall: HALL.to_owned(), account: ACCOUNT.to_owned() };
-        self.service.ask(cancel).await
+        self.service.ask(cancel).await.expect(ANSWER)
     }
 
     /// Asks for a job.
     pub(crate) async fn query(&self, job: ids::JobId) -> model::JobReply {
         let query = model::JobQuery { job, hall: HALL.to_owned(), account: ACCOUNT.to_owned() };
-        self.service.ask(query).await
+        self.service.ask(query).await.expect(ANSWER)
     }
 
     /// Cuts it off from the table, as by a failure of the network between them.
@@ -442,3 +442,5 @@
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
 /// Longer than any step of a test takes.
 const PATIENCE: Duration = Duration::from_secs(300);
+/// Only a submission to a scheduler that stops goes without one.
+pub(crate) const ANSWER: &str = "an answer";
--- a/crates/hall/tests/hall/takeover.rs
+++ b/crates/hall/tests/hall/takeover.rs
@@ -117,7 +117,7 @@
             hall: HALL.to_owned(),
             grants: vec![grant.clone()],
         };
-        other.service.ask(report).await;
+        other.service.ask(report).await.expect(support::ANSWER);
         support::pass(support::secs(3)).await;
         assert_eq!(site.n_running(job), 0);
         other.give_back(&grant, model::RequestOutcome::Done).await;
@@ -136,7 +136,7 @@
         );
         let report =
             model::GrantReport { entry: "b".to_owned(), hall: HALL.to_owned(), grants: Vec::new() };
-        other.service.ask(report).await;
+        other.service.ask(report).await.expect(support::ANSWER);
         site.until_job(job, model::JobState::Running).await;
     }
 
