Look at the demo's conditions more often: an outage, slow requests, busy workers

Change: both stores are down for 2 s; 45 slow requests are in flight when an instance is told to end; the two busiest workers are drained and left, and each start elsewhere meanwhile is counted. Upstreams misbehave for a span instead of at their next request: one that waited in the queue struck within the shutdown of a trial run and looked like its cut.

--- a/crates/daemon/src/demo/callers.rs
+++ b/crates/daemon/src/demo/callers.rs
@@ -32,6 +32,8 @@
 const LARGE_SHARE: f64 = 0.01;
 /// Filler of a large body, in bytes.
 const LARGE_BYTES: usize = 256 << 10;
+/// Random streams of single requests begin here, behind those of the traffic.
+const ONE_OFF_STREAMS: u64 = 1 << 32;
 /// Names the job class of a request.
 const CLASS_HEADER: &str = "x-job-class";
 /// Carries the deadline of a request.
@@ -99,6 +101,18 @@
     while requests.join_next().await.is_some() {}
 }
 
+/// Sends one request of a stream.
+pub async fn send_one(
+    context: CallerContext,
+    stream: site::RequestStream,
+    repeatable: bool,
+    number: u64,
+) {
+    let mut random = clock::TrafficRandom::new(context.seed, ONE_OFF_STREAMS + number);
+    let request = new_request(&stream, repeatable, &mut random);
+    send(context, request).await;
+}
+
 fn new_request(
     stream: &site::RequestStream,
     repeatable: bool,
--- a/crates/daemon/src/demo/checks.rs
+++ b/crates/daemon/src/demo/checks.rs
@@ -236,30 +236,28 @@
 
 fn departures_respected(evidence: &evidence::DemoEvidence) -> ConditionResult {
     let mut result = ConditionResult::new("an upstream that leaves gets no new work after 3 s");
-    let mut causes = BTreeSet::new();
+    let mut lines = Vec::new();
     for departure in &evidence.departures {
         let closed = departure.since + DEPARTURE_BOUND..departure.until;
-        causes.insert(departure.cause);
-        if closed.is_empty() {
-            continue;
+        let mut n_elsewhere = 0;
+        let requests = evidence.executions.iter().map(|it| (&it.worker, it.started));
+        let tasks = evidence.runs.iter().filter(|_| departure.with_tasks);
+        let starts = requests.chain(tasks.map(|it| (&it.worker, it.started)));
+        for (worker, started) in starts.filter(|(_, started)| closed.contains(started)) {
+            n_elsewhere += 1;
+            result.require(*worker != departure.worker, || {
+                let late = started.saturating_duration_since(departure.since);
+                format!("{worker} ({}) started something {late:?} later", departure.cause)
+            });
         }
-        let late = evidence
-            .executions
-            .iter()
-            .filter(|it| it.worker == departure.worker && closed.contains(&it.started))
-            .count();
-        let late_tasks = evidence
-            .runs
-            .iter()
-            .filter(|it| departure.with_tasks && it.worker == departure.worker)
-            .filter(|it| closed.contains(&it.started))
-            .count();
-        result.require(late + late_tasks == 0, || {
-            format!("{}: {late} requests and {late_tasks} tasks started late", departure.worker)
-        });
+        let before = evidence.executions.iter().filter(|it| it.worker == departure.worker);
+        let n_before = before.filter(|it| it.started < departure.since).count();
+        lines.push(format!(
+            "{} ({}), with {n_before} starts before, while {n_elsewhere} started elsewhere",
+            departure.worker, departure.cause
+        ));
     }
-    let causes = causes.into_iter().collect::<Vec<_>>().join(", ");
-    result.looked_at(format!("workers that took no new work: {causes}"))
+    result.looked_at(format!("starts at the workers: {}", lines.join("; ")))
 }
 
 fn shutdown_cuts_nothing(evidence: &evidence::DemoEvidence) -> ConditionResult {
--- a/crates/daemon/src/demo/scenario.rs
+++ b/crates/daemon/src/demo/scenario.rs
@@ -1,10 +1,12 @@
 //! The course of the demo: traffic, claims, changes of the configuration, a shutdown and a crash.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
-use almondpass_standin::upstream;
+use almondpass_standin::{fault, upstream};
 use anyhow::{Context, bail};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -24,10 +26,22 @@
 const INSTANCES: usize = 3;
 /// For the first configuration to be in force, and for callers to end.
 const STEP_LIMIT: Duration = Duration::from_secs(25);
-/// Between two misbehaviours of some upstream.
-const MISBEHAVIOUR_GAP: Duration = Duration::from_millis(150);
+/// Upstreams that misbehave at a time.
+const MISBEHAVING: usize = 4;
+/// For how long they do, until it is the turn of others.
+const MISBEHAVIOUR_SPAN: Duration = Duration::from_millis(150);
 /// How long a claimed guarantee is used.
 const CLAIM_RUN: Duration = Duration::from_secs(3);
+/// Slow requests before a shutdown.
+const SLOW_REQUESTS: u64 = 45;
+/// How long a slow request runs, on average.
+const SLOW_RUN: Duration = Duration::from_millis(1800);
+/// Between the slow requests and the shutdown.
+const SLOW_LEAD: Duration = Duration::from_millis(400);
+/// For how long the platform's stores are down.
+const OUTAGE: Duration = Duration::from_millis(2000);
+/// A worker is busy that started something within this.
+const BUSY_WITHIN: Duration = Duration::from_secs(5);
 /// Tasks of a gang that no rack of the sites could ever hold.
 const IMPOSSIBLE_TASKS: u32 = 1000;
 /// Between the signal of a shutdown and the start of the instance that replaces it.
@@ -67,6 +81,7 @@
     claims: JoinSet<ids::JobId>,
     claimed: Vec<ids::JobId>,
     others: JoinSet<ids::JobId>,
+    slow: JoinSet<()>,
     shutdown: Option<evidence::ShutdownWindow>,
     crashed_at: Option<Instant>,
     departures: Vec<evidence::UpstreamDeparture>,
@@ -99,6 +114,7 @@
         claims: JoinSet::new(),
         claimed: Vec::new(),
         others: JoinSet::new(),
+        slow: JoinSet::new(),
         shutdown: None,
         crashed_at: None,
         departures: Vec::new(),
@@ -145,14 +161,17 @@
         Ok(())
     }
 
+    fn is_repeatable(&self, class: &str) -> bool {
+        let classes = &self.plan.document.classes;
+        classes.iter().find(|it| it.name == class).is_some_and(|it| it.repeatable)
+    }
+
     fn start_traffic(&self) -> JoinSet<()> {
         let mut traffic = JoinSet::new();
-        let classes = &self.plan.document.classes;
         let mut number = 0;
         for stream in self.plan.requests.clone() {
             number += 1;
-            let repeatable =
-                classes.iter().find(|it| it.name == stream.class).is_some_and(|it| it.repeatable);
+            let repeatable = self.is_repeatable(&stream.class);
             traffic.spawn(callers::run(self.context.clone(), stream, repeatable, number));
         }
         for stream in self.plan.gangs.clone() {
@@ -177,9 +196,11 @@
         self.claim(0);
         self.until(begun, 0.35).await;
         self.shut_one_down().await?;
-        self.until(begun, 0.55).await;
+        self.until(begun, 0.46).await;
+        self.lose_stores().await;
+        self.until(begun, 0.57).await;
         let departed = self.drain_and_leave().await?;
-        self.until(begun, 0.60).await;
+        self.until(begun, 0.62).await;
         self.claim(1);
         self.until(begun, 0.70).await;
         self.crash_one().await?;
@@ -260,7 +281,9 @@
         time::sleep(Duration::from_secs(1)).await;
         let Some(instance) = self.cluster.take_oldest() else { bail!("expected an instance") };
         let id = instance.id().clone();
-        self.say(&format!("{id} is told to end"));
+        self.send_slow_requests();
+        time::sleep(SLOW_LEAD).await;
+        self.say(&format!("{id} is told to end, with slow requests in flight"));
         let told_at = Instant::now();
         instance.ask_to_leave();
         self.cluster.mark_leaving(&id);
@@ -276,6 +299,29 @@
         Ok(())
     }
 
+    /// Requests that are certain to be in flight when an instance is told to end, and that run
+    /// for longer than the instance waits for the balancer.
+    fn send_slow_requests(&mut self) {
+        let Some(stream) = self.plan.requests.first() else { return };
+        let stream = site::RequestStream { run: SLOW_RUN, ..stream.clone() };
+        let repeatable = self.is_repeatable(&stream.class);
+        for number in 0..SLOW_REQUESTS {
+            let context = self.context.clone();
+            self.slow.spawn(callers::send_one(context, stream.clone(), repeatable, number));
+        }
+    }
+
+    /// The platform's table and object store refuse connections for a while.
+    async fn lose_stores(&self) {
+        let fakes = &self.cluster.platform.fakes;
+        let stores = [fakes.table().faults(), fakes.objects().faults()];
+        self.say("the platform's table and object store go down");
+        stores.iter().for_each(|it| it.set(fault::Condition::Refusing));
+        time::sleep(OUTAGE).await;
+        stores.iter().for_each(|it| it.set(fault::Condition::Up));
+        self.say("both stores are back");
+    }
+
     async fn crash_one(&mut self) -> anyhow::Result<()> {
         let Some(instance) = self.cluster.take_oldest() else { bail!("expected an instance") };
         let id = instance.id().clone();
@@ -290,9 +336,8 @@
 
     /// An operator drains one worker; the platform says that an upstream leaves another.
     async fn drain_and_leave(&mut self) -> anyhow::Result<Vec<ids::WorkerId>> {
-        let workers = self.cluster.platform.fakes.fleet.workers();
-        let names = workers.iter().map(|(_, it)| it.shape().id).collect::<Vec<_>>();
-        let [drained, .., left] = &names[..] else { bail!("expected two workers") };
+        let busy = self.busiest_workers();
+        let [drained, left, ..] = &busy[..] else { bail!("expected two busy workers") };
         let operators = self.operators()?;
         let listing = operators::drain(operators, drained).await.context("drain")?;
         let since = Instant::now();
@@ -313,6 +358,20 @@
         Ok(vec![drained.clone(), left.clone()])
     }
 
+    /// Workers whose upstreams started something lately, busiest first: that a worker which would
+    /// get nothing anyway gets nothing proves nothing.
+    fn busiest_workers(&self) -> Vec<ids::WorkerId> {
+        let executions = self.cluster.platform.fakes.executions.executions();
+        let recent = executions.iter().filter(|it| it.started.elapsed() < BUSY_WITHIN);
+        let mut counts = BTreeMap::<&ids::WorkerId, usize>::new();
+        for execution in recent {
+            *counts.entry(&execution.worker).or_default() += 1;
+        }
+        let mut workers = counts.into_iter().collect::<Vec<_>>();
+        workers.sort_by_key(|(worker, count)| (Reverse(*count), *worker));
+        workers.into_iter().map(|(worker, _)| worker.clone()).collect()
+    }
+
     async fn come_back(&mut self, departed: &[ids::WorkerId]) -> anyhow::Result<()> {
         let [drained, left] = departed else { return Ok(()) };
         for departure in &mut self.departures {
@@ -377,8 +436,10 @@
             while let Some(job) = self.others.join_next().await {
                 job?;
             }
-            while let Some(ended) = traffic.join_next().await {
-                ended?;
+            for requests in [&mut self.slow, traffic] {
+                while let Some(ended) = requests.join_next().await {
+                    ended?;
+                }
             }
             anyhow::Ok(())
         });
@@ -409,21 +470,22 @@
     }
 }
 
-/// Makes some upstream misbehave now and then, while that is wanted.
+/// Makes a few upstreams at a time misbehave, while that is wanted. A misbehaviour that waited in
+/// an upstream's queue for its next request could strike within a shutdown and look like its cut.
 async fn misbehave(
     upstreams: Vec<upstream::UpstreamFake>,
     wanted: watch::Receiver<bool>,
     mut context: callers::CallerContext,
 ) {
     let mut random = clock::TrafficRandom::new(context.seed, 0);
-    let mut kinds = MISBEHAVIOURS.iter().cycle();
-    while context.go_on_after(random.around(MISBEHAVIOUR_GAP)).await {
-        if !*wanted.borrow() {
-            continue;
-        }
-        let upstream = upstreams.get(random.below(upstreams.len()));
-        if let (Some(upstream), Some(kind)) = (upstream, kinds.next()) {
-            upstream.next(*kind);
-        }
+    let mut kinds = MISBEHAVIOURS.iter().cycle().copied();
+    let mut goes_on = true;
+    while goes_on {
+        let kind = kinds.next().filter(|_| *wanted.borrow());
+        let chosen = (0..MISBEHAVING).filter_map(|_| upstreams.get(random.below(upstreams.len())));
+        let chosen = chosen.collect::<Vec<_>>();
+        chosen.iter().for_each(|it| it.always(kind));
+        goes_on = context.go_on_after(random.around(MISBEHAVIOUR_SPAN)).await;
+        chosen.iter().for_each(|it| it.always(None));
     }
 }
--- a/crates/daemon/tests/demo_checks.rs
+++ b/crates/daemon/tests/demo_checks.rs
@@ -35,6 +35,7 @@
             5,
         );
         run.push_execution(Some(answered), Some(key), WORKER, 3);
+        run.push_execution(None, None, "rajkot-r1-02", 7);
         run.evidence.told.requests.push(ledger::RequestRecord {
             account: "kutch".to_owned(),
             class: "certificate".to_owned(),
@@ -215,6 +216,9 @@
     cut_before_the_shutdown: |run| {
         run.push_attempt(None, ledger::AttemptFate::Broken("reset".to_owned()), 1);
     } => [];
+    nothing_started_while_it_was_drained: |run| {
+        run.evidence.executions.pop();
+    } => ["leaves"];
     version_reverts: |run| run.push_version(1, 10) => ["configuration"];
     version_comes_late: |run| {
         run.evidence.versions.pop();
