--- a/crates/entry/benches/relay/large_body.rs
+++ b/crates/entry/benches/relay/large_body.rs
@@ -73,7 +73,7 @@
 }
 
 /// Bytes of this process in memory.
-fn resident() -> usize {
+pub(crate) fn resident() -> usize {
     const PAGE: usize = 4096;
     let statm = std::fs::read_to_string("/proc/self/statm").expect("a Linux system");
     let pages = statm.split(' ').nth(1).and_then(|it| it.parse::<usize>().ok());
--- a/crates/entry/benches/relay/load.rs
+++ b/crates/entry/benches/relay/load.rs
@@ -24,34 +24,37 @@
 /// One connection of the client.
 pub(crate) struct LoadConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    key: &'static str,
 }
 
 impl LoadConnection {
-    async fn open(target: SocketAddr) -> LoadConnection {
+    pub(crate) async fn open(target: SocketAddr, key: &'static str) -> LoadConnection {
         let stream = TcpStream::connect(target).await.expect("the target listens");
         stream.set_nodelay(true).expect("a socket option");
         let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.expect("a connection");
         tokio::spawn(driver);
-        LoadConnection { sender }
+        LoadConnection { sender, key }
     }
 
-    async fn exchange(&mut self) {
+    /// Returns the status of the answer.
+    pub(crate) async fn exchange(&mut self) -> u16 {
         let request = http::Request::post("/v1/requests")
             .header("host", "entry")
-            .header("authorization", format!("Bearer {}", parties::KEY))
+            .header("authorization", format!("Bearer {}", self.key))
             .header("x-job-class", "check")
             .header("x-request-id", "0")
             .body(Full::new(Bytes::from_static(&BODY)))
             .expect("a request");
         self.sender.ready().await.expect("the target stays");
         let response = self.sender.send_request(request).await.expect("an answer");
-        assert_eq!(response.status(), 200);
+        let status = response.status().as_u16();
         let body = response.into_body().collect().await.expect("a whole answer").to_bytes();
-        assert_eq!(body.len(), BODY.len());
+        assert!(status != 200 || body.len() == BODY.len());
+        status
     }
 }
 
-fn runtime() -> tokio::runtime::Runtime {
+pub(crate) fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(3)
         .enable_all()
@@ -65,10 +68,10 @@
         let end = Instant::now() + span;
         let tasks = (0..n_connections).map(|_| {
             tokio::spawn(async move {
-                let mut connection = LoadConnection::open(target).await;
+                let mut connection = LoadConnection::open(target, parties::KEY).await;
                 let mut n_answers = 0_u64;
                 loop {
-                    connection.exchange().await;
+                    assert_eq!(connection.exchange().await, 200);
                     if end < Instant::now() {
                         return n_answers;
                     }
@@ -103,14 +106,14 @@
     let tasks = (0..n_connections).map(|_| {
         let (due, next) = (Arc::clone(&due), Arc::clone(&next));
         runtime.spawn(async move {
-            let mut connection = LoadConnection::open(target).await;
-            connection.exchange().await;
+            let mut connection = LoadConnection::open(target, parties::KEY).await;
+            assert_eq!(connection.exchange().await, 200);
             let mut latencies = Histogram::<u64>::new_with_max(LONGEST, 3).expect("bounds");
             while let Ok(permit) = due.acquire().await {
                 permit.forget();
                 let number = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let due_at = begin + interval.mul_f64(number as f64);
-                connection.exchange().await;
+                assert_eq!(connection.exchange().await, 200);
                 latencies.saturating_record(due_at.elapsed().as_micros() as u64);
             }
             latencies
--- a/crates/entry/benches/relay/main.rs
+++ b/crates/entry/benches/relay/main.rs
@@ -1,6 +1,6 @@
 //! What an entry costs: requests per second on one core and added latency, against the same
 //! upstream called directly with the same client, and against a bare relay on the same HTTP
-//! library; and the memory that a large body takes. All in one run, for the machine's state
+//! library; the memory that a large body takes; and what overload leaves. All in one run, for the machine's state
 //! differs between runs.
 //!
 //! `cargo bench -p almondpass-entry --bench relay`
@@ -8,6 +8,7 @@
 mod granting;
 mod large_body;
 mod load;
+mod overload;
 mod parties;
 
 use std::time::Duration;
@@ -20,13 +21,15 @@
 const ROUNDS: usize = 3;
 
 fn main() {
-    let upstream = parties::start_upstream();
+    let upstream = parties::start_upstream(Duration::ZERO);
     let bare = parties::start_bare_relay(upstream.address);
-    let entry = parties::start_entry(upstream.address);
+    let entry = parties::start_entry(upstream.address, None);
     let parties = [("direct", upstream), ("bare relay", bare), ("entry", entry)];
     let rate = saturated(&parties);
     half_load(&parties, rate / 2.0);
     large_body::report(parties[2].1.address);
+    let slow = parties::start_upstream(overload::SERVICE_TIME);
+    overload::report(&parties::start_entry(slow.address, Some(overload::PLACES)));
 }
 
 /// Returns the entry's rate.
--- a/crates/entry/benches/relay/parties.rs
+++ b/crates/entry/benches/relay/parties.rs
@@ -21,7 +21,10 @@
 
 use crate::granting;
 
-pub(crate) const KEY: &str = "bench";
+/// Key of the large account.
+pub(crate) const KEY: &str = "large";
+/// Key of the small account.
+pub(crate) const SMALL_KEY: &str = "small";
 
 /// A party that listens, and the processor time of its thread.
 #[derive(Clone, Debug)]
@@ -67,14 +70,17 @@
     stream
 }
 
-/// Sends bodies back as they come.
-pub(crate) fn start_upstream() -> Party {
-    on_one_core("upstream", |listener| async move {
+/// Sends bodies back as they come, after `service_time`.
+pub(crate) fn start_upstream(service_time: Duration) -> Party {
+    on_one_core("upstream", move |listener| async move {
         loop {
             let stream = accept(&listener).await;
             tokio::spawn(http1::Builder::new().serve_connection(
                 TokioIo::new(stream),
-                service_fn(|request: Request<Incoming>| async {
+                service_fn(move |request: Request<Incoming>| async move {
+                    if !service_time.is_zero() {
+                        tokio::time::sleep(service_time).await;
+                    }
                     let (mut parts, body) = request.into_parts();
                     let mut response = Response::new(body);
                     if let Some(id) = parts.headers.remove("x-request-id") {
@@ -125,16 +131,17 @@
 }
 
 /// The entry, with a scheduler that grants at once.
-pub(crate) fn start_entry(upstream: SocketAddr) -> Party {
+pub(crate) fn start_entry(upstream: SocketAddr, places: Option<u32>) -> Party {
     on_one_core("entry", move |listener| async move {
-        let limits = serde_json::from_str::<model::LimitSettings>("{}").expect("defaults");
+        let mut limits = serde_json::from_str::<model::LimitSettings>("{}").expect("defaults");
+        limits.requests_in_flight = places.unwrap_or(limits.requests_in_flight);
         let settings =
             settings::EntrySettings::new("bench".to_owned(), "kartli-1".to_owned(), limits);
         let config = active::ActiveConfig { version: 1, document: Arc::new(document()) };
         let (_configs, config_watch) = watch::channel(Arc::new(config));
         let service = service::EntryService::new(service::EntryParts {
             settings,
-            link: granting::GrantingHalls { upstream: upstream.to_string(), connections: 64 },
+            link: granting::GrantingHalls { upstream: upstream.to_string(), connections: 256 },
             table: granting::NoRows,
             clock: clock::WallClock::from_system(),
             configs: config_watch,
@@ -164,10 +171,14 @@
             "expected_run": "1s", "max_run": "10s", "deadline": "20s",
             "max_body_bytes": 1_u64 << 30,
         }],
-        "accounts": [{
-            "id": "rustavi", "name": "Rustavi", "keys": [hex::encode(sha2::Sha256::digest(KEY))],
-            "limits": {"queued_jobs": 1, "queued_requests": 1000, "running_requests": 1000},
-        }],
+        "accounts": [account("large", KEY), account("small", SMALL_KEY)],
     });
     serde_json::from_value(document).expect("a document")
 }
+
+fn account(id: &str, key: &str) -> serde_json::Value {
+    serde_json::json!({
+        "id": id, "name": id, "keys": [hex::encode(sha2::Sha256::digest(key))],
+        "limits": {"queued_jobs": 1, "queued_requests": 1000, "running_requests": 1000},
+    })
+}
