--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -117,6 +117,7 @@
             match self.held_back(entry.item) {
                 Some(it) => code = it,
                 None if self.place_open(entry.item) => return true,
+                None if self.lend(entry.item) => return true,
                 None if urgent && self.opens_soon(entry.item) => {}
                 None if urgent && self.reclaim_urgent(entry.item) => return true,
                 None => {
@@ -231,6 +232,11 @@
         true
     }
 
+    /// Makes room for work that may not run in home blocks, by moving one.
+    fn lend(&mut self, index: u32) -> bool {
+        self.booking_of(index) == Booking::Hard && self.lend_home() && self.place_open(index)
+    }
+
     /// Reserves a place for urgent work whose holders are repeatable, of lower priority and above
     /// their guarantee, where nothing opens by itself in time.
     fn reclaim_urgent(&mut self, index: u32) -> bool {
--- a/crates/policy/src/guarantee.rs
+++ b/crates/policy/src/guarantee.rs
@@ -1,6 +1,6 @@
 //! Guaranteed shapes of a hall and their home blocks.
 
-use almondpass_schema::{ids, model};
+use almondpass_schema::{ids, model, time};
 
 use crate::homes;
 
@@ -20,6 +20,8 @@
     pub(crate) claims: Vec<u32>,
     /// Whether work has named it since this scheduler began.
     pub(crate) named: bool,
+    /// When it was last moved, or sought to be, to make room for others.
+    pub(crate) lent_at: Option<time::WallTime>,
     /// Whether operators were last told that it has a block.
     pub(crate) reported: Option<bool>,
 }
@@ -36,6 +38,7 @@
             block: Vec::new(),
             claims: Vec::new(),
             named: false,
+            lent_at: None,
             reported: None,
         }
     }
--- a/crates/policy/src/headroom.rs
+++ b/crates/policy/src/headroom.rs
@@ -21,6 +21,8 @@
 const MOST_DEVIATIONS: f64 = 2.0;
 /// Part of the hall that is kept for urgent work at most.
 const MOST_KEPT: f64 = 0.1;
+/// Runs of this many urgent start bounds are short.
+const SHORT_RUN: u32 = 20;
 /// When nothing else happens, work that was held back is looked at again after this.
 const LOOK_AGAIN: Duration = Duration::from_secs(15);
 
@@ -138,7 +140,15 @@
             true => self.headroom.spare,
             false => self.headroom.spare.min(self.headroom.soft_spare),
         };
-        !rule.urgent && 0 < width && spare < width
+        !rule.urgent && 0 < width && spare < width && !self.ends_soon(index)
+    }
+
+    /// Whether work is so short that urgent work need not mind it: many such runs end within its
+    /// start bound.
+    fn ends_soon(&self, index: u32) -> bool {
+        let item = self.items.at(index);
+        let rule = &self.catalog.classes[item.class as usize];
+        rule.request && self.estimate(item).median <= self.terms.urgent_start * SHORT_RUN
     }
 
     /// Whether work that can be reclaimed would crowd out work that can't, if a block beside the
--- /dev/null
+++ b/crates/policy/src/lending.rs
@@ -0,0 +1,80 @@
+//! Moving a home from free accelerators to held ones.
+//!
+//! A home block that is free keeps out what can't be reclaimed, while a block full of work that can
+//! be reclaimed would guarantee the same. So where the former waits, a home moves over the latter.
+//! This is late binding: the guarantee is for a block, not for this block. A claim then costs a
+//! reclaim, which the bound allows for.
+
+use std::time::Duration;
+
+use crate::blocks;
+use crate::core::HallCore;
+use crate::ledger::Booking;
+use crate::topology::NONE;
+
+/// A home stays where it was moved for this long.
+const STAYS: Duration = Duration::from_secs(10);
+
+/// What moving a home to a block would bring and cost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LendScore {
+    /// Accelerators free in it, which would be closed then.
+    n_free: usize,
+    /// Work that a claim would stop.
+    n_holders: usize,
+    first: u32,
+}
+
+impl HallCore {
+    /// Moves one home so that free accelerators become open to all; false where none can.
+    pub(crate) fn lend_home(&mut self) -> bool {
+        for home in 0..self.homes.len() as u32 {
+            let shape = &self.homes[home as usize];
+            let idle = shape.settled()
+                && shape.claims.is_empty()
+                && shape.lent_at.is_none_or(|it| it + STAYS <= self.now);
+            let n_free = self.n_free(&shape.block);
+            if !idle || n_free == 0 {
+                continue;
+            }
+            // A search that finds nothing is not repeated before the hall has changed.
+            self.homes[home as usize].lent_at = Some(self.now);
+            if let Some(block) = self.busy_block(home, n_free) {
+                self.relocate(home, block);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn n_free(&self, block: &[u32]) -> usize {
+        block.iter().filter(|it| self.ledger.holder[**it as usize] == NONE).count()
+    }
+
+    /// The block that closes fewest free accelerators, clearly fewer than now.
+    fn busy_block(&self, home: u32, n_free_now: usize) -> Option<Vec<u32>> {
+        let shape = &self.homes[home as usize];
+        let allows = |it: u32| {
+            let at = it as usize;
+            let holder = self.ledger.holder[at];
+            let soft = holder == NONE || self.items.at(holder).booking == Booking::Soft;
+            self.ledger.home[at] == NONE
+                && self.ledger.reserved[at] == NONE
+                && soft
+                && self.health[self.topology.worker_of[at] as usize].usable()
+        };
+        let score = |block: &[u32]| {
+            let mut holders: Vec<u32> =
+                block.iter().map(|it| self.ledger.holder[*it as usize]).collect();
+            holders.dedup();
+            LendScore { n_free: self.n_free(block), n_holders: holders.len(), first: block[0] }
+        };
+        let choices = blocks::choices(&self.topology, shape.size, shape.adjacency, allows);
+        let found = choices
+            .into_iter()
+            .map(|it| (score(&it.accelerators), it.accelerators))
+            .filter(|(score, _)| 2 * score.n_free < n_free_now)
+            .min_by_key(|(score, _)| *score);
+        found.map(|(_, block)| block).filter(|it| self.shares_kept(it, true))
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod item;
 mod item_table;
 mod ledger;
+mod lending;
 mod lifecycle;
 mod picture;
 mod placement;
--- a/crates/policy/src/lifecycle.rs
+++ b/crates/policy/src/lifecycle.rs
@@ -26,6 +26,9 @@
 /// Between two checkpoints of a run that goes on. By Young's rule this suits a checkpoint of some
 /// 5 s and a loss or a reclaim every ten hours.
 const SAVE_INTERVAL: Duration = Duration::from_secs(600);
+/// Part of the time taken that a run which has outlasted its estimate is expected to go on; right for
+/// run times whose logarithm spreads by about a half.
+const REST_OF_LATE_RUN: f64 = 0.4;
 /// Timers looked at in one turn.
 const TIMERS_A_TURN: usize = 512;
 
@@ -460,9 +463,9 @@
         }
         let whole = self.estimate(item).median.saturating_sub(item.work.saved_run);
         let end = item.saved_at + whole;
-        // An overrun goes on for about a tenth of what it has taken already.
-        let least = self.now + (item.run(self.now) / 10).max(Duration::from_secs(1));
-        if self.now < end { end } else { least }
+        // What runs longer than half of its kind goes on for a good part of what it has taken.
+        let rest = item.run(self.now).mul_f64(REST_OF_LATE_RUN).max(Duration::from_secs(1));
+        if self.now < end { end } else { self.now + rest }
     }
 
     /// The time by which a held item is over in any case.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -220,13 +220,14 @@
             let score = RunScore {
                 penalty: (start..end).map(|it| rule.penalty(it)).sum(),
                 run: run.len(),
+                misaligned: misaligned(topology, ask, start),
                 split: start != run.start && end != run.end,
                 start,
             };
             if best.is_none_or(|(it, _)| score < it) {
                 best = Some((score, start));
             }
-            if score.penalty == 0 && !score.split {
+            if score.penalty == 0 && !score.misaligned && !score.split {
                 break;
             }
         }
@@ -240,10 +241,24 @@
 struct RunScore {
     penalty: u32,
     run: u32,
+    misaligned: bool,
     split: bool,
     start: u32,
 }
 
+/// Whether a gang does not begin at a multiple of its size, rounded up to a power of two, in its
+/// rack. Aligned as the cells of a buddy system are, gangs of different sizes leave each other whole
+/// cells; a gang of two workers in the middle of a rack of eight would leave no run of four.
+fn misaligned(topology: &HallTopology, ask: &PlaceAsk, start: u32) -> bool {
+    let worker = topology.worker_of[start as usize];
+    let rack = topology.workers[worker as usize].rack;
+    let mates = topology.workers[..worker as usize].iter().rev();
+    let n_before: u32 = mates.take_while(|it| it.rack == rack).map(|it| it.accelerators).sum();
+    let spec = &topology.workers[worker as usize];
+    let offset = n_before + start - spec.first;
+    !offset.is_multiple_of(ask.total().next_power_of_two())
+}
+
 /// Where in a run a walk may begin: at its ends and at each worker.
 fn candidates(
     topology: &HallTopology,
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -254,7 +254,7 @@
 
     /// Whether work that can't be reclaimed leaves each worker the cores, memory and slots that go
     /// with its home blocks.
-    fn shares_kept(&self, block: &[u32], adds: bool) -> bool {
+    pub(crate) fn shares_kept(&self, block: &[u32], adds: bool) -> bool {
         self.by_worker(block).into_iter().all(|(worker, n)| {
             let spec = &self.topology.workers[worker as usize];
             let book = &self.ledger.workers[worker as usize];
@@ -373,6 +373,12 @@
         self.report(home, "moved to a block that costs less to reclaim");
     }
 
+    /// Moves a home to make room, which operators need not hear of: its guarantee is as good.
+    pub(crate) fn relocate(&mut self, home: u32, block: Vec<u32>) {
+        self.leave(home);
+        self.settle(home, block);
+    }
+
     /// Moves an unclaimed home to a wholly free block elsewhere; false where there is none.
     pub(crate) fn move_to_free(&mut self, home: u32, index: u32) -> bool {
         let shape = &self.homes[home as usize];
