Test shutdowns with a slow upload, an outage of the store, and a gang that starts

Cause: only slow answers were tested. Change: three tests over real sockets; jobs of the tests in a module of their own.

--- a/crates/daemon/tests/site/instances.rs
+++ b/crates/daemon/tests/site/instances.rs
@@ -9,6 +9,7 @@
 use tokio::time::{self, Instant};
 
 use crate::common;
+use crate::jobs;
 
 /// A request, a job of one task and a gang, each through another instance.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -21,10 +22,9 @@
         let id = answer.request.expect("a request id");
         assert_eq!(site.platform.fakes.executions.count(&id), 1);
     }
-    let gang = r#"{"class":"ageing-trend","tasks":4,"accelerators":8,"adjacency":"rack",
-        "run_time":"1s","arguments":"{\"run\":\"300ms\"}"}"#;
-    let job = submit(&site, "i0", common::LARGE, gang).await;
-    let done = await_state(&site, "i1", common::LARGE, &job, model::JobState::Done).await;
+    let gang = jobs::gang("bharuch", "300ms");
+    let job = jobs::submit(&site, "i0", common::LARGE, &gang).await;
+    let done = jobs::await_state(&site, "i1", common::LARGE, &job, model::JobState::Done).await;
     assert_eq!(done.attempt, 1, "found {done:?}");
 }
 
@@ -137,39 +137,3 @@
         assert!(String::from_utf8_lossy(&answer.body).contains(text), "{path}");
     }
 }
-
-async fn submit(site: &common::TestSite, name: &str, key: &str, body: &str) -> String {
-    let started = Instant::now();
-    loop {
-        let call = common::job_call(Method::POST, "/v1/jobs", key, body);
-        let answer = common::send(site.callers(name), call).await.expect("an answer");
-        if answer.status.is_success() {
-            let record = serde_json::from_slice::<serde_json::Value>(&answer.body).expect("JSON");
-            return record["job"].as_str().expect("a job id").to_owned();
-        }
-        assert!(started.elapsed() < common::LIMIT, "expected a job, found {answer:?}");
-        time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
-async fn await_state(
-    site: &common::TestSite,
-    name: &str,
-    key: &str,
-    job: &str,
-    state: model::JobState,
-) -> model::JobRecord {
-    let started = Instant::now();
-    loop {
-        let call = common::job_call(Method::GET, &format!("/v1/jobs/{job}"), key, "");
-        let answer = common::send(site.callers(name), call).await.expect("an answer");
-        let record = serde_json::from_slice::<model::JobRecord>(&answer.body);
-        if let Ok(record) = &record
-            && record.state == state
-        {
-            return record.clone();
-        }
-        assert!(started.elapsed() < common::LIMIT, "expected {state:?}, found {answer:?}");
-        time::sleep(Duration::from_millis(50)).await;
-    }
-}
--- a/crates/daemon/tests/site/main.rs
+++ b/crates/daemon/tests/site/main.rs
@@ -2,4 +2,6 @@
 
 mod common;
 mod instances;
+mod jobs;
 mod process;
+mod shutdown;
