Stay with a hall that nobody can take over; measure a scheduler by size

Cause: an instance that left while the table was down let the leases of its gangs lapse: hours of work lost to a restart in an outage. Every turn looked through all jobs for a hand-over that nobody asked for. Change: a leaving holder keeps the hall for up to two minutes while it cannot be handed over; examples/measure_hall prints takeover, hand-over, calls and processor time at four sizes.

--- /dev/null
+++ b/crates/hall/examples/measure_hall.rs
@@ -0,0 +1,138 @@
+//! Measures one hall's scheduler against the in-memory platform, on the paused clock:
+//! `cargo run --release -p almondpass-hall --example measure_hall`.
+//!
+//! Every call to table and workers takes 1 ms (half a millisecond each way). Times of the hall are
+//! those of the paused clock and leave computation out; processor time is that of the whole
+//! process, fakes included.
+
+#[path = "../tests/hall/support.rs"]
+#[allow(dead_code, reason = "shared with the tests")]
+mod support;
+
+use std::time::Duration;
+
+use almondpass_peer::call::PeerCall;
+use almondpass_schema::model;
+use almondpass_standin::fault::Condition;
+use tokio::time::Instant;
+
+use support::{TestInstance, TestSite};
+
+fn main() {
+    println!("workers  tasks  takeover  hand-over  idle: reads/s writes/s renewals/s cpu/s");
+    println!("                                     busy: reads/s writes/s renewals/s cpu/s");
+    for n_racks in [6, 20, 50, 162] {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        runtime.block_on(measure(n_racks));
+    }
+}
+
+async fn measure(n_racks: u32) {
+    let site = TestSite::sized(n_racks);
+    site.fleet.scripts().set_usual(support::script(Duration::from_secs(7_000)));
+    let holder = start(&site, "a");
+    support::until("the first holds", async || holder.holds()).await;
+    let other = start(&site, "b");
+    let idle = load(&site, Duration::from_secs(60)).await;
+
+    let n_workers = n_racks * support::N_WORKERS;
+    let n_jobs = n_workers * TASKS_PER_WORKER / TASKS_PER_JOB;
+    let mut jobs = Vec::new();
+    for _ in 0..n_jobs {
+        let job = site.key();
+        let submission = model::JobSubmission {
+            accelerators: 0,
+            adjacency: model::Adjacency::Any,
+            ..support::gang(support::BATCH, TASKS_PER_JOB)
+        };
+        support::accepted(holder.submit(job, submission).await);
+        jobs.push(job);
+    }
+    for job in &jobs {
+        site.until_job(*job, model::JobState::Running).await;
+    }
+    support::pass(Duration::from_secs(300)).await;
+    let busy = load(&site, Duration::from_secs(60)).await;
+
+    let leaving = Instant::now();
+    site.change_members(|it| it.instances.get_mut("a").expect("a member").leaving = true);
+    let service = holder.service.clone();
+    tokio::spawn(async move { service.shutdown().await });
+    while !other.holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let hand_over = leaving.elapsed();
+
+    let third = start(&site, "c");
+    support::pass(Duration::from_secs(5)).await;
+    other.crash(&site);
+    while third.service.held().is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let taken = Instant::now();
+    while !third.holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let takeover = taken.elapsed();
+    let n_tasks = n_jobs * TASKS_PER_JOB;
+    println!("{n_workers:7} {n_tasks:6} {takeover:9.0?} {hand_over:10.0?}  idle: {idle}");
+    println!("{:36} busy: {busy}", "");
+}
+
+fn start(site: &TestSite, id: &str) -> TestInstance {
+    let instance = site.start(id);
+    let round_trip = Condition::Slow(Duration::from_millis(1));
+    instance.to_table.set(round_trip);
+    instance.to_workers.set(round_trip);
+    instance.to_objects.set(round_trip);
+    instance
+}
+
+/// Calls and processor time over a while.
+async fn load(site: &TestSite, span: Duration) -> String {
+    let before = Counts::of(site);
+    support::pass(span).await;
+    let after = Counts::of(site);
+    let rate = |before: u64, after: u64| (after - before) as f64 / span.as_secs_f64();
+    format!(
+        "{:7.1} {:8.1} {:10.1} {:4.1}ms",
+        rate(before.reads, after.reads),
+        rate(before.writes, after.writes),
+        rate(before.renewals, after.renewals),
+        rate(before.cpu_nanos, after.cpu_nanos) / 1e6,
+    )
+}
+
+struct Counts {
+    reads: u64,
+    writes: u64,
+    renewals: u64,
+    cpu_nanos: u64,
+}
+
+impl Counts {
+    fn of(site: &TestSite) -> Counts {
+        let table = site.table.faults();
+        let workers = site.fleet.workers();
+        let renewals = workers.iter().map(|(_, it)| it.faults().calls(model::LeaseRenew::PATH));
+        Counts {
+            reads: table.calls(model::TableGet::PATH) + table.calls(model::TableScan::PATH),
+            writes: table.calls(model::TableTransaction::PATH),
+            renewals: renewals.sum(),
+            cpu_nanos: cpu_nanos(),
+        }
+    }
+}
+
+/// Processor time of this process; its first field is nanoseconds on a processor.
+fn cpu_nanos() -> u64 {
+    let stat = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    stat.split_whitespace().next().and_then(|it| it.parse().ok()).unwrap_or_default()
+}
+
+const TASKS_PER_WORKER: u32 = 15;
+const TASKS_PER_JOB: u32 = 8;
--- a/crates/hall/src/actor.rs
+++ b/crates/hall/src/actor.rs
@@ -203,6 +203,9 @@
     /// Answers a hand-over once every write and every start in flight is settled: the successor
     /// reads rows and leases, and would take a gang in the middle of its start for incomplete.
     pub(crate) fn settle_freeze(&mut self) {
+        if self.freeze.is_none() {
+            return;
+        }
         let busy = self.jobs.is_busy() || self.intents.is_busy() || self.grants.is_starting();
         if busy {
             return;
--- a/crates/hall/src/seat.rs
+++ b/crates/hall/src/seat.rs
@@ -222,6 +222,7 @@
     }));
     let mut scheduler: Option<xtra::Address<actor::HallActor<B>>> = None;
     let mut next_renewal = owned.counted_from + parts.options.renewal_interval();
+    let mut leave_by: Option<Instant> = None;
     let successor = loop {
         tokio::select! {
             started = &mut launch, if scheduler.is_none() => {
@@ -245,6 +246,10 @@
                     RenewalStep::Next(at) => next_renewal = at,
                     RenewalStep::Lost(holder) => break holder,
                 }
+                let firm = Instant::now() < firm_until(parts, &owned);
+                if leave_by.is_some_and(|it| firm || it <= Instant::now()) {
+                    break hand_over(parts, &mut owned, scheduler.as_ref()).await;
+                }
             }
             // A higher tenure is proof that this one is over, also where the table cannot be
             // reached from here: tenures only grow by conditional writes.
@@ -252,8 +257,14 @@
                 tracing::warn!(hall, epoch, "another instance holds a newer tenure");
                 break None;
             }
-            () = told_to_leave(&mut parts.leaving) => {
-                break hand_over(parts, &mut owned, scheduler.as_ref()).await;
+            () = told_to_leave(&mut parts.leaving), if leave_by.is_none() => {
+                if Instant::now() < firm_until(parts, &owned) {
+                    break hand_over(parts, &mut owned, scheduler.as_ref()).await;
+                }
+                // Nobody can take the hall while the table is down. Leaving it now would let the
+                // leases of its gangs lapse: hours of work lost to a restart in an outage.
+                tracing::warn!(hall, epoch, "stays until the hall can be handed over");
+                leave_by = Some(Instant::now() + LEAVE_LIMIT);
             }
         }
     };
@@ -390,6 +401,8 @@
 const FREE_LOOKS: u32 = 24;
 /// A failed renewal is tried again after this part of the interval.
 const FAILED_RENEWAL_SHARE: u32 = 4;
+/// How long an instance that leaves keeps a hall that nobody can take over.
+pub(crate) const LEAVE_LIMIT: Duration = Duration::from_secs(120);
 /// How long a hand-over waits for writes in flight.
 const FREEZE_LIMIT: Duration = Duration::from_millis(400);
 /// A hall that could not be taken over is left to others for this long.
--- a/crates/hall/src/service.rs
+++ b/crates/hall/src/service.rs
@@ -291,4 +291,4 @@
 /// How long a call of a holder that stopped waits to learn who follows.
 const SUCCESSOR_WAIT: Duration = Duration::from_secs(1);
 /// For handing one hall over.
-const SHUTDOWN_LIMIT: Duration = Duration::from_secs(3);
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(seat::LEAVE_LIMIT.as_secs() + 5);
--- a/crates/hall/tests/hall/handover.rs
+++ b/crates/hall/tests/hall/handover.rs
@@ -89,4 +89,25 @@
         site.until_job(job, model::JobState::Done).await;
         assert_eq!(site.fleet.runs().len(), 3);
     }
+
+    /// Symptom: a restart in an outage costs hours of work.
+    /// Sequence: the table goes down; the holder is told to leave; the table returns.
+    /// Cause: a holder that leaves a hall that nobody can take lets its gangs' leases lapse.
+    a_holder_that_leaves_in_an_outage_stays_until_it_can_hand_over(site) {
+        let holder = site.start_holder("a").await;
+        let other = site.start("b");
+        site.fleet.scripts().set_usual(support::script(support::secs(200)));
+        let job = holder.run(&site, support::BATCH, 3).await;
+        site.table.faults().set(almondpass_standin::fault::Condition::Refusing);
+        support::pass(support::secs(10)).await;
+        let service = holder.service.clone();
+        let shutdown = tokio::spawn(async move { service.shutdown().await });
+        support::pass(support::secs(60)).await;
+        assert_eq!(site.n_running(job), 3);
+        site.table.faults().set(almondpass_standin::fault::Condition::Up);
+        support::until("the other holds", async || other.holds()).await;
+        shutdown.await.expect("a shutdown that ends");
+        site.until_job(job, model::JobState::Done).await;
+        assert_eq!(site.fleet.runs().len(), 3);
+    }
 }
--- a/crates/hall/tests/hall/support.rs
+++ b/crates/hall/tests/hall/support.rs
@@ -37,7 +37,7 @@
 pub(crate) const BATCH: &str = "batch";
 /// Jobs that may run only once.
 pub(crate) const PRINT: &str = "print";
-/// Workers of the hall.
+/// Workers of a rack; most tests have one.
 pub(crate) const N_WORKERS: u32 = 8;
 /// Accelerators of each.
 pub(crate) const N_ACCELERATORS: u32 = 4;
@@ -67,7 +67,12 @@
 impl TestSite {
     /// A site without instances.
     pub(crate) fn new() -> TestSite {
-        let document = Arc::new(document());
+        TestSite::sized(1)
+    }
+
+    /// A site with a hall of this many racks.
+    pub(crate) fn sized(n_racks: u32) -> TestSite {
+        let document = Arc::new(document(n_racks));
         let site = TestSite {
             net: net::FakeNet::new(),
             table: table::TableFake::new(),
@@ -394,7 +399,10 @@
     Arc::new(active::ActiveConfig { version, document })
 }
 
-fn document() -> model::ConfigDocument {
+fn document(n_racks: u32) -> model::ConfigDocument {
+    let rack =
+        |number: u32| json!({ "name": format!("r{number}"), "workers": N_WORKERS, "kind": "k" });
+    let racks = (1..=n_racks).map(rack).collect::<Vec<_>>();
     let class = |name: &str, kind: &str, repeatable: bool| {
         json!({
             "name": name, "kind": kind, "priority": 5, "repeatable": repeatable,
@@ -407,7 +415,7 @@
     let account = |id: &str| {
         json!({
             "id": id, "name": id, "keys": [],
-            "limits": { "queued_jobs": 1000, "running_requests": 64, "queued_requests": 64 },
+            "limits": { "queued_jobs": 10_000, "running_requests": 64, "queued_requests": 64 },
         })
     };
     let document = json!({
@@ -424,7 +432,7 @@
         }],
         "halls": [{
             "name": HALL, "region": "gujarat", "data_center": "dc",
-            "racks": [{ "name": "r1", "workers": N_WORKERS, "kind": "k" }],
+            "racks": racks,
         }],
         "upstreams": [{ "name": "oil-analysis", "halls": [HALL] }],
         "classes": [
