Keep the demo's site up on request; print documents as the console shows them

Cause: a new operator needs a running site to try the console and the command line on; config get wrote the document's members by name, so that a diff against the console's form was noise.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -181,16 +181,24 @@
 
 fn conflict_text(conflict: &model::ConfigConflict) -> String {
     format!(
-        "expected version {} to be the newest, found version {} by {} ({})\n  theirs:{}\n  yours:{}",
+        "expected version {} to be the newest, found version {} by {} ({})\n  theirs:{}\n  yours:{}{}",
         conflict.base,
         conflict.newest.version,
         conflict.newest.operator,
         conflict.newest.note,
         listed_changes(&conflict.theirs),
         listed_changes(&conflict.yours),
+        changed_by_both(&conflict.both),
     )
 }
 
+fn changed_by_both(paths: &[String]) -> String {
+    if paths.is_empty() {
+        return String::new();
+    }
+    format!("\n  changed by both: {}", paths.join(", "))
+}
+
 fn reason_text(reason: Option<&model::WaitReason>) -> String {
     reason.map(|it| format!(": {}", it.text)).unwrap_or_default()
 }
--- a/crates/cli/src/subcommand/config/get.rs
+++ b/crates/cli/src/subcommand/config/get.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use almondpass_config::canonical;
 use almondpass_schema::{ids, model};
 
 use crate::arguments;
@@ -46,11 +47,10 @@
     Ok(())
 }
 
-/// The document as YAML; the comment tells which `--base` a change of it needs.
+/// The document as YAML, in the form that the console shows; the comment tells which `--base` a
+/// change of it needs.
 fn document_text(version: ids::ConfigVersion, document: &model::ConfigDocument) -> String {
-    // A document is a plain tree with text keys, which YAML can always write.
-    let yaml = serde_yaml_ng::to_string(document).unwrap_or_default();
-    format!("# version {version}\n{yaml}")
+    format!("# version {version}\n{}", canonical::to_yaml(document))
 }
 
 fn instances_text(instances: &[model::InstanceConfig]) -> String {
--- a/crates/cli/tests/exit_statuses.rs
+++ b/crates/cli/tests/exit_statuses.rs
@@ -92,8 +92,8 @@
         json!({"path": "accounts[kutch].limits.queued_jobs", "before": "10", "after": "20"});
     let server = support::ScriptedServer::start([ServerReply::Json(
         409,
-        json!({"base": 5, "newest": summary, "document": document, "theirs": [change], "yours": [],
-            "both": []}),
+        json!({"base": 5, "newest": summary, "document": document, "theirs": [change], "yours": [change],
+            "both": [change["path"]], "merged": document}),
     )]);
     let output =
         server.run_operator(&["config", "apply", example, "--base", "5", "--note", "a change"]);
--- a/crates/daemon/src/demo.rs
+++ b/crates/daemon/src/demo.rs
@@ -8,6 +8,7 @@
 pub mod checks;
 pub mod clock;
 pub mod cluster;
+mod course;
 pub mod evidence;
 pub mod gang_runs;
 pub mod gangs;
@@ -39,6 +40,15 @@
     /// For how many seconds callers send new work.
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(20..=600))]
     seconds: u64,
+    /// Runs no course: keeps the site up under calm traffic for so many minutes, and prints what to
+    /// try the console and the command line with.
+    #[arg(
+        long,
+        value_name = "MINUTES",
+        conflicts_with_all = ["seconds", "json"],
+        value_parser = clap::value_parser!(u64).range(1..=600)
+    )]
+    stay: Option<u64>,
     /// Prints the report as JSON.
     #[arg(long)]
     json: bool,
@@ -50,12 +60,17 @@
 /// Runs the demo; succeeds only if all conditions held.
 pub fn run(args: DemoArgs) -> anyhow::Result<ExitCode> {
     logging::start(Some(&args.log))?;
+    let seconds = args.stay.map_or(args.seconds, |minutes| minutes * 60);
     let options = scenario::DemoOptions {
         site: args.site,
         seed: args.seed,
-        traffic: Duration::from_secs(args.seconds),
+        traffic: Duration::from_secs(seconds),
     };
     let runtime = runtime::Builder::new_multi_thread().enable_all().build().context("runtime")?;
+    if args.stay.is_some() {
+        runtime.block_on(scenario::stay(options))?;
+        return Ok(ExitCode::SUCCESS);
+    }
     let evidence = runtime.block_on(scenario::run(options))?;
     let report = report::DemoReport::new(args.seed, &evidence);
     if args.json {
--- a/crates/daemon/src/demo/scenario.rs
+++ b/crates/daemon/src/demo/scenario.rs
@@ -1,12 +1,10 @@
-//! The course of the demo: traffic, claims, changes of the configuration, a shutdown and a crash.
+//! A run of the demo from the start of the platform to the evidence.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
-use almondpass_standin::{fault, upstream};
+use almondpass_standin::upstream;
 use anyhow::{Context, bail};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -25,27 +23,11 @@
 /// Instances at a time.
 const INSTANCES: usize = 3;
 /// For the first configuration to be in force, and for callers to end.
-const STEP_LIMIT: Duration = Duration::from_secs(25);
+pub(crate) const STEP_LIMIT: Duration = Duration::from_secs(25);
 /// Upstreams that misbehave at a time.
 const MISBEHAVING: usize = 4;
 /// For how long they do, until it is the turn of others.
 const MISBEHAVIOUR_SPAN: Duration = Duration::from_millis(150);
-/// How long a claimed guarantee is used.
-const CLAIM_RUN: Duration = Duration::from_secs(3);
-/// Slow requests before a shutdown.
-const SLOW_REQUESTS: u64 = 45;
-/// How long a slow request runs, on average.
-const SLOW_RUN: Duration = Duration::from_millis(1800);
-/// Between the slow requests and the shutdown.
-const SLOW_LEAD: Duration = Duration::from_millis(400);
-/// For how long the platform's stores are down.
-const OUTAGE: Duration = Duration::from_millis(2000);
-/// A worker is busy that started something within this.
-const BUSY_WITHIN: Duration = Duration::from_secs(5);
-/// Tasks of a gang that no rack of the sites could ever hold.
-const IMPOSSIBLE_TASKS: u32 = 1000;
-/// Between the signal of a shutdown and the start of the instance that replaces it.
-const REPLACE_AFTER: Duration = Duration::from_millis(500);
 
 /// What upstreams do wrong in the demo, in turn.
 const MISBEHAVIOURS: [upstream::Misbehaviour; 8] = [
@@ -71,56 +53,32 @@
 }
 
 /// The run so far.
-struct DemoRun {
-    options: DemoOptions,
-    plan: site::SitePlan,
-    cluster: cluster::DemoCluster,
-    started: Instant,
-    context: callers::CallerContext,
-    misbehave: watch::Sender<bool>,
-    claims: JoinSet<ids::JobId>,
-    claimed: Vec<ids::JobId>,
-    others: JoinSet<ids::JobId>,
-    slow: JoinSet<()>,
-    shutdown: Option<evidence::ShutdownWindow>,
-    crashed_at: Option<Instant>,
-    departures: Vec<evidence::UpstreamDeparture>,
-    accepted: Vec<evidence::AcceptedVersion>,
+pub(crate) struct DemoRun {
+    pub(crate) options: DemoOptions,
+    pub(crate) plan: site::SitePlan,
+    pub(crate) cluster: cluster::DemoCluster,
+    pub(crate) started: Instant,
+    pub(crate) context: callers::CallerContext,
+    pub(crate) misbehave: watch::Sender<bool>,
+    pub(crate) claims: JoinSet<ids::JobId>,
+    pub(crate) claimed: Vec<ids::JobId>,
+    pub(crate) others: JoinSet<ids::JobId>,
+    pub(crate) slow: JoinSet<()>,
+    pub(crate) shutdown: Option<evidence::ShutdownWindow>,
+    pub(crate) crashed_at: Option<Instant>,
+    pub(crate) departures: Vec<evidence::UpstreamDeparture>,
+    pub(crate) accepted: Vec<evidence::AcceptedVersion>,
+    _probes: JoinSet<()>,
 }
 
 /// Runs the demo and gathers what its checks look at.
 pub async fn run(options: DemoOptions) -> anyhow::Result<evidence::DemoEvidence> {
-    let plan = site::SitePlan::of(options.site)?;
-    let cluster = cluster::DemoCluster::start(&plan.document).await?;
     let (stop, stopped) = watch::channel(false);
-    let context = callers::CallerContext {
-        balancer: cluster.balancer.clone(),
-        ledger: ledger::CallerLedger::default(),
-        stop: stopped,
-        seed: options.seed,
-    };
+    let mut run = DemoRun::start(options, stopped).await?;
     let mut background = JoinSet::new();
-    background.spawn(cluster.balancer.clone().probe());
     let watcher = watcher::SiteWatcher::default();
-    let halls = plan.document.halls.iter().map(|it| it.name.clone()).collect();
-    background.spawn(watcher.clone().run(cluster.balancer.clone(), halls));
-    let mut run = DemoRun {
-        options,
-        plan,
-        cluster,
-        started: Instant::now(),
-        context,
-        misbehave: watch::Sender::new(true),
-        claims: JoinSet::new(),
-        claimed: Vec::new(),
-        others: JoinSet::new(),
-        slow: JoinSet::new(),
-        shutdown: None,
-        crashed_at: None,
-        departures: Vec::new(),
-        accepted: Vec::new(),
-    };
-    run.start_up().await?;
+    let halls = run.plan.document.halls.iter().map(|it| it.name.clone()).collect();
+    background.spawn(watcher.clone().run(run.cluster.balancer.clone(), halls));
     let mut traffic = run.start_traffic();
     run.course().await?;
     run.say("no new work; waiting for what is under way");
@@ -131,13 +89,90 @@
     run.into_evidence(samples).await
 }
 
+/// Keeps the site up under calm traffic, without faults, until an interrupt or the end of
+/// `options.traffic`.
+pub async fn stay(options: DemoOptions) -> anyhow::Result<()> {
+    let (stop, stopped) = watch::channel(false);
+    let mut run = DemoRun::start(options, stopped).await?;
+    run.misbehave.send_replace(false);
+    run.plan.gangs.iter_mut().for_each(|it| it.burst = 0);
+    let mut traffic = run.start_traffic();
+    println!("{}", run.invitation());
+    tokio::select! {
+        interrupted = tokio::signal::ctrl_c() => interrupted.context("wait for an interrupt")?,
+        () = time::sleep(options.traffic) => {}
+    }
+    run.say("no new work; waiting for what is under way");
+    stop.send_replace(true);
+    run.finish(&mut traffic).await?;
+    run.cluster.shut_down().await
+}
+
 impl DemoRun {
-    fn say(&self, what: &str) {
+    /// Starts the platform and the instances, with the site's configuration in force.
+    async fn start(
+        options: DemoOptions,
+        stopped: watch::Receiver<bool>,
+    ) -> anyhow::Result<DemoRun> {
+        let plan = site::SitePlan::of(options.site)?;
+        let cluster = cluster::DemoCluster::start(&plan.document).await?;
+        let context = callers::CallerContext {
+            balancer: cluster.balancer.clone(),
+            ledger: ledger::CallerLedger::default(),
+            stop: stopped,
+            seed: options.seed,
+        };
+        let mut probes = JoinSet::new();
+        probes.spawn(cluster.balancer.clone().probe());
+        let mut run = DemoRun {
+            options,
+            plan,
+            cluster,
+            started: Instant::now(),
+            context,
+            misbehave: watch::Sender::new(true),
+            claims: JoinSet::new(),
+            claimed: Vec::new(),
+            others: JoinSet::new(),
+            slow: JoinSet::new(),
+            shutdown: None,
+            crashed_at: None,
+            departures: Vec::new(),
+            accepted: Vec::new(),
+            _probes: probes,
+        };
+        run.start_up().await?;
+        Ok(run)
+    }
+
+    /// How to speak to the site from another shell.
+    fn invitation(&self) -> String {
+        let mut lines = vec![String::new()];
+        for instance in self.cluster.balancer.instances() {
+            lines.push(format!(
+                "# {}: callers {}, console http://{}/",
+                instance.id, instance.callers, instance.operators
+            ));
+        }
+        if let Some(instance) = self.cluster.balancer.instances().first() {
+            lines.push(format!("export ALMONDPASS_SERVER={}", instance.callers));
+            lines.push(format!("export ALMONDPASS_CONSOLE={}", instance.operators));
+        }
+        if let Some(account) = self.plan.document.accounts.first() {
+            let key = site::SitePlan::account_key(&account.id);
+            lines.push(format!("export ALMONDPASS_KEY={key}"));
+        }
+        lines.push(format!("export ALMONDPASS_OPERATOR={}", operators::NAME));
+        lines.push(format!("export ALMONDPASS_PASSWORD={}", operators::PASSWORD));
+        lines.join("\n")
+    }
+
+    pub(crate) fn say(&self, what: &str) {
         eprintln!("{:6.1} s  {what}", self.started.elapsed().as_secs_f64());
     }
 
     /// Waits until this part of the traffic's time has passed.
-    async fn until(&self, begun: Instant, part: f64) {
+    pub(crate) async fn until(&self, begun: Instant, part: f64) {
         time::sleep_until(begun + self.options.traffic.mul_f64(part)).await;
     }
 
@@ -161,7 +196,7 @@
         Ok(())
     }
 
-    fn is_repeatable(&self, class: &str) -> bool {
+    pub(crate) fn is_repeatable(&self, class: &str) -> bool {
         let classes = &self.plan.document.classes;
         classes.iter().find(|it| it.name == class).is_some_and(|it| it.repeatable)
     }
@@ -186,213 +221,6 @@
         traffic
     }
 
-    async fn course(&mut self) -> anyhow::Result<()> {
-        let begun = Instant::now();
-        self.say("callers send; the large account fills the halls");
-        self.submit_impossible();
-        self.until(begun, 0.15).await;
-        self.race_for_configuration().await?;
-        self.until(begun, 0.25).await;
-        self.claim(0);
-        self.until(begun, 0.35).await;
-        self.shut_one_down().await?;
-        self.until(begun, 0.46).await;
-        self.lose_stores().await;
-        self.until(begun, 0.57).await;
-        let departed = self.drain_and_leave().await?;
-        self.until(begun, 0.62).await;
-        self.claim(1);
-        self.until(begun, 0.70).await;
-        self.crash_one().await?;
-        self.until(begun, 0.85).await;
-        self.claim(2);
-        self.come_back(&departed).await?;
-        self.until(begun, 1.0).await;
-        Ok(())
-    }
-
-    /// Two operators change the same version; one must be told of the other.
-    async fn race_for_configuration(&mut self) -> anyhow::Result<()> {
-        let base = self.newest();
-        let mut document = self.plan.document.clone();
-        let mut other = document.clone();
-        for (limit, draft) in [(300, &mut document), (301, &mut other)] {
-            if let Some(account) = draft.accounts.last_mut() {
-                account.limits.queued_jobs = limit;
-            }
-        }
-        let instances = self.cluster.balancer.instances();
-        let [first, second, ..] = &instances[..] else { bail!("expected two instances") };
-        let (one, two) = tokio::join!(
-            operators::propose(first.operators, base, "one operator", &document),
-            operators::propose(second.operators, base, "another operator", &other),
-        );
-        let ends = [(one?, document), (two?, other)];
-        let mut accepted = Vec::new();
-        let mut conflicts = 0;
-        for (end, document) in ends {
-            match end {
-                operators::DraftEnd::Accepted(version) => accepted.push((version, document)),
-                operators::DraftEnd::Conflict(_) => conflicts += 1,
-            }
-        }
-        let Some((version, document)) = accepted.pop().filter(|_| conflicts == 1) else {
-            bail!("expected one of two drafts to be accepted and one conflict, found otherwise");
-        };
-        self.note_accepted(version, &document);
-        self.say("two operators raced at the console: one accepted, one told of the conflict");
-        Ok(())
-    }
-
-    /// A gang that no hall could ever run; it must be refused at once, and must not run.
-    fn submit_impossible(&mut self) {
-        let Some(stream) = self.plan.gangs.last() else { return };
-        let form = gangs::GangForm {
-            account: stream.account.clone(),
-            class: stream.class.clone(),
-            tasks: IMPOSSIBLE_TASKS,
-            adjacency: model::Adjacency::Rack,
-            guarantee: None,
-            run: CLAIM_RUN,
-            declared: CLAIM_RUN,
-        };
-        self.say(&format!("{} asks for {IMPOSSIBLE_TASKS} accelerators of a rack", form.account));
-        self.others.spawn(gangs::follow(self.context.clone(), form));
-    }
-
-    fn claim(&mut self, number: usize) {
-        let Some(claim) = self.plan.claims.get(number) else { return };
-        let form = gangs::GangForm {
-            account: claim.account.clone(),
-            class: claim.class.clone(),
-            tasks: claim.accelerators,
-            adjacency: claim.adjacency,
-            guarantee: Some(claim.guarantee.clone()),
-            run: CLAIM_RUN,
-            declared: CLAIM_RUN,
-        };
-        self.say(&format!("{} claims its {}", claim.account, claim.guarantee));
-        self.claims.spawn(gangs::follow(self.context.clone(), form));
-    }
-
-    async fn shut_one_down(&mut self) -> anyhow::Result<()> {
-        // What an upstream cuts must not be taken for a cut of the shutdown.
-        self.misbehave.send_replace(false);
-        time::sleep(Duration::from_secs(1)).await;
-        let Some(instance) = self.cluster.take_oldest() else { bail!("expected an instance") };
-        let id = instance.id().clone();
-        self.send_slow_requests();
-        time::sleep(SLOW_LEAD).await;
-        self.say(&format!("{id} is told to end, with slow requests in flight"));
-        let told_at = Instant::now();
-        instance.ask_to_leave();
-        self.cluster.mark_leaving(&id);
-        time::sleep(REPLACE_AFTER).await;
-        let replacement = self.cluster.add_instance().await?;
-        self.say(&format!("{replacement} listens"));
-        time::timeout(STEP_LIMIT, instance.left()).await.context("graceful shutdown")??;
-        let left_at = Instant::now();
-        self.say(&format!("{id} has left after {:.1} s", (left_at - told_at).as_secs_f64()));
-        self.cluster.forget(&id);
-        self.shutdown = Some(evidence::ShutdownWindow { instance: id, told_at, left_at });
-        self.misbehave.send_replace(true);
-        Ok(())
-    }
-
-    /// Requests that are certain to be in flight when an instance is told to end, and that run
-    /// for longer than the instance waits for the balancer.
-    fn send_slow_requests(&mut self) {
-        let Some(stream) = self.plan.requests.first() else { return };
-        let stream = site::RequestStream { run: SLOW_RUN, ..stream.clone() };
-        let repeatable = self.is_repeatable(&stream.class);
-        for number in 0..SLOW_REQUESTS {
-            let context = self.context.clone();
-            self.slow.spawn(callers::send_one(context, stream.clone(), repeatable, number));
-        }
-    }
-
-    /// The platform's table and object store refuse connections for a while.
-    async fn lose_stores(&self) {
-        let fakes = &self.cluster.platform.fakes;
-        let stores = [fakes.table().faults(), fakes.objects().faults()];
-        self.say("the platform's table and object store go down");
-        stores.iter().for_each(|it| it.set(fault::Condition::Refusing));
-        time::sleep(OUTAGE).await;
-        stores.iter().for_each(|it| it.set(fault::Condition::Up));
-        self.say("both stores are back");
-    }
-
-    async fn crash_one(&mut self) -> anyhow::Result<()> {
-        let Some(instance) = self.cluster.take_oldest() else { bail!("expected an instance") };
-        let id = instance.id().clone();
-        self.crashed_at = Some(Instant::now());
-        instance.crash();
-        self.say(&format!("{id} crashes"));
-        self.cluster.forget(&id);
-        let replacement = self.cluster.add_instance().await?;
-        self.say(&format!("{replacement} listens"));
-        Ok(())
-    }
-
-    /// An operator drains one worker; the platform says that an upstream leaves another.
-    async fn drain_and_leave(&mut self) -> anyhow::Result<Vec<ids::WorkerId>> {
-        let busy = self.busiest_workers();
-        let [drained, left, ..] = &busy[..] else { bail!("expected two busy workers") };
-        let operators = self.operators()?;
-        let listing = operators::drain(operators, drained).await.context("drain")?;
-        let since = Instant::now();
-        self.accepted.push(evidence::AcceptedVersion { version: listing.version, at: since });
-        self.mark_upstreams(left, model::InstanceState::Leaving);
-        for (worker, cause, with_tasks) in
-            [(drained, "drained by an operator", true), (left, "upstream leaving", false)]
-        {
-            self.departures.push(evidence::UpstreamDeparture {
-                worker: worker.clone(),
-                cause,
-                with_tasks,
-                since,
-                until: since,
-            });
-        }
-        self.say(&format!("{drained} is drained by an operator; the upstream leaves {left}"));
-        Ok(vec![drained.clone(), left.clone()])
-    }
-
-    /// Workers whose upstreams started something lately, busiest first: that a worker which would
-    /// get nothing anyway gets nothing proves nothing.
-    fn busiest_workers(&self) -> Vec<ids::WorkerId> {
-        let executions = self.cluster.platform.fakes.executions.executions();
-        let recent = executions.iter().filter(|it| it.started.elapsed() < BUSY_WITHIN);
-        let mut counts = BTreeMap::<&ids::WorkerId, usize>::new();
-        for execution in recent {
-            *counts.entry(&execution.worker).or_default() += 1;
-        }
-        let mut workers = counts.into_iter().collect::<Vec<_>>();
-        workers.sort_by_key(|(worker, count)| (Reverse(*count), *worker));
-        workers.into_iter().map(|(worker, _)| worker.clone()).collect()
-    }
-
-    async fn come_back(&mut self, departed: &[ids::WorkerId]) -> anyhow::Result<()> {
-        let [drained, left] = departed else { return Ok(()) };
-        for departure in &mut self.departures {
-            departure.until = Instant::now();
-        }
-        self.mark_upstreams(left, model::InstanceState::Live);
-        let operators = self.operators()?;
-        let listing = operators::undrain(operators, drained).await.context("undrain")?;
-        let at = Instant::now();
-        self.accepted.push(evidence::AcceptedVersion { version: listing.version, at });
-        self.say("both take work again");
-        Ok(())
-    }
-
-    fn mark_upstreams(&self, worker: &str, state: model::InstanceState) {
-        for upstream in &self.plan.document.upstreams {
-            let instances = self.cluster.platform.fakes.instances();
-            instances.mark_upstream(worker, &upstream.name, state);
-        }
-    }
-
     async fn apply(
         &mut self,
         base: ids::ConfigVersion,
@@ -412,17 +240,21 @@
         }
     }
 
-    fn note_accepted(&mut self, version: ids::ConfigVersion, document: &model::ConfigDocument) {
+    pub(crate) fn note_accepted(
+        &mut self,
+        version: ids::ConfigVersion,
+        document: &model::ConfigDocument,
+    ) {
         self.accepted.push(evidence::AcceptedVersion { version, at: Instant::now() });
         self.plan.document = document.clone();
         self.say(&format!("configuration version {version} is accepted"));
     }
 
-    fn newest(&self) -> ids::ConfigVersion {
+    pub(crate) fn newest(&self) -> ids::ConfigVersion {
         self.accepted.iter().map(|it| it.version).max().unwrap_or_default()
     }
 
-    fn operators(&self) -> anyhow::Result<SocketAddr> {
+    pub(crate) fn operators(&self) -> anyhow::Result<SocketAddr> {
         let instance = self.cluster.balancer.choose();
         Ok(instance.context("expected a ready instance")?.operators)
     }
