--- a/crates/policy/src/lending.rs
+++ b/crates/policy/src/lending.rs
@@ -9,6 +9,7 @@
 
 use crate::blocks;
 use crate::core::HallCore;
+use crate::item::QueueItem;
 use crate::ledger::Booking;
 use crate::topology::NONE;
 
@@ -57,7 +58,9 @@
         let allows = |it: u32| {
             let at = it as usize;
             let holder = self.ledger.holder[at];
-            let soft = holder == NONE || self.items.at(holder).booking == Booking::Soft;
+            // The account's own work would become its claim, and the home would be taken.
+            let lends = |it: &QueueItem| it.booking == Booking::Soft && it.account != shape.account;
+            let soft = holder == NONE || lends(self.items.at(holder));
             self.ledger.home[at] == NONE
                 && self.ledger.reserved[at] == NONE
                 && soft
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -6,12 +6,10 @@
 use almondpass_schema::model;
 
 use crate::blocks;
-use crate::core::{HallCore, SETTLE_TIME};
-use crate::decision::Decision;
+use crate::core::HallCore;
 use crate::guarantee::HomeBlock;
 use crate::ledger::{Booking, Usage};
 use crate::placement::{self, PlaceAsk};
-use crate::reasons;
 use crate::rules::BlockRule;
 use crate::topology::NONE;
 
@@ -405,78 +403,4 @@
         self.report(home, "moved to a free block");
         true
     }
-
-    fn report_homes(&mut self, before: &[Vec<u32>]) {
-        let settling = self.now.since(self.began) < SETTLE_TIME;
-        for home in 0..self.homes.len() as u32 {
-            let now_settled = self.homes[home as usize].settled();
-            let was = self.homes[home as usize].reported;
-            if now_settled {
-                if was == Some(true) && before[home as usize] != self.homes[home as usize].block {
-                    self.report(home, "moved: its block was damaged or is no longer reclaimable");
-                } else if was == Some(false) {
-                    self.report(home, "whole again");
-                }
-                self.homes[home as usize].reported = Some(true);
-            } else if was != Some(false) && !settling {
-                self.homes[home as usize].reported = Some(false);
-                self.report_lost(home);
-            }
-        }
-    }
-
-    fn report(&mut self, home: u32, what: &str) {
-        let shape = &self.homes[home as usize];
-        let first = self.topology.host(shape.block[0]);
-        let reason = reasons::plain(
-            model::WaitCode::GuaranteeKept,
-            format!("guarantee {} {what}; now at home from {}", shape.label(), first.name),
-        );
-        self.push_guarantee(home, reason);
-    }
-
-    fn report_lost(&mut self, home: u32) {
-        let shape = &self.homes[home as usize];
-        let n_live = self.health.iter().filter(|it| it.usable()).count();
-        let reason = reasons::plain(
-            model::WaitCode::NoCapacity,
-            format!(
-                "guarantee {} lost: no block of {} accelerators ({}) in {} can be reclaimed, with \
-                 {} of {} live",
-                shape.label(),
-                shape.size,
-                shape.adjacency,
-                self.hall,
-                n_live,
-                reasons::count(self.health.len(), "worker"),
-            ),
-        );
-        self.push_guarantee(home, reason);
-    }
-
-    fn push_guarantee(&mut self, home: u32, reason: model::WaitReason) {
-        let state = self.home_state(home);
-        let shape = &self.homes[home as usize];
-        self.outbox.push(Decision::Guarantee {
-            account: shape.account_id.clone(),
-            guarantee: shape.guarantee.clone(),
-            state,
-            reason,
-        });
-    }
-
-    /// How a guarantee stands.
-    pub(crate) fn home_state(&self, home: u32) -> model::GuaranteeState {
-        let shape = &self.homes[home as usize];
-        let free = |it: &u32| self.ledger.holder[*it as usize] == NONE;
-        if !shape.settled() {
-            model::GuaranteeState::Lost
-        } else if !shape.claims.is_empty() {
-            model::GuaranteeState::Claimed
-        } else if shape.block.iter().all(free) {
-            model::GuaranteeState::Free
-        } else {
-            model::GuaranteeState::Reclaimable
-        }
-    }
 }
--- /dev/null
+++ b/crates/policy/tests/order.rs
@@ -0,0 +1,187 @@
+//! Which work goes first, and that none waits for ever.
+
+mod common;
+
+use almondpass_policy::event::{HallEvent, WorkExit};
+use almondpass_policy::scheduler::HallPolicy;
+use almondpass_policy::work;
+use almondpass_schema::model;
+use common::{TestHall, account, config, gang, job, request, secs};
+
+/// A hall of one worker, so that one job of eight accelerators fills what is no home.
+fn narrow_hall() -> TestHall {
+    let mut config = config(1);
+    config.halls[0].racks[0].workers = 1;
+    config.accounts[1].guarantees.clear();
+    config.accounts.push(account("third"));
+    TestHall::new(config)
+}
+
+#[test]
+fn higher_priority_starts_first() {
+    let mut hall = narrow_hall();
+    let first = hall.run(job("large", "certificate", 1, 8));
+    let batch = hall.run(job("large", "batch", 1, 8));
+    let certificate = hall.run(job("large", "certificate", 1, 8));
+    hall.end(first);
+    assert!(hall.runs(certificate) && !hall.runs(batch));
+}
+
+#[test]
+fn ageing_lifts_work_over_newer_work_of_higher_priority() {
+    let mut hall = narrow_hall();
+    let first = hall.run(job("large", "certificate", 1, 8));
+    let batch = hall.run(job("large", "batch", 1, 8));
+    hall.pass(secs(1900));
+    let certificate = hall.run(job("large", "certificate", 1, 8));
+    hall.end(first);
+    assert!(hall.runs(batch) && !hall.runs(certificate));
+}
+
+#[test]
+fn account_with_the_smaller_share_goes_first() {
+    let mut hall = narrow_hall();
+    let first = hall.run(job("large", "batch", 1, 4));
+    let second = hall.run(job("large", "batch", 1, 4));
+    let of_large = hall.run(job("large", "batch", 1, 4));
+    let of_third = hall.run(job("third", "batch", 1, 4));
+    hall.end(first);
+    assert!(hall.runs(of_third) && !hall.runs(of_large));
+    hall.end(second);
+    assert!(hall.runs(of_large));
+}
+
+#[test]
+fn urgent_work_starts_within_its_bound_in_a_full_hall() {
+    let mut hall = narrow_hall();
+    let batch = hall.run(gang("large", "ageing", 1, 8, model::Adjacency::Worker));
+    hall.pass(secs(100));
+    let urgent = hall.run(job("third", "diagnosis", 1, 1));
+    hall.pass(secs(3));
+    assert!(hall.runs(urgent));
+    assert!(hall.reclaimed(batch));
+}
+
+#[test]
+fn what_is_not_repeatable_is_never_a_victim() {
+    let mut hall = narrow_hall();
+    let certificate = hall.run(job("large", "certificate", 1, 8));
+    let urgent = hall.run(job("third", "diagnosis", 1, 1));
+    hall.pass(secs(60));
+    assert!(hall.runs(certificate) && !hall.runs(urgent));
+}
+
+/// Symptom: a gang of a whole rack never starts. Sequence: small jobs arrive all the time, one
+/// after the other ends, and each freed accelerator is taken at once. Cause: without a block that
+/// is kept for it, the gang needs all of them to be free by coincidence.
+#[test]
+fn gang_starts_within_its_bound_under_a_stream_of_small_work() {
+    let mut hall = narrow_hall();
+    let mut running: Vec<work::WorkId> =
+        (0..8).map(|_| hall.run(job("third", "batch", 1, 1))).collect();
+    let gang = hall.run(gang("large", "batch", 1, 8, model::Adjacency::Worker));
+    let mut waited = 0;
+    while !hall.runs(gang) {
+        assert!(waited < 600 + 5400 + 12, "waits beyond gang_wait and the longest run");
+        hall.pass(secs(60));
+        waited += 60;
+        let ended = running.remove(0);
+        if hall.runs(ended) {
+            hall.end(ended);
+        }
+        running.push(hall.run(job("third", "batch", 1, 1)));
+    }
+}
+
+/// The same for a gang that needs cores only.
+#[test]
+fn gang_without_accelerators_starts_under_a_stream_of_small_work() {
+    let mut hall = narrow_hall();
+    let bare = |cores| {
+        let item = job("third", "batch", 1, 0);
+        work::WorkItem { demand: work::TaskDemand { cores, ..item.demand }, ..item }
+    };
+    let mut running: Vec<work::WorkId> = (0..8).map(|_| hall.run(bare(4))).collect();
+    let gang = hall.run(bare(32));
+    let mut waited = 0;
+    while !hall.runs(gang) {
+        assert!(waited < 600 + 5400 + 12, "waits beyond gang_wait and the longest run");
+        hall.pass(secs(60));
+        waited += 60;
+        let ended = running.remove(0);
+        if hall.runs(ended) {
+            hall.end(ended);
+        }
+        running.push(hall.run(bare(4)));
+    }
+}
+
+#[test]
+fn cancelled_start_is_stopped_whole_and_told_as_not_run() {
+    let mut hall = TestHall::new(config(1));
+    hall.obeys = false;
+    let work = hall.run(gang("large", "batch", 4, 8, model::Adjacency::Rack));
+    hall.tell(HallEvent::Cancelled(work));
+    assert_eq!(hall.outcome(work), None);
+    hall.tell(HallEvent::StartFailed {
+        work,
+        worker: None,
+        fault: almondpass_policy::event::StartFault::Withdrawn,
+    });
+    assert_eq!(hall.outcome(work), Some(model::RequestOutcome::NotRun));
+}
+
+#[test]
+fn lost_work_that_is_not_repeatable_ends_unknown() {
+    let mut hall = TestHall::new(config(1));
+    let work = hall.run(job("large", "certificate", 1, 1));
+    let worker = hall.workers_of(work)[0].clone();
+    hall.tell(HallEvent::Ended { work, exit: WorkExit::Lost { worker } });
+    assert_eq!(hall.outcome(work), Some(model::RequestOutcome::Unknown));
+}
+
+/// Symptom: after a wave the scheduler is busy for seconds, and a claim misses its bound.
+/// Sequence: 10,000 cancellations, 5,000 small arrivals and 50 large gangs at once, then a claim.
+/// Cause: a turn that looks at everything that waits.
+#[test]
+fn wave_does_not_hold_up_a_claim() {
+    let mut hall = TestHall::new(config(4));
+    let old: Vec<work::WorkId> =
+        (0..10_000).map(|_| hall.submit(job("large", "batch", 1, 8))).collect();
+    hall.turn();
+    for it in old {
+        hall.core.apply(HallEvent::Cancelled(it), hall.now);
+    }
+    for _ in 0..5_000 {
+        hall.submit(request("large", "check"));
+    }
+    for _ in 0..50 {
+        hall.submit(gang("large", "ageing", 8, 8, model::Adjacency::Rack));
+    }
+    let claim = gang("small", "batch", 1, 8, model::Adjacency::Worker);
+    let claim = hall.run(work::WorkItem { guarantee: Some("rig".to_owned()), ..claim });
+    hall.pass(secs(30));
+    assert!(hall.runs(claim));
+    assert_eq!(hall.core.sizes().items, 5_000 + 50 + 1);
+}
+
+/// Symptom: a new scheduler reports a guarantee as reclaimable that is not. Sequence: it adopts
+/// work that can't be reclaimed on the block where the guarantee is at home in an empty hall.
+/// Cause: homes chosen before the adoption.
+#[test]
+fn home_goes_where_adopted_work_leaves_it_room() {
+    let mut hall = TestHall::unborn(config(1));
+    let slot =
+        work::TaskSlot { rank: 0, worker: "vadodara-r1-01".to_owned(), accelerators: vec![0, 1] };
+    let item = work::WorkItem { work: common::id(77), ..job("large", "certificate", 1, 2) };
+    let placement = vec![slot.clone()];
+    hall.running.insert(item.work, placement.clone());
+    let started_at = hall.now;
+    hall.core.apply(HallEvent::Adopted { item, placement, started_at }, hall.now);
+    for it in 1..=8 {
+        hall.core.apply(HallEvent::WorkerBack(format!("vadodara-r1-{it:02}")), hall.now);
+    }
+    hall.turn();
+    let claim = hall.run(gang("small", "batch", 1, 8, model::Adjacency::Worker));
+    assert!(hall.runs(claim) && hall.workers_of(claim)[0] != slot.worker);
+}
