--- a/crates/daemon/tests/site/instances.rs
+++ b/crates/daemon/tests/site/instances.rs
@@ -4,7 +4,7 @@
 
 use almondpass_daemon::health;
 use almondpass_schema::model;
-use almondpass_standin::upstream;
+use almondpass_standin::{fault, upstream};
 use http::{Method, StatusCode};
 use tokio::time::{self, Instant};
 
@@ -126,6 +126,20 @@
     .await;
 }
 
+/// Symptom: a replaced instance takes no callers for as long as the table is down. Sequence: outage of
+/// the table, a new instance starts. Cause: only the table is asked for the configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_instance_gets_the_configuration_from_its_peers() {
+    let mut site = common::TestSite::start(2).await;
+    common::send_until_done(site.callers("i0"), "diagnosis", common::SMALL, "warm").await;
+    site.platform.fakes.table().faults().set(fault::Condition::Refusing);
+    site.add("i2").await;
+    site.ready().await;
+    assert_eq!(site.instances["i2"].config_version(), 1);
+    // Whoever holds a hall works on, so repeatable requests run through the new instance as well.
+    common::send_until_done(site.callers("i2"), "diagnosis", common::SMALL, "outage").await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn health_and_metrics_are_served_to_operators() {
     let site = common::TestSite::start(1).await;
