--- a/crates/console/src/histogram.rs
+++ b/crates/console/src/histogram.rs
@@ -20,7 +20,7 @@
 /// Decimal digits kept of each time.
 const DIGITS: u8 = 2;
 /// Bars of a picture, each twice as long as the one before.
-pub const N_BARS: usize = 20;
+pub const N_BARS: usize = 28;
 /// Upper end of the first bar, in seconds.
 const FIRST_BAR_SECONDS: f64 = 0.001;
 
--- a/crates/console/src/page/hall_svg.rs
+++ b/crates/console/src/page/hall_svg.rs
@@ -25,6 +25,12 @@
 const LABEL: usize = 14;
 /// Width of the racks' names.
 const MARGIN: usize = 70;
+/// A worker narrower than this shows its state by its frame alone.
+const MIN_STATE_WIDTH: usize = 90;
+/// Between racks beside each other.
+const RACK_GAP: usize = 20;
+/// Racks stand beside each other up to this width, or below each other where one is wider.
+const MAX_WIDTH: usize = 1200;
 /// Height of the strip that shows a rack's free runs, with the space around it.
 const STRIP: usize = 22;
 
@@ -40,19 +46,18 @@
     palette: &palette::AccountPalette<'_>,
 ) -> Markup {
     let racks = racks(picture);
-    let width = MARGIN + racks.iter().map(RackPicture::width).max().unwrap_or(0);
-    let height = racks.iter().map(RackPicture::height).sum::<usize>();
-    let mut top = 0;
-    let racks = racks.iter().map(|rack| {
-        let placed = (top, rack);
-        top += rack.height();
-        placed
-    });
-    let racks = racks.collect::<Vec<_>>();
+    let widest = racks.iter().map(RackPicture::width).max().unwrap_or(0);
+    let cell_width = MARGIN + widest + RACK_GAP;
+    let cell_height = racks.iter().map(RackPicture::height).max().unwrap_or(0);
+    let n_columns = (MAX_WIDTH / cell_width).clamp(1, racks.len().max(1));
+    let (width, height) = (n_columns * cell_width, racks.len().div_ceil(n_columns) * cell_height);
     html! {
         svg.hall viewBox=(format!("0 0 {width} {height}")) width=(width) height=(height)
             role="img" aria-label=(format!("Accelerators of {}", picture.hall)) {
-            @for (top, rack) in racks { (draw_rack(rack, top, palette)) }
+            @for (index, rack) in racks.iter().enumerate() {
+                @let (x, y) = (index % n_columns * cell_width, index / n_columns * cell_height);
+                g transform=(format!("translate({x} {y})")) { (draw_rack(rack, palette)) }
+            }
         }
     }
 }
@@ -137,19 +142,19 @@
     racks
 }
 
-fn draw_rack(rack: &RackPicture<'_>, top: usize, palette: &palette::AccountPalette<'_>) -> Markup {
+fn draw_rack(rack: &RackPicture<'_>, palette: &palette::AccountPalette<'_>) -> Markup {
     let step_x = rack.worker_width() + WORKER_GAP;
     let step_y = rack.worker_height() + LABEL + WORKER_GAP;
     let place = |index: usize| {
         let x = MARGIN + index % MAX_WORKERS_IN_LINE * step_x;
-        (x, top + index / MAX_WORKERS_IN_LINE * step_y)
+        (x, index / MAX_WORKERS_IN_LINE * step_y)
     };
     html! {
-        text.rack x="0" y=(top + LABEL + 16) { (rack.name) }
+        text.rack x="0" y=(LABEL + 16) { (rack.name) }
         @for (index, worker) in rack.workers.iter().enumerate() {
             (draw_worker(worker, place(index), rack, palette))
         }
-        (draw_strip(rack, top + rack.n_lines() * step_y))
+        (draw_strip(rack, rack.n_lines() * step_y))
     }
 }
 
@@ -162,6 +167,7 @@
     let number = worker.worker.rsplit('-').next().unwrap_or_default();
     let label = match worker.state {
         model::WorkerState::Live => number.to_owned(),
+        _ if rack.worker_width() < MIN_STATE_WIDTH => number.to_owned(),
         state => format!("{number} {state}"),
     };
     html! {
--- a/crates/console/src/page/histograms.rs
+++ b/crates/console/src/page/histograms.rs
@@ -7,16 +7,15 @@
 /// Height of the tallest bar.
 const HEIGHT: usize = 36;
 /// Width of a bar with its gap.
-const STEP: usize = 8;
+const STEP: usize = 7;
 
 /// All histograms of this instance, grouped by what they measure.
 pub(crate) fn content(instance: &str, summaries: &[histogram::HistogramSummary]) -> Markup {
     let groups = summaries.chunk_by(|left, right| left.name.metric == right.name.metric);
     html! {
         p {
-            "As recorded by this instance, " strong { (instance) } ", since it started. Each bar covers "
-            "times twice as long as the one before, from 1 ms on. "
-            "The whole fleet's are in /metrics of all instances together."
+            "As recorded by this instance, " strong { (instance) } ", since it started. Each bar stands for "
+            "times up to twice as long as the one before. The whole fleet's are in /metrics of all instances together."
         }
         @if summaries.is_empty() { p { "Nothing is recorded yet." } }
         @for group in groups {
@@ -24,7 +23,7 @@
             table {
                 thead { tr {
                     th { "Account" } th { "Class" } th.number { "Count" } th.number { "Median" }
-                    th.number { "95th" } th.number { "99th" } th.number { "Longest" } th { "Spread" }
+                    th.number { "95th" } th.number { "99th" } th.number { "Longest" } th { "Spread, " (seconds(histogram::HistogramBook::bar_end(0))) " to " (seconds(histogram::HistogramBook::bar_end(histogram::N_BARS - 2))) }
                 } }
                 tbody {
                     @for summary in group {
@@ -75,5 +74,8 @@
     if time < 120.0 {
         return format!("{time:.1} s");
     }
-    format!("{:.1} min", time / 60.0)
+    if time < 7200.0 {
+        return format!("{:.1} min", time / 60.0);
+    }
+    format!("{:.1} h", time / 3600.0)
 }
--- a/crates/console/tests/support/mod.rs
+++ b/crates/console/tests/support/mod.rs
@@ -21,6 +21,9 @@
 pub(crate) type Keeper = keeper::ConfigKeeper<table::TableFake, net::FakeLink>;
 pub(crate) type Console = console::OperatorConsole<table::TableFake, net::FakeLink, ScriptedHalls>;
 
+/// A hall of the two-year size.
+pub(crate) const LARGE_HALL: &str = "bharuch";
+
 pub(crate) const OPERATOR: &str = "asha";
 pub(crate) const PASSWORD: &str = "a long random password";
 
@@ -287,7 +290,7 @@
 
 /// A hall with some of everything.
 pub(crate) fn picture(hall: &str) -> model::HallPicture {
-    let workers = (0..16).map(|it| worker(hall, it)).collect();
+    let workers = if hall == LARGE_HALL { large_hall() } else { small_hall(hall) };
     let waiting =
         |account: &str, class: &str, code: model::WaitCode, text: &str| model::QueueView {
             job: Uuid::from_u128(0x0192_f000_0000_7000_8000_0000_0000_0000 + text.len() as u128),
@@ -341,6 +344,22 @@
     }
 }
 
+fn small_hall(hall: &str) -> Vec<model::WorkerView> {
+    (0..16).map(|it| worker(hall, it)).collect()
+}
+
+/// 163 workers with an accelerator each, in racks of 8.
+fn large_hall() -> Vec<model::WorkerView> {
+    let workers = (0..163).map(|index| {
+        let mut view = worker(LARGE_HALL, index * 7 % 16);
+        view.rack = format!("r{:02}", index / 8 + 1);
+        view.worker = format!("{LARGE_HALL}-{}-{:02}", view.rack, index % 8 + 1);
+        view.accelerators.truncate(1);
+        view
+    });
+    workers.collect()
+}
+
 fn worker(hall: &str, index: usize) -> model::WorkerView {
     let rack = if index < 8 { "r1" } else { "r2" };
     let state = match index {
