Order a tenure's commits of jobs, so that a late one undoes nothing

A storm over a fleet showed a job as running for 25 minutes after it had ended and its workers held nothing. A commit of job rows was lost on its way; its repetition and the next commit, with the job's end, became durable; then the lost one arrived. Its only condition was the row of the tenure, which had not changed, so it put the job back to running. A takeover would have run it again.

Every commit now writes the row commit/<hall> under a condition on its version. That orders the commits of a tenure, and gives the store client a row to settle a lost answer by. The version is read once in a tenure.

--- a/crates/hall/src/commit.rs
+++ b/crates/hall/src/commit.rs
@@ -29,6 +29,15 @@
     /// When it was put together; ended jobs are kept from then on. One that ended in an outage
     /// would otherwise be dropped in the moment in which its end can be read.
     pub(crate) at: time::WallTime,
+    /// Number of the group in its tenure.
+    pub(crate) number: u64,
+    /// Version of the commit row before the group; read where it is not known yet.
+    ///
+    /// A try of an earlier group that was lost on its way may still arrive, and the condition on
+    /// the tenure lets it pass: a job that ended would run again by its row. One would see a row
+    /// that never changes while the hall has no such job. Each group therefore writes the commit
+    /// row under a condition on its version, so that groups take effect in their order.
+    pub(crate) after: Option<ids::RowVersion>,
     /// Whether an earlier try of the same group may have taken effect.
     pub(crate) unsure: bool,
 }
@@ -46,7 +55,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum CommitOutcome {
     /// Every row is durable.
-    Committed,
+    Committed {
+        /// Version of the commit row after the group.
+        version: ids::RowVersion,
+    },
     /// Nothing was written: these jobs existed before.
     Known(Vec<model::JobRecord>),
     /// Nothing was written: a newer tenure holds the hall.
@@ -62,13 +74,24 @@
 pub(crate) async fn run<T: TableService>(
     table: T,
     tenure: tenure::TenureWatch,
-    plan: CommitPlan,
+    mut plan: CommitPlan,
     deadline: Duration,
 ) -> CommitReport {
-    let transaction = transaction(&plan, &tenure);
+    let after = match plan.after {
+        Some(after) => after,
+        None => match read_version(&table, &plan.hall, deadline).await {
+            Some(after) => after,
+            None => return CommitReport { plan, outcome: CommitOutcome::Unsent },
+        },
+    };
+    plan.after = Some(after);
+    let mark = model::CommitRow { epoch: tenure.epoch(), number: plan.number };
+    let transaction = transaction(&plan, &tenure, after, &mark);
     let outcome = match tokio::time::timeout(deadline, table.transact(transaction)).await {
-        Ok(Ok(model::TableOutcome::Committed { .. })) => CommitOutcome::Committed,
-        Ok(Ok(model::TableOutcome::Conflict { rows })) => conflict(&plan, &rows),
+        Ok(Ok(model::TableOutcome::Committed { versions })) => {
+            CommitOutcome::Committed { version: versions.first().copied().unwrap_or(after + 1) }
+        }
+        Ok(Ok(model::TableOutcome::Conflict { rows })) => conflict(&plan, &mark, &rows),
         // Only this try had no effect; an earlier one of the same group may have.
         Ok(Err(fault)) if fault.fault.had_no_effect() && !plan.unsure => CommitOutcome::Unsent,
         Ok(Err(fault)) => {
@@ -80,31 +103,51 @@
     CommitReport { plan, outcome }
 }
 
-fn conflict(plan: &CommitPlan, rows: &[model::TableRow]) -> CommitOutcome {
+/// Reads the version of the commit row. Under a new tenure it is final: what former holders still
+/// have on its way fails by the condition on the tenure.
+async fn read_version<T: TableService>(
+    table: &T,
+    hall: &str,
+    deadline: Duration,
+) -> Option<ids::RowVersion> {
+    let get = model::TableGet { keys: vec![keys::commit(hall)] };
+    let rows = tokio::time::timeout(deadline, table.get(get)).await.ok()?.ok()?;
+    Some(rows.rows.first().map_or(0, |it| it.version))
+}
+
+fn conflict(plan: &CommitPlan, mark: &model::CommitRow, rows: &[model::TableRow]) -> CommitOutcome {
+    let commit = keys::commit(&plan.hall);
+    if let Some(row) = rows.iter().find(|it| it.key == commit) {
+        // The mark is of this group alone: an earlier try committed, as a whole.
+        let ours = row.value.as_ref() == Some(&codec::encode(mark));
+        let version = row.version;
+        return if ours { CommitOutcome::Committed { version } } else { CommitOutcome::Fenced };
+    }
     let found = rows.iter().filter_map(|it| Some((it.key.as_str(), it.value.as_ref()?)));
     let found = found.collect::<BTreeMap<_, _>>();
     let creates = plan.writes.iter().filter(|it| it.create);
-    let existing = creates.filter_map(|it| Some((it, *found.get(job_key(it).as_str())?)));
-    let existing = existing.collect::<Vec<_>>();
-    if existing.is_empty() {
+    let existing = creates.filter_map(|it| found.get(job_key(it).as_str()));
+    let records = existing.filter_map(|it| decode(it)).collect::<Vec<_>>();
+    if records.is_empty() {
         return CommitOutcome::Fenced;
     }
-    // The rows are as an earlier try would have left them, and a group commits whole.
-    let ours = existing.iter().all(|(it, value)| codec::encode(&it.record) == **value);
-    if plan.unsure && ours {
-        return CommitOutcome::Committed;
-    }
-    let records = existing.iter().map(|(_, value)| decode(value));
-    CommitOutcome::Known(records.flatten().collect())
+    CommitOutcome::Known(records)
 }
 
 fn decode(value: &blob::Blob) -> Option<model::JobRecord> {
     codec::decode("read a job", value).ok()
 }
 
-fn transaction(plan: &CommitPlan, tenure: &tenure::TenureWatch) -> model::TableTransaction {
-    let mut conditions = vec![tenure.condition()];
-    let mut writes = Vec::new();
+fn transaction(
+    plan: &CommitPlan,
+    tenure: &tenure::TenureWatch,
+    after: ids::RowVersion,
+    mark: &model::CommitRow,
+) -> model::TableTransaction {
+    let commit = keys::commit(&plan.hall);
+    let mut conditions =
+        vec![tenure.condition(), model::TableCondition { key: commit.clone(), version: after }];
+    let mut writes = vec![model::TableWrite { key: commit, value: Some(codec::encode(mark)) }];
     for write in &plan.writes {
         let record = &write.record;
         if write.create {
--- a/crates/hall/src/job_table.rs
+++ b/crates/hall/src/job_table.rs
@@ -112,6 +112,10 @@
     pub(crate) dirty: BTreeSet<ids::JobId>,
     /// The commit on its way, or to be tried again.
     pub(crate) commit: Option<commit::CommitPlan>,
+    /// Number of the last group of this tenure.
+    pub(crate) commit_number: u64,
+    /// Version of the commit row after the last group that is durable, once known.
+    pub(crate) commit_version: Option<ids::RowVersion>,
     /// Whether a commit is on its way.
     pub(crate) committing: bool,
     /// When the next commit may go out.
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -331,16 +331,27 @@
             let create = entry.committed.is_none();
             writes.push(commit::JobWrite { record: entry.record.clone(), create });
         }
-        let (hall, at) = (self.hall.clone(), self.wall());
-        (!writes.is_empty()).then_some(commit::CommitPlan { hall, writes, at, unsure: false })
+        if writes.is_empty() {
+            return None;
+        }
+        self.jobs.commit_number += 1;
+        Some(commit::CommitPlan {
+            hall: self.hall.clone(),
+            writes,
+            at: self.wall(),
+            number: self.jobs.commit_number,
+            after: self.jobs.commit_version,
+            unsure: false,
+        })
     }
 
     pub(crate) fn on_committed(&mut self, report: commit::CommitReport) {
         self.jobs.committing = false;
         let now = Instant::now();
         match report.outcome {
-            CommitOutcome::Committed => {
+            CommitOutcome::Committed { version } => {
                 self.jobs.commit = None;
+                self.jobs.commit_version = Some(version);
                 for write in report.plan.writes {
                     self.job_committed(write);
                 }
@@ -355,7 +366,7 @@
                 self.jobs.next_commit = Some(now);
             }
             CommitOutcome::Fenced => {
-                self.fence();
+                self.fenced = true;
                 self.jobs.commit = None;
             }
             CommitOutcome::Unsent => {
--- a/crates/hall/tests/hall/jobs.rs
+++ b/crates/hall/tests/hall/jobs.rs
@@ -41,6 +41,25 @@
         assert_eq!(site.fleet.runs().len(), 2);
     }
 
+    /// Symptom: a job that ended is shown as running for ever, and a takeover runs it again.
+    /// Sequence: a commit is lost on its way; its repetition and the next commit, with the end of
+    /// the job, are durable; then the lost one arrives.
+    /// Cause: nothing but the tenure was a condition of it, and that had not changed.
+    a_commit_that_arrives_late_undoes_nothing(_site) {
+        for nth in 1..=8 {
+            let site = support::TestSite::new();
+            site.fleet.scripts().set_usual(support::script(support::secs(1)));
+            let instance = site.start_holder("a").await;
+            let late = Fault::DelayedEffect(support::secs(20));
+            instance.to_table.nth(model::TableTransaction::PATH, nth, late);
+            let job = site.key();
+            instance.submit(job, support::gang(support::BATCH, 2)).await;
+            support::pass(support::secs(60)).await;
+            let state = site.job(job).map(|it| it.state);
+            assert_eq!(state, Some(model::JobState::Done), "write {nth} was late");
+        }
+    }
+
     /// Symptom: "not run" for a job that runs later.
     /// Sequence: the table refuses the row; the caller is refused; the table returns.
     /// Cause: a refused submission that stays in the queue.
--- a/crates/peer/tests/decoders/main.rs
+++ b/crates/peer/tests/decoders/main.rs
@@ -139,6 +139,7 @@
     config_head_row: ConfigHead;
     scheduler_row: SchedulerRow;
     tenure_row: TenureRow;
+    commit_row: CommitRow;
     intent_batch: IntentBatch;
     intent_floor: IntentFloor;
 }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -17,6 +17,11 @@
     "config-head".to_owned()
 }
 
+/// Row that every commit of a hall's jobs writes.
+pub fn commit(hall: &str) -> ids::RowKey {
+    format!("commit/{hall}")
+}
+
 /// Row of one configuration version; the number is padded so that keys sort by it.
 pub fn config_version(version: ids::ConfigVersion) -> ids::RowKey {
     format!("config/{version:012}")
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -234,6 +234,14 @@
     ///For people.
     pub name: ::std::string::String,
 }
+///Row of the table that every commit of a hall's jobs writes, so that one which arrives late cannot undo a later one of the same tenure.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CommitRow {
+    ///The tenure.
+    pub epoch: crate::ids::Epoch,
+    ///Number of the commit in its tenure.
+    pub number: u64,
+}
 ///A draft became the configuration in force.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigAccepted {
