--- a/crates/daemon/tests/site/main.rs
+++ b/crates/daemon/tests/site/main.rs
@@ -1,5 +1,6 @@
 //! Whole sites over real sockets.
 
+mod command_line;
 mod common;
 mod instances;
 mod jobs;
