Let the benchmark's connections end before their runtime

Cause: tasks of the overload part were cut off with their runtime and printed panics. Change: they are awaited.

--- a/crates/entry/benches/relay/overload.rs
+++ b/crates/entry/benches/relay/overload.rs
@@ -76,13 +76,14 @@
 fn offer(entry: &parties::Party, accounts: &[(&'static str, usize, f64, &AnswerCount)]) {
     let runtime = load::runtime();
     let end = Instant::now() + SPAN;
+    let mut tasks = Vec::new();
     let counts = accounts.iter().map(|_| Arc::new(AnswerCount::default())).collect::<Vec<_>>();
     for ((key, n_connections, rate, _), count) in accounts.iter().zip(&counts) {
         let interval = Duration::from_secs_f64(*n_connections as f64 / rate);
         for number in 0..*n_connections {
             let (count, target, key) = (Arc::clone(count), entry.address, *key);
             let offset = interval.mul_f64(number as f64 / *n_connections as f64);
-            runtime.spawn(async move {
+            tasks.push(runtime.spawn(async move {
                 let mut connection = load::LoadConnection::open(target, key).await;
                 let mut due = tokio::time::Instant::now() + offset;
                 while Instant::now() < end {
@@ -90,10 +91,12 @@
                     due += interval;
                     count.note(connection.exchange().await);
                 }
-            });
+            }));
         }
     }
-    std::thread::sleep(SPAN);
+    for it in tasks {
+        runtime.block_on(it).expect("a connection's task");
+    }
     for ((.., total), count) in accounts.iter().zip(&counts) {
         total.done.store(count.done.load(Ordering::Relaxed), Ordering::Relaxed);
         total.shed.store(count.shed.load(Ordering::Relaxed), Ordering::Relaxed);
