--- a/crates/console/tests/support/mod.rs
+++ b/crates/console/tests/support/mod.rs
@@ -110,6 +110,12 @@
         self.headers.get(name).map_or("", |it| it.to_str().unwrap())
     }
 
+    /// Whether an operator who looks at the page reads `text` there; `wbr` only marks where a line
+    /// may be broken.
+    pub(crate) fn shows(&self, text: &str) -> bool {
+        self.body.replace("<wbr>", "").contains(text)
+    }
+
     /// The cookie as a browser sends it back.
     pub(crate) fn cookie(&self) -> String {
         self.header(header::SET_COOKIE).split(';').next().unwrap_or_default().to_owned()
