--- a/crates/hall/src/actor.rs
+++ b/crates/hall/src/actor.rs
@@ -43,8 +43,10 @@
     /// Events that the policy learns later, such as a start withdrawn during an outage: told at
     /// once, it would decide the same again in a tight loop.
     pub(crate) deferred: VecDeque<DeferredEvent>,
-    /// Set once a write showed a newer tenure.
+    /// Set once anything showed a newer tenure.
     pub(crate) fenced: bool,
+    /// Tells the seat of it.
+    pub(crate) fences: watch::Sender<bool>,
     /// Answered once nothing is in flight; from then on nothing is begun.
     pub(crate) freeze: Option<oneshot::Sender<()>>,
     pub(crate) frozen: bool,
@@ -137,6 +139,14 @@
 }
 
 impl<B: backend::HallBackend> HallActor<B> {
+    /// Begins nothing any more, and has the seat give the hall up. A scheduler that stopped while its
+    /// seat goes on renewing would leave the hall without one for good.
+    pub(crate) fn fence(&mut self) {
+        tracing::warn!(hall = self.hall, epoch = self.tenure.epoch(), "a newer tenure was seen");
+        self.fenced = true;
+        self.fences.send_replace(true);
+    }
+
     /// Whether the scheduler may begin something.
     pub(crate) fn may_act(&self) -> bool {
         !self.frozen && !self.fenced && self.tenure.may_act()
--- a/crates/hall/src/changes.rs
+++ b/crates/hall/src/changes.rs
@@ -58,7 +58,10 @@
             // leases, and only its silence says that it is gone.
             node.entry = entry.or_else(|| node.entry.take());
         }
-        self.nodes.retain(|name, _| names.contains(name));
+        // A worker taken out of the configuration is looked after until its work is over.
+        let leases = &self.leases;
+        self.nodes
+            .retain(|name, _| names.contains(name) || leases.on_worker(name).next().is_some());
         for worker in names {
             self.tell_draining(&worker);
         }
--- a/crates/hall/src/intents.rs
+++ b/crates/hall/src/intents.rs
@@ -54,7 +54,7 @@
             intent_log::AppendOutcome::InObjects => Some("objects"),
             intent_log::AppendOutcome::NotDurable => None,
             intent_log::AppendOutcome::Fenced => {
-                self.fenced = true;
+                self.fence();
                 None
             }
         };
@@ -111,7 +111,7 @@
 
     pub(crate) fn on_sealed(&mut self, report: intent_task::SealReport) {
         if report.fenced {
-            self.fenced = true;
+            self.fence();
             return;
         }
         let Some(sealed) = report.sealed else {
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -366,7 +366,7 @@
                 self.jobs.next_commit = Some(now);
             }
             CommitOutcome::Fenced => {
-                self.fenced = true;
+                self.fence();
                 self.jobs.commit = None;
             }
             CommitOutcome::Unsent => {
--- a/crates/hall/src/leases.rs
+++ b/crates/hall/src/leases.rs
@@ -123,7 +123,7 @@
             }
             let Some(purpose) = lease::LeasePurpose::parse(name) else { continue };
             if self.tenure.epoch() < purpose.epoch() {
-                self.fenced = true;
+                self.fence();
                 return;
             }
             self.enter_stray(worker, purpose, Vec::new());
--- a/crates/hall/src/seat.rs
+++ b/crates/hall/src/seat.rs
@@ -223,10 +223,11 @@
     let mut scheduler: Option<xtra::Address<actor::HallActor<B>>> = None;
     let mut next_renewal = owned.counted_from + parts.options.renewal_interval();
     let mut leave_by: Option<Instant> = None;
+    let mut fences: Option<watch::Receiver<bool>> = None;
     let successor = loop {
         tokio::select! {
             started = &mut launch, if scheduler.is_none() => {
-                let Ok(Some(takeover::StartedHall { address, summary })) = started else {
+                let Ok(Some(takeover::StartedHall { address, summary, fenced })) = started else {
                     tracing::error!(hall, epoch, "the hall could not be taken over");
                     let _ = ownership::release(&parts.ports.table, &mut owned).await;
                     tokio::select! {
@@ -240,6 +241,7 @@
                 tracing::info!(hall, epoch, seconds = took.as_secs_f64(), "took the hall over");
                 parts.view.send_replace(SeatView::Holding { address: address.clone(), summary });
                 scheduler = Some(address);
+                fences = Some(fenced);
             }
             () = time::sleep_until(next_renewal) => {
                 match renew(parts, &state, &mut owned).await {
@@ -257,6 +259,12 @@
                 tracing::warn!(hall, epoch, "another instance holds a newer tenure");
                 break None;
             }
+            () = fenced(fences.as_mut()) => {
+                // Where the row still names this tenure, the sign was wrong: somebody else, or
+                // this instance, takes the hall afresh.
+                let _ = ownership::release(&parts.ports.table, &mut owned).await;
+                break None;
+            }
             () = told_to_leave(&mut parts.leaving), if leave_by.is_none() => {
                 if Instant::now() < firm_until(parts, &owned) {
                     break hand_over(parts, &mut owned, scheduler.as_ref()).await;
@@ -284,6 +292,13 @@
     }
 }
 
+async fn fenced(fences: Option<&mut watch::Receiver<bool>>) {
+    let Some(fences) = fences else { return std::future::pending().await };
+    if fences.wait_for(|it| *it).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Also when nobody is left who could tell.
 async fn told_to_leave(leaving: &mut watch::Receiver<bool>) {
     let _ = leaving.wait_for(|it| *it).await;
--- a/crates/hall/src/sync.rs
+++ b/crates/hall/src/sync.rs
@@ -130,7 +130,7 @@
             }
             let Some(purpose) = LeasePurpose::parse(&status.lease) else { continue };
             if self.tenure.epoch() < purpose.epoch() {
-                self.fenced = true;
+                self.fence();
                 return false;
             }
             self.enter_stray(worker, purpose, status.accelerators.clone());
--- a/crates/hall/src/takeover.rs
+++ b/crates/hall/src/takeover.rs
@@ -55,6 +55,8 @@
     pub(crate) address: xtra::Address<HallActor<B>>,
     /// What it last said of the hall.
     pub(crate) summary: watch::Receiver<Option<model::HallBeat>>,
+    /// Turns true once it saw a newer tenure.
+    pub(crate) fenced: watch::Receiver<bool>,
 }
 
 /// Takes the hall over and starts its scheduler; `None` where that cannot be.
@@ -96,6 +98,7 @@
         intents: intent_task::IntentState::default(),
         deferred: VecDeque::new(),
         fenced: sealed.fenced,
+        fences: watch::channel(sealed.fenced).0,
         freeze: None,
         frozen: false,
         summary: watch::channel(None).0,
@@ -105,6 +108,7 @@
         address: None,
     };
     let summary = actor.summary.subscribe();
+    let fenced = actor.fences.subscribe();
     let log_sealed = sealed.sealed.is_some();
     if let Some(sealed) = sealed.sealed {
         actor.take_log(sealed);
@@ -118,7 +122,7 @@
     }
     forward_changes(&address, parts.config, parts.members);
     tokio::spawn(xtra::run(mailbox, actor));
-    Some(StartedHall { address, summary })
+    Some(StartedHall { address, summary, fenced })
 }
 
 /// Passes changes of the configuration and of the members on.
--- a/crates/hall/tests/hall/takeover.rs
+++ b/crates/hall/tests/hall/takeover.rs
@@ -99,6 +99,18 @@
         assert_eq!(site.n_running(job), 0);
     }
 
+    /// Symptom: a hall has a scheduler that holds it and does nothing, for good.
+    /// Sequence: a worker shows a lease that looks like a newer tenure's; the rows know of none.
+    /// Cause: a scheduler that stops by itself while its seat goes on renewing.
+    a_false_sign_of_a_newer_tenure_is_survived(site) {
+        let holder = site.start_holder("a").await;
+        let job = site.key();
+        plant(&site, 0, &format!("job/{job}/99-1/0"), job, true).await;
+        holder.run(&site, support::BATCH, support::N_WORKERS).await;
+        assert!(site.scheduler().is_some_and(|it| 1 < it.epoch));
+        assert_eq!(site.n_running(job), 0);
+    }
+
     /// Symptom: a request's accelerators are given to a job while it runs.
     /// Sequence: the holder dies; entries still use its grants; they report and return them.
     /// Cause: serving leases of an earlier tenure taken for idle.
