Bound the sizes of a document before its guarantees are laid out

A rack of 4,000,000,000 workers, a slip of the pen, would have made the assignment of home blocks lay out more accelerators than the memory holds, on every instance that checks the document. The assignment now runs only on a document without other faults, and halls, accounts and shapes are bounded.

--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -77,6 +77,10 @@
         }
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
     pub(crate) fn into_result(self, source_name: &str) -> Result<(), ConfigFaults> {
         if self.faults.is_empty() {
             return Ok(());
--- a/crates/config/src/rules/accounts.rs
+++ b/crates/config/src/rules/accounts.rs
@@ -12,12 +12,22 @@
 const HASH_CHARS: usize = 64;
 /// Most keys of an account; two are needed while one is replaced.
 const MAX_KEYS: usize = 16;
+/// Most accounts.
+const MAX_ACCOUNTS: usize = 1000;
+/// Most guaranteed shapes of all accounts together; laying them out takes time for each.
+const MAX_SHAPES: usize = 1000;
 /// Most work of an account that waits or runs.
 const MAX_LIMIT: u32 = 1_000_000;
 
 pub(super) fn check(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
     let list = path::FieldPath::root().member("accounts");
     names::check_unique(document.accounts.iter().map(|it| it.id.as_str()), "id", &list, faults);
+    let n_accounts = document.accounts.len();
+    let expected = format!("at most {MAX_ACCOUNTS} accounts");
+    faults.require(n_accounts <= MAX_ACCOUNTS, &list, expected, n_accounts);
+    let n_shapes = document.accounts.iter().map(|it| it.guarantees.len()).sum::<usize>();
+    let expected = format!("at most {MAX_SHAPES} guaranteed shapes");
+    faults.require(n_shapes <= MAX_SHAPES, &list, expected, n_shapes);
     let mut owners = HashMap::new();
     for (index, account) in document.accounts.iter().enumerate() {
         let path = list.item(index);
--- a/crates/config/src/rules/capacity.rs
+++ b/crates/config/src/rules/capacity.rs
@@ -8,22 +8,21 @@
 
 pub(super) fn check(document: &model::ConfigDocument, faults: &mut fault::FaultList<'_>) {
     let list = path::FieldPath::root().member("accounts");
-    let mut each_fits = true;
     for (index, account) in document.accounts.iter().enumerate() {
         let shapes = list.item(index).member("guarantees");
         for (index, shape) in account.guarantees.iter().enumerate() {
             let Some(most) = largest_block(shape, document) else {
-                each_fits = false;
                 continue;
             };
             let fits = shape.accelerators <= most;
-            each_fits &= fits;
             let expected = format!("at most {most}, the most that lie so close");
             let path = shapes.item(index).member("accelerators");
             faults.require(fits, &path, expected, shape.accelerators);
         }
     }
-    if each_fits {
+    // The assignment lays out every accelerator: of a rack with a slip of the pen, such as
+    // 4,000,000,000 workers, it would lay out more than the memory holds.
+    if faults.is_empty() {
         check_together(document, faults);
     }
 }
@@ -76,7 +75,8 @@
     }
 }
 
-fn hall_accelerators(hall: &model::HallLayout, document: &model::ConfigDocument) -> u32 {
+/// Accelerators of a hall, as many as a number holds.
+pub(super) fn hall_accelerators(hall: &model::HallLayout, document: &model::ConfigDocument) -> u32 {
     let racks = hall.racks.iter().map(|it| rack_accelerators(it, document));
     racks.fold(0, u32::saturating_add)
 }
--- a/crates/config/src/rules/layout.rs
+++ b/crates/config/src/rules/layout.rs
@@ -6,12 +6,16 @@
 
 use crate::fault;
 use crate::path;
-use crate::rules::names;
+use crate::rules::{capacity, names};
 
 /// Most workers in a rack: their numbers have two or three digits.
 const MAX_RACK_WORKERS: u32 = 999;
 /// Most workers in a hall, three times what we build towards.
 const MAX_HALL_WORKERS: u32 = 4096;
+/// Most accelerators in a hall.
+const MAX_HALL_ACCELERATORS: u32 = 16_384;
+/// Most halls, eight times what we build towards.
+const MAX_HALLS: usize = 64;
 /// Most accelerators of one worker.
 const MAX_WORKER_ACCELERATORS: u32 = 64;
 
@@ -62,6 +66,8 @@
     faults: &mut fault::FaultList<'_>,
 ) {
     faults.require(!document.halls.is_empty(), list, "at least one hall", "none");
+    let n_halls = document.halls.len();
+    faults.require(n_halls <= MAX_HALLS, list, format!("at most {MAX_HALLS} halls"), n_halls);
     names::check_unique(document.halls.iter().map(|it| it.name.as_str()), "name", list, faults);
     for (index, hall) in document.halls.iter().enumerate() {
         let path = list.item(index);
@@ -90,6 +96,9 @@
     let n_workers = hall.racks.iter().fold(0_u32, |sum, it| sum.saturating_add(it.workers));
     let expected = format!("at most {MAX_HALL_WORKERS} workers in a hall");
     faults.require(n_workers <= MAX_HALL_WORKERS, list, expected, n_workers);
+    let n_accelerators = capacity::hall_accelerators(hall, document);
+    let expected = format!("at most {MAX_HALL_ACCELERATORS} accelerators in a hall");
+    faults.require(n_accelerators <= MAX_HALL_ACCELERATORS, list, expected, n_accelerators);
 }
 
 /// Hall `a-b` with rack `c` and hall `a` with rack `b-c` would give two workers one name, and
--- a/crates/console/src/page/input.rs
+++ b/crates/console/src/page/input.rs
@@ -134,7 +134,7 @@
     fn faulted(&self, pointer: &str, input: &Markup) -> Markup {
         let faults = self.faults_at(pointer);
         html! {
-            div.input.wrong[!faults.is_empty()] {
+            span.input.wrong[!faults.is_empty()] {
                 (input)
                 @for fault in faults { span.why { "expected " (fault.expected) ", found " (fault.found) } }
             }
--- a/crates/console/tests/drafts.rs
+++ b/crates/console/tests/drafts.rs
@@ -177,3 +177,18 @@
         assert!(!page.body.contains("\"><b>"), "{path}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_first_configuration_is_pasted_whole() {
+    let site = support::ConsoleSite::new();
+    let instance = site.instance("instance-1", "cluster key");
+    let browser = support::Browser::sign_in(&instance.console).await;
+    let overview = browser.get("/console").await;
+    assert!(overview.shows("No configuration is in force"));
+    let page = browser.edit().await;
+    let page = browser.go_on(&page, &[], "section:document").await;
+    let example = include_str!("../../../examples/association.config.yaml");
+    let answer = browser.go_on(&page, &[("document_text", example)], "accept").await;
+    assert_eq!(answer.status, StatusCode::SEE_OTHER, "{}", answer.body);
+    assert_eq!(instance.keeper.active().document.site, "association");
+}
