--- a/crates/policy/src/clearing.rs
+++ b/crates/policy/src/clearing.rs
@@ -132,6 +132,8 @@
             searches += 1;
             if self.clear_block(entry.item) {
                 n_clearing += 1;
+            } else if self.overdue(entry.item) && self.booking_of(entry.item) == Booking::Hard {
+                self.restore_homes();
             }
         }
         if let Some(at) = wake {
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -252,8 +252,13 @@
 
     /// What work that can't be reclaimed may still use of a worker, whatever else runs there now.
     pub(crate) fn hard_room(&self, worker: u32, topology: &HallTopology) -> Usage {
+        self.hard_capacity(worker, topology).minus(self.workers[worker as usize].hard)
+    }
+
+    /// What work that can't be reclaimed may use of a worker at most.
+    pub(crate) fn hard_capacity(&self, worker: u32, topology: &HallTopology) -> Usage {
         let spec = &topology.workers[worker as usize];
-        let book = &self.workers[worker as usize];
-        Usage::capacity(spec).minus(Usage::share(spec, book.home_accelerators)).minus(book.hard)
+        let homes = self.workers[worker as usize].home_accelerators;
+        Usage::capacity(spec).minus(Usage::share(spec, homes))
     }
 }
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -208,14 +208,19 @@
         if moved.is_empty() {
             return;
         }
+        let kept: Vec<u32> = (0..self.homes.len() as u32)
+            .filter(|it| self.homes[*it as usize].settled())
+            .filter(|it| moved.iter().all(|(home, _)| home != it))
+            .collect();
         moved.iter().for_each(|(home, _)| self.leave(*home));
         self.settle_lost();
         if n_before < self.homes.iter().filter(|it| it.settled()).count() {
             return;
         }
+        // A home that settled just now may have found a claim already, as the account's own work
+        // lay there. Kept for that, its block would overlap those that are put back.
         for home in 0..self.homes.len() as u32 {
-            let home_block = &self.homes[home as usize];
-            if home_block.settled() && home_block.claims.is_empty() {
+            if self.homes[home as usize].settled() && !kept.contains(&home) {
                 self.leave(home);
             }
         }
@@ -403,4 +408,26 @@
         self.report(home, "moved to a free block");
         true
     }
+
+    /// Moves unclaimed homes back to their blocks of an empty hall. Work that can't be reclaimed was
+    /// admitted because it fits beside those; beside homes that wandered it may fit nowhere, and
+    /// would wait for ever.
+    pub(crate) fn restore_homes(&mut self) {
+        for home in 0..self.homes.len() as u32 {
+            let shape = &self.homes[home as usize];
+            let wandered = shape.settled() && shape.block != shape.canonical;
+            if !wandered || !shape.claims.is_empty() {
+                continue;
+            }
+            let block = shape.canonical.clone();
+            let sound = block.iter().all(|it| self.home_allows(home, *it))
+                && self.shares_kept(&block, true)
+                && self.holders_fit(home, &block);
+            if sound {
+                self.leave(home);
+                self.settle(home, block);
+                self.report(home, "moved back for work that fits nowhere else");
+            }
+        }
+    }
 }
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -128,7 +128,7 @@
             return;
         }
         let ItemState::Reserving(kind) = self.items.at(index).state else { return };
-        if self.is_free(index, &tasks) {
+        if self.is_free(index, &tasks) && self.spares_homes(index, &tasks) {
             self.start_reserved(index, kind);
         } else if kind == ReserveKind::Clearing {
             self.refresh_clearing(index);
@@ -148,11 +148,26 @@
         let usage = self.usage_of(index);
         tasks.iter().flat_map(|it| &it.accelerators).all(outside)
             && by_worker(tasks).all(|(worker, here)| {
-                let room = self.ledger.hard_room(worker, &self.topology);
+                // Who is there now will have gone: counted here, the place would be given up and
+                // reserved again in turn after turn.
+                let room = self.ledger.hard_capacity(worker, &self.topology);
                 room.covers(usage.times(here.len() as u32))
             })
     }
 
+    /// Whether work that can't be reclaimed leaves each worker, beside what of its kind runs there,
+    /// the cores, memory and slots of the home blocks.
+    fn spares_homes(&self, index: u32, tasks: &[HeldTask]) -> bool {
+        if self.items.at(index).claim.is_some() || self.booking_of(index) != Booking::Hard {
+            return true;
+        }
+        let usage = self.usage_of(index);
+        by_worker(tasks).all(|(worker, here)| {
+            let room = self.ledger.hard_room(worker, &self.topology);
+            room.covers(usage.times(here.len() as u32))
+        })
+    }
+
     /// Whether every accelerator, and the cores, memory and slots beside them, are free.
     fn is_free(&self, index: u32, tasks: &[HeldTask]) -> bool {
         let usage = self.usage_of(index);
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -106,6 +106,7 @@
 }
 
 fuzz! {
+    core_keeps_every_promise: core::HallCore,
     first_fit_keeps_gangs_whole: baseline_first_fit::FirstFit,
     best_fit_keeps_gangs_whole: baseline_best_fit::BestFit,
 }
--- a/crates/replay/src/args.rs
+++ b/crates/replay/src/args.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 
 use crate::compare;
+use crate::cost;
 
 /// Measures the decision core beside ordinary schedulers on seeded traces.
 #[derive(Clone, Debug, Parser)]
@@ -18,6 +19,8 @@
 pub enum ReplayCommand {
     /// Replays traces against the policy and the baselines.
     Compare(compare::CompareArgs),
+    /// Measures the time of decisions and turns, and memory.
+    Cost(cost::CostArgs),
 }
 
 impl ReplayArgs {
@@ -25,6 +28,7 @@
     pub fn run(&self) -> anyhow::Result<()> {
         match &self.command {
             ReplayCommand::Compare(args) => compare::run(args),
+            ReplayCommand::Cost(args) => cost::run(args),
         }
     }
 }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 pub mod compare;
+pub mod cost;
 pub mod engine;
 pub mod floor;
 pub mod report;
