Measure the bytes of renewals and the cost of grants; figures of a hall's scheduler

Cause: the design page of the hall had no figures. Change: the example prints the bytes of one exchange with a worker and the processor time of a grant.

--- a/crates/hall/examples/measure_hall.rs
+++ b/crates/hall/examples/measure_hall.rs
@@ -1,5 +1,5 @@
 //! Measures one hall's scheduler against the in-memory platform, on the paused clock:
-//! `cargo run --release -p almondpass-hall --example measure_hall`.
+//! `cargo run --release -p almondpass-hall --example measure_hall [RACKS...]`.
 //!
 //! Every call to table and workers takes 1 ms (half a millisecond each way). Times of the hall are
 //! those of the paused clock and leave computation out; processor time is that of the whole
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
-use almondpass_schema::model;
+use almondpass_platform::worker::WorkerControl;
+use almondpass_schema::{model, time};
 use almondpass_standin::fault::Condition;
 use tokio::time::Instant;
 
@@ -21,7 +22,9 @@
 fn main() {
     println!("workers  tasks  takeover  hand-over  idle: reads/s writes/s renewals/s cpu/s");
     println!("                                     busy: reads/s writes/s renewals/s cpu/s");
-    for n_racks in [6, 20, 50, 162] {
+    let named = std::env::args().skip(1).filter_map(|it| it.parse().ok()).collect::<Vec<_>>();
+    let usual = vec![6, 20, 50, 162];
+    for n_racks in if named.is_empty() { usual } else { named } {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .start_paused(true)
@@ -58,6 +61,9 @@
     support::pass(Duration::from_secs(300)).await;
     let busy = load(&site, Duration::from_secs(60)).await;
 
+    let exchange = exchange_bytes(&site).await;
+    let grants = grants(&site, &holder).await;
+
     let leaving = Instant::now();
     site.change_members(|it| it.instances.get_mut("a").expect("a member").leaving = true);
     let service = holder.service.clone();
@@ -81,6 +87,7 @@
     let n_tasks = n_jobs * TASKS_PER_JOB;
     println!("{n_workers:7} {n_tasks:6} {takeover:9.0?} {hand_over:10.0?}  idle: {idle}");
     println!("{:36} busy: {busy}", "");
+    println!("{:36} {exchange}; {grants}", "");
 }
 
 fn start(site: &TestSite, id: &str) -> TestInstance {
@@ -107,6 +114,30 @@
     )
 }
 
+/// Bytes of one exchange with a worker, as encoded between processes.
+async fn exchange_bytes(site: &TestSite) -> String {
+    let (address, worker) = &site.fleet.workers()[0];
+    let names = worker.peek().into_iter().map(|it| it.lease).collect::<Vec<_>>();
+    let n_leases = names.len();
+    let renew = model::LeaseRenew { leases: names, term: time::TimeSpan::from_secs(30) };
+    let listing = site.fleet.renew(address, renew.clone()).await.expect("a worker that answers");
+    let encode = |bytes: Result<Vec<u8>, _>| bytes.expect("a message that encodes").len();
+    let asked = encode(rmp_serde::to_vec_named(&renew));
+    let told = encode(rmp_serde::to_vec_named(&listing));
+    format!("a renewal of {n_leases} leases: {asked} B asked, {told} B told")
+}
+
+/// Processor time of a grant with its return, where an idle serving lease is at hand.
+async fn grants(site: &TestSite, instance: &TestInstance) -> String {
+    let before = cpu_nanos();
+    for _ in 0..N_GRANTS {
+        let grant = instance.granted(support::request(site, support::CHECK)).await;
+        instance.give_back(&grant, model::RequestOutcome::Done).await;
+    }
+    let each = (cpu_nanos() - before) / N_GRANTS / 1000;
+    format!("a grant and its return: {each} us of processor time")
+}
+
 struct Counts {
     reads: u64,
     writes: u64,
@@ -134,5 +165,6 @@
     stat.split_whitespace().next().and_then(|it| it.parse().ok()).unwrap_or_default()
 }
 
+const N_GRANTS: u64 = 5_000;
 const TASKS_PER_WORKER: u32 = 15;
 const TASKS_PER_JOB: u32 = 8;
