Say unknown where a retry is shed after an attempt that was sent

A storm over a fleet showed a caller told not_run of a check that had run: its first attempt was sent and its worker died; the retry was shed, since the halls had filled up meanwhile, and shedding looked at the attempt at hand only. It now says what is true of all attempts. The new test got not_run before the change.

--- a/crates/entry/src/slot_search.rs
+++ b/crates/entry/src/slot_search.rs
@@ -37,7 +37,7 @@
     let asked_at = Instant::now();
     let mut refusals = HallRefusals::default();
     let mut pause = FIRST_PAUSE;
-    while let Some(hall) = next_hall(core, checked, &refusals)? {
+    while let Some(hall) = next_hall(core, checked, attempts, &refusals)? {
         let left = checked.deadline.left();
         if left.is_zero() {
             let outcome = asked_outcome(checked, attempts);
@@ -86,6 +86,7 @@
 fn next_hall<L: HallLink, T>(
     core: &service::EntryCore<L, T>,
     checked: &checked_request::CheckedRequest,
+    attempts: &attempt_log::AttemptLog,
     refusals: &HallRefusals,
 ) -> Result<Option<ids::HallName>, problem::Problem> {
     let document = checked.class.caller().document();
@@ -106,7 +107,7 @@
     let wait = best.wait.unwrap_or_default();
     if refusals.halls.is_empty() && checked.deadline.left() < wait {
         checked.class.meter().shed();
-        let outcome = checked_request::untold(checked.key);
+        let outcome = asked_outcome(checked, attempts);
         return Err(refusal::too_late(outcome, "request.shed").retry_after(wait));
     }
     Ok(Some(best.hall))
--- a/crates/entry/tests/entry/outcomes.rs
+++ b/crates/entry/tests/entry/outcomes.rs
@@ -192,6 +192,28 @@
     assert!(halls.asked().is_empty());
 }
 
+/// Symptom: a caller is told `not_run` of a check that ran. Sequence: the upstream runs it and dies
+/// before it answers; meanwhile the halls fill up, and the retry is shed. Cause: shedding looks at
+/// the attempt at hand only.
+#[tokio::test]
+async fn a_retry_that_is_shed_does_not_deny_the_attempt_before() {
+    let upstream = FakeUpstream::start(vec![UpstreamScript::RawThenClose(String::new())]).await;
+    let halls = FakeHalls::over(vec![upstream.address.clone()]);
+    let beat = |hall: &str| model::HallBeat {
+        epoch: 1,
+        free_accelerators: 0,
+        hall: hall.to_owned(),
+        longest_run: 0,
+        queued: 500,
+        wait: time::TimeSpan::from_secs(30),
+    };
+    halls.next_grant(GrantScript::GrantThenBeat(vec![beat("rustavi"), beat("marneuli")]));
+    let entry = EntryBuilder::over(&halls).start().await;
+    let answer = entry.post("check", "x-deadline: 10s\r\n", "a plate").await;
+    assert_eq!((answer.status, answer.problem().outcome), (504, model::RequestOutcome::Unknown));
+    assert_eq!(halls.asked().len(), 1);
+}
+
 /// Symptom: a ticket that was printed stays `unknown` for ever. Sequence: the caller goes away
 /// while the upstream works. Cause: the exchange was cut off with the caller.
 #[tokio::test]
--- a/crates/entry/tests/entry/support/halls.rs
+++ b/crates/entry/tests/entry/support/halls.rs
@@ -15,7 +15,12 @@
 #[derive(Clone, Debug)]
 pub(crate) enum GrantScript {
     Grant,
-    GrantWith { start_by: Duration, term: Duration },
+    GrantWith {
+        start_by: Duration,
+        term: Duration,
+    },
+    /// Grants, and the halls' beats are these from then on.
+    GrantThenBeat(Vec<model::HallBeat>),
     Reply(model::GrantReply),
     Fault(error::CallFault),
 }
@@ -103,6 +108,10 @@
             Some(GrantScript::Reply(reply)) => return Ok(reply),
             Some(GrantScript::Fault(fault)) => return Err(fault),
             Some(GrantScript::GrantWith { start_by, term }) => (start_by, term),
+            Some(GrantScript::GrantThenBeat(beats)) => {
+                state.beats = beats;
+                (Duration::from_secs(2), Duration::from_secs(60))
+            }
             Some(GrantScript::Grant) | None => (Duration::from_secs(2), Duration::from_secs(60)),
         };
         let position = state.n_granted % state.addresses.len();
