--- a/crates/daemon/tests/demo_checks.rs
+++ b/crates/daemon/tests/demo_checks.rs
@@ -102,6 +102,8 @@
             idempotency: key.map(|it| it.to_string()),
             leased: true,
             started: self.at(started),
+            misbehaviour: None,
+            body_head: Default::default(),
         });
     }
 
--- a/crates/standin/src/execution.rs
+++ b/crates/standin/src/execution.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, Mutex};
 
 use almondpass_schema::ids;
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use crate::state;
+use crate::upstream;
 
 /// Every request that any upstream of a site executed; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -27,10 +29,17 @@
     pub idempotency: Option<String>,
     /// Whether the worker held a lease of a hall scheduler for serving at that moment.
     pub leased: bool,
+    /// What the upstream did wrong with it.
+    pub misbehaviour: Option<upstream::Misbehaviour>,
+    /// The first bytes of its body, [`HEAD_BYTES`] at most.
+    pub body_head: Bytes,
     /// When it started.
     pub started: Instant,
 }
 
+/// Bytes of a body that the log keeps.
+pub const HEAD_BYTES: usize = 64;
+
 /// How full a worker's service was at most.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServicePeak {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -151,6 +151,14 @@
         state::lock(&self.state).standing = misbehaviour;
     }
 
+    /// Forgets all misbehaviours that have not struck yet.
+    pub fn forgive(&self) {
+        let mut state = state::lock(&self.state);
+        state.scripted.clear();
+        state.by_request.clear();
+        state.standing = None;
+    }
+
     /// What it executed, together with the rest of its site.
     pub fn log(&self) -> &execution::ExecutionLog {
         &self.log
@@ -200,12 +208,18 @@
         }
         let id = head.headers.get(&REQUEST_ID).cloned();
         let _request = self.log.request(&self.place.worker);
-        self.record(&head.headers);
         let mut body = body.boxed();
-        let first = match body.frame().await.transpose()? {
-            Some(frame) => frame.into_data().unwrap_or_default(),
+        let first = match body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            // An upstream may begin before it reads the body.
+            Some(Err(error)) => {
+                self.record(&head.headers, misbehaviour, Bytes::new());
+                return Err(error.into());
+            }
             None => Bytes::new(),
         };
+        let body_head = first.slice(..first.len().min(execution::HEAD_BYTES));
+        self.record(&head.headers, misbehaviour, body_head);
         clock::sleep(self.run_of(&first)).await;
         self.worker_up().await?;
         let answer = chain(first, body);
@@ -249,7 +263,7 @@
         (misbehaviour, previous)
     }
 
-    fn record(&self, headers: &HeaderMap) {
+    fn record(&self, headers: &HeaderMap, misbehaviour: Option<Misbehaviour>, body_head: Bytes) {
         let text = |name| headers.get(name)?.to_str().ok().map(str::to_owned);
         let leases = self.place.control.as_ref().map(|it| it.peek());
         let leased =
@@ -260,6 +274,8 @@
             request: text(&REQUEST_ID),
             idempotency: text(&IDEMPOTENCY_KEY),
             leased,
+            misbehaviour,
+            body_head,
             started: Instant::now(),
         });
     }
