Bound halls, accelerators and shapes nearer to what is built towards

A document at the former bounds (64 halls of 16,384 accelerators, 1,000 shapes) held a thread for 69 s in a debug build, machine shared. The new ones are 16 times smaller together, and still four times the halls and 25 times the accelerators a hall of the two-year size.

--- a/crates/config/src/rules/accounts.rs
+++ b/crates/config/src/rules/accounts.rs
@@ -15,7 +15,7 @@
 /// Most accounts.
 const MAX_ACCOUNTS: usize = 1000;
 /// Most guaranteed shapes of all accounts together; laying them out takes time for each.
-const MAX_SHAPES: usize = 1000;
+const MAX_SHAPES: usize = 500;
 /// Most work of an account that waits or runs.
 const MAX_LIMIT: u32 = 1_000_000;
 
--- a/crates/config/src/rules/layout.rs
+++ b/crates/config/src/rules/layout.rs
@@ -13,9 +13,9 @@
 /// Most workers in a hall, three times what we build towards.
 const MAX_HALL_WORKERS: u32 = 4096;
 /// Most accelerators in a hall.
-const MAX_HALL_ACCELERATORS: u32 = 16_384;
-/// Most halls, eight times what we build towards.
-const MAX_HALLS: usize = 64;
+const MAX_HALL_ACCELERATORS: u32 = 4096;
+/// Most halls, four times what we build towards.
+const MAX_HALLS: usize = 32;
 /// Most accelerators of one worker.
 const MAX_WORKER_ACCELERATORS: u32 = 64;
 
