Mend what long fuzzing found; let overdue gangs move younger work

Change: a reservation is checked against what others hold only when it starts; homes return to where they are in an empty hall where work that can't be reclaimed waits for them; a rearrangement that is undone puts back only what still fits; what is learned of workers outside the layout is kept; work that a new configuration can't run is ended with the reason. Younger work that saves its run makes way for a gang past its bound.

--- a/crates/policy/src/clearing.rs
+++ b/crates/policy/src/clearing.rs
@@ -5,11 +5,13 @@
 //! there only if it is gone by then. Once the gang has waited `gang_wait`, only the certain end of
 //! new work counts, so that the gang starts within `gang_wait` and the longest run ahead of it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondpass_schema::{model, time};
 
 use crate::core::HallCore;
+use crate::decision::StopFate;
 use crate::item::{ItemState, ReserveKind};
 use crate::ledger::{Booking, HeldTask, Usage};
 use crate::placement::{self, PlaceAsk, PlaceRule};
@@ -17,6 +19,7 @@
 use crate::reasons;
 use crate::reserve;
 use crate::rules::OpenRule;
+use crate::timers::TimerKind;
 use crate::topology::NONE;
 
 /// Gangs for which a block is sought in one turn.
@@ -137,7 +140,7 @@
             }
         }
         if let Some(at) = wake {
-            self.set_timer(at, crate::timers::TimerKind::Patience, NONE);
+            self.set_timer(at, TimerKind::Patience, NONE);
         }
     }
 
@@ -153,7 +156,7 @@
             overdue: self.overdue(index),
             exclude: &item.exclude,
         };
-        let ends = if ask.width == 0 { Vec::new() } else { self.ends() };
+        let ends = if ask.width == 0 { Vec::new() } else { self.ends(index) };
         let scattered = 1 < ask.tasks && ask.adjacency == model::Adjacency::Any;
         let found = if ask.width == 0 {
             self.earliest_bare(&ask, &rule)
@@ -165,18 +168,29 @@
         let Some(tasks) = found else { return false };
         self.dequeue(index);
         self.reserve(index, tasks, ReserveKind::Clearing, None);
+        let presses = self.overdue(index);
+        self.items.at_mut(index).presses = presses;
+        if presses {
+            self.move_younger(index);
+        } else {
+            let due = self.submitted(index) + self.terms.gang_wait;
+            self.set_timer(due, TimerKind::Patience, NONE);
+        }
         true
     }
 
     /// Expected end of the holder of each accelerator.
-    fn ends(&self) -> Vec<time::WallTime> {
+    fn ends(&self, index: u32) -> Vec<time::WallTime> {
         let mut last = (NONE, self.now);
         let mut end = |holder: u32| {
             if holder == NONE {
                 return self.now;
             }
             if holder != last.0 {
-                last = (holder, self.expected_end(self.items.at(holder)));
+                let away = self.now + self.terms.grace + self.terms.margin;
+                let makes_way = self.makes_way(holder, index);
+                let end = self.expected_end(self.items.at(holder));
+                last = (holder, if makes_way { end.min(away) } else { end });
             }
             last.1
         };
@@ -308,6 +322,11 @@
             return;
         }
         let opening = self.opening(index, &item.tasks);
+        if self.overdue(index) && !item.presses {
+            // Chosen anew, it counts on younger work to make way.
+            self.withdraw(index);
+            return;
+        }
         let planned = item.opening.since(item.since);
         let slipped = opening.since(item.opening);
         if planned.mul_f64(SLIP) < slipped && !self.overdue(index) {
@@ -317,6 +336,43 @@
         }
     }
 
+    /// Whether held work makes way for a gang that is overdue: it saves its run, is younger and of no
+    /// higher priority, so that in order of age the gang would have had the place.
+    fn makes_way(&self, holder: u32, index: u32) -> bool {
+        let (item, gang) = (self.items.at(holder), self.items.at(index));
+        let rule = &self.catalog.classes[item.class as usize];
+        let other = &self.catalog.classes[gang.class as usize];
+        self.overdue(index)
+            && rule.checkpoint
+            && rule.repeatable
+            && !rule.request
+            && !rule.urgent
+            && rule.priority <= other.priority
+            && item.claim.is_none()
+            && gang.work.submitted_at < item.work.submitted_at
+    }
+
+    /// Sends younger work that saves its run out of the block of an overdue gang.
+    fn move_younger(&mut self, index: u32) {
+        let holders: BTreeSet<u32> = self
+            .items
+            .at(index)
+            .tasks
+            .iter()
+            .flat_map(|it| &it.accelerators)
+            .map(|it| self.ledger.holder[*it as usize])
+            .filter(|it| *it != NONE)
+            .collect();
+        for it in holders {
+            let running = self.items.at(it).state == ItemState::Running;
+            if running && self.makes_way(it, index) {
+                let text = "makes way for a gang that waited beyond its bound";
+                let reason = reasons::plain(model::WaitCode::ClearingBlock, text);
+                self.wind_down(it, self.terms.grace, StopFate::Requeue, reason);
+            }
+        }
+    }
+
     /// `3 more adjacent workers in rack r2 of vadodara`, for a reason.
     pub(crate) fn missing_workers(&self, index: u32) -> String {
         let item = self.items.at(index);
--- a/crates/policy/src/core.rs
+++ b/crates/policy/src/core.rs
@@ -1,6 +1,6 @@
 //! The policy of a hall: state and the order of a turn. Each step has its own module.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use almondpass_schema::{ids, model, time};
@@ -46,7 +46,13 @@
     pub(crate) all_homes: Vec<homes::Home>,
     pub(crate) homes_dirty: bool,
     pub(crate) homes_version: u64,
+    /// Counts configurations.
+    pub(crate) config_number: u64,
+    /// When homes were last brought back to where they are in an empty hall.
+    pub(crate) restored_at: time::WallTime,
     pub(crate) health: Vec<WorkerHealth>,
+    /// What is known of workers that the configuration does not have.
+    pub(crate) strangers: BTreeMap<ids::WorkerId, WorkerHealth>,
     /// State of each worker as last decided.
     pub(crate) told: Vec<model::WorkerState>,
     pub(crate) failures: crate::probing::FailureRates,
@@ -90,7 +96,10 @@
             all_homes,
             homes_dirty: true,
             homes_version: 0,
+            config_number: 1,
+            restored_at: time::WallTime::default(),
             health: topology.workers.iter().map(|_| WorkerHealth::new()).collect(),
+            strangers: BTreeMap::new(),
             told: vec![model::WorkerState::Lost; topology.workers.len()],
             failures: crate::probing::FailureRates::default(),
             estimates: EstimateTable::default(),
@@ -125,6 +134,7 @@
             self.kinds = config.worker_kinds.clone();
             self.rebuild();
         }
+        self.config_number += 1;
         self.terms = PolicyTerms::new(&config);
         self.adopt_rules(&config);
         self.rebook_all();
@@ -224,12 +234,16 @@
             });
         }
         self.ledger = HallLedger::new(&self.topology);
-        self.health = self.topology.workers.iter().map(|_| WorkerHealth::new()).collect();
+        let strangers = &mut self.strangers;
+        let known = |it: &WorkerSpec| strangers.remove(&it.name).unwrap_or_else(WorkerHealth::new);
+        self.health = self.topology.workers.iter().map(known).collect();
         self.told = vec![model::WorkerState::Lost; self.health.len()];
         for (index, health) in old_health.into_iter().enumerate() {
             if moved[index] != NONE {
                 self.told[moved[index] as usize] = health.state(self.now);
                 self.health[moved[index] as usize] = health;
+            } else {
+                self.strangers.insert(old.workers[index].name.clone(), health);
             }
         }
         self.rebook_moved(&old, &moved);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -122,7 +122,8 @@
                 None if urgent && self.reclaim_urgent(entry.item) => return true,
                 None => {
                     code = self.blocked_by(entry.item);
-                    if self.kept_for_others(entry.item) {
+                    let hard = self.booking_of(entry.item) == Booking::Hard;
+                    if hard && !self.homes.is_empty() || self.kept_for_others(entry.item) {
                         self.look_again();
                     }
                 }
@@ -131,6 +132,9 @@
                 break;
             }
         }
+        if self.gives_up(group) {
+            return true;
+        }
         let version = self.version;
         if let Some(it) = self.queue.group_mut(group) {
             it.blocked_at = Some(version);
@@ -139,6 +143,30 @@
         false
     }
 
+    /// Ends the eldest of a group that the hall can't run any more since the configuration changed;
+    /// it would wait for ever.
+    fn gives_up(&mut self, group: u32) -> bool {
+        let number = self.config_number;
+        let Some(it) = self.queue.group_mut(group) else { return false };
+        if it.possible_in == number {
+            return false;
+        }
+        let Some(entry) = it.entries.first().copied() else { return false };
+        let refusal = self.check_admission(&self.items.at(entry.item).work).err();
+        match refusal {
+            Some(reason) if reason.code == model::WaitCode::NeverFits => {
+                self.finish_unrun(entry.item, reason);
+                true
+            }
+            _ => {
+                if let Some(it) = self.queue.group_mut(group) {
+                    it.possible_in = number;
+                }
+                false
+            }
+        }
+    }
+
     /// Why work may not start whatever is free.
     pub(crate) fn held_back(&self, index: u32) -> Option<model::WaitCode> {
         let item = self.items.at(index);
@@ -234,7 +262,10 @@
 
     /// Makes room for work that may not run in home blocks, by moving one.
     fn lend(&mut self, index: u32) -> bool {
-        self.booking_of(index) == Booking::Hard && self.lend_home() && self.place_open(index)
+        if self.booking_of(index) != Booking::Hard {
+            return false;
+        }
+        self.lend_home() && self.place_open(index) || self.restore_homes() && self.place_open(index)
     }
 
     /// Reserves a place for urgent work whose holders are repeatable, of lower priority and above
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -7,6 +7,7 @@
 use crate::core::HallCore;
 use crate::decision::StopFate;
 use crate::event::{HallEvent, StartFault, WorkExit};
+use crate::health::WorkerHealth;
 use crate::item::{ItemState, QueueItem};
 use crate::ledger::{Booking, HeldTask, Usage};
 use crate::reasons;
@@ -96,6 +97,7 @@
             failed_on: Vec::new(),
             failures: 0,
             exclude,
+            presses: false,
             end: None,
             reclaimed: 0,
             work,
@@ -159,7 +161,7 @@
             free_accelerators: accelerators,
             ..Default::default()
         });
-        self.health.push(crate::health::WorkerHealth::new());
+        self.health.push(WorkerHealth::new());
         self.told.push(model::WorkerState::Lost);
         worker
     }
@@ -263,12 +265,13 @@
         }
     }
 
-    fn worker_changed(
-        &mut self,
-        name: &str,
-        change: impl FnOnce(&mut crate::health::WorkerHealth),
-    ) {
-        let Some(worker) = self.topology.find(name) else { return };
+    fn worker_changed(&mut self, name: &str, change: impl FnOnce(&mut WorkerHealth)) {
+        let Some(worker) = self.topology.find(name) else {
+            // What is learned of a worker that the configuration does not have holds when it gets
+            // it: a worker drained meanwhile must not take work then.
+            change(self.strangers.entry(name.to_owned()).or_insert_with(WorkerHealth::new));
+            return;
+        };
         let health = &mut self.health[worker as usize];
         let before = health.usable();
         change(health);
--- a/crates/policy/src/item.rs
+++ b/crates/policy/src/item.rs
@@ -91,6 +91,8 @@
     pub(crate) failures: u32,
     /// Workers on which it must not start again.
     pub(crate) exclude: Vec<u32>,
+    /// Whether its block was chosen when it was overdue already.
+    pub(crate) presses: bool,
     /// Why it ends, where a stop for good is under way.
     pub(crate) end: Option<model::WaitReason>,
     /// Times it was a victim.
--- a/crates/policy/src/lending.rs
+++ b/crates/policy/src/lending.rs
@@ -48,6 +48,42 @@
         false
     }
 
+    /// Brings unclaimed homes back to where they are in an empty hall, as far as that can be
+    /// reclaimed. Work was admitted if it fits beside these places; homes that have moved about may
+    /// leave no run for it, and nothing else would ever move them in a quiet hall.
+    pub(crate) fn restore_homes(&mut self) -> bool {
+        if self.now < self.restored_at + STAYS {
+            return false;
+        }
+        self.restored_at = self.now;
+        let moved: Vec<(u32, Vec<u32>)> = (0..self.homes.len() as u32)
+            .map(|it| (it, self.homes[it as usize].block.clone()))
+            .filter(|(home, block)| {
+                let shape = &self.homes[*home as usize];
+                shape.settled() && shape.claims.is_empty() && *block != shape.canonical
+            })
+            .collect();
+        if moved.is_empty() {
+            return false;
+        }
+        moved.iter().for_each(|(home, _)| self.leave(*home));
+        for (home, _) in &moved {
+            let canonical = self.homes[*home as usize].canonical.clone();
+            if self.may_settle(*home, &canonical) {
+                self.settle(*home, canonical);
+            }
+        }
+        // Each of the others goes back, or where it can if its place is taken now.
+        for (home, block) in moved {
+            if !self.homes[home as usize].settled() && self.may_settle(home, &block) {
+                self.settle(home, block);
+            }
+        }
+        self.settle_lost();
+        self.homes_dirty = self.homes.iter().any(|it| !it.settled());
+        true
+    }
+
     fn n_free(&self, block: &[u32]) -> usize {
         block.iter().filter(|it| self.ledger.holder[**it as usize] == NONE).count()
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -37,6 +37,8 @@
     pub(crate) blocked_at: Option<u64>,
     /// Why it did not.
     pub(crate) block: model::WaitCode,
+    /// Number of the configuration under which it was last seen to be possible.
+    pub(crate) possible_in: u64,
 }
 
 /// All waiting work of a hall.
@@ -94,6 +96,7 @@
             entries: BTreeSet::new(),
             blocked_at: None,
             block: model::WaitCode::Queued,
+            possible_in: 0,
         });
         index
     }
--- a/crates/policy/src/rehome.rs
+++ b/crates/policy/src/rehome.rs
@@ -88,7 +88,7 @@
     }
 
     /// Takes the block of one home away.
-    fn leave(&mut self, home: u32) {
+    pub(crate) fn leave(&mut self, home: u32) {
         let was = self.homes[home as usize].clone();
         self.homes[home as usize].block.clear();
         self.homes[home as usize].claims.clear();
@@ -96,7 +96,7 @@
     }
 
     /// Makes a block the home of a shape. Work of the same account inside becomes its claim.
-    fn settle(&mut self, home: u32, block: Vec<u32>) {
+    pub(crate) fn settle(&mut self, home: u32, block: Vec<u32>) {
         self.ledger.settle(home, &block, &self.topology);
         let account = self.homes[home as usize].account;
         let holders: BTreeSet<u32> =
@@ -186,7 +186,7 @@
         lost
     }
 
-    fn settle_lost(&mut self) {
+    pub(crate) fn settle_lost(&mut self) {
         for home in self.lost_homes() {
             if let Some((_, block)) = self.cheapest_home(home, true) {
                 self.settle(home, block);
@@ -225,7 +225,8 @@
             }
         }
         for (home, block) in moved {
-            if !self.homes[home as usize].settled() {
+            // A home that took up a claim meanwhile stays, and may lie on this block.
+            if !self.homes[home as usize].settled() && self.may_settle(home, &block) {
                 self.settle(home, block);
             }
         }
@@ -239,6 +240,13 @@
         block.iter().all(sound) && self.shares_kept(block, false) && self.holders_fit(home, block)
     }
 
+    /// Whether a home without a block could have this one.
+    pub(crate) fn may_settle(&self, home: u32, block: &[u32]) -> bool {
+        block.iter().all(|it| self.home_allows(home, *it))
+            && self.shares_kept(block, true)
+            && self.holders_fit(home, block)
+    }
+
     /// Whether an accelerator may lie in a home block, whoever else's it is.
     fn home_allows(&self, home: u32, accelerator: u32) -> bool {
         let at = accelerator as usize;
@@ -408,26 +416,4 @@
         self.report(home, "moved to a free block");
         true
     }
-
-    /// Moves unclaimed homes back to their blocks of an empty hall. Work that can't be reclaimed was
-    /// admitted because it fits beside those; beside homes that wandered it may fit nowhere, and
-    /// would wait for ever.
-    pub(crate) fn restore_homes(&mut self) {
-        for home in 0..self.homes.len() as u32 {
-            let shape = &self.homes[home as usize];
-            let wandered = shape.settled() && shape.block != shape.canonical;
-            if !wandered || !shape.claims.is_empty() {
-                continue;
-            }
-            let block = shape.canonical.clone();
-            let sound = block.iter().all(|it| self.home_allows(home, *it))
-                && self.shares_kept(&block, true)
-                && self.holders_fit(home, &block);
-            if sound {
-                self.leave(home);
-                self.settle(home, block);
-                self.report(home, "moved back for work that fits nowhere else");
-            }
-        }
-    }
 }
