--- a/crates/hall/src/lib.rs
+++ b/crates/hall/src/lib.rs
@@ -4,6 +4,7 @@
 //! a hall runs an [`actor::HallActor`] around the policy; the others tell who does.
 
 pub mod actor;
+mod admission;
 mod adopt;
 pub mod backend;
 mod changes;
@@ -11,8 +12,10 @@
 mod commit;
 mod deadline;
 pub mod error;
+mod gang_ends;
 mod gang_task;
 mod gangs;
+mod grant_ends;
 mod grant_table;
 mod grants;
 mod hall_layout;
@@ -20,6 +23,7 @@
 pub mod intent_log;
 mod intent_task;
 mod intents;
+mod job_rows;
 mod job_table;
 mod jobs;
 pub mod lease;
@@ -37,4 +41,5 @@
 mod takeover;
 pub mod tenure;
 mod turn;
+mod watching;
 mod worker_node;
