Send a claim to the hall in which its shape is at home

Cause: the entry looked only at the hall a guarantee names. Most name none: their home is what homes::assign chose, and every other hall refuses the claim. With 8 halls and 3 asked, a claim could be refused everywhere although its capacity was guaranteed. Change: the entry's index of a configuration holds the assigned homes; a job that names a shape goes to its home only; one that merely fits a shape prefers a home over other crowded halls. Measured: the new test saw the claim sent to the hall with most room before, to the home after; the jobs tests of the entry pass (17). A job that names none and meets a hall whose last beat showed room still waits there if the room is gone: callers who need the guarantee name it.

--- a/crates/entry/src/config_index.rs
+++ b/crates/entry/src/config_index.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, OnceLock, RwLock};
 
 use almondpass_config::active;
+use almondpass_policy::homes;
 use almondpass_schema::{ids, model};
 use tokio::sync::watch;
 
@@ -16,6 +17,8 @@
     keys: key_index::KeyIndex,
     /// By account, then by class; filled at first use.
     meters: Vec<OnceLock<meter::ClassMeter>>,
+    /// Where guaranteed shapes are at home.
+    homes: Vec<homes::Home>,
 }
 
 impl ConfigIndex {
@@ -24,7 +27,10 @@
         let n_meters = document.accounts.len() * document.classes.len();
         let keys = key_index::KeyIndex::new(&document.accounts);
         let meters = (0..n_meters).map(|_| OnceLock::new()).collect();
-        ConfigIndex { active, keys, meters }
+        // A document in force fits: the rule check of drafts uses the same function. Where it does
+        // not, jobs are still offered to every hall in turn.
+        let homes = homes::assign(document).unwrap_or_default();
+        ConfigIndex { active, keys, meters, homes }
     }
 
     /// The configuration.
@@ -62,6 +68,12 @@
         self.index.document()
     }
 
+    /// Halls in which guaranteed shapes of the account are at home.
+    pub fn homes(&self) -> impl Iterator<Item = &homes::Home> {
+        let account = &self.account().id;
+        self.index.homes.iter().filter(move |it| it.account == *account)
+    }
+
     /// The class of this name, of either kind.
     pub fn class(&self, name: &str) -> Option<CallerClass> {
         let position = self.document().classes.iter().position(|it| it.name == name)?;
--- a/crates/entry/src/hall_choice.rs
+++ b/crates/entry/src/hall_choice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use almondpass_membership::home;
+use almondpass_policy::homes;
 use almondpass_schema::{ids, model};
 use rand::RngExt;
 
@@ -36,6 +37,15 @@
     home::home_hall(spec, key).map(str::to_owned)
 }
 
+/// How soon a hall could start a job, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum JobRoom {
+    Free,
+    AtHome,
+    Crowded,
+    NotHeardOf,
+}
+
 /// A hall as a place for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HallOption {
@@ -67,23 +77,32 @@
     options.into_iter().map(|(_, it)| it).collect()
 }
 
-/// Halls for a job, best first: those whose longest free run takes a whole task's accelerators,
-/// then the shortest queues.
-pub fn ranked_for_job(
+/// Halls for a job, best first: those whose longest free run takes the whole gang, then those in
+/// which a guaranteed shape that holds it is at home, then the shortest queues. Elsewhere a gang
+/// would wait behind others although its account has a guarantee that it could claim.
+pub fn ranked_for_job<'a>(
     document: &model::ConfigDocument,
     upstream: &str,
     submission: &model::JobSubmission,
     summaries: &[model::HallBeat],
+    homes: impl Iterator<Item = &'a homes::Home>,
 ) -> Vec<ids::HallName> {
     let wanted = submission.accelerators.saturating_mul(submission.tasks);
+    let homes = homes.filter(|it| wanted <= it.accelerators).collect::<Vec<_>>();
     let mut halls = candidates(document, upstream);
     halls.sort_by_key(|hall| {
         let beat = summaries.iter().find(|it| it.hall == hall.name);
         let Some(beat) = beat else {
-            return (2, 0, 0);
+            return (JobRoom::NotHeardOf, 0, 0);
+        };
+        let room = if wanted <= beat.longest_run {
+            JobRoom::Free
+        } else if homes.iter().any(|it| it.hall == hall.name) {
+            JobRoom::AtHome
+        } else {
+            JobRoom::Crowded
         };
-        let crowded = u8::from(beat.longest_run < wanted);
-        (crowded, beat.queued, u32::MAX - beat.free_accelerators)
+        (room, beat.queued, u32::MAX - beat.free_accelerators)
     });
     halls.into_iter().map(|it| it.name.clone()).collect()
 }
--- a/crates/entry/src/job_submission.rs
+++ b/crates/entry/src/job_submission.rs
@@ -169,11 +169,11 @@
         if let Some(hall) = &self.submission.hall {
             return vec![hall.clone()];
         }
+        // Only the hall in which a shape is at home can reclaim it; others refuse a claim.
         let name = self.submission.guarantee.as_ref();
-        let guarantees = &self.caller.account().guarantees;
-        let guarantee = name.and_then(|name| guarantees.iter().find(|it| it.name == *name));
-        if let Some(hall) = guarantee.and_then(|it| it.hall.as_ref()) {
-            return vec![hall.clone()];
+        let home = name.and_then(|name| self.caller.homes().find(|it| it.guarantee == *name));
+        if let Some(home) = home {
+            return vec![home.hall.clone()];
         }
         let Some(class) = self.caller.class(&self.submission.class) else {
             return Vec::new();
@@ -181,7 +181,8 @@
         let summaries = self.core.link.summaries();
         let document = self.caller.document();
         let upstream = &class.class().upstream;
-        hall_choice::ranked_for_job(document, upstream, &self.submission, &summaries)
+        let homes = self.caller.homes();
+        hall_choice::ranked_for_job(document, upstream, &self.submission, &summaries, homes)
     }
 
     async fn ask(&self, hall: ids::HallName, looked_up: bool) -> Asked {
--- a/crates/entry/tests/entry/jobs.rs
+++ b/crates/entry/tests/entry/jobs.rs
@@ -126,6 +126,32 @@
     assert_eq!(entry.halls.submitted().len(), 1, "another hall could run it a second time");
 }
 
+fn shape(name: &str, hall: Option<&str>) -> model::GuaranteedShape {
+    let hall = hall.map(str::to_owned);
+    let adjacency = model::Adjacency::Hall;
+    model::GuaranteedShape { accelerators: 16, adjacency, hall, name: name.to_owned() }
+}
+
+/// Symptom: a claim is refused although its shape is guaranteed. Sequence: the shape names no
+/// hall; the job that names it goes to the hall with most room. Cause: only the hall to which the
+/// assignment of homes gave the shape can reclaim it.
+#[tokio::test]
+async fn a_claim_goes_where_its_shape_is_at_home() {
+    let entry = EntryBuilder::over(&FakeHalls::over(vec!["127.0.0.1:1".to_owned()]))
+        .document(|it| {
+            it.accounts[0].guarantees = vec![shape("nightly", None)];
+            it.accounts[1].guarantees = vec![shape("audits", Some("rustavi"))];
+        })
+        .start()
+        .await;
+    let body = r#"{"class":"audit","tasks":2,"accelerators":8,"guarantee":"nightly"}"#;
+    let mut queued = record(Uuid::now_v7(), model::JobState::Queued);
+    queued.submission = serde_json::from_str(body).expect("a submission");
+    entry.halls.answer_jobs(Ok(model::JobReply::Record { record: queued }));
+    assert_eq!(entry.send(request("POST", "/v1/jobs", "", body)).await.status, 202);
+    assert_eq!(entry.halls.submitted()[0].hall, "marneuli");
+}
+
 async fn check_refused(code: model::WaitCode, status: u16, n_halls: usize) {
     let entry = start().await;
     let reply = model::JobReply::Refused { reason: reason(code), retry_after: None };
