Show a job as running again once its run is saved

Cause: the policy has long runs saved every ten minutes and lets them run on; the hall set the state to checkpointing when it asked and nothing set it back. Change: a durable checkpoint of a gang that is not being stopped returns the row to running. Conclusion: status and console tell the truth of long jobs.

--- a/crates/hall/src/gang_ends.rs
+++ b/crates/hall/src/gang_ends.rs
@@ -109,6 +109,7 @@
     }
 
     fn look_at_exits(&mut self, job: ids::JobId) {
+        let wall = self.wall();
         let Some(entry) = self.jobs.entries.get_mut(&job) else { return };
         let Some(gang) = entry.gang.as_mut() else { return };
         let ended = |it: &&GangMember| {
@@ -137,6 +138,11 @@
             let first = gang.members.iter().find(|it| it.slot.rank == 0);
             entry.record.checkpoint = first.and_then(|it| it.checkpoint.clone());
             entry.saved_run = gang.started_at.elapsed();
+            // A gang saves its run now and then and runs on; only the policy's stop ends it.
+            if entry.record.state == model::JobState::Checkpointing {
+                entry.record.state = model::JobState::Running;
+                entry.record.state_since = wall;
+            }
             self.mark_dirty(job);
             self.tell(event::HallEvent::Checkpointed(job));
         }
--- a/crates/hall/tests/hall/jobs.rs
+++ b/crates/hall/tests/hall/jobs.rs
@@ -16,6 +16,20 @@
         assert_eq!(site.partial_runs(job, 3, support::secs(1)), 0);
     }
 
+    /// Symptom: a job that runs is shown as saving its run, for hours.
+    /// Sequence: the policy has a long run saved and does not stop it.
+    /// Cause: the state was set when a checkpoint was asked for and stayed after it was durable.
+    a_run_that_was_saved_runs_on(site) {
+        let instance = site.start_holder("a").await;
+        site.fleet.scripts().set_usual(support::script(support::secs(3600)));
+        let job = instance.run(&site, support::BATCH, 2).await;
+        support::pass(support::secs(630)).await;
+        let record = site.job(job).expect("a row");
+        assert!(record.checkpoint.is_some(), "found no checkpoint after ten minutes");
+        assert_eq!(record.state, model::JobState::Running);
+        assert_eq!(site.n_running(job), 2);
+    }
+
     a_job_that_never_fits_is_refused(site) {
         let instance = site.start_holder("a").await;
         let reply = instance.submit(site.key(), support::gang(support::BATCH, 99)).await;
