Offer the demo's halls more gangs than they hold

Cause: in most claims the home block was free, so that little was reclaimed. Change: the large account begins with 14 gangs and submits 1.5 a second of 32 accelerators for 7 s.

--- a/crates/daemon/src/demo/site.rs
+++ b/crates/daemon/src/demo/site.rs
@@ -108,7 +108,7 @@
         requests("narmada-works", "report-check", 3.0, 60),
     ];
     let gangs = vec![
-        gangs("gujarat-grid", "ageing-trend", 10, 0.9, 32, 6),
+        gangs("gujarat-grid", "ageing-trend", 14, 1.5, 32, 7),
         gangs("girnar-discom", "ageing-trend", 1, 0.2, 16, 4),
     ];
     let claims = vec![
@@ -132,7 +132,7 @@
         requests("bolnisi-yards", "gate-ticket", 3.0, 80),
     ];
     let gangs = vec![
-        gangs("rustavi-yards", "reweigh-audit", 10, 0.9, 32, 6),
+        gangs("rustavi-yards", "reweigh-audit", 14, 1.5, 32, 7),
         gangs("gardabani-yards", "reweigh-audit", 1, 0.2, 16, 4),
     ];
     let claims = vec![
