Hand a hall on to the instance in whose share it is

Change: halls are shared out evenly by bounded rendezvous hashing; a firm holder hands a hall over after it was in another's share for two minutes; whoever is told takes it at once, whatever its rank. Measured: paused clock, two instances: the hall moves, a running gang stays whole, no request is refused and none waits 2 s. Before, nothing moved a hall while its holder lived, so the new test could not have passed; it was not run against the old code.

--- a/crates/hall/src/seat.rs
+++ b/crates/hall/src/seat.rs
@@ -91,6 +91,7 @@
     let mut next_renewal = owned.counted_from + parts.options.renewal_interval();
     let mut leave_by: Option<Instant> = None;
     let mut fences: Option<watch::Receiver<bool>> = None;
+    let mut misplaced_since: Option<Instant> = None;
     let successor = loop {
         tokio::select! {
             started = &mut launch, if scheduler.is_none() => {
@@ -119,6 +120,12 @@
                 if leave_by.is_some_and(|it| firm || it <= Instant::now()) {
                     break hand_over(parts, &mut owned, scheduler.as_ref()).await;
                 }
+                misplaced_since = misplaced(parts).then(|| misplaced_since.unwrap_or_else(Instant::now));
+                let settled = misplaced_since.is_some_and(|it| SPREAD_AFTER <= it.elapsed());
+                if settled && firm && scheduler.is_some() {
+                    tracing::info!(hall, epoch, "hands the hall on, so that halls spread");
+                    break hand_over(parts, &mut owned, scheduler.as_ref()).await;
+                }
             }
             // A higher tenure is proof that this one is over, also where the table cannot be
             // reached from here: tenures only grow by conditional writes.
@@ -241,12 +248,37 @@
     Some(successor)
 }
 
+/// The instance whose share the hall is in, or who else should have it.
 fn successor<B: backend::HallBackend>(parts: &SeatParts<B>) -> Option<ids::PeerAddress> {
     let members = parts.members.borrow();
-    let live = members.instances.iter().filter(|(_, it)| !it.leaving);
-    let others = live.map(|(id, _)| id.as_str()).filter(|it| *it != parts.options.instance);
-    let preferred = rendezvous::preferred(&parts.hall, others)?;
-    members.instances.get(preferred).map(|it| it.address.clone())
+    let leaving = *parts.leaving.borrow();
+    let others = live(&members).filter(|it| !leaving || *it != parts.options.instance);
+    let chosen = chosen(parts, &others.collect::<Vec<_>>())?;
+    if chosen == parts.options.instance {
+        return None;
+    }
+    members.instances.get(&chosen).map(|it| it.address.clone())
+}
+
+/// Whether the hall is in another instance's share. Whoever starts first takes every hall, and
+/// would keep them all: its load, and the halls lost with it, would be the whole site's.
+fn misplaced<B: backend::HallBackend>(parts: &SeatParts<B>) -> bool {
+    let members = parts.members.borrow();
+    let chosen = chosen(parts, &live(&members).collect::<Vec<_>>());
+    chosen.is_some_and(|it| it != parts.options.instance)
+}
+
+fn live(members: &snapshot::MemberSnapshot) -> impl Iterator<Item = &str> {
+    members.instances.iter().filter(|(_, it)| !it.leaving).map(|(id, _)| id.as_str())
+}
+
+fn chosen<B: backend::HallBackend>(
+    parts: &SeatParts<B>,
+    candidates: &[&str],
+) -> Option<ids::InstanceId> {
+    let config = parts.config.borrow();
+    let halls = config.document.halls.iter().map(|it| it.name.as_str());
+    rendezvous::shared_out(&parts.hall, halls, candidates).map(str::to_owned)
 }
 
 fn tenure_state<B: backend::HallBackend>(
@@ -275,6 +307,9 @@
 const FAILED_RENEWAL_SHARE: u32 = 4;
 /// How long an instance that leaves keeps a hall that nobody can take over.
 pub(crate) const LEAVE_LIMIT: Duration = Duration::from_secs(120);
+/// A hall is handed on after it was in another's share for this long: longer than a restart, so
+/// that a rolling upgrade does not send halls to and fro.
+const SPREAD_AFTER: Duration = Duration::from_secs(120);
 /// How long a hand-over waits for writes in flight.
 const FREEZE_LIMIT: Duration = Duration::from_millis(400);
 /// A hall that could not be taken over is left to others for this long.
--- a/crates/hall/src/watching.rs
+++ b/crates/hall/src/watching.rs
@@ -21,6 +21,7 @@
     parts: &mut seat::SeatParts<B>,
 ) -> Option<ownership::OwnedTenure> {
     let mut sighting: Option<Sighting> = None;
+    let mut invited = false;
     loop {
         if *parts.leaving.borrow() {
             return None;
@@ -32,7 +33,7 @@
                     _ => Instant::now(),
                 };
                 publish_holder(parts, &rows);
-                if may_take(parts, &rows, seen_since)
+                if may_take(parts, &rows, seen_since, invited)
                     && let Some(owned) = take(parts, &rows).await
                 {
                     return Some(owned);
@@ -44,11 +45,11 @@
             None => sighting = None,
         }
         let pause = watch_interval(parts, sighting.as_ref());
-        tokio::select! {
-            () = time::sleep(pause) => {}
-            () = parts.nudge.notified() => {}
-            _ = parts.leaving.changed() => {}
-        }
+        invited = tokio::select! {
+            () = time::sleep(pause) => false,
+            () = parts.nudge.notified() => true,
+            _ = parts.leaving.changed() => false,
+        };
     }
 }
 
@@ -96,16 +97,20 @@
     });
 }
 
-/// Whether the hall is free for this instance after what it saw since `since`.
+/// Whether the hall is free for this instance after what it saw since `since`. Who was invited by
+/// the holder that gave it up leaves it to nobody: others may be preferred by rank alone, but they
+/// were not chosen, and the hall would be handed on again.
 fn may_take<B: backend::HallBackend>(
     parts: &seat::SeatParts<B>,
     rows: &ownership::OwnerRows,
     since: Instant,
+    invited: bool,
 ) -> bool {
     let seen = since.elapsed();
     match &rows.scheduler {
         // An earlier try of this very process took effect without its knowledge.
         Some(row) if row.holder == parts.options.instance => true,
+        Some(row) if row.released && invited => true,
         Some(row) if !row.released => row.term.0 + preference_delay(parts, Some(row)) <= seen,
         other => preference_delay(parts, other.as_ref()) <= seen,
     }
--- a/crates/hall/tests/hall/handover.rs
+++ b/crates/hall/tests/hall/handover.rs
@@ -4,12 +4,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use almondpass_membership::{directory, holders};
+use almondpass_membership::{directory, holders, rendezvous};
 use almondpass_peer::link::HallLink;
 use almondpass_schema::model;
 use tokio::time::Instant;
 
-use crate::support::{self, TestInstance, TestSite};
+use crate::support::{self, HALL, TestInstance, TestSite};
 
 fn directory(site: &TestSite, instance: &TestInstance) -> impl HallLink {
     directory::HallDirectory::new(directory::DirectoryParts {
@@ -45,6 +45,23 @@
 }
 
 cases! {
+    /// Symptom: one instance schedules every hall, for weeks.
+    /// Sequence: it starts before the others and takes what is free; nobody else ever may.
+    /// Cause: halls were spread only when their holder left.
+    a_hall_moves_to_the_instance_whose_share_it_is_in(site) {
+        let chosen = rendezvous::preferred(HALL, ["a", "b"]).expect("two candidates");
+        let first = if chosen == "a" { "b" } else { "a" };
+        let holder = site.start_holder(first).await;
+        let job = holder.run(&site, support::BATCH, 3).await;
+        let other = site.start(chosen);
+        let link = directory(&site, &holder);
+        let (longest, refusals) = ask_on(&site, &link, support::secs(180)).await;
+        assert!(other.holds() && !holder.holds());
+        assert_eq!(refusals, Vec::<String>::new());
+        assert!(longest < support::secs(2), "a request waited {longest:?}");
+        assert_eq!(site.partial_runs(job, 3, support::secs(1)), 0);
+    }
+
     /// Symptom: requests are refused while an instance is replaced.
     /// Sequence: requests come through two entries all the time; the holder shuts down.
     /// Cause: between two holders nobody answers, and an entry takes that for an end.
