Require that jobs' rows outlive their idempotency keys

Cause: a job's row is the record of its key. With bounds.job_retention below bounds.idempotency_window the row went while the key was still accepted, and the job submitted again ran a second time.

Change: a rule; equal spans pass. Both examples (7days, 1day) pass as they are.

Conclusion: a document in force that breaks the rule is refused by this release; run its `almondpass config check` before an upgrade.

--- a/crates/config/src/rules/bounds.rs
+++ b/crates/config/src/rules/bounds.rs
@@ -23,6 +23,7 @@
     check_objective(&document.objective, &root.member("objective"), faults);
     check_bounds(&document.bounds, &root.member("bounds"), faults);
     check_window(document, &root.member("bounds").member("idempotency_window"), faults);
+    check_retention(&document.bounds, &root.member("bounds").member("job_retention"), faults);
 }
 
 fn check_objective(
@@ -103,3 +104,16 @@
         format!("at least the deadline of the class {}, {}", longest.name, longest.deadline);
     faults.require(longest.deadline <= window, path, expected, window);
 }
+
+/// A job's row is the record of its key. Were it dropped while the key is still accepted, the job
+/// submitted again would be taken for a new one and run a second time; its caller would find two
+/// outcomes under one key.
+fn check_retention(
+    bounds: &model::PolicyBounds,
+    path: &path::FieldPath,
+    faults: &mut fault::FaultList<'_>,
+) {
+    let (window, retention) = (bounds.idempotency_window, bounds.job_retention);
+    let expected = format!("at least bounds.idempotency_window, {window}");
+    faults.require(window <= retention, path, expected, retention);
+}
--- a/crates/config/tests/rules.rs
+++ b/crates/config/tests/rules.rs
@@ -16,6 +16,23 @@
     document::check("site.yaml", &text).expect_err("expected faults").to_string()
 }
 
+#[test]
+fn jobs_dropped_before_their_keys() {
+    // Symptom: a job that must run once runs a second time.
+    // Sequence: a job ends, its row is dropped after `job_retention`, and its caller, which never
+    // got the answer, submits it again under the same key within `idempotency_window`.
+    // Cause: the row is the record of the key; without it the key is accepted as a new one.
+    for (retention, holds) in [("1day", true), ("23h 59m 59s", false), ("1h", false)] {
+        let text = LABORATORIES.replacen(
+            "job_retention: 7days",
+            &format!("job_retention: {retention}"),
+            1,
+        );
+        let checked = document::check("site.yaml", &text).map_err(|it| it.to_string());
+        assert_eq!(checked.is_ok(), holds, "{retention}: {checked:?}");
+    }
+}
+
 macro_rules! faults {
     ($($name:ident: $($from:literal => $to:literal),+;)*) => {
         $(#[test]
@@ -41,6 +58,8 @@
         "urgent_start: 2s" => "urgent_start: 2h",
         "overrun: 1.5" => "overrun: 0.5",
         "idempotency_window: 1day" => "idempotency_window: 1m";
+    job_rows_that_go_before_their_keys:
+        "job_retention: 7days" => "job_retention: 23h";
     names_that_resolve_to_nothing:
         "kind: standard" => "kind: large",
         "halls: [vadodara, rajkot, bharuch]" => "halls: [vadodara, surat]",
