Keep the home halls of keys when an upstream's halls change

Cause: a draft could change an upstream's halls without naming the former set. A key within its window then got a new home, which has no record of it, and work that must run once could run twice.

Change: at acceptance the keeper adds the former set to former_halls, 12 minutes ahead, drops lapsed ones, and refuses a draft by which an accepted key would change its home all the same (entry removed, shortened, changed). 10 of the 12 minutes are the slack that schedulers grant to callers' clocks. An unanswered draft is known again by filling it in as of the stored version's time. membership gets home::halls_at, so that the check and the calls look halls up by one function.

--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -130,7 +130,8 @@
         &self,
         proposal: model::ConfigProposal,
     ) -> Result<model::ConfigAccepted, proposal::ProposalError> {
-        let accepted = proposal::accept(&self.state.store, &self.state.clock, proposal).await;
+        let state = &self.state;
+        let accepted = proposal::accept(&state.store, &state.clock, &self.active(), proposal).await;
         let row = accepted.inspect_err(|error| count_proposal(error.label()))?;
         count_proposal("accepted");
         tracing::info!(version = row.version, operator = %row.operator, "configuration accepted");
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod changes;
 pub mod document;
 pub mod fault;
+mod former_halls;
 mod heard;
 mod history;
 pub mod keeper;
--- a/crates/config/src/proposal.rs
+++ b/crates/config/src/proposal.rs
@@ -1,5 +1,6 @@
 //! Making an operator's draft the newest version.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use almondpass_platform::{clock, table};
@@ -9,9 +10,11 @@
 use tokio::time;
 use uuid::Uuid;
 
+use crate::active;
 use crate::changes;
 use crate::document;
 use crate::fault;
+use crate::former_halls;
 use crate::history;
 use crate::merge;
 use crate::rules;
@@ -61,10 +64,12 @@
 
 /// Writes the draft as the version after its base. A lost answer is settled by reading back: the
 /// version's row carries the proposal's id, so its author knows it again, and the write can be
-/// repeated, since only one of both can find the head unchanged.
+/// repeated, since only one of both can find the head unchanged. `in_force` is the configuration
+/// in force here, most often the base itself.
 pub(crate) async fn accept<T: table::TableService>(
     store: &store::ConfigStore<T>,
     clock: &clock::WallClock,
+    in_force: &active::ActiveConfig,
     proposal: model::ConfigProposal,
 ) -> Result<model::ConfigRow, ProposalError> {
     document::check_size("the draft", &proposal.document)?;
@@ -77,7 +82,9 @@
         proposal: proposal.proposal.unwrap_or_else(Uuid::now_v7),
         document: proposal.document,
     };
-    let mut progress = WriteProgress { may_have_written: false, row };
+    let drafted = row.document.clone();
+    let mut progress =
+        WriteProgress { may_have_written: false, is_filled: false, in_force, drafted, row };
     let mut pauses = pauses();
     loop {
         let fault = match progress.attempt(store).await {
@@ -93,8 +100,13 @@
 }
 
 /// One draft on its way into the table.
-struct WriteProgress {
+struct WriteProgress<'a> {
     may_have_written: bool,
+    /// Whether the row has the former halls that the draft lacks.
+    is_filled: bool,
+    in_force: &'a active::ActiveConfig,
+    /// The document as the operator sent it.
+    drafted: model::ConfigDocument,
     row: model::ConfigRow,
 }
 
@@ -104,7 +116,7 @@
     Unsettled(store::StoreFault),
 }
 
-impl WriteProgress {
+impl WriteProgress<'_> {
     async fn attempt<T: table::TableService>(
         &mut self,
         store: &store::ConfigStore<T>,
@@ -120,6 +132,9 @@
             // The base was in force somewhere, so it is in the table: this read is stale.
             return WriteStep::Unsettled(stale_read(head.version, self.row.version - 1));
         }
+        if let Err(step) = self.fill(store).await {
+            return step;
+        }
         match store.append(head, &self.row).await {
             store::StoredDraft::Committed => WriteStep::Accepted,
             store::StoredDraft::Raced => match store.head().await {
@@ -137,29 +152,88 @@
         }
     }
 
+    /// Adds former halls to the row, which takes the document that the draft is to replace.
+    async fn fill<T: table::TableService>(
+        &mut self,
+        store: &store::ConfigStore<T>,
+    ) -> Result<(), WriteStep> {
+        if self.is_filled {
+            return Ok(());
+        }
+        let before = self.document_before(store).await.map_err(WriteStep::Unsettled)?;
+        let filled = former_halls::keep_homes(&before, self.drafted.clone(), self.row.accepted_at)
+            .and_then(|it| document::check_size("the draft", &it).map(|()| it));
+        self.row.document = filled.map_err(|it| WriteStep::Failed(Box::new(it.into())))?;
+        self.is_filled = true;
+        Ok(())
+    }
+
+    /// The document of the base. Where this release cannot read it, the one in force here stands
+    /// for it: operators must be able to replace a version that half of the instances refuse.
+    async fn document_before<T: table::TableService>(
+        &self,
+        store: &store::ConfigStore<T>,
+    ) -> Result<Arc<model::ConfigDocument>, store::StoreFault> {
+        let base = self.row.version - 1;
+        if base == self.in_force.version {
+            return Ok(Arc::clone(&self.in_force.document));
+        }
+        if base == 0 {
+            return Ok(active::ActiveConfig::none().document);
+        }
+        match store.version(base).await {
+            Ok(Some(row)) => Ok(Arc::new(row.document)),
+            Ok(None) => Err(stale_read(base - 1, base)),
+            Err(store::StoreFault::Unreadable { .. }) => Ok(Arc::clone(&self.in_force.document)),
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Looks whose the version is that stands where the draft was to go.
     async fn compare<T: table::TableService>(
-        &self,
+        &mut self,
         store: &store::ConfigStore<T>,
         newest: ids::ConfigVersion,
     ) -> WriteStep {
-        match store.version(self.row.version).await {
-            Ok(Some(there)) if self.is_own(&there) => WriteStep::Accepted,
-            Ok(Some(_)) => match conflict(store, &self.row, newest).await {
+        let there = match store.version(self.row.version).await {
+            Ok(Some(there)) => there,
+            Ok(None) => {
+                return WriteStep::Unsettled(stale_read(self.row.version - 1, self.row.version));
+            }
+            Err(fault) => return WriteStep::Unsettled(fault),
+        };
+        match self.is_own(store, &there).await {
+            Ok(true) => {
+                self.row = there;
+                WriteStep::Accepted
+            }
+            Ok(false) => match conflict(store, &self.row, newest).await {
                 Ok(conflict) => {
                     WriteStep::Failed(Box::new(ProposalError::Conflict(Box::new(conflict))))
                 }
                 Err(fault) => WriteStep::Unsettled(fault),
             },
-            Ok(None) => WriteStep::Unsettled(stale_read(self.row.version - 1, self.row.version)),
             Err(fault) => WriteStep::Unsettled(fault),
         }
     }
 
     /// An id alone could be used for another draft after an edit, and the author would be told
-    /// that the edit was accepted.
-    fn is_own(&self, there: &model::ConfigRow) -> bool {
-        there.proposal == self.row.proposal && there.document == self.row.document
+    /// that the edit was accepted. What was filled in depends on the time, so that it is filled
+    /// in here as of the time of the version that is there.
+    async fn is_own<T: table::TableService>(
+        &self,
+        store: &store::ConfigStore<T>,
+        there: &model::ConfigRow,
+    ) -> Result<bool, store::StoreFault> {
+        if there.proposal != self.row.proposal {
+            return Ok(false);
+        }
+        if there.document == self.drafted {
+            return Ok(true);
+        }
+        let before = self.document_before(store).await?;
+        let filled = former_halls::keep_homes(&before, self.drafted.clone(), there.accepted_at);
+        Ok(filled.is_ok_and(|it| it == there.document))
     }
 
     fn given_up(&self, fault: store::StoreFault) -> ProposalError {
--- a/crates/membership/src/home.rs
+++ b/crates/membership/src/home.rs
@@ -15,12 +15,16 @@
     upstream: &'a model::UpstreamSpec,
     key: &ids::IdempotencyKey,
 ) -> Option<&'a str> {
-    let made_at = key_time(key)?;
-    let former = upstream.former_halls.iter().filter(|it| made_at < it.until);
-    let halls = former.min_by_key(|it| it.until).map_or(&upstream.halls, |it| &it.halls);
+    let halls = halls_at(upstream, key_time(key)?);
     rendezvous::preferred(&key.to_string(), halls.iter().map(String::as_str))
 }
 
+/// Halls among which keys made at `made_at` have their home.
+pub fn halls_at(upstream: &model::UpstreamSpec, made_at: time::WallTime) -> &[ids::HallName] {
+    let former = upstream.former_halls.iter().filter(|it| made_at < it.until);
+    former.min_by_key(|it| it.until).map_or(&upstream.halls, |it| &it.halls)
+}
+
 /// When a key was made; `None` where it is no UUIDv7.
 pub fn key_time(key: &ids::IdempotencyKey) -> Option<time::WallTime> {
     if key.get_version_num() != UUID_V7 {
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -443,7 +443,7 @@
 pub struct FormerHalls {
     ///The halls.
     pub halls: ::std::vec::Vec<crate::ids::HallName>,
-    ///When the next set took over; at least a minute after the change is accepted, so that it is in force on all instances by then.
+    ///When the next set took over. Filled in when a change is accepted, far enough ahead that it is in force on all instances by then.
     pub until: crate::time::WallTime,
 }
 ///Answer to a grant request.
