--- a/crates/replay/src/cost.rs
+++ b/crates/replay/src/cost.rs
@@ -47,6 +47,10 @@
 /// Measures the time of decisions and turns, and memory.
 #[derive(Clone, Debug, Args)]
 pub struct CostArgs {
+    /// Sizes by number. Memory is right for the first of a process only: later ones get pages that
+    /// the earlier ones gave back.
+    #[arg(long, value_delimiter = ',', default_values_t = [0, 1, 2])]
+    pub sizes: Vec<usize>,
     /// Turns measured at each size.
     #[arg(long, default_value_t = 2_000)]
     pub turns: u32,
@@ -80,8 +84,9 @@
 
 /// Measures every size and prints it.
 pub fn run(args: &CostArgs) -> anyhow::Result<()> {
+    let sizes = args.sizes.iter().filter_map(|it| SIZES.get(*it));
     let rows: Vec<CostRow> =
-        SIZES.iter().map(|it| measure(it, args.turns)).collect::<anyhow::Result<_>>()?;
+        sizes.map(|it| measure(it, args.turns)).collect::<anyhow::Result<_>>()?;
     if args.json {
         println!("{}", serde_json::to_string_pretty(&rows)?);
         return Ok(());
