Tell conflicts by the draft as its operator sent it

Cause: a draft that met another one after its former halls were filled in was shown, and merged, with that entry. Minutes later the merge could be refused for an entry that its operator never wrote.

Change: a conflict compares and merges the document as sent; the next acceptance fills in anew.

Conclusion: operators meet only what they wrote, and what is in force.

--- a/crates/config/src/proposal.rs
+++ b/crates/config/src/proposal.rs
@@ -207,7 +207,7 @@
                 self.row = there;
                 WriteStep::Accepted
             }
-            Ok(false) => match conflict(store, &self.row, newest).await {
+            Ok(false) => match conflict(store, self.row.version - 1, &self.drafted, newest).await {
                 Ok(conflict) => {
                     WriteStep::Failed(Box::new(ProposalError::Conflict(Box::new(conflict))))
                 }
@@ -244,12 +244,14 @@
     }
 }
 
+/// Both changes side by side. `draft` is as the operator sent it: an entry filled in for the base
+/// would be refused on top of the newest version, and its operator never wrote it.
 async fn conflict<T: table::TableService>(
     store: &store::ConfigStore<T>,
-    draft: &model::ConfigRow,
+    base: ids::ConfigVersion,
+    draft: &model::ConfigDocument,
     newest: ids::ConfigVersion,
 ) -> Result<model::ConfigConflict, store::StoreFault> {
-    let base = draft.version - 1;
     let newest_row = store.version(newest).await?;
     let newest_row = newest_row.ok_or_else(|| stale_read(newest - 1, newest))?;
     let base_row = if base == 0 { None } else { store.version(base).await? };
@@ -258,12 +260,12 @@
     // Before the first version there is nothing to compare with: the other's document stands for
     // the base, and the draft's changes are told against it.
     let base_document = base_row.map_or_else(|| theirs.clone(), |it| it.document);
-    let merged = merge::carry_over(&base_document, &theirs, &draft.document);
+    let merged = merge::carry_over(&base_document, &theirs, draft);
     Ok(model::ConfigConflict {
         base,
         newest,
         theirs: changes::between(&base_document, &theirs),
-        yours: changes::between(&base_document, &draft.document),
+        yours: changes::between(&base_document, draft),
         both: merged.both,
         merged: merged.document,
         document: theirs,
--- a/crates/config/tests/former_halls.rs
+++ b/crates/config/tests/former_halls.rs
@@ -175,3 +175,29 @@
     let edited = site.keeper().propose(draft).await;
     assert!(matches!(edited, Err(proposal::ProposalError::Conflict(_))), "{edited:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn racing_moves_are_merged_without_what_was_filled_in() {
+    // Symptom: a merged draft is refused for an entry that its operator never wrote.
+    // Sequence: the table refuses the write of one operator's move, another's move is accepted
+    // before the next try; the first operator accepts the merge offered some minutes later.
+    // Cause: the draft in the conflict has the entry that was filled in before the write.
+    let site = HallSite::new().await;
+    let (first, second) = (site.move_to(&["rajkot"]), site.move_to(&["bharuch"]));
+    site.group.table.faults().next(model::TableTransaction::PATH, fault::Fault::Refused);
+    let keeper = site.keeper().clone();
+    let waiting = tokio::spawn(async move { keeper.propose(second).await });
+    time::sleep(Duration::from_millis(10)).await;
+    assert_eq!(site.keeper().propose(first).await.unwrap().version, 2);
+    let refused = waiting.await.unwrap();
+    let Err(proposal::ProposalError::Conflict(conflict)) = refused else {
+        panic!("expected a conflict, found {refused:?}");
+    };
+    let paths = conflict.yours.iter().map(|it| it.path.as_str()).collect::<BTreeSet<_>>();
+    assert_eq!(paths, BTreeSet::from(["upstreams[oil-analysis].halls"]));
+
+    time::sleep(5 * MINUTE).await;
+    let mut merged = support::draft(2, &conflict.merged);
+    merged.document.upstreams[0].halls = vec!["bharuch".to_owned()];
+    site.accept(merged).await;
+}
