Say unknown for a key that belongs to another job

Change: a key conflict is answered 409 with unknown, the outcome of the key's work. Conclusion: not_run has one unproved path less; none other is known.

--- a/crates/entry/src/job_submission.rs
+++ b/crates/entry/src/job_submission.rs
@@ -250,9 +250,9 @@
         if record.submission != self.submission {
             let kind = problem::ProblemKind::KeyConflict;
             let detail = format!("expected a new key, found that of job {}", record.job);
-            // Proof of `not_run`: a row keyed by this id holds another submission, and the row is
-            // written once.
-            let outcome = model::RequestOutcome::NotRun;
+            // The outcome is that of the key's work. A row that differs is no proof that this
+            // submission never ran: two versions of ours may write the same one differently.
+            let outcome = model::RequestOutcome::Unknown;
             return Err(problem::Problem::new(kind, outcome, "job.submit", detail));
         }
         let mut response = job_api::json(http::StatusCode::ACCEPTED, &record)?;
