--- a/crates/fleet-tests/src/calm.rs
+++ b/crates/fleet-tests/src/calm.rs
@@ -73,10 +73,9 @@
             } else if overdue {
                 let runs = storm.world.enter(|it| it.site.fakes.fleet.runs());
                 let runs = runs.iter().filter(|it| it.job == job).collect::<Vec<_>>();
-                let rows = storm.world.site.fakes.table().peek(&format!("job/{account}/{job}"));
-                let version = rows.first().map(|it| it.version);
+                let traces = storm.world.traces_of(job);
                 let mut holdings = storm.world.holdings();
-                holdings += &format!("\n    row version {version:?}, runs {runs:?}");
+                holdings += &format!("\n    {traces}\n    runs {runs:?}");
                 storm.oracle.check(Condition::GangIsWhole, false, || {
                     format!("{record:?} does not come to an end in the calm:{holdings}")
                 });
--- a/crates/fleet-tests/src/world.rs
+++ b/crates/fleet-tests/src/world.rs
@@ -276,6 +276,16 @@
         holdings
     }
 
+    /// Rows that name a job, and who holds which hall, for whoever reads a failed run.
+    pub fn traces_of(&self, job: Uuid) -> String {
+        let job = job.to_string();
+        let rows = self.site.fakes.table().peek("").into_iter();
+        let rows = rows.filter(|it| it.key.ends_with(&job)).map(|it| (it.key, it.version));
+        let rows = rows.collect::<Vec<_>>();
+        let held = self.nodes.iter().map(|it| (&it.id, it.halls.held())).collect::<Vec<_>>();
+        format!("rows {rows:?}, held {held:?}")
+    }
+
     /// The workers, by name.
     pub fn workers(&self) -> Vec<fleet::WorkerFake> {
         let mut workers = self.site.fakes.fleet.workers();
--- a/crates/fleet-tests/tests/storm.rs
+++ b/crates/fleet-tests/tests/storm.rs
@@ -18,6 +18,10 @@
 
 /// Runs one seed; prints and returns the number of violations.
 fn check(seed: u64) -> usize {
+    // Set `RUST_LOG` to see what the instances say.
+    let filter = tracing_subscriber::EnvFilter::from_default_env();
+    let subscriber = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false);
+    let _ = subscriber.try_init();
     let started = Instant::now();
     let report = storm::run(plan(seed));
     println!(
