Say unknown of a job with a key that is refused for a reason that passes

Its first sending was accepted by one hall while the answer was lost; its second came through another entry before the row was there, and the next best hall, without the table at that moment, refused it. Nothing but the job's row knows of both halls. Refusals that every scheduler gives at any time (never fits, unknown class) stay not_run; those that pass are unknown for a job with a key, and not_run for one whose id was made for this submission alone.

--- a/crates/entry/src/job_submission.rs
+++ b/crates/entry/src/job_submission.rs
@@ -43,8 +43,9 @@
     };
     let submission = read_submission(core, caller, body).await?;
     check_age(core, caller, key)?;
-    let submit = Submission { core, caller, job: key.unwrap_or_else(Uuid::now_v7), submission };
-    Ok(submit.hand_over(key.is_some()).await?)
+    let (job, keyed) = (key.unwrap_or_else(Uuid::now_v7), key.is_some());
+    let submit = Submission { core, caller, job, keyed, submission };
+    Ok(submit.hand_over().await?)
 }
 
 async fn read_submission<L, T>(
@@ -115,16 +116,15 @@
     core: &'a service::EntryCore<L, T>,
     caller: &'a config_index::CallerAccount,
     job: ids::JobId,
+    /// Whether the caller chose the id, so that it may have been submitted before.
+    keyed: bool,
     submission: model::JobSubmission,
 }
 
 impl<L: HallLink, T: TableService> Submission<'_, L, T> {
-    async fn hand_over(
-        &self,
-        keyed: bool,
-    ) -> Result<http::Response<service::EntryBody>, problem::Problem> {
-        let mut looked_up = !keyed;
-        if keyed {
+    async fn hand_over(&self) -> Result<http::Response<service::EntryBody>, problem::Problem> {
+        let mut looked_up = !self.keyed;
+        if self.keyed {
             match self.core.jobs.read(&self.caller.account().id, &self.job).await {
                 Ok(Some(record)) => return self.accepted(record),
                 // The row itself is conditional, so a repeat cannot be accepted twice.
@@ -197,7 +197,12 @@
             Ok(model::JobReply::Record { record }) => Asked::Accepted(Box::new(record)),
             Ok(model::JobReply::Refused { reason, retry_after }) => {
                 let kind = refusal::kind_of(reason.code);
-                let outcome = refused_outcome(looked_up);
+                let outcome = match kind {
+                    problem::ProblemKind::NeverFits | problem::ProblemKind::InvalidRequest => {
+                        refused_outcome(looked_up)
+                    }
+                    _ => self.passing_outcome(),
+                };
                 let problem = problem::Problem::new(kind, outcome, "job.submit", &reason.text);
                 let problem = problem.at(hall).because(reason);
                 let problem = match retry_after {
@@ -213,16 +218,30 @@
             }
             Ok(model::JobReply::NotFound | model::JobReply::NotHolder { .. }) => {
                 let detail = "expected a scheduler for the hall, found none";
-                Asked::Next(self.unavailable(refused_outcome(looked_up), detail).at(hall))
+                Asked::Next(self.unavailable(self.passing_outcome(), detail).at(hall))
             }
             Err(error) if error.fault.had_no_effect() => {
-                let problem = self.unavailable(refused_outcome(looked_up), &error.to_string());
+                let problem = self.unavailable(self.passing_outcome(), &error.to_string());
                 Asked::Next(problem.at(hall))
             }
             Err(error) => self.settle(hall, &error.to_string()).await,
         }
     }
 
+    /// What is true where a scheduler refused for a reason that passes, or was not reached.
+    ///
+    /// An earlier submission under the same key may be on its way to its row through another entry
+    /// and another hall, where this refusal says nothing of it; one would see a job run of which
+    /// its caller was told `not_run`. Only a job without a key is known to have been sent once.
+    fn passing_outcome(&self) -> model::RequestOutcome {
+        match self.keyed {
+            true => model::RequestOutcome::Unknown,
+            // Proof of `not_run`: the job's id was made for this one submission, and no scheduler
+            // that was asked wrote it.
+            false => model::RequestOutcome::NotRun,
+        }
+    }
+
     /// The scheduler's answer was lost: its row tells whether it took the job. No row proves
     /// nothing, for the write may still be under way.
     async fn settle(&self, hall: ids::HallName, detail: &str) -> Asked {
@@ -272,8 +291,8 @@
 
 fn refused_outcome(looked_up: bool) -> model::RequestOutcome {
     if looked_up {
-        // Proof of `not_run`: the schedulers that were asked refused the job before writing it,
-        // or were not reached; and no row tells of an earlier submission under this id.
+        // Proof of `not_run`: every scheduler refuses such a job before writing it, and no row
+        // tells of an earlier submission under this id.
         model::RequestOutcome::NotRun
     } else {
         model::RequestOutcome::Unknown
--- a/crates/entry/tests/entry/jobs.rs
+++ b/crates/entry/tests/entry/jobs.rs
@@ -166,6 +166,35 @@
     assert_eq!(entry.halls.submitted().len(), n_halls);
 }
 
+/// Symptom: a caller is told `not_run` of a job that runs. Sequence: it submits with a key and hears
+/// nothing, since the answer of a first hall is lost with the entry; submitted again, another hall
+/// refuses for a while, before the row is there. Cause: one hall's refusal taken for all of them.
+async fn check_refused_again(code: model::WaitCode, outcome: model::RequestOutcome) {
+    let entry = start().await;
+    let reply = model::JobReply::Refused { reason: reason(code), retry_after: None };
+    entry.halls.answer_jobs(Ok(reply));
+    let answer = submit(&entry, Some(Uuid::now_v7())).await;
+    assert_eq!(answer.problem().outcome, outcome);
+}
+
+macro_rules! refused_again {
+    ($($name:ident: $code:ident => $outcome:ident;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let outcome = model::RequestOutcome::$outcome;
+            check_refused_again(model::WaitCode::$code, outcome).await;
+        })*
+    };
+}
+
+refused_again! {
+    a_key_refused_for_the_store_may_run_elsewhere: StoreUnavailable => Unknown;
+    a_key_refused_for_the_accounts_limit_may_run_elsewhere: AccountLimit => Unknown;
+    a_key_refused_by_a_starting_scheduler_may_run_elsewhere: SchedulerStarting => Unknown;
+    a_key_of_what_never_fits_runs_nowhere: NeverFits => NotRun;
+    a_key_of_an_unknown_class_runs_nowhere: UnknownClass => NotRun;
+}
+
 macro_rules! refused {
     ($($name:ident: $code:ident => $status:literal, $n_halls:literal;)*) => {
         $(#[tokio::test]
