Read all halls that an instance watches in one call

Cause: nearly all of an idle instance's calls to the platform were its seats, each reading the two rows of its own hall.

Change: one reader per instance (`watch_reader`). Seats say by when they must look; when one is due, a read takes along all that are due within a 24th of the term. A look may be early, never late, so intervals stay as they were. A read that fails resets the sighting of every seat in it; what was seen counts from the end of the read. A hand-over makes its hall due at once, also while a read is under way, which it had to await before.

--- a/crates/hall/examples/measure_hall.rs
+++ b/crates/hall/examples/measure_hall.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
+use almondpass_platform::keys;
+use almondpass_platform::table::TableService;
 use almondpass_platform::worker::WorkerControl;
 use almondpass_schema::{model, time};
 use almondpass_standin::fault::Condition;
@@ -62,6 +64,7 @@
     let busy = load(&site, Duration::from_secs(60)).await;
 
     let exchange = exchange_bytes(&site).await;
+    let look = look_bytes(&site).await;
     let grants = grants(&site, &holder).await;
 
     let leaving = Instant::now();
@@ -87,7 +90,7 @@
     let n_tasks = n_jobs * TASKS_PER_JOB;
     println!("{n_workers:7} {n_tasks:6} {takeover:9.0?} {hand_over:10.0?}  idle: {idle}");
     println!("{:36} busy: {busy}", "");
-    println!("{:36} {exchange}; {grants}", "");
+    println!("{:36} {exchange}; {grants}; {look}", "");
 }
 
 fn start(site: &TestSite, id: &str) -> TestInstance {
@@ -127,6 +130,17 @@
     format!("a renewal of {n_leases} leases: {asked} B asked, {told} B told")
 }
 
+/// Bytes of a look at who schedules a hall, as encoded between processes.
+async fn look_bytes(site: &TestSite) -> String {
+    let keys = vec![keys::scheduler(support::HALL), keys::tenure(support::HALL)];
+    let get = model::TableGet { keys };
+    let rows = site.table.get(get.clone()).await.expect("a table that answers");
+    let encode = |bytes: Result<Vec<u8>, _>| bytes.expect("a message that encodes").len();
+    let asked = encode(rmp_serde::to_vec_named(&get));
+    let told = encode(rmp_serde::to_vec_named(&rows));
+    format!("a look at a hall: {asked} B asked, {told} B told")
+}
+
 /// Processor time of a grant with its return, where an idle serving lease is at hand.
 async fn grants(site: &TestSite, instance: &TestInstance) -> String {
     let before = cpu_nanos();
--- a/crates/hall/src/lib.rs
+++ b/crates/hall/src/lib.rs
@@ -41,5 +41,6 @@
 mod takeover;
 pub mod tenure;
 mod turn;
+pub mod watch_reader;
 mod watching;
 mod worker_node;
--- a/crates/hall/src/ownership.rs
+++ b/crates/hall/src/ownership.rs
@@ -1,5 +1,7 @@
 //! Writes to the rows that say who schedules a hall, each settled before it counts.
 
+use std::collections::BTreeMap;
+
 use almondpass_platform::{keys, table::TableService};
 use almondpass_schema::{ids, model, time};
 use tokio::time::Instant;
@@ -47,11 +49,36 @@
 
 /// Reads the rows of a hall's scheduler.
 pub async fn read<T: TableService>(table: &T, hall: &str) -> Result<OwnerRows, error::HallError> {
-    let get = model::TableGet { keys: vec![keys::scheduler(hall), keys::tenure(hall)] };
+    let get = model::TableGet { keys: row_keys(hall).into() };
+    owner_rows(hall, &table.get(get).await?.rows)
+}
+
+/// Reads the rows of several halls' schedulers at one moment. A hall whose rows cannot be read is
+/// left out, so that it keeps nobody from looking at the others.
+pub async fn read_all<T: TableService>(
+    table: &T,
+    halls: &[&str],
+) -> Result<BTreeMap<ids::HallName, OwnerRows>, error::HallError> {
+    let get = model::TableGet { keys: halls.iter().flat_map(|it| row_keys(it)).collect() };
     let rows = table.get(get).await?.rows;
-    let row = |key: &str| rows.iter().find(|it| it.key == key);
-    let scheduler = row(&keys::scheduler(hall));
-    let tenure = row(&keys::tenure(hall));
+    let mut found = BTreeMap::new();
+    for &hall in halls {
+        match owner_rows(hall, &rows) {
+            Ok(owner) => {
+                found.insert(hall.to_owned(), owner);
+            }
+            Err(fault) => tracing::debug!(hall, %fault, "cannot read who schedules the hall"),
+        }
+    }
+    Ok(found)
+}
+
+fn row_keys(hall: &str) -> [ids::RowKey; 2] {
+    [keys::scheduler(hall), keys::tenure(hall)]
+}
+
+fn owner_rows(hall: &str, rows: &[model::TableRow]) -> Result<OwnerRows, error::HallError> {
+    let [scheduler, tenure] = row_keys(hall).map(|key| rows.iter().find(|it| it.key == key));
     Ok(OwnerRows {
         version: scheduler.map_or(0, |it| it.version),
         scheduler: decode(scheduler)?,
--- a/crates/hall/src/seat.rs
+++ b/crates/hall/src/seat.rs
@@ -17,6 +17,7 @@
 use crate::ownership;
 use crate::takeover;
 use crate::tenure;
+use crate::watch_reader;
 use crate::watching;
 
 /// What a seat is built upon.
@@ -35,6 +36,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Highest tenure of the hall that anybody was heard to hold.
     pub heard: watch::Receiver<ids::Epoch>,
+    /// Reads the rows of all halls that this instance watches.
+    pub reader: watch_reader::WatchReader,
     /// Rung when a leaving holder asks this instance to take the hall.
     pub nudge: Arc<Notify>,
     /// Where the seat says how it stands.
@@ -174,7 +177,7 @@
 }
 
 /// Also when nobody is left who could tell.
-async fn told_to_leave(leaving: &mut watch::Receiver<bool>) {
+pub(crate) async fn told_to_leave(leaving: &mut watch::Receiver<bool>) {
     let _ = leaving.wait_for(|it| *it).await;
 }
 
--- a/crates/hall/src/service.rs
+++ b/crates/hall/src/service.rs
@@ -18,6 +18,7 @@
 use crate::options;
 use crate::request::SeatCall;
 use crate::seat::{self, SeatView};
+use crate::watch_reader;
 
 /// Everything that an instance needs to take part in scheduling halls.
 pub struct ServiceParts<B: backend::HallBackend> {
@@ -38,6 +39,7 @@
 
 struct ServiceInner<B: backend::HallBackend> {
     parts: ServiceParts<B>,
+    reader: watch_reader::WatchReader,
     seats: Mutex<BTreeMap<ids::HallName, SeatHandle<B>>>,
     leaving: watch::Sender<bool>,
 }
@@ -62,7 +64,8 @@
     pub fn start(parts: ServiceParts<B>) -> HallService<B> {
         let (leaving, left) = watch::channel(false);
         let config = parts.config.clone();
-        let inner = ServiceInner { parts, seats: Mutex::default(), leaving };
+        let reader = watch_reader::WatchReader::start(parts.ports.table.clone(), &parts.options);
+        let inner = ServiceInner { parts, reader, seats: Mutex::default(), leaving };
         let service = HallService { inner: Arc::new(inner) };
         service.fit_seats();
         tokio::spawn(follow_config(service.clone(), config, left));
@@ -191,6 +194,7 @@
             members: parts.members.clone(),
             leaving: leaves,
             heard: hears,
+            reader: self.inner.reader.clone(),
             nudge: Arc::clone(&nudge),
             view,
         }));
--- a/crates/hall/src/watching.rs
+++ b/crates/hall/src/watching.rs
@@ -22,21 +22,32 @@
 ) -> Option<ownership::OwnedTenure> {
     let mut sighting: Option<Sighting> = None;
     let mut invited = false;
+    let mut due = Instant::now();
     loop {
-        if *parts.leaving.borrow() {
-            return None;
-        }
-        match read_rows(parts).await {
+        let look = tokio::select! {
+            biased;
+            () = seat::told_to_leave(&mut parts.leaving) => return None,
+            // What is being read may be from before the hall was given up.
+            () = parts.nudge.notified() => {
+                invited = true;
+                due = Instant::now();
+                continue;
+            }
+            look = parts.reader.look(&parts.hall, due) => look,
+        };
+        let mut pause_from = look.at;
+        match look.rows {
             Some(rows) => {
                 let seen_since = match sighting.take() {
                     Some(it) if it.rows.scheduler == rows.scheduler => it.since,
-                    _ => Instant::now(),
+                    _ => look.at,
                 };
                 publish_holder(parts, &rows);
-                if may_take(parts, &rows, seen_since, invited)
-                    && let Some(owned) = take(parts, &rows).await
-                {
-                    return Some(owned);
+                if may_take(parts, &rows, look.at - seen_since, invited) {
+                    if let Some(owned) = take(parts, &rows).await {
+                        return Some(owned);
+                    }
+                    pause_from = Instant::now();
                 }
                 sighting = Some(Sighting { rows, since: seen_since });
             }
@@ -44,26 +55,8 @@
             // time against it would depose a live holder in the moment the table comes back.
             None => sighting = None,
         }
-        let pause = watch_interval(parts, sighting.as_ref());
-        invited = tokio::select! {
-            () = time::sleep(pause) => false,
-            () = parts.nudge.notified() => true,
-            _ = parts.leaving.changed() => false,
-        };
-    }
-}
-
-async fn read_rows<B: backend::HallBackend>(
-    parts: &seat::SeatParts<B>,
-) -> Option<ownership::OwnerRows> {
-    let read = ownership::read(&parts.ports.table, &parts.hall);
-    match time::timeout(parts.options.call_deadline(), read).await {
-        Ok(Ok(rows)) => Some(rows),
-        Ok(Err(fault)) => {
-            tracing::debug!(hall = parts.hall, %fault, "cannot read who schedules the hall");
-            None
-        }
-        Err(_) => None,
+        invited = false;
+        due = pause_from + watch_interval(parts, sighting.as_ref());
     }
 }
 
@@ -97,16 +90,15 @@
     });
 }
 
-/// Whether the hall is free for this instance after what it saw since `since`. Who was invited by
+/// Whether the hall is free for this instance after it saw the same for `seen`. Who was invited by
 /// the holder that gave it up leaves it to nobody: others may be preferred by rank alone, but they
 /// were not chosen, and the hall would be handed on again.
 fn may_take<B: backend::HallBackend>(
     parts: &seat::SeatParts<B>,
     rows: &ownership::OwnerRows,
-    since: Instant,
+    seen: Duration,
     invited: bool,
 ) -> bool {
-    let seen = since.elapsed();
     match &rows.scheduler {
         // An earlier try of this very process took effect without its knowledge.
         Some(row) if row.holder == parts.options.instance => true,
--- a/crates/hall/tests/hall/main.rs
+++ b/crates/hall/tests/hall/main.rs
@@ -24,3 +24,4 @@
 mod requests;
 mod support;
 mod takeover;
+mod watching;
