Take a lost transaction for committed only if all its rows show it

The store client reads back what a lost transaction wrote, and took one row with the expected value for proof. The row with the newest configuration's number holds the same whoever counted it up, so the loser of a race was told that it had committed, and so were the jobs of the hall that shared its group.

Now every row written under a condition on itself must show it, or the answer stays unknown; a row that shows another writer, or that nothing was written, speaks against it first. In a group each member is judged by its own rows, and one that is certain settles the others.

--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -24,11 +24,13 @@
 const STEP: &str = model::TableTransaction::PATH;
 
 impl<T: table::TableService> TableCommitter<T> {
-    /// Makes a transaction whose first write the cap has admitted. An error that may have had an
+    /// Makes a transaction, put together from `members`, whose first write the cap has admitted. An
+    /// error that may have had an
     /// effect comes back only where the rows could not be read, or did not tell.
     pub(crate) async fn commit(
         &self,
         transaction: &model::TableTransaction,
+        members: &[&model::TableTransaction],
         expires: Instant,
     ) -> Result<model::TableOutcome, error::CallError> {
         let mut waits = self.guard.begin();
@@ -38,7 +40,7 @@
         loop {
             let sent = self.table.transact(transaction.clone());
             let error = match self.guard.attempt(STEP, sent).await {
-                Ok(outcome) => return resolve(transaction, outcome, doubt),
+                Ok(outcome) => return resolve(transaction, members, outcome, doubt),
                 Err(error) => error,
             };
             if !error.fault.had_no_effect() {
@@ -49,7 +51,7 @@
                 return Err(given_up);
             }
             if let Some(doubt) = &doubt {
-                let settled = self.settle(transaction, &mut waits, expires).await;
+                let settled = self.settle(transaction, members, &mut waits, expires).await;
                 match settled.unwrap_or(settle::Verdict::Unclear) {
                     settle::Verdict::Committed { versions } => {
                         return Ok(model::TableOutcome::Committed { versions });
@@ -75,11 +77,12 @@
     async fn settle(
         &self,
         transaction: &model::TableTransaction,
+        members: &[&model::TableTransaction],
         waits: &mut retry::RetryWaits,
         expires: Instant,
     ) -> Result<settle::Verdict, error::CallError> {
         loop {
-            let read = settle::settle(&self.table, transaction);
+            let read = settle::settle(&self.table, transaction, members);
             let error = match self.guard.attempt(model::TableGet::PATH, read).await {
                 Ok(verdict) => {
                     metrics::counter!("almondpass_store_settled_total", "verdict" => name(&verdict))
@@ -98,13 +101,14 @@
 /// What an answer means after attempts that may have had an effect.
 fn resolve(
     transaction: &model::TableTransaction,
+    members: &[&model::TableTransaction],
     outcome: model::TableOutcome,
     doubt: Option<error::CallError>,
 ) -> Result<model::TableOutcome, error::CallError> {
     let (model::TableOutcome::Conflict { rows }, Some(doubt)) = (&outcome, doubt) else {
         return Ok(outcome);
     };
-    match settle::judge_conflict(transaction, rows) {
+    match settle::judge_conflict(transaction, members, rows) {
         settle::Verdict::Committed { versions } => Ok(model::TableOutcome::Committed { versions }),
         settle::Verdict::Conflict { .. } => Ok(outcome),
         settle::Verdict::Pending | settle::Verdict::Unclear => Err(doubt),
--- a/crates/platform/src/group.rs
+++ b/crates/platform/src/group.rs
@@ -194,7 +194,8 @@
 ) {
     while let Some(expires) = group.iter().map(|it| it.expires).min() {
         let merged = merge(&group);
-        match committer.commit(&merged, expires).await {
+        let members = group.iter().map(|it| &it.transaction).collect::<Vec<_>>();
+        match committer.commit(&merged, &members, expires).await {
             Ok(model::TableOutcome::Committed { versions }) => {
                 return answer_committed(group, &versions);
             }
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -118,6 +118,32 @@
         assert_eq!(ours, Ok(model::TableOutcome::Conflict { rows }));
     }
 
+    /// Symptom: an instance puts a configuration in force that is in no table, and jobs committed in
+    /// the same group are lost. Sequence: two writers count a number up and write a row each; ours
+    /// is lost on its way, theirs commits. Cause: the number is the same whoever wrote it, and was
+    /// taken for proof.
+    row_that_two_writers_write_alike_is_no_proof(it) {
+        let both = |value: &str| {
+            let mut transaction = write("config-head", 0, "1");
+            let row = write("config/1", 0, value);
+            transaction.conditions.extend(row.conditions);
+            transaction.writes.extend(row.writes);
+            transaction
+        };
+        it.path.next(TRANSACT, fault::Fault::DelayedEffect(Duration::from_secs(9)));
+        let other = it.table.clone();
+        let (ours, neighbours, theirs) = tokio::join!(
+            it.store.transact(both("ours")),
+            it.store.transact(write("job/1", 0, "a")),
+            async move { other.transact(both("theirs")).await }
+        );
+        assert!(matches!(theirs, Ok(model::TableOutcome::Committed { .. })));
+        let rows = vec![row("config/1", 1, "theirs")];
+        assert_eq!(ours, Ok(model::TableOutcome::Conflict { rows }));
+        assert_eq!(neighbours, committed(1));
+        assert_eq!(it.table.peek("job/"), [row("job/1", 1, "a")]);
+    }
+
     /// Symptom: a write is reported lost though it took effect for a while. Sequence: it takes
     /// effect, its answer is lost, another holder writes the row twice. Cause: the row no longer
     /// shows who wrote the version in between.
@@ -400,6 +426,13 @@
                 let Ok(read) = store.get(get(&shared)).await else { continue };
                 let own = format!("log/{writer}-{n:02}");
                 let mut transaction = write(&shared, read.rows[0].version, &own);
+                // Two writers may count this row up to the same value.
+                let counter = format!("counter/{}", rng.random_range(0..3));
+                let Ok(read) = store.get(get(&counter)).await else { continue };
+                let count = read.rows[0].version;
+                let counted = write(&counter, count, &count.to_string());
+                transaction.conditions.extend(counted.conditions);
+                transaction.writes.extend(counted.writes);
                 transaction
                     .writes
                     .push(model::TableWrite { key: own.clone(), value: Some(blob(&own)) });
