Give help a fixed width, whatever else is built beside the tool

Change: wrapping is always on, at 100 columns. Conclusion: the verdict depends neither on the crates built nor on the terminal.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -15,9 +15,13 @@
   5  unknown: nobody can tell whether it ran
   6  no server could be reached";
 
+/// Columns of `--help`. Fixed, since the width of whatever terminal a test runs in would otherwise
+/// decide its verdict.
+const HELP_WIDTH: usize = 100;
+
 /// Submits work to almondpass and operates it.
 #[derive(Clone, Debug, clap::Parser)]
-#[command(name = "almondpass", version, after_help = EXIT_STATUS_HELP)]
+#[command(name = "almondpass", version, after_help = EXIT_STATUS_HELP, term_width = HELP_WIDTH)]
 pub(crate) struct Arguments {
     #[command(flatten)]
     pub(crate) common: CommonArgs,
