Let work run again where it failed after a takeover

Its row lists the workers on which it failed, and a new scheduler took those for workers on which it must not start: a gang that needs them all, or a job that had failed on each, could never run nor be given up. The policy itself only prefers other workers, and gives up after failures on several; it now gets the failures of before a takeover as such, so they count on. The new test waited in vain before the change.

--- a/crates/hall/src/admission.rs
+++ b/crates/hall/src/admission.rs
@@ -211,6 +211,7 @@
             attempt: work.call.attempt,
             saved_run: Duration::ZERO,
             exclude,
+            failed_on: Vec::new(),
         }
     }
 
--- a/crates/hall/src/adopt.rs
+++ b/crates/hall/src/adopt.rs
@@ -326,6 +326,7 @@
         attempt: 0,
         saved_run: Duration::ZERO,
         exclude: Vec::new(),
+        failed_on: Vec::new(),
     };
     let lease = actor.leases.insert(LeaseEntry {
         purpose,
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -112,8 +112,6 @@
         saved_run: Duration,
     ) -> work::WorkItem {
         let submission = &record.submission;
-        let mut exclude = record.failed_on.clone();
-        exclude.extend(self.workers_without(&class.upstream));
         work::WorkItem {
             work: record.job,
             account: record.account.clone(),
@@ -132,7 +130,8 @@
             submitted_at: record.submitted_at,
             attempt: record.attempt,
             saved_run,
-            exclude,
+            exclude: self.workers_without(&class.upstream),
+            failed_on: record.failed_on.clone(),
         }
     }
 
--- a/crates/hall/tests/hall/takeover.rs
+++ b/crates/hall/tests/hall/takeover.rs
@@ -3,6 +3,7 @@
 use almondpass_platform::{keys, worker::WorkerControl};
 use almondpass_schema::{model, time};
 use almondpass_standin::fault::Condition;
+use almondpass_standin::worker;
 
 use crate::support::{self, HALL, N_ACCELERATORS, TestSite};
 
@@ -46,6 +47,23 @@
         assert_eq!(site.fleet.runs().len(), 3);
     }
 
+    /// Symptom: a gang that fits the hall waits for ever, though all of it is free.
+    /// Sequence: a task of it fails on one worker, the holder dies; the gang needs that worker.
+    /// Cause: after a takeover a worker on which it had failed was out of the question for good.
+    a_gang_that_failed_once_runs_again_after_a_takeover(site) {
+        let holder = site.start_holder("a").await;
+        let other = site.start("b");
+        let (_, worker) = &site.fleet.workers()[1];
+        worker.set_health(worker::WorkerHealth::FailsTasks(support::secs(1)));
+        let job = holder.run(&site, support::BATCH, support::N_WORKERS).await;
+        let failed = async || site.job(job).is_some_and(|it| !it.failed_on.is_empty());
+        support::until("the gang has failed", failed).await;
+        worker.set_health(worker::WorkerHealth::Sound);
+        holder.crash(&site);
+        support::until("the other holds", async || other.holds()).await;
+        site.until_job(job, model::JobState::Done).await;
+    }
+
     /// Symptom: a job is shown as running for good.
     /// Sequence: the holder dies; the gang ends before its successor lists the workers.
     /// Cause: leases released in the takeover itself, past what notices the end of a gang.
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -73,6 +73,10 @@
         let class = self.catalog.class(&work.class, 0 < work.demand.slots);
         let account = self.catalog.account(&work.account);
         self.uses.resize(self.catalog.accounts.len(), Default::default());
+        let failed_on = work.failed_on.iter().filter_map(|it| self.topology.find(it));
+        let mut failed_on = failed_on.collect::<Vec<_>>();
+        failed_on.sort_unstable();
+        failed_on.dedup();
         let exclude = work.exclude.iter().filter_map(|it| self.topology.find(it)).collect();
         self.items.insert(QueueItem {
             class,
@@ -94,8 +98,8 @@
             cancelled: false,
             throttled: false,
             overran: false,
-            failed_on: Vec::new(),
-            failures: 0,
+            failed_on,
+            failures: u32::try_from(work.failed_on.len()).unwrap_or(u32::MAX),
             exclude,
             presses: false,
             end: None,
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -50,6 +50,8 @@
     pub saved_run: Duration,
     /// Workers on which it must not start again.
     pub exclude: Vec<ids::WorkerId>,
+    /// Workers on which it failed before, one for each failure; it may go back there.
+    pub failed_on: Vec<ids::WorkerId>,
 }
 
 /// One task of a gang on its worker.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -159,6 +159,7 @@
         attempt: 0,
         saved_run: Duration::ZERO,
         exclude: Vec::new(),
+        failed_on: Vec::new(),
     }
 }
 
--- a/crates/policy/tests/fuzz/world.rs
+++ b/crates/policy/tests/fuzz/world.rs
@@ -257,6 +257,7 @@
             attempt: 0,
             saved_run: Duration::ZERO,
             exclude: Vec::new(),
+            failed_on: Vec::new(),
         }
     }
 
--- a/crates/replay/src/cost.rs
+++ b/crates/replay/src/cost.rs
@@ -199,6 +199,7 @@
             attempt: 0,
             saved_run: Duration::ZERO,
             exclude: Vec::new(),
+            failed_on: Vec::new(),
         };
         self.core.apply(event::HallEvent::Arrived(item), self.now);
     }
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -204,6 +204,7 @@
         attempt: 0,
         saved_run: Duration::ZERO,
         exclude: Vec::new(),
+        failed_on: Vec::new(),
     };
     TraceItem { item, at, run, cancel_at: None, flaw }
 }
