--- a/crates/daemon/examples/fleetbench/fleet.rs
+++ b/crates/daemon/examples/fleetbench/fleet.rs
@@ -43,12 +43,17 @@
     pub(crate) version: ids::ConfigVersion,
     link: client::PeerClient,
     n_started: usize,
+    worker_poll: span::TimeSpan,
     keys: tempfile::TempDir,
 }
 
 impl BenchFleet {
     /// Starts everything and waits until each hall answers.
-    pub(crate) async fn start(n_instances: usize, n_workers: usize) -> anyhow::Result<BenchFleet> {
+    pub(crate) async fn start(
+        n_instances: usize,
+        n_workers: usize,
+        worker_poll: span::TimeSpan,
+    ) -> anyhow::Result<BenchFleet> {
         let document = document(n_workers);
         let platform = site::SiteServer::start(&plan::workers_of(&document), LIST_LAG).await?;
         let config = client::ClientConfig {
@@ -62,6 +67,7 @@
             version: 0,
             link: client::PeerClient::new(config)?,
             n_started: 0,
+            worker_poll,
             keys: tempfile::tempdir()?,
         };
         fleet.accept(document).await?;
@@ -175,6 +181,7 @@
             tls: None,
             timing: Some(model::TimingSettings {
                 drain_wait: span::TimeSpan::from_millis(100),
+                worker_poll: self.worker_poll,
                 ..model::TimingSettings::default()
             }),
             limits: None,
--- a/crates/daemon/examples/fleetbench/main.rs
+++ b/crates/daemon/examples/fleetbench/main.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use almondpass_schema::time;
 use clap::Parser;
 
 /// Sizes and spans of the measurement.
@@ -27,6 +28,9 @@
     /// Tasks that run on each worker while loaded.
     #[arg(long, default_value_t = 14)]
     tasks: usize,
+    /// Between renewals at a worker.
+    #[arg(long, default_value = "1s")]
+    worker_poll: time::TimeSpan,
     /// Seconds of each measurement of costs.
     #[arg(long, default_value_t = 15)]
     seconds: u64,
@@ -54,7 +58,7 @@
     n_workers: usize,
 ) -> anyhow::Result<report::BenchPoint> {
     let span = Duration::from_secs(args.seconds);
-    let mut fleet = fleet::BenchFleet::start(n_instances, n_workers).await?;
+    let mut fleet = fleet::BenchFleet::start(n_instances, n_workers, args.worker_poll).await?;
     let idle = cost::measure(&fleet, span).await;
     let versions = moves::change_configuration(&mut fleet, args.moves).await?;
     let tasks = tasks::run_tasks(&fleet, n_workers * args.tasks).await?;
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -78,6 +78,7 @@
         let mut answer = Err(no_holder::<C>());
         loop {
             let Some(address) = self.parts.find(call.hall()).await else {
+                count_repeat("no_holder");
                 if !search.pause().await {
                     return answer;
                 }
@@ -88,6 +89,7 @@
                     None => return Ok(reply),
                     Some(holder) => {
                         answer = Ok(reply);
+                        count_repeat("redirect");
                         self.parts.follow(call.hall(), &address, holder);
                     }
                 },
@@ -97,6 +99,7 @@
                     debug!(%error, hall = call.hall(), "the holder of a hall is not reached");
                     self.parts.miss(call.hall(), &address, &error.fault);
                     answer = Err(error);
+                    count_repeat("unreached");
                 }
                 Err(error) => return Err(error),
             }
@@ -228,6 +231,11 @@
     }
 }
 
+/// A call of a hall is tried again.
+fn count_repeat(cause: &'static str) {
+    metrics::counter!("almondpass_hall_asks_repeated_total", "cause" => cause).increment(1);
+}
+
 fn no_holder<C: call::HallCall>() -> error::CallError {
     error::CallError {
         step: C::PATH,
--- a/crates/membership/src/service.rs
+++ b/crates/membership/src/service.rs
@@ -163,6 +163,7 @@
         for address in &lost {
             info!(step = "membership", peer = address, "an instance is silent and taken for dead");
             self.holders.lose(address);
+            metrics::counter!("almondpass_membership_lost_total").increment(1);
         }
         self.publish();
         if self.took_hall(&own.halls) {
@@ -185,6 +186,7 @@
             Ok(reply) => self.hear(&reply),
             Err(error) => {
                 debug!(%error, "a beat was not answered");
+                metrics::counter!("almondpass_membership_beats_unanswered_total").increment(1);
                 if error.fault.had_no_effect() {
                     self.lock().strike(&peer);
                 }
