--- a/crates/daemon/examples/fleetbench/main.rs
+++ b/crates/daemon/examples/fleetbench/main.rs
@@ -2,7 +2,7 @@
 //! the fleet: whole instances in one process, over sockets of loopback, on the stand-in platform.
 //!
 //! ```text
-//! cargo run --release -p almondpass-daemon --example fleetbench -- --instances 3,9,30 --workers 50,400,1300
+//! cargo run --release -p almondpass-daemon --example fleetbench -- --seconds 10 --moves 2
 //! ```
 
 mod cost;
@@ -28,6 +28,10 @@
     /// Tasks that run on each worker while loaded.
     #[arg(long, default_value_t = 14)]
     tasks: usize,
+    /// Seconds that the tasks run before the costs are measured; workers of old tasks are called
+    /// less often.
+    #[arg(long, default_value_t = 125)]
+    age: u64,
     /// Between renewals at a worker.
     #[arg(long, default_value = "1s")]
     worker_poll: time::TimeSpan,
@@ -62,6 +66,9 @@
     let idle = cost::measure(&fleet, span).await;
     let versions = moves::change_configuration(&mut fleet, args.moves).await?;
     let tasks = tasks::run_tasks(&fleet, n_workers * args.tasks).await?;
+    if 0 < tasks {
+        tokio::time::sleep(Duration::from_secs(args.age)).await;
+    }
     let loaded = cost::measure(&fleet, span).await;
     let hand_overs = moves::hand_over(&mut fleet, args.moves).await?;
     let takeovers = moves::crash(&mut fleet, args.moves).await?;
