Settle starts without answer; count failures in any order

Change: an answered stop stays answered; failed attempts are kept one by one; a look follows the answer to the stop of a start that was never confirmed.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -42,7 +42,7 @@
                     && run.phase == job::RunPhase::Ordered
                 {
                     run.phase = job::RunPhase::Unclear { since: now };
-                    self.orders.push(order::PoolOrder::Look { worker: start.worker.clone() });
+                    self.order_look(&start.worker);
                 }
             }
             order::StartAnswer::Replaced => self.worker_replaced(&start.worker, now),
@@ -55,10 +55,14 @@
             self.missed(&stop.worker);
             return;
         }
-        if let Some(run) = self.run_of(&stop.worker, stop.task, stop.attempt)
-            && let job::RunPhase::Stopping { acked_at, .. } = &mut run.phase
-        {
+        let Some(run) = self.run_of(&stop.worker, stop.task, stop.attempt) else { return };
+        let is_confirmed = run.is_confirmed;
+        if let job::RunPhase::Stopping { acked_at, .. } = &mut run.phase {
             acked_at.get_or_insert(now);
+            if !is_confirmed {
+                // It may never have started, and then no end is listed: only a look tells.
+                self.order_look(&stop.worker);
+            }
         }
     }
 
@@ -71,14 +75,18 @@
     }
 
     fn start_confirmed(&mut self, start: &order::StartOrder, now: Duration) {
-        if let Some(run) = self.run_of(&start.worker, start.task, start.attempt)
-            && matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. })
-        {
+        let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
+        run.is_confirmed = true;
+        if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
         }
     }
 
+    fn order_look(&mut self, worker: &ids::WorkerId) {
+        self.orders.push(order::PoolOrder::Look { worker: worker.clone() });
+    }
+
     fn start_refused(
         &mut self,
         start: &order::StartOrder,
@@ -99,7 +107,7 @@
             worker.pauses_until = worker.pauses_until.max(now + pause);
         }
         tracing::info!(worker = start.worker, ?refusal, "start refused");
-        self.orders.push(order::PoolOrder::Look { worker: start.worker.clone() });
+        self.order_look(&start.worker);
         self.withdraw(start, now);
     }
 
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -164,6 +164,7 @@
             worker: worker.clone(),
             attempt,
             phase: job::RunPhase::Ordered,
+            is_confirmed: false,
             since: now,
             percent: 0,
             percent_at: now,
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -117,7 +117,7 @@
         if !failures.count_attempt(attempt) {
             return 0;
         }
-        let is_last = failures.count >= most;
+        let is_last = failures.count() >= most;
         self.spread_checkpoint(key);
         let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
         if is_last && !job.has_ended() {
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -45,7 +45,7 @@
     pub spec: model::GraphStep,
     /// The tasks.
     pub tasks: Vec<TaskRecord>,
-    /// Failures of the gang, and its highest attempt that failed.
+    /// Failures of the gang.
     pub gang_failures: FailureCount,
 }
 
@@ -70,13 +70,12 @@
     pub waits_since: Duration,
 }
 
-/// Failures, each counted once although a worker may list its end to two schedulers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// The attempts that failed. Each counts once although a worker may list its end to two
+/// schedulers, and in whatever order the ends are listed: a worker that was cut off lists an early
+/// attempt late.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FailureCount {
-    /// How many.
-    pub count: u32,
-    /// Attempt of the last one.
-    pub last_attempt: u32,
+    attempts: Vec<u32>,
 }
 
 /// One attempt of a task on a worker.
@@ -88,6 +87,8 @@
     pub attempt: u32,
     /// How far the orders for it are.
     pub phase: RunPhase,
+    /// Whether the worker has said that it has, or had, it.
+    pub is_confirmed: bool,
     /// When it was ordered, or found.
     pub since: Duration,
     /// Progress that the worker reported last, in percent.
@@ -130,13 +131,27 @@
 }
 
 impl FailureCount {
+    /// Failures of these attempts.
+    pub fn of_attempts(attempts: Vec<u32>) -> FailureCount {
+        FailureCount { attempts }
+    }
+
+    /// The attempts that failed.
+    pub fn attempts(&self) -> &[u32] {
+        &self.attempts
+    }
+
+    /// How many failed.
+    pub fn count(&self) -> u32 {
+        self.attempts.len() as u32
+    }
+
     /// Counts the failure of `attempt`, unless it was counted before.
     pub fn count_attempt(&mut self, attempt: u32) -> bool {
-        if attempt <= self.last_attempt {
+        if self.attempts.contains(&attempt) {
             return false;
         }
-        self.last_attempt = attempt;
-        self.count += 1;
+        self.attempts.push(attempt);
         true
     }
 }
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -136,6 +136,7 @@
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
+        run.is_confirmed = true;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
@@ -166,6 +167,7 @@
             worker: worker.clone(),
             attempt: listed.attempt,
             phase: job::RunPhase::Running { confirmed_at: now },
+            is_confirmed: true,
             since: now,
             percent: listed.percent,
             percent_at: now,
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -95,12 +95,11 @@
     let tasks = || step.tasks.iter().enumerate().map(|(index, it)| (index as u32, it));
     let failures = |task: u32, it: &job::FailureCount| model::TaskFailures {
         task,
-        count: it.count,
-        last_attempt: it.last_attempt,
+        attempts: it.attempts().to_vec(),
     };
-    let failed = tasks().filter(|(_, it)| it.failures.count > 0);
+    let failed = tasks().filter(|(_, it)| it.failures.count() > 0);
     let mut failed = failed.map(|(task, it)| failures(task, &it.failures)).collect::<Vec<_>>();
-    if step.spec.gang && step.gang_failures.count > 0 {
+    if step.spec.gang && step.gang_failures.count() > 0 {
         failed = vec![failures(0, &step.gang_failures)];
     }
     let started = tasks().filter(|(_, it)| it.attempt > 0 && !it.done);
@@ -127,7 +126,7 @@
         }
     }
     for it in saved.failures {
-        let failures = job::FailureCount { count: it.count, last_attempt: it.last_attempt };
+        let failures = job::FailureCount::of_attempts(it.attempts);
         if step.spec.gang {
             step.gang_failures = failures;
         } else if let Some(task) = step.tasks.get_mut(it.task as usize) {
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -68,15 +68,17 @@
                 let job::RunPhase::Stopping { asked_at, acked_at } = run.phase else { continue };
                 let wait = if acked_at.is_some() { patience } else { STOP_AGAIN };
                 if now >= asked_at + wait {
-                    again.push((id.clone(), *key, run.attempt));
+                    again.push((id.clone(), *key, run.attempt, acked_at));
                 }
             }
         }
-        for (worker, key, attempt) in again {
+        for (worker, key, attempt, acked_at) in again {
             if let Some(job) = self.jobs.get_mut(&key.graph)
                 && let Some(run) = job.task_mut(key).and_then(|it| it.run.as_mut())
             {
-                run.phase = job::RunPhase::Stopping { asked_at: now, acked_at: None };
+                // An answer to an earlier stop counts on: a look that was sent behind it settles
+                // the run, and may take longer than the wait before the next stop.
+                run.phase = job::RunPhase::Stopping { asked_at: now, acked_at };
             }
             self.order_stop(worker, key, attempt);
         }
--- /dev/null
+++ b/crates/graph/tests/pool/failures.rs
@@ -0,0 +1,61 @@
+//! Failures of tasks, and how often a task may fail.
+
+use std::time::Duration;
+
+use almondpass_graph::order;
+use almondpass_schema::model;
+
+use crate::support;
+
+/// Symptom: a task was started a third time although two failures, the most allowed, were listed.
+/// Sequence: attempt 1 fails on a worker that is cut off; its lease lapses, attempt 2 fails
+/// elsewhere and is counted; the first worker comes back and lists its failure.
+/// Cause: only failures of higher attempts than the last one counted.
+#[test]
+fn failures_count_in_whatever_order_they_are_listed() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let first = bench.turn_and_start().remove(0);
+    let cut_off = support::index_of(&first.worker);
+    let other = 1 - cut_off;
+    bench.core.hold_missed(&first.worker);
+    bench.pass(8_000);
+    bench.lists(other, &[], &[]);
+    let second = bench.turn_and_start().remove(0);
+    bench.lists(other, &[], &[support::ended(1, &second, order::EndKind::Failed)]);
+    bench.core.take_orders();
+
+    bench.lists(cut_off, &[], &[support::ended(1, &first, order::EndKind::Failed)]);
+
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.save();
+    assert_eq!(bench.core.state_of(1), Some((model::GraphState::Failed, Some("lab"))));
+}
+
+/// Symptom: a job is shown as failed after one failure. Sequence: a scheduler saves the failure
+/// and is replaced before it has acknowledged the end; the next one is listed the same end again.
+#[test]
+fn a_failure_that_is_listed_to_two_schedulers_counts_once() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let first = bench.turn_and_start().remove(0);
+    let failed = support::ended(1, &first, order::EndKind::Failed);
+    let worker = support::index_of(&first.worker);
+    bench.lists(worker, &[], std::slice::from_ref(&failed));
+    let saved = bench.core.take_batch(90).unwrap();
+
+    let mut next = support::PoolBench::unanswered(2, Duration::ZERO);
+    next.core.admit(
+        almondpass_graph::intake::AdmittedJob {
+            graph: 1,
+            row: support::job(1, support::tasks(1)),
+            progress: Some(saved.rows[0].1.clone()),
+            inherited: true,
+        },
+        next.now,
+    );
+    next.lists(worker, &[], &[failed]);
+    next.lists(1 - worker, &[], &[]);
+
+    assert_eq!(support::starts(&next.turn()).len(), 1);
+}
--- /dev/null
+++ b/crates/graph/tests/pool/main.rs
@@ -0,0 +1,5 @@
+//! The core of a pool, driven by hand: what it orders, given what workers answer.
+
+mod failures;
+mod stops;
+mod support;
--- /dev/null
+++ b/crates/graph/tests/pool/support.rs
@@ -0,0 +1,210 @@
+//! A core with workers that answer as told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_graph::{core, intake, order, room, task_key, terms, worker};
+use almondpass_schema::{ids, model};
+
+/// What each worker offers.
+pub(crate) const CAPACITY: room::Room =
+    room::Room { cpu_milli: 32_000, memory_mb: 65_536, accelerators: 8 };
+
+/// Workers of one rack.
+const RACK: usize = 8;
+
+/// A core, the time, and the workers' clocks, which follow it.
+pub(crate) struct PoolBench {
+    pub(crate) core: core::PoolCore,
+    pub(crate) now: Duration,
+}
+
+impl PoolBench {
+    /// `n_workers` workers in racks of eight, all of which have answered.
+    pub(crate) fn new(n_workers: usize) -> PoolBench {
+        let mut bench = PoolBench::unanswered(n_workers, Duration::ZERO);
+        for index in 0..n_workers {
+            bench.lists(index, &[], &[]);
+        }
+        bench
+    }
+
+    /// Workers that have not answered yet; what an earlier scheduler ordered ends by `settles_at`.
+    pub(crate) fn unanswered(n_workers: usize, settles_at: Duration) -> PoolBench {
+        let start = core::PoolStart {
+            terms: terms::PoolTerms::default(),
+            catalog: Arc::default(),
+            settles_at,
+        };
+        let mut bench =
+            PoolBench { core: core::PoolCore::new(start), now: Duration::from_secs(1_000) };
+        for index in 0..n_workers {
+            bench.core.learn_worker(worker_id(index), listing(index), bench.now);
+        }
+        bench.save();
+        bench
+    }
+
+    pub(crate) fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    /// Saves everything that has changed.
+    pub(crate) fn save(&mut self) {
+        while let Some(batch) = self.core.take_batch(90) {
+            self.core.batch_saved(&batch);
+        }
+    }
+
+    pub(crate) fn admit(&mut self, graph: ids::GraphId, row: model::GraphRow) {
+        let admitted = intake::AdmittedJob { graph, row, progress: None, inherited: false };
+        self.core.admit(admitted, self.now);
+    }
+
+    pub(crate) fn turn(&mut self) -> Vec<order::PoolOrder> {
+        self.core.turn(self.now);
+        self.core.take_orders()
+    }
+
+    /// Turns, and lets every start succeed.
+    pub(crate) fn turn_and_start(&mut self) -> Vec<order::StartOrder> {
+        let starts = starts(&self.turn());
+        for start in &starts {
+            self.started(start);
+        }
+        starts
+    }
+
+    pub(crate) fn started(&mut self, start: &order::StartOrder) {
+        let clock_ms = self.clock_ms();
+        let answer = order::StartAnswer::Started { clock_ms };
+        self.core.start_answered(start, answer, self.now);
+    }
+
+    /// A worker answers a look sent a moment ago.
+    pub(crate) fn lists(
+        &mut self,
+        worker: usize,
+        running: &[order::ListedRun],
+        ended: &[order::ListedEnd],
+    ) {
+        self.lists_to(worker, running, ended, self.now);
+    }
+
+    /// A worker answers a look sent at `sent_at`.
+    pub(crate) fn lists_to(
+        &mut self,
+        worker: usize,
+        running: &[order::ListedRun],
+        ended: &[order::ListedEnd],
+        sent_at: Duration,
+    ) {
+        let listed = order::WorkerListed {
+            clock_ms: self.clock_ms(),
+            running: running.to_vec(),
+            ended: ended.to_vec(),
+            complete: true,
+        };
+        self.core.hold_answered(&worker_id(worker), listed, sent_at, self.now);
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.now.as_millis() as u64
+    }
+}
+
+pub(crate) fn worker_id(index: usize) -> ids::WorkerId {
+    format!("w{index:02}")
+}
+
+/// Index of a worker by its id.
+pub(crate) fn index_of(worker: &str) -> usize {
+    worker.trim_start_matches('w').parse().unwrap()
+}
+
+pub(crate) fn listing(index: usize) -> worker::WorkerListing {
+    let rack = format!("r{}", index / RACK);
+    worker::WorkerListing {
+        address: format!("127.0.0.1:{}", 8_000 + index),
+        upstream: "analysis".to_owned(),
+        capacity: CAPACITY,
+        labels: vec!["a".to_owned(), rack.clone()],
+        rack,
+        leaves_in: None,
+    }
+}
+
+/// A job of one step.
+pub(crate) fn job(priority: u32, step: model::GraphStep) -> model::GraphRow {
+    model::GraphRow {
+        account: Some("lab".to_owned()),
+        cancelled: false,
+        class: format!("class-{priority}"),
+        graph: model::JobGraph { body: "sample".to_owned(), steps: vec![step] },
+        max_attempts: 2,
+        priority,
+        upstream: "analysis".to_owned(),
+    }
+}
+
+/// `n` tasks of one accelerator each.
+pub(crate) fn tasks(n: u32) -> model::GraphStep {
+    model::GraphStep {
+        accelerators: 1,
+        after: Vec::new(),
+        cpu_milli: 2_000,
+        estimate_ms: 2_500,
+        gang: false,
+        label: None,
+        memory_mb: 4_000,
+        per_worker: 0,
+        rack: None,
+        same_rack: false,
+        saves: false,
+        tasks: n,
+    }
+}
+
+/// `n` tasks that take a whole worker each.
+pub(crate) fn whole_workers(n: u32) -> model::GraphStep {
+    model::GraphStep { accelerators: 8, ..tasks(n) }
+}
+
+/// The same tasks as a gang.
+pub(crate) fn gang(step: model::GraphStep) -> model::GraphStep {
+    model::GraphStep { gang: true, ..step }
+}
+
+pub(crate) fn starts(orders: &[order::PoolOrder]) -> Vec<order::StartOrder> {
+    let starts = orders.iter().filter_map(|it| match it {
+        order::PoolOrder::Start(start) => Some(start.clone()),
+        _ => None,
+    });
+    starts.collect()
+}
+
+pub(crate) fn stops(orders: &[order::PoolOrder]) -> Vec<order::StopOrder> {
+    let stops = orders.iter().filter_map(|it| match it {
+        order::PoolOrder::Stop(stop) => Some(stop.clone()),
+        _ => None,
+    });
+    stops.collect()
+}
+
+pub(crate) fn key(graph: ids::GraphId, task: u32) -> task_key::TaskKey {
+    task_key::TaskKey { graph, occurrence: 0, step: 0, task }
+}
+
+/// A run as a worker lists it.
+pub(crate) fn running(start: &order::StartOrder, percent: u32) -> order::ListedRun {
+    order::ListedRun { task: start.task, attempt: start.attempt, checkpoint: None, percent }
+}
+
+/// An end as a worker lists it.
+pub(crate) fn ended(
+    number: u64,
+    start: &order::StartOrder,
+    how: order::EndKind,
+) -> order::ListedEnd {
+    order::ListedEnd { number, task: start.task, attempt: start.attempt, how, checkpoint: None }
+}
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2081,13 +2081,11 @@
     #[serde(rename = "stopped")]
     Stopped,
 }
-///How often a task has failed.
+///Which attempts of a task have failed.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TaskFailures {
-    ///How often.
-    pub count: u32,
-    ///The last attempt that failed, so that none counts twice.
-    pub last_attempt: u32,
+    ///The attempts that failed, so that none counts twice.
+    pub attempts: ::std::vec::Vec<u32>,
     ///Index of the task.
     pub task: u32,
 }
