--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -7,7 +7,7 @@
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 /// Crates of an instance.
 const CRATES: [&str; 8] =
-    ["config", "console", "daemon", "entry", "hall", "membership", "peer", "platform"];
+    ["config", "console", "daemon", "entry", "hall", "membership", "peer", "ports"];
 
 #[test]
 fn the_page_names_each_metric_and_no_other() {
