Keep workers empty for urgent work; tell slow workers and hanging tasks by progress

Change: workers are kept empty by the use of urgent work lately; room is cleared where it is worth it or a guarantee is due; pace of runs against siblings, themselves and their class; urgent units move off slow workers early.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -7,6 +7,7 @@
 use crate::core;
 use crate::job;
 use crate::order;
+use crate::pace;
 use crate::task_key;
 
 /// Wait before a worker that had no room although the book says so is used again. The next look
@@ -80,6 +81,7 @@
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
+            run.pace = pace::RunPace::new(now, 0);
         }
     }
 
--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -27,6 +27,11 @@
 }
 
 impl WorkerBerth {
+    /// Whether nothing is on it.
+    pub fn is_empty(&self) -> bool {
+        self.free == self.capacity
+    }
+
     /// Of `free`, what `unit` may take: all that is not being cleared for others.
     pub fn left_for(&self, unit: task_key::UnitKey, free: room::Room) -> room::Room {
         let others = self.claims.iter().filter(|(it, _)| *it != unit);
@@ -57,6 +62,8 @@
     pub present: Vec<u32>,
     /// Workers to avoid, as tasks of the unit failed there.
     pub avoids: Vec<&'a str>,
+    /// Workers that it has to leave empty.
+    pub keeps_empty: usize,
     /// Whether it may run where it takes longer: off the rack of its data, or across racks.
     pub far: bool,
 }
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -14,7 +14,7 @@
 use crate::worker;
 
 /// Priority of the work that may stop other work.
-const URGENT: u32 = 0;
+pub(crate) const URGENT: u32 = 0;
 
 /// Room is kept for a unit this much longer than a stop takes.
 const CLAIM_SLACK: Duration = Duration::from_millis(800);
@@ -28,6 +28,15 @@
 /// nothing less urgent will do: it costs this many times as much.
 const URGENT_COST: u64 = 20;
 
+/// Other work is stopped at once for an urgent unit if no more than this many times the work of
+/// the unit is lost. The users value a second of urgent work about six times as high as one of
+/// other work that has to be done again.
+const WORTH_FACTOR: u64 = 1000;
+
+/// Time kept for looking, stopping and starting before a guarantee has to be back, beyond the time
+/// that a stop takes. Until then tasks that end by themselves may make the room.
+const GUARANTEE_SLACK: Duration = Duration::from_millis(1_200);
+
 /// A task at this percentage is nearly done; stopping it costs three times as much.
 const NEARLY_DONE: u32 = 75;
 
@@ -66,6 +75,9 @@
         let Some(ask) = self.ask(unit, berths, now) else { return };
         let room = ask.room;
         let Some(plan) = reclaiming::reclaim(berths, &victims, &freeing, &ask) else { return };
+        if !self.is_worth(unit, &ask, plan.cost, now) {
+            return;
+        }
         tracing::info!(
             job = format_args!("{:016x}", unit.graph),
             step = unit.step,
@@ -87,6 +99,26 @@
         }
     }
 
+    /// Whether the unit is worth what its room costs, or a guarantee leaves no choice.
+    fn is_worth(
+        &self,
+        unit: task_key::UnitKey,
+        ask: &berth::PlaceAsk,
+        cost: u64,
+        now: Duration,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&unit.graph) else { return false };
+        let run = self.run_times.mean(&job.class).as_millis() as u64;
+        let own = u64::from(ask.n_tasks) * ask.room.weight() * run / 1_000;
+        if cost <= WORTH_FACTOR * own {
+            return true;
+        }
+        let reserved = self.terms.stop_timeout + GUARANTEE_SLACK;
+        let is_late = now >= job.admitted_at + self.terms.reclaim_within.saturating_sub(reserved);
+        let account = job.account.as_deref();
+        is_late && account.is_some_and(|it| self.accounts_within_guarantee().contains(it))
+    }
+
     fn has_claims(&self, unit: task_key::UnitKey) -> bool {
         self.workers.values().any(|it| it.claims.iter().any(|it| it.unit == unit))
     }
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -7,6 +7,7 @@
 use almondpass_schema::{ids, model};
 
 use crate::catalog;
+use crate::headroom;
 use crate::job;
 use crate::order;
 use crate::run_times;
@@ -24,6 +25,7 @@
     pub(crate) workers: BTreeMap<ids::WorkerId, worker::WorkerRecord>,
     pub(crate) orders: Vec<order::PoolOrder>,
     pub(crate) run_times: run_times::RunTimes,
+    pub(crate) headroom: headroom::UrgentHeadroom,
     /// Until then, tasks of inherited jobs may run on workers that have not answered yet.
     pub(crate) settles_at: Duration,
     /// Number of the newest change that has to be durable.
@@ -58,6 +60,7 @@
             workers: BTreeMap::new(),
             orders: Vec::new(),
             run_times: run_times::RunTimes::default(),
+            headroom: headroom::UrgentHeadroom::default(),
             settles_at: start.settles_at,
             change: 0,
             durable_change: 0,
@@ -99,6 +102,11 @@
         waiting.filter(|it| !it.has_ended()).count() as u64
     }
 
+    /// Mean run time of a class, once enough of its runs were seen from their beginning.
+    pub fn usual_run_time(&self, class: &str) -> Option<Duration> {
+        self.run_times.known_mean(class)
+    }
+
     /// Whether anything is unfinished, so that turns are needed even without events.
     pub fn is_busy(&self) -> bool {
         self.jobs.values().any(|it| !it.has_ended())
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -6,9 +6,11 @@
 use almondpass_schema::{ids, model};
 
 use crate::berth;
+use crate::clearing;
 use crate::core;
 use crate::job;
 use crate::order;
+use crate::pace;
 use crate::placing;
 use crate::room;
 use crate::task_key;
@@ -20,10 +22,16 @@
 /// longer; behind that a place anywhere is sooner, at the users' remote factor of 3.
 const NEAR_PATIENCE: f64 = 1.0;
 
+/// A unit that has waited this long no longer leaves workers empty for urgent work, or it could
+/// wait for ever in a small pool.
+const HEADROOM_PATIENCE: Duration = Duration::from_secs(20);
+
 impl core::PoolCore {
     /// Takes note of the time, then starts what can start and clears room for urgent work.
     pub fn turn(&mut self, now: Duration) {
         self.keep_up(now);
+        let accelerators = self.workers.values().map(|it| it.listing.capacity.accelerators);
+        self.headroom.observe(self.urgent_accelerators(), accelerators.sum(), now);
         let units = self.waiting_units(now);
         if units.is_empty() {
             return;
@@ -65,6 +73,7 @@
                 && now < it.answered_at + ANSWERED_WITHIN
                 && now >= it.pauses_until
                 && !it.health.is_paused(now)
+                && now >= it.slow_until
         });
         let berths = usable.map(|(id, it)| berth::WorkerBerth {
             worker: id.clone(),
@@ -87,11 +96,39 @@
     ) -> bool {
         let Some(ask) = self.ask(unit, berths, now) else { return true };
         let Some(chosen) = placing::place(berths, &ask) else { return false };
+        let racks = chosen.iter().map(|it| &berths[*it].rack).collect::<BTreeSet<_>>();
+        let is_off = ask.rack.is_some_and(|rack| racks.iter().any(|it| *it != rack));
+        let is_far = is_off || (ask.same_rack && racks.len() > 1);
         let workers = chosen.iter().map(|it| berths[*it].worker.clone()).collect::<Vec<_>>();
-        self.start_unit(unit, workers, now);
+        self.start_unit(unit, workers, is_far, now);
         true
     }
 
+    /// Accelerators that urgent work uses.
+    fn urgent_accelerators(&self) -> u32 {
+        let urgent = self.jobs.values().filter(|it| it.priority == clearing::URGENT);
+        let steps = urgent.flat_map(|it| &it.steps);
+        let used = steps.map(|step| {
+            let n_runs = step.tasks.iter().filter(|it| it.run.is_some()).count() as u32;
+            n_runs * step.spec.accelerators
+        });
+        used.sum()
+    }
+
+    /// Workers that a unit of `job` leaves empty for more urgent work.
+    fn kept_empty(
+        &self,
+        job: &job::JobRecord,
+        berths: &[berth::WorkerBerth],
+        waited: Duration,
+    ) -> usize {
+        if job.priority == clearing::URGENT || waited >= HEADROOM_PATIENCE {
+            return 0;
+        }
+        let each = berths.first().map(|it| it.capacity).unwrap_or_default();
+        self.headroom.n_workers(each, berths.len())
+    }
+
     /// What a unit asks for.
     pub(crate) fn ask<'a>(
         &'a self,
@@ -105,6 +142,7 @@
             Some(task) => &step.tasks[task as usize..=task as usize],
             None => &step.tasks[..],
         };
+        let waited = now.saturating_sub(tasks.first()?.waits_since);
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: &job.upstream,
@@ -116,15 +154,21 @@
             per_worker: step.spec.per_worker,
             present: present(step, berths),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
+            keeps_empty: self.kept_empty(job, berths, waited),
             far: false,
         };
-        let waited = now.saturating_sub(tasks.first()?.waits_since);
         let patience = self.run_times.mean(&job.class).mul_f64(NEAR_PATIENCE);
         ask.far = waited >= patience || !placing::could_be_near(berths, &ask);
         Some(ask)
     }
 
-    fn start_unit(&mut self, unit: task_key::UnitKey, workers: Vec<ids::WorkerId>, now: Duration) {
+    fn start_unit(
+        &mut self,
+        unit: task_key::UnitKey,
+        workers: Vec<ids::WorkerId>,
+        is_far: bool,
+        now: Duration,
+    ) {
         let keys = self.unit_tasks(unit);
         let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
         job.started = true;
@@ -140,7 +184,7 @@
             worker.claims.retain(|it| it.unit != unit);
         }
         for (key, worker) in keys.into_iter().zip(workers) {
-            self.start_task(key, worker, attempt, now);
+            self.start_task(key, worker, StartTerms { attempt, is_far }, now);
         }
     }
 
@@ -148,9 +192,10 @@
         &mut self,
         key: task_key::TaskKey,
         worker: ids::WorkerId,
-        attempt: u32,
+        terms: StartTerms,
         now: Duration,
     ) {
+        let StartTerms { attempt, is_far } = terms;
         let start_term = self.terms.start_term;
         let Some(record) = self.workers.get_mut(&worker) else { return };
         let Some(deadline_ms) = record.clock.deadline_in(now, start_term) else { return };
@@ -165,9 +210,12 @@
             attempt,
             phase: job::RunPhase::Ordered,
             is_confirmed: false,
+            is_far,
+            is_whole: task.checkpoint.is_none(),
             since: now,
             percent: 0,
             percent_at: now,
+            pace: pace::RunPace::new(now, 0),
             saved_percent: 0,
         });
         record.runs.insert(key);
@@ -194,6 +242,13 @@
     }
 }
 
+/// How a unit starts.
+#[derive(Clone, Copy, Debug)]
+struct StartTerms {
+    attempt: u32,
+    is_far: bool,
+}
+
 fn waiting_units_of(graph: ids::GraphId, job: &job::JobRecord) -> Vec<task_key::UnitKey> {
     let mut units = Vec::new();
     for (index, step) in job.steps.iter().enumerate() {
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -24,6 +24,7 @@
         let known = task.run.as_ref();
         let known = known.filter(|it| it.worker == *worker && it.attempt == end.attempt);
         let since = known.map(|it| it.since);
+        let tells = known.is_some_and(|it| it.is_whole && !it.is_far);
         task.attempt = task.attempt.max(end.attempt);
         task.ended_attempt = task.ended_attempt.max(end.attempt);
         if end.checkpoint.is_some() {
@@ -44,7 +45,7 @@
         }
         match end.how {
             order::EndKind::Done => {
-                if let Some(since) = since {
+                if let Some(since) = since.filter(|_| tells) {
                     self.run_times.observe(&class, now.saturating_sub(since));
                 }
                 self.task_done(worker, key, now)
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -5,6 +5,7 @@
 
 use almondpass_schema::{ids, model};
 
+use crate::pace;
 use crate::room;
 use crate::task_key;
 
@@ -89,12 +90,18 @@
     pub phase: RunPhase,
     /// Whether the worker has said that it has, or had, it.
     pub is_confirmed: bool,
+    /// Whether it takes longer here, away from its data or from its gang.
+    pub is_far: bool,
+    /// Whether it was here from its beginning, so that its end tells how long its class takes.
+    pub is_whole: bool,
     /// When it was ordered, or found.
     pub since: Duration,
     /// Progress that the worker reported last, in percent.
     pub percent: u32,
     /// When the progress last changed.
     pub percent_at: Duration,
+    /// How fast it progresses.
+    pub pace: pace::RunPace,
     /// Progress at the newest checkpoint, in percent.
     pub saved_percent: u32,
 }
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -5,15 +5,21 @@
 
 use almondpass_schema::ids;
 
+use crate::clearing;
 use crate::core;
 use crate::job;
 use crate::order;
+use crate::pace;
 use crate::task_key;
 use crate::worker;
 
 /// A worker with tasks is looked at this often even if nothing ends, to see progress and hangs.
 const BUSY_WAIT: Duration = Duration::from_millis(1_000);
 
+/// A worker with urgent tasks is looked at this often: whether it has turned slow has to show while
+/// there is time to start them elsewhere.
+const URGENT_WAIT: Duration = Duration::from_millis(500);
+
 /// An idle worker is looked at this often; the longest wait that workers allow is 2 s.
 const IDLE_WAIT: Duration = Duration::from_millis(2_000);
 
@@ -24,6 +30,7 @@
     /// How to look at a worker next; nothing where it is no longer known.
     pub fn hold_ask(&mut self, worker: &ids::WorkerId, now: Duration) -> Option<order::HoldAsk> {
         let lease = self.terms.lease;
+        let busy_wait = if self.has_urgent(worker) { URGENT_WAIT } else { BUSY_WAIT };
         let record = self.workers.get_mut(worker)?;
         // To a worker that does not answer no new deadline is sent: it would move the moment
         // on from which its tasks have surely lapsed.
@@ -34,13 +41,19 @@
             // Ends that are not durable yet are listed again at once.
             _ if !record.unsaved_ends.is_empty() => Duration::ZERO,
             (false, _) => Duration::ZERO,
-            (true, true) => BUSY_WAIT,
+            (true, true) => busy_wait,
             (true, false) => IDLE_WAIT,
         };
         let address = record.listing.address.clone();
         Some(order::HoldAsk { address, deadline_ms, last_seen: record.acknowledged, wait })
     }
 
+    fn has_urgent(&self, worker: &ids::WorkerId) -> bool {
+        let runs = self.workers.get(worker).map(|it| &it.runs);
+        let mut jobs = runs.into_iter().flatten().filter_map(|it| self.jobs.get(&it.graph));
+        jobs.any(|it| it.priority == clearing::URGENT)
+    }
+
     /// Whether ends of the worker wait to become durable.
     pub fn has_unsaved_ends(&self, worker: &ids::WorkerId) -> bool {
         self.workers.get(worker).is_some_and(|it| !it.unsaved_ends.is_empty())
@@ -85,6 +98,7 @@
         if listed.complete {
             self.take_missing(worker, &running, sent_at, now);
         }
+        self.judge_pace(worker, now);
     }
 
     /// An earlier scheduler may have extended the lease just before.
@@ -141,6 +155,7 @@
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
         }
+        run.pace.observe(now, listed.percent);
         if run.percent != listed.percent {
             run.percent = listed.percent;
             run.percent_at = now;
@@ -168,9 +183,12 @@
             attempt: listed.attempt,
             phase: job::RunPhase::Running { confirmed_at: now },
             is_confirmed: true,
+            is_far: false,
+            is_whole: false,
             since: now,
             percent: listed.percent,
             percent_at: now,
+            pace: pace::RunPace::new(now, listed.percent),
             saved_percent: listed.percent,
         });
         if let Some(record) = self.workers.get_mut(worker) {
--- a/crates/graph/src/placing.rs
+++ b/crates/graph/src/placing.rs
@@ -3,7 +3,7 @@
 //! Tasks go where least is left over, so that whole workers and whole racks stay free for the
 //! tasks that need all accelerators of a worker and the gangs that need a rack.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::berth;
 
@@ -14,6 +14,9 @@
         1 => place_one(berths, ask).map(|it| vec![it]),
         _ => place_gang(berths, ask),
     }?;
+    if !leaves_enough_empty(berths, ask, &chosen) {
+        return None;
+    }
     for index in &chosen {
         berths[*index].free = berths[*index].free.minus(ask.room);
     }
@@ -37,18 +40,46 @@
 }
 
 fn place_one(berths: &[berth::WorkerBerth], ask: &berth::PlaceAsk) -> Option<usize> {
+    let free_by_rack = free_by_rack(berths);
+    let may_open = n_empty(berths, ask) > ask.keeps_empty;
     let fitting = berths.iter().enumerate().filter(|(index, it)| {
         let is_near = ask.rack.is_none_or(|rack| it.rack == rack);
-        (is_near || ask.far) && ask.count_on(*index, it, it.free) > 0
+        let is_open = may_open || !it.is_empty();
+        is_open && (is_near || ask.far) && ask.count_on(*index, it, it.free) > 0
     });
     let best = fitting.min_by_key(|(_, it)| {
         let is_far = ask.rack.is_some_and(|rack| it.rack != rack);
         let left = it.free.minus(ask.room);
-        (is_far, it.suspect, left.accelerators, left.cpu_milli)
+        // Among workers left alike, that of the fullest rack: racks that empty serve gangs.
+        let rack = free_by_rack.get(it.rack.as_str()).copied();
+        (is_far, it.suspect, left.accelerators, rack, left.cpu_milli)
     });
     best.map(|(index, _)| index)
 }
 
+/// Whether as many workers stay empty as the unit has to leave.
+fn leaves_enough_empty(
+    berths: &[berth::WorkerBerth],
+    ask: &berth::PlaceAsk,
+    chosen: &[usize],
+) -> bool {
+    let opened = chosen.iter().collect::<BTreeSet<_>>();
+    let n_opened = opened.iter().filter(|it| berths[***it].is_empty()).count();
+    n_opened == 0 || n_empty(berths, ask) >= n_opened + ask.keeps_empty
+}
+
+fn n_empty(berths: &[berth::WorkerBerth], ask: &berth::PlaceAsk) -> usize {
+    berths.iter().filter(|it| it.upstream == ask.upstream && it.is_empty()).count()
+}
+
+fn free_by_rack(berths: &[berth::WorkerBerth]) -> BTreeMap<&str, u32> {
+    let mut free = BTreeMap::new();
+    for it in berths {
+        *free.entry(it.rack.as_str()).or_default() += it.free.accelerators;
+    }
+    free
+}
+
 fn place_gang(berths: &[berth::WorkerBerth], ask: &berth::PlaceAsk) -> Option<Vec<usize>> {
     let counts = berths.iter().enumerate().map(|(index, it)| ask.count_on(index, it, it.free));
     let counts = counts.collect::<Vec<_>>();
--- a/crates/graph/src/reclaiming.rs
+++ b/crates/graph/src/reclaiming.rs
@@ -24,6 +24,8 @@
     pub victims: BTreeSet<usize>,
     /// Berths on which the unit will run, one for each task.
     pub berths: Vec<usize>,
+    /// Work that is lost, in core-milliseconds, with what the new starts cost.
+    pub cost: u64,
 }
 
 /// Chooses whom to stop for `ask`, at least cost. `freeing` is room of tasks that are stopping
@@ -36,8 +38,7 @@
 ) -> Option<ReclaimPlan> {
     let groups = berth_groups(berths, ask);
     let plans = groups.iter().filter_map(|it| plan_within(it, berths, victims, freeing, ask));
-    let best = plans.min_by_key(|(cost, _)| *cost);
-    best.map(|(_, plan)| plan)
+    plans.min_by_key(|it| it.cost)
 }
 
 /// Sets of berths within one of which the unit has to lie: a rack each where that matters.
@@ -60,7 +61,7 @@
     victims: &[ReclaimVictim],
     freeing: &[room::Room],
     ask: &berth::PlaceAsk,
-) -> Option<(u64, ReclaimPlan)> {
+) -> Option<ReclaimPlan> {
     let mut state = PlanState::new(berths, freeing, ask);
     let mut placed = Vec::<usize>::new();
     for _ in 0..ask.n_tasks {
@@ -73,7 +74,7 @@
         placed.push(option.index);
     }
     let cost = state.stopped.iter().map(|it| victims[*it].cost).sum();
-    Some((cost, ReclaimPlan { victims: state.stopped, berths: placed }))
+    Some(ReclaimPlan { victims: state.stopped, berths: placed, cost })
 }
 
 struct PlanState<'a> {
--- /dev/null
+++ b/crates/graph/src/slowness.rs
@@ -0,0 +1,100 @@
+//! Workers that turn slow, and urgent work on them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use almondpass_schema::ids;
+
+use crate::clearing;
+use crate::core;
+use crate::job;
+use crate::pace;
+use crate::task_key;
+
+/// A worker whose tasks are slow gets no new ones for this long behind the last sign; then the
+/// next ones show whether it still is.
+const SLOW_PAUSE: Duration = Duration::from_millis(2_500);
+
+/// An urgent unit moves off a slow worker only within this time of its start. Later it would be
+/// late in either place, and the slowness passes.
+const MOVES_WITHIN: Duration = Duration::from_millis(1_800);
+
+/// Attempts after which an urgent unit stays where it is.
+const MOST_MOVES: u32 = 3;
+
+/// Siblings whose median pace is believed.
+const N_SIBLINGS: usize = 2;
+
+impl core::PoolCore {
+    /// Judges a worker by the pace of what runs there.
+    pub(crate) fn judge_pace(&mut self, worker: &ids::WorkerId, now: Duration) {
+        let Some(record) = self.workers.get(worker) else { return };
+        let verdicts = record.runs.iter().map(|it| self.pace_of(*it)).collect::<Vec<_>>();
+        // One task at its usual pace clears the worker: a gang is as slow as its slowest member,
+        // wherever that is.
+        let is_slow = verdicts.contains(&pace::PaceVerdict::Slow)
+            && !verdicts.contains(&pace::PaceVerdict::Sound);
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        if is_slow {
+            if now >= record.slow_until {
+                tracing::info!(worker, n_runs = verdicts.len(), "worker is slow");
+            }
+            record.slow_until = now + SLOW_PAUSE;
+        }
+    }
+
+    /// Stops urgent units that progress far too slowly, so that they start elsewhere.
+    pub(crate) fn move_off_slow(&mut self, now: Duration) {
+        let keys = self.workers.values().flat_map(|it| it.runs.iter().copied());
+        let moving = keys.filter(|it| self.should_move(*it, now)).collect::<BTreeSet<_>>();
+        for key in moving {
+            tracing::info!(
+                job = format_args!("{:016x}", key.graph),
+                task = %key,
+                "urgent task is moved off a slow worker"
+            );
+            let worker = self.run(key).map(|it| it.worker.clone());
+            if let Some(record) = worker.and_then(|it| self.workers.get_mut(&it)) {
+                record.slow_until = record.slow_until.max(now + SLOW_PAUSE);
+            }
+            self.stop_run(key, now);
+        }
+    }
+
+    fn should_move(&self, key: task_key::TaskKey, now: Duration) -> bool {
+        let Some(job) = self.jobs.get(&key.graph) else { return false };
+        let Some(run) = self.run(key) else { return false };
+        let is_running = matches!(run.phase, job::RunPhase::Running { .. });
+        if job.priority != clearing::URGENT || !is_running || run.attempt >= MOST_MOVES {
+            return false;
+        }
+        let is_young = now <= run.since + MOVES_WITHIN;
+        let is_slow = self.pace_of(key) == pace::PaceVerdict::Slow;
+        let mean = self.run_times.mean(&job.class);
+        let anew = self.terms.stop_timeout + mean + mean / 4;
+        is_young && is_slow && run.pace.time_left().is_some_and(|it| it > anew)
+    }
+
+    fn pace_of(&self, key: task_key::TaskKey) -> pace::PaceVerdict {
+        let Some(run) = self.run(key) else { return pace::PaceVerdict::Unknown };
+        if !matches!(run.phase, job::RunPhase::Running { .. }) {
+            return pace::PaceVerdict::Unknown;
+        }
+        run.pace.verdict(self.usual_pace(key, run.is_far))
+    }
+
+    fn usual_pace(&self, key: task_key::TaskKey, is_far: bool) -> pace::UsualPace {
+        let Some(job) = self.jobs.get(&key.graph) else { return pace::UsualPace::default() };
+        let Some(step) = job.steps.get(key.step as usize) else {
+            return pace::UsualPace::default();
+        };
+        let others = step.tasks.iter().enumerate().filter(|(it, _)| *it != key.task as usize);
+        let runs = others.filter_map(|(_, it)| it.run.as_ref());
+        let mut paces = runs.filter_map(|it| it.pace.latest()).collect::<Vec<_>>();
+        paces.sort_by(f64::total_cmp);
+        let siblings = (paces.len() >= N_SIBLINGS).then(|| paces[paces.len() / 2]);
+        let factor = if is_far { self.terms.remote_factor } else { 1.0 };
+        let mean = self.run_times.known_mean(&job.class).map(|it| it.mul_f64(factor));
+        pace::UsualPace { siblings, class: mean.map(|it| 100.0 / it.as_secs_f64().max(0.001)) }
+    }
+}
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -21,6 +21,10 @@
 /// (11 s) takes 0.7 s on a worker that is 6.5 times slower, 2.2 s away from its data as well.
 const HANGS_AFTER: Duration = Duration::from_millis(3_000);
 
+/// A task that would lose more work than it has stood still is given this long: workers on which
+/// tasks stand still recover after about six seconds on the users' sites.
+const HANGS_LONG_AFTER: Duration = Duration::from_millis(8_000);
+
 /// Kept for stopping a task before its worker leaves, beyond the time that a stop takes.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -30,6 +34,7 @@
         self.drop_lapsed(now);
         self.repeat_stops(now);
         self.stop_hanging(now);
+        self.move_off_slow(now);
         self.clear_leaving(now);
         self.repair_gangs(now);
     }
@@ -89,10 +94,15 @@
         for (id, worker) in &self.workers {
             for key in &worker.runs {
                 let Some(run) = self.run(*key) else { continue };
-                let is_running = matches!(run.phase, job::RunPhase::Running { .. });
+                // A member of a gang that has done its work waits for the others.
+                let is_running =
+                    matches!(run.phase, job::RunPhase::Running { .. }) && run.percent < 100;
                 // Counted up to the last answer: without answers no progress is seen either.
                 let stood = worker.answered_at.saturating_sub(run.percent_at);
-                if is_running && stood >= HANGS_AFTER {
+                let worked = run.percent_at.saturating_sub(run.since);
+                let is_cheap = self.saves(*key) || worked <= HANGS_AFTER;
+                let patience = if is_cheap { HANGS_AFTER } else { HANGS_LONG_AFTER };
+                if is_running && stood >= patience {
                     hanging.push((id.clone(), *key));
                 }
             }
@@ -178,6 +188,11 @@
         self.run_times.mean(class).saturating_sub(ran)
     }
 
+    pub(crate) fn saves(&self, key: task_key::TaskKey) -> bool {
+        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        step.is_some_and(|it| it.spec.saves)
+    }
+
     pub(crate) fn run(&self, key: task_key::TaskKey) -> Option<&job::TaskRun> {
         self.jobs.get(&key.graph)?.task(key)?.run.as_ref()
     }
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -63,6 +63,8 @@
     pub strays: BTreeMap<task_key::TaskKey, StrayRun>,
     /// How it has been doing.
     pub health: health::WorkerHealth,
+    /// Its tasks are far slower than they should be; nothing is started before this.
+    pub slow_until: Duration,
     /// Nothing is started before this: it said that it has no room, or is unwell.
     pub pauses_until: Duration,
     /// Room that is being cleared for units.
--- /dev/null
+++ b/crates/graph/tests/pool/slowness.rs
@@ -0,0 +1,109 @@
+//! Tasks that progress slowly, or not at all.
+
+use std::time::Duration;
+
+use almondpass_graph::{order, pace};
+
+use crate::support;
+
+/// Symptom: gangs were stopped as hanging and started again from nothing. Sequence: one member is
+/// on a slow worker; the others have done their share and wait at 100 percent.
+/// Cause: progress that can't go on was taken for progress that stands still.
+#[test]
+fn a_member_that_waits_for_its_gang_does_not_hang() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::gang(support::whole_workers(2))));
+    let starts = bench.turn_and_start();
+    for step in 0..8 {
+        bench.pass(1_000);
+        let slow = support::running(&starts[1], 5 * step + 5);
+        bench.lists(
+            support::index_of(&starts[0].worker),
+            &[support::running(&starts[0], 100)],
+            &[],
+        );
+        bench.lists(support::index_of(&starts[1].worker), &[slow], &[]);
+        assert_eq!(support::stops(&bench.turn()), []);
+    }
+}
+
+#[test]
+fn a_task_that_stands_still_is_stopped() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let worker = support::index_of(&start.worker);
+    let mut n_stops = 0;
+    for _ in 0..4 {
+        bench.pass(1_000);
+        bench.lists(worker, &[support::running(&start, 7)], &[]);
+        n_stops += support::stops(&bench.turn()).len();
+    }
+    assert_eq!(n_stops, 1);
+}
+
+/// Symptom: after a takeover sound workers were taken for slow ones, and urgent work stopped far
+/// more than it was worth. Sequence: a scheduler takes over; tasks that it finds end a moment
+/// later. Cause: their run times were counted from when they were found, so that the usual run
+/// time of their class seemed a tenth of what it is.
+#[test]
+fn runs_found_at_a_takeover_do_not_tell_how_long_their_class_takes() {
+    let mut bench = support::PoolBench::unanswered(2, Duration::ZERO);
+    let row = support::job(1, support::tasks(8));
+    let admitted =
+        almondpass_graph::intake::AdmittedJob { graph: 1, row, progress: None, inherited: true };
+    bench.core.admit(admitted, bench.now);
+    let found = |task| order::StartOrder {
+        worker: support::worker_id(0),
+        address: String::new(),
+        task: almondpass_graph::task_key::TaskKey { graph: 1, occurrence: 0, step: 0, task },
+        attempt: 1,
+        body: "".into(),
+        deadline_ms: 0,
+        checkpoint: None,
+    };
+    let runs = (0..8).map(|it| support::running(&found(it), 90)).collect::<Vec<_>>();
+    bench.lists(0, &runs, &[]);
+    bench.pass(100);
+    let ends = (1..=8).zip(0..8);
+    let ends = ends.map(|(it, task)| support::ended(it, &found(task), order::EndKind::Done));
+    bench.lists(0, &[], &ends.collect::<Vec<_>>());
+    assert_eq!(bench.core.usual_run_time("class-1"), None);
+}
+
+/// Readings of a run in milliseconds and percent, and what they say of its worker.
+fn check_pace(readings: &[(u64, u32)], usual: pace::UsualPace, expected: pace::PaceVerdict) {
+    let mut run = pace::RunPace::new(Duration::ZERO, 0);
+    for (millis, percent) in readings {
+        run.observe(Duration::from_millis(*millis), *percent);
+    }
+    assert_eq!(run.verdict(usual), expected);
+}
+
+macro_rules! paces {
+    ($($(#[$doc:meta])* $name:ident: $readings:expr, $usual:expr => $verdict:ident;)*) => {
+        $($(#[$doc])* #[test]
+        fn $name() {
+            check_pace(&$readings, $usual, pace::PaceVerdict::$verdict);
+        })*
+    };
+}
+
+const NOTHING: pace::UsualPace = pace::UsualPace { siblings: None, class: None };
+/// Of tasks that take 2.5 s.
+const CLASS: pace::UsualPace = pace::UsualPace { siblings: None, class: Some(40.0) };
+const SIBLINGS: pace::UsualPace = pace::UsualPace { siblings: Some(40.0), class: Some(40.0) };
+
+paces! {
+    nothing_is_said_before_a_reading: [(100, 4)], CLASS => Unknown;
+    a_run_at_the_pace_of_its_class: [(500, 20)], CLASS => Sound;
+    the_longest_urgent_task_is_not_slow: [(500, 6), (1_000, 12)], CLASS => Unknown;
+    a_run_at_a_fifth_of_the_pace: [(500, 4), (1_000, 8)], CLASS => Slow;
+    a_run_that_has_lost_its_own_pace: [(1_000, 40), (2_000, 48)], NOTHING => Slow;
+    a_member_that_falls_behind_its_gang: [(500, 7)], SIBLINGS => Slow;
+    a_member_on_the_slower_kind_of_worker: [(500, 15)], SIBLINGS => Sound;
+    /// A task that resumes stands still until its checkpoint is restored.
+    a_run_that_restores_its_checkpoint: [(500, 0), (800, 0)], CLASS => Unknown;
+    /// A member that has done its share waits at 100 percent.
+    a_member_that_waits: [(500, 30), (1_000, 100), (1_500, 100)], CLASS => Sound;
+}
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, intake, order, room, task_key, terms, worker};
+use almondpass_graph::{core, intake, order, room, terms, worker};
 use almondpass_schema::{ids, model};
 
 /// What each worker offers.
@@ -191,10 +191,6 @@
     stops.collect()
 }
 
-pub(crate) fn key(graph: ids::GraphId, task: u32) -> task_key::TaskKey {
-    task_key::TaskKey { graph, occurrence: 0, step: 0, task }
-}
-
 /// A run as a worker lists it.
 pub(crate) fn running(start: &order::StartOrder, percent: u32) -> order::ListedRun {
     order::ListedRun { task: start.task, attempt: start.attempt, checkpoint: None, percent }
