--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -126,7 +126,8 @@
             return 0;
         }
         let each = berths.first().map(|it| it.capacity).unwrap_or_default();
-        self.headroom.n_workers(each, berths.len())
+        let n = self.headroom.n_workers(each, berths.len());
+        n * (1 + job.priority as usize) / 2
     }
 
     /// What a unit asks for.
--- a/crates/graph/src/headroom.rs
+++ b/crates/graph/src/headroom.rs
@@ -11,11 +11,11 @@
 const MEMORY: Duration = Duration::from_secs(8);
 
 /// Share of the mean use that is kept free beside it: urgent work comes in gangs, a few a second.
-const SHARE: f64 = 1.0;
+const SHARE: f64 = 1.4;
 
 /// Use that is assumed before anything is known, as a share of all accelerators. It fades like any
 /// other.
-const FIRST_SHARE: f64 = 0.15;
+const FIRST_SHARE: f64 = 0.2;
 
 /// Most workers kept empty, as a share of all.
 const MOST_SHARE: f64 = 0.4;
