Go round by a peer where the store turns an instance away

Ruled out: reporting not ready (the platform moves callers only after 2 s, and not while half of a data centre is out). Change: an instance asks up to three peers to store, cancel or look, one step only; an unclear answer of a peer counts as may-be-stored; while no peer can, none is asked for 0.6 s.

--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -81,6 +81,9 @@
     "/v1/peer/document" DocumentPull => DocumentPulled;
     "/v1/pool/nudge" GraphNudge => Ack;
     "/v1/pool/graph" GraphQuery => GraphAnswer;
+    "/v1/pool/submit" GraphSubmit => GraphSubmitted;
+    "/v1/pool/cancel" GraphCancel => GraphCancelled;
+    "/v1/pool/look" GraphLook => GraphLooked;
     "/v1/pool/backlog" BacklogQuery => BacklogAnswer;
     "/v1/hall/grant" GrantRequest => GrantReply;
     "/v1/hall/returns" GrantReturns => ReturnReply;
--- a/crates/peer/tests/decoders/main.rs
+++ b/crates/peer/tests/decoders/main.rs
@@ -130,7 +130,7 @@
     instances: InstanceQuery;
     worker: LeaseReserve TaskStart LeaseRenew TaskSignal LeaseRelease LeaseList;
     peers: PeerBeat ConfigFetch HandOver DocumentPull;
-    pools: GraphNudge GraphQuery BacklogQuery;
+    pools: GraphNudge GraphQuery GraphSubmit GraphCancel GraphLook BacklogQuery;
     halls: GrantRequest GrantReturns GrantReport JobSubmit JobQuery JobCancel HallQuery;
 }
 
--- a/crates/pool/src/cancel.rs
+++ b/crates/pool/src/cancel.rs
@@ -8,6 +8,7 @@
 use almondpass_schema::{ids, model};
 use tokio::time::{self, Instant};
 
+use crate::detour;
 use crate::entry;
 use crate::state;
 use crate::submit;
@@ -16,30 +17,42 @@
 /// Wait before the row is read and written again.
 const AGAIN: Duration = Duration::from_millis(80);
 
-/// What became of a cancelling.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CancelOutcome {
-    /// The job is marked as cancelled; it ends unless it has ended already.
-    Cancelled,
-    /// There is no such job of that account.
-    Absent,
-    /// Whether it is marked is not known.
-    Unknown,
-}
+/// The own way to the store is tried for this long before a peer is asked.
+const OWN_PATIENCE: Duration = Duration::from_millis(500);
 
-/// Marks a job as cancelled.
+/// Marks a job as cancelled: by the own way to the store, or by that of a peer.
 pub async fn cancel<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
-) -> CancelOutcome {
+) -> model::CancelOutcome {
+    if !state.is_store_away() {
+        let patience = deadline.min(Instant::now() + OWN_PATIENCE);
+        let outcome = cancel_here(state, graph, account, patience).await;
+        if outcome != model::CancelOutcome::Unknown {
+            return outcome;
+        }
+    }
+    match detour::cancel(state, graph, account, deadline).await {
+        detour::DetourOutcome::Served(outcome) => outcome,
+        _ => cancel_here(state, graph, account, deadline).await,
+    }
+}
+
+/// Marks a job as cancelled by the own way to the store.
+pub(crate) async fn cancel_here<S: state::PoolSite>(
+    state: &Arc<state::PoolState<S>>,
+    graph: ids::GraphId,
+    account: Option<&str>,
+    deadline: Instant,
+) -> model::CancelOutcome {
     loop {
         if let Some(outcome) = try_cancel(state, graph, account).await {
             return outcome;
         }
         if Instant::now() + AGAIN >= deadline {
-            return CancelOutcome::Unknown;
+            return model::CancelOutcome::Unknown;
         }
         time::sleep(AGAIN).await;
     }
@@ -49,13 +62,13 @@
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     account: Option<&str>,
-) -> Option<CancelOutcome> {
+) -> Option<model::CancelOutcome> {
     let read = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await.ok()?;
     let Some((mut row, version)) = read.filter(|(it, _)| it.account.as_deref() == account) else {
-        return Some(CancelOutcome::Absent);
+        return Some(model::CancelOutcome::Absent);
     };
     if row.cancelled {
-        return Some(CancelOutcome::Cancelled);
+        return Some(model::CancelOutcome::Cancelled);
     }
     row.cancelled = true;
     let transaction = model::TableTransaction {
@@ -68,5 +81,5 @@
     };
     let version = versions.first().copied().unwrap_or_default();
     submit::nudge(state, model::GraphNudge { graph, version, row });
-    Some(CancelOutcome::Cancelled)
+    Some(model::CancelOutcome::Cancelled)
 }
--- a/crates/pool/src/document_follower.rs
+++ b/crates/pool/src/document_follower.rs
@@ -40,6 +40,7 @@
                     tracing::info!("the store answers again");
                 }
                 is_away = false;
+                state.set_store_away(false);
                 after = Some(rows.version);
                 take(&state, &rows.rows);
             }
@@ -49,6 +50,7 @@
                     tracing::warn!(%error, "the store does not answer");
                 }
                 is_away = true;
+                state.set_store_away(true);
                 // The connection may be at fault; the table is read anew once it answers.
                 after = None;
                 ask_peers(&state, &mut next_peer).await;
--- a/crates/pool/src/entry.rs
+++ b/crates/pool/src/entry.rs
@@ -9,43 +9,60 @@
 use almondpass_schema::{ids, model};
 use tokio::time::{self, Instant};
 
+use crate::detour;
 use crate::state;
 
 /// For the holder of the tenure to answer before the store is asked.
 const HOLDER_DEADLINE: Duration = Duration::from_millis(250);
 
+/// The own way to the store is tried for this long before a peer is asked.
+const OWN_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Wait before the store is read again after a failure.
 const READ_AGAIN: Duration = Duration::from_millis(100);
 
-/// How far a job is, as callers are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StateAnswer {
-    /// It is known.
-    Known(model::GraphState),
-    /// There is no such job of that account.
-    Absent,
-    /// Nobody who knows could be asked in time.
-    Unavailable,
+/// How far a job is. The holder of the tenure is asked first, then the store, and a peer where
+/// neither gives an answer.
+pub async fn state_of<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    graph: ids::GraphId,
+    account: Option<&str>,
+    deadline: Instant,
+) -> model::LookOutcome {
+    let patience = if state.is_store_away() { Duration::ZERO } else { OWN_PATIENCE };
+    let own = deadline.min(Instant::now() + patience);
+    match state_here(state, graph, account, own).await {
+        model::LookOutcome::Unavailable => {}
+        answer => return answer,
+    }
+    match detour::look(state, graph, account, deadline).await {
+        detour::DetourOutcome::Served(answer) => answer,
+        _ => state_here(state, graph, account, deadline).await,
+    }
 }
 
-/// How far a job is. The holder of the tenure is asked first, and the store where that gives none.
-pub async fn state_of<S: state::PoolSite>(
+/// How far a job is, by the holder of the tenure or the own way to the store.
+pub(crate) async fn state_here<S: state::PoolSite>(
     state: &state::PoolState<S>,
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
-) -> StateAnswer {
+) -> model::LookOutcome {
     let answer = ask_holder(state, model::GraphQuery { graph }).await;
     if let Some(model::GraphAnswer { account: owner, state: Some(known) }) = answer {
         let is_theirs = owner.as_deref() == account;
-        return if is_theirs { StateAnswer::Known(known) } else { StateAnswer::Absent };
+        return if is_theirs {
+            model::LookOutcome::Known(known)
+        } else {
+            model::LookOutcome::Absent
+        };
     }
     loop {
         if let Some(answer) = stored_state(state, graph, account).await {
             return answer;
         }
         if Instant::now() + READ_AGAIN >= deadline {
-            return StateAnswer::Unavailable;
+            return model::LookOutcome::Unavailable;
         }
         time::sleep(READ_AGAIN).await;
     }
@@ -88,21 +105,21 @@
     state: &state::PoolState<S>,
     graph: ids::GraphId,
     account: Option<&str>,
-) -> Option<StateAnswer> {
+) -> Option<model::LookOutcome> {
     let (row, progress) = tokio::try_join!(
         read::<S, model::GraphRow>(state, keys::graph(graph)),
         read::<S, model::ProgressRow>(state, keys::progress(graph)),
     )
     .ok()?;
     let Some((row, _)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
-        return Some(StateAnswer::Absent);
+        return Some(model::LookOutcome::Absent);
     };
     let known = match progress.map(|(it, _)| it.state) {
         Some(ended @ (model::GraphState::Completed | model::GraphState::Failed)) => ended,
         _ if row.cancelled => model::GraphState::Cancelled,
         known => known.unwrap_or(model::GraphState::Pending),
     };
-    Some(StateAnswer::Known(known))
+    Some(model::LookOutcome::Known(known))
 }
 
 /// Reads one row; nothing inside where there is none.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod submit;
 pub mod tenure_watch;
 
+mod detour;
 mod document_follower;
 mod graph_follower;
 mod lead;
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -1,15 +1,20 @@
 //! What an instance answers its peers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::{codec, dispatch, link};
 use almondpass_ports::row_feed;
 use almondpass_schema::{blob, model};
 use bytes::Bytes;
+use tokio::time::Instant;
 
+use crate::cancel;
+use crate::entry;
 use crate::graph_follower;
 use crate::state;
+use crate::submit;
 
 /// Answers the calls of peers.
 #[derive(Debug)]
@@ -58,6 +63,26 @@
         model::GraphAnswer { account: account.map(str::to_owned), state: Some(state) }
     }
 
+    async fn submit(&self, call: model::GraphSubmit) -> model::GraphSubmitted {
+        let deadline = deadline_in(call.patience_ms);
+        let outcome = submit::submit_here(&self.state, call.graph, &call.row, deadline).await;
+        model::GraphSubmitted { outcome }
+    }
+
+    async fn cancel(&self, call: model::GraphCancel) -> model::GraphCancelled {
+        let deadline = deadline_in(call.patience_ms);
+        let account = call.account.as_deref();
+        let outcome = cancel::cancel_here(&self.state, call.graph, account, deadline).await;
+        model::GraphCancelled { outcome }
+    }
+
+    async fn look(&self, call: model::GraphLook) -> model::GraphLooked {
+        let deadline = deadline_in(call.patience_ms);
+        let account = call.account.as_deref();
+        let outcome = entry::state_here(&self.state, call.graph, account, deadline).await;
+        model::GraphLooked { outcome }
+    }
+
     fn backlog(&self, query: &model::BacklogQuery) -> model::BacklogAnswer {
         let lead = self.state.lead();
         model::BacklogAnswer { waiting: lead.map(|it| it.core().backlog(&query.class)) }
@@ -72,6 +97,13 @@
             }
             model::GraphNudge::PATH => dispatch::answer(&body, async |it| self.nudge(it)).await,
             model::GraphQuery::PATH => dispatch::answer(&body, async |it| self.graph(&it)).await,
+            model::GraphSubmit::PATH => {
+                dispatch::answer(&body, async |it| self.submit(it).await).await
+            }
+            model::GraphCancel::PATH => {
+                dispatch::answer(&body, async |it| self.cancel(it).await).await
+            }
+            model::GraphLook::PATH => dispatch::answer(&body, async |it| self.look(it).await).await,
             model::BacklogQuery::PATH => {
                 dispatch::answer(&body, async |it| self.backlog(&it)).await
             }
@@ -79,3 +111,7 @@
         }
     }
 }
+
+fn deadline_in(patience_ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(patience_ms)
+}
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -1,6 +1,7 @@
 //! What the parts of an instance share.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use almondpass_peer::link;
@@ -9,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control;
+use crate::detour;
 use crate::document;
 use crate::lead;
 use crate::settings;
@@ -53,6 +55,10 @@
     holder: Mutex<Option<HolderView>>,
     /// The tenure, while this instance holds it.
     lead: Mutex<Option<Arc<lead::LeadState>>>,
+    /// Whether the store gives this instance no answers, as its last long call showed.
+    store_away: AtomicBool,
+    /// Whether calls by way of peers are worth a try.
+    detours: Mutex<detour::DetourState>,
     /// Peers that were found, by name.
     members: Mutex<BTreeMap<ids::InstanceId, ids::PeerAddress>>,
 }
@@ -76,6 +82,8 @@
             leaving: CancellationToken::new(),
             holder: Mutex::default(),
             lead: Mutex::default(),
+            store_away: AtomicBool::new(false),
+            detours: Mutex::default(),
             members: Mutex::default(),
         }
     }
@@ -115,6 +123,19 @@
         addresses
     }
 
+    /// Whether the store gives this instance no answers.
+    pub(crate) fn is_store_away(&self) -> bool {
+        self.store_away.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_store_away(&self, is_away: bool) {
+        self.store_away.store(is_away, Ordering::Relaxed);
+    }
+
+    pub(crate) fn detours(&self) -> MutexGuard<'_, detour::DetourState> {
+        lock(&self.detours)
+    }
+
     pub(crate) fn set_members(&self, members: BTreeMap<ids::InstanceId, ids::PeerAddress>) {
         *lock(&self.members) = members;
     }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -11,13 +11,18 @@
 use almondpass_schema::{blob, ids, model};
 use tokio::time::{self, Instant};
 
+use crate::detour;
 use crate::graph_follower;
 use crate::state;
 use crate::writer;
 
 /// A store that refuses is asked again for this long, so that one refusal in passing does not
 /// reach the caller; a longer outage does at once.
-const REFUSED_PATIENCE: Duration = Duration::from_millis(400);
+const REFUSED_PATIENCE: Duration = Duration::from_millis(250);
+
+/// The own way to the store is tried for this long before a peer is asked: a write takes up to
+/// 0.54 s while the store is 60 times slower.
+const OWN_PATIENCE: Duration = Duration::from_millis(650);
 
 /// Wait before the row is written again.
 const WRITE_AGAIN: Duration = Duration::from_millis(80);
@@ -25,42 +30,62 @@
 /// For the scheduler to take a nudge; the feed brings the row all the same.
 const NUDGE_DEADLINE: Duration = Duration::from_millis(500);
 
-/// What became of a submission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SubmitOutcome {
-    /// It is stored and will run.
-    Accepted,
-    /// It is not stored, and no write is under way that could still store it.
-    NotRun,
-    /// A write may have stored it, or may yet.
-    Unknown,
-    /// Another account has a job of that id.
-    Taken,
-}
-
-/// Stores a job graph under its id, unless it is stored already.
+/// Stores a job graph under its id, unless it is stored already: by the own way to the store, or
+/// by that of a peer.
 pub async fn submit<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     row: model::GraphRow,
     deadline: Instant,
-) -> SubmitOutcome {
+) -> model::SubmitOutcome {
+    let mut may_be_stored = false;
+    if !state.is_store_away() {
+        match submit_here(state, graph, &row, deadline.min(Instant::now() + OWN_PATIENCE)).await {
+            model::SubmitOutcome::NotRun => {}
+            model::SubmitOutcome::Unknown => may_be_stored = true,
+            certain => return certain,
+        }
+    }
+    match detour::submit(state, graph, &row, deadline).await {
+        detour::DetourOutcome::Served(outcome) => return outcome,
+        detour::DetourOutcome::NotServed => {}
+        detour::DetourOutcome::Unclear => may_be_stored = true,
+    }
+    // The store may be back, or slow rather than away. While a write may still land, its outcome
+    // is worth the rest of the caller's time: a caller can't repeat what is unknown for nothing.
+    let patience = if may_be_stored { deadline } else { Instant::now() + REFUSED_PATIENCE };
+    match submit_here(state, graph, &row, patience.min(deadline)).await {
+        model::SubmitOutcome::NotRun if may_be_stored => model::SubmitOutcome::Unknown,
+        outcome => outcome,
+    }
+}
+
+/// Stores a job graph by the own way to the store.
+pub(crate) async fn submit_here<S: state::PoolSite>(
+    state: &Arc<state::PoolState<S>>,
+    graph: ids::GraphId,
+    row: &model::GraphRow,
+    deadline: Instant,
+) -> model::SubmitOutcome {
     let started = Instant::now();
     let condition = model::TableCondition { key: keys::graph(graph), version: 0 };
-    let write = writer::write_of(keys::graph(graph), &row);
+    let write = writer::write_of(keys::graph(graph), row);
     let transaction = model::TableTransaction { conditions: vec![condition], writes: vec![write] };
     let mut may_be_stored = false;
     loop {
-        let outcome = state.site.store().transact(transaction.clone()).await;
-        match outcome {
+        let writing = state.site.store().transact(transaction.clone());
+        let Ok(written) = time::timeout_at(deadline, writing).await else {
+            return model::SubmitOutcome::Unknown;
+        };
+        match written {
             Ok(model::TableOutcome::Committed { versions }) => {
                 let version = versions.first().copied().unwrap_or_default();
-                nudge(state, model::GraphNudge { graph, version, row });
-                return SubmitOutcome::Accepted;
+                nudge(state, model::GraphNudge { graph, version, row: row.clone() });
+                return model::SubmitOutcome::Accepted;
             }
             // Stored before: by an earlier call of the caller, or by a write of this one whose
             // answer was lost.
-            Ok(model::TableOutcome::Conflict { rows }) => return judge(&rows, &row),
+            Ok(model::TableOutcome::Conflict { rows }) => return judge(&rows, row),
             Err(error) => {
                 may_be_stored |= !error.fault.had_no_effect();
                 tracing::info!(
@@ -74,19 +99,23 @@
         let next = Instant::now() + WRITE_AGAIN;
         let is_refused_for_long = !may_be_stored && next >= started + REFUSED_PATIENCE;
         if next >= deadline || is_refused_for_long {
-            return if may_be_stored { SubmitOutcome::Unknown } else { SubmitOutcome::NotRun };
+            return if may_be_stored {
+                model::SubmitOutcome::Unknown
+            } else {
+                model::SubmitOutcome::NotRun
+            };
         }
         time::sleep(WRITE_AGAIN).await;
     }
 }
 
-fn judge(rows: &[model::TableRow], wanted: &model::GraphRow) -> SubmitOutcome {
+fn judge(rows: &[model::TableRow], wanted: &model::GraphRow) -> model::SubmitOutcome {
     let stored = rows.iter().find_map(|it| it.value.as_ref());
     let stored = stored.and_then(|it| codec::decode::<model::GraphRow>(it).ok());
     match stored {
-        Some(stored) if stored.account == wanted.account => SubmitOutcome::Accepted,
-        Some(_) => SubmitOutcome::Taken,
-        None => SubmitOutcome::Unknown,
+        Some(stored) if stored.account == wanted.account => model::SubmitOutcome::Accepted,
+        Some(_) => model::SubmitOutcome::Taken,
+        None => model::SubmitOutcome::Unknown,
     }
 }
 
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -176,6 +176,65 @@
     ///The job class.
     pub class: crate::ids::ClassName,
 }
+///What became of a cancelling: `cancelled` once it is durable, `absent` where there is no such job of that account.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum CancelOutcome {
+    #[serde(rename = "cancelled")]
+    Cancelled,
+    #[serde(rename = "absent")]
+    Absent,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for CancelOutcome {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Cancelled => f.write_str("cancelled"),
+            Self::Absent => f.write_str("absent"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for CancelOutcome {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "cancelled" => Ok(Self::Cancelled),
+            "absent" => Ok(Self::Absent),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for CancelOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CancelOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Whether a class is answered on the caller's connection or runs as a job.
 #[derive(
     ::serde::Deserialize,
@@ -587,6 +646,40 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<GraphState>,
 }
+///Asks a peer to cancel a job graph.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphCancel {
+    ///Whose it has to be.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub account: ::std::option::Option<crate::ids::AccountId>,
+    ///Id of the job graph.
+    pub graph: crate::ids::GraphId,
+    ///How long the asker waits.
+    pub patience_ms: u64,
+}
+///What became of it at the peer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphCancelled {
+    ///The outcome.
+    pub outcome: CancelOutcome,
+}
+///Asks a peer how far a job graph is, by the scheduler or the store as it reaches them.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphLook {
+    ///Whose it has to be.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub account: ::std::option::Option<crate::ids::AccountId>,
+    ///Id of the job graph.
+    pub graph: crate::ids::GraphId,
+    ///How long the asker waits.
+    pub patience_ms: u64,
+}
+///What the peer found.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphLooked {
+    ///The outcome.
+    pub outcome: LookOutcome,
+}
 ///Tells the scheduler of a row that was just written.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct GraphNudge {
@@ -719,6 +812,22 @@
     ///How many tasks.
     pub tasks: u32,
 }
+///Asks a peer to store a job graph, where the asker's own way to the store is cut.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphSubmit {
+    ///Id of the job graph.
+    pub graph: crate::ids::GraphId,
+    ///How long the asker waits.
+    pub patience_ms: u64,
+    ///The row.
+    pub row: GraphRow,
+}
+///What became of it at the peer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphSubmitted {
+    ///The outcome.
+    pub outcome: SubmitOutcome,
+}
 ///How a guarantee stands.
 #[derive(
     ::serde::Deserialize,
@@ -1564,6 +1673,21 @@
     ///Other instances.
     pub peers: crate::ids::PeerAddress,
 }
+///What is known of a job graph; `absent` where there is no such job of that account.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum LookOutcome {
+    #[serde(rename = "known")]
+    Known(GraphState),
+    #[serde(rename = "absent")]
+    Absent,
+    #[serde(rename = "unavailable")]
+    Unavailable,
+}
+impl ::std::convert::From<GraphState> for LookOutcome {
+    fn from(value: GraphState) -> Self {
+        Self::Known(value)
+    }
+}
 ///Answer to a read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct ObjectFound {
@@ -1972,6 +2096,69 @@
     ///Failures by task; of a gang under its first task.
     pub failures: ::std::vec::Vec<TaskFailures>,
 }
+///What became of a submission.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum SubmitOutcome {
+    #[serde(rename = "accepted")]
+    Accepted,
+    #[serde(rename = "not_run")]
+    NotRun,
+    #[serde(rename = "unknown")]
+    Unknown,
+    #[serde(rename = "taken")]
+    Taken,
+}
+impl ::std::fmt::Display for SubmitOutcome {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Accepted => f.write_str("accepted"),
+            Self::NotRun => f.write_str("not_run"),
+            Self::Unknown => f.write_str("unknown"),
+            Self::Taken => f.write_str("taken"),
+        }
+    }
+}
+impl ::std::str::FromStr for SubmitOutcome {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "accepted" => Ok(Self::Accepted),
+            "not_run" => Ok(Self::NotRun),
+            "unknown" => Ok(Self::Unknown),
+            "taken" => Ok(Self::Taken),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for SubmitOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SubmitOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///What must hold of a row for a transaction to commit.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableCondition {
