Storms over the whole path of job graphs, judged by an oracle

Change: drawn faults of store, workers, instances and network over instances of the product on the paused clock; nothing twice, nothing refused runs, failures within the budget, steps in order, every accepted job ends as shown, nothing of a cancelled job is left.

--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -2,5 +2,6 @@
 
 mod calm;
 mod outages;
+mod storms;
 mod support;
 mod takeovers;
--- /dev/null
+++ b/crates/pool/tests/pool/storms.rs
@@ -0,0 +1,198 @@
+//! Storms: faults drawn at random over the whole path, judged by a simple oracle.
+//!
+//! The fixed seeds run in CI. A long run: `POOL_STORM_CASES=2000 POOL_STORM_SEED=1 cargo test
+//! --release -p almondpass-pool --test pool -- --nocapture storms`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use almondpass_graph::order;
+use almondpass_schema::{ids, model};
+use almondpass_standin::fault;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{self, Instant};
+
+use crate::support;
+
+/// Instances, workers and steps of a storm.
+const N_INSTANCES: usize = 3;
+const N_WORKERS: usize = 4;
+const N_STEPS: usize = 45;
+
+/// Faults end, and this much later everything must be settled: leases, terms and outages of
+/// seconds, one after the other, then the longest tasks.
+const SETTLE: Duration = Duration::from_secs(90);
+
+/// What the callers were told.
+#[derive(Default)]
+struct StormLedger {
+    /// Accepted at some time.
+    accepted: BTreeSet<ids::GraphId>,
+    /// Told each time that it had not run.
+    refused: BTreeSet<ids::GraphId>,
+    /// Acknowledged cancels, with their time.
+    cancelled: BTreeMap<ids::GraphId, Instant>,
+    /// Jobs whose tasks fail.
+    poisoned: BTreeSet<ids::GraphId>,
+    /// Jobs of two steps, the second after the first.
+    chained: BTreeSet<ids::GraphId>,
+}
+
+#[test]
+fn storms() {
+    let first = number("POOL_STORM_SEED", 0);
+    for seed in first..first + number("POOL_STORM_CASES", 8) {
+        println!("storm {seed}");
+        support::run(storm(seed));
+    }
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
+
+async fn storm(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut bench = support::PoolBench::start(N_INSTANCES, N_WORKERS).await;
+    let mut ledger = StormLedger::default();
+    for step in 0..N_STEPS {
+        if rng.random_bool(0.5) {
+            hand_in(&bench, &mut ledger, &mut rng, 1 + step as u64).await;
+        } else {
+            strike(&mut bench, &mut ledger, &mut rng).await;
+        }
+        time::sleep(Duration::from_millis(rng.random_range(50..1_200))).await;
+    }
+    calm(&bench);
+    time::sleep(SETTLE).await;
+    judge(&bench, &ledger, seed).await;
+}
+
+async fn hand_in(
+    bench: &support::PoolBench,
+    ledger: &mut StormLedger,
+    rng: &mut ChaCha8Rng,
+    graph: ids::GraphId,
+) {
+    let mut row = support::job(rng.random_range(1..6), rng.random_range(200..6_000));
+    if rng.random_bool(0.1) {
+        row.graph.body.push_str(" fail");
+        ledger.poisoned.insert(graph);
+    }
+    if rng.random_bool(0.3) {
+        row.graph.steps.push(support::step(rng.random_range(1..4), &[0]));
+        ledger.chained.insert(graph);
+    }
+    let mut n_told = 0;
+    for _ in 0..rng.random_range(1..3) {
+        let index = rng.random_range(0..bench.instances.len());
+        match bench.submit(index, graph, row.clone()).await {
+            model::SubmitOutcome::Accepted => {
+                ledger.accepted.insert(graph);
+            }
+            model::SubmitOutcome::NotRun => n_told += 1,
+            model::SubmitOutcome::Unknown => n_told = -100,
+            model::SubmitOutcome::Taken => panic!("job {graph} is taken"),
+        }
+    }
+    if n_told > 0 && !ledger.accepted.contains(&graph) {
+        ledger.refused.insert(graph);
+    }
+}
+
+async fn strike(bench: &mut support::PoolBench, ledger: &mut StormLedger, rng: &mut ChaCha8Rng) {
+    let index = rng.random_range(0..bench.instances.len());
+    let condition = match rng.random_range(0..4) {
+        0 => fault::Condition::Refusing,
+        1 => fault::Condition::Silent,
+        2 => fault::Condition::Slow(Duration::from_millis(rng.random_range(50..900))),
+        _ => fault::Condition::Up,
+    };
+    match rng.random_range(0..9) {
+        0 => bench.store.faults().set(condition),
+        1 => bench.instances[index].to_store.set(condition),
+        2 => bench.instances[index].to_workers.set(condition),
+        3 => bench.fleet.faults(&support::worker_id(rng.random_range(0..N_WORKERS))).set(condition),
+        4 => {
+            let rates = fault::FaultRates {
+                answer_lost: 0.1,
+                delayed_effect: 0.1,
+                longest: Duration::from_secs(8),
+                ..fault::FaultRates::default()
+            };
+            let worker = support::worker_id(rng.random_range(0..N_WORKERS));
+            bench.fleet.faults(&worker).sample(rng.random(), rates);
+            bench.store.faults().sample(rng.random(), rates);
+        }
+        5 => {
+            let address = bench.kill(index).await;
+            time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+            bench.start_instance(&address);
+        }
+        6 => bench.store.forget_history(),
+        7 => {
+            let cancellable = ledger.accepted.iter().nth(rng.random_range(0..20)).copied();
+            let Some(graph) = cancellable else { return };
+            if bench.cancel(index, graph).await == model::CancelOutcome::Cancelled {
+                ledger.cancelled.entry(graph).or_insert_with(Instant::now);
+            }
+        }
+        _ => calm(bench),
+    }
+}
+
+/// Ends all faults.
+fn calm(bench: &support::PoolBench) {
+    let none = fault::FaultRates::default();
+    bench.store.faults().set(fault::Condition::Up);
+    bench.store.faults().sample(0, none);
+    for instance in &bench.instances {
+        instance.to_store.set(fault::Condition::Up);
+        instance.to_workers.set(fault::Condition::Up);
+    }
+    for worker in 0..N_WORKERS {
+        let faults = bench.fleet.faults(&support::worker_id(worker));
+        faults.set(fault::Condition::Up);
+        faults.sample(0, none);
+    }
+}
+
+async fn judge(bench: &support::PoolBench, ledger: &StormLedger, seed: u64) {
+    bench.assert_nothing_ran_twice();
+    let records = bench.fleet.records();
+    // REFUSED: what was said not to have run did not.
+    for record in &records {
+        assert!(!ledger.refused.contains(&record.task.graph), "storm {seed}: {record:?} ran");
+    }
+    // BUDGET: no task fails more often than allowed.
+    let mut failures = BTreeMap::<_, u32>::new();
+    for record in records.iter().filter(|it| it.how == order::EndKind::Failed) {
+        *failures.entry(record.task).or_default() += 1;
+    }
+    assert!(failures.values().all(|it| *it <= 2), "storm {seed}: {failures:?}");
+    // ORDER: a step begins once the one before it is done.
+    for graph in &ledger.chained {
+        let of =
+            |step| records.iter().filter(move |it| it.task.graph == *graph && it.task.step == step);
+        let done = of(0).filter(|it| it.how == order::EndKind::Done).map(|it| it.ended).max();
+        let began = of(1).map(|it| it.began).min();
+        assert!(began.is_none() || done <= began, "storm {seed}: steps of {graph}");
+    }
+    // LOST and MIXED: each accepted job has ended, and as it is shown.
+    for graph in &ledger.accepted {
+        let shown = bench.look(0, *graph).await;
+        let model::LookOutcome::Known(shown) = shown else {
+            panic!("storm {seed}: {graph} {shown:?}")
+        };
+        let expected = match shown {
+            model::GraphState::Completed => !ledger.poisoned.contains(graph),
+            model::GraphState::Failed => ledger.poisoned.contains(graph),
+            model::GraphState::Cancelled => true,
+            _ => false,
+        };
+        assert!(expected, "storm {seed}: job {graph} is shown as {shown}");
+    }
+    // UNASKED: nothing of a cancelled job is left.
+    assert_eq!(bench.fleet.n_running(), 0, "storm {seed}");
+}
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -50,6 +50,11 @@
     pub ended: Instant,
     /// How.
     pub how: order::EndKind,
+    /// Its number among the ends of the worker.
+    pub number: u64,
+    /// Whether the end was acknowledged, with no lapse of the lease between the two: only then does
+    /// it stand for good.
+    pub is_noted: bool,
 }
 
 /// One life of a worker.
@@ -65,6 +70,8 @@
     barred: BTreeMap<task_key::TaskKey, u32>,
     ends: Vec<order::ListedEnd>,
     n_ends: u64,
+    /// Ends up to this one were listed before the lease last lapsed.
+    n_settled: u64,
     /// Runs that are over.
     pub records: Vec<RunRecord>,
 }
@@ -82,6 +89,7 @@
             barred: BTreeMap::new(),
             ends: Vec::new(),
             n_ends: 0,
+            n_settled: 0,
             records: Vec::new(),
         }
     }
@@ -111,6 +119,7 @@
         if start.deadline_ms <= clock_ms {
             return order::StartAnswer::Refused(order::StartRefusal::Late);
         }
+        self.note_ends(0);
         self.deadline_ms = self.deadline_ms.max(start.deadline_ms);
         if self.runs.get(&start.task).is_some_and(|it| it.attempt == start.attempt) {
             return order::StartAnswer::Started { clock_ms };
@@ -148,6 +157,7 @@
         if !self.accepts(token) {
             return None;
         }
+        self.note_ends(ask.last_seen);
         self.deadline_ms = self.deadline_ms.max(ask.deadline_ms.unwrap_or_default());
         self.ends.retain(|it| it.number > ask.last_seen);
         Some(self.listed())
@@ -189,9 +199,24 @@
             began: run.began,
             ended: at,
             how,
+            number: self.n_ends,
+            is_noted: false,
         });
     }
 
+    /// Takes note of the acknowledgement of ends.
+    fn note_ends(&mut self, last_seen: u64) {
+        let lapses_at = self.born + Duration::from_millis(self.deadline_ms);
+        let has_lapsed = lapses_at < Instant::now();
+        for record in self.records.iter_mut().filter(|it| it.number > self.n_settled) {
+            if has_lapsed {
+                continue;
+            }
+            record.is_noted |= record.number <= last_seen;
+        }
+        self.n_settled = if has_lapsed { self.n_ends } else { self.n_settled };
+    }
+
     fn accepts(&mut self, token: ids::Epoch) -> bool {
         let is_accepted = token >= self.token;
         self.token = self.token.max(token);
