--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -5,15 +5,26 @@
 use std::path::Path;
 
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
-/// Crates of an instance.
-const CRATES: [&str; 8] =
-    ["config", "console", "daemon", "entry", "hall", "membership", "peer", "ports"];
+/// Sources of an instance, on a site of ours and on the users' platform.
+const SOURCES: [&str; 11] = [
+    "crates/config",
+    "crates/console",
+    "crates/daemon",
+    "crates/entry",
+    "crates/graph",
+    "crates/hall",
+    "crates/membership",
+    "crates/peer",
+    "crates/pool",
+    "crates/ports",
+    "platform",
+];
 
 #[test]
 fn the_page_names_each_metric_and_no_other() {
     let mut emitted = BTreeSet::new();
-    for name in CRATES {
-        collect(&Path::new(ROOT).join("crates").join(name).join("src"), &mut emitted);
+    for name in SOURCES {
+        collect(&Path::new(ROOT).join(name).join("src"), &mut emitted);
     }
     let page = fs::read_to_string(Path::new(ROOT).join("docs/METRICS.md")).expect("the page");
     let listed = page
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -39,6 +39,8 @@
     pub(crate) changed: BTreeSet<ids::GraphId>,
     /// Whether a worker refused an order for a higher fencing token than ours.
     pub(crate) is_fenced_off: bool,
+    /// Jobs that ended since they were last asked for.
+    pub(crate) finished: Vec<FinishedJob>,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
 }
@@ -72,6 +74,7 @@
             durable_change: 0,
             changed: BTreeSet::new(),
             is_fenced_off: false,
+            finished: Vec::new(),
             kept_up_at: Duration::ZERO,
         }
     }
@@ -86,6 +89,11 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Jobs that ended since the last call, with how long they took here.
+    pub fn take_finished(&mut self) -> Vec<FinishedJob> {
+        std::mem::take(&mut self.finished)
+    }
+
     /// Whether a worker has shown that a later scheduler is at work.
     pub fn is_fenced_off(&self) -> bool {
         self.is_fenced_off
@@ -169,6 +177,21 @@
         }
     }
 
+    /// Takes note that a job has ended.
+    pub(crate) fn finish(&mut self, graph: ids::GraphId, now: Duration) {
+        let Some(job) = self.jobs.get(&graph) else { return };
+        let took = now.saturating_sub(job.admitted_at);
+        tracing::info!(
+            job = format_args!("{graph:016x}"),
+            class = job.class,
+            account = job.account,
+            took_ms = took.as_millis() as u64,
+            "job {}",
+            job.state
+        );
+        self.finished.push(finished_job(job, took));
+    }
+
     /// Takes the run of a task off its worker; the room is free from now on.
     pub(crate) fn vacate(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
@@ -224,6 +247,23 @@
     }
 }
 
+fn finished_job(job: &job::JobRecord, took: Duration) -> FinishedJob {
+    FinishedJob { account: job.account.clone(), class: job.class.clone(), state: job.state, took }
+}
+
+/// A job that has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FinishedJob {
+    /// Whose it was.
+    pub account: Option<ids::AccountId>,
+    /// Its class.
+    pub class: ids::ClassName,
+    /// How it ended.
+    pub state: model::GraphState,
+    /// Since this scheduler learned of it.
+    pub took: Duration,
+}
+
 /// Figures of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolSummary {
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -82,8 +82,8 @@
         let is_complete = job.steps.iter().all(|it| it.is_done());
         job.state =
             if is_complete { model::GraphState::Completed } else { model::GraphState::Running };
-        if is_complete {
-            tracing::info!(job = format_args!("{:016x}", key.graph), "job completed");
+        if is_complete && self.active.contains(&key.graph) {
+            self.finish(key.graph, now);
         }
         // Where another attempt runs, which only a wrong belief can have started, it is in vain.
         let twin = self.jobs.get(&key.graph).and_then(|it| it.task(key));
@@ -123,7 +123,7 @@
         let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
         if is_last && !job.has_ended() {
             job.state = model::GraphState::Failed;
-            tracing::info!(job = format_args!("{:016x}", key.graph), task = %key, "job failed");
+            self.finish(key.graph, now);
             self.stop_all(key.graph, now);
         }
         self.touch(key.graph)
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -64,7 +64,7 @@
         job.state = model::GraphState::Cancelled;
         job.durable = model::GraphState::Cancelled;
         self.active.remove(&graph);
-        tracing::info!(job = format_args!("{graph:016x}"), "job cancelled");
+        self.finish(graph, now);
         self.stop_all(graph, now);
     }
 
--- a/crates/pool/src/detour.rs
+++ b/crates/pool/src/detour.rs
@@ -105,7 +105,10 @@
         let Some(patience) = left.checked_sub(TRAVEL_MARGIN) else { break };
         let reply = state.site.peers().call(&peer, call(patience.as_millis() as u64), left).await;
         match reply.map(&judge) {
-            Ok(served @ DetourOutcome::Served(_)) => return served,
+            Ok(served @ DetourOutcome::Served(_)) => {
+                metrics::counter!("almondpass_pool_detours_total").increment(1);
+                return served;
+            }
             Ok(DetourOutcome::NotServed) => {}
             Ok(DetourOutcome::Unclear) => outcome = DetourOutcome::Unclear,
             Err(error) => {
--- a/crates/pool/src/document.rs
+++ b/crates/pool/src/document.rs
@@ -100,6 +100,7 @@
             "configuration in force"
         );
         let version = document.version;
+        metrics::gauge!("almondpass_pool_config_version").set(version as f64);
         *current = Some(Arc::new(document));
         self.version.send_replace(version);
         true
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -128,6 +128,7 @@
 /// Schedules until the tenure is over, then gives it up if it is still held.
 pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>, taken: TakenTenure) {
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
+    metrics::counter!("almondpass_pool_tenures_total").increment(1);
     let Some(loaded) = lead_loader::load(&state, &taken).await else {
         tracing::warn!(epoch = taken.epoch, "tenure given up: its rows could not be read");
         return;
@@ -135,6 +136,7 @@
     let times = state.settings.tenure;
     let lead = Arc::new(LeadState::new(&taken, times, loaded.core));
     state.set_lead(Some(Arc::clone(&lead)));
+    metrics::gauge!("almondpass_pool_held").set(1.0);
     let mut parts = JoinSet::new();
     parts.spawn(graph_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.graphs_at));
     parts.spawn(worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at));
@@ -142,6 +144,7 @@
     writer::run(&state, &lead, taken.version).await;
     lead.end();
     state.set_lead(None);
+    metrics::gauge!("almondpass_pool_held").set(0.0);
     parts.shutdown().await;
     tracing::info!(epoch = taken.epoch, "tenure is over");
 }
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -35,6 +35,12 @@
     order: order::PoolOrder,
 ) {
     let control = state.site.control();
+    let kind = match &order {
+        order::PoolOrder::Start(_) => "start",
+        order::PoolOrder::Stop(_) => "stop",
+        order::PoolOrder::Look { .. } => "look",
+    };
+    metrics::counter!("almondpass_pool_orders_total", "kind" => kind).increment(1);
     match order {
         order::PoolOrder::Start(start) => {
             let answer = control.start(lead.epoch, &start).await;
--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -9,7 +9,7 @@
 use almondpass_ports::row_feed::{self, RowFeed};
 use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::state;
 
@@ -71,8 +71,14 @@
     deadline: Duration,
     call: impl Future<Output = Result<T, error::CallError>>,
 ) -> Result<T, error::CallError> {
+    let sent_at = Instant::now();
     let answer = time::timeout(deadline, call).await;
-    answer.unwrap_or_else(|_| Err(timed_out(step, deadline)))
+    let answer = answer.unwrap_or_else(|_| Err(timed_out(step, deadline)));
+    metrics::histogram!("almondpass_pool_store_seconds", "step" => step).record(sent_at.elapsed());
+    if answer.is_err() {
+        metrics::counter!("almondpass_pool_store_failures_total", "step" => step).increment(1);
+    }
+    answer
 }
 
 fn timed_out(step: &'static str, deadline: Duration) -> error::CallError {
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -8,6 +8,7 @@
 use almondpass_ports::keys;
 use almondpass_ports::row_feed;
 use almondpass_schema::{blob, ids, model};
+use metrics::Label;
 use tokio::time::{self, Instant};
 
 use crate::detour;
@@ -37,6 +38,22 @@
     graph: ids::GraphId,
     row: model::GraphRow,
     deadline: Instant,
+) -> model::SubmitOutcome {
+    let account = row.account.clone().unwrap_or_default();
+    let labels =
+        [("account", account), ("class", row.class.clone())].map(|(key, it)| Label::new(key, it));
+    let outcome = submit_by_any_way(state, graph, row, deadline).await;
+    let outcome_label = Label::new("outcome", outcome.to_string());
+    let labels = labels.into_iter().chain([outcome_label]).collect::<Vec<_>>();
+    metrics::counter!("almondpass_pool_submissions_total", labels).increment(1);
+    outcome
+}
+
+async fn submit_by_any_way<S: state::PoolSite>(
+    state: &Arc<state::PoolState<S>>,
+    graph: ids::GraphId,
+    row: model::GraphRow,
+    deadline: Instant,
 ) -> model::SubmitOutcome {
     let mut may_be_stored = false;
     if !state.is_store_away() {
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_graph::core;
 use almondpass_ports::boot_clock::BootClock;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -32,6 +33,9 @@
 /// Longest pause between two turns.
 const LONGEST_PAUSE: Duration = Duration::from_millis(150);
 
+/// The figures of the pool are measured this often.
+const METER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Turns until the tenure is over.
 pub(crate) async fn run<S: state::PoolSite>(
     state: Arc<state::PoolState<S>>,
@@ -39,6 +43,7 @@
 ) {
     let mut sessions = JoinSet::new();
     let mut versions = state.document.subscribe();
+    let mut metered_at = Instant::now();
     loop {
         lead::keep_sessions(&state, &lead, &mut sessions);
         let tick = if lead.core().is_busy() { BUSY_TICK } else { IDLE_TICK };
@@ -51,6 +56,10 @@
             lead.core().set_catalog(Arc::clone(&document.catalog));
         }
         let began = Instant::now();
+        if began >= metered_at + METER_INTERVAL {
+            meter(&lead.core().summary());
+            metered_at = began;
+        }
         turn(&state, &lead);
         let took = began.elapsed();
         if took >= LONG_TURN {
@@ -59,6 +68,29 @@
     }
 }
 
+fn meter(summary: &core::PoolSummary) {
+    let figures = [
+        ("jobs", summary.n_jobs),
+        ("waiting_tasks", summary.n_waiting),
+        ("running_tasks", summary.n_running),
+        ("workers", summary.n_workers),
+        ("accelerators", summary.accelerators as usize),
+        ("accelerators_used", summary.accelerators_used as usize),
+    ];
+    for (of, figure) in figures {
+        metrics::gauge!("almondpass_pool_size", "of" => of).set(figure as f64);
+    }
+}
+
+fn meter_finished(job: &core::FinishedJob) {
+    let labels = [
+        ("account", job.account.clone().unwrap_or_default()),
+        ("class", job.class.clone()),
+        ("state", job.state.to_string()),
+    ];
+    metrics::histogram!("almondpass_pool_completion_seconds", &labels).record(job.took);
+}
+
 fn turn<S: state::PoolSite>(state: &state::PoolState<S>, lead: &lead::LeadState) {
     if !lead.may_order(state.site.clock()) {
         return;
@@ -66,6 +98,7 @@
     let mut core = lead.core();
     core.turn(state.site.clock().now());
     let orders = core.take_orders();
+    core.take_finished().iter().for_each(meter_finished);
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_changes());
     drop(core);
     if is_fenced_off {
