--- a/crates/graph/tests/pool/urgent.rs
+++ b/crates/graph/tests/pool/urgent.rs
@@ -49,8 +49,10 @@
         let start = running.iter().find(|it| it.task == stop.task).unwrap();
         support::ended(number, start, order::EndKind::Stopped)
     });
+    let goes_on = |it: &&order::StartOrder| stops.iter().all(|stop| stop.task != it.task);
+    let going_on = running.iter().filter(goes_on).map(|it| support::running(it, 20));
     bench.pass(300);
-    bench.lists(0, &[], &ends.collect::<Vec<_>>());
+    bench.lists(0, &going_on.collect::<Vec<_>>(), &ends.collect::<Vec<_>>());
     let starts = support::starts(&bench.turn());
     assert!(starts.iter().all(|it| it.task.graph == 2), "{starts:?}");
     assert_eq!(starts.len(), 2);
