Give up a claim with the placing that takes its room

Cause: a unit that took the room cleared for it left its claim standing until the next turn, so that the next unit of the same step found the room beside it taken (the test of urgent work: 1 start of 2). Ruled out: the clearing itself (both tasks were cleared room). Change: placing drops the unit's claims. Before: 1 start in that turn.

--- a/crates/graph/src/placing.rs
+++ b/crates/graph/src/placing.rs
@@ -20,6 +20,10 @@
     for index in &chosen {
         berths[*index].free = berths[*index].free.minus(ask.room);
     }
+    // What was cleared for the unit is taken now; left as a claim it would keep others out twice.
+    for it in berths.iter_mut() {
+        it.claims.retain(|(unit, _)| *unit != ask.unit);
+    }
     Some(chosen)
 }
 
