Take nudges as they are, in one place

Cause: the peers' desk and the own submissions each encoded the row of a nudge only for the follower to decode it. Change: one take_nudge; rows of the feed and nudges meet in one admit.

--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -1,13 +1,13 @@
 //! Follows the accepted job graphs, besides the nudges of the instances that accept them.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_graph::intake;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_ports::row_feed;
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 use tokio::time;
 
 use crate::lead;
@@ -48,25 +48,41 @@
     }
 }
 
-/// Takes rows of accepted job graphs into the core. A holder that isn't firm takes none: another
-/// may have taken over, and would not know that this one has started them.
-pub(crate) fn take<S: state::PoolSite>(
+/// Takes rows of accepted job graphs into the core.
+fn take<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     rows: &[row_feed::FeedRow],
 ) -> bool {
-    if rows.is_empty() {
-        return true;
-    }
-    let now = state.site.clock().now();
+    let admitted = rows.iter().filter_map(|it| lead_loader::read_graph(it, lead.taken_at));
+    rows.is_empty() || admit(state, lead, admitted)
+}
+
+/// Takes the row that an instance has just written. Where it can't be taken, the feed brings it.
+pub(crate) fn take_nudge<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    nudge: model::GraphNudge,
+) {
+    let inherited = nudge.version < lead.taken_at;
+    let model::GraphNudge { graph, row, .. } = nudge;
+    let admitted = intake::AdmittedJob { graph, row, progress: None, inherited };
+    admit(state, lead, std::iter::once(admitted));
+}
+
+/// Takes job graphs into the core. A holder that isn't firm takes none: another may have taken
+/// over, and would not know that this one has started them.
+fn admit<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    admitted: impl Iterator<Item = intake::AdmittedJob>,
+) -> bool {
     if !lead.is_firm(state.site.clock()) {
         return false;
     }
-    for row in rows {
-        let admitted = lead_loader::read_graph(row, lead.taken_at, &mut BTreeMap::new());
-        if let Some(admitted) = admitted {
-            lead.core().admit(admitted, now);
-        }
+    let now = state.site.clock().now();
+    for it in admitted {
+        lead.core().admit(it, now);
     }
     lead.turn_due.notify_one();
     true
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -75,7 +75,9 @@
     }
     let mut progress = progress_by_graph(progress);
     for row in graphs.rows {
-        let Some(admitted) = read_graph(&row, taken.version, &mut progress) else { continue };
+        let Some(mut admitted) = read_graph(&row, taken.version) else { continue };
+        admitted.progress = progress.remove(&admitted.graph);
+        admitted.inherited |= admitted.progress.is_some();
         core.admit(admitted, now);
     }
     Ok(LoadedLead { core, graphs_at, workers_at })
@@ -99,13 +101,11 @@
 pub(crate) fn read_graph(
     row: &row_feed::FeedRow,
     taken: ids::RowVersion,
-    progress: &mut BTreeMap<ids::GraphId, model::ProgressRow>,
 ) -> Option<intake::AdmittedJob> {
     let graph = task_key::parse_graph(&row.key)?;
     let content = decode::<model::GraphRow>(row)?;
-    let progress = progress.remove(&graph);
-    let inherited = row.version < taken || progress.is_some();
-    Some(intake::AdmittedJob { graph, row: content, progress, inherited })
+    let inherited = row.version < taken;
+    Some(intake::AdmittedJob { graph, row: content, progress: None, inherited })
 }
 
 fn progress_by_graph(rows: row_feed::FeedRows) -> BTreeMap<ids::GraphId, model::ProgressRow> {
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
-use almondpass_peer::{codec, dispatch, link};
-use almondpass_ports::row_feed;
-use almondpass_schema::{blob, model};
+use almondpass_peer::{dispatch, link};
+use almondpass_schema::model;
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -40,16 +39,8 @@
     }
 
     fn nudge(&self, nudge: model::GraphNudge) -> model::Ack {
-        if let Some(lead) = self.state.lead()
-            && let Ok(value) = codec::encode(&nudge.row)
-        {
-            let row = row_feed::FeedRow {
-                key: format!("{:016x}", nudge.graph),
-                version: nudge.version,
-                value: Some(blob::Blob::from(value.to_vec())),
-            };
-            // Where it can't be taken, the feed brings it again.
-            let _ = graph_follower::take(&self.state, &lead, &[row]);
+        if let Some(lead) = self.state.lead() {
+            graph_follower::take_nudge(&self.state, &lead, nudge);
         }
         model::Ack {}
     }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -6,8 +6,7 @@
 use almondpass_peer::codec;
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::keys;
-use almondpass_ports::row_feed;
-use almondpass_schema::{blob, ids, model};
+use almondpass_schema::{ids, model};
 use metrics::Label;
 use tokio::time::{self, Instant};
 
@@ -142,15 +141,7 @@
     nudge: model::GraphNudge,
 ) {
     if let Some(lead) = state.lead() {
-        if let Ok(value) = codec::encode(&nudge.row) {
-            let row = row_feed::FeedRow {
-                key: format!("{:016x}", nudge.graph),
-                version: nudge.version,
-                value: Some(blob::Blob::from(value.to_vec())),
-            };
-            graph_follower::take(state, &lead, &[row]);
-        }
-        return;
+        return graph_follower::take_nudge(state, &lead, nudge);
     }
     let Some(holder) = state.other_holder() else { return };
     let peers = state.site.peers().clone();
