Serve HTTP in one place

Cause: the adapter's listener had the accept loop, limits and graceful end of the peers' server once more.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 pub mod error;
 pub mod http_client;
+pub mod http_server;
 pub mod key;
 pub mod link;
 pub mod server;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -8,19 +8,14 @@
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::net::TcpListener;
 use tokio::time;
 
 use crate::error;
+use crate::http_server;
 use crate::key;
 use crate::link;
-use crate::meter;
 use crate::wire;
 
 /// How a server behaves.
@@ -58,9 +53,6 @@
 #[error("no answer")]
 struct SilentEnd;
 
-/// Wait after a failed accept, which mostly means that no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves `listener` until `shutdown` resolves; then accepts nothing more, finishes the calls in
 /// flight and returns.
 pub async fn serve<S: link::PeerService>(
@@ -69,63 +61,39 @@
     config: ServerConfig,
     shutdown: impl Future<Output = ()>,
 ) {
-    let config = Arc::new(config);
-    let permits = Arc::new(Semaphore::new(config.connections));
-    let graceful = GracefulShutdown::new();
-    let mut shutdown = std::pin::pin!(shutdown);
-    loop {
-        let accept = async {
-            let permit = Arc::clone(&permits).acquire_owned().await;
-            (listener.accept().await, permit)
-        };
-        let (accepted, permit) = tokio::select! {
-            biased;
-            () = &mut shutdown => break,
-            accepted = accept => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a peer's connection");
-                time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let connection = graceful.watch(connection(stream, service.clone(), Arc::clone(&config)));
-        tokio::spawn(async move {
-            let _permit = permit;
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "a peer's connection ended");
-            }
-        });
-    }
-    drop(listener);
-    graceful.shutdown().await;
+    let http_config = http_server::HttpServerConfig {
+        header_timeout: config.header_timeout,
+        max_head_bytes: config.max_head_bytes,
+        connections: config.connections,
+        side: "server",
+    };
+    let handler = Arc::new(CallHandler { service, config });
+    http_server::serve(listener, handler, http_config, shutdown).await;
 }
 
-fn connection<S: link::PeerService>(
-    stream: TcpStream,
+struct CallHandler<S> {
     service: S,
-    config: Arc<ServerConfig>,
-) -> impl GracefulConnection<Error = hyper::Error> + Send + 'static {
-    // Only a delay of small answers is at stake.
-    let _ = stream.set_nodelay(true);
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    builder.header_read_timeout(config.header_timeout);
-    builder.max_buf_size(config.max_head_bytes.max(8 << 10));
-    let handler = service::service_fn(move |request| {
-        let service = service.clone();
-        let config = Arc::clone(&config);
-        async move { handle(request, service, &config).await }
-    });
-    let stream = TokioIo::new(meter::MeteredStream::new(stream, "server"));
-    builder.serve_connection(stream, handler)
+    config: ServerConfig,
+}
+
+impl<S: link::PeerService> http_server::RequestHandler for CallHandler<S> {
+    type Error = SilentEnd;
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, SilentEnd> {
+        handle(request, &self.service, &self.config).await
+    }
+
+    fn after_panic(&self) -> Result<Response<Full<Bytes>>, SilentEnd> {
+        Err(SilentEnd)
+    }
 }
 
 async fn handle<S: link::PeerService>(
     request: Request<Incoming>,
-    service: S,
+    service: &S,
     config: &ServerConfig,
 ) -> Result<Response<Full<Bytes>>, SilentEnd> {
     if let Some(refusal) = refusal_of_head(&request, config) {
@@ -136,19 +104,16 @@
         Ok(body) => body,
         Err(refusal) => return Ok(refusal),
     };
-    // A task of its own: when the caller gives up, hyper drops what answers it, and a call that
-    // had begun to act would stop half-way.
-    let served = tokio::spawn(async move { service.serve(&path, body).await });
-    match served.await {
-        Ok(Some(Ok(reply))) => Ok(message(reply)),
-        Ok(Some(Err(fault @ error::ServeFault::Unreadable(_)))) => {
+    match service.serve(&path, body).await {
+        Some(Ok(reply)) => Ok(message(reply)),
+        Some(Err(fault @ error::ServeFault::Unreadable(_))) => {
             Ok(refusal(StatusCode::BAD_REQUEST, fault.to_string()))
         }
-        Ok(Some(Err(fault @ error::ServeFault::Unavailable(_)))) => {
+        Some(Err(fault @ error::ServeFault::Unavailable(_))) => {
             Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, fault.to_string()))
         }
-        Ok(None) => Ok(refusal(StatusCode::NOT_FOUND, "expected a known path".to_owned())),
-        Ok(Some(Err(error::ServeFault::Silent))) | Err(_) => Err(SilentEnd),
+        None => Ok(refusal(StatusCode::NOT_FOUND, "expected a known path".to_owned())),
+        Some(Err(error::ServeFault::Silent)) => Err(SilentEnd),
     }
 }
 
