--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -48,8 +48,6 @@
         let mut urgent = Vec::new();
         for unit in units {
             if full.contains(&(unit.graph, unit.step)) || self.is_hopeless(unit, &hopeless) {
-                // Room may be cleared for each task of an urgent step at once.
-                urgent.push(unit);
                 continue;
             }
             if !self.try_start(unit, &mut berths, now) {
