Remove a check that always passed, and state that nothing reads

Cause: reading the change. Also gone: a name of a rack beside its number, progress at a checkpoint, a query that nobody asks; one way of looking twice in session.

--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -63,9 +63,7 @@
     pub n_tasks: u32,
     /// Whether they slow each other down across racks.
     pub same_rack: bool,
-    /// Rack of the data.
-    pub rack: Option<&'a str>,
-    /// Its number; one that no berth has where the rack is not there.
+    /// Number of the rack of the data; one that no berth has where the rack is not there.
     pub rack_number: Option<usize>,
     /// Label that the worker must have.
     pub label: Option<&'a str>,
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -32,15 +32,6 @@
 /// nothing less urgent will do: it costs this many times as much.
 const URGENT_COST: u64 = 20;
 
-/// Other work is stopped at once for an urgent unit if no more than this many times the work of
-/// the unit is lost. The users value a second of urgent work about six times as high as one of
-/// other work that has to be done again.
-const WORTH_FACTOR: u64 = 1000;
-
-/// Time kept for looking, stopping and starting before a guarantee has to be back, beyond the time
-/// that a stop takes. Until then tasks that end by themselves may make the room.
-const GUARANTEE_SLACK: Duration = Duration::from_millis(1_200);
-
 /// A task at this percentage is nearly done; stopping it costs three times as much.
 const NEARLY_DONE: u32 = 75;
 
@@ -85,13 +76,11 @@
         let Some(ask) = self.ask(unit, berths, now) else { return };
         let room = ask.room;
         let Some(plan) = reclaiming::reclaim(berths, &victims, &freeing, &ask) else { return };
-        if !self.is_worth(unit, &ask, plan.cost, now) {
-            return;
-        }
         tracing::info!(
             job = format_args!("{:016x}", unit.graph),
             step = unit.step,
             n_victims = plan.victims.len(),
+            cost = plan.cost,
             n_workers = plan.berths.len(),
             "room is cleared for urgent work"
         );
@@ -109,26 +98,6 @@
         }
     }
 
-    /// Whether the unit is worth what its room costs, or a guarantee leaves no choice.
-    fn is_worth(
-        &self,
-        unit: task_key::UnitKey,
-        ask: &berth::PlaceAsk,
-        cost: u64,
-        now: Duration,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&unit.graph) else { return false };
-        let run = self.run_times.mean(&job.class).as_millis() as u64;
-        let own = u64::from(ask.n_tasks) * ask.room.weight() * run / 1_000;
-        if cost <= WORTH_FACTOR * own {
-            return true;
-        }
-        let reserved = self.terms.stop_timeout + GUARANTEE_SLACK;
-        let is_late = now >= job.admitted_at + self.terms.reclaim_within.saturating_sub(reserved);
-        let account = job.account.as_deref();
-        is_late && account.is_some_and(|it| self.accounts_within_guarantee().contains(it))
-    }
-
     /// Units for which room is being cleared.
     fn claimed_units(&self) -> BTreeSet<task_key::UnitKey> {
         self.workers.values().flat_map(|it| &it.claims).map(|it| it.unit).collect()
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -210,7 +210,6 @@
             room: room::Room::of_step(&step.spec),
             n_tasks: tasks.len() as u32,
             same_rack: step.spec.same_rack && tasks.len() > 1,
-            rack: step.spec.rack.as_deref(),
             rack_number: step.spec.rack.as_deref().map(|it| rack_number(it, berths)),
             label: step.spec.label.as_deref(),
             per_worker: step.spec.per_worker,
@@ -278,7 +277,6 @@
             percent: 0,
             percent_at: now,
             pace: pace::RunPace::new(now, 0),
-            saved_percent: 0,
         });
         record.runs.insert(key);
         record.used = record.used.plus(room);
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -50,11 +50,6 @@
         }
     }
 
-    /// Whether a job is known, cancelled ones included.
-    pub fn knows(&self, graph: ids::GraphId) -> bool {
-        self.jobs.contains_key(&graph)
-    }
-
     /// Ends a job that its caller has cancelled; that is durable already.
     fn cancel(&mut self, graph: ids::GraphId, now: Duration) {
         let Some(job) = self.jobs.get_mut(&graph) else { return };
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -104,8 +104,6 @@
     pub percent_at: Duration,
     /// How fast it progresses.
     pub pace: pace::RunPace,
-    /// Progress at the newest checkpoint, in percent.
-    pub saved_percent: u32,
 }
 
 /// How far the orders for a run are.
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -168,7 +168,6 @@
         }
         if listed.checkpoint.is_some() && listed.checkpoint != task.checkpoint {
             task.checkpoint = listed.checkpoint;
-            run.saved_percent = listed.percent;
         }
     }
 
@@ -195,7 +194,6 @@
             percent: listed.percent,
             percent_at: now,
             pace: pace::RunPace::new(now, listed.percent),
-            saved_percent: listed.percent,
         });
         if let Some(record) = self.workers.get_mut(worker) {
             record.runs.insert(listed.task);
--- a/crates/graph/src/terms.rs
+++ b/crates/graph/src/terms.rs
@@ -19,8 +19,6 @@
     pub start_term: Duration,
     /// A stop takes at most this long.
     pub stop_timeout: Duration,
-    /// Within this a client account's guarantee has to come back.
-    pub reclaim_within: Duration,
     /// Work away from its data, or of a gang across racks, takes so many times as long.
     pub remote_factor: f64,
 }
@@ -38,7 +36,6 @@
             lease: LONGEST_LEASE,
             start_term: Duration::from_millis(2_500),
             stop_timeout: Duration::from_millis(400),
-            reclaim_within: Duration::from_millis(2_900),
             remote_factor: 3.0,
         }
     }
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_graph::order;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::ids;
 use tokio::time;
@@ -58,9 +59,8 @@
     lead: &lead::LeadState,
     worker: &ids::WorkerId,
 ) -> LookOutcome {
-    let clock = state.site.clock();
-    let sent_at = clock.now();
-    let Some(ask) = lead.core().hold_ask(worker, sent_at) else { return LookOutcome::Over };
+    let now = state.site.clock().now();
+    let Some(ask) = lead.core().hold_ask(worker, now) else { return LookOutcome::Over };
     look_as(state, lead, worker, ask).await
 }
 
@@ -80,7 +80,7 @@
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     worker: &ids::WorkerId,
-    ask: almondpass_graph::order::HoldAsk,
+    ask: order::HoldAsk,
 ) -> LookOutcome {
     let clock = state.site.clock();
     let sent_at = clock.now();
