--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -1,6 +1,6 @@
 //! Pages of accepted versions.
 
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{ids, model};
 
 use crate::store;
--- a/crates/config/src/keeper.rs
+++ b/crates/config/src/keeper.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondpass_peer::link;
-use almondpass_platform::{clock, table};
+use almondpass_ports::{clock, table};
 use almondpass_schema::{ids, model};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{Notify, watch};
--- a/crates/config/src/proposal.rs
+++ b/crates/config/src/proposal.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_platform::{clock, table};
+use almondpass_ports::{clock, table};
 use almondpass_schema::{ids, model};
 use backon::{BackoffBuilder, ExponentialBuilder};
 use thiserror::Error;
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -2,7 +2,7 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::{dispatch, link};
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::model;
 use bytes::Bytes;
 
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use almondpass_peer::{codec, error};
-use almondpass_platform::{keys, table};
+use almondpass_ports::{keys, table};
 use almondpass_schema::{blob, ids, model};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/crates/config/tests/propagation.rs
+++ b/crates/config/tests/propagation.rs
@@ -7,7 +7,7 @@
 use almondpass_config::keeper;
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::table::TableService;
+use almondpass_ports::table::TableService;
 use almondpass_schema::model;
 use almondpass_standin::{fault, table};
 use serde::Serialize;
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondpass_config::{document, keeper};
-use almondpass_platform::{clock, keys};
+use almondpass_ports::{clock, keys};
 use almondpass_schema::{blob, ids, model, time as wall};
 use almondpass_standin::{fault, net, table};
 use serde::Serialize;
@@ -153,7 +153,7 @@
     version: ids::ConfigVersion,
     row: &impl Serialize,
 ) {
-    use almondpass_platform::table::TableService;
+    use almondpass_ports::table::TableService;
 
     let value = |bytes: Vec<u8>| Some(blob::Blob::from(bytes));
     let head = rmp_encode(&model::ConfigHead { version });
--- a/crates/console/src/api.rs
+++ b/crates/console/src/api.rs
@@ -5,7 +5,7 @@
 use std::error::Error;
 
 use almondpass_peer::link;
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::model;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
--- a/crates/console/src/api/config.rs
+++ b/crates/console/src/api/config.rs
@@ -4,7 +4,7 @@
 
 use almondpass_config::{document, proposal, schema_check};
 use almondpass_peer::link;
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{ids, model};
 use bytes::Bytes;
 use http::{Request, StatusCode, Uri};
--- a/crates/console/src/console.rs
+++ b/crates/console/src/console.rs
@@ -7,7 +7,7 @@
 use almondpass_config::keeper;
 use almondpass_membership::snapshot;
 use almondpass_peer::link;
-use almondpass_platform::{clock, table};
+use almondpass_ports::{clock, table};
 use almondpass_schema::{ids, model};
 use bytes::Bytes;
 use http::Request;
--- a/crates/console/src/pages/draft.rs
+++ b/crates/console/src/pages/draft.rs
@@ -2,7 +2,7 @@
 
 use almondpass_config::{active, canonical, changes, document, proposal, schema_check};
 use almondpass_peer::link;
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{ids, model};
 use http::StatusCode;
 use maud::html;
--- a/crates/console/src/pages/views.rs
+++ b/crates/console/src/pages/views.rs
@@ -2,7 +2,7 @@
 
 use almondpass_config::{canonical, changes};
 use almondpass_peer::link;
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::ids;
 use http::StatusCode;
 use maud::Markup;
--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -4,7 +4,7 @@
 
 use almondpass_config::active;
 use almondpass_peer::{error, link};
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{ids, model};
 use futures_util::future;
 
--- a/crates/console/tests/support/mod.rs
+++ b/crates/console/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use almondpass_console::{console, histogram};
 use almondpass_membership::snapshot;
 use almondpass_peer::{call, codec, error, link};
-use almondpass_platform::clock;
+use almondpass_ports::clock;
 use almondpass_schema::{ids, model, time as wall};
 use almondpass_standin::{net, table};
 use bytes::Bytes;
--- a/crates/daemon/examples/fleetbench/fleet.rs
+++ b/crates/daemon/examples/measure_fleet/fleet.rs
@@ -9,7 +9,7 @@
 use almondpass_daemon::{health, instance};
 use almondpass_peer::link::PeerLink;
 use almondpass_peer::{client, codec, key};
-use almondpass_platform::{clock, keys};
+use almondpass_ports::{clock, keys};
 use almondpass_schema::{ids, model, time as span};
 use almondpass_standin::{net, plan, site};
 use anyhow::{Context, bail};
--- a/crates/daemon/examples/fleetbench/main.rs
+++ b/crates/daemon/examples/measure_fleet/main.rs
@@ -2,7 +2,7 @@
 //! the fleet: whole instances in one process, over sockets of loopback, on the stand-in platform.
 //!
 //! ```text
-//! cargo run --release -p almondpass-daemon --example fleetbench -- --seconds 10 --moves 2
+//! cargo run --release -p almondpass-daemon --example measure_fleet -- --seconds 10 --moves 2
 //! ```
 
 mod cost;
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -9,8 +9,8 @@
 use almondpass_entry::{server as entry_server, service as entry_service, settings};
 use almondpass_hall::{backend, options, service as hall_service};
 use almondpass_membership::{directory, members, service as member_service};
-use almondpass_peer::{client, key, server};
-use almondpass_platform::{clock, remote, store};
+use almondpass_peer::{client, http_client, key, server};
+use almondpass_ports::{clock, remote, store};
 use almondpass_schema::{ids, model};
 use anyhow::{Context, anyhow};
 use tokio::net::TcpListener;
@@ -269,7 +269,8 @@
 }
 
 fn link(side: &'static str, cluster_key: Option<key::ClusterKey>) -> anyhow::Result<wiring::Link> {
-    let config = client::ClientConfig { cluster_key, side, ..client::ClientConfig::default() };
+    let http = http_client::HttpConfig { side, ..http_client::HttpConfig::default() };
+    let config = client::ClientConfig { cluster_key, http };
     client::PeerClient::new(config).context("cluster key")
 }
 
--- a/crates/daemon/src/wiring.rs
+++ b/crates/daemon/src/wiring.rs
@@ -5,8 +5,8 @@
 use almondpass_hall::{backend, service};
 use almondpass_membership::{directory, service as member};
 use almondpass_peer::client;
-use almondpass_platform::{remote, store_objects, store_table};
 use almondpass_policy::core;
+use almondpass_ports::{remote, store_objects, store_table};
 
 use crate::beats;
 use crate::local_halls;
--- a/crates/entry/benches/relay/granting.rs
+++ b/crates/entry/benches/relay/granting.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondpass_peer::{call, error, link};
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{ids, model, time};
 use uuid::Uuid;
 
--- a/crates/entry/benches/relay/parties.rs
+++ b/crates/entry/benches/relay/parties.rs
@@ -7,7 +7,7 @@
 
 use almondpass_config::active;
 use almondpass_entry::{acceptor, server, service, settings};
-use almondpass_platform::clock;
+use almondpass_ports::clock;
 use almondpass_schema::model;
 use http::{Request, Response};
 use hyper::body::Incoming;
--- a/crates/entry/src/job_api.rs
+++ b/crates/entry/src/job_api.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use almondpass_peer::link::HallLink;
-use almondpass_platform::table::TableService;
+use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
--- a/crates/entry/src/job_reader.rs
+++ b/crates/entry/src/job_reader.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use almondpass_peer::error;
-use almondpass_platform::keys;
-use almondpass_platform::table::TableService;
+use almondpass_ports::keys;
+use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
 use thiserror::Error;
 use tokio::time::{Instant, timeout};
--- a/crates/entry/src/job_submission.rs
+++ b/crates/entry/src/job_submission.rs
@@ -4,7 +4,7 @@
 
 use almondpass_membership::home;
 use almondpass_peer::link::HallLink;
-use almondpass_platform::table::TableService;
+use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
 use http::header::{self, HeaderValue};
 use hyper::body::Incoming;
--- a/crates/entry/src/request_head.rs
+++ b/crates/entry/src/request_head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use almondpass_membership::home;
-use almondpass_platform::clock;
+use almondpass_ports::clock;
 use almondpass_schema::{ids, model};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use uuid::Uuid;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use almondpass_peer::link::HallLink;
-use almondpass_platform::table::TableService;
+use almondpass_ports::table::TableService;
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -8,8 +8,8 @@
 
 use almondpass_config::active;
 use almondpass_peer::link::HallLink;
-use almondpass_platform::clock;
-use almondpass_platform::table::TableService;
+use almondpass_ports::clock;
+use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
 use bytes::Bytes;
 use http::header;
--- a/crates/entry/tests/entry/support/entry.rs
+++ b/crates/entry/tests/entry/support/entry.rs
@@ -6,7 +6,7 @@
 
 use almondpass_config::active;
 use almondpass_entry::{acceptor, server, service, settings};
-use almondpass_platform::clock;
+use almondpass_ports::clock;
 use almondpass_schema::{model, time};
 use sha2::Digest;
 use tokio::net::TcpListener;
--- a/crates/entry/tests/entry/support/rows.rs
+++ b/crates/entry/tests/entry/support/rows.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use almondpass_peer::error;
-use almondpass_platform::{keys, table};
+use almondpass_ports::{keys, table};
 use almondpass_schema::{blob, ids, model};
 
 #[derive(Clone, Debug, Default)]
--- a/crates/fleet-tests/src/node.rs
+++ b/crates/fleet-tests/src/node.rs
@@ -7,7 +7,7 @@
 use almondpass_entry::{acceptor, server, service as entry, settings};
 use almondpass_hall::{backend, options, service as hall};
 use almondpass_membership::{directory, members, service as member};
-use almondpass_platform::{clock, store};
+use almondpass_ports::{clock, store};
 use almondpass_schema::{ids, model, time};
 use almondpass_standin::{fault, net, site};
 use tokio::net::TcpListener;
--- a/crates/hall/examples/measure_hall.rs
+++ b/crates/hall/examples/measure_hall.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::keys;
-use almondpass_platform::table::TableService;
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::keys;
+use almondpass_ports::table::TableService;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{model, time};
 use almondpass_standin::fault::Condition;
 use tokio::time::Instant;
--- a/crates/hall/src/adopt.rs
+++ b/crates/hall/src/adopt.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use almondpass_platform::worker::WorkerControl;
 use almondpass_policy::{event, scheduler::HallPolicy, work};
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{ids, model};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
--- a/crates/hall/src/backend.rs
+++ b/crates/hall/src/backend.rs
@@ -3,8 +3,8 @@
 use std::marker::PhantomData;
 
 use almondpass_peer::link;
-use almondpass_platform::{objects, table, worker};
 use almondpass_policy::scheduler;
+use almondpass_ports::{objects, table, worker};
 
 /// The policy and the interfaces of one deployment.
 pub trait HallBackend: Send + Sync + 'static {
--- a/crates/hall/src/commit.rs
+++ b/crates/hall/src/commit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use almondpass_platform::{keys, table::TableService};
+use almondpass_ports::{keys, table::TableService};
 use almondpass_schema::{blob, ids, model, time};
 
 use crate::codec;
--- a/crates/hall/src/gang_task.rs
+++ b/crates/hall/src/gang_task.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use almondpass_platform::worker::WorkerControl;
 use almondpass_policy::event;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{blob, ids, model};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
--- a/crates/hall/src/gangs.rs
+++ b/crates/hall/src/gangs.rs
@@ -1,7 +1,7 @@
 //! How the scheduler starts, watches and stops gangs: whole or not at all.
 
-use almondpass_platform::worker::WorkerControl;
 use almondpass_policy::{decision, event, work};
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{blob, ids, model};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
--- a/crates/hall/src/intent_log.rs
+++ b/crates/hall/src/intent_log.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondpass_peer::error as peer_error;
-use almondpass_platform::{keys, objects::ObjectStore, table::TableService};
+use almondpass_ports::{keys, objects::ObjectStore, table::TableService};
 use almondpass_schema::{ids, model};
 
 use crate::backend;
--- a/crates/hall/src/jobs.rs
+++ b/crates/hall/src/jobs.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use almondpass_platform::{keys, table::TableService};
 use almondpass_policy::{event, scheduler::HallPolicy, work};
+use almondpass_ports::{keys, table::TableService};
 use almondpass_schema::{ids, model, time};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
--- a/crates/hall/src/options.rs
+++ b/crates/hall/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_platform::clock;
+use almondpass_ports::clock;
 use almondpass_schema::{ids, model};
 
 /// Identity, timing and clock of this instance.
--- a/crates/hall/src/ownership.rs
+++ b/crates/hall/src/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use almondpass_platform::{keys, table::TableService};
+use almondpass_ports::{keys, table::TableService};
 use almondpass_schema::{ids, model, time};
 use tokio::time::Instant;
 
--- a/crates/hall/src/sync_task.rs
+++ b/crates/hall/src/sync_task.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{ids, model, time};
 use tokio::time::Instant;
 
--- a/crates/hall/src/takeover.rs
+++ b/crates/hall/src/takeover.rs
@@ -7,8 +7,8 @@
 
 use almondpass_config::active;
 use almondpass_membership::snapshot;
-use almondpass_platform::{keys, table::TableService, worker::WorkerControl};
 use almondpass_policy::scheduler::HallPolicy;
+use almondpass_ports::{keys, table::TableService, worker::WorkerControl};
 use almondpass_schema::{ids, model};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinSet;
--- a/crates/hall/src/tenure.rs
+++ b/crates/hall/src/tenure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_platform::keys;
+use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
 use tokio::sync::watch;
 use tokio::time::Instant;
--- a/crates/hall/src/watch_reader.rs
+++ b/crates/hall/src/watch_reader.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use almondpass_platform::table::TableService;
+use almondpass_ports::table::TableService;
 use almondpass_schema::ids;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{self, Instant};
--- a/crates/hall/tests/fuzz/world.rs
+++ b/crates/hall/tests/fuzz/world.rs
@@ -6,7 +6,7 @@
 
 use almondpass_hall::{request::SeatCall, service};
 use almondpass_peer::link::PeerLink;
-use almondpass_platform::keys;
+use almondpass_ports::keys;
 use almondpass_schema::{ids, model, time};
 use almondpass_standin::fault::{Condition, FaultPlan, FaultRates};
 use almondpass_standin::net;
--- a/crates/hall/tests/hall/gangs.rs
+++ b/crates/hall/tests/hall/gangs.rs
@@ -1,7 +1,7 @@
 //! Gangs run whole or not at all.
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{model, time};
 use almondpass_standin::fault::{Condition, Fault};
 use almondpass_standin::worker::WorkerHealth;
--- a/crates/hall/tests/hall/intents.rs
+++ b/crates/hall/tests/hall/intents.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::keys;
+use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
 use almondpass_standin::fault::{Condition, Fault};
 
--- a/crates/hall/tests/hall/jobs.rs
+++ b/crates/hall/tests/hall/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs and their rows.
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::keys;
+use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::fault::{Condition, Fault};
 
--- a/crates/hall/tests/hall/takeover.rs
+++ b/crates/hall/tests/hall/takeover.rs
@@ -1,6 +1,6 @@
 //! A new scheduler learns how its hall stands.
 
-use almondpass_platform::{keys, worker::WorkerControl};
+use almondpass_ports::{keys, worker::WorkerControl};
 use almondpass_schema::{model, time};
 use almondpass_standin::fault::Condition;
 use almondpass_standin::worker;
--- a/crates/hall/tests/hall/watching.rs
+++ b/crates/hall/tests/hall/watching.rs
@@ -1,7 +1,7 @@
 //! What it costs to watch many halls.
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::keys;
+use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::fault::Condition;
 use tokio::time::Instant;
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondpass_peer::{call, error, link};
-use almondpass_platform::{keys, table};
+use almondpass_ports::{keys, table};
 use almondpass_schema::{ids, model};
 use rand::RngExt;
 use tokio::time::{self, Instant};
--- a/crates/membership/src/service.rs
+++ b/crates/membership/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondpass_peer::link;
-use almondpass_platform::instances;
+use almondpass_ports::instances;
 use almondpass_schema::{ids, model};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -78,6 +78,10 @@
     "/v1/peer/beat" PeerBeat => PeerBeat;
     "/v1/peer/config" ConfigFetch => ConfigFetched;
     "/v1/peer/hand-over" HandOver => Ack;
+    "/v1/peer/document" DocumentPull => DocumentPulled;
+    "/v1/pool/nudge" GraphNudge => Ack;
+    "/v1/pool/graph" GraphQuery => GraphAnswer;
+    "/v1/pool/backlog" BacklogQuery => BacklogAnswer;
     "/v1/hall/grant" GrantRequest => GrantReply;
     "/v1/hall/returns" GrantReturns => ReturnReply;
     "/v1/hall/report" GrantReport => ReturnReply;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod dispatch;
 pub mod error;
+pub mod http_client;
 pub mod key;
 pub mod link;
 pub mod server;
--- a/crates/platform/tests/store.rs
+++ b/crates/ports/tests/store.rs
@@ -5,9 +5,9 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::objects::ObjectStore;
-use almondpass_platform::table::TableService;
-use almondpass_platform::{group, store, store_objects, store_table};
+use almondpass_ports::objects::ObjectStore;
+use almondpass_ports::table::TableService;
+use almondpass_ports::{group, store, store_objects, store_table};
 use almondpass_schema::{blob, model};
 use almondpass_standin::{fault, object, table};
 use rand::{RngExt, SeedableRng};
--- a/crates/schema/src/ids.rs
+++ b/crates/schema/src/ids.rs
@@ -16,6 +16,8 @@
 pub type Epoch = u64;
 /// Id of one grant of a slot to an entry.
 pub type GrantId = Uuid;
+/// Id that a caller chose for a job graph; written as 16 hexadecimal digits.
+pub type GraphId = u64;
 /// Name of a guaranteed shape within its client account.
 pub type GuaranteeName = String;
 /// Name of a hall.
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -163,6 +163,19 @@
         value.parse()
     }
 }
+///How many jobs wait; nothing where the peer does not schedule.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct BacklogAnswer {
+    ///Accepted jobs without a started task.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub waiting: ::std::option::Option<u64>,
+}
+///Asks the scheduler for the jobs of a class of which no task has started.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BacklogQuery {
+    ///The job class.
+    pub class: crate::ids::ClassName,
+}
 ///Whether a class is answered on the caller's connection or runs as a job.
 #[derive(
     ::serde::Deserialize,
@@ -405,6 +418,19 @@
     ///Its number.
     pub version: crate::ids::ConfigVersion,
 }
+///Asks a peer for an operators' document newer than a version.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DocumentPull {
+    ///Version that the asker has; 0 for none.
+    pub have: crate::ids::ConfigVersion,
+}
+///The document in force at the peer, where it is newer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct DocumentPulled {
+    ///The document as the operator wrote it.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub document: ::std::option::Option<crate::blob::Blob>,
+}
 ///Drains in force.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DrainListing {
@@ -551,6 +577,148 @@
     ///The grants.
     pub returns: ::std::vec::Vec<GrantReturn>,
 }
+///What the scheduler knows of a job graph; nothing where it does not schedule or does not know it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct GraphAnswer {
+    ///Whose it is.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub account: ::std::option::Option<crate::ids::AccountId>,
+    ///How far it is, as far as that is durable.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub state: ::std::option::Option<GraphState>,
+}
+///Tells the scheduler of a row that was just written.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphNudge {
+    ///Id of the job graph.
+    pub graph: crate::ids::GraphId,
+    ///The row.
+    pub row: GraphRow,
+    ///Version of the row.
+    pub version: crate::ids::RowVersion,
+}
+///Asks the scheduler how far a job graph is.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphQuery {
+    ///Id of the job graph.
+    pub graph: crate::ids::GraphId,
+}
+///Row of an accepted job graph; written by the instance that accepted it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphRow {
+    ///Whose it is; absent where the class is open to all.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub account: ::std::option::Option<crate::ids::AccountId>,
+    ///Whether the caller cancelled it.
+    pub cancelled: bool,
+    ///Job class under which it was handed in.
+    pub class: crate::ids::ClassName,
+    ///What to run.
+    pub graph: JobGraph,
+    ///Failures of a task or gang after which the job has failed.
+    pub max_attempts: u32,
+    ///0 is the most urgent.
+    pub priority: u32,
+    ///Whose workers run it.
+    pub upstream: crate::ids::UpstreamName,
+}
+///How far a job graph is.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum GraphState {
+    #[serde(rename = "pending")]
+    Pending,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "completed")]
+    Completed,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+}
+impl ::std::fmt::Display for GraphState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Pending => f.write_str("pending"),
+            Self::Running => f.write_str("running"),
+            Self::Completed => f.write_str("completed"),
+            Self::Failed => f.write_str("failed"),
+            Self::Cancelled => f.write_str("cancelled"),
+        }
+    }
+}
+impl ::std::str::FromStr for GraphState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "pending" => Ok(Self::Pending),
+            "running" => Ok(Self::Running),
+            "completed" => Ok(Self::Completed),
+            "failed" => Ok(Self::Failed),
+            "cancelled" => Ok(Self::Cancelled),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for GraphState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for GraphState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Tasks of one kind within a job graph.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct GraphStep {
+    ///Accelerators that each needs.
+    pub accelerators: u32,
+    ///Earlier steps that must be done first.
+    pub after: ::std::vec::Vec<u32>,
+    ///Thousandths of a core that each needs.
+    pub cpu_milli: u32,
+    ///Declared run time in milliseconds, often far off.
+    pub estimate_ms: u32,
+    ///Whether the tasks work only together, and end together.
+    pub gang: bool,
+    ///Label that the worker must have.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub label: ::std::option::Option<::std::string::String>,
+    ///Megabytes that each needs.
+    pub memory_mb: u32,
+    ///Most tasks of the step on one worker; 0 for no limit.
+    pub per_worker: u32,
+    ///Rack that holds the data; elsewhere the tasks take longer.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rack: ::std::option::Option<crate::ids::RackName>,
+    ///Whether the tasks slow each other down across racks.
+    pub same_rack: bool,
+    ///Whether the tasks save checkpoints.
+    pub saves: bool,
+    ///How many tasks.
+    pub tasks: u32,
+}
 ///How a guarantee stands.
 #[derive(
     ::serde::Deserialize,
@@ -851,6 +1019,14 @@
         value.parse()
     }
 }
+///Row by which instances find each other.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceRow {
+    ///Where it answers its peers.
+    pub address: crate::ids::PeerAddress,
+    ///The instance.
+    pub instance: crate::ids::InstanceId,
+}
 ///Settings of one instance, from its YAML file.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1033,6 +1209,14 @@
     #[serde(default)]
     pub urgent: bool,
 }
+///Steps of tasks under an id that the caller chose.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JobGraph {
+    ///Handed to each task as it is.
+    pub body: ::std::string::String,
+    ///The steps; a step comes behind those it waits for.
+    pub steps: ::std::vec::Vec<GraphStep>,
+}
 ///A page of jobs.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JobPage {
@@ -1563,6 +1747,20 @@
     ///Urgent work starts within this.
     pub urgent_start: crate::time::TimeSpan,
 }
+///Row that names the scheduler of all pools; each write of the scheduler is conditional on it and writes it anew.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PoolTenure {
+    ///Where it answers its peers.
+    pub address: crate::ids::PeerAddress,
+    ///Number of the tenure; also the fencing token of its orders.
+    pub epoch: crate::ids::Epoch,
+    ///Instance that schedules.
+    pub holder: crate::ids::InstanceId,
+    ///Whether the holder gave it up, and gives no more orders.
+    pub released: bool,
+    ///Number of the write within the tenure.
+    pub renewal: u64,
+}
 ///An error as RFC 9457 writes it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ProblemDetails {
@@ -1592,6 +1790,14 @@
     #[serde(rename = "type")]
     pub type_: ::std::string::String,
 }
+///Row of what became of a job graph; written by the scheduler under its tenure.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProgressRow {
+    ///How far it is.
+    pub state: GraphState,
+    ///The steps in order.
+    pub steps: ::std::vec::Vec<StepProgress>,
+}
 ///Work that waits.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct QueueView {
@@ -1694,6 +1900,22 @@
         holder: ::std::option::Option<crate::ids::PeerAddress>,
     },
 }
+///A worker that a scheduler has given orders to.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RosterEntry {
+    ///Its control address.
+    pub address: crate::ids::PeerAddress,
+    ///Whose tasks it runs.
+    pub upstream: crate::ids::UpstreamName,
+    ///The worker.
+    pub worker: crate::ids::WorkerId,
+}
+///Row of the workers on which tasks may run, for the next scheduler; the list of workers may miss some for a while.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RosterRow {
+    ///The workers.
+    pub workers: ::std::vec::Vec<RosterEntry>,
+}
 ///Row of the table by which one instance schedules a hall.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SchedulerRow {
@@ -1738,6 +1960,18 @@
     ///The worker.
     pub worker: crate::ids::WorkerId,
 }
+///What is durable of one step.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StepProgress {
+    ///Highest attempt by task.
+    pub attempts: ::std::vec::Vec<TaskCount>,
+    ///Newest checkpoints by task.
+    pub checkpoints: ::std::vec::Vec<TaskCheckpoint>,
+    ///Tasks that are done.
+    pub done: ::std::vec::Vec<u32>,
+    ///Failures by task; of a gang under its first task.
+    pub fails: ::std::vec::Vec<TaskCount>,
+}
 ///What must hold of a row for a transaction to commit.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableCondition {
@@ -1815,6 +2049,22 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub value: ::std::option::Option<crate::blob::Blob>,
 }
+///The checkpoint that a task resumes from.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TaskCheckpoint {
+    ///Its name.
+    pub checkpoint: crate::ids::CheckpointId,
+    ///Index of the task.
+    pub task: u32,
+}
+///A count that belongs to one task of a step.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TaskCount {
+    ///The count.
+    pub count: u32,
+    ///Index of the task.
+    pub task: u32,
+}
 ///How a task ended.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum TaskExit {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::worker as control;
+use almondpass_ports::worker as control;
 use almondpass_schema::{ids, model};
 use tokio::time::Instant;
 
--- a/crates/standin/src/instance.rs
+++ b/crates/standin/src/instance.rs
@@ -6,7 +6,7 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::instances;
+use almondpass_ports::instances;
 use almondpass_schema::{ids, model};
 use tokio::time::Instant;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! In-memory fakes of the platform's services, workers and upstreams, with switchable faults, served over HTTP.
 //!
-//! The fakes implement the traits of `almondpass_platform` directly, on tokio's clock, so that a
+//! The fakes implement the traits of `almondpass_ports` directly, on tokio's clock, so that a
 //! test may pause it. A handle's [`fault::FaultPlan`] says what goes wrong with its calls.
 
 pub mod execution;
--- a/crates/standin/src/object.rs
+++ b/crates/standin/src/object.rs
@@ -6,7 +6,7 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::objects;
+use almondpass_ports::objects;
 use almondpass_schema::{blob, ids, model};
 
 use crate::fault;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,10 +2,10 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::{dispatch, error, link};
-use almondpass_platform::instances::InstanceList;
-use almondpass_platform::objects::ObjectStore;
-use almondpass_platform::table::TableService;
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::instances::InstanceList;
+use almondpass_ports::objects::ObjectStore;
+use almondpass_ports::table::TableService;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{ids, model};
 use bytes::Bytes;
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -6,7 +6,7 @@
 
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::error;
-use almondpass_platform::table;
+use almondpass_ports::table;
 use almondpass_schema::{blob, ids, model};
 
 use crate::fault;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use almondpass_peer::client;
-use almondpass_platform::instances::InstanceList;
-use almondpass_platform::objects::ObjectStore;
-use almondpass_platform::remote;
-use almondpass_platform::table::TableService;
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::instances::InstanceList;
+use almondpass_ports::objects::ObjectStore;
+use almondpass_ports::remote;
+use almondpass_ports::table::TableService;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{blob, ids, model, time};
 use almondpass_standin::{fault, plan, site, upstream, worker};
 use bytes::Bytes;
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
-use almondpass_platform::worker::WorkerControl;
+use almondpass_ports::worker::WorkerControl;
 use almondpass_schema::{ids, model, time};
 use almondpass_standin::{fault, fleet, run, script, worker};
 use tokio::time as clock;
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -8,11 +8,11 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, merged into one set of definitions so that they may refer to each other.
-const SCHEMA_FILES: [&str; 6] =
-    ["ids", "platform", "messages", "configuration", "operator", "settings"];
+const SCHEMA_FILES: [&str; 7] =
+    ["ids", "platform", "messages", "pool", "configuration", "operator", "settings"];
 
 /// Definitions written by hand, with the type that stands for each.
-const HAND_WRITTEN: [(&str, &str); 27] = [
+const HAND_WRITTEN: [(&str, &str); 28] = [
     ("AccountId", "crate::ids::AccountId"),
     ("Blob", "crate::blob::Blob"),
     ("CheckpointId", "crate::ids::CheckpointId"),
@@ -21,6 +21,7 @@
     ("DataCenter", "crate::ids::DataCenter"),
     ("Epoch", "crate::ids::Epoch"),
     ("GrantId", "crate::ids::GrantId"),
+    ("GraphId", "crate::ids::GraphId"),
     ("GuaranteeName", "crate::ids::GuaranteeName"),
     ("HallName", "crate::ids::HallName"),
     ("IdempotencyKey", "crate::ids::IdempotencyKey"),
