Let no failing work probe a worker, and look at an answer's body before its head goes out

A job that fails wherever it runs was the only small work about; everything but probing was closed to it, as gangs had reserved the rest; so it probed the worker at the end of each quarantine, failed, and doubled the next one. Ruled out: leases or rows left over (none on any worker), a lost worker (state quarantined in the picture), gangs blaming the same worker again (a test of that passed before the change). Work that has failed before is no probe now.

Cause of the second (from a new log line, "answer breaks off"): the deadline passed between head and body of the upstream's answer. The head was handed on, and dropped unwritten when the first look at the body failed. The entry looks at the body once, without waiting, before the head goes out, and answers `unknown` instead. Ruled out: the shutdown itself (the instance was not leaving in three of four), worker faults, misbehaving upstreams.

--- a/crates/entry/src/checked_request.rs
+++ b/crates/entry/src/checked_request.rs
@@ -70,7 +70,7 @@
     if deadline.passed() {
         return Err(refusal::too_late(untold(key), "request.head"));
     }
-    let record = admit(core, &class, key)?;
+    let record = admit(core, request, &class, key)?;
     Ok(CheckedRequest { request, class, key, deadline, headers, record })
 }
 
@@ -90,6 +90,7 @@
 
 fn admit<L, T>(
     core: &service::EntryCore<L, T>,
+    request: ids::RequestId,
     class: &config_index::CallerClass,
     key: Option<ids::IdempotencyKey>,
 ) -> Result<relay_body::CompletionRecord, problem::Problem> {
@@ -99,7 +100,9 @@
     let limits = &account.limits;
     let own = limits.running_requests.saturating_add(limits.queued_requests) as usize;
     match core.requests.enter(&account.id, n_accounts, own) {
-        Ok(permit) => Ok(relay_body::CompletionRecord { class: class.clone(), arrived, permit }),
+        Ok(permit) => {
+            Ok(relay_body::CompletionRecord { request, class: class.clone(), arrived, permit })
+        }
         Err(cause) => {
             class.meter().shed();
             let kind = match cause {
--- a/crates/entry/src/relay_body.rs
+++ b/crates/entry/src/relay_body.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use almondpass_schema::model;
+use almondpass_schema::{ids, model};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
@@ -32,6 +32,8 @@
 /// What is told when a request is over.
 #[derive(Debug)]
 pub struct CompletionRecord {
+    /// The request.
+    pub request: ids::RequestId,
     /// Measurements of its account and class.
     pub class: config_index::CallerClass,
     /// When its head arrived.
@@ -52,6 +54,8 @@
 #[derive(Debug)]
 pub struct RelayBody {
     relay: Option<Box<RelayInner>>,
+    /// Taken before the head goes out.
+    first: Option<Frame<Bytes>>,
 }
 
 #[derive(Debug)]
@@ -99,15 +103,26 @@
             record,
             drain,
         };
-        (parts, RelayBody { relay: Some(Box::new(relay)) })
+        (parts, RelayBody { relay: Some(Box::new(relay)), first: None })
     }
 
-    /// Ends an answer without a body before its head goes out; nothing else would end it.
-    pub async fn settle_empty(&mut self) -> Result<(), RelayFault> {
-        if self.relay.as_ref().is_none_or(|it| !it.incoming.is_end_stream()) {
-            return Ok(());
+    /// Looks at the body once before the head goes out, without waiting for it. A fault that shows
+    /// at the first look would take the head along, since the two are written together, and the
+    /// caller would see its connection break instead of an answer that says what is known. An
+    /// answer without a body ends here; nothing else would end it.
+    pub async fn begin(&mut self) -> Result<(), RelayFault> {
+        std::future::poll_fn(|cx| Poll::Ready(self.look(cx))).await
+    }
+
+    fn look(&mut self, cx: &mut Context<'_>) -> Result<(), RelayFault> {
+        if self.relay.as_ref().is_some_and(|it| it.incoming.is_end_stream()) {
+            return self.finish(cx);
+        }
+        match Pin::new(&mut *self).poll_frame(cx) {
+            Poll::Ready(Some(frame)) => self.first = Some(frame?),
+            Poll::Ready(None) | Poll::Pending => {}
         }
-        std::future::poll_fn(|cx| Poll::Ready(self.finish(cx))).await
+        Ok(())
     }
 
     fn finish(&mut self, cx: &mut Context<'_>) -> Result<(), RelayFault> {
@@ -119,6 +134,8 @@
 
     fn fail(&mut self, fault: RelayFault, worker_fault: bool) -> RelayFault {
         if let Some(relay) = self.relay.take() {
+            // The caller sees no more than a broken connection, so this line alone tells why.
+            tracing::info!(request = %relay.record.request, %fault, worker_fault, "answer breaks off");
             relay.fail(worker_fault);
         }
         fault
@@ -178,6 +195,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
         let Some(relay) = &mut self.relay else {
             return Poll::Ready(None);
         };
@@ -204,11 +224,19 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.relay.is_none()
+        self.relay.is_none() && self.first.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.relay.as_ref().map_or(SizeHint::with_exact(0), |it| it.incoming.size_hint())
+        let first = self.first.as_ref().and_then(Frame::data_ref).map_or(0, |it| it.len() as u64);
+        let rest = self.relay.as_ref().map(|it| it.incoming.size_hint());
+        let rest = rest.unwrap_or_else(|| SizeHint::with_exact(0));
+        let mut whole = SizeHint::new();
+        whole.set_lower(rest.lower() + first);
+        if let Some(upper) = rest.upper() {
+            whole.set_upper(upper + first);
+        }
+        whole
     }
 }
 
@@ -223,7 +251,7 @@
             return;
         };
         runtime.spawn(async move {
-            let mut body = RelayBody { relay: Some(relay) };
+            let mut body = RelayBody { relay: Some(relay), first: None };
             while let Some(Ok(_)) =
                 std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await
             {}
--- a/crates/entry/src/request_api.rs
+++ b/crates/entry/src/request_api.rs
@@ -148,9 +148,12 @@
     mut parts: http::response::Parts,
     mut body: relay_body::RelayBody,
 ) -> Result<http::Response<service::EntryBody>, refused_request::RefusedRequest> {
-    if let Err(fault) = body.settle_empty().await {
+    if let Err(fault) = body.begin().await {
         let outcome = model::RequestOutcome::Unknown;
-        let kind = problem::ProblemKind::UpstreamFailed;
+        let kind = match fault {
+            relay_body::RelayFault::TimedOut => problem::ProblemKind::DeadlinePassed,
+            relay_body::RelayFault::Upstream(_) => problem::ProblemKind::UpstreamFailed,
+        };
         let problem = problem::Problem::new(kind, outcome, "upstream.answer", fault.to_string());
         return Err(refused_request::RefusedRequest { problem, leftover: None, measured: true });
     }
--- a/crates/fleet-tests/src/calm.rs
+++ b/crates/fleet-tests/src/calm.rs
@@ -76,6 +76,7 @@
                 let traces = storm.world.traces_of(job);
                 let mut holdings = storm.world.holdings();
                 holdings += &format!("\n    {traces}\n    runs {runs:?}");
+                holdings += &pictures(storm);
                 storm.oracle.check(Condition::GangIsWhole, false, || {
                     format!("{record:?} does not come to an end in the calm:{holdings}")
                 });
@@ -88,6 +89,21 @@
     }
 }
 
+/// What the schedulers of the halls believe, for whoever reads a failed run.
+fn pictures(storm: &mut storm::FleetStorm) -> String {
+    let mut pictures = String::new();
+    for hall in document::HALLS {
+        let query = model::HallQuery { hall: hall.to_string() };
+        let asked = storm.world.nodes.iter().find(|it| it.halls.held().contains(&query.hall));
+        let Some(node) = asked else { continue };
+        let halls = node.halls.clone();
+        let asked = node.spawn(async move { halls.ask(query).await });
+        let answer = storm.finish("a picture is drawn", asked);
+        pictures += &format!("\n    picture {answer:?}");
+    }
+    pictures
+}
+
 /// The small account claims its guarantee while the large one fills the halls.
 fn guarantee(storm: &mut storm::FleetStorm) {
     for _ in 0..document::HALLS.len() * document::N_WORKERS as usize {
--- a/crates/fleet-tests/src/oracle.rs
+++ b/crates/fleet-tests/src/oracle.rs
@@ -125,7 +125,9 @@
             if !disturbed {
                 self.check(Condition::ShutdownCutsNothing, !cut, || {
                     let at = world.since_start(sent.sent_at);
-                    format!("sent at {at:?}: {sent:?}")
+                    let ran = executions.iter().filter(|it| it.body_head == sent.body);
+                    let ran = ran.map(|it| (world.since_start(it.started), it));
+                    format!("sent at {at:?}: {sent:?}, ran {:?}", ran.collect::<Vec<_>>())
                 });
             }
         }
--- a/crates/policy/src/probing.rs
+++ b/crates/policy/src/probing.rs
@@ -218,8 +218,12 @@
         }
     }
 
+    /// Places the eldest of a group that has never failed on the worker. Work that has failed may be
+    /// at fault itself: as a probe it would take a sound worker out again and again, for longer each
+    /// time, and a gang that needs the worker would wait for it.
     fn probe_with(&self, group: u32, worker: u32) -> Option<(u32, Vec<crate::ledger::HeldTask>)> {
-        let index = self.queue.group(group)?.entries.first()?.item;
+        let entries = &self.queue.group(group)?.entries;
+        let index = entries.iter().map(|it| it.item).find(|it| self.items.at(*it).failures == 0)?;
         let item = self.items.at(index);
         let able = item.state == ItemState::Waiting
             && !item.exclude.contains(&worker)
--- a/crates/policy/tests/fuzz_findings.rs
+++ b/crates/policy/tests/fuzz_findings.rs
@@ -82,3 +82,39 @@
     hall.pass(secs(1_200));
     assert!(hall.runs(gang), "{}", hall.why(gang));
 }
+
+/// Symptom: a gang that needs every worker waited for more than half an hour in a hall where
+/// nothing ran.
+/// Sequence: a worker is taken out; the only small work about is a job that fails wherever it runs,
+/// and nothing but probing is open to it, as the other worker is busy; it probes the worker again
+/// and again, and each time the worker is taken out for twice as long.
+/// Cause: work that had failed before could probe, although its failure tells nothing of the worker.
+#[test]
+fn failing_work_does_not_probe() {
+    let mut lone = config(1);
+    lone.accounts[1].guarantees.clear();
+    lone.halls[0].racks[0].workers = 2;
+    let mut hall = TestHall::new(lone);
+    let keeper = hall.run(job("large", "certificate", 1, 8));
+    for _ in 0..3 {
+        let work = hall.run(job("large", "certificate", 1, 8));
+        let worker = hall.workers_of(work)[0].clone();
+        hall.tell(HallEvent::Ended { work, exit: WorkExit::Failed { worker } });
+    }
+    let sound = hall.run(gang("large", "batch", 2, 8, model::Adjacency::Rack));
+    let faulty = hall.run(job("small", "batch", 1, 1));
+    for step in 0..90 {
+        if step == 30 {
+            hall.end(keeper);
+        }
+        if hall.runs(faulty) {
+            let worker = hall.workers_of(faulty)[0].clone();
+            hall.tell(HallEvent::Ended { work: faulty, exit: WorkExit::Failed { worker } });
+        }
+        if hall.runs(sound) {
+            return;
+        }
+        hall.pass(secs(10));
+    }
+    panic!("{}", hall.why(sound));
+}
