Take the tenure over also while the store is slow

Its successor read the 16 parts of the job graphs one after the other, 0.14 s each and more, hit the deadline of 1.5 s for a table, tried again, and lost the tenure to the next instance after 2 s, as it did not renew it before it had read everything. Nobody scheduled for 5.5 s. Ruled out: the release (0.34 s), the term, the deference to stronger instances.

--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -38,6 +38,8 @@
     pub(crate) save_due: Notify,
     /// Something was saved.
     pub(crate) saved: Notify,
+    /// The tenure is to be given up although the instance stays.
+    pub(crate) giving_up: CancellationToken,
     /// Ends with the tenure.
     pub(crate) over: CancellationToken,
 }
@@ -66,6 +68,7 @@
             turn_due: Notify::new(),
             save_due: Notify::new(),
             saved: Notify::new(),
+            giving_up: CancellationToken::new(),
             over: CancellationToken::new(),
         }
     }
@@ -129,24 +132,46 @@
 pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>, taken: TakenTenure) {
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
     metrics::counter!("almondpass_pool_tenures_total").increment(1);
+    let (epoch, version) = (taken.epoch, taken.version);
+    let core = core::PoolCore::new(core::PoolStart {
+        terms: state.settings.terms,
+        catalog: Arc::default(),
+        settles_at: taken.settles_at,
+    });
+    let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
+    let mut parts = JoinSet::new();
+    parts.spawn(serve(Arc::clone(&state), Arc::clone(&lead), taken));
+    // From the start on: while the store is slow the reads take longer than the term, and each
+    // successor would lose the tenure to the next one before it had scheduled anything.
+    writer::run(&state, &lead, version).await;
+    lead.end();
+    parts.shutdown().await;
+    state.set_lead(None);
+    metrics::gauge!("almondpass_pool_held").set(0.0);
+    tracing::info!(epoch, "tenure is over");
+}
+
+/// Reads how the pools stand, then schedules.
+async fn serve<S: state::PoolSite>(
+    state: Arc<state::PoolState<S>>,
+    lead: Arc<LeadState>,
+    taken: TakenTenure,
+) {
+    // However this ends, by a panic too: a tenure that is renewed and not served would keep the
+    // others from scheduling.
+    let _giving_up = lead.giving_up.clone().drop_guard();
     let Some(loaded) = lead_loader::load(&state, &taken).await else {
-        tracing::warn!(epoch = taken.epoch, "tenure given up: its rows could not be read");
+        tracing::warn!(epoch = taken.epoch, "tenure is given up: its rows can't be read");
         return;
     };
-    let times = state.settings.tenure;
-    let lead = Arc::new(LeadState::new(&taken, times, loaded.core));
+    *lead.core() = loaded.core;
     state.set_lead(Some(Arc::clone(&lead)));
     metrics::gauge!("almondpass_pool_held").set(1.0);
-    let mut parts = JoinSet::new();
-    parts.spawn(graph_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.graphs_at));
-    parts.spawn(worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at));
-    parts.spawn(turner::run(Arc::clone(&state), Arc::clone(&lead)));
-    writer::run(&state, &lead, taken.version).await;
-    lead.end();
-    state.set_lead(None);
-    metrics::gauge!("almondpass_pool_held").set(0.0);
-    parts.shutdown().await;
-    tracing::info!(epoch = taken.epoch, "tenure is over");
+    tokio::join!(
+        graph_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.graphs_at),
+        worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at),
+        turner::run(Arc::clone(&state), Arc::clone(&lead)),
+    );
 }
 
 /// Keeps a session with each worker that the core knows.
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -20,8 +20,9 @@
 /// Wait before the rows are read again after a failure.
 const READ_AGAIN: Duration = Duration::from_millis(150);
 
-/// Tries before the tenure is given up.
-const READ_TRIES: u32 = 8;
+/// Tries before the tenure is given up: an instance that can write and not read would keep it from
+/// the others.
+const READ_TRIES: u32 = 3;
 
 /// The state of a tenure at its beginning, and where to follow on.
 #[derive(Debug)]
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -28,7 +28,8 @@
 /// Wait before a failed write is tried again.
 const WRITE_AGAIN: Duration = Duration::from_millis(120);
 
-/// Writes until the tenure is over or the instance leaves; then gives the tenure up.
+/// Writes until the tenure is over or to be given up, as it is when the instance leaves; then gives
+/// it up.
 pub(crate) async fn run<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
     lead: &Arc<lead::LeadState>,
@@ -36,13 +37,13 @@
 ) {
     let mut writer = TenureWriter { state, lead, version: taken, renewal: 0 };
     while !lead.over.is_cancelled() {
-        let is_leaving = writer.wait().await;
-        if is_leaving {
+        let is_last = writer.wait().await;
+        if is_last {
             // No order leaves from here on; what is known is saved with the release.
             lead.tenure().end();
         }
         let batch = lead.core().take_batch(MOST_ROWS);
-        if !writer.write(batch, is_leaving).await || is_leaving {
+        if !writer.write(batch, is_last).await || is_last {
             return;
         }
     }
@@ -56,20 +57,25 @@
 }
 
 impl<S: state::PoolSite> TenureWriter<'_, S> {
-    /// Waits for a reason to write. Tells whether the instance leaves.
+    /// Waits for a reason to write. Tells whether the tenure is to be given up.
     async fn wait(&self) -> bool {
         let renewal = self.state.settings.tenure.renewal;
         if !self.lead.is_firm(self.state.site.clock()) {
-            return self.state.leaving.is_cancelled();
+            return self.is_to_be_given_up();
         }
         tokio::select! {
             () = self.state.leaving.cancelled() => return true,
+            () = self.lead.giving_up.cancelled() => return true,
             () = self.lead.over.cancelled() => return false,
             () = time::sleep(renewal) => return false,
             () = self.lead.save_due.notified() => {}
         }
         time::sleep(GATHERING).await;
-        self.state.leaving.is_cancelled()
+        self.is_to_be_given_up()
+    }
+
+    fn is_to_be_given_up(&self) -> bool {
+        self.state.leaving.is_cancelled() || self.lead.giving_up.is_cancelled()
     }
 
     /// Writes until the outcome is certain. Tells whether the tenure is still held.
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -4,13 +4,16 @@
 
 use almondpass_graph::order;
 use almondpass_schema::model;
-use almondpass_standin::{fault, pool_fleet};
+use almondpass_standin::{fault, pool_fleet, table};
 use tokio::time;
 
 use crate::support;
 
 const SOON: Duration = Duration::from_secs(30);
 
+/// Tables that a successor reads at once.
+const N_TABLES: u64 = 3;
+
 /// Tasks run on through the takeover, and none starts twice.
 #[test]
 fn tasks_outlive_the_scheduler_that_started_them() {
@@ -98,6 +101,30 @@
     });
 }
 
+/// Symptom: one instance after the other took the tenure, and none got as far as to schedule.
+/// Sequence: the holder is gone; its successor's reads of the tables take longer than the term.
+/// Cause: it did not renew the tenure before it had read them.
+#[test]
+fn a_successor_keeps_the_tenure_while_it_reads() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 2).await;
+        bench.submit(0, 1, support::job(8, 5_000)).await;
+        let holder = bench.holder();
+        let epoch = bench.instances[holder].state.lead().expect("a tenure").epoch;
+        bench.kill(holder).await;
+        for instance in &bench.instances {
+            for nth in 1..=2 * N_TABLES {
+                instance.to_store.nth(table::SNAPSHOT, nth, fault::Fault::RequestLost);
+            }
+        }
+        time::sleep(Duration::from_secs(9)).await;
+        let lead = bench.instances[bench.holder()].state.lead().expect("a tenure");
+        assert_eq!(lead.epoch, epoch + 1);
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        bench.assert_nothing_ran_twice();
+    });
+}
+
 /// A start whose answer is lost, with the task running: it is found, not started again.
 #[test]
 fn a_start_without_answer_is_settled_by_a_look() {
