Reckon the pace of runs by the worker's clock, and that of gangs from their first progress

The holder, on 0.12 cores, took answers in late and reckoned by its own clock; and for gangs the time in which the last member was not there yet counted as work, for one member more than for another.

Readings count by the clock that each answer carries. A gang's pace counts from the first progress that is seen. Both tests failed first.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -28,7 +28,7 @@
         match answer {
             order::StartAnswer::Started { clock_ms } => {
                 self.heard(&start.worker, clock_ms, now);
-                self.start_confirmed(start, now);
+                self.start_confirmed(start, clock_ms, now);
             }
             order::StartAnswer::Refused(refusal) => self.start_refused(start, refusal, now),
             order::StartAnswer::NotSent => {
@@ -75,16 +75,24 @@
         self.is_fenced_off = true;
     }
 
-    fn start_confirmed(&mut self, start: &order::StartOrder, now: Duration) {
+    fn start_confirmed(&mut self, start: &order::StartOrder, clock_ms: u64, now: Duration) {
+        let is_gang = self.is_gang(start.task);
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
         run.is_confirmed = true;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
-            run.pace = pace::RunPace::new(now, 0);
+            if !is_gang {
+                run.pace = pace::RunPace::new(Duration::from_millis(clock_ms), 0);
+            }
         }
     }
 
+    fn is_gang(&self, key: task_key::TaskKey) -> bool {
+        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        step.is_some_and(|it| it.spec.gang)
+    }
+
     fn order_look(&mut self, worker: &ids::WorkerId) {
         self.orders.push(order::PoolOrder::Look { worker: worker.clone() });
     }
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -98,8 +98,9 @@
         }
         let running = listed.running.iter().map(|it| (it.task, it.attempt));
         let running = running.collect::<BTreeMap<_, _>>();
+        let listed_at = ListedAt { clock: Duration::from_millis(listed.clock_ms), now };
         for run in listed.running {
-            self.take_running(worker, run, now);
+            self.take_running(worker, run, listed_at);
         }
         if listed.complete {
             self.take_missing(worker, &running, sent_at, now);
@@ -130,11 +131,11 @@
         }
     }
 
-    fn take_running(&mut self, worker: &ids::WorkerId, run: order::ListedRun, now: Duration) {
+    fn take_running(&mut self, worker: &ids::WorkerId, run: order::ListedRun, at: ListedAt) {
         match self.classify(worker, &run) {
-            RunClass::Expected => self.update_run(run, now),
-            RunClass::Unknown => self.adopt_run(worker, run, now),
-            RunClass::Unwanted => self.stop_stray(worker, &run, now),
+            RunClass::Expected => self.update_run(run, at),
+            RunClass::Unknown => self.adopt_run(worker, run, at),
+            RunClass::Unwanted => self.stop_stray(worker, &run, at.now),
         }
     }
 
@@ -152,7 +153,8 @@
         RunClass::Unwanted
     }
 
-    fn update_run(&mut self, listed: order::ListedRun, now: Duration) {
+    fn update_run(&mut self, listed: order::ListedRun, at: ListedAt) {
+        let ListedAt { clock, now } = at;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
@@ -161,7 +163,7 @@
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
         }
-        run.pace.observe(now, listed.percent);
+        run.pace.observe(clock, listed.percent);
         if run.percent != listed.percent {
             run.percent = listed.percent;
             run.percent_at = now;
@@ -172,7 +174,8 @@
     }
 
     /// A run that an earlier scheduler has ordered goes on.
-    fn adopt_run(&mut self, worker: &ids::WorkerId, listed: order::ListedRun, now: Duration) {
+    fn adopt_run(&mut self, worker: &ids::WorkerId, listed: order::ListedRun, at: ListedAt) {
+        let ListedAt { clock, now } = at;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         job.started = true;
         job.state = almondpass_schema::model::GraphState::Running;
@@ -193,7 +196,7 @@
             since: now,
             percent: listed.percent,
             percent_at: now,
-            pace: pace::RunPace::new(now, listed.percent),
+            pace: pace::RunPace::new(clock, listed.percent),
         });
         if let Some(record) = self.workers.get_mut(worker) {
             record.runs.insert(listed.task);
@@ -262,6 +265,15 @@
     }
 }
 
+/// When a worker listed something.
+#[derive(Clone, Copy, Debug)]
+struct ListedAt {
+    /// By the worker's clock.
+    clock: Duration,
+    /// When it was taken in, by ours.
+    now: Duration,
+}
+
 enum RunClass {
     Expected,
     Unknown,
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -26,15 +26,22 @@
 /// From this share of the usual pace of its class on, a run shows that its worker is sound.
 const SOUND_OF_CLASS: f64 = 0.5;
 
-/// Readings of one run, in percent per second.
-#[derive(Clone, Copy, Debug)]
+/// Readings of one run, in percent per second. Their times are by the worker's clock: answers of
+/// workers wait while the scheduler is busy, and by its own clock what they show would seem slow.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RunPace {
-    marked_at: Duration,
-    marked_percent: u32,
+    mark: Option<PaceMark>,
     best: f64,
     latest: Option<f64>,
 }
 
+/// Where the next reading counts from.
+#[derive(Clone, Copy, Debug)]
+struct PaceMark {
+    at: Duration,
+    percent: u32,
+}
+
 /// What the pace of a run says of its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PaceVerdict {
@@ -47,19 +54,30 @@
 }
 
 impl RunPace {
-    /// A run at `percent`, from now on.
-    pub fn new(now: Duration, percent: u32) -> RunPace {
-        RunPace { marked_at: now, marked_percent: percent, best: 0.0, latest: None }
+    /// A run that was at `percent` at that time.
+    pub fn new(at: Duration, percent: u32) -> RunPace {
+        RunPace { mark: Some(PaceMark { at, percent }), ..RunPace::default() }
+    }
+
+    /// A run that begins at a time not known yet: the first progress that is seen counts as its
+    /// beginning. A gang works only once its last member is there.
+    pub fn unknown() -> RunPace {
+        RunPace::default()
     }
 
     /// Takes in a reading.
-    pub fn observe(&mut self, now: Duration, percent: u32) {
-        let elapsed = now.saturating_sub(self.marked_at);
+    pub fn observe(&mut self, at: Duration, percent: u32) {
+        let fresh = PaceMark { at, percent };
+        let Some(mark) = self.mark else {
+            self.mark = (percent > 0).then_some(fresh);
+            return;
+        };
+        let elapsed = at.saturating_sub(mark.at);
         // A member of a gang that has done its work waits for the others at 100 percent.
         if elapsed < SHORTEST_READING || percent >= 100 {
             return;
         }
-        let gained = f64::from(percent.saturating_sub(self.marked_percent));
+        let gained = f64::from(percent.saturating_sub(mark.percent));
         // A task that restores its checkpoint does not progress at first.
         if gained == 0.0 && self.latest.is_none() && elapsed < LONGEST_RESTORE {
             return;
@@ -67,8 +85,7 @@
         let pace = gained / elapsed.as_secs_f64();
         self.best = self.best.max(pace);
         self.latest = Some(pace);
-        self.marked_at = now;
-        self.marked_percent = percent;
+        self.mark = Some(fresh);
     }
 
     /// The newest pace, in percent per second.
@@ -95,7 +112,7 @@
     /// Time that the rest takes at the newest pace; nothing where it is not known.
     pub fn time_left(&self) -> Option<Duration> {
         let latest = self.latest?;
-        let left = f64::from(100_u32.saturating_sub(self.marked_percent));
+        let left = f64::from(100_u32.saturating_sub(self.mark?.percent));
         Some(Duration::from_secs_f64(left / latest.max(0.01)))
     }
 }
--- a/crates/graph/tests/pool/slowness.rs
+++ b/crates/graph/tests/pool/slowness.rs
@@ -71,6 +71,54 @@
     assert_eq!(bench.core.usual_run_time("class-1"), None);
 }
 
+/// Symptom: urgent gangs were stopped on sound workers. Sequence: a busy scheduler takes an answer
+/// in a second after the worker gave it. Cause: the pace was reckoned by the scheduler's clock.
+#[test]
+fn an_answer_that_is_taken_in_late_makes_no_worker_slow() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(0, support::whole_workers(4)));
+    let starts = bench.turn_and_start();
+    let asked = bench.now;
+    for millis in [500, 1_000] {
+        bench.now = asked + Duration::from_millis(millis);
+        for start in &starts[1..] {
+            let percent = millis as u32 / 25;
+            let run = support::running(start, percent);
+            bench.lists(support::index_of(&start.worker), &[run], &[]);
+        }
+    }
+    // What the first worker said half a second after the start comes with what the others say now.
+    let listed = order::WorkerListed {
+        clock_ms: (asked + Duration::from_millis(500)).as_millis() as u64,
+        running: vec![support::running(&starts[0], 20)],
+        ended: Vec::new(),
+        complete: true,
+    };
+    bench.now = asked + Duration::from_millis(1_700);
+    bench.core.hold_answered(&starts[0].worker, listed, asked, bench.now);
+    assert_eq!(support::stops(&bench.turn()), []);
+}
+
+/// Symptom: urgent gangs were stopped on sound workers. Sequence: the last member of a gang starts
+/// late; a worker is looked at just after that, the others later. Cause: the time in which the gang
+/// could not work yet was counted as work, for one member more than for the others.
+#[test]
+fn a_gang_that_began_late_makes_no_worker_slow() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(0, support::gang(support::whole_workers(4))));
+    let starts = bench.turn_and_start();
+    // It works from 800 ms on, for 2.5 s in all.
+    let looks = [(0, 900, 4), (1, 1_500, 28), (2, 1_500, 28), (3, 1_500, 28)];
+    let asked = bench.now;
+    for (member, millis, percent) in looks {
+        bench.now = asked + Duration::from_millis(millis);
+        let start = &starts[member];
+        let run = support::running(start, percent);
+        bench.lists(support::index_of(&start.worker), &[run], &[]);
+    }
+    assert_eq!(support::stops(&bench.turn()), []);
+}
+
 /// Readings of a run in milliseconds and percent, and what they say of its worker.
 fn check_pace(readings: &[(u64, u32)], usual: pace::UsualPace, expected: pace::PaceVerdict) {
     let mut run = pace::RunPace::new(Duration::ZERO, 0);
