Leave the tenure to stronger instances also at the first start, and hand it over to them later

It took the tenure 0.6 s after its start, when the list of instances had few rows, none of them of a stronger one; and a holder never gave the tenure away. Ruled out: the deference at takeovers (later holders were strong ones).

A tenure that nobody has held is left alone for 1.5 s, until all have read each other's rows; a holder offers it once to each stronger instance it finds; a watcher wakes at the moment at which it may take the tenure. The tests failed first.

--- /dev/null
+++ b/crates/pool/src/hand_over.rs
@@ -0,0 +1,55 @@
+//! Hands the tenure over to a stronger instance.
+//!
+//! A weak instance may hold it because no stronger one was there when it was free. Its looks and
+//! renewals come late for as long as it holds it, since its work grows with the number of workers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use almondpass_schema::ids;
+use tokio::time;
+
+use crate::lead;
+use crate::state;
+
+/// A tenure is kept for at least this long: its beginning is the busiest time, and the rows of the
+/// instances that start along with this one come within it.
+const KEPT_FOR: Duration = Duration::from_secs(3);
+
+/// The instances that were found are looked at this often.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Instances to which the tenure was offered once. The row of a machine that is gone stays in the
+/// store; without this the tenure would be given up for it again and again.
+#[derive(Debug, Default)]
+pub(crate) struct OfferedInstances {
+    offered: BTreeSet<ids::InstanceId>,
+}
+
+/// Gives the tenure up once a stronger instance is found to which it was not offered before.
+pub(crate) async fn run<S: state::PoolSite>(
+    state: Arc<state::PoolState<S>>,
+    lead: Arc<lead::LeadState>,
+) {
+    time::sleep(KEPT_FOR).await;
+    loop {
+        // While the store is away a tenure that is given up could be taken by nobody.
+        let may_write = lead.is_firm(state.site.clock()) && !state.is_store_away();
+        if may_write && offer(&state) {
+            tracing::info!(epoch = lead.epoch, "tenure is handed over to a stronger instance");
+            lead.giving_up.cancel();
+            return;
+        }
+        time::sleep(INTERVAL).await;
+    }
+}
+
+/// Whether there is a stronger instance that was not offered the tenure; notes that all were.
+fn offer<S: state::PoolSite>(state: &state::PoolState<S>) -> bool {
+    let stronger = state.stronger();
+    let mut offered = state.offered();
+    let is_new = !stronger.is_subset(&offered.offered);
+    offered.offered.extend(stronger);
+    is_new
+}
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::graph_follower;
+use crate::hand_over;
 use crate::lead_loader;
 use crate::order_sender;
 use crate::session;
@@ -171,6 +172,7 @@
         graph_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.graphs_at),
         worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at),
         turner::run(Arc::clone(&state), Arc::clone(&lead)),
+        hand_over::run(Arc::clone(&state), Arc::clone(&lead)),
     );
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod detour;
 mod document_follower;
 mod graph_follower;
+mod hand_over;
 mod lead;
 mod lead_loader;
 mod member_list;
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -42,8 +42,10 @@
             watch = tenure_watch::TenureWatch::default();
             continue;
         }
+        // The next look comes at the moment at which the tenure may be taken, if that is sooner.
+        let due = watch.seen().and_then(|it| wait_for(&state, it));
         tokio::select! {
-            () = time::sleep(look) => {}
+            () = time::sleep(due.map_or(look, |it| it.min(look))) => {}
             () = state.leaving.cancelled() => {}
         }
     }
@@ -77,8 +79,8 @@
     // Without a configuration nothing could be decided.
     state.document.current()?;
     let now = state.site.clock().now();
-    let seen = watch.free(&settings.peer_address, settings.tenure.term, now)?;
-    if defers(state, seen, now) {
+    let seen = watch.seen()?;
+    if wait_for(state, seen).is_some() {
         return None;
     }
     let row = model::PoolTenure {
@@ -100,26 +102,34 @@
     Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at })
 }
 
-/// Whether a stronger instance should have the first try. The holder's work grows with the number of
+/// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
+/// take it.
+fn wait_for<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    seen: &tenure_watch::SeenRow,
+) -> Option<Duration> {
+    let settings = &state.settings;
+    let free_at = seen.free_at(&settings.peer_address, settings.tenure.term);
+    let may_take_at = free_at + deference(state, seen);
+    let wait = may_take_at.saturating_sub(state.site.clock().now());
+    (!wait.is_zero()).then_some(wait)
+}
+
+/// How long a free tenure is left to stronger instances. The holder's work grows with the number of
 /// workers: at 350 it took nine tenths of the 0.12 cores of the weakest instances, and renewals and
 /// looks came late.
-fn defers<S: state::PoolSite>(
+fn deference<S: state::PoolSite>(
     state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
-    now: Duration,
-) -> bool {
+) -> Duration {
     let times = state.settings.tenure;
-    let is_own = seen.row.as_ref().is_some_and(|it| it.address == state.settings.peer_address);
-    if is_own {
-        return false;
+    if seen.is_of(&state.settings.peer_address) {
+        return Duration::ZERO;
     }
-    // At the very first start the others' rows are not there yet.
-    let is_first = seen.row.is_none() && !state.knows_members();
-    let free_since = match &seen.row {
-        Some(row) if !row.released => seen.since + times.term,
-        _ => seen.first_seen,
-    };
-    (is_first || state.knows_stronger()) && now < free_since + times.deference
+    // Who is strong shows only once all have written their rows.
+    let first = if seen.row.is_none() { times.first_start } else { Duration::ZERO };
+    let to_stronger = if state.knows_stronger() { times.deference } else { Duration::ZERO };
+    first + to_stronger
 }
 
 /// When whatever the earlier holder ordered has surely ended, on workers that don't answer.
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -37,6 +37,8 @@
     pub look: Duration,
     /// A watcher that knows a stronger instance waits this much longer before it takes over.
     pub deference: Duration,
+    /// A tenure that nobody has held yet is left alone for this long.
+    pub first_start: Duration,
 }
 
 impl Default for TenureTimes {
@@ -54,6 +56,9 @@
             look: Duration::from_millis(600),
             // One look of the stronger ones, with its spread.
             deference: Duration::from_millis(900),
+            // Instances start within 0.8 s of each other on the users' sites, and read each other's
+            // rows a second after their own start.
+            first_start: Duration::from_millis(1_500),
         }
     }
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of an instance share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -11,6 +12,7 @@
 use crate::control;
 use crate::detour;
 use crate::document;
+use crate::hand_over;
 use crate::lead;
 use crate::settings;
 
@@ -60,6 +62,8 @@
     detours: Mutex<detour::DetourState>,
     /// Instances that were found, this one included.
     members: Mutex<Vec<model::InstanceRow>>,
+    /// Stronger instances to which this one has offered the tenure.
+    offered: Mutex<hand_over::OfferedInstances>,
 }
 
 /// The holder of the tenure.
@@ -84,6 +88,7 @@
             store_away: AtomicBool::new(false),
             detours: Mutex::default(),
             members: Mutex::default(),
+            offered: Mutex::default(),
         }
     }
 
@@ -135,19 +140,25 @@
         lock(&self.detours)
     }
 
+    pub(crate) fn offered(&self) -> MutexGuard<'_, hand_over::OfferedInstances> {
+        lock(&self.offered)
+    }
+
     pub(crate) fn set_members(&self, members: Vec<model::InstanceRow>) {
         *lock(&self.members) = members;
     }
 
-    /// Whether the instances were read and a stronger one than this is among them.
+    /// Whether a stronger instance than this was found.
     pub(crate) fn knows_stronger(&self) -> bool {
-        let members = lock(&self.members);
-        members.iter().any(|it| it.strength_milli > self.settings.strength_milli)
+        !self.stronger().is_empty()
     }
 
-    /// Whether the instances were read.
-    pub(crate) fn knows_members(&self) -> bool {
-        !lock(&self.members).is_empty()
+    /// Instances that were found and are stronger than this.
+    pub(crate) fn stronger(&self) -> BTreeSet<ids::InstanceId> {
+        let members = lock(&self.members);
+        let own = self.settings.strength_milli;
+        let stronger = members.iter().filter(|it| it.strength_milli > own);
+        stronger.map(|it| it.instance.clone()).collect()
     }
 }
 
--- a/crates/pool/src/tenure_watch.rs
+++ b/crates/pool/src/tenure_watch.rs
@@ -40,14 +40,9 @@
         }
     }
 
-    /// The row, as long as nobody holds the tenure: given up, not renewed for a `term`, or held
-    /// by an earlier process at `address`, which is this process's own. That process is over, as
-    /// no two can listen there; waiting out its term would cost seconds after a restart of all.
-    pub fn free(&self, address: &str, term: Duration, now: Duration) -> Option<&SeenRow> {
-        let seen = self.seen.as_ref()?;
-        let Some(row) = &seen.row else { return Some(seen) };
-        let is_free = row.released || row.address == address || now >= seen.since + term;
-        is_free.then_some(seen)
+    /// What was seen, once a read has succeeded.
+    pub fn seen(&self) -> Option<&SeenRow> {
+        self.seen.as_ref()
     }
 
     /// The row as last seen.
@@ -55,3 +50,20 @@
         self.seen.as_ref()?.row.as_ref()
     }
 }
+
+impl SeenRow {
+    /// Whether an earlier process at `address` holds the tenure still, by the row.
+    pub fn is_of(&self, address: &str) -> bool {
+        self.row.as_ref().is_some_and(|it| it.address == address && !it.released)
+    }
+
+    /// From when on nobody holds the tenure: it was given up, or not renewed for a `term`, or held
+    /// by an earlier process at `address`, which is this process's own. That process is over, as
+    /// no two can listen there; waiting out its term would cost seconds after a restart of all.
+    pub fn free_at(&self, address: &str, term: Duration) -> Duration {
+        match &self.row {
+            Some(row) if !row.released && !self.is_of(address) => self.since + term,
+            _ => self.first_seen,
+        }
+    }
+}
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -3,5 +3,6 @@
 mod calm;
 mod outages;
 mod storms;
+mod strengths;
 mod support;
 mod takeovers;
--- /dev/null
+++ b/crates/pool/tests/pool/strengths.rs
@@ -0,0 +1,66 @@
+//! Instances of different strength: the work of the holder is for the strongest.
+
+use std::time::Duration;
+
+use almondpass_schema::model;
+use tokio::time;
+
+use crate::support;
+
+const WEAK: u32 = 120;
+const STRONG: u32 = 500;
+const STRONG_ADDRESS: &str = "10.0.9.1:7000";
+
+/// Symptom: on some days urgent work was late from the first moment on, on one in 25 nearly all work.
+/// Sequence: all instances start for the first time, those on weak machines a little sooner; one of
+/// them takes the tenure for the day. Cause: it looked whether a stronger one was listed while most
+/// had not written their rows yet.
+#[test]
+fn a_weak_instance_that_starts_first_leaves_the_tenure_to_a_stronger_one() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(0, 2).await;
+        for index in 0..4 {
+            bench.start_instance_of(&format!("10.0.0.{}:7000", index + 1), WEAK);
+        }
+        time::sleep(Duration::from_millis(700)).await;
+        let strong = bench.start_instance_of(STRONG_ADDRESS, STRONG);
+        time::sleep(Duration::from_secs(4)).await;
+        let lead = bench.instances[strong].state.lead().expect("a tenure");
+        assert_eq!(lead.epoch, 1);
+    });
+}
+
+/// A stronger instance that comes later gets the tenure, and what runs goes on.
+#[test]
+fn a_weak_holder_hands_over_to_a_stronger_instance() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(0, 2).await;
+        bench.start_instance_of("10.0.0.1:7000", WEAK);
+        bench.start_instance_of("10.0.0.2:7000", WEAK);
+        time::sleep(Duration::from_secs(8)).await;
+        bench.submit(0, 1, support::job(8, 20_000)).await;
+        let strong = bench.start_instance_of(STRONG_ADDRESS, STRONG);
+        time::sleep(Duration::from_secs(9)).await;
+        assert_eq!(bench.holder(), strong);
+        bench.await_state(0, 1, model::GraphState::Completed, Duration::from_secs(30)).await;
+        bench.assert_nothing_ran_twice();
+        assert_eq!(bench.fleet.records().len(), 8);
+    });
+}
+
+/// The row of a machine that is gone stays in the store: the tenure is offered to it once.
+#[test]
+fn a_weak_holder_offers_the_tenure_once() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(0, 2).await;
+        let strong = bench.start_instance_of(STRONG_ADDRESS, STRONG);
+        time::sleep(Duration::from_secs(4)).await;
+        bench.kill(strong).await;
+        let weak = bench.start_instance_of("10.0.0.1:7000", WEAK);
+        time::sleep(Duration::from_secs(30)).await;
+        let epoch = bench.instances[weak].state.lead().expect("a tenure").epoch;
+        time::sleep(Duration::from_secs(60)).await;
+        assert_eq!(bench.instances[weak].state.lead().expect("a tenure").epoch, epoch);
+        assert!(epoch <= 3, "{epoch}");
+    });
+}
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -17,6 +17,9 @@
 /// What each worker offers.
 const CAPACITY: room::Room = room::Room { cpu_milli: 32_000, memory_mb: 65_536, accelerators: 8 };
 
+/// Thousandths of a core of an instance.
+const STRENGTH_MILLI: u32 = 250;
+
 /// What each task takes.
 const TASK: room::Room = room::Room { cpu_milli: 4_000, memory_mb: 8_000, accelerators: 1 };
 
@@ -144,6 +147,11 @@
 
     /// Another process at `address`, in place of a former one there.
     pub(crate) fn start_instance(&mut self, address: &str) -> usize {
+        self.start_instance_of(address, STRENGTH_MILLI)
+    }
+
+    /// The same, on a machine of that strength.
+    pub(crate) fn start_instance_of(&mut self, address: &str, strength_milli: u32) -> usize {
         self.n_started += 1;
         let (to_store, to_workers) = (fault::FaultPlan::new(), fault::FaultPlan::new());
         let site = BenchSite {
@@ -156,7 +164,7 @@
             instance: format!("{address}#{}", self.n_started),
             peer_address: address.to_owned(),
             seeds: Vec::new(),
-            strength_milli: 250,
+            strength_milli,
             terms: almondpass_graph::terms::PoolTerms::default(),
             tenure: settings::TenureTimes::default(),
         };
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -35,7 +35,8 @@
     }
     let now = Duration::from_secs(100) + Duration::from_millis(case.now);
     watch.saw(version, case.row, now);
-    assert_eq!(watch.free("10.0.0.2:1", TERM, now).is_some(), case.is_free);
+    let free_at = watch.seen().expect("a row").free_at("10.0.0.2:1", TERM);
+    assert_eq!(free_at <= now, case.is_free);
 }
 
 macro_rules! watches {
