Judge long tasks by their own pace, so that work of hours is not stopped as hanging

Cause (a pool test of a ten-minute task, which was started 26 times): progress is listed in whole percent, and a task of ten minutes shows one every six seconds. Three seconds without progress counted as hanging, and two readings between two percent as a slow worker. Ruled out: the stand-in's own lapses (no lease lapsed).

A reading counts once four percent were gained or should have been, by the best pace seen, that of the class, or of its siblings; a task hangs once it has missed as much time as four percent take, and each stop for that doubles its patience, as declared run times are far off.

The tests failed first.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -28,7 +28,7 @@
         match answer {
             order::StartAnswer::Started { clock_ms } => {
                 self.heard(&start.worker, clock_ms, now);
-                self.start_confirmed(start, clock_ms, now);
+                self.start_confirmed(start, now);
             }
             order::StartAnswer::Refused(refusal) => self.start_refused(start, refusal, now),
             order::StartAnswer::NotSent => {
@@ -75,22 +75,38 @@
         self.is_fenced_off = true;
     }
 
-    fn start_confirmed(&mut self, start: &order::StartOrder, clock_ms: u64, now: Duration) {
-        let is_gang = self.is_gang(start.task);
+    fn start_confirmed(&mut self, start: &order::StartOrder, now: Duration) {
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
         run.is_confirmed = true;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
-            if !is_gang {
-                run.pace = pace::RunPace::new(Duration::from_millis(clock_ms), 0);
-            }
+            self.note_begin(start.task, now);
         }
     }
 
-    fn is_gang(&self, key: task_key::TaskKey) -> bool {
+    /// Notes that a run has begun, where it does not wait for other members of its gang.
+    pub(crate) fn note_begin(&mut self, key: task_key::TaskKey, now: Duration) {
         let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
-        step.is_some_and(|it| it.spec.gang)
+        let Some(step) = step else { return };
+        let is_gang = step.spec.gang;
+        let is_running = |it: &job::TaskRecord| {
+            let run = it.run.as_ref();
+            run.is_some_and(|it| matches!(it.phase, job::RunPhase::Running { .. }))
+        };
+        if is_gang && !step.tasks.iter().all(is_running) {
+            return;
+        }
+        let task = (!is_gang).then_some(key.task);
+        let unit = task_key::UnitKey { graph: key.graph, step: key.step, task };
+        for member in self.unit_tasks(unit) {
+            let worker = self.run(member).and_then(|it| self.workers.get(&it.worker));
+            let Some(clock) = worker.and_then(|it| it.clock.reading(now)) else { continue };
+            let task = self.jobs.get_mut(&member.graph).and_then(|it| it.task_mut(member));
+            if let Some(run) = task.and_then(|it| it.run.as_mut()) {
+                run.pace = pace::RunPace::new(clock, run.percent);
+            }
+        }
     }
 
     fn order_look(&mut self, worker: &ids::WorkerId) {
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -276,7 +276,7 @@
             since: now,
             percent: 0,
             percent_at: now,
-            pace: pace::RunPace::unknown(),
+            pace: pace::RunPace::unbegun(),
         });
         record.runs.insert(key);
         record.used = record.used.plus(room);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -67,6 +67,8 @@
     pub failures: FailureCount,
     /// Newest checkpoint.
     pub checkpoint: Option<Arc<str>>,
+    /// How often it was stopped because it stood still.
+    pub n_hangs: u32,
     /// Worker on which it failed last, which it avoids.
     pub avoids: Option<ids::WorkerId>,
     /// Since when it waits.
--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// What the worker's clock shows at `now`, as far as it is known.
+    pub fn reading(&self, now: Duration) -> Option<Duration> {
+        let sample = self.sample?;
+        let elapsed = now.saturating_sub(sample.received_at);
+        Some(Duration::from_millis(sample.clock_ms) + elapsed)
+    }
+
     /// A deadline `span` from now on the worker's clock, which an order is about to carry. It is
     /// remembered as sent, whether or not an answer comes: the worker may have taken it.
     pub fn deadline_in(&mut self, now: Duration, span: Duration) -> Option<u64> {
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -155,15 +155,19 @@
 
     fn update_run(&mut self, listed: order::ListedRun, at: ListedAt) {
         let ListedAt { clock, now } = at;
+        let usual = self.class_pace(listed.task).or_else(|| self.sibling_pace(listed.task));
+        let key = listed.task;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
         run.is_confirmed = true;
+        let mut has_begun = false;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
+            has_begun = true;
         }
-        run.pace.observe(clock, listed.percent);
+        run.pace.observe(clock, listed.percent, usual);
         if run.percent != listed.percent {
             run.percent = listed.percent;
             run.percent_at = now;
@@ -171,6 +175,9 @@
         if listed.checkpoint.is_some() && listed.checkpoint != task.checkpoint {
             task.checkpoint = listed.checkpoint;
         }
+        if has_begun {
+            self.note_begin(key, now);
+        }
     }
 
     /// A run that an earlier scheduler has ordered goes on.
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -5,7 +5,11 @@
 
 use std::time::Duration;
 
-/// Shortest time between two readings that make a pace: progress comes in whole percent.
+/// Least gain between two readings that make a pace, seen or to be expected, in percent: progress
+/// comes in whole percent, and of a task of hours one percent takes minutes.
+const LEAST_GAIN: f64 = 4.0;
+
+/// Shortest time between two readings that make a pace.
 const SHORTEST_READING: Duration = Duration::from_millis(400);
 
 /// A task that resumes from a checkpoint stands still for up to 0.6 s first on the users' sites.
@@ -59,16 +63,16 @@
         RunPace { mark: Some(PaceMark { at, percent }), ..RunPace::default() }
     }
 
-    /// A run that begins at a time not known yet: the first progress that is seen counts as its
-    /// beginning. A gang works only once its last member is there.
-    pub fn unknown() -> RunPace {
+    /// A run that has not begun yet. A gang works only once its last member is there.
+    pub fn unbegun() -> RunPace {
         RunPace::default()
     }
 
-    /// Takes in a reading.
-    pub fn observe(&mut self, at: Duration, percent: u32) {
+    /// Takes in a reading. `usual` is the pace of such runs in percent per second, where it is known.
+    pub fn observe(&mut self, at: Duration, percent: u32, usual: Option<f64>) {
         let fresh = PaceMark { at, percent };
         let Some(mark) = self.mark else {
+            // It has begun after all, unnoticed.
             self.mark = (percent > 0).then_some(fresh);
             return;
         };
@@ -78,6 +82,10 @@
             return;
         }
         let gained = f64::from(percent.saturating_sub(mark.percent));
+        let expected = usual.unwrap_or_default().max(self.best) * elapsed.as_secs_f64();
+        if gained.max(expected) < LEAST_GAIN {
+            return;
+        }
         // A task that restores its checkpoint does not progress at first.
         if gained == 0.0 && self.latest.is_none() && elapsed < LONGEST_RESTORE {
             return;
--- a/crates/graph/src/slowness.rs
+++ b/crates/graph/src/slowness.rs
@@ -80,7 +80,7 @@
         if !matches!(run.phase, job::RunPhase::Running { .. }) {
             return pace::PaceVerdict::Unknown;
         }
-        let by_class = pace::UsualPace { siblings: None, class: self.class_pace(key, run.is_far) };
+        let by_class = pace::UsualPace { siblings: None, class: self.class_pace(key) };
         match run.pace.verdict(by_class) {
             pace::PaceVerdict::Sound => pace::PaceVerdict::Sound,
             // The siblings tell more, and cost more to look at.
@@ -94,15 +94,20 @@
     }
 
     /// Mean pace of the class of a run, in percent per second.
-    fn class_pace(&self, key: task_key::TaskKey, is_far: bool) -> Option<f64> {
+    pub(crate) fn class_pace(&self, key: task_key::TaskKey) -> Option<f64> {
         let job = self.jobs.get(&key.graph)?;
-        let factor = if is_far { self.terms.remote_factor } else { 1.0 };
-        let mean = self.run_times.known_mean(&job.class)?.mul_f64(factor);
+        let mean = self.run_times.known_mean(&job.class)?.mul_f64(self.far_factor(key));
         Some(100.0 / mean.as_secs_f64().max(0.001))
     }
 
+    /// How many times as long a run takes where it is.
+    pub(crate) fn far_factor(&self, key: task_key::TaskKey) -> f64 {
+        let is_far = self.run(key).is_some_and(|it| it.is_far);
+        if is_far { self.terms.remote_factor } else { 1.0 }
+    }
+
     /// Median pace of the other tasks of the step, in percent per second.
-    fn sibling_pace(&self, key: task_key::TaskKey) -> Option<f64> {
+    pub(crate) fn sibling_pace(&self, key: task_key::TaskKey) -> Option<f64> {
         let step = self.jobs.get(&key.graph)?.steps.get(key.step as usize)?;
         let others = step.tasks.iter().enumerate().filter(|(it, _)| *it != key.task as usize);
         let runs = others.filter_map(|(_, it)| it.run.as_ref());
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -28,6 +28,14 @@
 /// tasks stand still recover after about six seconds on the users' sites.
 const HANGS_LONG_AFTER: Duration = Duration::from_millis(8_000);
 
+/// A task stands still only if it has not progressed for as long as this many percent should take.
+/// One that works for hours shows its progress every few minutes.
+const HANGS_PERCENT: f64 = 4.0;
+
+/// Patience doubles with each time that a task was stopped for standing still, up to this often: the
+/// declared run times are far off, and a task may be slower than all that is known.
+const MOST_DOUBLINGS: u32 = 12;
+
 /// Kept for stopping a task before its worker leaves, beyond the time that a stop takes.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -106,10 +114,7 @@
                     matches!(run.phase, job::RunPhase::Running { .. }) && run.percent < 100;
                 // Counted up to the last answer: without answers no progress is seen either.
                 let stood = worker.answered_at.saturating_sub(run.percent_at);
-                let worked = run.percent_at.saturating_sub(run.since);
-                let is_cheap = self.saves(*key) || worked <= HANGS_AFTER;
-                let patience = if is_cheap { HANGS_AFTER } else { HANGS_LONG_AFTER };
-                if is_running && stood >= patience {
+                if is_running && stood >= HANGS_AFTER && stood >= self.hang_patience(*key, run) {
                     hanging.push((id.clone(), *key));
                 }
             }
@@ -126,10 +131,33 @@
             {
                 record.health.hung(now);
             }
+            if let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) {
+                task.n_hangs += 1;
+            }
             self.stop_run(key, now);
         }
     }
 
+    /// How long a run may show no progress.
+    fn hang_patience(&self, key: task_key::TaskKey, run: &job::TaskRun) -> Duration {
+        let worked = run.percent_at.saturating_sub(run.since);
+        let is_cheap = self.saves(key) || worked <= HANGS_AFTER;
+        let least = if is_cheap { HANGS_AFTER } else { HANGS_LONG_AFTER };
+        let seen = run.pace.latest().filter(|it| *it > 0.0);
+        let pace = seen.or_else(|| self.class_pace(key)).unwrap_or_else(|| self.declared_pace(key));
+        let expected = Duration::from_secs_f64(HANGS_PERCENT / pace);
+        let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
+        let n_hangs = task.map_or(0, |it| it.n_hangs.min(MOST_DOUBLINGS));
+        least.max(expected) * (1 << n_hangs)
+    }
+
+    /// The pace that the caller has declared, in percent per second.
+    fn declared_pace(&self, key: task_key::TaskKey) -> f64 {
+        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        let estimate_ms = step.map_or(0, |it| it.spec.estimate_ms).max(1);
+        100_000.0 / (f64::from(estimate_ms) * self.far_factor(key))
+    }
+
     /// Stops tasks that would not end before their worker leaves.
     fn clear_leaving(&mut self, now: Duration) {
         let leaving = self.workers.iter().filter(|(_, it)| it.leaves_at.is_some());
@@ -186,9 +214,9 @@
     pub(crate) fn time_left(&self, key: task_key::TaskKey, now: Duration) -> Duration {
         let Some(run) = self.run(key) else { return Duration::ZERO };
         let ran = now.saturating_sub(run.since);
-        if run.percent > 0 && run.percent_at > run.since {
-            let per_percent = run.percent_at.saturating_sub(run.since) / run.percent;
-            return (per_percent * (100 - run.percent.min(100)))
+        if let Some(pace) = run.pace.latest().filter(|it| *it > 0.0) {
+            let left = f64::from(100 - run.percent.min(100)) / pace;
+            return Duration::from_secs_f64(left)
                 .saturating_sub(now.saturating_sub(run.percent_at));
         }
         let class = self.jobs.get(&key.graph).map(|it| it.class.as_str()).unwrap_or_default();
