Forget jobs that ended long ago, in the store and in memory

Cause: rows of ended jobs were never removed. Callers are promised two minutes.

Twice that after the end the holder removes the row of the acceptance, then, under its tenure, that of the progress. The other way round a successor would run the job once more. What a holder that dies in between leaves behind is removed by its successor.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -39,6 +39,8 @@
     pub(crate) changed: BTreeSet<ids::GraphId>,
     /// Whether a worker refused an order for a higher fencing token than ours.
     pub(crate) is_fenced_off: bool,
+    /// Jobs that were forgotten and whose progress is still to be removed from the store.
+    pub(crate) forgotten: BTreeSet<ids::GraphId>,
     /// Jobs that ended since they were last asked for.
     pub(crate) finished: Vec<FinishedJob>,
     /// When time was last taken note of.
@@ -73,6 +75,7 @@
             change: 0,
             durable_change: 0,
             changed: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
             is_fenced_off: false,
             finished: Vec::new(),
             kept_up_at: Duration::ZERO,
@@ -179,7 +182,8 @@
 
     /// Takes note that a job has ended.
     pub(crate) fn finish(&mut self, graph: ids::GraphId, now: Duration) {
-        let Some(job) = self.jobs.get(&graph) else { return };
+        let Some(job) = self.jobs.get_mut(&graph) else { return };
+        job.ended_at = Some(now);
         let took = now.saturating_sub(job.admitted_at);
         tracing::info!(
             job = format_args!("{graph:016x}"),
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -153,6 +153,7 @@
         steps: steps.collect(),
         inherited: admitted.inherited,
         admitted_at: now,
+        ended_at: None,
         wait_told: false,
         started: false,
         state: model::GraphState::Pending,
@@ -161,6 +162,7 @@
     if let Some(progress) = admitted.progress {
         progress::restore(&mut job, progress);
     }
+    job.ended_at = job.has_ended().then_some(now);
     if job.inherited {
         for task in job.steps.iter_mut().flat_map(|it| &mut it.tasks) {
             task.attempt += ATTEMPT_GAP;
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -30,6 +30,8 @@
     pub inherited: bool,
     /// When this scheduler learned of it.
     pub admitted_at: Duration,
+    /// When this scheduler learned of its end.
+    pub ended_at: Option<Duration>,
     /// Whether it was told why its tasks wait.
     pub wait_told: bool,
     /// Whether any task was ever started.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placing;
 pub mod progress;
 pub mod reclaiming;
+pub mod retention;
 pub mod room;
 pub mod run_times;
 pub mod task_key;
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -14,6 +14,8 @@
     pub change: u64,
     /// The rows to write.
     pub rows: Vec<(ids::GraphId, model::ProgressRow)>,
+    /// The rows to remove.
+    pub removed: Vec<ids::GraphId>,
     /// The roster to write, where it has grown.
     pub roster: Option<model::RosterRow>,
 }
@@ -23,7 +25,7 @@
     /// to be saved before the next one is taken.
     pub fn take_batch(&mut self, most: usize) -> Option<SaveBatch> {
         let roster = self.grown_roster();
-        if self.changed.is_empty() && roster.is_none() {
+        if self.changed.is_empty() && self.forgotten.is_empty() && roster.is_none() {
             return None;
         }
         let mut rows = Vec::new();
@@ -33,13 +35,20 @@
                 rows.push((graph, progress_of(job)));
             }
         }
+        let mut removed = Vec::new();
+        while rows.len() + removed.len() < most {
+            let Some(graph) = self.forgotten.pop_first() else { break };
+            removed.push(graph);
+        }
         let change = if self.changed.is_empty() { self.change } else { self.durable_change };
-        Some(SaveBatch { change, rows, roster })
+        Some(SaveBatch { change, rows, removed, roster })
     }
 
     /// Whether there is something to save.
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty() || self.workers.values().any(|it| !it.enrolled)
+        !self.changed.is_empty()
+            || !self.forgotten.is_empty()
+            || self.workers.values().any(|it| !it.enrolled)
     }
 
     /// The batch is durable: callers may be told, and workers' ends acknowledged.
--- /dev/null
+++ b/crates/graph/src/retention.rs
@@ -0,0 +1,38 @@
+//! How long ended jobs are answered for.
+
+use std::time::Duration;
+
+use almondpass_schema::{ids, model};
+
+use crate::core;
+use crate::job;
+
+impl core::PoolCore {
+    /// Up to `most` jobs whose end is durable and was long enough ago. Their rows may go: that of the
+    /// acceptance first, then, with [`PoolCore::forget`](core::PoolCore::forget), that of the
+    /// progress. The other way round a successor would run the job once more.
+    pub fn expired(&self, now: Duration, most: usize) -> Vec<ids::GraphId> {
+        let retention = self.terms.retention;
+        let expired = self.jobs.iter().filter(|(graph, it)| {
+            let is_old = it.ended_at.is_some_and(|ended| now >= ended + retention);
+            is_old && is_settled(it) && !self.changed.contains(graph)
+        });
+        expired.map(|(graph, _)| *graph).take(most).collect()
+    }
+
+    /// Forgets a job whose acceptance is gone from the store, or was never there.
+    pub fn forget(&mut self, graph: ids::GraphId) {
+        self.jobs.remove(&graph);
+        self.active.remove(&graph);
+        self.changed.remove(&graph);
+        self.forgotten.insert(graph);
+    }
+}
+
+/// Whether the end is durable and nothing of the job is on a worker any more.
+fn is_settled(job: &job::JobRecord) -> bool {
+    let is_durable =
+        !matches!(job.durable, model::GraphState::Pending | model::GraphState::Running);
+    let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
+    is_durable && tasks.all(|it| it.run.is_none())
+}
--- a/crates/graph/src/terms.rs
+++ b/crates/graph/src/terms.rs
@@ -9,6 +9,10 @@
 /// Kept below the longest lease that workers grant, since a longer one is shortened unheard.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Callers are promised two minutes after the end on the users' sites; twice that and more leaves
+/// room for a scheduler that learned of the end late.
+const RETENTION: Duration = Duration::from_secs(300);
+
 /// How the pool's workers behave.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolTerms {
@@ -19,6 +23,8 @@
     pub start_term: Duration,
     /// A stop takes at most this long.
     pub stop_timeout: Duration,
+    /// An ended job is answered for this long.
+    pub retention: Duration,
     /// Work away from its data, or of a gang across racks, takes so many times as long.
     pub remote_factor: f64,
 }
@@ -36,6 +42,7 @@
             lease: LONGEST_LEASE,
             start_term: Duration::from_millis(2_500),
             stop_timeout: Duration::from_millis(400),
+            retention: RETENTION,
             remote_factor: 3.0,
         }
     }
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -15,6 +15,7 @@
 use crate::hand_over;
 use crate::lead_loader;
 use crate::order_sender;
+use crate::retention;
 use crate::session;
 use crate::settings;
 use crate::standing;
@@ -173,6 +174,7 @@
         worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at),
         turner::run(Arc::clone(&state), Arc::clone(&lead)),
         hand_over::run(Arc::clone(&state), Arc::clone(&lead)),
+        retention::run(Arc::clone(&state), Arc::clone(&lead)),
     );
 }
 
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -1,6 +1,6 @@
 //! What a new holder reads before it decides anything.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -75,12 +75,18 @@
         core.inherit_worker(entry);
     }
     let mut progress = progress_by_graph(progress);
+    let accepted = graphs.rows.iter().filter_map(|it| task_key::parse_graph(&it.key));
+    let accepted = accepted.collect::<BTreeSet<_>>();
     for row in graphs.rows {
         let Some(mut admitted) = read_graph(&row, taken.version) else { continue };
         admitted.progress = progress.remove(&admitted.graph);
         admitted.inherited |= admitted.progress.is_some();
         core.admit(admitted, now);
     }
+    // The row of the acceptance is the first to go when a job is forgotten.
+    for graph in progress.into_keys().filter(|it| !accepted.contains(it)) {
+        core.forget(graph);
+    }
     Ok(LoadedLead { core, graphs_at, workers_at })
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 mod lead_loader;
 mod member_list;
 mod order_sender;
+mod retention;
 mod seat;
 mod session;
 mod turner;
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -150,6 +150,8 @@
         let mut writes = vec![write_of(keys::pool_tenure(), &tenure)];
         let Some(batch) = batch else { return writes };
         writes.extend(batch.rows.iter().map(|(graph, row)| write_of(keys::progress(*graph), row)));
+        let removed = batch.removed.iter().map(|it| removal_of(keys::progress(*it)));
+        writes.extend(removed);
         writes.extend(batch.roster.iter().map(|it| write_of(keys::roster(), it)));
         writes
     }
@@ -180,6 +182,11 @@
     Lost,
 }
 
+/// A write that removes a row.
+pub(crate) fn removal_of(key: ids::RowKey) -> model::TableWrite {
+    model::TableWrite { key, value: None }
+}
+
 /// A write of a message.
 pub(crate) fn write_of<M: serde::Serialize>(key: ids::RowKey, content: &M) -> model::TableWrite {
     // Encoding fails only for types that no message has, such as maps with odd keys.
--- a/crates/pool/tests/pool/calm.rs
+++ b/crates/pool/tests/pool/calm.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use almondpass_schema::model;
+use tokio::time;
 
 use crate::support;
 
+/// Longer than ended jobs are answered for, and until the next look for them.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(320);
+
 const SOON: Duration = Duration::from_secs(6);
 
 #[test]
@@ -83,3 +87,47 @@
         }
     });
 }
+
+/// Symptom: rows and memory grew with every job that was ever accepted, and with them the time that a
+/// takeover takes. Sequence: jobs end; days pass. Cause: nothing was ever removed.
+#[test]
+fn a_job_that_ended_long_ago_leaves_nothing_behind() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        bench.submit(0, 1, support::job(3, 500)).await;
+        let mut long = support::job(1, 600_000);
+        long.graph.steps[0].estimate_ms = 600_000;
+        bench.submit(0, 2, long).await;
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        time::sleep(Duration::from_secs(240)).await;
+        assert_eq!(bench.look(0, 1).await, model::LookOutcome::Known(model::GraphState::Completed));
+        time::sleep(FORGOTTEN_AFTER - Duration::from_secs(240)).await;
+        for index in 0..2 {
+            assert_eq!(bench.look(index, 1).await, model::LookOutcome::Absent);
+        }
+        // The other one has made no progress that would have to be saved.
+        assert_eq!(bench.store.peek("graph/").len(), 1);
+        assert_eq!(bench.store.peek("progress/").len(), 0);
+        bench.kill(bench.holder()).await;
+        time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(bench.look(0, 2).await, model::LookOutcome::Known(model::GraphState::Running));
+        assert_eq!(bench.fleet.records().len(), 3);
+    });
+}
+
+/// A holder that dies between the removal of the two rows of a job leaves the second one to its
+/// successor, and the job does not run again.
+#[test]
+fn a_half_forgotten_job_is_forgotten_by_the_successor() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        bench.submit(0, 1, support::job(1, 500)).await;
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        let accepted = bench.store.peek("graph/").remove(0).key;
+        bench.remove(&accepted).await;
+        bench.kill(bench.holder()).await;
+        time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(bench.store.peek("progress/").len(), 0);
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -208,8 +208,15 @@
         self.write(&format!("workers//{id}"), format!("r{}", index / 8).as_bytes()).await;
     }
 
+    pub(crate) async fn remove(&self, key: &str) {
+        self.put(key, None).await;
+    }
+
     async fn write(&self, key: &str, value: &[u8]) {
-        let value = Some(blob::Blob::from(value.to_vec()));
+        self.put(key, Some(blob::Blob::from(value.to_vec()))).await;
+    }
+
+    async fn put(&self, key: &str, value: Option<blob::Blob>) {
         let write = model::TableWrite { key: key.to_owned(), value };
         let transaction = model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
         self.store.transact(transaction).await.expect("a write");
