Run timed jobs: each run of the steps when it is due

Cause: a job with several timed runs was told 501.

The steps of all runs stand one after the other in the job's record; the key of a task tells run and step as the workers name them. Missed runs are made up for at once. Weighed: a job of its own for each run, which would need the end of the whole told from many rows.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -87,8 +87,8 @@
 
     /// Notes that a run has begun, where it does not wait for other members of its gang.
     pub(crate) fn note_begin(&mut self, key: task_key::TaskKey, now: Duration) {
-        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
-        let Some(step) = step else { return };
+        let Some(job) = self.jobs.get(&key.graph) else { return };
+        let (Some(step), Some(index)) = (job.step(key), job.step_index(key)) else { return };
         let is_gang = step.spec.gang;
         let is_running = |it: &job::TaskRecord| {
             let run = it.run.as_ref();
@@ -98,7 +98,7 @@
             return;
         }
         let task = (!is_gang).then_some(key.task);
-        let unit = task_key::UnitKey { graph: key.graph, step: key.step, task };
+        let unit = task_key::UnitKey { graph: key.graph, step: index, task };
         for member in self.unit_tasks(unit) {
             let worker = self.run(member).and_then(|it| self.workers.get(&it.worker));
             let Some(clock) = worker.and_then(|it| it.clock.reading(now)) else { continue };
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -138,10 +138,10 @@
                 }
                 let factor = if is_urgent { URGENT_COST } else { 1 };
                 let Some(cost) = self.stop_cost(*key, now) else { continue };
-                let of_step = job.steps.get(key.step as usize);
-                let is_gang = of_step.is_some_and(|it| it.spec.gang);
+                let Some(step) = job.step_index(*key) else { continue };
+                let is_gang = job.steps[step as usize].spec.gang;
                 let task = (!is_gang).then_some(key.task);
-                let victim = task_key::UnitKey { graph: key.graph, step: key.step, task };
+                let victim = task_key::UnitKey { graph: key.graph, step, task };
                 let entry = victims.entry(victim).or_insert_with(|| reclaiming::ReclaimVictim {
                     unit: victim,
                     cost: 0,
@@ -160,7 +160,7 @@
         if run.phase.is_stopping() || matches!(run.phase, job::RunPhase::Unclear { .. }) {
             return None;
         }
-        let saves = self.jobs.get(&key.graph)?.steps.get(key.step as usize)?.spec.saves;
+        let saves = self.jobs.get(&key.graph)?.step(key)?.spec.saves;
         let ran = now.saturating_sub(run.since).as_millis() as u64;
         // A stop saves a task that saves checkpoints.
         let lost = if saves { 0 } else { ran };
@@ -170,7 +170,7 @@
     }
 
     fn room_of(&self, key: task_key::TaskKey) -> room::Room {
-        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        let step = self.jobs.get(&key.graph).and_then(|it| it.step(key));
         step.map(job::StepRecord::room).unwrap_or_default()
     }
 
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -45,6 +45,8 @@
     pub(crate) finished: Vec<FinishedJob>,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
+    /// What the clock of the day showed last, as time since 1970: runs are due by it.
+    pub(crate) wall: Duration,
 }
 
 /// What a scheduler begins with.
@@ -79,6 +81,7 @@
             is_fenced_off: false,
             finished: Vec::new(),
             kept_up_at: Duration::ZERO,
+            wall: Duration::ZERO,
         }
     }
 
@@ -87,6 +90,11 @@
         self.catalog = catalog;
     }
 
+    /// Takes the time of day, as time since 1970.
+    pub fn set_wall(&mut self, wall: Duration) {
+        self.wall = wall;
+    }
+
     /// Orders since the last call, to be sent in this order.
     pub fn take_orders(&mut self) -> Vec<order::PoolOrder> {
         std::mem::take(&mut self.orders)
@@ -199,7 +207,7 @@
     /// Takes the run of a task off its worker; the room is free from now on.
     pub(crate) fn vacate(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
-        let Some(step) = job.steps.get_mut(key.step as usize) else { return };
+        let Some(step) = job.step_mut(key) else { return };
         let room = step.room();
         let Some(task) = step.tasks.get_mut(key.task as usize) else { return };
         let Some(run) = task.run.take() else { return };
@@ -241,12 +249,12 @@
 
     /// Keys of the tasks of a unit.
     pub(crate) fn unit_tasks(&self, unit: task_key::UnitKey) -> Vec<task_key::TaskKey> {
-        let key =
-            |task| task_key::TaskKey { graph: unit.graph, occurrence: 0, step: unit.step, task };
+        let Some(job) = self.jobs.get(&unit.graph) else { return Vec::new() };
+        let key = |task| job.task_key(unit.graph, unit.step, task);
         if let Some(task) = unit.task {
             return vec![key(task)];
         }
-        let step = self.jobs.get(&unit.graph).and_then(|it| it.steps.get(unit.step as usize));
+        let step = job.steps.get(unit.step as usize);
         (0..step.map_or(0, |it| it.spec.tasks)).map(key).collect()
     }
 }
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -118,7 +118,7 @@
         let jobs = self.active_jobs().filter(|(_, it)| is_settled || !it.inherited);
         let mut jobs = jobs.collect::<Vec<_>>();
         jobs.sort_by_key(|(graph, it)| (it.priority, it.admitted_at, *graph));
-        jobs.into_iter().flat_map(|(graph, it)| waiting_units_of(graph, it)).collect()
+        jobs.into_iter().flat_map(|(graph, it)| waiting_units_of(graph, it, self.wall)).collect()
     }
 
     /// The workers that may get tasks now.
@@ -204,6 +204,7 @@
             None => &step.tasks[..],
         };
         let waited = now.saturating_sub(tasks.first()?.waits_since);
+        let waited = waited.min(self.wall.saturating_sub(job.due(unit.step as usize)));
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: &job.upstream,
@@ -262,7 +263,7 @@
         let Some(deadline_ms) = record.clock.deadline_in(now, start_term) else { return };
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
         let body = job.body.clone();
-        let Some(step) = job.steps.get_mut(key.step as usize) else { return };
+        let Some(step) = job.step_mut(key) else { return };
         let room = step.room();
         let Some(task) = step.tasks.get_mut(key.task as usize) else { return };
         task.attempt = attempt;
@@ -309,10 +310,19 @@
     is_far: bool,
 }
 
-fn waiting_units_of(graph: ids::GraphId, job: &job::JobRecord) -> Vec<task_key::UnitKey> {
+/// Units of a job that may start at the time of day `wall`.
+fn waiting_units_of(
+    graph: ids::GraphId,
+    job: &job::JobRecord,
+    wall: Duration,
+) -> Vec<task_key::UnitKey> {
     let mut units = Vec::new();
     for (index, step) in job.steps.iter().enumerate() {
-        if !job.is_ready(index) {
+        if wall < job.due(index) {
+            // The runs are due one after the other.
+            break;
+        }
+        if step.is_done() || !job.is_ready(index) {
             continue;
         }
         let waits = |it: &job::TaskRecord| !it.done && it.run.is_none();
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -69,7 +69,7 @@
         if job.has_ended() && job.state != model::GraphState::Completed {
             return 0;
         }
-        let Some(step) = job.steps.get_mut(key.step as usize) else { return 0 };
+        let Some(step) = job.step_mut(key) else { return 0 };
         if step.spec.gang {
             // One such end represents all members.
             for task in &mut step.tasks {
@@ -107,7 +107,7 @@
         }
         let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
         let most = job.max_attempts;
-        let Some(step) = job.steps.get_mut(key.step as usize) else { return 0 };
+        let Some(step) = job.step_mut(key) else { return 0 };
         let is_gang = step.spec.gang;
         let Some(task) = step.tasks.get_mut(key.task as usize) else { return 0 };
         if task.done {
@@ -132,7 +132,7 @@
     /// All members of a gang resume from the same checkpoint; that of any member will do.
     fn spread_checkpoint(&mut self, key: task_key::TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
-        let Some(step) = job.steps.get_mut(key.step as usize) else { return };
+        let Some(step) = job.step_mut(key) else { return };
         if !step.spec.gang {
             return;
         }
--- a/crates/graph/src/graph_check.rs
+++ b/crates/graph/src/graph_check.rs
@@ -58,7 +58,9 @@
     if graph.body.len() > LONGEST_BODY {
         return Err(GraphFault::Body { found: graph.body.len() });
     }
-    let n_tasks = graph.steps.iter().map(|it| u64::from(it.tasks)).sum();
+    let runs = graph.schedule.as_ref().map_or(1, |it| it.runs.get());
+    let of_run = graph.steps.iter().map(|it| u64::from(it.tasks)).sum::<u64>();
+    let n_tasks = of_run.saturating_mul(u64::from(runs));
     if n_tasks > MOST_TASKS {
         return Err(GraphFault::Tasks { found: n_tasks });
     }
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -9,7 +9,6 @@
 use crate::core;
 use crate::job;
 use crate::progress;
-use crate::task_key;
 use crate::worker;
 
 /// Attempts left out behind the highest one on record, for tasks that an earlier scheduler may
@@ -69,12 +68,7 @@
         let mut running = Vec::new();
         for (step, it) in job.steps.iter().enumerate() {
             let with_run = it.tasks.iter().enumerate().filter(|(_, it)| it.run.is_some());
-            running.extend(with_run.map(|(task, _)| task_key::TaskKey {
-                graph,
-                occurrence: 0,
-                step: step as u32,
-                task: task as u32,
-            }));
+            running.extend(with_run.map(|(task, _)| job.task_key(graph, step as u32, task as u32)));
         }
         for key in running {
             self.stop_run(key, now);
@@ -142,7 +136,10 @@
 
 fn record_of(admitted: AdmittedJob, now: Duration) -> job::JobRecord {
     let row = admitted.row;
-    let steps = row.graph.steps.into_iter().map(|it| job::StepRecord::new(it, now));
+    let runs = row.graph.schedule.as_ref().map_or(1, |it| it.runs.get());
+    let steps_per_run = row.graph.steps.len() as u32;
+    let steps = (0..runs).flat_map(|_| row.graph.steps.iter().cloned());
+    let steps = steps.map(|it| job::StepRecord::new(it, now));
     let mut job = job::JobRecord {
         class: row.class,
         account: row.account,
@@ -151,6 +148,8 @@
         max_attempts: row.max_attempts.max(1),
         body: Arc::from(row.graph.body),
         steps: steps.collect(),
+        steps_per_run,
+        schedule: row.graph.schedule,
         inherited: admitted.inherited,
         admitted_at: now,
         ended_at: None,
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -24,8 +24,12 @@
     pub max_attempts: u32,
     /// Handed to each task.
     pub body: Arc<str>,
-    /// The steps.
+    /// The steps of the first run, then those of the second, and so on.
     pub steps: Vec<StepRecord>,
+    /// Steps of one run.
+    pub steps_per_run: u32,
+    /// When the runs are due; nothing where there is one, at once.
+    pub schedule: Option<model::RunSchedule>,
     /// Accepted before this tenure: tasks may run that this scheduler does not know of yet.
     pub inherited: bool,
     /// When this scheduler learned of it.
@@ -173,25 +177,59 @@
         !matches!(self.state, model::GraphState::Pending | model::GraphState::Running)
     }
 
-    /// Whether all steps that `step` waits for are done.
+    /// Whether all steps that `step` waits for are done, in the same run.
     pub fn is_ready(&self, step: usize) -> bool {
+        let first = step - step % self.steps_per_run.max(1) as usize;
         let after = &self.steps[step].spec.after;
-        after.iter().all(|it| self.steps.get(*it as usize).is_some_and(StepRecord::is_done))
+        let mut before = after.iter().map(|it| self.steps.get(first + *it as usize));
+        before.all(|it| it.is_some_and(StepRecord::is_done))
+    }
+
+    /// When the run of `step` is due, as time since 1970.
+    pub fn due(&self, step: usize) -> Duration {
+        let Some(schedule) = &self.schedule else { return Duration::ZERO };
+        let run = step as u64 / u64::from(self.steps_per_run.max(1));
+        let interval_ms = schedule.interval_ms.saturating_mul(run);
+        Duration::from_millis(schedule.first_ms.saturating_add(interval_ms))
+    }
+
+    /// Index of the step of a task, over all runs.
+    pub fn step_index(&self, key: task_key::TaskKey) -> Option<u32> {
+        let index = key.occurrence.checked_mul(self.steps_per_run)?.checked_add(key.step)?;
+        (key.step < self.steps_per_run && (index as usize) < self.steps.len()).then_some(index)
+    }
+
+    /// Name of a task of the step with that index.
+    pub fn task_key(&self, graph: ids::GraphId, index: u32, task: u32) -> task_key::TaskKey {
+        let per_run = self.steps_per_run.max(1);
+        task_key::TaskKey { graph, occurrence: index / per_run, step: index % per_run, task }
+    }
+
+    /// The step of a task, where there is one.
+    pub fn step(&self, key: task_key::TaskKey) -> Option<&StepRecord> {
+        self.steps.get(self.step_index(key)? as usize)
+    }
+
+    /// The step of a task, where there is one.
+    pub fn step_mut(&mut self, key: task_key::TaskKey) -> Option<&mut StepRecord> {
+        let index = self.step_index(key)?;
+        self.steps.get_mut(index as usize)
     }
 
     /// The task, where there is one.
     pub fn task_mut(&mut self, key: task_key::TaskKey) -> Option<&mut TaskRecord> {
-        self.steps.get_mut(key.step as usize)?.tasks.get_mut(key.task as usize)
+        self.step_mut(key)?.tasks.get_mut(key.task as usize)
     }
 
     /// The task, where there is one.
     pub fn task(&self, key: task_key::TaskKey) -> Option<&TaskRecord> {
-        self.steps.get(key.step as usize)?.tasks.get(key.task as usize)
+        self.step(key)?.tasks.get(key.task as usize)
     }
 
-    /// Accelerators that all its tasks need together.
+    /// Accelerators that all tasks of one run need together.
     pub fn accelerators(&self) -> u32 {
-        self.steps.iter().map(|it| it.spec.tasks * it.spec.accelerators).sum()
+        let of_run = self.steps.iter().take(self.steps_per_run as usize);
+        of_run.map(|it| it.spec.tasks * it.spec.accelerators).sum()
     }
 }
 
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -186,7 +186,7 @@
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         job.started = true;
         job.state = almondpass_schema::model::GraphState::Running;
-        let Some(step) = job.steps.get_mut(listed.task.step as usize) else { return };
+        let Some(step) = job.step_mut(listed.task) else { return };
         let room = step.room();
         let Some(task) = step.tasks.get_mut(listed.task.task as usize) else { return };
         task.attempt = task.attempt.max(listed.attempt);
--- a/crates/graph/src/slowness.rs
+++ b/crates/graph/src/slowness.rs
@@ -108,7 +108,7 @@
 
     /// Median pace of the other tasks of the step, in percent per second.
     pub(crate) fn sibling_pace(&self, key: task_key::TaskKey) -> Option<f64> {
-        let step = self.jobs.get(&key.graph)?.steps.get(key.step as usize)?;
+        let step = self.jobs.get(&key.graph)?.step(key)?;
         let others = step.tasks.iter().enumerate().filter(|(it, _)| *it != key.task as usize);
         let runs = others.filter_map(|(_, it)| it.run.as_ref());
         let mut paces = runs.filter_map(|it| it.pace.latest()).collect::<Vec<_>>();
--- a/crates/graph/src/task_key.rs
+++ b/crates/graph/src/task_key.rs
@@ -25,7 +25,7 @@
 pub struct UnitKey {
     /// The job graph.
     pub graph: ids::GraphId,
-    /// The step.
+    /// Index of the step, over all runs of the job graph.
     pub step: u32,
     /// The task; nothing for a gang.
     pub task: Option<u32>,
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -153,7 +153,7 @@
 
     /// The pace that the caller has declared, in percent per second.
     fn declared_pace(&self, key: task_key::TaskKey) -> f64 {
-        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        let step = self.jobs.get(&key.graph).and_then(|it| it.step(key));
         let estimate_ms = step.map_or(0, |it| it.spec.estimate_ms).max(1);
         100_000.0 / (f64::from(estimate_ms) * self.far_factor(key))
     }
@@ -224,7 +224,7 @@
     }
 
     pub(crate) fn saves(&self, key: task_key::TaskKey) -> bool {
-        let step = self.jobs.get(&key.graph).and_then(|it| it.steps.get(key.step as usize));
+        let step = self.jobs.get(&key.graph).and_then(|it| it.step(key));
         step.is_some_and(|it| it.spec.saves)
     }
 
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -1,5 +1,6 @@
 //! A core with workers that answer as told.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 pub(crate) struct PoolBench {
     pub(crate) core: core::PoolCore,
     pub(crate) now: Duration,
+    /// What was saved of each job.
+    pub(crate) saved: BTreeMap<ids::GraphId, model::ProgressRow>,
 }
 
 impl PoolBench {
@@ -36,8 +39,11 @@
             catalog: Arc::default(),
             settles_at,
         };
-        let mut bench =
-            PoolBench { core: core::PoolCore::new(start), now: Duration::from_secs(1_000) };
+        let mut bench = PoolBench {
+            core: core::PoolCore::new(start),
+            now: Duration::from_secs(1_000),
+            saved: BTreeMap::new(),
+        };
         for index in 0..n_workers {
             bench.core.learn_worker(worker_id(index), listing(index), bench.now);
         }
@@ -53,6 +59,7 @@
     pub(crate) fn save(&mut self) {
         while let Some(batch) = self.core.take_batch(90) {
             self.core.batch_saved(&batch);
+            self.saved.extend(batch.rows);
         }
     }
 
@@ -61,6 +68,17 @@
         self.core.admit(admitted, self.now);
     }
 
+    /// Takes in a job that an earlier scheduler has left.
+    pub(crate) fn inherit(
+        &mut self,
+        graph: ids::GraphId,
+        row: model::GraphRow,
+        progress: Option<model::ProgressRow>,
+    ) {
+        let admitted = intake::AdmittedJob { graph, row, progress, inherited: true };
+        self.core.admit(admitted, self.now);
+    }
+
     pub(crate) fn turn(&mut self) -> Vec<order::PoolOrder> {
         self.core.turn(self.now);
         self.core.take_orders()
@@ -140,7 +158,7 @@
         account: Some("lab".to_owned()),
         cancelled: false,
         class: format!("class-{priority}"),
-        graph: model::JobGraph { body: "sample".to_owned(), steps: vec![step] },
+        graph: model::JobGraph { body: "sample".to_owned(), schedule: None, steps: vec![step] },
         max_attempts: 2,
         priority,
         upstream: "analysis".to_owned(),
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -96,6 +96,7 @@
         return;
     }
     let mut core = lead.core();
+    core.set_wall(state.site.clock().wall());
     core.turn(state.site.clock().now());
     let orders = core.take_orders();
     core.take_finished().iter().for_each(meter_finished);
--- a/crates/pool/tests/pool/calm.rs
+++ b/crates/pool/tests/pool/calm.rs
@@ -1,12 +1,17 @@
 //! Nothing goes wrong.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
+use almondpass_ports::boot_clock;
 use almondpass_schema::model;
 use tokio::time;
 
 use crate::support;
 
+/// For the time that the submission itself takes.
+const EARLY: Duration = Duration::from_millis(100);
+
 /// Longer than ended jobs are answered for, and until the next look for them.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(320);
 
@@ -131,3 +136,30 @@
         assert_eq!(bench.fleet.records().len(), 1);
     });
 }
+
+/// The runs of a timed job begin when they are due, through a takeover, and each once.
+#[test]
+fn a_timed_job_runs_as_often_as_it_is_to() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        let mut row = support::job(2, 500);
+        let first = boot_clock::BootClock::wall(&bench.clock) + Duration::from_secs(3);
+        row.graph.schedule = Some(model::RunSchedule {
+            runs: NonZeroU32::new(3).unwrap(),
+            first_ms: first.as_millis() as u64,
+            interval_ms: 4_000,
+        });
+        bench.submit(0, 1, row).await;
+        let submitted = time::Instant::now();
+        time::sleep(Duration::from_secs(5)).await;
+        bench.kill(bench.holder()).await;
+        bench.await_state(0, 1, model::GraphState::Completed, Duration::from_secs(30)).await;
+        bench.assert_nothing_ran_twice();
+        let records = bench.fleet.records();
+        assert_eq!(records.len(), 6);
+        for record in records {
+            let due = Duration::from_secs(3 + 4 * u64::from(record.task.occurrence));
+            assert!(record.began >= submitted + due - EARLY, "{record:?}");
+        }
+    });
+}
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -109,7 +109,7 @@
     pub(crate) fleet: pool_fleet::PoolFleet,
     pub(crate) net: net::FakeNet,
     pub(crate) instances: Vec<BenchInstance>,
-    clock: boot_clock::RuntimeClock,
+    pub(crate) clock: boot_clock::RuntimeClock,
     n_started: usize,
 }
 
@@ -290,7 +290,11 @@
         account: Some("lab".to_owned()),
         cancelled: false,
         class: "trend".to_owned(),
-        graph: model::JobGraph { body: format!("ms={millis}"), steps: vec![step(n, &[])] },
+        graph: model::JobGraph {
+            body: format!("ms={millis}"),
+            schedule: None,
+            steps: vec![step(n, &[])],
+        },
         max_attempts: 2,
         priority: 1,
         upstream: "analysis".to_owned(),
--- a/crates/ports/src/boot_clock.rs
+++ b/crates/ports/src/boot_clock.rs
@@ -1,6 +1,6 @@
 //! Time since the machine started, which goes on while the process or the machine stands still.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use tokio::time::Instant;
 
@@ -9,6 +9,9 @@
 pub trait BootClock: Clone + Send + Sync + 'static {
     /// Time since some fixed moment.
     fn now(&self) -> Duration;
+
+    /// Time since 1970 by the clock of the day, which may be set forth and back.
+    fn wall(&self) -> Duration;
 }
 
 /// The system's clock that counts suspended time.
@@ -22,8 +25,15 @@
         let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
         Duration::new(secs, nanos)
     }
+
+    fn wall(&self) -> Duration {
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+    }
 }
 
+/// What the clock of the day shows when a runtime's clock begins; some moment in 2030.
+const START_OF_TESTS: Duration = Duration::from_secs(1_900_000_000);
+
 /// The runtime's clock, which tests pause and advance.
 #[derive(Clone, Copy, Debug)]
 pub struct RuntimeClock {
@@ -47,4 +57,8 @@
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
+
+    fn wall(&self) -> Duration {
+        START_OF_TESTS + self.now()
+    }
 }
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1325,6 +1325,9 @@
 pub struct JobGraph {
     ///Handed to each task as it is.
     pub body: ::std::string::String,
+    ///When the steps run; absent for once, at once.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub schedule: ::std::option::Option<RunSchedule>,
     ///The steps; a step comes behind those it waits for.
     pub steps: ::std::vec::Vec<GraphStep>,
 }
@@ -2042,6 +2045,16 @@
     ///The workers.
     pub workers: ::std::vec::Vec<RosterEntry>,
 }
+///The steps of a job graph run several times. Runs may overlap.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RunSchedule {
+    ///When the first run is due, in milliseconds since 1970.
+    pub first_ms: u64,
+    ///From one run to the next, in milliseconds.
+    pub interval_ms: u64,
+    ///How many times.
+    pub runs: ::std::num::NonZeroU32,
+}
 ///Row of the table by which one instance schedules a hall.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SchedulerRow {
