Let no successor wait for workers that have left

A successor may start them only once every worker of the roster has answered, or its lease has lapsed; two of them had left seconds before, and the roster only ever grew. Besides, the bound assumed that the earlier holder goes on for its term and 5 s, also where that was the earlier process at the successor's own address, which is over. Ruled out: waiting for room (the workers were half empty), the loading of rows.

A worker that leaves, has answered and has nothing on it is taken out of the roster; so are those that are forgotten. A restarted holder waits for one lease. Both tests failed first.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -26,6 +26,8 @@
     /// what each turn goes over.
     pub(crate) active: BTreeSet<ids::GraphId>,
     pub(crate) workers: BTreeMap<ids::WorkerId, worker::WorkerRecord>,
+    /// Workers that a successor would find in the roster.
+    pub(crate) saved_roster: BTreeSet<ids::WorkerId>,
     pub(crate) orders: Vec<order::PoolOrder>,
     pub(crate) run_times: run_times::RunTimes,
     pub(crate) headroom: headroom::UrgentHeadroom,
@@ -70,6 +72,7 @@
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
             workers: BTreeMap::new(),
+            saved_roster: BTreeSet::new(),
             orders: Vec::new(),
             run_times: run_times::RunTimes::default(),
             headroom: headroom::UrgentHeadroom::default(),
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -103,6 +103,7 @@
 
     /// Takes in a worker to which an earlier scheduler may have given orders.
     pub fn inherit_worker(&mut self, entry: model::RosterEntry) {
+        self.saved_roster.insert(entry.worker.clone());
         let record = self.workers.entry(entry.worker).or_default();
         record.inherited = true;
         record.enrolled = true;
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -6,6 +6,7 @@
 
 use crate::core;
 use crate::job;
+use crate::worker;
 
 /// Changes to be saved in one transaction.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,7 +17,7 @@
     pub rows: Vec<(ids::GraphId, model::ProgressRow)>,
     /// The rows to remove.
     pub removed: Vec<ids::GraphId>,
-    /// The roster to write, where it has grown.
+    /// The roster to write, where it has changed.
     pub roster: Option<model::RosterRow>,
 }
 
@@ -24,7 +25,7 @@
     /// Takes up to `most` changed jobs for saving; nothing where nothing has changed. A batch is
     /// to be saved before the next one is taken.
     pub fn take_batch(&mut self, most: usize) -> Option<SaveBatch> {
-        let roster = self.grown_roster();
+        let roster = self.changed_roster();
         if self.changed.is_empty() && self.forgotten.is_empty() && roster.is_none() {
             return None;
         }
@@ -46,9 +47,7 @@
 
     /// Whether there is something to save.
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty()
-            || !self.forgotten.is_empty()
-            || self.workers.values().any(|it| !it.enrolled)
+        !self.changed.is_empty() || !self.forgotten.is_empty() || self.is_roster_due()
     }
 
     /// The batch is durable: callers may be told, and workers' ends acknowledged.
@@ -61,9 +60,10 @@
                 job.durable = row.state;
             }
         }
-        for entry in batch.roster.iter().flat_map(|it| &it.workers) {
-            if let Some(worker) = self.workers.get_mut(&entry.worker) {
-                worker.enrolled = true;
+        if let Some(roster) = &batch.roster {
+            self.saved_roster = roster.workers.iter().map(|it| it.worker.clone()).collect();
+            for (id, worker) in &mut self.workers {
+                worker.enrolled = self.saved_roster.contains(id);
             }
         }
         for worker in self.workers.values_mut() {
@@ -71,12 +71,23 @@
         }
     }
 
-    /// The roster, if there are workers that a successor would not find there.
-    fn grown_roster(&self) -> Option<model::RosterRow> {
-        if self.workers.values().all(|it| it.enrolled) {
+    /// Workers on which a successor has to expect tasks. It waits for each of them, so that none
+    /// may stay that has left: for that the successor would wait for as long as a lease lasts.
+    fn roster(&self) -> impl Iterator<Item = (&ids::WorkerId, &worker::WorkerRecord)> {
+        self.workers.iter().filter(|(_, it)| !it.has_left())
+    }
+
+    fn is_roster_due(&self) -> bool {
+        let is_saved = self.roster().all(|(id, _)| self.saved_roster.contains(id));
+        !is_saved || self.roster().count() != self.saved_roster.len()
+    }
+
+    /// The roster, if it differs from the saved one.
+    fn changed_roster(&self) -> Option<model::RosterRow> {
+        if !self.is_roster_due() {
             return None;
         }
-        let workers = self.workers.iter().map(|(worker, it)| model::RosterEntry {
+        let workers = self.roster().map(|(worker, it)| model::RosterEntry {
             worker: worker.clone(),
             address: it.listing.address.clone(),
             upstream: it.listing.upstream.clone(),
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -101,6 +101,12 @@
         self.listing.capacity.minus(self.used)
     }
 
+    /// Whether it leaves and nothing is on it any more; nothing new will be.
+    pub fn has_left(&self) -> bool {
+        let is_empty = self.runs.is_empty() && self.strays.is_empty();
+        self.leaves_at.is_some() && self.fenced && is_empty
+    }
+
     /// Moves on the end that may be acknowledged, as far as `durable` changes are saved.
     pub fn settle_ends(&mut self, durable: u64) {
         while let Some((number, change)) = self.unsaved_ends.front().copied() {
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -13,6 +13,7 @@
 
 use crate::document;
 use crate::lead;
+use crate::settings;
 use crate::state;
 use crate::store_call;
 use crate::tenure_watch;
@@ -108,7 +109,7 @@
     let outcome = store_call::transact(state, transaction).await;
     let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
     let version = versions.first().copied()?;
-    let settles_at = settles_at(seen, settings.tenure, settings.terms.lease, now);
+    let settles_at = settles_at(seen, settings, now);
     Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at })
 }
 
@@ -145,16 +146,14 @@
 /// When whatever the earlier holder ordered has surely ended, on workers that don't answer.
 fn settles_at(
     seen: &tenure_watch::SeenRow,
-    times: crate::settings::TenureTimes,
-    lease: Duration,
+    settings: &settings::PoolSettings,
     now: Duration,
 ) -> Duration {
     let Some(row) = &seen.row else { return now };
-    let last_order = match row.released {
-        true => seen.first_seen,
-        false => seen.first_seen + times.term + times.detached,
-    };
-    last_order + ORDER_SLACK + lease.div_f64(SLOWEST_RATE)
+    let is_over = row.released || seen.is_of(&settings.peer_address);
+    let times = settings.tenure;
+    let goes_on = if is_over { Duration::ZERO } else { times.term + times.detached };
+    seen.first_seen + goes_on + ORDER_SLACK + settings.terms.lease.div_f64(SLOWEST_RATE)
 }
 
 /// Time between two looks of this instance.
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -208,6 +208,12 @@
         self.write(&format!("workers//{id}"), format!("r{}", index / 8).as_bytes()).await;
     }
 
+    /// The worker says that it leaves.
+    pub(crate) async fn drain_worker(&self, index: usize) {
+        let id = worker_id(index);
+        self.write(&format!("workers//{id}"), format!("r{}-", index / 8).as_bytes()).await;
+    }
+
     pub(crate) async fn remove(&self, key: &str) {
         self.put(key, None).await;
     }
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -66,6 +66,49 @@
     });
 }
 
+/// Symptom: after a power loss of all instances, jobs that had not started yet waited for 13 s.
+/// Sequence: a worker has left; all instances go and come back. Cause: the successor waited for
+/// everything that might run on the worker, although the earlier holder knew that nothing did.
+#[test]
+fn a_worker_that_has_left_holds_up_no_successor() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(1, 2).await;
+        bench.drain_worker(1).await;
+        bench.submit(0, 1, support::job(8, 60_000)).await;
+        bench.submit(0, 2, support::job(1, 500)).await;
+        time::sleep(Duration::from_secs(3)).await;
+        bench.fleet.faults(&support::worker_id(1)).set(fault::Condition::Silent);
+        bench.remove(&format!("workers//{}", support::worker_id(1))).await;
+        time::sleep(Duration::from_secs(1)).await;
+        assert_waiting_job_starts(&mut bench, Duration::from_secs(2)).await;
+    });
+}
+
+/// The earlier process at the own address is over, and so are its orders.
+#[test]
+fn an_unreachable_worker_holds_up_a_restarted_holder_for_its_lease() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(1, 2).await;
+        bench.submit(0, 1, support::job(16, 60_000)).await;
+        bench.submit(0, 2, support::job(1, 500)).await;
+        time::sleep(Duration::from_secs(3)).await;
+        bench.fleet.faults(&support::worker_id(1)).set(fault::Condition::Silent);
+        assert_waiting_job_starts(&mut bench, Duration::from_secs(8)).await;
+    });
+}
+
+/// The only instance is killed and starts again. Job 1 is cancelled, and job 2, which waits for its
+/// room, has to end within `limit`.
+async fn assert_waiting_job_starts(bench: &mut support::PoolBench, limit: Duration) {
+    let address = bench.kill(0).await;
+    time::sleep(Duration::from_secs(1)).await;
+    bench.start_instance(&address);
+    time::sleep(Duration::from_millis(200)).await;
+    bench.cancel(0, 1).await;
+    bench.await_state(0, 2, model::GraphState::Completed, limit).await;
+    bench.assert_nothing_ran_twice();
+}
+
 /// A worker that the new scheduler can't reach may run anything that is not found elsewhere: it
 /// waits for the lease there.
 #[test]
