Write again and again to a store that says nothing, and give callers all their time meanwhile

Ruled out: the time that the instances need to see the store back (their calls were under way all the while).

While the store gives no answers, a write is sent anew every 150 ms, and the first answer counts; each of our transactions may be sent twice. An answer that leaves open whether a write has landed counts for all of them, so that "not run" stays true. A job is tried for as long as its caller waits. The test failed first.

--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -9,6 +9,7 @@
 use almondpass_ports::row_feed::{self, RowFeed};
 use almondpass_ports::table::TableService;
 use almondpass_schema::{ids, model};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::{self, Instant};
 
 use crate::state;
@@ -25,17 +26,58 @@
 /// For the answer to a feed, beyond the time that the store may wait.
 pub const FEED_SLACK: Duration = Duration::from_millis(500);
 
+/// Wait before a write is sent again to a store that gives no answers; usually one takes 9 ms.
+const RESEND: Duration = Duration::from_millis(150);
+
 /// Name of the store in errors of this module.
 const STORE: &str = "store";
 
+/// Writes. Every transaction of this crate may be sent twice: its condition holds once, or it
+/// writes the same again.
 pub(crate) async fn transact<S: state::PoolSite>(
     state: &state::PoolState<S>,
     transaction: model::TableTransaction,
 ) -> Result<model::TableOutcome, error::CallError> {
     let step = model::TableTransaction::PATH;
+    if state.is_store_away() {
+        return within(step, WRITE_DEADLINE, transact_insistently(state, transaction)).await;
+    }
     within(step, WRITE_DEADLINE, state.site.store().transact(transaction)).await
 }
 
+/// Sends a transaction again and again, and takes the first answer. A store that says nothing has
+/// lost the call, and once it is back only another one tells.
+async fn transact_insistently<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    transaction: model::TableTransaction,
+) -> Result<model::TableOutcome, error::CallError> {
+    let mut calls = FuturesUnordered::new();
+    let mut unclear = None;
+    loop {
+        calls.push(state.site.store().transact(transaction.clone()));
+        let resend = time::sleep(RESEND);
+        tokio::pin!(resend);
+        loop {
+            tokio::select! {
+                Some(answer) = calls.next() => match answer {
+                    Ok(outcome) => return Ok(outcome),
+                    Err(error) => {
+                        // One that may have landed counts for all: else a caller would be told that
+                        // its job was not stored, and it would run.
+                        if unclear.is_none() && !error.fault.had_no_effect() {
+                            unclear = Some(error.clone());
+                        }
+                        if calls.is_empty() {
+                            return Err(unclear.unwrap_or(error));
+                        }
+                    }
+                },
+                () = &mut resend => break,
+            }
+        }
+    }
+}
+
 /// Reads one row.
 pub(crate) async fn get<S: state::PoolSite>(
     state: &state::PoolState<S>,
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -67,10 +67,10 @@
         detour::DetourOutcome::NotServed => {}
         detour::DetourOutcome::Unclear => may_be_stored = true,
     }
-    // The store may be back, or slow rather than away. While a write may still land, its outcome
-    // is worth the rest of the caller's time: a caller can't repeat what is unknown for nothing.
-    let patience = if may_be_stored { deadline } else { Instant::now() + REFUSED_PATIENCE };
-    match submit_here(state, graph, &row, patience.min(deadline)).await {
+    // The store may be back, or slow rather than away; one that refuses is given up on in there.
+    // While a write may still land, its outcome is worth the rest of the caller's time: a caller
+    // can't repeat what is unknown for nothing.
+    match submit_here(state, graph, &row, deadline).await {
         model::SubmitOutcome::NotRun if may_be_stored => model::SubmitOutcome::Unknown,
         outcome => outcome,
     }
--- a/crates/pool/tests/pool/outages.rs
+++ b/crates/pool/tests/pool/outages.rs
@@ -11,6 +11,9 @@
 
 const SOON: Duration = Duration::from_secs(30);
 
+/// Until the store is back, and a little more.
+const SILENT_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Symptom: callers of an instance that the store turns away were refused for as long as that
 /// lasted. Sequence: the store refuses one instance; jobs come in there. Cause: it knew no other
 /// way than its own.
@@ -111,3 +114,27 @@
         assert_eq!(bench.fleet.records().len(), 2);
     });
 }
+
+/// Symptom: jobs were turned away, and ends shown late, for up to a second after the store was back.
+/// Sequence: the store says nothing for seconds; a call is sent just before it is back. Cause: the
+/// call waited for its own answer, which never came, until its deadline.
+#[test]
+fn a_store_that_was_silent_is_found_at_once() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 2).await;
+        bench.submit(0, 1, support::job(1, 3_000)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        bench.store.faults().set(fault::Condition::Silent);
+        time::sleep(Duration::from_secs(4)).await;
+        let submitted = bench.submit(1, 2, support::job(1, 100));
+        let back = async {
+            time::sleep(Duration::from_millis(100)).await;
+            bench.store.faults().set(fault::Condition::Up);
+            time::sleep(Duration::from_millis(300)).await;
+            bench.look(0, 1).await
+        };
+        let (submitted, shown) = tokio::join!(time::timeout(SILENT_PATIENCE, submitted), back);
+        assert_eq!(submitted, Ok(model::SubmitOutcome::Accepted));
+        assert_eq!(shown, model::LookOutcome::Known(model::GraphState::Completed));
+    });
+}
