--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -27,6 +27,7 @@
 mod clearing;
 mod dispatch;
 mod ends;
+mod hanging;
 mod listing;
 mod slowness;
 mod upkeep;
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -1,5 +1,5 @@
-//! What time brings: lapsed leases, stops to repeat, tasks that stand still, workers that leave,
-//! gangs that have lost a member.
+//! What time brings: lapsed leases, stops to repeat, workers that leave, gangs that have lost a
+//! member. Calls what is done for tasks that stand still or are slow.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -20,22 +20,6 @@
 /// later, it is sent again.
 const STOP_SLACK: Duration = Duration::from_millis(600);
 
-/// A task whose progress stands still for this long hangs. One percent of the longest task seen
-/// (11 s) takes 0.7 s on a worker that is 6.5 times slower, 2.2 s away from its data as well.
-const HANGS_AFTER: Duration = Duration::from_millis(3_000);
-
-/// A task that would lose more work than it has stood still is given this long: workers on which
-/// tasks stand still recover after about six seconds on the users' sites.
-const HANGS_LONG_AFTER: Duration = Duration::from_millis(8_000);
-
-/// A task stands still only if it has not progressed for as long as this many percent should take.
-/// One that works for hours shows its progress every few minutes.
-const HANGS_PERCENT: f64 = 4.0;
-
-/// Patience doubles with each time that a task was stopped for standing still, up to this often: the
-/// declared run times are far off, and a task may be slower than all that is known.
-const MOST_DOUBLINGS: u32 = 12;
-
 /// Kept for stopping a task before its worker leaves, beyond the time that a stop takes.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -104,60 +88,6 @@
         }
     }
 
-    fn stop_hanging(&mut self, now: Duration) {
-        let mut hanging = Vec::new();
-        for (id, worker) in &self.workers {
-            for key in &worker.runs {
-                let Some(run) = self.run(*key) else { continue };
-                // A member of a gang that has done its work waits for the others.
-                let is_running =
-                    matches!(run.phase, job::RunPhase::Running { .. }) && run.percent < 100;
-                // Counted up to the last answer: without answers no progress is seen either.
-                let stood = worker.answered_at.saturating_sub(run.percent_at);
-                if is_running && stood >= HANGS_AFTER && stood >= self.hang_patience(*key, run) {
-                    hanging.push((id.clone(), *key));
-                }
-            }
-        }
-        for (worker, key) in hanging {
-            tracing::warn!(
-                job = format_args!("{:016x}", key.graph),
-                task = %key,
-                worker,
-                "task stands still and is stopped"
-            );
-            if let Some(record) = self.workers.get_mut(&worker)
-                && !record.health.is_paused(now)
-            {
-                record.health.hung(now);
-            }
-            if let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) {
-                task.n_hangs += 1;
-            }
-            self.stop_run(key, now);
-        }
-    }
-
-    /// How long a run may show no progress.
-    fn hang_patience(&self, key: task_key::TaskKey, run: &job::TaskRun) -> Duration {
-        let worked = run.percent_at.saturating_sub(run.since);
-        let is_cheap = self.saves(key) || worked <= HANGS_AFTER;
-        let least = if is_cheap { HANGS_AFTER } else { HANGS_LONG_AFTER };
-        let seen = run.pace.latest().filter(|it| *it > 0.0);
-        let pace = seen.or_else(|| self.class_pace(key)).unwrap_or_else(|| self.declared_pace(key));
-        let expected = Duration::from_secs_f64(HANGS_PERCENT / pace);
-        let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
-        let n_hangs = task.map_or(0, |it| it.n_hangs.min(MOST_DOUBLINGS));
-        least.max(expected) * (1 << n_hangs)
-    }
-
-    /// The pace that the caller has declared, in percent per second.
-    fn declared_pace(&self, key: task_key::TaskKey) -> f64 {
-        let step = self.jobs.get(&key.graph).and_then(|it| it.step(key));
-        let estimate_ms = step.map_or(0, |it| it.spec.estimate_ms).max(1);
-        100_000.0 / (f64::from(estimate_ms) * self.far_factor(key))
-    }
-
     /// Stops tasks that would not end before their worker leaves.
     fn clear_leaving(&mut self, now: Duration) {
         let leaving = self.workers.iter().filter(|(_, it)| it.leaves_at.is_some());
