Arrange the worker that failures take out once for both tests that need it

Cause: the test added for failing probes repeated ten lines of the one above it. Measured: the four tests of the file pass.

--- a/crates/policy/tests/fuzz_findings.rs
+++ b/crates/policy/tests/fuzz_findings.rs
@@ -4,6 +4,7 @@
 
 use almondpass_policy::event::{HallEvent, WorkExit};
 use almondpass_policy::scheduler::HallPolicy;
+use almondpass_policy::work;
 use almondpass_schema::model;
 use std::sync::Arc;
 
@@ -35,12 +36,9 @@
     assert!(!workers.contains(&removed), "{workers:?}");
 }
 
-/// Symptom: a gang that fits the empty hall waited for ever.
-/// Sequence: three pieces of work fail on one worker, which is taken out; nothing small arrives
-/// again; a gang that needs every worker waits.
-/// Cause: a worker came back only through a probe by one small piece of work, and there was none.
-#[test]
-fn gang_starts_where_nothing_probes() {
+/// Two workers: one is busy with the work that is returned, the other was taken out, as three pieces
+/// of work have failed there.
+fn with_a_worker_taken_out() -> (TestHall, work::WorkId) {
     let mut lone = config(1);
     lone.accounts[1].guarantees.clear();
     lone.halls[0].racks[0].workers = 2;
@@ -51,6 +49,16 @@
         let worker = hall.workers_of(work)[0].clone();
         hall.tell(HallEvent::Ended { work, exit: WorkExit::Failed { worker } });
     }
+    (hall, keeper)
+}
+
+/// Symptom: a gang that fits the empty hall waited for ever.
+/// Sequence: three pieces of work fail on one worker, which is taken out; nothing small arrives
+/// again; a gang that needs every worker waits.
+/// Cause: a worker came back only through a probe by one small piece of work, and there was none.
+#[test]
+fn gang_starts_where_nothing_probes() {
+    let (mut hall, keeper) = with_a_worker_taken_out();
     hall.end(keeper);
     let gang = hall.run(gang("large", "batch", 2, 8, model::Adjacency::Rack));
     assert!(!hall.runs(gang), "the worker is not taken out");
@@ -91,16 +99,7 @@
 /// Cause: work that had failed before could probe, although its failure tells nothing of the worker.
 #[test]
 fn failing_work_does_not_probe() {
-    let mut lone = config(1);
-    lone.accounts[1].guarantees.clear();
-    lone.halls[0].racks[0].workers = 2;
-    let mut hall = TestHall::new(lone);
-    let keeper = hall.run(job("large", "certificate", 1, 8));
-    for _ in 0..3 {
-        let work = hall.run(job("large", "certificate", 1, 8));
-        let worker = hall.workers_of(work)[0].clone();
-        hall.tell(HallEvent::Ended { work, exit: WorkExit::Failed { worker } });
-    }
+    let (mut hall, keeper) = with_a_worker_taken_out();
     let sound = hall.run(gang("large", "batch", 2, 8, model::Adjacency::Rack));
     let faulty = hall.run(job("small", "batch", 1, 1));
     for step in 0..90 {
