Tell from the saved roster alone which workers may get tasks

Cause (found on reading the change again): each worker had a flag beside the saved roster that said the same, and the two could differ. A worker that was forgotten and came back before the shorter roster was written counted as missing from it, while the roster, which names it, counted as up to date: it would never have got a task again under that tenure. Ruled out: asking the saved roster alone without more; while a roster without the worker is on its way, a successor may not find it.

The flag is gone. A roster that is on its way takes the workers that it leaves out from the saved ones at once, and adds those it names when it is durable.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -26,7 +26,7 @@
     /// what each turn goes over.
     pub(crate) active: BTreeSet<ids::GraphId>,
     pub(crate) workers: BTreeMap<ids::WorkerId, worker::WorkerRecord>,
-    /// Workers that a successor would find in the roster.
+    /// Workers that a successor surely finds in the roster; only these get tasks.
     pub(crate) saved_roster: BTreeSet<ids::WorkerId>,
     pub(crate) orders: Vec<order::PoolOrder>,
     pub(crate) run_times: run_times::RunTimes,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -123,9 +123,9 @@
 
     /// The workers that may get tasks now.
     fn berths(&self, now: Duration) -> Vec<berth::WorkerBerth> {
-        let usable = self.workers.iter().filter(|(_, it)| {
+        let usable = self.workers.iter().filter(|(id, it)| {
             it.listed
-                && it.enrolled
+                && self.saved_roster.contains(*id)
                 && it.fenced
                 && it.leaves_at.is_none()
                 && it.n_missed == 0
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -106,7 +106,6 @@
         self.saved_roster.insert(entry.worker.clone());
         let record = self.workers.entry(entry.worker).or_default();
         record.inherited = true;
-        record.enrolled = true;
         if !record.listed {
             record.listing.address = entry.address;
             record.listing.upstream = entry.upstream;
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -1,5 +1,6 @@
 //! What is saved of jobs, and how it is read back.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use almondpass_schema::{ids, model};
@@ -26,6 +27,11 @@
     /// to be saved before the next one is taken.
     pub fn take_batch(&mut self, most: usize) -> Option<SaveBatch> {
         let roster = self.changed_roster();
+        if let Some(roster) = &roster {
+            // Until the answer the store may have either.
+            let written = names_in(roster);
+            self.saved_roster.retain(|it| written.contains(it));
+        }
         if self.changed.is_empty() && self.forgotten.is_empty() && roster.is_none() {
             return None;
         }
@@ -61,10 +67,7 @@
             }
         }
         if let Some(roster) = &batch.roster {
-            self.saved_roster = roster.workers.iter().map(|it| it.worker.clone()).collect();
-            for (id, worker) in &mut self.workers {
-                worker.enrolled = self.saved_roster.contains(id);
-            }
+            self.saved_roster = names_in(roster);
         }
         for worker in self.workers.values_mut() {
             worker.settle_ends(self.durable_change);
@@ -96,6 +99,10 @@
     }
 }
 
+fn names_in(roster: &model::RosterRow) -> BTreeSet<ids::WorkerId> {
+    roster.workers.iter().map(|it| it.worker.clone()).collect()
+}
+
 /// What is to be durable of a job.
 pub fn progress_of(job: &job::JobRecord) -> model::ProgressRow {
     model::ProgressRow { state: job.state, steps: job.steps.iter().map(step_progress).collect() }
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -40,8 +40,6 @@
     pub listed: bool,
     /// When the list first said that it leaves, as the time until which it stays at least.
     pub leaves_at: Option<Duration>,
-    /// Whether a successor would find it in the roster: only then may it get tasks.
-    pub enrolled: bool,
     /// Whether it has answered under this tenure, so that orders of earlier ones are refused.
     pub fenced: bool,
     /// Whether tasks of an earlier tenure may be on it.
