Clear room for urgent work in its turn, before less urgent work is placed

Cause: a turn placed all waiting units first and sought room for the urgent ones that had found none afterwards.

Change: each urgent unit that finds no room is cleared for where it stands in the order; its claims keep later units of the turn out. Test first: it failed with eight starts where none is due.

--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -35,6 +35,15 @@
 /// A task at this percentage is nearly done; stopping it costs three times as much.
 const NEARLY_DONE: u32 = 75;
 
+/// What is left to clear in one turn.
+#[derive(Clone, Debug)]
+pub(crate) struct ClearingRound {
+    /// Units for which room is being cleared already.
+    claimed: BTreeSet<task_key::UnitKey>,
+    /// Units for which room may still be sought.
+    n_left: u32,
+}
+
 impl core::PoolCore {
     pub(crate) fn drop_claims(&mut self, now: Duration) {
         for worker in self.workers.values_mut() {
@@ -42,27 +51,29 @@
         }
     }
 
-    /// Stops less urgent work for the urgent units that found no room.
+    /// What one turn may clear.
+    pub(crate) fn clearing_round(&self) -> ClearingRound {
+        let claims = self.workers.values().flat_map(|it| &it.claims);
+        let claimed = claims.map(|it| it.unit).collect();
+        ClearingRound { claimed, n_left: CLEARED_A_TURN }
+    }
+
+    /// Stops less urgent work for a unit that found no room, if it is urgent. Each task of a step is
+    /// cleared for at once: one after the other they would wait for a stop each, and a guarantee
+    /// would come back late.
     pub(crate) fn clear_for_urgent(
         &mut self,
-        units: &[task_key::UnitKey],
-        berths: &[berth::WorkerBerth],
+        unit: task_key::UnitKey,
+        berths: &mut [berth::WorkerBerth],
+        round: &mut ClearingRound,
         now: Duration,
     ) {
-        let mut berths = berths.to_vec();
-        let claimed = self.claimed_units();
-        let mut n_cleared = 0;
-        for unit in units {
-            let Some(job) = self.jobs.get(&unit.graph) else { continue };
-            if job.priority != URGENT || claimed.contains(unit) {
-                continue;
-            }
-            self.clear_for(*unit, &mut berths, now);
-            n_cleared += 1;
-            if n_cleared >= CLEARED_A_TURN {
-                break;
-            }
+        let is_urgent = self.jobs.get(&unit.graph).is_some_and(|it| it.priority == URGENT);
+        if !is_urgent || round.n_left == 0 || round.claimed.contains(&unit) {
+            return;
         }
+        round.n_left -= 1;
+        self.clear_for(unit, berths, now);
     }
 
     fn clear_for(
@@ -98,11 +109,6 @@
         }
     }
 
-    /// Units for which room is being cleared.
-    fn claimed_units(&self) -> BTreeSet<task_key::UnitKey> {
-        self.workers.values().flat_map(|it| &it.claims).map(|it| it.unit).collect()
-    }
-
     /// Room of tasks that are being stopped, by berth.
     fn freeing(&self, berths: &[berth::WorkerBerth]) -> Vec<room::Room> {
         let on_berth = |it: &berth::WorkerBerth| {
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -45,23 +45,22 @@
         let mut berths = self.berths(now);
         let mut full = BTreeSet::<(ids::GraphId, u32)>::new();
         let mut hopeless = Vec::<room::Room>::new();
-        let mut urgent = Vec::new();
+        let mut round = self.clearing_round();
         for unit in units {
-            if full.contains(&(unit.graph, unit.step)) || self.is_hopeless(unit, &hopeless) {
-                // Room is cleared for each task of an urgent step at once: one after the other they
-                // would wait for a stop each, and a guarantee would come back late.
-                urgent.push(unit);
-                continue;
-            }
-            if !self.try_start(unit, &mut berths, now) {
+            let is_tried = !full.contains(&(unit.graph, unit.step));
+            if is_tried && !self.is_hopeless(unit, &hopeless) {
+                if self.try_start(unit, &mut berths, now) {
+                    continue;
+                }
                 // Tasks of one step are alike: where one finds no room, neither do the others.
                 full.insert((unit.graph, unit.step));
                 hopeless.extend(self.hopeless_room(unit, &berths));
                 self.tell_wait(unit, &berths, now);
-                urgent.push(unit);
             }
+            // In its turn, before less urgent units are looked at: they would start in the room that
+            // is about to be cleared, and be stopped again at once.
+            self.clear_for_urgent(unit, &mut berths, &mut round, now);
         }
-        self.clear_for_urgent(&urgent, &berths, now);
     }
 
     /// Tells once a job why its tasks wait, when they have for a while.
--- a/crates/graph/tests/pool/urgent.rs
+++ b/crates/graph/tests/pool/urgent.rs
@@ -77,3 +77,21 @@
     );
     assert_eq!(support::starts(&bench.turn()), []);
 }
+
+/// Symptom: tasks were started and stopped again in the same turn, up to a hundred times for one
+/// job. Sequence: an urgent gang needs two workers, one of which is free; less urgent tasks wait.
+/// Cause: room for urgent work was sought after all other units had been placed, so that these took
+/// the free worker first.
+#[test]
+fn less_urgent_work_does_not_start_where_room_is_needed_at_once() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::whole_workers(1)));
+    assert_eq!(bench.turn_and_start().len(), 1);
+    bench.pass(200);
+    bench.admit(2, support::job(0, support::gang(support::whole_workers(2))));
+    bench.admit(3, support::job(2, support::tasks(8)));
+    let orders = bench.turn();
+    assert_eq!(support::starts(&orders), []);
+    let stopped = support::stops(&orders);
+    assert_eq!(stopped.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [1]);
+}
