Use only workers whose entry is whole, and whose upstream the configuration names

Cause: the list of workers may hold entries of other writers. A state that is not named counted as ready, missing fields became defaults, and an entry that could not be read left what was known of its worker in force: tasks went there and were lost until their lease lapsed.

Change: every named field is read, and read in its type; state, address and rack are checked; an upstream that the document does not name is none. Such an entry unlists its worker: no new tasks, while what runs there counts on until it ends or its lease has lapsed. Each fault is counted by reason and logged when it changes, a thousand entries at most. Tests: every field left out, every field in seven other types, damage at every byte, and on the stand-in an entry that is spoiled and written anew, under a running task and before a takeover; the first one failed before.

--- a/crates/pool/src/document.rs
+++ b/crates/pool/src/document.rs
@@ -1,12 +1,14 @@
 //! The operators' document as the pool uses it, and the slot that holds the one in force.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use almondpass_graph::{catalog, worker};
 use almondpass_schema::{blob, ids};
 use tokio::sync::watch;
 
+use crate::worker_entry;
+
 /// A class as callers reach it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassRoute {
@@ -27,6 +29,8 @@
     pub version: ids::ConfigVersion,
     /// The classes as callers reach them.
     pub routes: Vec<ClassRoute>,
+    /// The upstreams that it names.
+    pub upstreams: BTreeSet<ids::UpstreamName>,
     /// Account by key.
     pub keys: BTreeMap<String, ids::AccountId>,
     /// Classes and accounts as the scheduler needs them.
@@ -49,8 +53,8 @@
     /// Reads a document.
     fn document(&self, source: &[u8]) -> anyhow::Result<PoolDocument>;
 
-    /// Reads the row of a worker.
-    fn worker(&self, value: &[u8]) -> anyhow::Result<worker::WorkerListing>;
+    /// Reads the row of a worker. Whoever has written it, what it names is used.
+    fn worker(&self, value: &[u8]) -> Result<worker::WorkerListing, worker_entry::EntryFault>;
 }
 
 /// The document in force. It only ever moves to a higher version, at this one place, whoever
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, intake, task_key};
+use almondpass_graph::{core, intake, task_key, worker};
 use almondpass_peer::error;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
@@ -16,6 +16,7 @@
 use crate::lead;
 use crate::state;
 use crate::store_call;
+use crate::worker_entry;
 
 /// Wait before the rows are read again after a failure.
 const READ_AGAIN: Duration = Duration::from_millis(150);
@@ -97,13 +98,32 @@
     row: &row_feed::FeedRow,
     now: Duration,
 ) {
-    let Some(value) = &row.value else { return core.unlist_worker(&row.key) };
-    match state.site.reader().worker(value) {
+    let Some(value) = &row.value else {
+        state.faulty_entries().forget(&row.key);
+        return core.unlist_worker(&row.key);
+    };
+    let read = state.site.reader().worker(value).and_then(|it| check_upstream(state, it));
+    state.faulty_entries().observe(&row.key, &read);
+    match read {
         Ok(listing) => core.learn_worker(row.key.clone(), listing, now),
-        Err(error) => tracing::warn!(worker = row.key, %error, "row of a worker can't be read"),
+        // What runs there counts on: the worker may be sound, and only its entry overwritten.
+        Err(_) => core.unlist_worker(&row.key),
     }
 }
 
+/// A worker of an upstream that the configuration does not name is none to use. A worker writes its
+/// entry anew every few seconds, so that one whose upstream is added is found soon.
+fn check_upstream<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    listing: worker::WorkerListing,
+) -> Result<worker::WorkerListing, worker_entry::EntryFault> {
+    let document = state.document.current();
+    if document.is_none_or(|it| it.upstreams.contains(&listing.upstream)) {
+        return Ok(listing);
+    }
+    Err(worker_entry::EntryFault::Upstream(listing.upstream))
+}
+
 /// Reads a row of an accepted job graph. It is inherited if it was written before version `taken`.
 pub(crate) fn read_graph(
     row: &row_feed::FeedRow,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod store_call;
 pub mod submit;
 pub mod tenure_watch;
+pub mod worker_entry;
 
 mod detour;
 mod document_follower;
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -15,6 +15,7 @@
 use crate::hand_over;
 use crate::lead;
 use crate::settings;
+use crate::worker_entry;
 
 /// The platform and the peers as an instance reaches them.
 pub trait PoolSite: Clone + Send + Sync + 'static {
@@ -64,6 +65,8 @@
     members: Mutex<Vec<model::InstanceRow>>,
     /// Stronger instances to which this one has offered the tenure.
     offered: Mutex<hand_over::OfferedInstances>,
+    /// Entries of the list of workers that name no worker to use.
+    faulty_entries: Mutex<worker_entry::FaultyEntries>,
 }
 
 /// The holder of the tenure.
@@ -89,6 +92,7 @@
             detours: Mutex::default(),
             members: Mutex::default(),
             offered: Mutex::default(),
+            faulty_entries: Mutex::default(),
         }
     }
 
@@ -144,6 +148,10 @@
         lock(&self.offered)
     }
 
+    pub(crate) fn faulty_entries(&self) -> MutexGuard<'_, worker_entry::FaultyEntries> {
+        lock(&self.faulty_entries)
+    }
+
     pub(crate) fn set_members(&self, members: Vec<model::InstanceRow>) {
         *lock(&self.members) = members;
     }
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use almondpass_graph::{catalog, order, room, task_key, worker};
-use almondpass_pool::{cancel, document, entry, instance, peers, settings, state, submit};
+use almondpass_pool::{
+    cancel, document, entry, instance, peers, settings, state, submit, worker_entry,
+};
 use almondpass_ports::boot_clock;
 use almondpass_ports::table::TableService;
 use almondpass_schema::{blob, ids, model};
@@ -14,6 +16,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 
+/// Whose workers they are.
+const UPSTREAM: &str = "analysis";
+
 /// What each worker offers.
 const CAPACITY: room::Room = room::Room { cpu_milli: 32_000, memory_mb: 65_536, accelerators: 8 };
 
@@ -72,7 +77,7 @@
 
     fn document(&self, source: &[u8]) -> anyhow::Result<document::PoolDocument> {
         let class = |priority| catalog::ClassSpec {
-            upstream: "analysis".to_owned(),
+            upstream: UPSTREAM.to_owned(),
             priority,
             max_attempts: 2,
             stretch: 2.0,
@@ -84,17 +89,19 @@
                 classes: BTreeMap::from([("trend".to_owned(), class(1))]),
                 guaranteed: BTreeMap::new(),
             }),
+            upstreams: [UPSTREAM.to_owned()].into(),
             source: blob::Blob::from(source.to_vec()),
             ..document::PoolDocument::default()
         })
     }
 
-    fn worker(&self, value: &[u8]) -> anyhow::Result<worker::WorkerListing> {
-        let text = std::str::from_utf8(value)?;
+    fn worker(&self, value: &[u8]) -> Result<worker::WorkerListing, worker_entry::EntryFault> {
+        let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
+        let text = std::str::from_utf8(value).map_err(form)?;
         let rack = text.trim_end_matches('-').to_owned();
         Ok(worker::WorkerListing {
             address: "worker".to_owned(),
-            upstream: "analysis".to_owned(),
+            upstream: UPSTREAM.to_owned(),
             capacity: CAPACITY,
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
@@ -205,6 +212,17 @@
     pub(crate) async fn add_worker(&self, index: usize) {
         let id = worker_id(index);
         self.fleet.add(&id, CAPACITY);
+        self.write_entry(index).await;
+    }
+
+    /// Somebody else writes over the entry of a worker.
+    pub(crate) async fn spoil_entry(&self, index: usize) {
+        self.write(&format!("workers//{}", worker_id(index)), b"\xff\xfe").await;
+    }
+
+    /// A worker writes its entry anew.
+    pub(crate) async fn write_entry(&self, index: usize) {
+        let id = worker_id(index);
         self.write(&format!("workers//{id}"), format!("r{}", index / 8).as_bytes()).await;
     }
 
@@ -303,7 +321,7 @@
         },
         max_attempts: 2,
         priority: 1,
-        upstream: "analysis".to_owned(),
+        upstream: UPSTREAM.to_owned(),
     }
 }
 
