Put what can only be late behind what can be in time, within a class

Cause: under more load than the pool can do, jobs queue for longer than their objective; in the order of age each that starts is late and makes the next one late.

Change: a prospect (in time, late, over) from the objective, the steps that are left and the learned run time; urgent work of an account within its guarantee keeps its place. Pure, with its own tests.

--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -70,8 +70,9 @@
 
     /// Stops less urgent work for an urgent unit that found no room. Each task of a step is
     /// cleared for at once: one after the other they would wait for a stop each, and a guarantee
-    /// would come back late. Where it would cost too much, the room that comes free by itself is
-    /// kept for the unit.
+    /// would come back late. Where it would cost too much the unit waits, and reserves nothing: one
+    /// urgent gang after the other would keep those behind it off what is free (at four times the
+    /// load of a full day 0.30 instead of 0.37 of worth).
     pub(crate) fn clear_for_urgent(
         &mut self,
         unit: task_key::UnitKey,
@@ -83,9 +84,7 @@
             return;
         }
         round.n_left -= 1;
-        if !self.clear_for(unit, berths, now) {
-            self.reserve_for(unit, berths, now);
-        }
+        self.clear_for(unit, berths, now);
     }
 
     fn clear_for(
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -130,12 +130,17 @@
         job.priority != clearing::URGENT && hopeless.iter().any(|it| it.fits_in(room))
     }
 
-    /// Units that may start now, in the order in which they are to.
+    /// Units that may start now, in the order in which they are to: by class, and within a class first
+    /// what can be in time, by age.
     fn waiting_units(&self, now: Duration) -> Vec<task_key::UnitKey> {
         let is_settled = self.is_settled(now);
         let jobs = self.active_jobs().filter(|(_, it)| is_settled || !it.inherited);
         let mut jobs = jobs.collect::<Vec<_>>();
-        jobs.sort_by_key(|(graph, it)| (it.priority, it.admitted_at, *graph));
+        let guaranteed = self.accounts_within_guarantee();
+        jobs.sort_by_cached_key(|(graph, it)| {
+            let prospect = self.prospect(it, &guaranteed, now);
+            (it.priority, prospect, it.admitted_at, *graph)
+        });
         jobs.into_iter().flat_map(|(graph, it)| waiting_units_of(graph, it, self.wall)).collect()
     }
 
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pace;
 pub mod placing;
 pub mod progress;
+pub mod prospect;
 pub mod reclaiming;
 pub mod reserving;
 pub mod retention;
--- a/crates/graph/src/objective.rs
+++ b/crates/graph/src/objective.rs
@@ -14,17 +14,30 @@
 pub struct StepChain {
     /// How many there are in the longest chain.
     pub n_steps: u32,
+    /// How many there are in the longest chain of those that are not done.
+    pub n_left: u32,
 }
 
 impl StepChain {
     /// The longest chain of `steps`, each of which waits only for earlier ones.
     pub fn of(steps: &[job::StepRecord]) -> StepChain {
-        let mut lengths = Vec::<u32>::with_capacity(steps.len());
+        let mut chains = Vec::<StepChain>::with_capacity(steps.len());
         for step in steps {
-            let before = step.spec.after.iter().filter_map(|it| lengths.get(*it as usize));
-            lengths.push(1 + before.max().copied().unwrap_or_default());
+            let before = step.spec.after.iter().filter_map(|it| chains.get(*it as usize));
+            let longest = before.copied().fold(StepChain::default(), StepChain::longest);
+            chains.push(StepChain {
+                n_steps: longest.n_steps + 1,
+                n_left: longest.n_left + u32::from(!step.is_done()),
+            });
+        }
+        chains.into_iter().fold(StepChain::default(), StepChain::longest)
+    }
+
+    fn longest(self, other: StepChain) -> StepChain {
+        StepChain {
+            n_steps: self.n_steps.max(other.n_steps),
+            n_left: self.n_left.max(other.n_left),
         }
-        StepChain { n_steps: lengths.into_iter().max().unwrap_or_default() }
     }
 }
 
--- a/crates/graph/tests/pool/objectives.rs
+++ b/crates/graph/tests/pool/objectives.rs
@@ -1,8 +1,9 @@
 //! When jobs are in time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{catalog, job, objective};
+use almondpass_graph::{catalog, job, objective, prospect};
 use almondpass_schema::model;
 
 use crate::support;
@@ -26,7 +27,8 @@
 }
 
 fn check_chain(afters: &[&[u32]], n_steps: u32) {
-    assert_eq!(objective::StepChain::of(&steps(afters)), objective::StepChain { n_steps });
+    let chain = objective::StepChain { n_steps, n_left: n_steps };
+    assert_eq!(objective::StepChain::of(&steps(afters)), chain);
 }
 
 macro_rules! chains {
@@ -51,7 +53,7 @@
 /// Three steps of 2 s at three times their time and a second: 19 s, of which the work takes 6.
 #[test]
 fn slack_is_what_the_objective_leaves() {
-    let chain = objective::StepChain { n_steps: 3 };
+    let chain = objective::StepChain { n_steps: 3, n_left: 3 };
     let step = Duration::from_secs(2);
     assert_eq!(objective::objective(&class(), chain, step), Duration::from_secs(19));
     assert_eq!(objective::slack(&class(), chain, step), Duration::from_secs(13));
@@ -61,7 +63,51 @@
 #[test]
 fn slack_is_never_negative() {
     let class = catalog::ClassSpec { stretch: 0.1, target_latency: Duration::ZERO, ..class() };
-    let slack =
-        objective::slack(&class, objective::StepChain { n_steps: 1 }, Duration::from_secs(2));
-    assert_eq!(slack, Duration::ZERO);
+    let chain = objective::StepChain { n_steps: 1, n_left: 1 };
+    assert_eq!(objective::slack(&class, chain, Duration::from_secs(2)), Duration::ZERO);
+}
+
+fn check_prospect(age_seconds: u64, n_left: u32, expected: prospect::JobProspect) {
+    let chain = objective::StepChain { n_steps: 3, n_left };
+    let age = Duration::from_secs(age_seconds);
+    assert_eq!(prospect::prospect_of(&class(), chain, Duration::from_secs(2), age), expected);
+}
+
+macro_rules! prospects {
+    ($($name:ident: $age:expr, $n_left:expr => $expected:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check_prospect($age, $n_left, prospect::JobProspect::$expected);
+            }
+        )*
+    };
+}
+
+// The objective is 19 s.
+prospects! {
+    a_job_may_wait_for_its_slack: 13, 3 => InTime;
+    a_job_that_has_waited_longer_is_late: 14, 3 => Late;
+    what_is_left_of_its_work_counts: 14, 2 => InTime;
+    three_times_the_objective_is_late: 51, 3 => Late;
+    behind_that_it_is_over: 52, 3 => Over;
+}
+
+/// Symptom: under four times the load of a quiet day hardly a job was in time. Sequence: jobs queue
+/// for longer than their objective; each that starts is late, and makes the one behind it late. Cause:
+/// work was in order of age.
+#[test]
+fn what_can_be_in_time_comes_before_what_is_late() {
+    let mut bench = support::PoolBench::new(1);
+    let classes = [("class-1".to_owned(), class())];
+    bench.core.set_catalog(Arc::new(catalog::PoolCatalog {
+        classes: classes.into(),
+        ..catalog::PoolCatalog::default()
+    }));
+    bench.admit(1, support::job(1, support::whole_workers(1)));
+    bench.pass(30_000);
+    bench.lists(0, &[], &[]);
+    bench.admit(2, support::job(1, support::whole_workers(1)));
+    let starts = support::starts(&bench.turn());
+    assert_eq!(starts.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [2]);
 }
