--- a/crates/graph/src/catalog.rs
+++ b/crates/graph/src/catalog.rs
@@ -14,7 +14,8 @@
     pub priority: u32,
     /// Failures of one task or gang after which its job has failed.
     pub max_attempts: u32,
-    /// A job is in time within this many times its longest chain of work...
+    /// A job is in time within this many times its longest chain of work; 0 where the class promises
+    /// nothing...
     pub stretch: f64,
     /// ...and this much more.
     pub target_latency: Duration,
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -38,8 +38,8 @@
 
 /// Urgent work outside a guarantee may cost other callers at most this many times its own work. Under
 /// full load what is thrown away is missing to others: one plan stopped 47 tasks, 3,192 core-seconds,
-/// for a job of seven tasks. Twice as much and half again as little serve alike; no limit serves
-/// 0.016 of worth less (40 paired days, error 0.007).
+/// for a job of seven tasks. Two times its work serves alike; no limit serves 0.016 of worth less (40
+/// paired days, error 0.007).
 const MOST_COST: u64 = 3;
 
 /// A task at this percentage is nearly done; stopping it costs three times as much.
@@ -92,16 +92,14 @@
         unit: task_key::UnitKey,
         berths: &mut [berth::WorkerBerth],
         now: Duration,
-    ) -> bool {
+    ) {
         let victims = self.victims(unit, berths, now);
         let freeing = self.freeing(berths);
-        let Some(ask) = self.ask(unit, berths, now) else { return false };
+        let Some(ask) = self.ask(unit, berths, now) else { return };
         let room = ask.room;
-        let Some(plan) = reclaiming::reclaim(berths, &victims, &freeing, &ask) else {
-            return false;
-        };
+        let Some(plan) = reclaiming::reclaim(berths, &victims, &freeing, &ask) else { return };
         if plan.cost > self.most_cost(unit, &ask, now) {
-            return false;
+            return;
         }
         tracing::info!(
             job = format_args!("{:016x}", unit.graph),
@@ -123,7 +121,6 @@
                 record.claims.push(worker::RoomClaim { unit, room, until });
             }
         }
-        true
     }
 
     /// Most work that may be thrown away for a unit, in core-milliseconds. A guarantee is owed its room
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -66,7 +66,7 @@
 
     /// Keeps the units that come later in this turn off the room for which a gang waits. Tasks by
     /// themselves find room without.
-    pub(crate) fn reserve_for(
+    fn reserve_for(
         &self,
         unit: task_key::UnitKey,
         berths: &mut [berth::WorkerBerth],
--- a/crates/graph/src/objective.rs
+++ b/crates/graph/src/objective.rs
@@ -6,7 +6,7 @@
 use crate::core;
 use crate::job;
 
-/// Slack of a job whose class the configuration no longer has.
+/// Slack of a job whose class promises nothing, or is no longer configured.
 const UNKNOWN_SLACK: Duration = Duration::from_secs(10);
 
 /// Steps of a job that come one after the other.
@@ -52,9 +52,14 @@
 }
 
 impl core::PoolCore {
+    /// The class of a job, where the configuration has it and it promises a time.
+    pub(crate) fn promise(&self, job: &job::JobRecord) -> Option<&catalog::ClassSpec> {
+        self.catalog.classes.get(&job.class).filter(|it| it.stretch > 0.0)
+    }
+
     /// How long a job may wait in all and be in time, by the learned run time of its class.
     pub(crate) fn slack(&self, job: &job::JobRecord) -> Duration {
-        let Some(class) = self.catalog.classes.get(&job.class) else { return UNKNOWN_SLACK };
+        let Some(class) = self.promise(job) else { return UNKNOWN_SLACK };
         slack(class, StepChain::of(&job.steps), self.run_times.mean(&job.class))
     }
 
--- a/crates/graph/src/prospect.rs
+++ b/crates/graph/src/prospect.rs
@@ -63,7 +63,7 @@
         if is_kept || job.schedule.is_some() {
             return JobProspect::InTime;
         }
-        let Some(class) = self.catalog.classes.get(&job.class) else { return JobProspect::InTime };
+        let Some(class) = self.promise(job) else { return JobProspect::InTime };
         let chain = objective::StepChain::of(&job.steps);
         let age = now.saturating_sub(job.admitted_at);
         prospect_of(class, chain, self.run_times.mean(&job.class), age)
--- a/crates/graph/tests/pool/objectives.rs
+++ b/crates/graph/tests/pool/objectives.rs
@@ -111,3 +111,20 @@
     let starts = support::starts(&bench.turn());
     assert_eq!(starts.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [2]);
 }
+
+/// A class that promises nothing has no late jobs: they start in the order of age.
+#[test]
+fn a_class_that_promises_nothing_keeps_the_order_of_age() {
+    let mut bench = support::PoolBench::new(1);
+    let unpromised = catalog::ClassSpec { stretch: 0.0, ..class() };
+    bench.core.set_catalog(Arc::new(catalog::PoolCatalog {
+        classes: [("class-1".to_owned(), unpromised)].into(),
+        ..catalog::PoolCatalog::default()
+    }));
+    bench.admit(1, support::job(1, support::whole_workers(1)));
+    bench.pass(30_000);
+    bench.lists(0, &[], &[]);
+    bench.admit(2, support::job(1, support::whole_workers(1)));
+    let starts = support::starts(&bench.turn());
+    assert_eq!(starts.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [1]);
+}
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -88,6 +88,7 @@
     let write = writer::write_of(keys::graph(graph), row);
     let transaction = model::TableTransaction { conditions: vec![condition], writes: vec![write] };
     let mut may_be_stored = false;
+    let mut n_failed = 0;
     loop {
         let writing = store_call::transact(state, transaction.clone());
         let Ok(written) = time::timeout_at(deadline, writing).await else {
@@ -104,17 +105,27 @@
             Ok(model::TableOutcome::Conflict { rows }) => return judge(&rows, row),
             Err(error) => {
                 may_be_stored |= !error.fault.had_no_effect();
-                tracing::info!(
-                    job = format_args!("{graph:016x}"),
-                    %error,
-                    may_be_stored,
-                    "job could not be stored"
-                );
+                n_failed += 1;
+                // Once a call: it tries a dozen times a second, and an outage meets all callers.
+                if n_failed == 1 {
+                    tracing::info!(
+                        job = format_args!("{graph:016x}"),
+                        %error,
+                        may_be_stored,
+                        "job could not be stored"
+                    );
+                }
             }
         }
         let next = Instant::now() + WRITE_AGAIN;
         let is_refused_for_long = !may_be_stored && next >= started + REFUSED_PATIENCE;
         if next >= deadline || is_refused_for_long {
+            tracing::info!(
+                job = format_args!("{graph:016x}"),
+                n_failed,
+                may_be_stored,
+                "storing a job is given up"
+            );
             return if may_be_stored {
                 model::SubmitOutcome::Unknown
             } else {
