--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -10,7 +10,9 @@
 use crate::headroom;
 use crate::job;
 use crate::order;
+use crate::roster;
 use crate::run_times;
+use crate::save_queue;
 use crate::task_key;
 use crate::terms;
 use crate::worker;
@@ -26,23 +28,17 @@
     /// what each turn goes over.
     pub(crate) active: BTreeSet<ids::GraphId>,
     pub(crate) workers: BTreeMap<ids::WorkerId, worker::WorkerRecord>,
-    /// Workers that a successor surely finds in the roster; only these get tasks.
-    pub(crate) saved_roster: BTreeSet<ids::WorkerId>,
+    /// The workers that a successor finds; only these get tasks.
+    pub(crate) roster: roster::RosterPages,
+    /// The rows that the store does not have as they are.
+    pub(crate) unsaved: save_queue::SaveQueue,
     pub(crate) orders: Vec<order::PoolOrder>,
     pub(crate) run_times: run_times::RunTimes,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Until then, tasks of inherited jobs may run on workers that have not answered yet.
     pub(crate) settles_at: Duration,
-    /// Number of the newest change that has to be durable.
-    pub(crate) change: u64,
-    /// Changes up to this one are durable.
-    pub(crate) durable_change: u64,
-    /// Jobs with changes that were not taken for saving yet.
-    pub(crate) changed: BTreeSet<ids::GraphId>,
     /// Whether a worker refused an order for a higher fencing token than ours.
     pub(crate) is_fenced_off: bool,
-    /// Jobs that were forgotten and whose progress is still to be removed from the store.
-    pub(crate) forgotten: BTreeSet<ids::GraphId>,
     /// Jobs that ended since they were last asked for.
     pub(crate) finished: Vec<FinishedJob>,
     /// When time was last taken note of.
@@ -72,15 +68,12 @@
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
             workers: BTreeMap::new(),
-            saved_roster: BTreeSet::new(),
+            roster: roster::RosterPages::default(),
+            unsaved: save_queue::SaveQueue::default(),
             orders: Vec::new(),
             run_times: run_times::RunTimes::default(),
             headroom: headroom::UrgentHeadroom::default(),
             settles_at: start.settles_at,
-            change: 0,
-            durable_change: 0,
-            changed: BTreeSet::new(),
-            forgotten: BTreeSet::new(),
             is_fenced_off: false,
             finished: Vec::new(),
             kept_up_at: Duration::ZERO,
@@ -169,14 +162,6 @@
         now >= self.settles_at || self.workers.values().all(|it| it.fenced || !it.inherited)
     }
 
-    /// Notes that `graph` has changed in a way that a successor has to know.
-    pub(crate) fn touch(&mut self, graph: ids::GraphId) -> u64 {
-        self.change += 1;
-        self.changed.insert(graph);
-        self.sort_in(graph);
-        self.change
-    }
-
     /// The jobs that have not ended.
     pub(crate) fn active_jobs(&self) -> impl Iterator<Item = (ids::GraphId, &job::JobRecord)> {
         self.active.iter().filter_map(|it| Some((*it, self.jobs.get(it)?)))
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -148,7 +148,7 @@
     fn berths(&self, now: Duration) -> Vec<berth::WorkerBerth> {
         let usable = self.workers.iter().filter(|(id, it)| {
             it.listed
-                && self.saved_roster.contains(*id)
+                && self.roster.is_saved(id)
                 && it.fenced
                 && it.leaves_at.is_none()
                 && it.n_missed == 0
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -6,21 +6,22 @@
 
 use crate::core;
 use crate::order;
+use crate::save_queue;
 use crate::task_key;
 
 impl core::PoolCore {
     /// Takes in an end. Returns the change that has to be durable before the end may be
-    /// acknowledged; 0 where a successor need not know of it.
+    /// acknowledged; nothing where a successor need not know of it.
     pub(crate) fn take_end(
         &mut self,
         worker: &ids::WorkerId,
         end: order::ListedEnd,
         now: Duration,
-    ) -> u64 {
+    ) -> Option<save_queue::SaveMark> {
         let key = end.task;
-        let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
+        let job = self.jobs.get_mut(&key.graph)?;
         let class = job.class.clone();
-        let Some(task) = job.task_mut(key) else { return 0 };
+        let task = job.task_mut(key)?;
         let known = task.run.as_ref();
         let known = known.filter(|it| it.worker == *worker && it.attempt == end.attempt);
         let since = known.map(|it| it.since);
@@ -56,20 +57,25 @@
             | order::EndKind::Broken
             | order::EndKind::Alone => {
                 self.spread_checkpoint(key);
-                0
+                None
             }
         }
     }
 
-    fn task_done(&mut self, worker: &ids::WorkerId, key: task_key::TaskKey, now: Duration) -> u64 {
+    fn task_done(
+        &mut self,
+        worker: &ids::WorkerId,
+        key: task_key::TaskKey,
+        now: Duration,
+    ) -> Option<save_queue::SaveMark> {
         if let Some(record) = self.workers.get_mut(worker) {
             record.health.succeeded();
         }
-        let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
+        let job = self.jobs.get_mut(&key.graph)?;
         if job.has_ended() && job.state != model::GraphState::Completed {
-            return 0;
+            return None;
         }
-        let Some(step) = job.step_mut(key) else { return 0 };
+        let step = job.step_mut(key)?;
         if step.spec.gang {
             // One such end represents all members.
             for task in &mut step.tasks {
@@ -90,7 +96,7 @@
         if twin.is_some_and(|it| it.run.is_some()) {
             self.stop_run(key, now);
         }
-        self.touch(key.graph)
+        self.touch(key)
     }
 
     fn task_failed(
@@ -99,34 +105,36 @@
         key: task_key::TaskKey,
         attempt: u32,
         now: Duration,
-    ) -> u64 {
+    ) -> Option<save_queue::SaveMark> {
         if let Some(record) = self.workers.get_mut(worker)
             && record.health.failed(key.graph, now)
         {
             tracing::warn!(worker, "worker fails tasks of several jobs and is paused");
         }
-        let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
+        let job = self.jobs.get_mut(&key.graph)?;
         let most = job.max_attempts;
-        let Some(step) = job.step_mut(key) else { return 0 };
+        let step = job.step_mut(key)?;
         let is_gang = step.spec.gang;
-        let Some(task) = step.tasks.get_mut(key.task as usize) else { return 0 };
+        let task = step.tasks.get_mut(key.task as usize)?;
         if task.done {
-            return 0;
+            return None;
         }
         task.avoids = Some(worker.clone());
         let failures = if is_gang { &mut step.gang_failures } else { &mut task.failures };
         if !failures.count_attempt(attempt) {
-            return 0;
+            return None;
         }
         let is_last = failures.count() >= most;
         self.spread_checkpoint(key);
-        let Some(job) = self.jobs.get_mut(&key.graph) else { return 0 };
+        let job = self.jobs.get_mut(&key.graph)?;
         if is_last && !job.has_ended() {
             job.state = model::GraphState::Failed;
             self.finish(key.graph, now);
             self.stop_all(key.graph, now);
         }
-        self.touch(key.graph)
+        // The failures of a gang are told of with its first task.
+        let told_with = if is_gang { task_key::TaskKey { task: 0, ..key } } else { key };
+        self.touch(told_with)
     }
 
     /// All members of a gang resume from the same checkpoint; that of any member will do.
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -9,6 +9,7 @@
 use crate::core;
 use crate::job;
 use crate::progress;
+use crate::save_queue;
 use crate::worker;
 
 /// Attempts left out behind the highest one on record, for tasks that an earlier scheduler may
@@ -23,7 +24,7 @@
     /// The row of its acceptance.
     pub row: model::GraphRow,
     /// What an earlier scheduler has saved of it.
-    pub progress: Option<model::ProgressRow>,
+    pub progress: progress::SavedParts,
     /// Whether it was accepted before this tenure began.
     pub inherited: bool,
 }
@@ -33,6 +34,7 @@
     pub fn admit(&mut self, admitted: AdmittedJob, now: Duration) {
         let graph = admitted.graph;
         let cancelled = admitted.row.cancelled;
+        let is_undivided = admitted.progress.is_undivided();
         self.jobs.entry(graph).or_insert_with(|| {
             tracing::info!(
                 job = format_args!("{graph:016x}"),
@@ -44,6 +46,10 @@
             record_of(admitted, now)
         });
         self.sort_in(graph);
+        if is_undivided {
+            let n_parts = self.jobs.get(&graph).map_or(0, progress::n_parts);
+            self.touch_all(graph, n_parts);
+        }
         if cancelled {
             self.cancel(graph, now);
         }
@@ -101,9 +107,12 @@
         record.listing = listing;
     }
 
-    /// Takes in a worker to which an earlier scheduler may have given orders.
-    pub fn inherit_worker(&mut self, entry: model::RosterEntry) {
-        self.saved_roster.insert(entry.worker.clone());
+    /// Takes in a worker to which an earlier scheduler may have given orders, as it stands on a page of
+    /// the roster.
+    pub fn inherit_worker(&mut self, entry: model::RosterEntry, page: u32) {
+        for page in self.roster.inherit(&entry.worker, page) {
+            self.unsaved.touch(save_queue::SaveKey::Roster { page });
+        }
         let record = self.workers.entry(entry.worker).or_default();
         record.inherited = true;
         if !record.listed {
@@ -158,9 +167,7 @@
         state: model::GraphState::Pending,
         durable: model::GraphState::Pending,
     };
-    if let Some(progress) = admitted.progress {
-        progress::restore(&mut job, progress);
-    }
+    admitted.progress.restore_into(&mut job);
     job.ended_at = job.has_ended().then_some(now);
     if job.inherited {
         for task in job.steps.iter_mut().flat_map(|it| &mut it.tasks) {
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -123,11 +123,10 @@
         }
         record.seen = end.number;
         let number = end.number;
-        let change = self.take_end(worker, end, now);
-        let durable = self.durable_change;
+        let mark = self.take_end(worker, end, now);
         if let Some(record) = self.workers.get_mut(worker) {
-            record.unsaved_ends.push_back((number, change));
-            record.settle_ends(durable);
+            record.unsaved_ends.push_back(worker::UnsavedEnd { number, mark });
+            record.settle_ends(&self.unsaved);
         }
     }
 
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -1,132 +1,161 @@
-//! What is saved of jobs, and how it is read back.
+//! What is saved of a job, part by part, and how it is read back.
+//!
+//! The tasks of all steps, one step behind the other, are cut into parts of equal size, each with a
+//! row of its own: neither a row nor what one end of a task writes grows with the job.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::ops::{Range, RangeInclusive};
 use std::sync::Arc;
 
-use almondpass_schema::{ids, model};
+use almondpass_schema::model;
 
-use crate::core;
 use crate::job;
-use crate::worker;
-
-/// Changes to be saved in one transaction.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SaveBatch {
-    /// Once this batch is durable, so are all changes up to this one.
-    pub change: u64,
-    /// The rows to write.
-    pub rows: Vec<(ids::GraphId, model::ProgressRow)>,
-    /// The rows to remove.
-    pub removed: Vec<ids::GraphId>,
-    /// The roster to write, where it has changed.
-    pub roster: Option<model::RosterRow>,
+use crate::task_key;
+
+/// Tasks of one part. A task takes about 90 bytes, and at most about 500 with the longest checkpoint
+/// name and a dozen failures, so that a part stays below 32 KB where the platform takes 64.
+pub const PART_TASKS: u32 = 64;
+
+/// Longest name of a checkpoint that is saved, in bytes; the platform's take 16. A successor starts
+/// a task with a longer one anew, instead of a row being refused for its length.
+const LONGEST_CHECKPOINT: usize = 256;
+
+/// The part whose row also tells how far the job is.
+pub const HEAD_PART: u32 = 0;
+
+/// How many parts a job has.
+pub fn n_parts(job: &job::JobRecord) -> u32 {
+    let n_tasks = job.steps.iter().map(|it| it.tasks.len() as u32).sum::<u32>();
+    n_tasks.div_ceil(PART_TASKS).max(1)
 }
 
-impl core::PoolCore {
-    /// Takes up to `most` changed jobs for saving; nothing where nothing has changed. A batch is
-    /// to be saved before the next one is taken.
-    pub fn take_batch(&mut self, most: usize) -> Option<SaveBatch> {
-        let roster = self.changed_roster();
-        if let Some(roster) = &roster {
-            // Until the answer the store may have either.
-            let written = names_in(roster);
-            self.saved_roster.retain(|it| written.contains(it));
-        }
-        if self.changed.is_empty() && self.forgotten.is_empty() && roster.is_none() {
-            return None;
-        }
-        let mut rows = Vec::new();
-        while rows.len() < most {
-            let Some(graph) = self.changed.pop_first() else { break };
-            if let Some(job) = self.jobs.get(&graph) {
-                rows.push((graph, progress_of(job)));
-            }
+/// The part of a task.
+pub fn part_of(job: &job::JobRecord, key: task_key::TaskKey) -> Option<u32> {
+    let step = job.step_index(key)? as usize;
+    Some((first_task_of(job, step) + key.task) / PART_TASKS)
+}
+
+/// The parts of the tasks of a task's step.
+pub fn parts_of_step(job: &job::JobRecord, key: task_key::TaskKey) -> Option<RangeInclusive<u32>> {
+    let index = job.step_index(key)? as usize;
+    let first = first_task_of(job, index);
+    let n_tasks = job.steps.get(index)?.tasks.len() as u32;
+    let last = first + n_tasks.saturating_sub(1);
+    Some(first / PART_TASKS..=last / PART_TASKS)
+}
+
+/// What is to be durable of a part of a job; nothing where it has no such part.
+pub fn progress_of(job: &job::JobRecord, part: u32) -> Option<model::ProgressRow> {
+    if part >= n_parts(job) {
+        return None;
+    }
+    let wanted = part * PART_TASKS..(part + 1) * PART_TASKS;
+    let mut row = model::ProgressRow { state: job.state, first_step: 0, steps: Vec::new() };
+    let mut first = 0;
+    for (index, step) in job.steps.iter().enumerate() {
+        let tasks = first..first + step.tasks.len() as u32;
+        first = tasks.end;
+        let common = tasks.start.max(wanted.start)..tasks.end.min(wanted.end);
+        if common.is_empty() {
+            continue;
         }
-        let mut removed = Vec::new();
-        while rows.len() + removed.len() < most {
-            let Some(graph) = self.forgotten.pop_first() else { break };
-            removed.push(graph);
+        if row.steps.is_empty() {
+            row.first_step = index as u32;
         }
-        let change = if self.changed.is_empty() { self.change } else { self.durable_change };
-        Some(SaveBatch { change, rows, removed, roster })
+        let within = common.start - tasks.start..common.end - tasks.start;
+        row.steps.push(step_progress(step, within));
     }
+    Some(row)
+}
 
-    /// Whether there is something to save.
-    pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty() || !self.forgotten.is_empty() || self.is_roster_due()
+/// What was saved of a job, by part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SavedParts {
+    parts: BTreeMap<u32, model::ProgressRow>,
+}
+
+impl SavedParts {
+    /// Adds a part.
+    pub fn insert(&mut self, part: u32, row: model::ProgressRow) {
+        self.parts.insert(part, row);
     }
 
-    /// The batch is durable: callers may be told, and workers' ends acknowledged.
-    pub fn batch_saved(&mut self, batch: &SaveBatch) {
-        self.durable_change = self.durable_change.max(batch.change);
-        for (graph, row) in &batch.rows {
-            if let Some(job) = self.jobs.get_mut(graph)
-                && job.durable != model::GraphState::Cancelled
-            {
-                job.durable = row.state;
-            }
-        }
-        if let Some(roster) = &batch.roster {
-            self.saved_roster = names_in(roster);
-        }
-        for worker in self.workers.values_mut() {
-            worker.settle_ends(self.durable_change);
-        }
+    /// The numbers of the parts that were saved.
+    pub fn numbers(&self) -> impl Iterator<Item = u32> {
+        self.parts.keys().copied()
     }
 
-    /// Workers on which a successor has to expect tasks. It waits for each of them, so that none
-    /// may stay that has left: for that the successor would wait for as long as a lease lasts.
-    fn roster(&self) -> impl Iterator<Item = (&ids::WorkerId, &worker::WorkerRecord)> {
-        self.workers.iter().filter(|(_, it)| !it.has_left())
+    /// Whether nothing was saved.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
     }
 
-    fn is_roster_due(&self) -> bool {
-        let is_saved = self.roster().all(|(id, _)| self.saved_roster.contains(id));
-        !is_saved || self.roster().count() != self.saved_roster.len()
+    /// Whether the head tells of tasks of other parts too, as it did before there were parts: it is
+    /// to be written anew, and with it all that it told of.
+    pub fn is_undivided(&self) -> bool {
+        let Some(head) = self.parts.get(&HEAD_PART) else { return false };
+        let mut n_told = 0;
+        for step in &head.steps {
+            let tasks = step.done.iter().chain(step.attempts.iter().map(|it| &it.task));
+            n_told += tasks.max().map_or(0, |it| it + 1);
+        }
+        n_told > PART_TASKS
     }
 
-    /// The roster, if it differs from the saved one.
-    fn changed_roster(&self) -> Option<model::RosterRow> {
-        if !self.is_roster_due() {
-            return None;
+    /// Takes what was saved into the record of the job.
+    pub fn restore_into(self, job: &mut job::JobRecord) {
+        if self.is_empty() {
+            return;
         }
-        let workers = self.roster().map(|(worker, it)| model::RosterEntry {
-            worker: worker.clone(),
-            address: it.listing.address.clone(),
-            upstream: it.listing.upstream.clone(),
-        });
-        Some(model::RosterRow { workers: workers.collect() })
+        let told = self.parts.get(&HEAD_PART).map(|it| it.state);
+        for row in self.parts.into_values() {
+            let steps = job.steps.iter_mut().skip(row.first_step as usize);
+            for (step, saved) in steps.zip(row.steps) {
+                restore_step(step, saved);
+            }
+        }
+        restore_state(job, told);
     }
 }
 
-fn names_in(roster: &model::RosterRow) -> BTreeSet<ids::WorkerId> {
-    roster.workers.iter().map(|it| it.worker.clone()).collect()
+/// Takes over the state that the head of a job told, or a later one that its parts show: the head may
+/// not have been written yet when the scheduler ended.
+fn restore_state(job: &mut job::JobRecord, told: Option<model::GraphState>) {
+    // A part is written only behind the end of a task.
+    job.state = told.unwrap_or(model::GraphState::Running);
+    if !job.has_ended() {
+        job.state = shown_state(job).unwrap_or(job.state);
+    }
+    job.durable = job.state;
+    job.started = job.state != model::GraphState::Pending;
 }
 
-/// What is to be durable of a job.
-pub fn progress_of(job: &job::JobRecord) -> model::ProgressRow {
-    model::ProgressRow { state: job.state, steps: job.steps.iter().map(step_progress).collect() }
+/// What the tasks show of the state of a job; nothing where they show no end of it.
+fn shown_state(job: &job::JobRecord) -> Option<model::GraphState> {
+    if job.steps.iter().all(job::StepRecord::is_done) {
+        return Some(model::GraphState::Completed);
+    }
+    let most = job.max_attempts;
+    let has_failed = |it: &job::StepRecord| {
+        it.gang_failures.count() >= most || it.tasks.iter().any(|it| it.failures.count() >= most)
+    };
+    job.steps.iter().any(has_failed).then_some(model::GraphState::Failed)
 }
 
-/// Takes what was saved of a job into its record.
-pub fn restore(job: &mut job::JobRecord, progress: model::ProgressRow) {
-    job.state = progress.state;
-    job.durable = progress.state;
-    job.started = progress.state != model::GraphState::Pending;
-    for (step, saved) in job.steps.iter_mut().zip(progress.steps) {
-        restore_step(step, saved);
-    }
+fn first_task_of(job: &job::JobRecord, step: usize) -> u32 {
+    job.steps.iter().take(step).map(|it| it.tasks.len() as u32).sum()
 }
 
-fn step_progress(step: &job::StepRecord) -> model::StepProgress {
-    let tasks = || step.tasks.iter().enumerate().map(|(index, it)| (index as u32, it));
+fn step_progress(step: &job::StepRecord, within: Range<u32>) -> model::StepProgress {
+    let tasks =
+        || within.clone().filter_map(|index| Some((index, step.tasks.get(index as usize)?)));
     let failures = |task: u32, it: &job::FailureCount| model::TaskFailures {
         task,
         attempts: it.attempts().to_vec(),
     };
     let failed = tasks().filter(|(_, it)| it.failures.count() > 0);
     let mut failed = failed.map(|(task, it)| failures(task, &it.failures)).collect::<Vec<_>>();
-    if step.spec.gang && step.gang_failures.count() > 0 {
+    if step.spec.gang && step.gang_failures.count() > 0 && within.start == 0 {
         failed = vec![failures(0, &step.gang_failures)];
     }
     let started = tasks().filter(|(_, it)| it.attempt > 0 && !it.done);
@@ -139,14 +168,19 @@
             .collect(),
         checkpoints: saved
             .filter_map(|(task, it)| {
-                let checkpoint = it.checkpoint.as_deref()?.to_owned();
-                Some(model::TaskCheckpoint { task, checkpoint })
+                let checkpoint = it.checkpoint.as_deref()?;
+                let is_short = checkpoint.len() <= LONGEST_CHECKPOINT;
+                is_short.then(|| model::TaskCheckpoint { task, checkpoint: checkpoint.to_owned() })
             })
             .collect(),
     }
 }
 
 fn restore_step(step: &mut job::StepRecord, saved: model::StepProgress) {
+    // The end of one member is that of its gang; the rows of the others may not have been written.
+    if step.spec.gang && !saved.done.is_empty() {
+        step.tasks.iter_mut().for_each(|it| it.done = true);
+    }
     for task in saved.done {
         if let Some(task) = step.tasks.get_mut(task as usize) {
             task.done = true;
--- a/crates/graph/src/retention.rs
+++ b/crates/graph/src/retention.rs
@@ -6,6 +6,8 @@
 
 use crate::core;
 use crate::job;
+use crate::progress;
+use crate::save_queue;
 
 impl core::PoolCore {
     /// Up to `most` jobs whose end is durable and was long enough ago. Their rows may go: that of the
@@ -15,17 +17,26 @@
         let retention = self.terms.retention;
         let expired = self.jobs.iter().filter(|(graph, it)| {
             let is_old = it.ended_at.is_some_and(|ended| now >= ended + retention);
-            is_old && is_settled(it) && !self.changed.contains(graph)
+            is_old && is_settled(it) && self.is_saved(**graph, progress::n_parts(it))
         });
         expired.map(|(graph, _)| *graph).take(most).collect()
     }
 
     /// Forgets a job whose acceptance is gone from the store, or was never there.
     pub fn forget(&mut self, graph: ids::GraphId) {
-        self.jobs.remove(&graph);
         self.active.remove(&graph);
-        self.changed.remove(&graph);
-        self.forgotten.insert(graph);
+        let Some(job) = self.jobs.remove(&graph) else { return };
+        self.touch_all(graph, progress::n_parts(&job));
+    }
+
+    /// Removes what is left of a job whose acceptance a dead scheduler has removed already.
+    pub fn forget_part(&mut self, graph: ids::GraphId, part: u32) {
+        self.unsaved.touch(save_queue::SaveKey::Progress { graph, part });
+    }
+
+    fn is_saved(&self, graph: ids::GraphId, n_parts: u32) -> bool {
+        let mut parts = (0..n_parts).map(|part| save_queue::SaveKey::Progress { graph, part });
+        parts.all(|it| self.unsaved.is_saved(it))
     }
 }
 
--- /dev/null
+++ b/crates/graph/src/save_queue.rs
@@ -0,0 +1,121 @@
+//! Which rows have to be written, and which changes are durable.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use almondpass_schema::ids;
+
+/// A row that the store refused is offered again after this long. Each offer costs a call, and what
+/// has to change is seldom ours: a limit of the store, or a right to write there.
+const OFFER_AGAIN: Duration = Duration::from_secs(10);
+
+/// A row that the scheduler writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SaveKey {
+    /// What became of a part of a job's tasks.
+    Progress {
+        /// The job.
+        graph: ids::GraphId,
+        /// The part, from 0.
+        part: u32,
+    },
+    /// A page of the roster.
+    Roster {
+        /// The page, from 0.
+        page: u32,
+    },
+}
+
+/// A change of a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SaveMark {
+    /// The row.
+    pub row: SaveKey,
+    /// Number of the change.
+    pub change: u64,
+}
+
+/// The rows that differ from what the store has, each with the first change that it lacks.
+#[derive(Clone, Debug, Default)]
+pub struct SaveQueue {
+    newest: u64,
+    due: BTreeMap<SaveKey, u64>,
+    /// The rows of `due` in the order of their first changes, so that none waits without end.
+    order: BTreeSet<(u64, SaveKey)>,
+    in_flight: BTreeMap<SaveKey, u64>,
+    set_apart: BTreeMap<SaveKey, RefusedRow>,
+}
+
+/// A row that the store refuses.
+#[derive(Clone, Copy, Debug)]
+struct RefusedRow {
+    change: u64,
+    again_at: Duration,
+}
+
+impl SaveQueue {
+    /// Notes that a row has to be written anew.
+    pub fn touch(&mut self, row: SaveKey) -> SaveMark {
+        self.newest += 1;
+        let change = self.newest;
+        if !self.due.contains_key(&row) && !self.set_apart.contains_key(&row) {
+            self.due.insert(row, change);
+            self.order.insert((change, row));
+        }
+        SaveMark { row, change }
+    }
+
+    /// Takes the row that has waited longest. It is in flight until its outcome is known.
+    pub fn take(&mut self) -> Option<SaveKey> {
+        let (change, row) = self.order.pop_first()?;
+        self.due.remove(&row);
+        self.in_flight.insert(row, change);
+        Some(row)
+    }
+
+    /// Takes a row that the store has refused, once it is to be offered again: by itself, so that
+    /// it holds up no other.
+    pub fn take_refused(&mut self, now: Duration) -> Option<SaveKey> {
+        let refused = self.set_apart.iter().find(|(_, it)| now >= it.again_at);
+        let (row, change) = refused.map(|(row, it)| (*row, it.change))?;
+        self.set_apart.remove(&row);
+        self.in_flight.insert(row, change);
+        Some(row)
+    }
+
+    /// A row in flight is durable.
+    pub fn saved(&mut self, row: SaveKey) {
+        self.in_flight.remove(&row);
+    }
+
+    /// The store refuses a row in flight, and would again.
+    pub fn refused(&mut self, row: SaveKey, now: Duration) {
+        let Some(change) = self.in_flight.remove(&row) else { return };
+        if let Some(later) = self.due.remove(&row) {
+            self.order.remove(&(later, row));
+        }
+        self.set_apart.insert(row, RefusedRow { change, again_at: now + OFFER_AGAIN });
+    }
+
+    /// Whether a change has reached the store.
+    pub fn is_durable(&self, mark: SaveMark) -> bool {
+        let lacks = |first: Option<&u64>| first.is_some_and(|it| *it <= mark.change);
+        let refused = self.set_apart.get(&mark.row).map(|it| &it.change);
+        !lacks(self.due.get(&mark.row)) && !lacks(self.in_flight.get(&mark.row)) && !lacks(refused)
+    }
+
+    /// Whether the store has the row as it is.
+    pub fn is_saved(&self, row: SaveKey) -> bool {
+        self.is_durable(SaveMark { row, change: u64::MAX })
+    }
+
+    /// Whether a row waits to be taken.
+    pub fn has_due(&self) -> bool {
+        !self.due.is_empty()
+    }
+
+    /// Rows that the store refuses.
+    pub fn n_refused(&self) -> usize {
+        self.set_apart.len()
+    }
+}
--- /dev/null
+++ b/crates/graph/src/saving.rs
@@ -0,0 +1,187 @@
+//! What is to be written to the store, in rows of bounded size.
+
+use std::time::Duration;
+
+use almondpass_schema::{ids, model};
+
+use crate::core;
+use crate::progress;
+use crate::save_queue;
+use crate::task_key;
+
+/// Rows to be written in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SaveBatch {
+    /// The rows.
+    pub rows: Vec<SaveRow>,
+}
+
+/// A row to be written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SaveRow {
+    /// Which row.
+    pub key: save_queue::SaveKey,
+    /// What it is to hold.
+    pub content: SaveContent,
+}
+
+/// Content of a row.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SaveContent {
+    /// What became of a part of a job's tasks.
+    Progress(model::ProgressRow),
+    /// A page of the roster.
+    Roster(model::RosterRow),
+    /// The row is to be removed.
+    Gone,
+}
+
+impl core::PoolCore {
+    /// Takes changed rows for saving, the one that has waited longest first, for as long as
+    /// `has_room_behind` says that another fits in behind. Nothing where nothing has changed. A batch
+    /// is to be saved, or refused, before the next one is taken.
+    pub fn take_batch(
+        &mut self,
+        now: Duration,
+        mut has_room_behind: impl FnMut(&SaveRow) -> bool,
+    ) -> Option<SaveBatch> {
+        self.review_roster();
+        if let Some(key) = self.unsaved.take_refused(now) {
+            return Some(SaveBatch { rows: vec![self.row_to_save(key)] });
+        }
+        let mut batch = SaveBatch::default();
+        while let Some(key) = self.unsaved.take() {
+            let row = self.row_to_save(key);
+            let has_room = has_room_behind(&row);
+            batch.rows.push(row);
+            if !has_room {
+                break;
+            }
+        }
+        (!batch.rows.is_empty()).then_some(batch)
+    }
+
+    /// Whether there is something to save.
+    pub fn has_changes(&self) -> bool {
+        self.unsaved.has_due()
+    }
+
+    /// Rows that the store refuses.
+    pub fn n_refused_rows(&self) -> usize {
+        self.unsaved.n_refused()
+    }
+
+    /// The rows are durable: callers may be told, and workers' ends acknowledged.
+    pub fn batch_saved(&mut self, batch: SaveBatch) {
+        for row in batch.rows {
+            self.unsaved.saved(row.key);
+            self.row_saved(row);
+        }
+        for worker in self.workers.values_mut() {
+            worker.settle_ends(&self.unsaved);
+        }
+    }
+
+    /// The store refuses the row, and would again however often it is written. It is offered again
+    /// after a while; until then the ends that it tells of stay with their workers, where a successor
+    /// finds them.
+    pub fn row_refused(&mut self, key: save_queue::SaveKey, now: Duration) {
+        self.unsaved.refused(key, now);
+    }
+
+    fn row_to_save(&mut self, key: save_queue::SaveKey) -> SaveRow {
+        let content = match key {
+            save_queue::SaveKey::Progress { graph, part } => {
+                let job = self.jobs.get(&graph);
+                let row = job.and_then(|it| progress::progress_of(it, part));
+                row.map_or(SaveContent::Gone, SaveContent::Progress)
+            }
+            save_queue::SaveKey::Roster { page } => self.roster_page(page),
+        };
+        SaveRow { key, content }
+    }
+
+    fn roster_page(&mut self, page: u32) -> SaveContent {
+        self.roster.sent(page);
+        let named = self.roster.on_page(page).map(|worker| {
+            let listing = self.workers.get(worker).map(|it| &it.listing);
+            model::RosterEntry {
+                worker: worker.clone(),
+                address: listing.map(|it| it.address.clone()).unwrap_or_default(),
+                upstream: listing.map(|it| it.upstream.clone()).unwrap_or_default(),
+            }
+        });
+        let workers = named.collect::<Vec<_>>();
+        if workers.is_empty() {
+            return SaveContent::Gone;
+        }
+        SaveContent::Roster(model::RosterRow { workers })
+    }
+
+    fn row_saved(&mut self, row: SaveRow) {
+        match (row.key, row.content) {
+            (save_queue::SaveKey::Roster { page }, content) => {
+                let workers = match content {
+                    SaveContent::Roster(roster) => roster.workers,
+                    _ => Vec::new(),
+                };
+                self.roster.saved(page, workers.into_iter().map(|it| it.worker));
+            }
+            (
+                save_queue::SaveKey::Progress { graph, part: progress::HEAD_PART },
+                SaveContent::Progress(saved),
+            ) => {
+                if let Some(job) = self.jobs.get_mut(&graph)
+                    && job.durable != model::GraphState::Cancelled
+                {
+                    job.durable = saved.state;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that the row with a task has changed in a way that a successor has to know, and that of
+    /// the job's state where that has.
+    pub(crate) fn touch(&mut self, key: task_key::TaskKey) -> Option<save_queue::SaveMark> {
+        self.sort_in(key.graph);
+        let job = self.jobs.get(&key.graph)?;
+        let graph = key.graph;
+        let own = progress::part_of(job, key)?;
+        let is_gang = job.step(key)?.spec.gang;
+        let parts = if is_gang { progress::parts_of_step(job, key)? } else { own..=own };
+        if job.state != job.durable {
+            self.unsaved.touch(save_queue::SaveKey::Progress { graph, part: progress::HEAD_PART });
+        }
+        let marks = parts
+            .map(|part| (part, self.unsaved.touch(save_queue::SaveKey::Progress { graph, part })));
+        let marks = marks.collect::<Vec<_>>();
+        marks.into_iter().find(|(part, _)| *part == own).map(|(_, mark)| mark)
+    }
+
+    /// Notes that all rows of a job have to be written anew, or removed.
+    pub(crate) fn touch_all(&mut self, graph: ids::GraphId, n_parts: u32) {
+        for part in 0..n_parts {
+            self.unsaved.touch(save_queue::SaveKey::Progress { graph, part });
+        }
+    }
+
+    /// Brings the roster up to date. A successor waits for each worker that it names, so that none may
+    /// stay that has left: for that the successor would wait for as long as a lease lasts.
+    pub(crate) fn review_roster(&mut self) {
+        let stays = |id: &ids::WorkerId| self.workers.get(id).is_some_and(|it| !it.has_left());
+        let gone = self.roster.workers().filter(|it| !stays(it)).cloned().collect::<Vec<_>>();
+        let fresh =
+            self.workers.iter().filter(|(id, it)| !it.has_left() && !self.roster.contains(id));
+        let fresh = fresh.map(|(id, _)| id.clone()).collect::<Vec<_>>();
+        for worker in gone {
+            if let Some(page) = self.roster.remove(&worker) {
+                self.unsaved.touch(save_queue::SaveKey::Roster { page });
+            }
+        }
+        for worker in fresh {
+            let page = self.roster.add(&worker);
+            self.unsaved.touch(save_queue::SaveKey::Roster { page });
+        }
+    }
+}
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::health;
 use crate::lease_clock;
 use crate::room;
+use crate::save_queue;
 use crate::task_key;
 
 /// What the platform's list says of a worker.
@@ -52,9 +53,8 @@
     pub n_missed: u32,
     /// Highest end that was taken in.
     pub seen: u64,
-    /// Ends that wait to be durable before they may be acknowledged: number, and the change of
-    /// the pool that has to be saved.
-    pub unsaved_ends: VecDeque<(u64, u64)>,
+    /// Ends that wait to be durable before they may be acknowledged.
+    pub unsaved_ends: VecDeque<UnsavedEnd>,
     /// Highest end that may be acknowledged.
     pub acknowledged: u64,
     /// Tasks whose room counts here.
@@ -84,6 +84,15 @@
     pub until: Duration,
 }
 
+/// An end that a worker has listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnsavedEnd {
+    /// Its number at the worker.
+    pub number: u64,
+    /// The change that has to be durable first; nothing where a successor need not know of it.
+    pub mark: Option<save_queue::SaveMark>,
+}
+
 /// A run that nobody wants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StrayRun {
@@ -105,13 +114,13 @@
         self.leaves_at.is_some() && self.fenced && is_empty
     }
 
-    /// Moves on the end that may be acknowledged, as far as `durable` changes are saved.
-    pub fn settle_ends(&mut self, durable: u64) {
-        while let Some((number, change)) = self.unsaved_ends.front().copied() {
-            if change > durable {
+    /// Moves on the end that may be acknowledged, as far as what the ends changed is durable.
+    pub fn settle_ends(&mut self, unsaved: &save_queue::SaveQueue) {
+        while let Some(end) = self.unsaved_ends.front().copied() {
+            if end.mark.is_some_and(|it| !unsaved.is_durable(it)) {
                 break;
             }
-            self.acknowledged = number;
+            self.acknowledged = end.number;
             self.unsaved_ends.pop_front();
         }
     }
--- a/crates/graph/tests/pool/failures.rs
+++ b/crates/graph/tests/pool/failures.rs
@@ -42,14 +42,14 @@
     let failed = support::ended(1, &first, order::EndKind::Failed);
     let worker = support::index_of(&first.worker);
     bench.lists(worker, &[], std::slice::from_ref(&failed));
-    let saved = bench.core.take_batch(90).unwrap();
+    bench.save();
 
     let mut next = support::PoolBench::unanswered(2, Duration::ZERO);
     next.core.admit(
         almondpass_graph::intake::AdmittedJob {
             graph: 1,
             row: support::job(1, support::tasks(1)),
-            progress: Some(saved.rows[0].1.clone()),
+            progress: bench.saved.remove(&1).expect("a failure to save"),
             inherited: true,
         },
         next.now,
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -40,11 +40,11 @@
 #[test]
 fn a_worker_that_is_back_while_the_roster_is_written_waits_for_the_next_one() {
     let mut bench = with_a_forgotten_worker();
-    let batch = bench.core.take_batch(90).expect("a roster to write");
+    let batch = bench.take_batch().expect("a roster to write");
     bring_back(&mut bench);
     bench.admit(1, support::job(1, support::tasks(16)));
     assert_eq!(n_starts(&mut bench), 8);
-    bench.core.batch_saved(&batch);
+    bench.core.batch_saved(batch);
     assert_eq!(n_starts(&mut bench), 0);
     bench.save();
     assert_eq!(n_starts(&mut bench), 8);
--- a/crates/graph/tests/pool/slowness.rs
+++ b/crates/graph/tests/pool/slowness.rs
@@ -98,10 +98,7 @@
 #[test]
 fn runs_found_at_a_takeover_do_not_tell_how_long_their_class_takes() {
     let mut bench = support::PoolBench::unanswered(2, Duration::ZERO);
-    let row = support::job(1, support::tasks(8));
-    let admitted =
-        almondpass_graph::intake::AdmittedJob { graph: 1, row, progress: None, inherited: true };
-    bench.core.admit(admitted, bench.now);
+    bench.inherit(1, support::job(1, support::tasks(8)), None);
     let found = |task| order::StartOrder {
         worker: support::worker_id(0),
         address: String::new(),
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, intake, order, room, terms, worker};
+use almondpass_graph::{core, intake, order, progress, room, save_queue, saving, terms, worker};
 use almondpass_schema::{ids, model};
 
 /// What each worker offers.
@@ -19,7 +19,7 @@
     pub(crate) core: core::PoolCore,
     pub(crate) now: Duration,
     /// What was saved of each job.
-    pub(crate) saved: BTreeMap<ids::GraphId, model::ProgressRow>,
+    pub(crate) saved: BTreeMap<ids::GraphId, progress::SavedParts>,
 }
 
 impl PoolBench {
@@ -57,14 +57,33 @@
 
     /// Saves everything that has changed.
     pub(crate) fn save(&mut self) {
-        while let Some(batch) = self.core.take_batch(90) {
-            self.core.batch_saved(&batch);
-            self.saved.extend(batch.rows);
+        while let Some(batch) = self.take_batch() {
+            self.keep(&batch);
+            self.core.batch_saved(batch);
+        }
+    }
+
+    /// What is to be written next, without a limit.
+    pub(crate) fn take_batch(&mut self) -> Option<saving::SaveBatch> {
+        self.core.take_batch(self.now, |_| true)
+    }
+
+    /// Keeps what a batch tells of jobs.
+    pub(crate) fn keep(&mut self, batch: &saving::SaveBatch) {
+        for row in &batch.rows {
+            let save_queue::SaveKey::Progress { graph, part } = row.key else { continue };
+            let saving::SaveContent::Progress(content) = &row.content else { continue };
+            self.saved.entry(graph).or_default().insert(part, content.clone());
         }
     }
 
     pub(crate) fn admit(&mut self, graph: ids::GraphId, row: model::GraphRow) {
-        let admitted = intake::AdmittedJob { graph, row, progress: None, inherited: false };
+        let admitted = intake::AdmittedJob {
+            graph,
+            row,
+            progress: progress::SavedParts::default(),
+            inherited: false,
+        };
         self.core.admit(admitted, self.now);
     }
 
@@ -73,9 +92,14 @@
         &mut self,
         graph: ids::GraphId,
         row: model::GraphRow,
-        progress: Option<model::ProgressRow>,
+        progress: Option<progress::SavedParts>,
     ) {
-        let admitted = intake::AdmittedJob { graph, row, progress, inherited: true };
+        let admitted = intake::AdmittedJob {
+            graph,
+            row,
+            progress: progress.unwrap_or_default(),
+            inherited: true,
+        };
         self.core.admit(admitted, self.now);
     }
 
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -17,6 +17,9 @@
     pub fault: CallFault,
 }
 
+/// Statuses of a refusal that may be over a moment later: too many calls, and unavailable.
+const REFUSED_FOR_NOW: [u16; 2] = [429, 503];
+
 /// What went wrong, told apart by what the peer may have done.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum CallFault {
@@ -47,6 +50,11 @@
     pub fn had_no_effect(&self) -> bool {
         matches!(self, CallFault::NotSent(_) | CallFault::Refused { .. })
     }
+
+    /// Whether the peer refused what it would refuse again: the call is at fault, and not the moment.
+    pub fn is_for_good(&self) -> bool {
+        matches!(self, CallFault::Refused { status, .. } if !REFUSED_FOR_NOW.contains(status))
+    }
 }
 
 /// Why a service gave no answer to a call that reached it.
--- a/crates/pool/src/entry.rs
+++ b/crates/pool/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use almondpass_graph::progress;
 use almondpass_peer::codec;
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::keys;
@@ -108,7 +109,7 @@
 ) -> Option<model::LookOutcome> {
     let (row, progress) = tokio::try_join!(
         read::<S, model::GraphRow>(state, keys::graph(graph)),
-        read::<S, model::ProgressRow>(state, keys::progress(graph)),
+        read::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_PART)),
     )
     .ok()?;
     let Some((row, _)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::intake;
+use almondpass_graph::{intake, progress};
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_ports::row_feed;
@@ -66,7 +66,8 @@
 ) {
     let inherited = nudge.version < lead.taken_at;
     let model::GraphNudge { graph, row, .. } = nudge;
-    let admitted = intake::AdmittedJob { graph, row, progress: None, inherited };
+    let progress = progress::SavedParts::default();
+    let admitted = intake::AdmittedJob { graph, row, progress, inherited };
     admit(state, lead, std::iter::once(admitted));
 }
 
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, intake, task_key, worker};
+use almondpass_graph::{core, intake, progress, task_key, worker};
 use almondpass_peer::error;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
@@ -59,7 +59,7 @@
         store_call::snapshot(state, keys::GRAPHS),
         store_call::snapshot(state, keys::PROGRESS),
         store_call::snapshot(state, S::Reader::WORKER_TABLE),
-        store_call::get(state, keys::roster()),
+        store_call::snapshot(state, keys::ROSTER),
     )?;
     let now = state.site.clock().now();
     let catalog = state.document.current().map(|it| Arc::clone(&it.catalog));
@@ -72,21 +72,21 @@
     for row in workers.rows {
         learn_worker(state, &mut core, &row, now);
     }
-    for entry in roster_entries(roster) {
-        core.inherit_worker(entry);
+    for row in &roster.rows {
+        inherit_page(&mut core, row);
     }
     let mut progress = progress_by_graph(progress);
     let accepted = graphs.rows.iter().filter_map(|it| task_key::parse_graph(&it.key));
     let accepted = accepted.collect::<BTreeSet<_>>();
     for row in graphs.rows {
         let Some(mut admitted) = read_graph(&row, taken.version) else { continue };
-        admitted.progress = progress.remove(&admitted.graph);
-        admitted.inherited |= admitted.progress.is_some();
+        admitted.progress = progress.remove(&admitted.graph).unwrap_or_default();
+        admitted.inherited |= !admitted.progress.is_empty();
         core.admit(admitted, now);
     }
     // The row of the acceptance is the first to go when a job is forgotten.
-    for graph in progress.into_keys().filter(|it| !accepted.contains(it)) {
-        core.forget(graph);
+    for (graph, saved) in progress.into_iter().filter(|(it, _)| !accepted.contains(it)) {
+        saved.numbers().for_each(|part| core.forget_part(graph, part));
     }
     Ok(LoadedLead { core, graphs_at, workers_at })
 }
@@ -132,23 +132,30 @@
     let graph = task_key::parse_graph(&row.key)?;
     let content = decode::<model::GraphRow>(row)?;
     let inherited = row.version < taken;
-    Some(intake::AdmittedJob { graph, row: content, progress: None, inherited })
+    Some(intake::AdmittedJob {
+        graph,
+        row: content,
+        progress: progress::SavedParts::default(),
+        inherited,
+    })
 }
 
-fn progress_by_graph(rows: row_feed::FeedRows) -> BTreeMap<ids::GraphId, model::ProgressRow> {
-    let rows = rows.rows.iter();
-    rows.filter_map(|it| Some((task_key::parse_graph(&it.key)?, decode(it)?))).collect()
+fn progress_by_graph(rows: row_feed::FeedRows) -> BTreeMap<ids::GraphId, progress::SavedParts> {
+    let mut by_graph = BTreeMap::<ids::GraphId, progress::SavedParts>::new();
+    for row in &rows.rows {
+        let Some((name, part)) = keys::name_and_number(&row.key) else { continue };
+        let Some(graph) = task_key::parse_graph(name) else { continue };
+        let Some(saved) = decode::<model::ProgressRow>(row) else { continue };
+        by_graph.entry(graph).or_default().insert(part, saved);
+    }
+    by_graph
 }
 
-fn roster_entries(rows: model::TableRows) -> Vec<model::RosterEntry> {
-    let row = rows.rows.into_iter().find_map(|it| it.value);
-    let Some(value) = row else { return Vec::new() };
-    match almondpass_peer::codec::decode::<model::RosterRow>(&value) {
-        Ok(roster) => roster.workers,
-        Err(error) => {
-            tracing::error!(%error, "the roster can't be read");
-            Vec::new()
-        }
+fn inherit_page(core: &mut core::PoolCore, row: &row_feed::FeedRow) {
+    let Some(page) = keys::roster_page(&row.key) else { return };
+    let Some(roster) = decode::<model::RosterRow>(row) else { return };
+    for entry in roster.workers {
+        core.inherit_worker(entry, page);
     }
 }
 
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -103,6 +103,20 @@
             // Stored before: by an earlier call of the caller, or by a write of this one whose
             // answer was lost.
             Ok(model::TableOutcome::Conflict { rows }) => return judge(&rows, row),
+            Err(error) if error.fault.is_for_good() => {
+                tracing::error!(
+                    job = format_args!("{graph:016x}"),
+                    n_bytes = transaction.writes.iter().map(writer::size_of).sum::<usize>(),
+                    %error,
+                    may_be_stored,
+                    "row of a job is refused"
+                );
+                return if may_be_stored {
+                    model::SubmitOutcome::Unknown
+                } else {
+                    model::SubmitOutcome::Refused
+                };
+            }
             Err(error) => {
                 may_be_stored |= !error.fault.had_no_effect();
                 n_failed += 1;
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::progress;
+use almondpass_graph::{save_queue, saving};
 use almondpass_peer::{codec, error};
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
@@ -25,6 +25,10 @@
 /// Rows of one write: the platform takes 100 entries, conditions included.
 const MOST_ROWS: usize = 90;
 
+/// Content of the rows of one write, in bytes, the last row beyond it: the platform takes calls of
+/// 1 MB, content as base64, and a row is bounded to half of what it takes.
+const MOST_BYTES: usize = 512 << 10;
+
 /// Wait before a failed write is tried again.
 const WRITE_AGAIN: Duration = Duration::from_millis(120);
 
@@ -42,8 +46,7 @@
             // No order leaves from here on; what is known is saved with the release.
             lead.tenure().end();
         }
-        let batch = lead.core().take_batch(MOST_ROWS);
-        if !writer.write(batch, is_last).await || is_last {
+        if !writer.save(is_last).await || is_last {
             return;
         }
     }
@@ -56,6 +59,33 @@
     renewal: u64,
 }
 
+/// Rows that are to be written, as they are known to the core and as they are sent.
+#[derive(Default)]
+struct SentRows {
+    rows: Vec<saving::SaveRow>,
+    writes: Vec<model::TableWrite>,
+}
+
+impl SentRows {
+    /// Halves of the rows.
+    fn halves(mut self) -> (SentRows, SentRows) {
+        let middle = self.rows.len() / 2;
+        let rows = self.rows.split_off(middle);
+        let writes = self.writes.split_off(middle);
+        (self, SentRows { rows, writes })
+    }
+}
+
+/// What became of a write.
+enum WriteOutcome {
+    /// It is durable.
+    Written,
+    /// The tenure is lost, or the write was given up.
+    Over,
+    /// The store refuses one of the rows, and would again.
+    Refused(error::CallError),
+}
+
 impl<S: state::PoolSite> TenureWriter<'_, S> {
     /// Waits for a reason to write. Tells whether the tenure is to be given up.
     async fn wait(&self) -> bool {
@@ -78,11 +108,71 @@
         self.state.leaving.is_cancelled() || self.lead.giving_up.is_cancelled()
     }
 
-    /// Writes until the outcome is certain. Tells whether the tenure is still held.
-    async fn write(&mut self, batch: Option<progress::SaveBatch>, released: bool) -> bool {
+    /// Saves what has changed, and renews the tenure with it. Tells whether the tenure is still held.
+    ///
+    /// A row that the store refuses for good, such as one that is too large, would otherwise be sent
+    /// until the tenure lapses, and by each successor after that. Halving the rows finds it in a few
+    /// writes, each of which renews the tenure.
+    async fn save(&mut self, released: bool) -> bool {
+        let mut waiting = vec![self.take_rows()];
+        while let Some(sent) = waiting.pop() {
+            let released = released && waiting.is_empty();
+            match self.write(&sent.writes, released).await {
+                WriteOutcome::Written => self.saved(sent.rows),
+                WriteOutcome::Over => return false,
+                WriteOutcome::Refused(error) if sent.rows.len() == 1 => {
+                    self.set_apart(&sent, &error);
+                    if released {
+                        waiting.push(SentRows::default());
+                    }
+                }
+                WriteOutcome::Refused(_) => {
+                    let (first, second) = sent.halves();
+                    waiting.extend([second, first]);
+                }
+            }
+        }
+        true
+    }
+
+    fn take_rows(&self) -> SentRows {
+        let now = self.state.site.clock().now();
+        let mut writes = Vec::new();
+        let mut n_bytes = 0;
+        let batch = self.lead.core().take_batch(now, |row| {
+            let write = row_write(row);
+            n_bytes += size_of(&write);
+            writes.push(write);
+            writes.len() < MOST_ROWS && n_bytes < MOST_BYTES
+        });
+        SentRows { rows: batch.map(|it| it.rows).unwrap_or_default(), writes }
+    }
+
+    fn saved(&self, rows: Vec<saving::SaveRow>) {
+        if rows.is_empty() {
+            return;
+        }
+        self.lead.core().batch_saved(saving::SaveBatch { rows });
+        self.lead.saved.notify_waiters();
+        self.lead.turn_due.notify_one();
+    }
+
+    fn set_apart(&self, sent: &SentRows, error: &error::CallError) {
+        for (row, write) in sent.rows.iter().zip(&sent.writes) {
+            let n_bytes = size_of(write);
+            tracing::error!(key = write.key, n_bytes, %error, "row is refused and set apart");
+            metrics::counter!("almondpass_pool_rows_refused_total").increment(1);
+            let mut core = self.lead.core();
+            core.row_refused(row.key, self.state.site.clock().now());
+            metrics::gauge!("almondpass_pool_rows_set_apart").set(core.n_refused_rows() as f64);
+        }
+    }
+
+    /// Writes until the outcome is certain.
+    async fn write(&mut self, rows: &[model::TableWrite], released: bool) -> WriteOutcome {
         self.renewal += 1;
         let first_sent = self.state.site.clock().now();
-        let writes = self.writes(batch.as_ref(), released);
+        let writes = self.with_tenure(rows, released);
         let counts_from = loop {
             let sent_at = self.state.site.clock().now();
             let outcome = self.transact(writes.clone()).await;
@@ -98,24 +188,22 @@
                         break first_sent;
                     }
                     ConflictVerdict::Behind(version) => self.version = version,
-                    ConflictVerdict::Lost => return false,
+                    ConflictVerdict::Lost => return WriteOutcome::Over,
                 },
+                Err(error) if error.fault.is_for_good() && !rows.is_empty() => {
+                    return WriteOutcome::Refused(error);
+                }
                 Err(error) => {
                     self.missed(&error);
                     if released || self.lead.over.is_cancelled() {
-                        return false;
+                        return WriteOutcome::Over;
                     }
                     time::sleep(WRITE_AGAIN).await;
                 }
             }
         };
         self.lead.tenure().renewed(counts_from);
-        if let Some(batch) = &batch {
-            self.lead.core().batch_saved(batch);
-            self.lead.saved.notify_waiters();
-            self.lead.turn_due.notify_one();
-        }
-        true
+        WriteOutcome::Written
     }
 
     fn missed(&self, error: &error::CallError) {
@@ -134,11 +222,8 @@
         store_call::transact(self.state, transaction).await
     }
 
-    fn writes(
-        &self,
-        batch: Option<&progress::SaveBatch>,
-        released: bool,
-    ) -> Vec<model::TableWrite> {
+    /// The rows behind that of the tenure.
+    fn with_tenure(&self, rows: &[model::TableWrite], released: bool) -> Vec<model::TableWrite> {
         let settings = &self.state.settings;
         let tenure = model::PoolTenure {
             holder: settings.instance.clone(),
@@ -148,11 +233,7 @@
             released,
         };
         let mut writes = vec![write_of(keys::pool_tenure(), &tenure)];
-        let Some(batch) = batch else { return writes };
-        writes.extend(batch.rows.iter().map(|(graph, row)| write_of(keys::progress(*graph), row)));
-        let removed = batch.removed.iter().map(|it| removal_of(keys::progress(*it)));
-        writes.extend(removed);
-        writes.extend(batch.roster.iter().map(|it| write_of(keys::roster(), it)));
+        writes.extend_from_slice(rows);
         writes
     }
 
@@ -182,6 +263,24 @@
     Lost,
 }
 
+/// The write of a row of the core.
+fn row_write(row: &saving::SaveRow) -> model::TableWrite {
+    let key = match row.key {
+        save_queue::SaveKey::Progress { graph, part } => keys::progress(graph, part),
+        save_queue::SaveKey::Roster { page } => keys::roster(page),
+    };
+    match &row.content {
+        saving::SaveContent::Progress(content) => write_of(key, content),
+        saving::SaveContent::Roster(content) => write_of(key, content),
+        saving::SaveContent::Gone => removal_of(key),
+    }
+}
+
+/// Bytes that a write sends, before they are encoded for the store.
+pub(crate) fn size_of(write: &model::TableWrite) -> usize {
+    write.key.len() + write.value.as_ref().map_or(0, |it| it.len())
+}
+
 /// A write that removes a row.
 pub(crate) fn removal_of(key: ids::RowKey) -> model::TableWrite {
     model::TableWrite { key, value: None }
--- /dev/null
+++ b/crates/pool/tests/pool/rows.rs
@@ -0,0 +1,113 @@
+//! Rows that the store does not take, and rows that an earlier release has left.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use almondpass_ports::keys;
+use almondpass_schema::{ids, model};
+use almondpass_standin::table;
+use tokio::time;
+
+use crate::support;
+
+const SOON: Duration = Duration::from_secs(30);
+
+/// What the platform takes.
+fn platform_limits() -> table::TableLimits {
+    table::TableLimits {
+        row_bytes: 65_536,
+        transaction_bytes: 700_000,
+        entries: 100,
+        barred: BTreeSet::new(),
+    }
+}
+
+fn lead_epoch(bench: &support::PoolBench) -> ids::Epoch {
+    let lead = bench.instances[bench.holder()].state.lead();
+    lead.expect("a tenure").epoch
+}
+
+/// Symptom: with 1,100 workers nearly no job ran. Sequence: the scheduler writes the list of workers
+/// on which tasks may be as one row; the store refuses it as too long; the same write is sent again
+/// until the tenure lapses, and by each successor. Cause: the row grew with the number of workers.
+#[test]
+fn more_workers_than_fit_in_a_row_get_tasks() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 0).await;
+        bench.store.set_limits(table::TableLimits { row_bytes: 4_096, ..platform_limits() });
+        for index in 0..200 {
+            bench.add_worker(index).await;
+        }
+        time::sleep(Duration::from_secs(5)).await;
+        let epoch = lead_epoch(&bench);
+        bench.submit(0, 1, support::job(1_600, 2_000)).await;
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        assert_eq!(lead_epoch(&bench), epoch);
+        let holder = bench.holder();
+        bench.kill(holder).await;
+        bench.submit(0, 2, support::job(1_600, 2_000)).await;
+        bench.await_state(0, 2, model::GraphState::Completed, SOON).await;
+        bench.assert_nothing_ran_twice();
+    });
+}
+
+/// Symptom: one row that the store does not take, and no scheduler keeps its tenure. Sequence: the row
+/// goes out with all others and the renewal in one write; the store refuses the write, each time.
+/// Cause: a refusal for good was taken for an outage.
+#[test]
+fn a_refused_row_costs_neither_the_tenure_nor_other_jobs() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 4).await;
+        let epoch = lead_epoch(&bench);
+        let barred = BTreeSet::from([keys::progress(1, 0)]);
+        bench.store.set_limits(table::TableLimits { barred, ..platform_limits() });
+        for graph in 1..=6 {
+            bench.submit(0, graph, support::job(4, 1_000)).await;
+        }
+        for graph in 2..=6 {
+            bench.await_state(0, graph, model::GraphState::Completed, SOON).await;
+        }
+        assert_eq!(
+            bench.look(0, 1).await,
+            model::LookOutcome::Known(model::GraphState::Running),
+            "an end is shown only once it is durable"
+        );
+        assert_eq!(lead_epoch(&bench), epoch);
+        bench.store.set_limits(platform_limits());
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        assert_eq!(lead_epoch(&bench), epoch);
+        bench.assert_nothing_ran_twice();
+    });
+}
+
+/// The end of a task whose row is refused stays with its worker, where a successor finds it.
+#[test]
+fn what_a_refused_row_tells_of_outlives_the_scheduler() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        let barred = BTreeSet::from([keys::progress(1, 0)]);
+        bench.store.set_limits(table::TableLimits { barred, ..platform_limits() });
+        bench.submit(0, 1, support::job(4, 1_000)).await;
+        time::sleep(Duration::from_secs(4)).await;
+        let holder = bench.holder();
+        bench.kill(holder).await;
+        bench.store.set_limits(platform_limits());
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        assert_eq!(bench.fleet.records().len(), 4);
+    });
+}
+
+/// A job whose own row is too long is turned away at once: it can never be stored.
+#[test]
+fn a_job_that_can_never_be_stored_is_refused_at_once() {
+    support::run(async {
+        let bench = support::PoolBench::start(1, 1).await;
+        bench.store.set_limits(platform_limits());
+        let mut row = support::job(1, 100);
+        row.graph.body = "x".repeat(70_000);
+        let sent_at = time::Instant::now();
+        assert_eq!(bench.submit(0, 1, row).await, model::SubmitOutcome::Refused);
+        assert!(sent_at.elapsed() < Duration::from_millis(100));
+        assert_eq!(bench.look(0, 1).await, model::LookOutcome::Absent);
+    });
+}
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -93,6 +93,7 @@
             }
             model::SubmitOutcome::NotRun => n_told += 1,
             model::SubmitOutcome::Unknown => n_told = -100,
+            model::SubmitOutcome::Refused => panic!("the store refuses job {graph}"),
             model::SubmitOutcome::Taken => panic!("job {graph} is taken"),
         }
     }
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -12,7 +12,7 @@
 const SOON: Duration = Duration::from_secs(30);
 
 /// Tables that a successor reads at once.
-const N_TABLES: u64 = 3;
+const N_TABLES: u64 = 4;
 
 /// Tasks run on through the takeover, and none starts twice.
 #[test]
--- a/crates/ports/src/group.rs
+++ b/crates/ports/src/group.rs
@@ -205,7 +205,9 @@
                 answer_conflict(lost, &rows, &mut group);
             }
             // Nothing was written, and one member may be the reason: each is tried alone.
-            Err(error) if error.fault.had_no_effect() && is_refusal(&error) && 1 < group.len() => {
+            Err(error)
+                if error.fault.had_no_effect() && error.fault.is_for_good() && 1 < group.len() =>
+            {
                 for member in group {
                     Box::pin(commit_group(committer, vec![member])).await;
                 }
@@ -270,7 +272,3 @@
 fn answer(waiting: WaitingTransaction, outcome: Result<model::TableOutcome, error::CallError>) {
     let _ = waiting.reply.send(outcome);
 }
-
-fn is_refusal(error: &error::CallError) -> bool {
-    matches!(error.fault, error::CallFault::Refused { status, .. } if status != 503 && status != 429)
-}
--- a/crates/ports/src/keys.rs
+++ b/crates/ports/src/keys.rs
@@ -88,10 +88,10 @@
     format!("{GRAPHS}/{}/{text}", &text[..1])
 }
 
-/// Row of what became of a job graph; it shares a part with the tenure, whose row is a condition
-/// of each of its writes.
-pub fn progress(graph: ids::GraphId) -> ids::RowKey {
-    format!("{PROGRESS}/pool/{graph:016x}")
+/// Row of what became of a part of a job graph's tasks; it shares a part of the store with the
+/// tenure, whose row is a condition of each of its writes.
+pub fn progress(graph: ids::GraphId, part: u32) -> ids::RowKey {
+    numbered(format!("{PROGRESS}/pool/{graph:016x}"), part)
 }
 
 /// Row that names the scheduler of the pools.
@@ -99,9 +99,35 @@
     "tenure/pool/holder".to_owned()
 }
 
-/// Row of the workers on which tasks may run.
-pub fn roster() -> ids::RowKey {
-    "roster/pool/workers".to_owned()
+/// Table of the workers on which tasks may run.
+pub const ROSTER: &str = "roster";
+
+/// One page of the workers on which tasks may run.
+pub fn roster(page: u32) -> ids::RowKey {
+    numbered(format!("{ROSTER}/pool/{ROSTER_NAME}"), page)
+}
+
+/// Number of a page of the roster, from its key within its table.
+pub fn roster_page(key: &str) -> Option<u32> {
+    let (name, page) = name_and_number(key)?;
+    (name == ROSTER_NAME).then_some(page)
+}
+
+/// Name that all pages of the roster share.
+const ROSTER_NAME: &str = "workers";
+
+/// A row that is one of several under a name. The first has the bare name, as the only one had before
+/// there were several.
+fn numbered(name: String, number: u32) -> ids::RowKey {
+    if number == 0 { name } else { format!("{name}.{number}") }
+}
+
+/// The name and the number of a row that is one of several.
+pub fn name_and_number(key: &str) -> Option<(&str, u32)> {
+    match key.split_once('.') {
+        Some((name, number)) => Some((name, number.parse().ok()?)),
+        None => Some((key, 0)),
+    }
 }
 
 /// Row by which an instance is found.
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1919,12 +1919,15 @@
     #[serde(rename = "type")]
     pub type_: ::std::string::String,
 }
-///Row of what became of a job graph; written by the scheduler under its tenure.
+///Row of what became of a job graph, or of a part of its tasks; written by the scheduler under its tenure.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ProgressRow {
+    ///Index of the first step that the row tells of.
+    #[serde(default)]
+    pub first_step: u32,
     ///How far it is.
     pub state: GraphState,
-    ///The steps in order.
+    ///These steps in order.
     pub steps: ::std::vec::Vec<StepProgress>,
 }
 ///Work that waits.
@@ -2039,7 +2042,7 @@
     ///The worker.
     pub worker: crate::ids::WorkerId,
 }
-///Row of the workers on which tasks may run, for the next scheduler; the list of workers may miss some for a while.
+///Row of some of the workers on which tasks may run, for the next scheduler; the list of workers may miss some for a while.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RosterRow {
     ///The workers.
@@ -2111,7 +2114,7 @@
     ///Failures by task; of a gang under its first task.
     pub failures: ::std::vec::Vec<TaskFailures>,
 }
-///What became of a submission.
+///What became of a submission: stored; not stored for now; perhaps stored; the id is taken; never to be stored, as the store would refuse it again.
 #[derive(
     ::serde::Deserialize,
     ::serde::Serialize,
@@ -2133,6 +2136,8 @@
     Unknown,
     #[serde(rename = "taken")]
     Taken,
+    #[serde(rename = "refused")]
+    Refused,
 }
 impl ::std::fmt::Display for SubmitOutcome {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -2141,6 +2146,7 @@
             Self::NotRun => f.write_str("not_run"),
             Self::Unknown => f.write_str("unknown"),
             Self::Taken => f.write_str("taken"),
+            Self::Refused => f.write_str("refused"),
         }
     }
 }
@@ -2154,6 +2160,7 @@
             "not_run" => Ok(Self::NotRun),
             "unknown" => Ok(Self::Unknown),
             "taken" => Ok(Self::Taken),
+            "refused" => Ok(Self::Refused),
             _ => Err("invalid value".into()),
         }
     }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -1,6 +1,6 @@
 //! The table service, in memory.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,6 +20,54 @@
     rows: Arc<Mutex<TableRows>>,
     plan: fault::FaultPlan,
     path: fault::FaultPlan,
+    limits: Arc<Mutex<TableLimits>>,
+}
+
+/// What the table takes; anything else is refused for good, before any effect.
+#[derive(Clone, Debug)]
+pub struct TableLimits {
+    /// Longest content of a row, in bytes.
+    pub row_bytes: usize,
+    /// Most content of a transaction, in bytes.
+    pub transaction_bytes: usize,
+    /// Most conditions and writes of a transaction.
+    pub entries: usize,
+    /// Rows that nobody may write.
+    pub barred: BTreeSet<ids::RowKey>,
+}
+
+impl Default for TableLimits {
+    fn default() -> TableLimits {
+        TableLimits {
+            row_bytes: usize::MAX,
+            transaction_bytes: usize::MAX,
+            entries: usize::MAX,
+            barred: BTreeSet::new(),
+        }
+    }
+}
+
+impl TableLimits {
+    /// Why a transaction is refused, if it is.
+    fn fault_of(&self, transaction: &model::TableTransaction) -> Option<error::CallFault> {
+        let bytes = |it: &model::TableWrite| it.value.as_ref().map_or(0, |it| it.len());
+        let refused = |status, detail: &str| {
+            Some(error::CallFault::Refused { status, detail: detail.to_owned() })
+        };
+        if transaction.writes.iter().any(|it| self.barred.contains(&it.key)) {
+            return refused(403, "a row that is not to be written");
+        }
+        if transaction.writes.iter().any(|it| bytes(it) > self.row_bytes) {
+            return refused(400, "a row is too long");
+        }
+        if transaction.writes.iter().map(bytes).sum::<usize>() > self.transaction_bytes {
+            return refused(413, "the call is too large");
+        }
+        if transaction.conditions.len() + transaction.writes.len() > self.entries {
+            return refused(400, "too many entries");
+        }
+        None
+    }
 }
 
 /// Step of reading a whole table, for fault plans.
@@ -92,6 +140,11 @@
         &self.plan
     }
 
+    /// Sets what the table takes.
+    pub fn set_limits(&self, limits: TableLimits) {
+        *state::lock(&self.limits) = limits;
+    }
+
     /// Transactions that committed so far.
     pub fn committed(&self) -> u64 {
         state::lock(&self.rows).transactions
@@ -120,6 +173,9 @@
         transaction: model::TableTransaction,
     ) -> Result<model::TableOutcome, error::CallError> {
         let step = model::TableTransaction::PATH;
+        if let Some(fault) = state::lock(&self.limits).fault_of(&transaction) {
+            return Err(error::CallError { step, peer: PEER.to_owned(), fault });
+        }
         self.pass(step, move |rows| rows.transact(transaction)).await
     }
 
