Follow the list of workers without pause while it has more to tell

Cause: the feed tells of at most 500 changes an answer, and the scheduler asked each 0.6 s: 833 changes a second. 3,000 workers that write their entry every 1.5 s make 2,000, so that it fell behind by more each second.

Ruled out: asking more often at all sizes (each call is paid for; at 48 workers 32 changes a second fit into any answer). Change: an answer says whether there is more, and the next one is asked for at once then. The test fails with the pause (checked by taking the condition out).

--- a/crates/pool/src/worker_follower.rs
+++ b/crates/pool/src/worker_follower.rs
@@ -38,7 +38,12 @@
             Ok(rows) => {
                 after = after.max(rows.version);
                 take(&state, &lead, &rows.rows);
-                time::sleep(INTERVAL).await;
+                // Every worker writes its row again and again, and an answer tells of a bounded number:
+                // with pauses between full answers the changes of a large list would be read later
+                // and later, and tasks start on workers that have said long before that they leave.
+                if !rows.more {
+                    time::sleep(INTERVAL).await;
+                }
                 continue;
             }
             Err(row_feed::FeedFault::HistoryGone) => {}
--- a/crates/pool/tests/pool/rows.rs
+++ b/crates/pool/tests/pool/rows.rs
@@ -18,6 +18,7 @@
         row_bytes: 65_536,
         transaction_bytes: 700_000,
         entries: 100,
+        feed_rows: 500,
         barred: BTreeSet::new(),
     }
 }
@@ -111,3 +112,27 @@
         assert_eq!(bench.look(0, 1).await, model::LookOutcome::Absent);
     });
 }
+
+/// Symptom: tasks start on a worker seconds after it has said that it leaves. Sequence: 3,000 workers
+/// write their entries every 1.5 s; the scheduler reads 500 changes each 0.6 s and falls behind by
+/// more each second. Cause: it paused although there was more to read.
+#[test]
+fn a_list_that_changes_faster_than_one_answer_tells_is_followed() {
+    support::run(async {
+        let bench = support::PoolBench::start(1, 40).await;
+        bench.store.set_limits(table::TableLimits { feed_rows: 5, ..platform_limits() });
+        for _ in 0..10 {
+            for index in 0..40 {
+                bench.write_entry(index).await;
+            }
+            time::sleep(Duration::from_millis(500)).await;
+        }
+        // Workers are filled in the order of their names.
+        bench.drain_worker(0).await;
+        time::sleep(Duration::from_secs(1)).await;
+        bench.submit(0, 1, support::job(8, 500)).await;
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        let leaving = support::worker_id(0);
+        assert!(bench.fleet.records().iter().all(|it| it.worker != leaving));
+    });
+}
--- a/crates/ports/src/row_feed.rs
+++ b/crates/ports/src/row_feed.rs
@@ -25,6 +25,8 @@
     pub rows: Vec<FeedRow>,
     /// Follow on behind this version.
     pub version: ids::RowVersion,
+    /// Whether more has changed than one answer tells: the next one is there at once.
+    pub more: bool,
 }
 
 /// Why no rows were read.
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -32,6 +32,8 @@
     pub transaction_bytes: usize,
     /// Most conditions and writes of a transaction.
     pub entries: usize,
+    /// Most rows that one answer to a follower tells.
+    pub feed_rows: usize,
     /// Rows that nobody may write.
     pub barred: BTreeSet<ids::RowKey>,
 }
@@ -42,6 +44,7 @@
             row_bytes: usize::MAX,
             transaction_bytes: usize::MAX,
             entries: usize::MAX,
+            feed_rows: usize::MAX,
             barred: BTreeSet::new(),
         }
     }
@@ -259,8 +262,10 @@
         let expires = Instant::now() + wait;
         loop {
             let prefix = prefix.clone();
+            let most = state::lock(&self.limits).feed_rows;
             let read = move |rows: &mut TableRows| {
-                (after >= rows.forgotten).then(|| rows.changes(&prefix, Some(after)))
+                (after >= rows.forgotten)
+                    .then(|| first_rows(rows.changes(&prefix, Some(after)), most))
             };
             let Some(changes) = self.pass(FOLLOW, read).await? else {
                 return Err(row_feed::FeedFault::HistoryGone);
@@ -284,10 +289,22 @@
         });
         let mut rows = wanted.map(|(key, row)| row.fed(key)).collect::<Vec<_>>();
         rows.sort_by_key(|it| it.version);
-        row_feed::FeedRows { rows, version: self.transactions }
+        row_feed::FeedRows { rows, version: self.transactions, more: false }
     }
 }
 
+/// As many of the changes as one answer tells; the rest follows behind the last of them.
+fn first_rows(mut changes: row_feed::FeedRows, most: usize) -> row_feed::FeedRows {
+    let Some(version) = changes.rows.get(most).map(|it| it.version) else { return changes };
+    // The rows of one transaction stay together: following on behind its version would skip some.
+    changes.rows.retain(|it| it.version < version);
+    if let Some(last) = changes.rows.last() {
+        changes.version = last.version;
+        changes.more = true;
+    }
+    changes
+}
+
 impl StoredRow {
     fn fed(&self, key: &ids::RowKey) -> row_feed::FeedRow {
         let key = key.rsplit('/').next().unwrap_or_default().to_owned();
