Let a turn go over what runs once, and not over all workers for each job that waits

Ruled out: fewer units a turn (urgent work would wait). Change, the same decisions: victims are listed once a turn and marked as they are stopped; a plan keeps the cheapest option of each worker and renews those that a choice has changed; what a single task asked for in vain is not sought again in the same turn; numbers in place of names; guarantees once a turn.

--- /dev/null
+++ b/crates/graph/examples/measure_turn.rs
@@ -0,0 +1,132 @@
+//! Measures the turns of a scheduler under a burst of urgent work: `cargo run --release -p
+//! almondpass-graph --example measure_turn -- 1100`.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use almondpass_graph::{core, intake, order, progress, room, terms, worker};
+use almondpass_schema::{ids, model};
+
+/// Workers of a rack.
+const RACK: usize = 12;
+
+/// Turns of the burst that are measured.
+const N_TURNS: u32 = 20;
+
+/// Accelerators that each worker offers.
+const ACCELERATORS: u32 = 8;
+
+fn main() {
+    let n_workers = std::env::args().nth(1).and_then(|it| it.parse().ok()).unwrap_or(1_100);
+    let mut core = pool_of(n_workers);
+    let mut now = Duration::from_secs(1_000);
+    // Least urgent work fills nine tenths of the pool, and as much again waits.
+    let n_jobs = n_workers as u64 * 2 * 9 / 10 * u64::from(ACCELERATORS) / 40;
+    for graph in 0..n_jobs {
+        admit(&mut core, graph, 2, step(40, 1), now);
+    }
+    now += Duration::from_secs(20);
+    turn(&mut core, now);
+    println!("{n_workers} workers, {} tasks run", core.summary().n_running);
+    for graph in 0..n_workers as u64 / 18 {
+        let accelerators = [1, 2, 4, 8][graph as usize % 4];
+        admit(&mut core, 1 << 32 | graph, 0, step(8, accelerators), now);
+    }
+    let mut longest = Duration::ZERO;
+    let mut sum = Duration::ZERO;
+    for _ in 0..N_TURNS {
+        now += Duration::from_millis(20);
+        let began = Instant::now();
+        turn(&mut core, now);
+        let took = began.elapsed();
+        longest = longest.max(took);
+        sum += took;
+    }
+    println!("turn: mean {:?}, longest {longest:?}", sum / N_TURNS);
+}
+
+fn pool_of(n_workers: usize) -> core::PoolCore {
+    let mut core = core::PoolCore::new(core::PoolStart {
+        terms: terms::PoolTerms::default(),
+        catalog: Arc::default(),
+        settles_at: Duration::ZERO,
+    });
+    let now = Duration::from_secs(1_000);
+    for index in 0..n_workers {
+        let rack = format!("r{}", index / RACK);
+        let listing = worker::WorkerListing {
+            address: format!("127.0.0.1:{index}"),
+            upstream: "analysis".to_owned(),
+            capacity: room::Room {
+                cpu_milli: 32_000,
+                memory_mb: 65_536,
+                accelerators: ACCELERATORS,
+            },
+            labels: vec!["a".to_owned(), rack.clone()],
+            rack,
+            leaves_in: None,
+        };
+        core.learn_worker(format!("w{index:05}"), listing, now);
+    }
+    while let Some(batch) = core.take_batch(now, |_| true) {
+        core.batch_saved(batch);
+    }
+    core
+}
+
+/// Lets every worker answer, then turns, and lets every start succeed.
+fn turn(core: &mut core::PoolCore, now: Duration) {
+    let workers = core.worker_ids().cloned().collect::<Vec<_>>();
+    for worker in workers {
+        let listed = order::WorkerListed {
+            clock_ms: now.as_millis() as u64,
+            complete: false,
+            ..order::WorkerListed::default()
+        };
+        core.hold_answered(&worker, listed, now, now);
+    }
+    core.turn(now);
+    for order in core.take_orders() {
+        if let order::PoolOrder::Start(start) = order {
+            let answer = order::StartAnswer::Started { clock_ms: now.as_millis() as u64 };
+            core.start_answered(&start, answer, now);
+        }
+    }
+}
+
+fn admit(
+    core: &mut core::PoolCore,
+    graph: ids::GraphId,
+    priority: u32,
+    step: model::GraphStep,
+    now: Duration,
+) {
+    let row = model::GraphRow {
+        account: Some("lab".to_owned()),
+        cancelled: false,
+        class: format!("class-{priority}"),
+        graph: model::JobGraph { body: "sample".to_owned(), schedule: None, steps: vec![step] },
+        max_attempts: 2,
+        priority,
+        upstream: "analysis".to_owned(),
+    };
+    let progress = progress::SavedParts::default();
+    core.admit(intake::AdmittedJob { graph, row, progress, inherited: false }, now);
+}
+
+fn step(tasks: u32, accelerators: u32) -> model::GraphStep {
+    model::GraphStep {
+        accelerators,
+        after: Vec::new(),
+        cpu_milli: 2_000,
+        estimate_ms: 2_500,
+        gang: accelerators > 1,
+        label: None,
+        memory_mb: 4_000,
+        per_worker: 0,
+        rack: None,
+        same_rack: accelerators == 2,
+        saves: false,
+        tasks,
+    }
+}
--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -29,6 +29,8 @@
     pub place: Arc<BerthPlace>,
     /// Number of its rack, from 0; racks are compared often.
     pub rack: usize,
+    /// Number of the upstream whose tasks it runs, for the same reason.
+    pub upstream: usize,
     /// What is free now.
     pub free: room::Room,
     /// Failed lately; used last.
@@ -61,8 +63,8 @@
 pub struct PlaceAsk<'a> {
     /// The unit.
     pub unit: task_key::UnitKey,
-    /// Whose workers it needs.
-    pub upstream: &'a str,
+    /// Number of the upstream whose workers it needs; one that no berth has where it has none.
+    pub upstream: usize,
     /// What each task needs.
     pub room: room::Room,
     /// Tasks to place together.
@@ -109,7 +111,7 @@
     }
 
     fn allows(&self, berth: &WorkerBerth) -> bool {
-        berth.place.upstream == self.upstream
+        berth.upstream == self.upstream
             && self.label.is_none_or(|it| berth.place.labels.iter().any(|label| label == it))
             && !self.avoids.contains(&berth.place.worker.as_str())
     }
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -46,12 +46,16 @@
 const NEARLY_DONE: u32 = 75;
 
 /// What is left to clear in one turn.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ClearingRound {
     /// Units for which room is being cleared already.
     claimed: BTreeSet<task_key::UnitKey>,
     /// Units for which room may still be sought.
     n_left: u32,
+    /// What may be stopped for work within a guarantee, once it was needed.
+    for_guaranteed: Option<reclaiming::VictimPool>,
+    /// What may be stopped for other urgent work, once it was needed.
+    for_others: Option<reclaiming::VictimPool>,
 }
 
 impl core::PoolCore {
@@ -65,7 +69,7 @@
     pub(crate) fn clearing_round(&self) -> ClearingRound {
         let claims = self.workers.values().flat_map(|it| &it.claims);
         let claimed = claims.map(|it| it.unit).collect();
-        ClearingRound { claimed, n_left: CLEARED_A_TURN }
+        ClearingRound { claimed, n_left: CLEARED_A_TURN, ..ClearingRound::default() }
     }
 
     /// Stops less urgent work for an urgent unit that found no room. Each task of a step is
@@ -84,20 +88,22 @@
             return;
         }
         round.n_left -= 1;
-        self.clear_for(unit, berths, now);
+        self.clear_for(unit, berths, round, now);
     }
 
     fn clear_for(
         &mut self,
         unit: task_key::UnitKey,
         berths: &mut [berth::WorkerBerth],
+        round: &mut ClearingRound,
         now: Duration,
     ) {
-        let victims = self.victims(unit, berths, now);
-        let freeing = self.freeing(berths);
+        let is_guaranteed = self.is_within_guarantee(unit.graph);
+        let pool = if is_guaranteed { &mut round.for_guaranteed } else { &mut round.for_others };
+        let pool = pool.get_or_insert_with(|| self.victim_pool(is_guaranteed, berths, now));
         let Some(ask) = self.ask(unit, berths, now) else { return };
         let room = ask.room;
-        let Some(plan) = reclaiming::reclaim(berths, &victims, &freeing, &ask) else { return };
+        let Some(plan) = reclaiming::reclaim(berths, pool, &ask) else { return };
         if plan.cost > self.most_cost(unit, &ask, now) {
             return;
         }
@@ -109,11 +115,15 @@
             n_workers = plan.berths.len(),
             "room is cleared for urgent work"
         );
-        for index in &plan.victims {
-            for key in self.unit_tasks(victims[*index].unit) {
+        for victim in &plan.victims {
+            for key in self.unit_tasks(pool.unit(*victim)) {
                 self.stop_run(key, now);
             }
+            pool.stop(*victim);
         }
+        // What is stopping is not the same in the other pool any more.
+        let other = if is_guaranteed { &mut round.for_others } else { &mut round.for_guaranteed };
+        *other = None;
         let until = now + self.terms.stop_timeout + CLAIM_SLACK;
         for index in plan.berths {
             berths[index].claims.push((unit, room));
@@ -128,8 +138,7 @@
     /// which is waiting for work that ends.
     fn most_cost(&self, unit: task_key::UnitKey, ask: &berth::PlaceAsk, now: Duration) -> u64 {
         let Some(job) = self.jobs.get(&unit.graph) else { return 0 };
-        let guaranteed = self.accounts_within_guarantee();
-        let is_guaranteed = job.account.as_deref().is_some_and(|it| guaranteed.contains(it));
+        let is_guaranteed = self.is_within_guarantee(unit.graph);
         let margin = self.terms.stop_timeout + RECLAIM_MARGIN;
         if is_guaranteed && now + margin >= job.admitted_at + self.terms.reclaim {
             return u64::MAX;
@@ -152,23 +161,20 @@
         berths.iter().map(on_berth).collect()
     }
 
-    /// Units that may be stopped for `unit`.
-    fn victims(
+    /// Units that may be stopped for urgent work, which is within its account's guarantee or not.
+    fn victim_pool(
         &self,
-        unit: task_key::UnitKey,
+        is_guaranteed: bool,
         berths: &[berth::WorkerBerth],
         now: Duration,
-    ) -> Vec<reclaiming::ReclaimVictim> {
-        let guaranteed = self.accounts_within_guarantee();
-        let account_of = |graph| self.jobs.get(&graph).and_then(|it| it.account.as_deref());
-        let is_guaranteed = account_of(unit.graph).is_some_and(|it| guaranteed.contains(it));
+    ) -> reclaiming::VictimPool {
         let mut victims = BTreeMap::<task_key::UnitKey, reclaiming::ReclaimVictim>::new();
         for (index, berth) in berths.iter().enumerate() {
             let Some(record) = self.workers.get(&berth.place.worker) else { continue };
             for key in &record.runs {
                 let Some(job) = self.jobs.get(&key.graph) else { continue };
-                let is_protected = account_of(key.graph).is_some_and(|it| guaranteed.contains(it));
                 let is_urgent = job.priority == URGENT;
+                let is_protected = is_urgent && self.is_within_guarantee(key.graph);
                 if is_urgent && (!is_guaranteed || is_protected) {
                     continue;
                 }
@@ -187,7 +193,7 @@
                 entry.runs.push((index, self.room_of(*key)));
             }
         }
-        victims.into_values().collect()
+        reclaiming::VictimPool::new(self.freeing(berths), victims.into_values().collect())
     }
 
     /// Work that stopping a run throws away; nothing where it is stopping already.
@@ -210,8 +216,15 @@
         step.map(job::StepRecord::room).unwrap_or_default()
     }
 
+    /// Whether the account of a job needs no more for its urgent work than is guaranteed to it, as of
+    /// the beginning of the turn.
+    pub(crate) fn is_within_guarantee(&self, graph: ids::GraphId) -> bool {
+        let account = self.jobs.get(&graph).and_then(|it| it.account.as_ref());
+        account.is_some_and(|it| self.within_guarantee.contains(it))
+    }
+
     /// Accounts whose urgent work needs no more than is guaranteed to them.
-    pub(crate) fn accounts_within_guarantee(&self) -> BTreeSet<&str> {
+    pub(crate) fn accounts_within_guarantee(&self) -> BTreeSet<ids::AccountId> {
         let mut needs = BTreeMap::<&str, u32>::new();
         let urgent = self.active_jobs().filter(|(_, it)| it.priority == URGENT);
         for (_, job) in urgent {
@@ -223,6 +236,6 @@
         let within = needs.into_iter().filter(|(account, needed)| {
             guaranteed(&(*account).to_owned()).is_some_and(|it| *needed <= it)
         });
-        within.map(|(account, _)| account).collect()
+        within.map(|(account, _)| account.to_owned()).collect()
     }
 }
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -35,6 +35,8 @@
     pub(crate) orders: Vec<order::PoolOrder>,
     pub(crate) run_times: run_times::RunTimes,
     pub(crate) headroom: headroom::UrgentHeadroom,
+    /// Accounts whose urgent work needs no more than is guaranteed to them, as of the last turn.
+    pub(crate) within_guarantee: BTreeSet<ids::AccountId>,
     /// Until then, tasks of inherited jobs may run on workers that have not answered yet.
     pub(crate) settles_at: Duration,
     /// Whether a worker refused an order for a higher fencing token than ours.
@@ -73,6 +75,7 @@
             orders: Vec::new(),
             run_times: run_times::RunTimes::default(),
             headroom: headroom::UrgentHeadroom::default(),
+            within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
             is_fenced_off: false,
             finished: Vec::new(),
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::berth;
 use crate::clearing;
 use crate::core;
+use crate::failed_ask;
 use crate::job;
 use crate::order;
 use crate::pace;
@@ -31,6 +32,7 @@
         let all = accelerators.sum();
         let urgent = self.urgent_accelerators();
         self.headroom.observe(urgent.into_iter(), all, now);
+        self.within_guarantee = self.accounts_within_guarantee();
         let units = self.waiting_units(now);
         if units.is_empty() {
             return;
@@ -39,19 +41,23 @@
         let mut berths = self.berths(now);
         let mut full = BTreeSet::<(ids::GraphId, u32)>::new();
         let mut hopeless = Vec::<room::Room>::new();
+        let mut failed = Vec::<failed_ask::FailedAsk>::new();
         let mut round = self.clearing_round();
         for unit in units {
             let is_tried = !full.contains(&(unit.graph, unit.step));
             if is_tried && !self.is_hopeless(unit, &hopeless) {
-                if self.try_start(unit, &mut berths, now) {
+                let outcome = self.try_start(unit, &mut berths, &mut failed, now);
+                if outcome == StartOutcome::Started {
                     continue;
                 }
                 // Tasks of one step are alike: where one finds no room, neither do the others.
                 full.insert((unit.graph, unit.step));
-                hopeless.extend(self.hopeless_room(unit, &berths));
                 self.tell_wait(unit, &berths, now);
-                if !self.is_urgent(unit) {
-                    self.reserve_for(unit, &mut berths, now);
+                if outcome == StartOutcome::NoRoom {
+                    hopeless.extend(self.hopeless_room(unit, &berths));
+                    if !self.is_urgent(unit) {
+                        self.reserve_for(unit, &mut berths, now);
+                    }
                 }
             }
             // In its turn, before less urgent units are looked at: they would start in the room that
@@ -138,10 +144,8 @@
         let is_settled = self.is_settled(now);
         let jobs = self.active_jobs().filter(|(_, it)| is_settled || !it.inherited);
         let mut jobs = jobs.collect::<Vec<_>>();
-        let guaranteed = self.accounts_within_guarantee();
         jobs.sort_by_cached_key(|(graph, it)| {
-            let prospect = self.prospect(it, &guaranteed, now);
-            (it.priority, prospect, it.admitted_at, *graph)
+            (it.priority, self.prospect(it, now), it.admitted_at, *graph)
         });
         jobs.into_iter().flat_map(|(graph, it)| waiting_units_of(graph, it, self.wall)).collect()
     }
@@ -160,12 +164,11 @@
                 && now >= it.slow_until
         });
         let mut racks = BTreeMap::<&str, usize>::new();
+        let mut upstreams = BTreeMap::<&str, usize>::new();
         let berths = usable.map(|(_, it)| berth::WorkerBerth {
             place: Arc::clone(&it.place),
-            rack: {
-                let next = racks.len();
-                *racks.entry(&it.place.rack).or_insert(next)
-            },
+            rack: number_of(&it.place.rack, &mut racks),
+            upstream: number_of(&it.place.upstream, &mut upstreams),
             free: it.free(),
             suspect: it.health.is_suspect(),
             claims: it.claims.iter().map(|it| (it.unit, it.room)).collect(),
@@ -178,16 +181,27 @@
         &mut self,
         unit: task_key::UnitKey,
         berths: &mut [berth::WorkerBerth],
+        failed: &mut Vec<failed_ask::FailedAsk>,
         now: Duration,
-    ) -> bool {
-        let Some(ask) = self.ask(unit, berths, now) else { return true };
-        let Some(chosen) = placing::place(berths, &ask) else { return false };
+    ) -> StartOutcome {
+        let Some(ask) = self.ask(unit, berths, now) else { return StartOutcome::Started };
+        // Urgent units may have room that is kept for them alone, and gangs reserve some.
+        let is_plain = unit.task.is_some() && !self.is_urgent(unit);
+        if is_plain && failed.iter().any(|it| it.covers(&ask)) {
+            return StartOutcome::Covered;
+        }
+        let Some(chosen) = placing::place(berths, &ask) else {
+            if is_plain {
+                failed.extend(failed_ask::FailedAsk::of(&ask));
+            }
+            return StartOutcome::NoRoom;
+        };
         let racks = chosen.iter().map(|it| berths[*it].rack).collect::<BTreeSet<_>>();
         let is_off = ask.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
         let is_far = is_off || (ask.same_rack && racks.len() > 1);
         let workers = chosen.iter().map(|it| berths[*it].place.worker.clone()).collect::<Vec<_>>();
         self.start_unit(unit, workers, is_far, now);
-        true
+        StartOutcome::Started
     }
 
     /// Accelerators that each urgent job uses.
@@ -239,7 +253,7 @@
         let waited = waited.min(self.wall.saturating_sub(job.due(unit.step as usize)));
         let mut ask = berth::PlaceAsk {
             unit,
-            upstream: &job.upstream,
+            upstream: upstream_number(&job.upstream, berths),
             room: room::Room::of_step(&step.spec),
             n_tasks: tasks.len() as u32,
             same_rack: step.spec.same_rack && tasks.len() > 1,
@@ -335,6 +349,17 @@
     }
 }
 
+/// What became of a unit in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartOutcome {
+    /// It starts, or has nothing to start.
+    Started,
+    /// It found no room.
+    NoRoom,
+    /// Another found no room that asked for no more.
+    Covered,
+}
+
 /// How a unit starts.
 #[derive(Clone, Copy, Debug)]
 struct StartTerms {
@@ -371,6 +396,18 @@
     units
 }
 
+/// The number of a name, the next one where it has none yet.
+fn number_of<'a>(name: &'a str, numbers: &mut BTreeMap<&'a str, usize>) -> usize {
+    let next = numbers.len();
+    *numbers.entry(name).or_insert(next)
+}
+
+/// Number of an upstream; one that no berth has where it has no workers.
+fn upstream_number(upstream: &str, berths: &[berth::WorkerBerth]) -> usize {
+    let known = berths.iter().find(|it| it.place.upstream == upstream);
+    known.map_or(usize::MAX, |it| it.upstream)
+}
+
 /// Number of a rack; one that no berth has where the rack is not there.
 fn rack_number(rack: &str, berths: &[berth::WorkerBerth]) -> usize {
     let known = berths.iter().find(|it| it.place.rack == rack);
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod berth;
 pub mod catalog;
 pub mod core;
+pub mod failed_ask;
 pub mod graph_check;
 pub mod headroom;
 pub mod health;
--- a/crates/graph/src/placing.rs
+++ b/crates/graph/src/placing.rs
@@ -72,7 +72,7 @@
 }
 
 fn n_empty(berths: &[berth::WorkerBerth], ask: &berth::PlaceAsk) -> usize {
-    berths.iter().filter(|it| it.place.upstream == ask.upstream && it.is_empty()).count()
+    berths.iter().filter(|it| it.upstream == ask.upstream && it.is_empty()).count()
 }
 
 fn free_by_rack(berths: &[berth::WorkerBerth]) -> Vec<u32> {
--- a/crates/graph/src/prospect.rs
+++ b/crates/graph/src/prospect.rs
@@ -6,7 +6,6 @@
 //! in the order of age (eight days each; 48 workers). Late work behind what can be in time of the
 //! classes below serves less: 0.690 against 0.703 (40 paired days, error 0.008).
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::catalog;
@@ -49,15 +48,11 @@
 }
 
 impl core::PoolCore {
-    /// What a job earns if it starts now. Urgent work of the accounts in `guaranteed` keeps its place:
-    /// it is owed its room at any time.
-    pub(crate) fn prospect(
-        &self,
-        job: &job::JobRecord,
-        guaranteed: &BTreeSet<&str>,
-        now: Duration,
-    ) -> JobProspect {
-        let is_guaranteed = job.account.as_deref().is_some_and(|it| guaranteed.contains(it));
+    /// What a job earns if it starts now. Urgent work within a guarantee keeps its place: it is owed its
+    /// room at any time.
+    pub(crate) fn prospect(&self, job: &job::JobRecord, now: Duration) -> JobProspect {
+        let is_guaranteed =
+            job.account.as_ref().is_some_and(|it| self.within_guarantee.contains(it));
         let is_kept = job.priority == clearing::URGENT && is_guaranteed;
         // The runs of a timed job are due one after the other.
         if is_kept || job.schedule.is_some() {
--- a/crates/graph/src/reclaiming.rs
+++ b/crates/graph/src/reclaiming.rs
@@ -28,17 +28,14 @@
     pub cost: u64,
 }
 
-/// Chooses whom to stop for `ask`, at least cost. `freeing` is room of tasks that are stopping
-/// already, by berth.
+/// Chooses whom to stop for `ask`, at least cost.
 pub fn reclaim(
     berths: &[berth::WorkerBerth],
-    victims: &[ReclaimVictim],
-    freeing: &[room::Room],
+    pool: &VictimPool,
     ask: &berth::PlaceAsk,
 ) -> Option<ReclaimPlan> {
     let groups = berth_groups(berths, ask);
-    let pool = VictimPool::new(berths.len(), victims);
-    let plans = groups.iter().filter_map(|it| plan_within(it, berths, &pool, freeing, ask));
+    let plans = groups.iter().filter_map(|it| plan_within(it, berths, pool, ask));
     plans.min_by_key(|it| it.cost)
 }
 
@@ -61,35 +58,34 @@
     group: &[usize],
     berths: &[berth::WorkerBerth],
     pool: &VictimPool,
-    freeing: &[room::Room],
     ask: &berth::PlaceAsk,
 ) -> Option<ReclaimPlan> {
-    let mut state = PlanState::new(berths, freeing, ask);
+    let mut state = PlanState::new(group, berths, pool, ask);
     let mut placed = Vec::<usize>::new();
     for _ in 0..ask.n_tasks {
-        let options = group.iter().filter_map(|index| {
-            let on_berth = placed.iter().filter(|it| *it == index).count();
-            state.option_on(*index, on_berth, pool, ask)
-        });
-        let option = options.min_by_key(|it| (it.cost, it.index))?;
-        state.take(&option, pool, ask);
-        placed.push(option.index);
+        placed.push(state.take_cheapest()?);
     }
     let cost = state.stopped.iter().map(|it| pool.victims[*it].cost).sum();
     Some(ReclaimPlan { victims: state.stopped, berths: placed, cost })
 }
 
-/// The victims, and where each holds room. Plans look at them by berth, once for each task and
-/// berth; going over all victims there took most of a turn on 350 workers.
-struct VictimPool<'a> {
-    victims: &'a [ReclaimVictim],
+/// Units that may be stopped, where each holds room, and the room of those that are stopping. Made
+/// once a turn: it goes over all that runs.
+#[derive(Clone, Debug, Default)]
+pub struct VictimPool {
+    victims: Vec<ReclaimVictim>,
     /// Victims with room there, the cheapest for their room last.
     by_berth: Vec<Vec<(usize, room::Room)>>,
+    /// Room of tasks that are stopping already, by berth.
+    freeing: Vec<room::Room>,
+    /// Victims that were asked to stop since.
+    stopping: BTreeSet<usize>,
 }
 
-impl VictimPool<'_> {
-    fn new(n_berths: usize, victims: &[ReclaimVictim]) -> VictimPool<'_> {
-        let mut by_berth = vec![BTreeMap::<usize, room::Room>::new(); n_berths];
+impl VictimPool {
+    /// The victims on `n_berths` berths; `freeing` is room of tasks that are stopping already, by berth.
+    pub fn new(freeing: Vec<room::Room>, victims: Vec<ReclaimVictim>) -> VictimPool {
+        let mut by_berth = vec![BTreeMap::<usize, room::Room>::new(); freeing.len()];
         for (victim, it) in victims.iter().enumerate() {
             for (berth, room) in &it.runs {
                 let freed = by_berth[*berth].entry(victim).or_default();
@@ -103,68 +99,121 @@
             });
             on_berth
         });
-        VictimPool { victims, by_berth: sorted.collect() }
+        let by_berth = sorted.collect();
+        VictimPool { victims, by_berth, freeing, stopping: BTreeSet::new() }
+    }
+
+    /// The unit of a victim.
+    pub fn unit(&self, victim: usize) -> task_key::UnitKey {
+        self.victims[victim].unit
+    }
+
+    /// A victim is being stopped: its room comes free, and it can't be stopped again.
+    pub fn stop(&mut self, victim: usize) {
+        if !self.stopping.insert(victim) {
+            return;
+        }
+        for (berth, room) in &self.victims[victim].runs {
+            self.freeing[*berth] = self.freeing[*berth].plus(*room);
+        }
     }
 }
 
+/// A plan for a group of berths, as far as it is made.
 struct PlanState<'a> {
     berths: &'a [berth::WorkerBerth],
-    free: Vec<room::Room>,
+    pool: &'a VictimPool,
+    ask: &'a berth::PlaceAsk<'a>,
+    /// What is free on each berth of the group, with what the plan frees and less what it takes.
+    free: BTreeMap<usize, room::Room>,
+    /// How many tasks the plan places on each berth of the group.
+    n_placed: BTreeMap<usize, u32>,
+    /// The cheapest way to run one more task on each berth of the group that can.
+    options: BTreeMap<usize, PlanOption>,
     stopped: BTreeSet<usize>,
 }
 
 struct PlanOption {
-    index: usize,
     cost: u64,
     victims: Vec<usize>,
 }
 
 impl<'a> PlanState<'a> {
     fn new(
+        group: &[usize],
         berths: &'a [berth::WorkerBerth],
-        freeing: &[room::Room],
-        ask: &berth::PlaceAsk,
+        pool: &'a VictimPool,
+        ask: &'a berth::PlaceAsk<'a>,
     ) -> PlanState<'a> {
-        let both = berths.iter().zip(freeing);
-        let free = both.map(|(it, freeing)| it.left_for(ask.unit, it.free.plus(*freeing)));
-        PlanState { berths, free: free.collect(), stopped: BTreeSet::new() }
+        let free_on = |index: usize| {
+            let berth = &berths[index];
+            berth.left_for(ask.unit, berth.free.plus(pool.freeing[index]))
+        };
+        let mut state = PlanState {
+            berths,
+            pool,
+            ask,
+            free: group.iter().map(|it| (*it, free_on(*it))).collect(),
+            n_placed: BTreeMap::new(),
+            options: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+        };
+        for index in group {
+            state.renew_option(*index);
+        }
+        state
+    }
+
+    /// Places a task where it costs least; the berth, if there is any.
+    fn take_cheapest(&mut self) -> Option<usize> {
+        let cheapest = self.options.iter().min_by_key(|(index, it)| (it.cost, **index));
+        let index = cheapest.map(|(index, _)| *index)?;
+        let option = self.options.remove(&index)?;
+        let mut changed = BTreeSet::from([index]);
+        for victim in option.victims {
+            self.stopped.insert(victim);
+            for (berth, room) in &self.pool.victims[victim].runs {
+                if let Some(free) = self.free.get_mut(berth) {
+                    *free = free.plus(*room);
+                    changed.insert(*berth);
+                }
+            }
+        }
+        if let Some(free) = self.free.get_mut(&index) {
+            *free = free.minus(self.ask.room);
+        }
+        *self.n_placed.entry(index).or_default() += 1;
+        changed.into_iter().for_each(|it| self.renew_option(it));
+        Some(index)
+    }
+
+    fn renew_option(&mut self, index: usize) {
+        match self.option_on(index) {
+            Some(option) => self.options.insert(index, option),
+            None => self.options.remove(&index),
+        };
     }
 
     /// The cheapest way to run one more task there, if there is any.
-    fn option_on(
-        &self,
-        index: usize,
-        n_placed: usize,
-        pool: &VictimPool,
-        ask: &berth::PlaceAsk,
-    ) -> Option<PlanOption> {
+    fn option_on(&self, index: usize) -> Option<PlanOption> {
         let berth = &self.berths[index];
         // The limit per worker has to hold with the tasks of this plan, whose room is taken here.
-        let limit = ask.count_on(index, berth, berth.place.capacity);
-        if limit as usize <= n_placed {
+        let limit = self.ask.count_on(index, berth, berth.place.capacity);
+        if limit <= self.n_placed.get(&index).copied().unwrap_or_default() {
             return None;
         }
-        let mut free = self.free[index];
-        let mut option = PlanOption { index, cost: 0, victims: Vec::new() };
-        let unstopped = |it: &&(usize, room::Room)| !self.stopped.contains(&it.0);
-        let mut on_berth = pool.by_berth[index].iter().rev().filter(unstopped);
-        while !ask.room.fits_in(free) {
+        let mut free = self.free.get(&index).copied()?;
+        let mut option = PlanOption { cost: 0, victims: Vec::new() };
+        let is_there = |it: &&(usize, room::Room)| {
+            !self.stopped.contains(&it.0) && !self.pool.stopping.contains(&it.0)
+        };
+        let mut on_berth = self.pool.by_berth[index].iter().rev().filter(is_there);
+        while !self.ask.room.fits_in(free) {
             let (victim, freed) = on_berth.next()?;
             free = free.plus(*freed);
-            option.cost += pool.victims[*victim].cost;
+            option.cost += self.pool.victims[*victim].cost;
             option.victims.push(*victim);
         }
         Some(option)
     }
-
-    fn take(&mut self, option: &PlanOption, pool: &VictimPool, ask: &berth::PlaceAsk) {
-        for victim in &option.victims {
-            if self.stopped.insert(*victim) {
-                for (berth, room) in &pool.victims[*victim].runs {
-                    self.free[*berth] = self.free[*berth].plus(*room);
-                }
-            }
-        }
-        self.free[option.index] = self.free[option.index].minus(ask.room);
-    }
 }
