--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -12,8 +12,8 @@
 use crate::job;
 use crate::task_key;
 
-/// Tasks of one part. A task takes about 90 bytes, and at most about 500 with the longest checkpoint
-/// name and a dozen failures, so that a part stays below 32 KB where the platform takes 64.
+/// Tasks of one part. A task takes about 90 bytes, and 420 with the longest checkpoint name and 19
+/// failures, so that a part stays below 27 KB where the platform takes 64.
 pub const PART_TASKS: u32 = 64;
 
 /// Longest name of a checkpoint that is saved, in bytes; the platform's take 16. A successor starts
--- a/crates/graph/src/roster.rs
+++ b/crates/graph/src/roster.rs
@@ -8,8 +8,8 @@
 
 use almondpass_schema::ids;
 
-/// Workers of one page. An entry takes about 60 bytes, and at most about 700 with the longest names,
-/// so that a page stays below 46 KB where the platform takes 64. Each change writes one page.
+/// Workers of one page. An entry takes about 60 bytes, and 450 with the longest names, so that a page
+/// stays below 29 KB where the platform takes 64. Each change writes one page.
 pub const PAGE_WORKERS: usize = 64;
 
 /// Which workers stand on which page, and which of them the store has.
