--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -110,7 +110,7 @@
         priority,
         upstream: "analysis".to_owned(),
     };
-    let progress = progress::SavedParts::default();
+    let progress = progress::SavedChunks::default();
     core.admit(intake::AdmittedJob { graph, row, progress, inherited: false }, now);
 }
 
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -24,7 +24,7 @@
     /// The row of its acceptance.
     pub row: model::GraphRow,
     /// What an earlier scheduler has saved of it.
-    pub progress: progress::SavedParts,
+    pub progress: progress::SavedChunks,
     /// Whether it was accepted before this tenure began.
     pub inherited: bool,
 }
@@ -47,8 +47,8 @@
         });
         self.sort_in(graph);
         if is_undivided {
-            let n_parts = self.jobs.get(&graph).map_or(0, progress::n_parts);
-            self.touch_all(graph, n_parts);
+            let n_chunks = self.jobs.get(&graph).map_or(0, progress::n_chunks);
+            self.touch_all(graph, n_chunks);
         }
         if cancelled {
             self.cancel(graph, now);
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -1,6 +1,6 @@
-//! What is saved of a job, part by part, and how it is read back.
+//! What is saved of a job, chunk by chunk, and how it is read back.
 //!
-//! The tasks of all steps, one step behind the other, are cut into parts of equal size, each with a
+//! The tasks of all steps, one step behind the other, are cut into chunks of equal size, each with a
 //! row of its own: neither a row nor what one end of a task writes grows with the job.
 
 use std::collections::BTreeMap;
@@ -12,44 +12,44 @@
 use crate::job;
 use crate::task_key;
 
-/// Tasks of one part. A task takes about 90 bytes, and 420 with the longest checkpoint name and 19
-/// failures, so that a part stays below 27 KB where the platform takes 64.
-pub const PART_TASKS: u32 = 64;
+/// Tasks of one chunk. A task takes about 90 bytes, and 420 with the longest checkpoint name and 19
+/// failures, so that a chunk stays below 27 KB where the platform takes 64.
+pub const CHUNK_TASKS: u32 = 64;
 
 /// Longest name of a checkpoint that is saved, in bytes; the platform's take 16. A successor starts
 /// a task with a longer one anew, instead of a row being refused for its length.
 const LONGEST_CHECKPOINT: usize = 256;
 
-/// The part whose row also tells how far the job is.
-pub const HEAD_PART: u32 = 0;
+/// The chunk whose row also tells how far the job is.
+pub const HEAD_CHUNK: u32 = 0;
 
-/// How many parts a job has.
-pub fn n_parts(job: &job::JobRecord) -> u32 {
+/// How many chunks a job has.
+pub fn n_chunks(job: &job::JobRecord) -> u32 {
     let n_tasks = job.steps.iter().map(|it| it.tasks.len() as u32).sum::<u32>();
-    n_tasks.div_ceil(PART_TASKS).max(1)
+    n_tasks.div_ceil(CHUNK_TASKS).max(1)
 }
 
-/// The part of a task.
-pub fn part_of(job: &job::JobRecord, key: task_key::TaskKey) -> Option<u32> {
+/// The chunk of a task.
+pub fn chunk_of(job: &job::JobRecord, key: task_key::TaskKey) -> Option<u32> {
     let step = job.step_index(key)? as usize;
-    Some((first_task_of(job, step) + key.task) / PART_TASKS)
+    Some((first_task_of(job, step) + key.task) / CHUNK_TASKS)
 }
 
-/// The parts of the tasks of a task's step.
-pub fn parts_of_step(job: &job::JobRecord, key: task_key::TaskKey) -> Option<RangeInclusive<u32>> {
+/// The chunks of the tasks of a task's step.
+pub fn chunks_of_step(job: &job::JobRecord, key: task_key::TaskKey) -> Option<RangeInclusive<u32>> {
     let index = job.step_index(key)? as usize;
     let first = first_task_of(job, index);
     let n_tasks = job.steps.get(index)?.tasks.len() as u32;
     let last = first + n_tasks.saturating_sub(1);
-    Some(first / PART_TASKS..=last / PART_TASKS)
+    Some(first / CHUNK_TASKS..=last / CHUNK_TASKS)
 }
 
-/// What is to be durable of a part of a job; nothing where it has no such part.
-pub fn progress_of(job: &job::JobRecord, part: u32) -> Option<model::ProgressRow> {
-    if part >= n_parts(job) {
+/// What is to be durable of a chunk of a job; nothing where it has no such chunk.
+pub fn progress_of(job: &job::JobRecord, chunk: u32) -> Option<model::ProgressRow> {
+    if chunk >= n_chunks(job) {
         return None;
     }
-    let wanted = part * PART_TASKS..(part + 1) * PART_TASKS;
+    let wanted = chunk * CHUNK_TASKS..(chunk + 1) * CHUNK_TASKS;
     let mut row = model::ProgressRow { state: job.state, first_step: 0, steps: Vec::new() };
     let mut first = 0;
     for (index, step) in job.steps.iter().enumerate() {
@@ -68,38 +68,38 @@
     Some(row)
 }
 
-/// What was saved of a job, by part.
+/// What was saved of a job, by chunk.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct SavedParts {
-    parts: BTreeMap<u32, model::ProgressRow>,
+pub struct SavedChunks {
+    chunks: BTreeMap<u32, model::ProgressRow>,
 }
 
-impl SavedParts {
-    /// Adds a part.
-    pub fn insert(&mut self, part: u32, row: model::ProgressRow) {
-        self.parts.insert(part, row);
+impl SavedChunks {
+    /// Adds a chunk.
+    pub fn insert(&mut self, chunk: u32, row: model::ProgressRow) {
+        self.chunks.insert(chunk, row);
     }
 
-    /// The numbers of the parts that were saved.
+    /// The numbers of the chunks that were saved.
     pub fn numbers(&self) -> impl Iterator<Item = u32> {
-        self.parts.keys().copied()
+        self.chunks.keys().copied()
     }
 
     /// Whether nothing was saved.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.chunks.is_empty()
     }
 
-    /// Whether the head tells of tasks of other parts too, as it did before there were parts: it is
+    /// Whether the head tells of tasks of other chunks too, as a release without chunks wrote it: it is
     /// to be written anew, and with it all that it told of.
     pub fn is_undivided(&self) -> bool {
-        let Some(head) = self.parts.get(&HEAD_PART) else { return false };
+        let Some(head) = self.chunks.get(&HEAD_CHUNK) else { return false };
         let mut n_told = 0;
         for step in &head.steps {
             let tasks = step.done.iter().chain(step.attempts.iter().map(|it| &it.task));
             n_told += tasks.max().map_or(0, |it| it + 1);
         }
-        n_told > PART_TASKS
+        n_told > CHUNK_TASKS
     }
 
     /// Takes what was saved into the record of the job.
@@ -107,8 +107,8 @@
         if self.is_empty() {
             return;
         }
-        let told = self.parts.get(&HEAD_PART).map(|it| it.state);
-        for row in self.parts.into_values() {
+        let told = self.chunks.get(&HEAD_CHUNK).map(|it| it.state);
+        for row in self.chunks.into_values() {
             let steps = job.steps.iter_mut().skip(row.first_step as usize);
             for (step, saved) in steps.zip(row.steps) {
                 restore_step(step, saved);
@@ -118,10 +118,10 @@
     }
 }
 
-/// Takes over the state that the head of a job told, or a later one that its parts show: the head may
+/// Takes over the state that the head of a job told, or a later one that its chunks show: the head may
 /// not have been written yet when the scheduler ended.
 fn restore_state(job: &mut job::JobRecord, told: Option<model::GraphState>) {
-    // A part is written only behind the end of a task.
+    // A chunk is written only behind the end of a task.
     job.state = told.unwrap_or(model::GraphState::Running);
     if !job.has_ended() {
         job.state = shown_state(job).unwrap_or(job.state);
--- a/crates/graph/src/retention.rs
+++ b/crates/graph/src/retention.rs
@@ -17,7 +17,7 @@
         let retention = self.terms.retention;
         let expired = self.jobs.iter().filter(|(graph, it)| {
             let is_old = it.ended_at.is_some_and(|ended| now >= ended + retention);
-            is_old && is_settled(it) && self.is_saved(**graph, progress::n_parts(it))
+            is_old && is_settled(it) && self.is_saved(**graph, progress::n_chunks(it))
         });
         expired.map(|(graph, _)| *graph).take(most).collect()
     }
@@ -26,17 +26,17 @@
     pub fn forget(&mut self, graph: ids::GraphId) {
         self.active.remove(&graph);
         let Some(job) = self.jobs.remove(&graph) else { return };
-        self.touch_all(graph, progress::n_parts(&job));
+        self.touch_all(graph, progress::n_chunks(&job));
     }
 
     /// Removes what is left of a job whose acceptance a dead scheduler has removed already.
-    pub fn forget_part(&mut self, graph: ids::GraphId, part: u32) {
-        self.unsaved.touch(save_queue::SaveKey::Progress { graph, part });
+    pub fn forget_chunk(&mut self, graph: ids::GraphId, chunk: u32) {
+        self.unsaved.touch(save_queue::SaveKey::Progress { graph, chunk });
     }
 
-    fn is_saved(&self, graph: ids::GraphId, n_parts: u32) -> bool {
-        let mut parts = (0..n_parts).map(|part| save_queue::SaveKey::Progress { graph, part });
-        parts.all(|it| self.unsaved.is_saved(it))
+    fn is_saved(&self, graph: ids::GraphId, n_chunks: u32) -> bool {
+        let mut chunks = (0..n_chunks).map(|chunk| save_queue::SaveKey::Progress { graph, chunk });
+        chunks.all(|it| self.unsaved.is_saved(it))
     }
 }
 
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -12,12 +12,12 @@
 /// A row that the scheduler writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SaveKey {
-    /// What became of a part of a job's tasks.
+    /// What became of a chunk of a job's tasks.
     Progress {
         /// The job.
         graph: ids::GraphId,
-        /// The part, from 0.
-        part: u32,
+        /// The chunk, from 0.
+        chunk: u32,
     },
     /// A page of the roster.
     Roster {
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -28,7 +28,7 @@
 /// Content of a row.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SaveContent {
-    /// What became of a part of a job's tasks.
+    /// What became of a chunk of a job's tasks.
     Progress(model::ProgressRow),
     /// A page of the roster.
     Roster(model::RosterRow),
@@ -91,9 +91,9 @@
 
     fn row_to_save(&mut self, key: save_queue::SaveKey) -> SaveRow {
         let content = match key {
-            save_queue::SaveKey::Progress { graph, part } => {
+            save_queue::SaveKey::Progress { graph, chunk } => {
                 let job = self.jobs.get(&graph);
-                let row = job.and_then(|it| progress::progress_of(it, part));
+                let row = job.and_then(|it| progress::progress_of(it, chunk));
                 row.map_or(SaveContent::Gone, SaveContent::Progress)
             }
             save_queue::SaveKey::Roster { page } => self.roster_page(page),
@@ -128,7 +128,7 @@
                 self.roster.saved(page, workers.into_iter().map(|it| it.worker));
             }
             (
-                save_queue::SaveKey::Progress { graph, part: progress::HEAD_PART },
+                save_queue::SaveKey::Progress { graph, chunk: progress::HEAD_CHUNK },
                 SaveContent::Progress(saved),
             ) => {
                 if let Some(job) = self.jobs.get_mut(&graph)
@@ -147,22 +147,23 @@
         self.sort_in(key.graph);
         let job = self.jobs.get(&key.graph)?;
         let graph = key.graph;
-        let own = progress::part_of(job, key)?;
+        let own = progress::chunk_of(job, key)?;
         let is_gang = job.step(key)?.spec.gang;
-        let parts = if is_gang { progress::parts_of_step(job, key)? } else { own..=own };
+        let chunks = if is_gang { progress::chunks_of_step(job, key)? } else { own..=own };
         if job.state != job.durable {
-            self.unsaved.touch(save_queue::SaveKey::Progress { graph, part: progress::HEAD_PART });
+            self.unsaved
+                .touch(save_queue::SaveKey::Progress { graph, chunk: progress::HEAD_CHUNK });
         }
-        let marks = parts
-            .map(|part| (part, self.unsaved.touch(save_queue::SaveKey::Progress { graph, part })));
-        let marks = marks.collect::<Vec<_>>();
-        marks.into_iter().find(|(part, _)| *part == own).map(|(_, mark)| mark)
+        for chunk in chunks.filter(|it| *it != own) {
+            self.unsaved.touch(save_queue::SaveKey::Progress { graph, chunk });
+        }
+        Some(self.unsaved.touch(save_queue::SaveKey::Progress { graph, chunk: own }))
     }
 
     /// Notes that all rows of a job have to be written anew, or removed.
-    pub(crate) fn touch_all(&mut self, graph: ids::GraphId, n_parts: u32) {
-        for part in 0..n_parts {
-            self.unsaved.touch(save_queue::SaveKey::Progress { graph, part });
+    pub(crate) fn touch_all(&mut self, graph: ids::GraphId, n_chunks: u32) {
+        for chunk in 0..n_chunks {
+            self.unsaved.touch(save_queue::SaveKey::Progress { graph, chunk });
         }
     }
 
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -19,7 +19,7 @@
     pub(crate) core: core::PoolCore,
     pub(crate) now: Duration,
     /// What was saved of each job.
-    pub(crate) saved: BTreeMap<ids::GraphId, progress::SavedParts>,
+    pub(crate) saved: BTreeMap<ids::GraphId, progress::SavedChunks>,
 }
 
 impl PoolBench {
@@ -71,9 +71,9 @@
     /// Keeps what a batch tells of jobs.
     pub(crate) fn keep(&mut self, batch: &saving::SaveBatch) {
         for row in &batch.rows {
-            let save_queue::SaveKey::Progress { graph, part } = row.key else { continue };
+            let save_queue::SaveKey::Progress { graph, chunk } = row.key else { continue };
             let saving::SaveContent::Progress(content) = &row.content else { continue };
-            self.saved.entry(graph).or_default().insert(part, content.clone());
+            self.saved.entry(graph).or_default().insert(chunk, content.clone());
         }
     }
 
@@ -81,7 +81,7 @@
         let admitted = intake::AdmittedJob {
             graph,
             row,
-            progress: progress::SavedParts::default(),
+            progress: progress::SavedChunks::default(),
             inherited: false,
         };
         self.core.admit(admitted, self.now);
@@ -92,7 +92,7 @@
         &mut self,
         graph: ids::GraphId,
         row: model::GraphRow,
-        progress: Option<progress::SavedParts>,
+        progress: Option<progress::SavedChunks>,
     ) {
         let admitted = intake::AdmittedJob {
             graph,
--- a/crates/pool/src/entry.rs
+++ b/crates/pool/src/entry.rs
@@ -109,7 +109,7 @@
 ) -> Option<model::LookOutcome> {
     let (row, progress) = tokio::try_join!(
         read::<S, model::GraphRow>(state, keys::graph(graph)),
-        read::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_PART)),
+        read::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_CHUNK)),
     )
     .ok()?;
     let Some((row, _)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -66,7 +66,7 @@
 ) {
     let inherited = nudge.version < lead.taken_at;
     let model::GraphNudge { graph, row, .. } = nudge;
-    let progress = progress::SavedParts::default();
+    let progress = progress::SavedChunks::default();
     let admitted = intake::AdmittedJob { graph, row, progress, inherited };
     admit(state, lead, std::iter::once(admitted));
 }
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -86,7 +86,7 @@
     }
     // The row of the acceptance is the first to go when a job is forgotten.
     for (graph, saved) in progress.into_iter().filter(|(it, _)| !accepted.contains(it)) {
-        saved.numbers().for_each(|part| core.forget_part(graph, part));
+        saved.numbers().for_each(|chunk| core.forget_chunk(graph, chunk));
     }
     Ok(LoadedLead { core, graphs_at, workers_at })
 }
@@ -135,18 +135,18 @@
     Some(intake::AdmittedJob {
         graph,
         row: content,
-        progress: progress::SavedParts::default(),
+        progress: progress::SavedChunks::default(),
         inherited,
     })
 }
 
-fn progress_by_graph(rows: row_feed::FeedRows) -> BTreeMap<ids::GraphId, progress::SavedParts> {
-    let mut by_graph = BTreeMap::<ids::GraphId, progress::SavedParts>::new();
+fn progress_by_graph(rows: row_feed::FeedRows) -> BTreeMap<ids::GraphId, progress::SavedChunks> {
+    let mut by_graph = BTreeMap::<ids::GraphId, progress::SavedChunks>::new();
     for row in &rows.rows {
-        let Some((name, part)) = keys::name_and_number(&row.key) else { continue };
+        let Some((name, chunk)) = keys::name_and_number(&row.key) else { continue };
         let Some(graph) = task_key::parse_graph(name) else { continue };
         let Some(saved) = decode::<model::ProgressRow>(row) else { continue };
-        by_graph.entry(graph).or_default().insert(part, saved);
+        by_graph.entry(graph).or_default().insert(chunk, saved);
     }
     by_graph
 }
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -266,7 +266,7 @@
 /// The write of a row of the core.
 fn row_write(row: &saving::SaveRow) -> model::TableWrite {
     let key = match row.key {
-        save_queue::SaveKey::Progress { graph, part } => keys::progress(graph, part),
+        save_queue::SaveKey::Progress { graph, chunk } => keys::progress(graph, chunk),
         save_queue::SaveKey::Roster { page } => keys::roster(page),
     };
     match &row.content {
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -153,8 +153,8 @@
     }
 }
 
-fn inherit(core: &mut core::PoolCore, row: model::GraphRow, parts: progress::SavedParts) {
-    let admitted = intake::AdmittedJob { graph: 1, row, progress: parts, inherited: true };
+fn inherit(core: &mut core::PoolCore, row: model::GraphRow, chunks: progress::SavedChunks) {
+    let admitted = intake::AdmittedJob { graph: 1, row, progress: chunks, inherited: true };
     core.admit(admitted, Duration::ZERO);
 }
 
@@ -164,26 +164,26 @@
 fn rows_of_the_widest_job_fit() {
     let widths = [100, 1, 6_000, 12_899];
     let steps = widths.map(|it| graph_step(it, false)).to_vec();
-    let mut parts = progress::SavedParts::default();
+    let mut chunks = progress::SavedChunks::default();
     let undivided = model::ProgressRow {
         state: model::GraphState::Running,
         first_step: 0,
         steps: widths.map(longest_progress).to_vec(),
     };
-    parts.insert(progress::HEAD_PART, undivided.clone());
+    chunks.insert(progress::HEAD_CHUNK, undivided.clone());
     let mut core = empty_core();
-    inherit(&mut core, graph_row(steps.clone()), parts);
+    inherit(&mut core, graph_row(steps.clone()), chunks);
 
     let saved = save_all(&mut core);
     assert_all_fit(&saved);
     assert_eq!(saved.len(), 19_000_usize.div_ceil(64));
 
-    let mut divided = progress::SavedParts::default();
+    let mut divided = progress::SavedChunks::default();
     for (key, content) in saved {
-        if let (save_queue::SaveKey::Progress { part, .. }, saving::SaveContent::Progress(row)) =
+        if let (save_queue::SaveKey::Progress { chunk, .. }, saving::SaveContent::Progress(row)) =
             (key, content)
         {
-            divided.insert(part, row);
+            divided.insert(chunk, row);
         }
     }
     let mut next = empty_core();
@@ -204,9 +204,9 @@
     };
     let row =
         model::ProgressRow { state: model::GraphState::Running, first_step: 0, steps: vec![done] };
-    let mut parts = progress::SavedParts::default();
-    parts.insert(2, row);
+    let mut chunks = progress::SavedChunks::default();
+    chunks.insert(2, row);
     let mut core = empty_core();
-    inherit(&mut core, graph_row(vec![graph_step(160, true)]), parts);
+    inherit(&mut core, graph_row(vec![graph_step(160, true)]), chunks);
     assert_eq!(core.state_of(1), Some((model::GraphState::Completed, None)));
 }
--- a/crates/ports/src/keys.rs
+++ b/crates/ports/src/keys.rs
@@ -88,10 +88,10 @@
     format!("{GRAPHS}/{}/{text}", &text[..1])
 }
 
-/// Row of what became of a part of a job graph's tasks; it shares a part of the store with the
-/// tenure, whose row is a condition of each of its writes.
-pub fn progress(graph: ids::GraphId, part: u32) -> ids::RowKey {
-    numbered(format!("{PROGRESS}/pool/{graph:016x}"), part)
+/// Row of what became of a chunk of a job graph's tasks; it shares a part with the tenure, whose row
+/// is a condition of each of its writes.
+pub fn progress(graph: ids::GraphId, chunk: u32) -> ids::RowKey {
+    numbered(format!("{PROGRESS}/pool/{graph:016x}"), chunk)
 }
 
 /// Row that names the scheduler of the pools.
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1919,7 +1919,7 @@
     #[serde(rename = "type")]
     pub type_: ::std::string::String,
 }
-///Row of what became of a job graph, or of a part of its tasks; written by the scheduler under its tenure.
+///Row of what became of a job graph, or of a chunk of its tasks; written by the scheduler under its tenure.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ProgressRow {
     ///Index of the first step that the row tells of.
