Bound the reading of a table by the page, so that a long one is read from a slow store

Cause: a table had 1.5 s in all, meant for a few pages. The progress of the jobs of the last four minutes is 13 pages at 26 jobs a second; with the store 60 times slower each takes 0.24 s, so that three tries failed, the tenure was given up, and each successor did the same.

Ruled out: reading parts of the key range together (the keys of the list of workers can't be foretold); progress in several parts (it shares a transaction with the tenure). Change: the bound of 1.5 s is one for each page; a table has 10 s, or 20,000 rows at 60 times the usual time. The tenure is renewed meanwhile. The stand-in reads tables in pages; the test fails with 1.5 s in all.

--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -20,8 +20,13 @@
 /// For a read of one row: 60 times the usual 4 ms, and more.
 pub const READ_DEADLINE: Duration = Duration::from_millis(600);
 
-/// For a whole table: a few pages, at 60 times the usual 4 ms each.
-pub const TABLE_DEADLINE: Duration = Duration::from_millis(1_500);
+/// For one page of a table, and what is asked for before it: at 60 times the usual 4 ms each.
+pub const PAGE_DEADLINE: Duration = Duration::from_millis(1_500);
+
+/// For a whole table, however many pages it has. With a bound for a few pages nobody could take the
+/// tenure while the store is slow, once jobs are many: 6,000 that ended lately are 13 pages. The tenure
+/// is renewed meanwhile. At 60 times the usual 4 ms this is 40 pages, or 20,000 rows.
+pub const TABLE_DEADLINE: Duration = Duration::from_secs(10);
 
 /// For the answer to a feed, beyond the time that the store may wait.
 pub const FEED_SLACK: Duration = Duration::from_millis(500);
@@ -91,7 +96,7 @@
     state: &state::PoolState<S>,
     table: &str,
 ) -> Result<row_feed::FeedRows, error::CallError> {
-    let reading = state.site.store().snapshot(table, TABLE_DEADLINE);
+    let reading = state.site.store().snapshot(table, PAGE_DEADLINE);
     within(model::TableScan::PATH, TABLE_DEADLINE, reading).await
 }
 
--- a/crates/pool/tests/pool/rows.rs
+++ b/crates/pool/tests/pool/rows.rs
@@ -5,7 +5,7 @@
 
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
-use almondpass_standin::table;
+use almondpass_standin::{fault, table};
 use tokio::time;
 
 use crate::support;
@@ -18,6 +18,7 @@
         row_bytes: 65_536,
         transaction_bytes: 700_000,
         entries: 100,
+        page_rows: 500,
         feed_rows: 500,
         barred: BTreeSet::new(),
     }
@@ -136,3 +137,23 @@
         assert!(bench.fleet.records().iter().all(|it| it.worker != leaving));
     });
 }
+
+/// Symptom: nobody can take over while the store is slow, on a large deployment alone. Sequence: the holder
+/// ends; each successor reads pages one behind the other, gives up after 1.5 s, and after three tries
+/// gives up the tenure. Cause: the bound on reading a table was one for a few pages.
+#[test]
+fn a_long_table_is_read_from_a_slow_store() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 60).await;
+        bench.store.set_limits(table::TableLimits { page_rows: 3, ..platform_limits() });
+        bench.submit(0, 1, support::job(4, 20_000)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        let (holder, epoch) = (bench.holder(), lead_epoch(&bench));
+        bench.store.faults().set(fault::Condition::Slow(Duration::from_millis(120)));
+        bench.kill(holder).await;
+        time::sleep(Duration::from_secs(9)).await;
+        assert_eq!(lead_epoch(&bench), epoch + 1);
+        bench.await_state(0, 1, model::GraphState::Completed, SOON).await;
+        bench.assert_nothing_ran_twice();
+    });
+}
--- a/crates/ports/src/row_feed.rs
+++ b/crates/ports/src/row_feed.rs
@@ -42,7 +42,8 @@
 
 /// Tables by name.
 pub trait RowFeed: Clone + Send + Sync + 'static {
-    /// Reads a table, all its rows as of `version` or later.
+    /// Reads a table, all its rows as of `version` or later. Each answer has to come within `deadline`; a
+    /// long table takes several, one behind the other.
     fn snapshot(
         &self,
         table: &str,
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -32,6 +32,8 @@
     pub transaction_bytes: usize,
     /// Most conditions and writes of a transaction.
     pub entries: usize,
+    /// Most rows of one page of a table.
+    pub page_rows: usize,
     /// Most rows that one answer to a follower tells.
     pub feed_rows: usize,
     /// Rows that nobody may write.
@@ -44,6 +46,7 @@
             row_bytes: usize::MAX,
             transaction_bytes: usize::MAX,
             entries: usize::MAX,
+            page_rows: usize::MAX,
             feed_rows: usize::MAX,
             barred: BTreeSet::new(),
         }
@@ -254,10 +257,25 @@
     async fn snapshot(
         &self,
         table: &str,
-        _: Duration,
+        deadline: Duration,
     ) -> Result<row_feed::FeedRows, error::CallError> {
         let prefix = format!("{table}/");
-        self.pass(SNAPSHOT, move |rows| rows.changes(&prefix, None)).await
+        let most = state::lock(&self.limits).page_rows;
+        let mut read = row_feed::FeedRows::default();
+        loop {
+            let (prefix, after) = (prefix.clone(), read.rows.last().map(|it| it.key.clone()));
+            let page = self.pass(SNAPSHOT, move |rows| rows.page(&prefix, after, most));
+            let fault = error::CallFault::TimedOut(deadline);
+            let timed_out = error::CallError { step: SNAPSHOT, peer: PEER.to_owned(), fault };
+            let page = time::timeout(deadline, page).await.unwrap_or(Err(timed_out))?;
+            if read.rows.is_empty() {
+                read.version = page.version;
+            }
+            read.rows.extend(page.rows);
+            if !page.more {
+                return Ok(read);
+            }
+        }
     }
 
     async fn follow(
@@ -287,6 +305,16 @@
 }
 
 impl TableRows {
+    /// The next page of a table, in the order of the rows' names, behind the row named `after`.
+    fn page(&mut self, prefix: &str, after: Option<String>, most: usize) -> row_feed::FeedRows {
+        let mut page = self.changes(prefix, None);
+        page.rows.sort_by(|a, b| a.key.cmp(&b.key));
+        page.rows.retain(|it| after.as_ref().is_none_or(|after| it.key > *after));
+        page.more = page.rows.len() > most;
+        page.rows.truncate(most);
+        page
+    }
+
     /// Rows below a prefix: all that there are, or all that changed behind a transaction.
     fn changes(&mut self, prefix: &str, after: Option<u64>) -> row_feed::FeedRows {
         let below = self.rows.range(prefix.to_owned()..);
