Write a row that was refused when it is offered again

Cause: found at the reading of the diff. The batch with a row that the store had refused was handed out without its row being added to the write, so that 10 s after a refusal the tenure alone was renewed, and the row counted as saved: its job was shown as completed, and the ends of its tasks acknowledged, though the store had nothing of it. The test looked before the 10 s were over.

Change: both ways go through the same loop. The test waits until the row has been offered again twice while it is still refused; it fails on the former code (found Completed, expected Running).

--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -37,26 +37,25 @@
 }
 
 impl core::PoolCore {
-    /// Takes changed rows for saving, the one that has waited longest first, for as long as
-    /// `has_room_behind` says that another fits in behind. Nothing where nothing has changed. A batch
-    /// is to be saved, or refused, before the next one is taken.
+    /// Takes changed rows for saving, the one that has waited longest first. Each is handed to `add`,
+    /// which tells whether another fits in behind it; a row that was refused before goes by itself.
+    /// Nothing where nothing has changed. A batch is to be saved, or refused, before the next one is
+    /// taken.
     pub fn take_batch(
         &mut self,
         now: Duration,
-        mut has_room_behind: impl FnMut(&SaveRow) -> bool,
+        mut add: impl FnMut(&SaveRow) -> bool,
     ) -> Option<SaveBatch> {
         self.review_roster();
-        if let Some(key) = self.unsaved.take_refused(now) {
-            return Some(SaveBatch { rows: vec![self.row_to_save(key)] });
-        }
+        let refused = self.unsaved.take_refused(now);
+        let is_alone = refused.is_some();
         let mut batch = SaveBatch::default();
-        while let Some(key) = self.unsaved.take() {
+        let mut next = refused.or_else(|| self.unsaved.take());
+        while let Some(key) = next {
             let row = self.row_to_save(key);
-            let has_room = has_room_behind(&row);
+            let has_room = add(&row);
             batch.rows.push(row);
-            if !has_room {
-                break;
-            }
+            next = if has_room && !is_alone { self.unsaved.take() } else { None };
         }
         (!batch.rows.is_empty()).then_some(batch)
     }
--- a/crates/pool/tests/pool/rows.rs
+++ b/crates/pool/tests/pool/rows.rs
@@ -69,6 +69,8 @@
         for graph in 2..=6 {
             bench.await_state(0, graph, model::GraphState::Completed, SOON).await;
         }
+        // Long enough for the row to be offered again.
+        time::sleep(Duration::from_secs(25)).await;
         assert_eq!(
             bench.look(0, 1).await,
             model::LookOutcome::Known(model::GraphState::Running),
