Keep a cancelled job cancelled, whatever its tasks show at a takeover

Cause, found at the second reading of the diff: a successor ends a job whose chunks show that it has ended, as the head may not have been written yet. It did so for cancelled jobs too: one with more than 64 tasks, of which one behind the first chunk fails for the last time after the cancelling, was shown as failed once another scheduler had taken over. A job of one chunk was not concerned, as its row tells the state itself.

Ruled out: writing the head with each chunk (a row more for each end). Change: what the tasks show ends a job only where its caller has not cancelled it. The test fails on the former code (found Failed, expected Cancelled).

--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -167,7 +167,11 @@
         state: model::GraphState::Pending,
         durable: model::GraphState::Pending,
     };
+    let has_progress = !admitted.progress.is_empty();
     admitted.progress.restore_into(&mut job);
+    if has_progress && !row.cancelled {
+        progress::conclude(&mut job);
+    }
     job.ended_at = job.has_ended().then_some(now);
     if job.inherited {
         for task in job.steps.iter_mut().flat_map(|it| &mut it.tasks) {
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -114,20 +114,24 @@
                 restore_step(step, saved);
             }
         }
-        restore_state(job, told);
+        // A chunk is written only behind the end of a task.
+        job.state = told.unwrap_or(model::GraphState::Running);
+        job.durable = job.state;
+        job.started = job.state != model::GraphState::Pending;
     }
 }
 
-/// Takes over the state that the head of a job told, or a later one that its chunks show: the head may
-/// not have been written yet when the scheduler ended.
-fn restore_state(job: &mut job::JobRecord, told: Option<model::GraphState>) {
-    // A chunk is written only behind the end of a task.
-    job.state = told.unwrap_or(model::GraphState::Running);
-    if !job.has_ended() {
-        job.state = shown_state(job).unwrap_or(job.state);
+/// Ends a job whose tasks show that it has ended: the head may not have been written yet when the
+/// scheduler ended. Not for a job that was cancelled, whose tasks may end in any way behind that.
+pub fn conclude(job: &mut job::JobRecord) {
+    if job.has_ended() {
+        return;
+    }
+    if let Some(shown) = shown_state(job) {
+        job.state = shown;
+        job.durable = shown;
+        job.started = true;
     }
-    job.durable = job.state;
-    job.started = job.state != model::GraphState::Pending;
 }
 
 /// What the tasks show of the state of a job; nothing where they show no end of it.
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -210,3 +210,28 @@
     inherit(&mut core, graph_row(vec![graph_step(160, true)]), chunks);
     assert_eq!(core.state_of(1), Some((model::GraphState::Completed, None)));
 }
+
+/// Symptom: a job that its caller has cancelled is shown as failed. Sequence: a task behind the first
+/// chunk fails for the last time after the cancelling; its chunk is saved, the head is not; another
+/// scheduler takes over. Cause: the state was taken from what the tasks show.
+#[test]
+fn a_cancelled_job_stays_cancelled_whatever_its_tasks_show() {
+    let failures = model::TaskFailures { task: 70, attempts: (1..=20).collect() };
+    let step = model::StepProgress {
+        done: Vec::new(),
+        failures: vec![failures],
+        attempts: Vec::new(),
+        checkpoints: Vec::new(),
+    };
+    let row = model::ProgressRow {
+        state: model::GraphState::Cancelled,
+        first_step: 0,
+        steps: vec![step],
+    };
+    let mut chunks = progress::SavedChunks::default();
+    chunks.insert(1, row);
+    let mut core = empty_core();
+    let cancelled = model::GraphRow { cancelled: true, ..graph_row(vec![graph_step(100, false)]) };
+    inherit(&mut core, cancelled, chunks);
+    assert_eq!(core.state_of(1), Some((model::GraphState::Cancelled, None)));
+}
