Log which life of a worker is listed and answers, and ends that are passed over as known

Entries and lists of runs now carry the start of the worker's life (absent where the platform does not tell it), a change of it is logged with what is kept of the former life, and so is an end whose number was acknowledged already; a run that is gone tells up to which end was acknowledged. No decision changes.

--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -65,6 +65,7 @@
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
             leaves_in: None,
+            incarnation: None,
         };
         core.learn_worker(format!("w{index:05}"), listing, now);
     }
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -90,7 +90,13 @@
     ) {
         let record = self.workers.entry(worker.clone()).or_default();
         if !record.listed {
-            tracing::info!(worker, address = listing.address, rack = listing.rack, "worker listed");
+            tracing::info!(
+                worker,
+                address = listing.address,
+                rack = listing.rack,
+                incarnation = listing.incarnation,
+                "worker listed"
+            );
         }
         record.listed = true;
         if let (Some(left), None) = (listing.leaves_in, record.leaves_at) {
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -87,6 +87,18 @@
         if record.n_missed > 1 {
             tracing::info!(worker, n_missed = record.n_missed, "worker answers again");
         }
+        if listed.incarnation != record.incarnation {
+            tracing::info!(
+                worker,
+                incarnation = listed.incarnation,
+                former = record.incarnation,
+                clock_ms = listed.clock_ms,
+                seen = record.seen,
+                acknowledged = record.acknowledged,
+                "worker answers in another life"
+            );
+            record.incarnation = listed.incarnation;
+        }
         let is_first = !record.fenced;
         record.fenced = true;
         self.heard(worker, listed.clock_ms, now);
@@ -119,6 +131,18 @@
     fn take_end_in_order(&mut self, worker: &ids::WorkerId, end: order::ListedEnd, now: Duration) {
         let Some(record) = self.workers.get_mut(worker) else { return };
         if end.number <= record.seen {
+            // An end is listed until it is acknowledged; one that was is not the same end.
+            if end.number <= record.acknowledged {
+                tracing::warn!(
+                    job = format_args!("{:016x}", end.task.graph),
+                    task = %end.task,
+                    attempt = end.attempt,
+                    worker,
+                    number = end.number,
+                    acknowledged = record.acknowledged,
+                    "end is passed over as known"
+                );
+            }
             return;
         }
         record.seen = end.number;
@@ -257,11 +281,14 @@
             }
             job::RunPhase::Running { confirmed_at } if sent_at > confirmed_at => {
                 let worker = run.worker.clone();
+                let record = self.workers.get(&worker);
                 tracing::warn!(
                     job = format_args!("{:016x}", key.graph),
                     task = %key,
                     attempt = run.attempt,
                     worker,
+                    incarnation = record.and_then(|it| it.incarnation),
+                    acknowledged = record.map(|it| it.acknowledged),
                     "run is gone without an end"
                 );
                 self.vacate(key, now);
--- a/crates/graph/src/order.rs
+++ b/crates/graph/src/order.rs
@@ -69,6 +69,8 @@
 /// What a worker lists.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerListed {
+    /// The life of the worker that answers, where the platform tells lives apart.
+    pub incarnation: Option<ids::Incarnation>,
     /// Its clock.
     pub clock_ms: u64,
     /// What runs.
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -28,6 +28,8 @@
     pub rack: ids::RackName,
     /// Whether it is about to leave, and the least time that it stays.
     pub leaves_in: Option<Duration>,
+    /// The life of the worker that says so, where the platform tells lives apart.
+    pub incarnation: Option<ids::Incarnation>,
 }
 
 /// A worker and what is known to be on it.
@@ -45,6 +47,8 @@
     pub fenced: bool,
     /// Whether tasks of an earlier tenure may be on it.
     pub inherited: bool,
+    /// The life of it that answered last, where the platform tells lives apart.
+    pub incarnation: Option<ids::Incarnation>,
     /// Its clock and lease.
     pub clock: lease_clock::LeaseClock,
     /// When it last answered anything.
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -142,6 +142,7 @@
         sent_at: Duration,
     ) {
         let listed = order::WorkerListed {
+            incarnation: None,
             clock_ms: self.clock_ms(),
             running: running.to_vec(),
             ended: ended.to_vec(),
@@ -173,6 +174,7 @@
         labels: vec!["a".to_owned(), rack.clone()],
         rack,
         leaves_in: None,
+        incarnation: None,
     }
 }
 
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -106,6 +106,7 @@
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
             leaves_in: text.ends_with('-').then_some(Duration::from_secs(2)),
+            incarnation: None,
         })
     }
 }
--- a/crates/schema/src/ids.rs
+++ b/crates/schema/src/ids.rs
@@ -24,6 +24,8 @@
 pub type HallName = String;
 /// Key by which a caller marks a request that must run at most once; a UUIDv7.
 pub type IdempotencyKey = Uuid;
+/// When a life of a worker began, in Unix milliseconds: a worker that starts again may keep its id.
+pub type Incarnation = u64;
 /// Name of one process of ours, new at each start.
 pub type InstanceId = String;
 /// Id of a job; a UUIDv7.
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -231,6 +231,7 @@
             percent: percent(run),
         });
         order::WorkerListed {
+            incarnation: None,
             clock_ms: self.clock_ms(),
             running: running.collect(),
             ended: self.ends.clone(),
