--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -3,6 +3,7 @@
 mod calm;
 mod entries;
 mod outages;
+mod restarts;
 mod rows;
 mod storms;
 mod strengths;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -65,8 +65,8 @@
     }
 }
 
-/// A document is the number of its version; a worker's row is its rack, with a `-` behind it once
-/// the worker leaves.
+/// A document is the number of its version; a worker's row is its rack and its incarnation, with a
+/// `-` behind them once the worker leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchReader;
 
@@ -98,7 +98,8 @@
     fn worker(&self, value: &[u8]) -> Result<worker::WorkerListing, worker_entry::EntryFault> {
         let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
         let text = std::str::from_utf8(value).map_err(form)?;
-        let rack = text.trim_end_matches('-').to_owned();
+        let (rack, incarnation) = text.trim_end_matches('-').split_once('@').unwrap_or((text, ""));
+        let rack = rack.to_owned();
         Ok(worker::WorkerListing {
             address: "worker".to_owned(),
             upstream: UPSTREAM.to_owned(),
@@ -106,7 +107,7 @@
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
             leaves_in: text.ends_with('-').then_some(Duration::from_secs(2)),
-            incarnation: None,
+            incarnation: incarnation.parse().ok(),
         })
     }
 }
@@ -221,16 +222,29 @@
         self.write(&format!("workers//{}", worker_id(index)), b"\xff\xfe").await;
     }
 
+    /// A worker dies, and starts again under the id that it had. Its entry tells of it at its next
+    /// heartbeat only, which the test plays by `write_entry`.
+    pub(crate) async fn restart_worker(&self, index: usize, down: Duration) {
+        let id = worker_id(index);
+        let capacity = self.fleet.crash(&id).expect("a worker");
+        time::sleep(down).await;
+        self.fleet.add(&id, capacity);
+    }
+
     /// A worker writes its entry anew.
     pub(crate) async fn write_entry(&self, index: usize) {
-        let id = worker_id(index);
-        self.write(&format!("workers//{id}"), format!("r{}", index / 8).as_bytes()).await;
+        self.write(&format!("workers//{}", worker_id(index)), self.entry(index).as_bytes()).await;
     }
 
     /// The worker says that it leaves.
     pub(crate) async fn drain_worker(&self, index: usize) {
-        let id = worker_id(index);
-        self.write(&format!("workers//{id}"), format!("r{}-", index / 8).as_bytes()).await;
+        let entry = format!("{}-", self.entry(index));
+        self.write(&format!("workers//{}", worker_id(index)), entry.as_bytes()).await;
+    }
+
+    fn entry(&self, index: usize) -> String {
+        let incarnation = self.fleet.incarnation(&worker_id(index)).unwrap_or_default();
+        format!("r{}@{incarnation}", index / 8)
     }
 
     pub(crate) async fn remove(&self, key: &str) {
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -25,6 +25,9 @@
 /// An order without an answer fails after this.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What the calendar shows when the runtime's clock begins, in Unix milliseconds: any day will do.
+const EPOCH_MS: u64 = 1_800_000_000_000;
+
 /// How often a look that waits for an end looks again.
 const HOLD_TICK: Duration = Duration::from_millis(20);
 
@@ -36,14 +39,27 @@
     path: fault::FaultPlan,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct FleetState {
+    began: Instant,
     workers: BTreeMap<ids::WorkerId, pool_worker::PoolWorker>,
     plans: BTreeMap<ids::WorkerId, fault::FaultPlan>,
     task_room: room::Room,
     lost: Vec<pool_worker::RunRecord>,
 }
 
+impl Default for FleetState {
+    fn default() -> FleetState {
+        FleetState {
+            began: Instant::now(),
+            workers: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            task_room: room::Room::default(),
+            lost: Vec::new(),
+        }
+    }
+}
+
 impl PoolFleet {
     /// No workers; tasks take `task_room` each.
     pub fn new(task_room: room::Room) -> PoolFleet {
@@ -57,16 +73,23 @@
         PoolFleet { path, ..self.clone() }
     }
 
-    /// A new worker.
+    /// A new worker, or a new life of one that has died.
     pub fn add(&self, worker: &str, capacity: room::Room) {
-        let fresh = pool_worker::PoolWorker::new(worker, capacity);
-        state::lock(&self.state).workers.insert(worker.to_owned(), fresh);
+        let mut state = state::lock(&self.state);
+        let incarnation = EPOCH_MS + state.began.elapsed().as_millis() as u64;
+        let fresh = pool_worker::PoolWorker::new(worker, incarnation, capacity);
+        state.workers.insert(worker.to_owned(), fresh);
+    }
+
+    /// Which life of a worker there is now.
+    pub fn incarnation(&self, worker: &str) -> Option<ids::Incarnation> {
+        Some(state::lock(&self.state).workers.get(worker)?.incarnation())
     }
 
-    /// The worker dies, and everything on it.
-    pub fn crash(&self, worker: &str) {
+    /// The worker dies, and everything on it. Tells what it offered.
+    pub fn crash(&self, worker: &str) -> Option<room::Room> {
         let mut state = state::lock(&self.state);
-        let Some(mut dead) = state.workers.remove(worker) else { return };
+        let mut dead = state.workers.remove(worker)?;
         dead.pass_time();
         let running = dead.runs().iter().map(|(task, run)| pool_worker::RunRecord {
             task: *task,
@@ -79,7 +102,9 @@
             is_noted: false,
         });
         state.lost.extend(running);
+        let capacity = dead.capacity();
         state.lost.extend(dead.records);
+        Some(capacity)
     }
 
     /// Faults on the way to one worker.
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -61,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct PoolWorker {
     id: ids::WorkerId,
+    incarnation: ids::Incarnation,
     born: Instant,
     capacity: room::Room,
     token: ids::Epoch,
@@ -77,10 +78,11 @@
 }
 
 impl PoolWorker {
-    /// A worker that runs nothing.
-    pub fn new(id: &str, capacity: room::Room) -> PoolWorker {
+    /// A worker that runs nothing and knows nothing of former lives under its id.
+    pub fn new(id: &str, incarnation: ids::Incarnation, capacity: room::Room) -> PoolWorker {
         PoolWorker {
             id: id.to_owned(),
+            incarnation,
             born: Instant::now(),
             capacity,
             token: 0,
@@ -94,6 +96,16 @@
         }
     }
 
+    /// Which life of the worker this is.
+    pub fn incarnation(&self) -> ids::Incarnation {
+        self.incarnation
+    }
+
+    /// What it offers.
+    pub fn capacity(&self) -> room::Room {
+        self.capacity
+    }
+
     /// Its clock.
     pub fn clock_ms(&self) -> u64 {
         self.born.elapsed().as_millis() as u64
@@ -231,7 +243,7 @@
             percent: percent(run),
         });
         order::WorkerListed {
-            incarnation: None,
+            incarnation: Some(self.incarnation),
             clock_ms: self.clock_ms(),
             running: running.collect(),
             ended: self.ends.clone(),
