Keep what is known of a worker by its life, not by its id alone

Callers saw tasks that had ended well run again, and jobs whose next step never began. Cause: a worker may start again under the id that it had, with ends numbered from 1 and a new clock. What was kept by id outlived the life: ends up to the highest number of the former life were passed over as known, and acknowledged by the next look, so that the worker forgot them; the run was then gone without an end and the task started again.

Change, in the design: a record of a worker belongs to one life. Its incarnation tells lives apart, and where none is told, a clock that shows less than it must (a steady clock that is 2% slow at most). A later life begins with a record of its own. While a call to the worker has had no answer, ends are not acknowledged and no task starts there: the wrong acknowledgement cannot be taken back. Orders name the life that they are meant for, and do not leave, nor do their answers count, for another; a stop answered by a former life is asked again. The same cause elsewhere: the lease by a former clock (minutes too long), leaving that a former life had announced, kind and size of a former life, an address in the roster that is out of date, another worker at an address that was left.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -27,7 +27,7 @@
     ) {
         match answer {
             order::StartAnswer::Started { clock_ms } => {
-                self.heard(&start.worker, clock_ms, now);
+                self.start_heard(start, clock_ms, now);
                 self.start_confirmed(start, now);
             }
             order::StartAnswer::Refused(refusal) => self.start_refused(start, refusal, now),
@@ -43,15 +43,20 @@
                     && run.phase == job::RunPhase::Ordered
                 {
                     run.phase = job::RunPhase::Unclear { since: now };
-                    self.order_look(&start.worker);
                 }
             }
-            order::StartAnswer::Replaced => self.worker_replaced(&start.worker, now),
+            order::StartAnswer::Replaced => {
+                self.worker_replaced(&start.worker, &start.address, now);
+            }
         }
     }
 
     /// Takes in whether a worker has answered a stop.
     pub fn stop_answered(&mut self, stop: &order::StopOrder, acked: bool, now: Duration) {
+        // What a life that is over has answered bars nothing in the one that is there now.
+        if !self.is_generation(&stop.worker, stop.generation) {
+            return;
+        }
         if !acked {
             self.missed(&stop.worker);
             return;
@@ -144,17 +149,35 @@
         }
     }
 
-    fn missed(&mut self, worker: &ids::WorkerId) {
+    /// Nobody knows whether the worker is still in the life that is known: it has to answer a look
+    /// before it gets new tasks, and before ends are acknowledged.
+    pub(crate) fn missed(&mut self, worker: &ids::WorkerId) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.n_missed += 1;
+            self.order_look(worker);
+        }
+    }
+
+    /// Takes in the clock of a worker that has answered a start. A start may reach a later life before
+    /// any look has: its clock would be taken for that of the known one.
+    fn start_heard(&mut self, start: &order::StartOrder, clock_ms: u64, now: Duration) {
+        let run = self.run(start.task).filter(|it| it.attempt == start.attempt);
+        let Some(sent_at) = run.map(|it| it.since) else { return };
+        let Some(record) = self.workers.get(&start.worker) else { return };
+        if record.generation != start.generation {
+            return;
+        }
+        if record.clock.is_behind(clock_ms, sent_at) {
+            self.missed(&start.worker);
+            return;
         }
+        self.heard(&start.worker, clock_ms, now);
     }
 
     pub(crate) fn heard(&mut self, worker: &ids::WorkerId, clock_ms: u64, now: Duration) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.clock.observe(now, clock_ms);
             record.answered_at = now;
-            record.n_missed = 0;
         }
     }
 
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -230,9 +230,11 @@
     ) {
         let Some(record) = self.workers.get(&worker) else { return };
         let address = record.listing.address.clone();
+        let generation = record.generation;
         self.orders.push(order::PoolOrder::Stop(order::StopOrder {
             worker,
             address,
+            generation,
             task,
             attempt,
         }));
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -156,6 +156,7 @@
             it.listed
                 && self.roster.is_saved(id)
                 && it.fenced
+                && it.is_listed_life()
                 && it.leaves_at.is_none()
                 && it.n_missed == 0
                 && now < it.answered_at + ANSWERED_WITHIN
@@ -284,6 +285,7 @@
         self.orders.push(order::PoolOrder::Start(order::StartOrder {
             worker,
             address: record.listing.address.clone(),
+            generation: record.generation,
             task: key,
             attempt,
             body,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -89,6 +89,8 @@
         now: Duration,
     ) {
         let record = self.workers.entry(worker.clone()).or_default();
+        let is_other_life = record.listing.incarnation != listing.incarnation;
+        let is_moved = !record.listing.is_found_like(&listing);
         if !record.listed {
             tracing::info!(
                 worker,
@@ -99,18 +101,29 @@
             );
         }
         record.listed = true;
-        if let (Some(left), None) = (listing.leaves_in, record.leaves_at) {
-            tracing::info!(worker, left_ms = left.as_millis() as u64, "worker is leaving");
-            record.leaves_at = Some(now + left);
-        }
+        // What a former life has said of leaving does not hold for this one.
+        let leaves_at = record.leaves_at.filter(|_| !is_other_life);
+        record.leaves_at = listing.leaves_in.map(|left| {
+            leaves_at.unwrap_or_else(|| {
+                tracing::info!(worker, left_ms = left.as_millis() as u64, "worker is leaving");
+                now + left
+            })
+        });
         record.place = Arc::new(berth::BerthPlace {
-            worker,
+            worker: worker.clone(),
             upstream: listing.upstream.clone(),
             rack: listing.rack.clone(),
             labels: listing.labels.clone(),
             capacity: listing.capacity,
         });
         record.listing = listing;
+        if is_other_life && !record.is_listed_life() {
+            // The list has learned of another life first.
+            self.missed(&worker);
+        }
+        if is_moved {
+            self.refresh_roster(&worker);
+        }
     }
 
     /// Takes in a worker to which an earlier scheduler may have given orders, as it stands on a page of
@@ -119,11 +132,13 @@
         for page in self.roster.inherit(&entry.worker, page) {
             self.unsaved.touch(save_queue::SaveKey::Roster { page });
         }
-        let record = self.workers.entry(entry.worker).or_default();
+        let record = self.workers.entry(entry.worker.clone()).or_default();
         record.inherited = true;
         if !record.listed {
             record.listing.address = entry.address;
             record.listing.upstream = entry.upstream;
+        } else if !record.listing.is_found_as(&entry) {
+            self.refresh_roster(&entry.worker);
         }
     }
 
@@ -138,9 +153,19 @@
         }
     }
 
-    /// Another life of the worker answers, so that everything on the earlier one is over.
-    pub fn worker_replaced(&mut self, worker: &ids::WorkerId, now: Duration) {
+    /// Another worker answers at `address`, so that everything on this one is over; but not where the
+    /// list has it elsewhere by now.
+    pub fn worker_replaced(
+        &mut self,
+        worker: &ids::WorkerId,
+        address: &ids::PeerAddress,
+        now: Duration,
+    ) {
         let Some(record) = self.workers.get(worker) else { return };
+        if record.listing.address != *address {
+            self.missed(worker);
+            return;
+        }
         tracing::info!(worker, n_runs = record.runs.len(), "worker is over");
         for key in record.runs.clone() {
             self.vacate(key, now);
--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -5,6 +5,9 @@
 /// A worker's steady clock runs at least this fast against ours; the platform says up to 2% slow.
 const SLOWEST_RATE: f64 = 0.98;
 
+/// A reading is in whole milliseconds, and so is each of the two that are compared.
+const ROUNDING_MS: u64 = 2;
+
 /// What is known of a worker's clock and of the lease that covers everything on it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseClock {
@@ -26,6 +29,16 @@
         }
     }
 
+    /// Whether a reading, in an answer to a call sent at `sent_at`, is less than this clock must show
+    /// by then: it is that of another life of the worker, and this clock is gone.
+    pub fn is_behind(&self, clock_ms: u64, sent_at: Duration) -> bool {
+        let Some(sample) = self.sample else { return false };
+        // A call sent before the sample was taken may have been answered before it, too.
+        let Some(elapsed) = sent_at.checked_sub(sample.received_at) else { return false };
+        let least = sample.clock_ms + millis(elapsed.mul_f64(SLOWEST_RATE));
+        clock_ms + ROUNDING_MS < least
+    }
+
     /// What the worker's clock shows at `now`, as far as it is known.
     pub fn reading(&self, now: Duration) -> Option<Duration> {
         let sample = self.sample?;
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -37,5 +37,6 @@
 mod ends;
 mod hanging;
 mod listing;
+mod restarts;
 mod slowness;
 mod upkeep;
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -10,6 +10,7 @@
 use crate::job;
 use crate::order;
 use crate::pace;
+use crate::restarts;
 use crate::task_key;
 use crate::worker;
 
@@ -39,7 +40,9 @@
         let busy_wait = (busy_wait * n_workers.max(FEW_WORKERS) / FEW_WORKERS).min(IDLE_WAIT);
         let record = self.workers.get_mut(worker)?;
         // To a worker that does not answer no new deadline is sent: it would move the moment
-        // on from which its tasks have surely lapsed.
+        // on from which its tasks have surely lapsed. Nor is an end acknowledged: it may have started
+        // again, and would forget ends of its new life that have the same numbers, unseen. One sees
+        // it by tasks that are done, by the worker's word, and start once more.
         let answers = record.n_missed == 0 && record.fenced;
         let deadline_ms = if answers { record.clock.deadline_in(now, lease) } else { None };
         let has_runs = !record.runs.is_empty() || !record.strays.is_empty();
@@ -50,8 +53,9 @@
             (true, true) => busy_wait,
             (true, false) => IDLE_WAIT,
         };
+        let last_seen = if answers { record.acknowledged } else { 0 };
         let address = record.listing.address.clone();
-        Some(order::HoldAsk { address, deadline_ms, last_seen: record.acknowledged, wait })
+        Some(order::HoldAsk { address, deadline_ms, last_seen, wait })
     }
 
     fn has_urgent(&self, worker: &ids::WorkerId) -> bool {
@@ -83,27 +87,26 @@
         sent_at: Duration,
         now: Duration,
     ) {
-        let Some(record) = self.workers.get_mut(worker) else { return };
+        let Some(record) = self.workers.get(worker) else { return };
+        let life = record.life_of(&listed, sent_at);
+        if life == restarts::AnswerLife::Former {
+            tracing::debug!(worker, "an answer of a former life is passed over");
+            return;
+        }
         if record.n_missed > 1 {
             tracing::info!(worker, n_missed = record.n_missed, "worker answers again");
         }
-        if listed.incarnation != record.incarnation {
-            tracing::info!(
-                worker,
-                incarnation = listed.incarnation,
-                former = record.incarnation,
-                clock_ms = listed.clock_ms,
-                seen = record.seen,
-                acknowledged = record.acknowledged,
-                "worker answers in another life"
-            );
-            record.incarnation = listed.incarnation;
+        if life == restarts::AnswerLife::Later {
+            self.worker_restarted(worker, &listed, now);
         }
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        record.incarnation = listed.incarnation.or(record.incarnation);
+        record.n_missed = 0;
         let is_first = !record.fenced;
         record.fenced = true;
         self.heard(worker, listed.clock_ms, now);
         if is_first {
-            self.adopt_lease(worker);
+            self.adopt_lease(worker, life);
         }
         for end in listed.ended {
             self.take_end_in_order(worker, end, now);
@@ -120,9 +123,13 @@
         self.judge_pace(worker, now);
     }
 
-    /// An earlier scheduler may have extended the lease just before.
-    fn adopt_lease(&mut self, worker: &ids::WorkerId) {
-        let lease = self.terms.lease;
+    /// An earlier scheduler may have extended the lease just before; and a life that was not known yet
+    /// may have been given a deadline by the clock of the former one.
+    fn adopt_lease(&mut self, worker: &ids::WorkerId, life: restarts::AnswerLife) {
+        let lease = match life {
+            restarts::AnswerLife::Later => self.terms.longest_lease,
+            _ => self.terms.lease,
+        };
         if let Some(record) = self.workers.get_mut(worker) {
             record.clock.assume_deadline(lease);
         }
--- a/crates/graph/src/order.rs
+++ b/crates/graph/src/order.rs
@@ -28,6 +28,8 @@
     pub worker: ids::WorkerId,
     /// Its control address.
     pub address: ids::PeerAddress,
+    /// The life of the worker that is meant, as the scheduler counts.
+    pub generation: u32,
     /// The task.
     pub task: task_key::TaskKey,
     /// Number of the attempt.
@@ -47,6 +49,8 @@
     pub worker: ids::WorkerId,
     /// Its control address.
     pub address: ids::PeerAddress,
+    /// The life of the worker that is meant, as the scheduler counts.
+    pub generation: u32,
     /// The task.
     pub task: task_key::TaskKey,
     /// The attempt.
--- /dev/null
+++ b/crates/graph/src/restarts.rs
@@ -0,0 +1,121 @@
+//! Workers that start again under the id that they had.
+//!
+//! Ends are numbered from 1 in each life of a worker, its clock starts anew, and it has seen no token.
+//! What is kept of one life and used for the next does harm in silence: ends are passed over as known
+//! and acknowledged unseen, so that work that is done runs again; leases are reckoned by a clock that
+//! is gone. So whatever is kept belongs to a life, and goes with it.
+
+use std::time::Duration;
+
+use almondpass_schema::ids;
+
+use crate::core;
+use crate::job;
+use crate::order;
+use crate::worker;
+
+/// In which life a worker has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerLife {
+    /// In the one that is known.
+    Known,
+    /// In one that is over; the answer was overtaken by one of the known life.
+    Former,
+    /// In a later one.
+    Later,
+}
+
+impl worker::WorkerRecord {
+    /// In which life the worker gave an answer to a look sent at `sent_at`.
+    pub(crate) fn life_of(&self, listed: &order::WorkerListed, sent_at: Duration) -> AnswerLife {
+        let (Some(told), Some(known)) = (listed.incarnation, self.incarnation) else {
+            // Where lives are not told apart, the clock tells: within one it never falls behind.
+            let is_behind = self.clock.is_behind(listed.clock_ms, sent_at);
+            return if is_behind { AnswerLife::Later } else { AnswerLife::Known };
+        };
+        if told == known {
+            return AnswerLife::Known;
+        }
+        // Not by which number is higher: the clock of the day may be set back between two lives.
+        if sent_at < self.life_since { AnswerLife::Former } else { AnswerLife::Later }
+    }
+
+    /// Whether the list speaks of the life that answers. A later one may be of another kind and size,
+    /// so that until its own entry is read no task is known to fit there.
+    pub(crate) fn is_listed_life(&self) -> bool {
+        let (listed, answers) = (self.listing.incarnation, self.incarnation);
+        listed.is_none() || answers.is_none() || listed == answers
+    }
+
+    /// The record of a later life, of which nothing is known but the list's entry. The runs stay until
+    /// it is settled for each that it does not take effect in the later life.
+    fn renewed(&mut self, incarnation: Option<ids::Incarnation>, now: Duration) -> Self {
+        let is_of_entry = self.listing.incarnation == incarnation;
+        worker::WorkerRecord {
+            listing: std::mem::take(&mut self.listing),
+            place: std::mem::take(&mut self.place),
+            listed: self.listed,
+            leaves_at: self.leaves_at.filter(|_| is_of_entry),
+            generation: self.generation + 1,
+            incarnation,
+            life_since: now,
+            runs: std::mem::take(&mut self.runs),
+            used: self.used,
+            ..worker::WorkerRecord::default()
+        }
+    }
+}
+
+impl core::PoolCore {
+    /// Forgets what belonged to the former life of a worker that answers in a later one.
+    pub(crate) fn worker_restarted(
+        &mut self,
+        worker: &ids::WorkerId,
+        listed: &order::WorkerListed,
+        now: Duration,
+    ) {
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        tracing::info!(
+            worker,
+            incarnation = listed.incarnation,
+            former = record.incarnation,
+            clock_ms = listed.clock_ms,
+            acknowledged = record.acknowledged,
+            n_runs = record.runs.len(),
+            "worker has started again"
+        );
+        *record = record.renewed(listed.incarnation, now);
+        self.repeat_stops_in_later_life(worker, now);
+    }
+
+    /// A stop that the former life has answered bars nothing in the later one, where a start without
+    /// answer may still take effect.
+    fn repeat_stops_in_later_life(&mut self, worker: &ids::WorkerId, now: Duration) {
+        let Some(record) = self.workers.get(worker) else { return };
+        for key in record.runs.clone() {
+            let task = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key));
+            let Some(run) = task.and_then(|it| it.run.as_mut()) else { continue };
+            if run.phase.is_stopping() {
+                run.phase = job::RunPhase::Stopping { asked_at: now, acked_at: None };
+                let attempt = run.attempt;
+                self.order_stop(worker.clone(), key, attempt);
+            }
+        }
+    }
+
+    /// Whether an order was given to a life of its worker that is over. It must not leave any more: a
+    /// start would be carried out by the later life, while its task may run elsewhere.
+    pub fn is_outdated(&self, order: &order::PoolOrder) -> bool {
+        let (worker, generation) = match order {
+            order::PoolOrder::Start(start) => (&start.worker, start.generation),
+            order::PoolOrder::Stop(stop) => (&stop.worker, stop.generation),
+            order::PoolOrder::Look { .. } => return false,
+        };
+        !self.is_generation(worker, generation)
+    }
+
+    /// Whether the worker is in that life of it.
+    pub(crate) fn is_generation(&self, worker: &ids::WorkerId, generation: u32) -> bool {
+        self.workers.get(worker).is_some_and(|it| it.generation == generation)
+    }
+}
--- a/crates/graph/src/roster.rs
+++ b/crates/graph/src/roster.rs
@@ -52,6 +52,16 @@
         page
     }
 
+    /// Notes that what its page says of a worker is out of date. Tells which page has to be written,
+    /// where the worker has a place.
+    pub fn refresh(&mut self, worker: &ids::WorkerId) -> Option<u32> {
+        let page = self.page_of.get(worker).copied()?;
+        if let Some(saved) = self.saved.get_mut(&page) {
+            saved.remove(worker);
+        }
+        Some(page)
+    }
+
     /// Takes a worker off its page. Tells which page has to be written.
     pub fn remove(&mut self, worker: &ids::WorkerId) -> Option<u32> {
         let page = self.page_of.remove(worker)?;
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -124,7 +124,13 @@
                     SaveContent::Roster(roster) => roster.workers,
                     _ => Vec::new(),
                 };
-                self.roster.saved(page, workers.into_iter().map(|it| it.worker));
+                // One that has moved since is not found by what the row says.
+                let is_found = |entry: &model::RosterEntry| {
+                    let record = self.workers.get(&entry.worker);
+                    record.is_none_or(|it| it.listing.is_found_as(entry))
+                };
+                let found = workers.into_iter().filter(is_found).map(|it| it.worker);
+                self.roster.saved(page, found);
             }
             (
                 save_queue::SaveKey::Progress { graph, chunk: progress::HEAD_CHUNK },
@@ -166,6 +172,14 @@
         }
     }
 
+    /// Has the roster's page with a worker written anew, as the worker answers elsewhere: a successor
+    /// would look for it where it was.
+    pub(crate) fn refresh_roster(&mut self, worker: &ids::WorkerId) {
+        if let Some(page) = self.roster.refresh(worker) {
+            self.unsaved.touch(save_queue::SaveKey::Roster { page });
+        }
+    }
+
     /// Brings the roster up to date. A successor waits for each worker that it names, so that none may
     /// stay that has left: for that the successor would wait for as long as a lease lasts.
     pub(crate) fn review_roster(&mut self) {
--- a/crates/graph/src/terms.rs
+++ b/crates/graph/src/terms.rs
@@ -6,6 +6,9 @@
 /// name; every second more delays what ran on a worker that is lost for good.
 const LONGEST_LEASE: Duration = Duration::from_millis(6_500);
 
+/// What workers grant where the platform does not say it: the most that the users' platform does.
+const LONGEST_GRANTED: Duration = Duration::from_secs(10);
+
 /// Kept below the longest lease that workers grant, since a longer one is shortened unheard.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -18,6 +21,9 @@
 pub struct PoolTerms {
     /// How long tasks go on without a word from the scheduler.
     pub lease: Duration,
+    /// Longest lease that a worker grants, whatever deadline it is given: by the clock of a former
+    /// life one may lie far off.
+    pub longest_lease: Duration,
     /// A start that reaches its worker later than this is refused there as late. Bounds how long
     /// an unanswered order can still take effect.
     pub start_term: Duration,
@@ -42,6 +48,7 @@
     fn default() -> PoolTerms {
         PoolTerms {
             lease: LONGEST_LEASE,
+            longest_lease: LONGEST_GRANTED,
             start_term: Duration::from_millis(2_500),
             stop_timeout: Duration::from_millis(400),
             reclaim: Duration::from_millis(2_900),
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 
 use crate::berth;
 use crate::health;
@@ -32,6 +32,18 @@
     pub incarnation: Option<ids::Incarnation>,
 }
 
+impl WorkerListing {
+    /// Whether the roster tells the same of both.
+    pub fn is_found_like(&self, other: &WorkerListing) -> bool {
+        self.address == other.address && self.upstream == other.upstream
+    }
+
+    /// Whether the roster's entry tells the same.
+    pub fn is_found_as(&self, entry: &model::RosterEntry) -> bool {
+        self.address == entry.address && self.upstream == entry.upstream
+    }
+}
+
 /// A worker and what is known to be on it.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerRecord {
@@ -47,13 +59,19 @@
     pub fenced: bool,
     /// Whether tasks of an earlier tenure may be on it.
     pub inherited: bool,
-    /// The life of it that answered last, where the platform tells lives apart.
+    /// The life of it that is known, where the platform tells lives apart. All that follows belongs
+    /// to it.
     pub incarnation: Option<ids::Incarnation>,
+    /// Number of that life among those seen here. Orders name it.
+    pub generation: u32,
+    /// When that life was found.
+    pub life_since: Duration,
     /// Its clock and lease.
     pub clock: lease_clock::LeaseClock,
     /// When it last answered anything.
     pub answered_at: Duration,
-    /// Exchanges without an answer since.
+    /// Exchanges without an answer since it last answered a look. While there are any, nobody knows
+    /// whether the worker has started again.
     pub n_missed: u32,
     /// Highest end that was taken in.
     pub seen: u64,
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod loads;
 mod objectives;
 mod reservations;
+mod restarts;
 mod rosters;
 mod schedules;
 mod slowness;
--- /dev/null
+++ b/crates/graph/tests/pool/restarts.rs
@@ -0,0 +1,248 @@
+//! Workers that start again under the id that they had: nothing kept of one life is used for the next.
+
+use std::time::Duration;
+
+use almondpass_graph::{order, worker};
+use almondpass_schema::ids;
+
+use crate::support;
+
+/// Two lives of a worker. The second has the lower number: its clock of the day was set back.
+const FIRST: ids::Incarnation = 1_800_000_000_500;
+const SECOND: ids::Incarnation = 1_800_000_000_000;
+
+/// What a worker says in a life that began at `began`.
+fn says(
+    bench: &support::PoolBench,
+    incarnation: Option<ids::Incarnation>,
+    began: Duration,
+    running: &[order::ListedRun],
+    ended: &[order::ListedEnd],
+) -> order::WorkerListed {
+    order::WorkerListed {
+        incarnation,
+        clock_ms: (bench.now - began).as_millis() as u64,
+        running: running.to_vec(),
+        ended: ended.to_vec(),
+        complete: true,
+    }
+}
+
+fn entry(index: usize, incarnation: ids::Incarnation) -> worker::WorkerListing {
+    worker::WorkerListing { incarnation: Some(incarnation), ..support::listing(index) }
+}
+
+/// One worker in its first life, whose clock shows 1,000 s.
+fn bench_of_one() -> support::PoolBench {
+    let mut bench = support::PoolBench::unanswered(1, Duration::ZERO);
+    bench.core.learn_worker(support::worker_id(0), entry(0, FIRST), bench.now);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    bench.save();
+    bench
+}
+
+fn answers(
+    bench: &mut support::PoolBench,
+    incarnation: Option<ids::Incarnation>,
+    began: Duration,
+    running: &[order::ListedRun],
+    ended: &[order::ListedEnd],
+) {
+    let listed = says(bench, incarnation, began, running, ended);
+    bench.core.hold_answered(&support::worker_id(0), listed, bench.now, bench.now);
+}
+
+/// The worker answers in a second life that has just begun.
+fn answers_fresh(bench: &mut support::PoolBench) {
+    let now = bench.now;
+    answers(bench, Some(SECOND), now, &[], &[]);
+}
+
+fn last_seen(bench: &mut support::PoolBench) -> u64 {
+    bench.core.hold_ask(&support::worker_id(0), bench.now).unwrap().last_seen
+}
+
+/// The worker ends the task of job 1 in its first life, and that is acknowledged; then it starts
+/// again, a moment ago.
+fn bench_after_restart(second: Option<ids::Incarnation>) -> support::PoolBench {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.pass(500);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
+    bench.save();
+    assert_eq!(last_seen(&mut bench), 1);
+    bench.pass(600);
+    bench.core.hold_missed(&support::worker_id(0));
+    bench.pass(250);
+    let began = bench.now;
+    bench.pass(100);
+    answers(&mut bench, second, began, &[], &[]);
+    bench
+}
+
+/// An acknowledgement that reaches a new life before any of its ends were seen makes it forget them.
+#[test]
+fn no_end_is_acknowledged_while_the_life_is_in_doubt() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
+    bench.save();
+    assert_eq!(last_seen(&mut bench), 1);
+    bench.core.hold_missed(&support::worker_id(0));
+    assert_eq!(last_seen(&mut bench), 0);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    assert_eq!(last_seen(&mut bench), 1);
+}
+
+/// Ends of the new life count from 1, whether the platform tells lives apart or not.
+fn check_first_end_of_a_later_life(second: Option<ids::Incarnation>) {
+    let mut bench = bench_after_restart(second);
+    if let Some(second) = second {
+        bench.core.learn_worker(support::worker_id(0), entry(0, second), bench.now);
+    }
+    assert_eq!(last_seen(&mut bench), 0);
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    assert!(start.deadline_ms < 10_000, "a deadline by the former clock: {}", start.deadline_ms);
+    bench.pass(500);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    let began = bench.now - Duration::from_millis(600);
+    answers(&mut bench, second, began, &[], &[end]);
+    bench.save();
+    assert_eq!(bench.core.backlog("class-1"), 0);
+    assert!(!bench.core.is_busy());
+    assert_eq!(last_seen(&mut bench), 1);
+}
+
+#[test]
+fn the_first_end_of_a_later_life_is_taken_in() {
+    check_first_end_of_a_later_life(Some(SECOND));
+}
+
+#[test]
+fn the_first_end_of_a_later_life_is_taken_in_where_lives_are_not_told() {
+    check_first_end_of_a_later_life(None);
+}
+
+/// A later life may be of another kind and size: until its entry is read, nothing is known to fit.
+#[test]
+fn a_later_life_gets_no_tasks_before_its_entry_is_read() {
+    let mut bench = bench_after_restart(Some(SECOND));
+    bench.admit(2, support::job(1, support::whole_workers(1)));
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.core.learn_worker(support::worker_id(0), entry(0, SECOND), bench.now);
+    assert_eq!(support::starts(&bench.turn()).len(), 1);
+}
+
+/// Where the list tells first of a later life, the worker has to answer before it gets tasks.
+#[test]
+fn an_entry_of_a_later_life_puts_the_known_one_in_doubt() {
+    let mut bench = bench_of_one();
+    bench.core.learn_worker(support::worker_id(0), entry(0, SECOND), bench.now);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let orders = bench.turn();
+    assert_eq!(support::starts(&orders), []);
+    assert!(orders.iter().any(|it| matches!(it, order::PoolOrder::Look { .. })));
+    answers_fresh(&mut bench);
+    assert_eq!(support::starts(&bench.turn()).len(), 1);
+}
+
+/// What a former life has said of leaving does not keep tasks off the later one.
+#[test]
+fn a_worker_that_was_leaving_gets_tasks_when_it_has_started_again() {
+    let mut bench = bench_of_one();
+    let leaving =
+        worker::WorkerListing { leaves_in: Some(Duration::from_secs(2)), ..entry(0, FIRST) };
+    bench.core.learn_worker(support::worker_id(0), leaving, bench.now);
+    bench.save();
+    bench.pass(3_000);
+    answers_fresh(&mut bench);
+    bench.core.learn_worker(support::worker_id(0), entry(0, SECOND), bench.now);
+    bench.save();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    assert_eq!(support::starts(&bench.turn()).len(), 1);
+}
+
+/// Answers overtake each other: one of the former life says nothing about the later one.
+#[test]
+fn an_answer_of_the_former_life_that_comes_late_is_passed_over() {
+    let mut bench = bench_after_restart(Some(SECOND));
+    bench.core.learn_worker(support::worker_id(0), entry(0, SECOND), bench.now);
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.pass(10);
+    let late = says(&bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    let sent_at = bench.now - Duration::from_secs(1);
+    bench.core.hold_answered(&support::worker_id(0), late, sent_at, bench.now);
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.pass(10);
+    let began = bench.now - Duration::from_millis(120);
+    answers(&mut bench, Some(SECOND), began, &[support::running(&start, 1)], &[]);
+    assert!(bench.core.is_busy());
+}
+
+/// An order that waits to be sent was meant for the life that is over. A start would be carried out
+/// by the later one while its task may run elsewhere.
+#[test]
+fn orders_for_the_former_life_are_outdated() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    let order = order::PoolOrder::Start(start);
+    assert!(!bench.core.is_outdated(&order));
+    bench.pass(100);
+    answers_fresh(&mut bench);
+    assert!(bench.core.is_outdated(&order));
+}
+
+/// A stop bars a start without answer in the life that has answered it, and in no other: the task
+/// starts nowhere else before the later life has answered one too.
+#[test]
+fn a_stop_answered_by_the_former_life_settles_nothing() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
+    bench.pass(10);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    let stop = support::stops(&bench.turn()).remove(0);
+    bench.pass(10);
+    answers_fresh(&mut bench);
+    let again = support::stops(&bench.turn());
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].generation, stop.generation);
+    bench.core.learn_worker(support::worker_id(0), entry(0, SECOND), bench.now);
+
+    bench.core.stop_answered(&stop, true, bench.now);
+    bench.pass(10);
+    let began = bench.now - Duration::from_millis(10);
+    answers(&mut bench, Some(SECOND), began, &[], &[]);
+    assert_eq!(support::starts(&bench.turn()), []);
+
+    bench.core.stop_answered(&again[0], true, bench.now);
+    bench.pass(10);
+    let began = bench.now - Duration::from_millis(20);
+    answers(&mut bench, Some(SECOND), began, &[], &[]);
+    assert_eq!(support::starts(&bench.turn())[0].attempt, 2);
+}
+
+/// A successor looks for a worker where the roster says. One that has started again at another address
+/// gets no tasks before the roster tells of it.
+#[test]
+fn a_worker_that_has_moved_is_named_in_the_roster_first() {
+    let mut bench = bench_after_restart(Some(SECOND));
+    let moved = worker::WorkerListing { address: "127.0.0.1:9999".to_owned(), ..entry(0, SECOND) };
+    bench.core.learn_worker(support::worker_id(0), moved, bench.now);
+    bench.admit(2, support::job(1, support::tasks(1)));
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.save();
+    assert_eq!(support::starts(&bench.turn())[0].address, "127.0.0.1:9999");
+    // Whoever answers at the former address says nothing about it.
+    let former = support::listing(0).address;
+    bench.core.worker_replaced(&support::worker_id(0), &former, bench.now);
+    assert!(bench.core.worker_ids().any(|it| *it == support::worker_id(0)));
+}
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -19,8 +19,9 @@
 ) {
     while let Some(order) = orders.recv().await {
         // Judged right before the order leaves: this process may have stood still since the
-        // decision, and another may have taken over.
-        if lead.may_order(state.site.clock()) {
+        // decision, another may have taken over, and the worker may have started again.
+        let is_outdated = lead.core().is_outdated(&order);
+        if lead.may_order(state.site.clock()) && !is_outdated {
             send(&state, &lead, order).await;
             lead.turn_due.notify_one();
         } else {
@@ -52,7 +53,9 @@
             let mut core = lead.core();
             match answer {
                 Ok(()) => core.stop_answered(&stop, true, now),
-                Err(control::ControlFault::Replaced(_)) => core.worker_replaced(&stop.worker, now),
+                Err(control::ControlFault::Replaced(_)) => {
+                    core.worker_replaced(&stop.worker, &stop.address, now);
+                }
                 Err(control::ControlFault::Fenced) => core.fenced_off(&stop.worker),
                 Err(control::ControlFault::Call(error)) => {
                     tracing::debug!(worker = stop.worker, %error, "stop without answer");
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -96,9 +96,9 @@
             LookOutcome::Answered
         }
         Err(control::ControlFault::Replaced(_)) => {
-            core.worker_replaced(worker, now);
+            core.worker_replaced(worker, &ask.address, now);
             lead.turn_due.notify_one();
-            LookOutcome::Over
+            LookOutcome::Missed
         }
         Err(control::ControlFault::Fenced) => {
             core.fenced_off(worker);
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -39,12 +39,37 @@
     chained: BTreeSet<ids::GraphId>,
 }
 
-#[test]
-fn storms() {
+/// What comes on top of the other faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StormKind {
+    /// Nothing.
+    Plain,
+    /// Workers start again under their ids, and tell in which life they are.
+    Restarts,
+    /// The same, and they don't tell.
+    UntoldRestarts,
+}
+
+macro_rules! storms {
+    ($($(#[$doc:meta])* $name:ident: $kind:ident;)*) => {
+        $($(#[$doc])* #[test]
+        fn $name() {
+            play(StormKind::$kind);
+        })*
+    };
+}
+
+storms! {
+    storms: Plain;
+    storms_of_workers_that_start_again: Restarts;
+    storms_of_workers_that_start_again_untold: UntoldRestarts;
+}
+
+fn play(kind: StormKind) {
     let first = number("POOL_STORM_SEED", 0);
     for seed in first..first + number("POOL_STORM_CASES", 8) {
-        println!("storm {seed}");
-        support::run(storm(seed));
+        println!("storm {seed}, {kind:?}");
+        support::run(storm(seed, kind));
     }
 }
 
@@ -52,11 +77,21 @@
     std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
 }
 
-async fn storm(seed: u64) {
+async fn storm(seed: u64, kind: StormKind) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut bench = support::PoolBench::start(N_INSTANCES, N_WORKERS).await;
+    if kind == StormKind::UntoldRestarts {
+        bench.fleet.hide_lives();
+        for worker in 0..N_WORKERS {
+            bench.restart_worker(worker, Duration::ZERO).await;
+            bench.write_entry(worker).await;
+        }
+    }
     let mut ledger = StormLedger::default();
     for step in 0..N_STEPS {
+        if kind != StormKind::Plain && rng.random_bool(0.2) {
+            restart(&bench, &mut rng).await;
+        }
         if rng.random_bool(0.5) {
             hand_in(&bench, &mut ledger, &mut rng, 1 + step as u64).await;
         } else {
@@ -102,6 +137,12 @@
     }
 }
 
+async fn restart(bench: &support::PoolBench, rng: &mut ChaCha8Rng) {
+    let worker = rng.random_range(0..N_WORKERS);
+    bench.restart_worker(worker, Duration::from_millis(rng.random_range(50..3_000))).await;
+    bench.write_entry_later(worker, Duration::from_millis(rng.random_range(0..1_500)));
+}
+
 async fn strike(bench: &mut support::PoolBench, ledger: &mut StormLedger, rng: &mut ChaCha8Rng) {
     let index = rng.random_range(0..bench.instances.len());
     let condition = match rng.random_range(0..4) {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -25,6 +25,9 @@
 /// Thousandths of a core of an instance.
 const STRENGTH_MILLI: u32 = 250;
 
+/// A worker whose entry the store did not take writes it again after this.
+const ENTRY_AGAIN: Duration = Duration::from_millis(200);
+
 /// What each task takes.
 const TASK: room::Room = room::Room { cpu_milli: 4_000, memory_mb: 8_000, accelerators: 1 };
 
@@ -243,8 +246,26 @@
     }
 
     fn entry(&self, index: usize) -> String {
-        let incarnation = self.fleet.incarnation(&worker_id(index)).unwrap_or_default();
-        format!("r{}@{incarnation}", index / 8)
+        entry_of(&self.fleet, index)
+    }
+
+    /// A worker that is up writes its entry within a heartbeat, and again until the store takes it.
+    pub(crate) fn write_entry_later(&self, index: usize, delay: Duration) {
+        let (store, fleet) = (self.store.clone(), self.fleet.clone());
+        let key = format!("workers//{}", worker_id(index));
+        tokio::spawn(async move {
+            time::sleep(delay).await;
+            while fleet.is_up(&worker_id(index)) {
+                let value = blob::Blob::from(entry_of(&fleet, index).into_bytes());
+                let write = model::TableWrite { key: key.clone(), value: Some(value) };
+                let transaction =
+                    model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
+                if store.transact(transaction).await.is_ok() {
+                    return;
+                }
+                time::sleep(ENTRY_AGAIN).await;
+            }
+        });
     }
 
     pub(crate) async fn remove(&self, key: &str) {
@@ -319,6 +340,13 @@
     }
 }
 
+/// The entry of a worker: its rack, and its incarnation where it tells it.
+fn entry_of(fleet: &pool_fleet::PoolFleet, index: usize) -> String {
+    let incarnation = fleet.incarnation(&worker_id(index));
+    let incarnation = incarnation.map(|it| it.to_string()).unwrap_or_default();
+    format!("r{}@{incarnation}", index / 8)
+}
+
 pub(crate) fn worker_id(index: usize) -> ids::WorkerId {
     format!("w{index:02}")
 }
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -46,6 +46,7 @@
     plans: BTreeMap<ids::WorkerId, fault::FaultPlan>,
     task_room: room::Room,
     lost: Vec<pool_worker::RunRecord>,
+    hides_lives: bool,
 }
 
 impl Default for FleetState {
@@ -56,6 +57,7 @@
             plans: BTreeMap::new(),
             task_room: room::Room::default(),
             lost: Vec::new(),
+            hides_lives: false,
         }
     }
 }
@@ -81,9 +83,21 @@
         state.workers.insert(worker.to_owned(), fresh);
     }
 
-    /// Which life of a worker there is now.
+    /// From now on no worker tells in which life it is.
+    pub fn hide_lives(&self) {
+        state::lock(&self.state).hides_lives = true;
+    }
+
+    /// Which life of a worker there is now, if it is up and tells.
     pub fn incarnation(&self, worker: &str) -> Option<ids::Incarnation> {
-        Some(state::lock(&self.state).workers.get(worker)?.incarnation())
+        let state = state::lock(&self.state);
+        let incarnation = state.workers.get(worker)?.incarnation();
+        (!state.hides_lives).then_some(incarnation)
+    }
+
+    /// Whether a worker is up.
+    pub fn is_up(&self, worker: &str) -> bool {
+        state::lock(&self.state).workers.contains_key(worker)
     }
 
     /// The worker dies, and everything on it. Tells what it offered.
@@ -145,10 +159,13 @@
         let plan = self.faults(worker);
         let shared = Arc::clone(&self.state);
         let id = worker.clone();
+        let life = state::lock(&self.state).workers.get(worker).map(|it| it.incarnation());
         let effect = move || {
             let mut state = state::lock(&shared);
             let room = state.task_room;
-            state.workers.get_mut(&id).map(|it| effect(it, room))
+            // A call belongs to the life that it has reached, and ends with its connection.
+            let reached = state.workers.get_mut(&id).filter(|it| Some(it.incarnation()) == life);
+            reached.map(|it| effect(it, room))
         };
         let plans = [&self.path, &plan];
         let passing = fault::pass(&plans, worker, step, effect);
@@ -173,11 +190,13 @@
         ask: &order::HoldAsk,
     ) -> Result<order::WorkerListed, control::ControlFault> {
         let expires = Instant::now() + ask.wait;
+        let hides_lives = state::lock(&self.state).hides_lives;
         loop {
             let ask = ask.clone();
             let is_over = Instant::now() >= expires;
             let look = move |worker: &mut pool_worker::PoolWorker, _| {
-                let listed = worker.hold(token, &ask)?;
+                let mut listed = worker.hold(token, &ask)?;
+                listed.incarnation = listed.incarnation.filter(|_| !hides_lives);
                 Some((is_over || worker.has_ends()).then_some(listed))
             };
             match self.pass(&target.worker, HOLD, ORDER_TIMEOUT, look).await? {
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -11,6 +11,9 @@
 /// A stop takes this long.
 pub const STOP_TIME: Duration = Duration::from_millis(300);
 
+/// Longest lease that a worker grants; a longer one is shortened.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+
 /// What a worker does with a task, as its body says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TaskPlan {
@@ -132,7 +135,7 @@
             return order::StartAnswer::Refused(order::StartRefusal::Late);
         }
         self.note_ends(0);
-        self.deadline_ms = self.deadline_ms.max(start.deadline_ms);
+        self.extend(start.deadline_ms);
         if self.runs.get(&start.task).is_some_and(|it| it.attempt == start.attempt) {
             return order::StartAnswer::Started { clock_ms };
         }
@@ -170,7 +173,7 @@
             return None;
         }
         self.note_ends(ask.last_seen);
-        self.deadline_ms = self.deadline_ms.max(ask.deadline_ms.unwrap_or_default());
+        self.extend(ask.deadline_ms.unwrap_or_default());
         self.ends.retain(|it| it.number > ask.last_seen);
         Some(self.listed())
     }
@@ -229,6 +232,11 @@
         self.n_settled = if has_lapsed { self.n_ends } else { self.n_settled };
     }
 
+    fn extend(&mut self, deadline_ms: u64) {
+        let longest = self.clock_ms() + LONGEST_LEASE.as_millis() as u64;
+        self.deadline_ms = self.deadline_ms.max(deadline_ms.min(longest));
+    }
+
     fn accepts(&mut self, token: ids::Epoch) -> bool {
         let is_accepted = token >= self.token;
         self.token = self.token.max(token);
