Acknowledge ends only to a life that was seen a moment ago

Cause: for 40 s the holder could give no orders, so that no look was sent and none missed; the worker started again meanwhile, and the first look behind the pause acknowledged ends 1 to 17 of the life that was over. Ruled out: a call carried out by a later life (the trace shows the look going out behind the restart).

Change: an answered look is trusted for 0.5 s to tell the life; behind that a look asks only, and the next one may acknowledge. The age counts from when the worker can have answered at the latest, so that a process that stood still with the answer in its socket does not trust it. The log of ends passed over goes: behind a look that asks only they are listed again as a matter of course.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -154,6 +154,7 @@
     pub(crate) fn missed(&mut self, worker: &ids::WorkerId) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.n_missed += 1;
+            record.trust.missed();
             self.order_look(worker);
         }
     }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod intake;
 pub mod job;
 pub mod lease_clock;
+pub mod life_trust;
 pub mod objective;
 pub mod order;
 pub mod pace;
--- /dev/null
+++ b/crates/graph/src/life_trust.rs
@@ -0,0 +1,49 @@
+//! How long a worker is taken to be in the life in which it was found.
+
+use std::time::Duration;
+
+/// A worker that has answered is in the same life for this long. Workers were seen to start again 0.5 s
+/// after they had lost power, at the soonest; before a look to them does harm, a task must have been
+/// started there and have ended, too.
+const TRUSTED_FOR: Duration = Duration::from_millis(500);
+
+/// The same behind a look that acknowledged nothing, so that the next one may, though it comes late: a
+/// scheduler whose looks are always late would never acknowledge anything. Such a look is given up after
+/// 0.5 s, and the ends that it lists are waited for as long to become durable; this is twice the two.
+const TRUSTED_ONCE_FOR: Duration = Duration::from_secs(2);
+
+/// What the last answered look at a worker tells of its life. Without it an acknowledgement reaches a
+/// worker that has started again while nobody looked: no look has failed then.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LifeTrust {
+    until: Duration,
+    /// How long the last look may wait at the worker.
+    wait: Duration,
+    /// Whether the last look may acknowledge ends.
+    acknowledges: bool,
+}
+
+impl LifeTrust {
+    /// Whether a look at `now` may acknowledge ends.
+    pub fn holds(&self, now: Duration) -> bool {
+        now <= self.until
+    }
+
+    /// A look is about to be sent.
+    pub fn asked(&mut self, wait: Duration, acknowledges: bool) {
+        self.wait = wait;
+        self.acknowledges = acknowledges;
+    }
+
+    /// The worker has answered a look sent at `sent_at`.
+    pub fn answered(&mut self, sent_at: Duration, now: Duration) {
+        // The answer may have lain here for as long as this process stood still.
+        let given_at = now.min(sent_at + self.wait);
+        self.until = given_at + if self.acknowledges { TRUSTED_FOR } else { TRUSTED_ONCE_FOR };
+    }
+
+    /// A call had no answer.
+    pub fn missed(&mut self) {
+        *self = LifeTrust::default();
+    }
+}
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -53,7 +53,10 @@
             (true, true) => busy_wait,
             (true, false) => IDLE_WAIT,
         };
-        let last_seen = if answers { record.acknowledged } else { 0 };
+        let may_acknowledge = answers && record.trust.holds(now);
+        let last_seen = if may_acknowledge { record.acknowledged } else { 0 };
+        let wait = if answers && !may_acknowledge { Duration::ZERO } else { wait };
+        record.trust.asked(wait, may_acknowledge);
         let address = record.listing.address.clone();
         Some(order::HoldAsk { address, deadline_ms, last_seen, wait })
     }
@@ -73,6 +76,7 @@
     pub fn hold_missed(&mut self, worker: &ids::WorkerId) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.n_missed += 1;
+            record.trust.missed();
             if record.n_missed == 1 {
                 tracing::info!(worker, n_runs = record.runs.len(), "worker does not answer");
             }
@@ -102,6 +106,7 @@
         let Some(record) = self.workers.get_mut(worker) else { return };
         record.incarnation = listed.incarnation.or(record.incarnation);
         record.n_missed = 0;
+        record.trust.answered(sent_at, now);
         let is_first = !record.fenced;
         record.fenced = true;
         self.heard(worker, listed.clock_ms, now);
@@ -138,18 +143,6 @@
     fn take_end_in_order(&mut self, worker: &ids::WorkerId, end: order::ListedEnd, now: Duration) {
         let Some(record) = self.workers.get_mut(worker) else { return };
         if end.number <= record.seen {
-            // An end is listed until it is acknowledged; one that was is not the same end.
-            if end.number <= record.acknowledged {
-                tracing::warn!(
-                    job = format_args!("{:016x}", end.task.graph),
-                    task = %end.task,
-                    attempt = end.attempt,
-                    worker,
-                    number = end.number,
-                    acknowledged = record.acknowledged,
-                    "end is passed over as known"
-                );
-            }
             return;
         }
         record.seen = end.number;
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -9,6 +9,7 @@
 use crate::berth;
 use crate::health;
 use crate::lease_clock;
+use crate::life_trust;
 use crate::room;
 use crate::save_queue;
 use crate::task_key;
@@ -73,6 +74,8 @@
     /// Exchanges without an answer since it last answered a look. While there are any, nobody knows
     /// whether the worker has started again.
     pub n_missed: u32,
+    /// What its looks tell of which life it is in.
+    pub trust: life_trust::LifeTrust,
     /// Highest end that was taken in.
     pub seen: u64,
     /// Ends that wait to be durable before they may be acknowledged.
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -98,6 +98,46 @@
     assert_eq!(last_seen(&mut bench), 1);
 }
 
+/// Symptom: a task that had ended well ran again. Sequence: a scheduler may give no orders for a while,
+/// as the store is away; a worker starts again meanwhile; the scheduler goes on where it stood. Cause:
+/// no look had failed, since none was sent, and the first one acknowledged ends of the former life,
+/// which the later one took for its own.
+#[test]
+fn no_end_is_acknowledged_long_after_the_last_look() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
+    bench.save();
+    assert_eq!(last_seen(&mut bench), 1);
+    bench.pass(40_000);
+    assert_eq!(last_seen(&mut bench), 0);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    assert_eq!(last_seen(&mut bench), 1);
+}
+
+/// A scheduler that is busy, so that each of its looks comes long after the one before, acknowledges
+/// every other time; else it never would.
+#[test]
+fn a_busy_scheduler_acknowledges_too() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
+    bench.save();
+    assert_eq!(last_seen(&mut bench), 1);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        bench.pass(700);
+        seen.push(last_seen(&mut bench));
+        answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    }
+    assert_eq!(seen, [0, 1, 0, 1]);
+}
+
 /// Ends of the new life count from 1, whether the platform tells lives apart or not.
 fn check_first_end_of_a_later_life(second: Option<ids::Incarnation>) {
     let mut bench = bench_after_restart(second);
