--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -41,10 +41,10 @@
     }
 
     /// Whether the list speaks of the life that answers. A later one may be of another kind and size,
-    /// so that until its own entry is read no task is known to fit there.
+    /// so that until its own entry is read no task is known to fit there. An entry that tells no life,
+    /// of a worker that does, is not the worker's own.
     pub(crate) fn is_listed_life(&self) -> bool {
-        let (listed, answers) = (self.listing.incarnation, self.incarnation);
-        listed.is_none() || answers.is_none() || listed == answers
+        self.incarnation.is_none() || self.listing.incarnation == self.incarnation
     }
 
     /// The record of a later life, of which nothing is known but the list's entry. The runs stay until
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -178,6 +178,19 @@
     assert_eq!(support::starts(&bench.turn()).len(), 1);
 }
 
+/// An entry that does not say of which life it is, of a worker that does, was written by another.
+#[test]
+fn an_entry_that_tells_no_life_names_no_worker_that_tells_its() {
+    let mut bench = bench_of_one();
+    bench.core.learn_worker(support::worker_id(0), support::listing(0), bench.now);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.core.learn_worker(support::worker_id(0), entry(0, FIRST), bench.now);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    assert_eq!(support::starts(&bench.turn()).len(), 1);
+}
+
 /// Where the list tells first of a later life, the worker has to answer before it gets tasks.
 #[test]
 fn an_entry_of_a_later_life_puts_the_known_one_in_doubt() {
