Count the pace of a run found in a later life by that life's clock; count restarts

Its pace was marked by the former clock, which showed far more, so that no pace was seen for as long as the former life had lasted: a task four fifths from its end was left on a worker about to leave. The test fails before.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -43,6 +43,8 @@
     pub(crate) is_fenced_off: bool,
     /// Jobs that ended since they were last asked for.
     pub(crate) finished: Vec<FinishedJob>,
+    /// Workers found to have started again since they were last asked for.
+    pub(crate) n_restarts: u64,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
@@ -79,6 +81,7 @@
             settles_at: start.settles_at,
             is_fenced_off: false,
             finished: Vec::new(),
+            n_restarts: 0,
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
         }
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -12,6 +12,7 @@
 use crate::core;
 use crate::job;
 use crate::order;
+use crate::pace;
 use crate::worker;
 
 /// In which life a worker has answered.
@@ -85,16 +86,19 @@
             "worker has started again"
         );
         *record = record.renewed(listed.incarnation, now);
-        self.repeat_stops_in_later_life(worker, now);
+        self.n_restarts += 1;
+        self.carry_runs_over(worker, now);
     }
 
-    /// A stop that the former life has answered bars nothing in the later one, where a start without
-    /// answer may still take effect.
-    fn repeat_stops_in_later_life(&mut self, worker: &ids::WorkerId, now: Duration) {
+    /// Readies the runs of a worker for its later life. A start may have reached that before any look
+    /// did, or may yet: a stop that the former life has answered bars nothing there. And progress counts
+    /// by the clock of the later life.
+    fn carry_runs_over(&mut self, worker: &ids::WorkerId, now: Duration) {
         let Some(record) = self.workers.get(worker) else { return };
         for key in record.runs.clone() {
             let task = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key));
             let Some(run) = task.and_then(|it| it.run.as_mut()) else { continue };
+            run.pace = pace::RunPace::unbegun();
             if run.phase.is_stopping() {
                 run.phase = job::RunPhase::Stopping { asked_at: now, acked_at: None };
                 let attempt = run.attempt;
@@ -103,6 +107,11 @@
         }
     }
 
+    /// Workers found to have started again since the last call, for metrics.
+    pub fn take_n_restarts(&mut self) -> u64 {
+        std::mem::take(&mut self.n_restarts)
+    }
+
     /// Whether an order was given to a life of its worker that is over. It must not leave any more: a
     /// start would be carried out by the later life, while its task may run elsewhere.
     pub fn is_outdated(&self, order: &order::PoolOrder) -> bool {
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -238,6 +238,30 @@
     assert!(bench.core.is_busy());
 }
 
+/// A start may reach a worker that has just started again, before any look has. The run goes on, and its
+/// progress counts by the clock of its own life: by the former one, which showed far more, no pace was
+/// ever seen, and a task far from its end was left on a worker that was about to leave.
+#[test]
+fn a_run_found_in_a_later_life_shows_its_pace() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    let began = bench.now;
+    bench.started(&start);
+    for second in 1..=20 {
+        bench.pass(1_000);
+        let run = support::running(&start, second);
+        answers(&mut bench, Some(SECOND), began, &[run], &[]);
+        assert_eq!(support::stops(&bench.turn()), []);
+    }
+    // Four fifths are left, at a hundredth a second.
+    let leaving =
+        worker::WorkerListing { leaves_in: Some(Duration::from_secs(8)), ..entry(0, SECOND) };
+    bench.core.learn_worker(support::worker_id(0), leaving, bench.now);
+    bench.pass(50);
+    assert_eq!(support::stops(&bench.turn()).len(), 1);
+}
+
 /// An order that waits to be sent was meant for the life that is over. A start would be carried out
 /// by the later one while its task may run elsewhere.
 #[test]
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -100,6 +100,7 @@
     core.turn(state.site.clock().now());
     let orders = core.take_orders();
     core.take_finished().iter().for_each(meter_finished);
+    metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_changes());
     drop(core);
     if is_fenced_off {
