--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -43,6 +43,7 @@
                     && run.phase == job::RunPhase::Ordered
                 {
                     run.phase = job::RunPhase::Unclear { since: now };
+                    self.order_look(&start.worker);
                 }
             }
             order::StartAnswer::Replaced => {
@@ -115,7 +116,10 @@
     }
 
     fn order_look(&mut self, worker: &ids::WorkerId) {
-        self.orders.push(order::PoolOrder::Look { worker: worker.clone() });
+        let look = order::PoolOrder::Look { worker: worker.clone() };
+        if self.orders.last() != Some(&look) {
+            self.orders.push(look);
+        }
     }
 
     fn start_refused(
@@ -150,11 +154,14 @@
     }
 
     /// Nobody knows whether the worker is still in the life that is known: it has to answer a look
-    /// before it gets new tasks, and before ends are acknowledged.
+    /// before it gets new tasks, and before ends are acknowledged. One look is asked for, and the
+    /// session with the worker asks again: with one for each of many starts that had no answer, the
+    /// orders behind them would wait for looks that have none either.
     pub(crate) fn missed(&mut self, worker: &ids::WorkerId) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.n_missed += 1;
-            record.trust.missed();
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        record.n_missed += 1;
+        record.trust.missed();
+        if record.n_missed == 1 {
             self.order_look(worker);
         }
     }
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -204,6 +204,29 @@
     assert_eq!(support::starts(&bench.turn()).len(), 1);
 }
 
+/// Many starts without answer ask for a look each, as each has to be settled; what else has no answer
+/// asks for one in all, or the orders behind would wait for looks that have no answer either.
+#[test]
+fn calls_without_answer_ask_for_one_look() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(4)));
+    let starts = bench.turn_and_start();
+    for _ in 0..3 {
+        for start in &starts {
+            let stop = order::StopOrder {
+                worker: start.worker.clone(),
+                address: start.address.clone(),
+                generation: start.generation,
+                task: start.task,
+                attempt: start.attempt,
+            };
+            bench.core.stop_answered(&stop, false, bench.now);
+        }
+    }
+    let is_look = |it: &&order::PoolOrder| matches!(it, order::PoolOrder::Look { .. });
+    assert_eq!(bench.core.take_orders().iter().filter(is_look).count(), 1);
+}
+
 /// What a former life has said of leaving does not keep tasks off the later one.
 #[test]
 fn a_worker_that_was_leaving_gets_tasks_when_it_has_started_again() {
