Acknowledge only what a worker's last answer has listed

Found at the reading of the diff: an acknowledgement was repeated with each look, for as long as the life lasted, and each of them could reach a later life. It is owed only while the worker lists ends that are durable; after an answer to it no look carries one, however soon the worker starts again behind that. Looks that only ask are made only where one is owed, so that fewer are made than before.

--- a/crates/graph/src/life_trust.rs
+++ b/crates/graph/src/life_trust.rs
@@ -7,7 +7,7 @@
 /// started there and have ended, too.
 const TRUSTED_FOR: Duration = Duration::from_millis(500);
 
-/// The same behind a look that acknowledged nothing, so that the next one may, though it comes late: a
+/// The same behind a look that asked only, so that the next one may acknowledge, though it comes late: a
 /// scheduler whose looks are always late would never acknowledge anything. Such a look is given up after
 /// 0.5 s, and the ends that it lists are waited for as long to become durable; this is twice the two.
 const TRUSTED_ONCE_FOR: Duration = Duration::from_secs(2);
@@ -19,8 +19,8 @@
     until: Duration,
     /// How long the last look may wait at the worker.
     wait: Duration,
-    /// Whether the last look may acknowledge ends.
-    acknowledges: bool,
+    /// Whether the last look asks only, although it had ends to acknowledge.
+    asks_only: bool,
 }
 
 impl LifeTrust {
@@ -30,16 +30,16 @@
     }
 
     /// A look is about to be sent.
-    pub fn asked(&mut self, wait: Duration, acknowledges: bool) {
+    pub fn asked(&mut self, wait: Duration, asks_only: bool) {
         self.wait = wait;
-        self.acknowledges = acknowledges;
+        self.asks_only = asks_only;
     }
 
     /// The worker has answered a look sent at `sent_at`.
     pub fn answered(&mut self, sent_at: Duration, now: Duration) {
         // The answer may have lain here for as long as this process stood still.
         let given_at = now.min(sent_at + self.wait);
-        self.until = given_at + if self.acknowledges { TRUSTED_FOR } else { TRUSTED_ONCE_FOR };
+        self.until = given_at + if self.asks_only { TRUSTED_ONCE_FOR } else { TRUSTED_FOR };
     }
 
     /// A call had no answer.
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -53,10 +53,13 @@
             (true, true) => busy_wait,
             (true, false) => IDLE_WAIT,
         };
-        let may_acknowledge = answers && record.trust.holds(now);
-        let last_seen = if may_acknowledge { record.acknowledged } else { 0 };
-        let wait = if answers && !may_acknowledge { Duration::ZERO } else { wait };
-        record.trust.asked(wait, may_acknowledge);
+        // Acknowledged is only what the last answer has listed: an acknowledgement that is repeated
+        // without need may reach a later life.
+        let is_owed = record.oldest_listed.is_some_and(|it| it <= record.acknowledged);
+        let is_trusted = answers && record.trust.holds(now);
+        let last_seen = if is_owed && is_trusted { record.acknowledged } else { 0 };
+        let wait = if is_owed && !is_trusted { Duration::ZERO } else { wait };
+        record.trust.asked(wait, is_owed && !is_trusted);
         let address = record.listing.address.clone();
         Some(order::HoldAsk { address, deadline_ms, last_seen, wait })
     }
@@ -107,6 +110,7 @@
         record.incarnation = listed.incarnation.or(record.incarnation);
         record.n_missed = 0;
         record.trust.answered(sent_at, now);
+        record.oldest_listed = listed.ended.first().map(|it| it.number);
         let is_first = !record.fenced;
         record.fenced = true;
         self.heard(worker, listed.clock_ms, now);
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -76,6 +76,8 @@
     pub n_missed: u32,
     /// What its looks tell of which life it is in.
     pub trust: life_trust::LifeTrust,
+    /// Lowest end that its last answer has listed.
+    pub oldest_listed: Option<u64>,
     /// Highest end that was taken in.
     pub seen: u64,
     /// Ends that wait to be durable before they may be acknowledged.
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -41,6 +41,18 @@
     bench
 }
 
+/// The worker has listed the end of a task, which is durable and not acknowledged yet.
+fn bench_with_end() -> (support::PoolBench, order::ListedEnd) {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let end = support::ended(1, &start, order::EndKind::Done);
+    assert_eq!(last_seen(&mut bench), 0);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], std::slice::from_ref(&end));
+    bench.save();
+    (bench, end)
+}
+
 fn answers(
     bench: &mut support::PoolBench,
     incarnation: Option<ids::Incarnation>,
@@ -85,17 +97,21 @@
 /// An acknowledgement that reaches a new life before any of its ends were seen makes it forget them.
 #[test]
 fn no_end_is_acknowledged_while_the_life_is_in_doubt() {
-    let mut bench = bench_of_one();
-    bench.admit(1, support::job(1, support::tasks(1)));
-    let start = bench.turn_and_start().remove(0);
-    let end = support::ended(1, &start, order::EndKind::Done);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
-    bench.save();
-    assert_eq!(last_seen(&mut bench), 1);
+    let (mut bench, end) = bench_with_end();
     bench.core.hold_missed(&support::worker_id(0));
     assert_eq!(last_seen(&mut bench), 0);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], std::slice::from_ref(&end));
+    assert_eq!(last_seen(&mut bench), 1);
+}
+
+/// What the worker does not list any more needs no acknowledgement: sent again and again, one could
+/// reach a later life.
+#[test]
+fn an_acknowledgement_that_was_answered_is_not_sent_again() {
+    let (mut bench, _) = bench_with_end();
     assert_eq!(last_seen(&mut bench), 1);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    assert_eq!(last_seen(&mut bench), 0);
 }
 
 /// Symptom: a task that had ended well ran again. Sequence: a scheduler may give no orders for a while,
@@ -104,16 +120,10 @@
 /// which the later one took for its own.
 #[test]
 fn no_end_is_acknowledged_long_after_the_last_look() {
-    let mut bench = bench_of_one();
-    bench.admit(1, support::job(1, support::tasks(1)));
-    let start = bench.turn_and_start().remove(0);
-    let end = support::ended(1, &start, order::EndKind::Done);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
-    bench.save();
-    assert_eq!(last_seen(&mut bench), 1);
+    let (mut bench, end) = bench_with_end();
     bench.pass(40_000);
     assert_eq!(last_seen(&mut bench), 0);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
     assert_eq!(last_seen(&mut bench), 1);
 }
 
@@ -121,19 +131,14 @@
 /// every other time; else it never would.
 #[test]
 fn a_busy_scheduler_acknowledges_too() {
-    let mut bench = bench_of_one();
-    bench.admit(1, support::job(1, support::tasks(1)));
-    let start = bench.turn_and_start().remove(0);
-    let end = support::ended(1, &start, order::EndKind::Done);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
-    bench.save();
+    let (mut bench, end) = bench_with_end();
     assert_eq!(last_seen(&mut bench), 1);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
     let mut seen = Vec::new();
     for _ in 0..4 {
+        // The worker has not had the acknowledgement, and lists the end again.
+        answers(&mut bench, Some(FIRST), Duration::ZERO, &[], std::slice::from_ref(&end));
         bench.pass(700);
         seen.push(last_seen(&mut bench));
-        answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[]);
     }
     assert_eq!(seen, [0, 1, 0, 1]);
 }
