Let no clock that goes back hide that a worker has started again

Cause, from the trace: a start was ordered before the last look was answered, waited for its turn, and reached the later life. Its clock, far lower, replaced the known one; the check against that could not judge it, as the start was older than the sample. The next look agreed with it, so that the life passed for the former one and its ends were acknowledged unseen. Change: a reading that is lower than what is known is not taken in; the next look is judged against the known one.

--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -22,9 +22,11 @@
 }
 
 impl LeaseClock {
-    /// Takes a reading of the worker's clock from an answer received at `now`.
+    /// Takes a reading of the worker's clock from an answer received at `now`. One that is lower than
+    /// what is known was overtaken, or comes from another life of the worker: taken in, it would hide
+    /// that from the next look.
     pub fn observe(&mut self, now: Duration, clock_ms: u64) {
-        if self.sample.is_none_or(|it| it.received_at <= now) {
+        if self.sample.is_none_or(|it| it.received_at <= now && it.clock_ms <= clock_ms) {
             self.sample = Some(ClockSample { received_at: now, clock_ms });
         }
     }
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -173,6 +173,27 @@
     check_first_end_of_a_later_life(None);
 }
 
+/// Symptom: a task that had ended well ran again, where lives are not told. Sequence: a start waits for
+/// its turn to be sent, a look is answered meanwhile, the worker starts again, and its new life answers
+/// the start. Cause: the clock of the new life replaced the one that was known, and the next look found
+/// nothing odd in it.
+#[test]
+fn a_start_answered_by_a_later_life_does_not_hide_it() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.pass(10);
+    answers(&mut bench, None, Duration::ZERO, &[], &[]);
+    bench.pass(600);
+    let began = bench.now;
+    bench.pass(200);
+    let answer = order::StartAnswer::Started { clock_ms: 200 };
+    bench.core.start_answered(&start, answer, bench.now);
+    bench.pass(200);
+    answers(&mut bench, None, began, &[support::running(&start, 10)], &[]);
+    assert_eq!(bench.core.take_n_restarts(), 1);
+}
+
 /// A later life may be of another kind and size: until its entry is read, nothing is known to fit.
 #[test]
 fn a_later_life_gets_no_tasks_before_its_entry_is_read() {
