--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -24,6 +24,10 @@
 /// seconds, one after the other, then the longest tasks.
 const SETTLE: Duration = Duration::from_secs(90);
 
+/// Storms that found a fault when workers start again: an acknowledgement behind a pause in which nobody
+/// looked, and a start that hid a later life.
+const RESTART_FINDINGS: [u64; 2] = [31_028, 52_395];
+
 /// What the callers were told.
 #[derive(Default)]
 struct StormLedger {
@@ -65,6 +69,16 @@
     storms_of_workers_that_start_again_untold: UntoldRestarts;
 }
 
+#[test]
+fn storms_that_have_found_a_fault_with_restarts() {
+    for seed in RESTART_FINDINGS {
+        for kind in [StormKind::Restarts, StormKind::UntoldRestarts] {
+            println!("storm {seed}, {kind:?}");
+            support::run(storm(seed, kind));
+        }
+    }
+}
+
 fn play(kind: StormKind) {
     let first = number("POOL_STORM_SEED", 0);
     for seed in first..first + number("POOL_STORM_CASES", 8) {
