Bar calls to a former life of a worker by the fencing token

Found by a trial storm in which late starts reach a later life, then by a test that fails before: a start without answer is carried out 4 s later; its worker has started again meanwhile, and the task runs elsewhere: two runs at a time. Its deadline is by the former clock, far ahead of the new one, and the id is the same. Ruled out: barring it by stops sent to the later life (one for each start of the last seconds, each of which may come too late); naming the life in the call (the platform has no field for it). Change: a token is the epoch of the tenure and, in its lowest 20 bits, the generation of the worker. A later life is looked at with a higher one at once, and refuses whatever was sent before: starts, and looks that acknowledge. A refusal of what was meant for a former life is no sign of a later scheduler. Generations rise for all workers together, so that one that is forgotten and listed again gets no lower token.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -73,8 +73,12 @@
         }
     }
 
-    /// A worker refused for a higher fencing token.
-    pub fn fenced_off(&mut self, worker: &ids::WorkerId) {
+    /// A worker refused what was meant for its life `generation`, for a higher fencing token: a later
+    /// scheduler's, or our own where a later life has been found meanwhile.
+    pub fn fenced_off(&mut self, worker: &ids::WorkerId, generation: u32) {
+        if !self.is_generation(worker, generation) {
+            return;
+        }
         if !self.is_fenced_off {
             tracing::warn!(worker, "worker has seen a later scheduler");
         }
@@ -115,7 +119,7 @@
         }
     }
 
-    fn order_look(&mut self, worker: &ids::WorkerId) {
+    pub(crate) fn order_look(&mut self, worker: &ids::WorkerId) {
         let look = order::PoolOrder::Look { worker: worker.clone() };
         if self.orders.last() != Some(&look) {
             self.orders.push(look);
@@ -131,7 +135,11 @@
         self.log_start(start, "refused");
         let pause = match refusal {
             order::StartRefusal::Fenced => {
-                self.fenced_off(&start.worker);
+                if self.is_generation(&start.worker, start.generation) {
+                    self.fenced_off(&start.worker, start.generation);
+                } else {
+                    self.withdraw(start, now);
+                }
                 return;
             }
             order::StartRefusal::Old => Duration::ZERO,
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -43,6 +43,9 @@
     pub(crate) is_fenced_off: bool,
     /// Jobs that ended since they were last asked for.
     pub(crate) finished: Vec<FinishedJob>,
+    /// Highest generation of a worker. It rises for all together: a worker that was forgotten and is
+    /// listed again must not get a lower token than it has seen.
+    pub(crate) newest_generation: u32,
     /// Workers found to have started again since they were last asked for.
     pub(crate) n_restarts: u64,
     /// When time was last taken note of.
@@ -81,6 +84,7 @@
             settles_at: start.settles_at,
             is_fenced_off: false,
             finished: Vec::new(),
+            newest_generation: 0,
             n_restarts: 0,
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -88,7 +88,8 @@
         listing: worker::WorkerListing,
         now: Duration,
     ) {
-        let record = self.workers.entry(worker.clone()).or_default();
+        let fresh = worker::WorkerRecord::of_generation(self.newest_generation);
+        let record = self.workers.entry(worker.clone()).or_insert(fresh);
         let is_other_life = record.listing.incarnation != listing.incarnation;
         let is_moved = !record.listing.is_found_like(&listing);
         if !record.listed {
@@ -132,7 +133,8 @@
         for page in self.roster.inherit(&entry.worker, page) {
             self.unsaved.touch(save_queue::SaveKey::Roster { page });
         }
-        let record = self.workers.entry(entry.worker.clone()).or_default();
+        let fresh = worker::WorkerRecord::of_generation(self.newest_generation);
+        let record = self.workers.entry(entry.worker.clone()).or_insert(fresh);
         record.inherited = true;
         if !record.listed {
             record.listing.address = entry.address;
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -61,7 +61,8 @@
         let wait = if is_owed && !is_trusted { Duration::ZERO } else { wait };
         record.trust.asked(wait, is_owed && !is_trusted);
         let address = record.listing.address.clone();
-        Some(order::HoldAsk { address, deadline_ms, last_seen, wait })
+        let generation = record.generation;
+        Some(order::HoldAsk { address, generation, deadline_ms, last_seen, wait })
     }
 
     fn has_urgent(&self, worker: &ids::WorkerId) -> bool {
--- a/crates/graph/src/order.rs
+++ b/crates/graph/src/order.rs
@@ -62,6 +62,8 @@
 pub struct HoldAsk {
     /// Its control address.
     pub address: ids::PeerAddress,
+    /// The life of the worker that is meant, as the scheduler counts.
+    pub generation: u32,
     /// New deadline of everything on it, on its clock.
     pub deadline_ms: Option<u64>,
     /// Ends up to this one are durable and may be forgotten.
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -57,7 +57,6 @@
             place: std::mem::take(&mut self.place),
             listed: self.listed,
             leaves_at: self.leaves_at.filter(|_| is_of_entry),
-            generation: self.generation + 1,
             incarnation,
             life_since: now,
             runs: std::mem::take(&mut self.runs),
@@ -85,9 +84,14 @@
             n_runs = record.runs.len(),
             "worker has started again"
         );
+        self.newest_generation += 1;
         *record = record.renewed(listed.incarnation, now);
+        record.generation = self.newest_generation;
         self.n_restarts += 1;
         self.carry_runs_over(worker, now);
+        // With a higher token: from its answer on, nothing that was sent to the former life takes
+        // effect in this one.
+        self.order_look(worker);
     }
 
     /// Readies the runs of a worker for its later life. A start may have reached that before any look
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -63,7 +63,7 @@
     /// The life of it that is known, where the platform tells lives apart. All that follows belongs
     /// to it.
     pub incarnation: Option<ids::Incarnation>,
-    /// Number of that life among those seen here. Orders name it.
+    /// Number of that life; rises with each that is found. Orders name it.
     pub generation: u32,
     /// When that life was found.
     pub life_since: Duration,
@@ -130,6 +130,11 @@
 }
 
 impl WorkerRecord {
+    /// A worker of which nothing is known.
+    pub fn of_generation(generation: u32) -> WorkerRecord {
+        WorkerRecord { generation, ..WorkerRecord::default() }
+    }
+
     /// What is free.
     pub fn free(&self) -> room::Room {
         self.listing.capacity.minus(self.used)
--- a/crates/pool/src/control.rs
+++ b/crates/pool/src/control.rs
@@ -30,27 +30,27 @@
     Call(#[from] error::CallError),
 }
 
-/// Orders to workers, each with the fencing token of the tenure.
+/// Orders to workers, each with a fencing token (see [`crate::fencing`]).
 pub trait TaskControl: Clone + Send + Sync + 'static {
     /// Lists what is on a worker, extends its lease and acknowledges ends.
     fn hold(
         &self,
         target: &WorkerTarget,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         ask: &order::HoldAsk,
     ) -> impl Future<Output = Result<order::WorkerListed, ControlFault>> + Send;
 
     /// Starts a task.
     fn start(
         &self,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         start: &order::StartOrder,
     ) -> impl Future<Output = order::StartAnswer> + Send;
 
     /// Stops an attempt of a task.
     fn stop(
         &self,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         stop: &order::StopOrder,
     ) -> impl Future<Output = Result<(), ControlFault>> + Send;
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod document;
 pub mod entry;
+pub mod fencing;
 pub mod instance;
 pub mod peers;
 pub mod settings;
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::{self, TaskControl};
+use crate::fencing;
 use crate::lead;
 use crate::session;
 use crate::state;
@@ -44,11 +45,13 @@
     metrics::counter!("almondpass_pool_orders_total", "kind" => kind).increment(1);
     match order {
         order::PoolOrder::Start(start) => {
-            let answer = control.start(lead.epoch, &start).await;
+            let token = fencing::token(lead.epoch, start.generation);
+            let answer = control.start(token, &start).await;
             lead.core().start_answered(&start, answer, state.site.clock().now());
         }
         order::PoolOrder::Stop(stop) => {
-            let answer = control.stop(lead.epoch, &stop).await;
+            let token = fencing::token(lead.epoch, stop.generation);
+            let answer = control.stop(token, &stop).await;
             let now = state.site.clock().now();
             let mut core = lead.core();
             match answer {
@@ -56,7 +59,9 @@
                 Err(control::ControlFault::Replaced(_)) => {
                     core.worker_replaced(&stop.worker, &stop.address, now);
                 }
-                Err(control::ControlFault::Fenced) => core.fenced_off(&stop.worker),
+                Err(control::ControlFault::Fenced) => {
+                    core.fenced_off(&stop.worker, stop.generation);
+                }
                 Err(control::ControlFault::Call(error)) => {
                     tracing::debug!(worker = stop.worker, %error, "stop without answer");
                     core.stop_answered(&stop, false, now);
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::control::{self, TaskControl};
+use crate::fencing;
 use crate::lead;
 use crate::state;
 
@@ -85,7 +86,8 @@
     let clock = state.site.clock();
     let sent_at = clock.now();
     let target = control::WorkerTarget { worker: worker.clone(), address: ask.address.clone() };
-    let answer = state.site.control().hold(&target, lead.epoch, &ask).await;
+    let token = fencing::token(lead.epoch, ask.generation);
+    let answer = state.site.control().hold(&target, token, &ask).await;
     let now = clock.now();
     let mut core = lead.core();
     match answer {
@@ -101,7 +103,7 @@
             LookOutcome::Missed
         }
         Err(control::ControlFault::Fenced) => {
-            core.fenced_off(worker);
+            core.fenced_off(worker, ask.generation);
             lead.turn_due.notify_one();
             LookOutcome::Missed
         }
--- a/crates/pool/tests/pool/restarts.rs
+++ b/crates/pool/tests/pool/restarts.rs
@@ -4,6 +4,7 @@
 
 use almondpass_graph::order;
 use almondpass_schema::model;
+use almondpass_standin::{fault, pool_fleet};
 use tokio::time;
 
 use crate::support;
@@ -72,6 +73,32 @@
     });
 }
 
+/// Symptom, by reading and in storms: a task ran on two workers at a time. Sequence: a start has no
+/// answer and is carried out seconds later; meanwhile its worker has started again, and the task runs
+/// elsewhere. Cause: nothing in the start told the later life that it was not meant; its deadline is by
+/// the former clock. What is sent to a later life carries a higher fencing token, which bars it.
+#[test]
+fn a_start_carried_out_late_is_barred_in_a_later_life() {
+    support::run(async {
+        let bench = support::PoolBench::start(1, 2).await;
+        bench.fleet.let_starts_outlive();
+        // The workers' clocks show far more than the term of a start. The first worker is full.
+        bench.submit(0, 1, support::job(8, 120_000)).await;
+        time::sleep(Duration::from_secs(60)).await;
+        let late = fault::Fault::DelayedEffect(Duration::from_secs(4));
+        bench.fleet.faults(&support::worker_id(1)).next(pool_fleet::START, late);
+        bench.submit(0, 2, support::job(1, 8_000)).await;
+        // The task goes to the first worker, as the second one leaves; then that starts again.
+        bench.drain_worker(1).await;
+        bench.cancel(0, 1).await;
+        time::sleep(Duration::from_millis(1_500)).await;
+        bench.restart_worker(1, Duration::from_millis(100)).await;
+        bench.write_entry(1).await;
+        bench.await_state(0, 2, model::GraphState::Completed, Duration::from_secs(20)).await;
+        bench.assert_nothing_ran_twice();
+    });
+}
+
 /// Symptom, by reading: what ran on a worker that could no longer be reached was started elsewhere
 /// only minutes later. Sequence: a worker that has been up for long starts again, gets a task, and is
 /// cut off for good. Cause: deadlines by its former clock, which showed far more, counted as its
--- a/crates/schema/src/ids.rs
+++ b/crates/schema/src/ids.rs
@@ -14,6 +14,8 @@
 pub type DataCenter = String;
 /// Number of a tenure of a hall scheduler; higher is newer.
 pub type Epoch = u64;
+/// What a worker refuses calls by: it does nothing for one that is lower than the highest it has seen.
+pub type FencingToken = u64;
 /// Id of one grant of a slot to an entry.
 pub type GrantId = Uuid;
 /// Id that a caller chose for a job graph; written as 16 hexadecimal digits.
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -47,6 +47,7 @@
     task_room: room::Room,
     lost: Vec<pool_worker::RunRecord>,
     hides_lives: bool,
+    starts_outlive: bool,
 }
 
 impl Default for FleetState {
@@ -58,6 +59,7 @@
             task_room: room::Room::default(),
             lost: Vec::new(),
             hides_lives: false,
+            starts_outlive: false,
         }
     }
 }
@@ -88,6 +90,11 @@
         state::lock(&self.state).hides_lives = true;
     }
 
+    /// From now on a start that is carried out late may be so by a later life of its worker.
+    pub fn let_starts_outlive(&self) {
+        state::lock(&self.state).starts_outlive = true;
+    }
+
     /// Which life of a worker there is now, if it is up and tells.
     pub fn incarnation(&self, worker: &str) -> Option<ids::Incarnation> {
         let state = state::lock(&self.state);
@@ -164,7 +171,10 @@
             let mut state = state::lock(&shared);
             let room = state.task_room;
             // A call belongs to the life that it has reached, and ends with its connection.
-            let reached = state.workers.get_mut(&id).filter(|it| Some(it.incarnation()) == life);
+            let outlives = step == START && state.starts_outlive;
+            let is_reached =
+                |it: &&mut pool_worker::PoolWorker| outlives || Some(it.incarnation()) == life;
+            let reached = state.workers.get_mut(&id).filter(is_reached);
             reached.map(|it| effect(it, room))
         };
         let plans = [&self.path, &plan];
@@ -186,7 +196,7 @@
     async fn hold(
         &self,
         target: &control::WorkerTarget,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         ask: &order::HoldAsk,
     ) -> Result<order::WorkerListed, control::ControlFault> {
         let expires = Instant::now() + ask.wait;
@@ -207,7 +217,11 @@
         }
     }
 
-    async fn start(&self, token: ids::Epoch, start: &order::StartOrder) -> order::StartAnswer {
+    async fn start(
+        &self,
+        token: ids::FencingToken,
+        start: &order::StartOrder,
+    ) -> order::StartAnswer {
         let order = start.clone();
         let begin = move |worker: &mut pool_worker::PoolWorker, room| {
             let plan = pool_worker::plan_of(&order.body, room);
@@ -224,7 +238,7 @@
 
     async fn stop(
         &self,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         stop: &order::StopOrder,
     ) -> Result<(), control::ControlFault> {
         let order = stop.clone();
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -67,7 +67,7 @@
     incarnation: ids::Incarnation,
     born: Instant,
     capacity: room::Room,
-    token: ids::Epoch,
+    token: ids::FencingToken,
     deadline_ms: u64,
     runs: BTreeMap<task_key::TaskKey, PoolRun>,
     /// Highest attempt that was stopped or ended here, by task.
@@ -122,7 +122,7 @@
     /// Takes a start.
     pub fn start(
         &mut self,
-        token: ids::Epoch,
+        token: ids::FencingToken,
         start: &order::StartOrder,
         plan: TaskPlan,
     ) -> order::StartAnswer {
@@ -153,7 +153,7 @@
     }
 
     /// Takes a stop. Whether the token was accepted.
-    pub fn stop(&mut self, token: ids::Epoch, stop: &order::StopOrder) -> bool {
+    pub fn stop(&mut self, token: ids::FencingToken, stop: &order::StopOrder) -> bool {
         self.pass_time();
         if !self.accepts(token) {
             return false;
@@ -167,7 +167,11 @@
     }
 
     /// Takes a look; nothing where the token was not accepted.
-    pub fn hold(&mut self, token: ids::Epoch, ask: &order::HoldAsk) -> Option<order::WorkerListed> {
+    pub fn hold(
+        &mut self,
+        token: ids::FencingToken,
+        ask: &order::HoldAsk,
+    ) -> Option<order::WorkerListed> {
         self.pass_time();
         if !self.accepts(token) {
             return None;
@@ -237,7 +241,7 @@
         self.deadline_ms = self.deadline_ms.max(deadline_ms.min(longest));
     }
 
-    fn accepts(&mut self, token: ids::Epoch) -> bool {
+    fn accepts(&mut self, token: ids::FencingToken) -> bool {
         let is_accepted = token >= self.token;
         self.token = self.token.max(token);
         is_accepted
