Wait for the longest lease where the known life has not confirmed a start

Cause, from the trace: a start waited 2.3 s for its turn behind slow calls; its worker started again meanwhile and took it in its later life, by whose clock the deadline lay far ahead, so that it was shortened to the longest lease, 10 s. The answer was lost and the worker could not be reached; by the former clock the lease was over after 6.6 s, and the task started elsewhere. Change: a run that the known life has not said to have (by a look, or by an answer whose clock is that life's) is given up only when the start can't come any more and the longest lease is over. A start that has waited for half of its term does not leave. Whether a clock is behind can be told for overtaken answers as well, as no clock is fast; before, such an answer told nothing. Ruled out: the longest lease for all runs (3.5 s more for whatever is lost).

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -27,8 +27,8 @@
     ) {
         match answer {
             order::StartAnswer::Started { clock_ms } => {
-                self.start_heard(start, clock_ms, now);
-                self.start_confirmed(start, now);
+                let is_seen = self.start_heard(start, clock_ms, now);
+                self.start_confirmed(start, is_seen, now);
             }
             order::StartAnswer::Refused(refusal) => self.start_refused(start, refusal, now),
             order::StartAnswer::NotSent => {
@@ -85,9 +85,10 @@
         self.is_fenced_off = true;
     }
 
-    fn start_confirmed(&mut self, start: &order::StartOrder, now: Duration) {
+    fn start_confirmed(&mut self, start: &order::StartOrder, is_seen: bool, now: Duration) {
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
         run.is_confirmed = true;
+        run.is_seen |= is_seen;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
@@ -174,20 +175,19 @@
         }
     }
 
-    /// Takes in the clock of a worker that has answered a start. A start may reach a later life before
-    /// any look has: its clock would be taken for that of the known one.
-    fn start_heard(&mut self, start: &order::StartOrder, clock_ms: u64, now: Duration) {
-        let run = self.run(start.task).filter(|it| it.attempt == start.attempt);
-        let Some(sent_at) = run.map(|it| it.since) else { return };
-        let Some(record) = self.workers.get(&start.worker) else { return };
+    /// Takes in the clock of a worker that has answered a start, and tells whether it is the known
+    /// life's. A start may reach a later life before any look has.
+    fn start_heard(&mut self, start: &order::StartOrder, clock_ms: u64, now: Duration) -> bool {
+        let Some(record) = self.workers.get(&start.worker) else { return false };
         if record.generation != start.generation {
-            return;
+            return false;
         }
-        if record.clock.is_behind(clock_ms, sent_at) {
+        if record.clock.is_behind(clock_ms, start.ordered_at) {
             self.missed(&start.worker);
-            return;
+            return false;
         }
         self.heard(&start.worker, clock_ms, now);
+        true
     }
 
     pub(crate) fn heard(&mut self, worker: &ids::WorkerId, clock_ms: u64, now: Duration) {
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -100,6 +100,9 @@
     pub phase: RunPhase,
     /// Whether the worker has said that it has, or had, it.
     pub is_confirmed: bool,
+    /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
+    /// by another clock.
+    pub is_seen: bool,
     /// Whether it takes longer here, away from its data or from its gang.
     pub is_far: bool,
     /// Whether it was here from its beginning, so that its end tells how long its class takes.
--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -8,6 +8,11 @@
 /// A reading is in whole milliseconds, and so is each of the two that are compared.
 const ROUNDING_MS: u64 = 2;
 
+/// How long a span on a worker's clock may take by ours.
+pub fn at_most(span: Duration) -> Duration {
+    span.div_f64(SLOWEST_RATE)
+}
+
 /// What is known of a worker's clock and of the lease that covers everything on it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseClock {
@@ -31,13 +36,15 @@
         }
     }
 
-    /// Whether a reading, in an answer to a call sent at `sent_at`, is less than this clock must show
-    /// by then: it is that of another life of the worker, and this clock is gone.
+    /// Whether a reading, in an answer to a call sent at `sent_at`, is less than this clock must have
+    /// shown by then: it is that of another life of the worker, and this clock is gone.
     pub fn is_behind(&self, clock_ms: u64, sent_at: Duration) -> bool {
         let Some(sample) = self.sample else { return false };
-        // A call sent before the sample was taken may have been answered before it, too.
-        let Some(elapsed) = sent_at.checked_sub(sample.received_at) else { return false };
-        let least = sample.clock_ms + millis(elapsed.mul_f64(SLOWEST_RATE));
+        let least = match sent_at.checked_sub(sample.received_at) {
+            Some(since) => sample.clock_ms + millis(since.mul_f64(SLOWEST_RATE)),
+            // The answer was overtaken by that of the sample; no clock is fast.
+            None => sample.clock_ms.saturating_sub(millis(sample.received_at - sent_at)),
+        };
         clock_ms + ROUNDING_MS < least
     }
 
@@ -70,7 +77,7 @@
     pub fn lapses_at(&self) -> Duration {
         let Some(sample) = self.sample else { return Duration::ZERO };
         let left = self.deadline_sent.saturating_sub(sample.clock_ms);
-        sample.received_at + Duration::from_millis(left).div_f64(SLOWEST_RATE)
+        sample.received_at + at_most(Duration::from_millis(left))
     }
 }
 
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -189,6 +189,7 @@
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
         run.is_confirmed = true;
+        run.is_seen = true;
         let mut has_begun = false;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
@@ -226,6 +227,7 @@
             attempt: listed.attempt,
             phase: job::RunPhase::Running { confirmed_at: now },
             is_confirmed: true,
+            is_seen: true,
             is_far: false,
             is_whole: false,
             since: now,
--- a/crates/graph/src/order.rs
+++ b/crates/graph/src/order.rs
@@ -30,6 +30,8 @@
     pub address: ids::PeerAddress,
     /// The life of the worker that is meant, as the scheduler counts.
     pub generation: u32,
+    /// When it was decided; it leaves soon or not at all.
+    pub ordered_at: Duration,
     /// The task.
     pub task: task_key::TaskKey,
     /// Number of the attempt.
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -102,6 +102,7 @@
         for key in record.runs.clone() {
             let task = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key));
             let Some(run) = task.and_then(|it| it.run.as_mut()) else { continue };
+            run.is_seen = false;
             run.pace = pace::RunPace::unbegun();
             if run.phase.is_stopping() {
                 run.phase = job::RunPhase::Stopping { asked_at: now, acked_at: None };
@@ -116,10 +117,16 @@
         std::mem::take(&mut self.n_restarts)
     }
 
-    /// Whether an order was given to a life of its worker that is over. It must not leave any more: a
-    /// start would be carried out by the later life, while its task may run elsewhere.
-    pub fn is_outdated(&self, order: &order::PoolOrder) -> bool {
+    /// Whether an order was given to a life of its worker that is over, or a start has waited for half of
+    /// its term; the other half is left for its way. It must not leave any more: a later life would carry
+    /// it out, while its task may run elsewhere.
+    pub fn is_outdated(&self, order: &order::PoolOrder, now: Duration) -> bool {
         let (worker, generation) = match order {
+            order::PoolOrder::Start(start)
+                if now > start.ordered_at + self.terms.start_term / 2 =>
+            {
+                return true;
+            }
             order::PoolOrder::Start(start) => (&start.worker, start.generation),
             order::PoolOrder::Stop(stop) => (&stop.worker, stop.generation),
             order::PoolOrder::Look { .. } => return false,
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -8,6 +8,7 @@
 
 use crate::core;
 use crate::job;
+use crate::lease_clock;
 use crate::task_key;
 
 /// Time is taken note of this often: it goes over all runs, and turns come with each event.
@@ -46,19 +47,33 @@
         let silent = silent.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         for worker in silent {
             let Some(record) = self.workers.get(&worker) else { continue };
-            let (runs, listed) = (record.runs.clone(), record.listed);
-            if !runs.is_empty() {
-                tracing::warn!(worker, n_runs = runs.len(), "worker's lease has lapsed");
+            let listed = record.listed;
+            let (lapsed, left) = record
+                .runs
+                .iter()
+                .copied()
+                .partition::<Vec<_>, _>(|key| self.has_surely_lapsed(*key, now));
+            if !lapsed.is_empty() {
+                tracing::warn!(worker, n_runs = lapsed.len(), "worker's lease has lapsed");
             }
-            for key in runs {
+            for key in lapsed {
                 self.vacate(key, now);
             }
-            if !listed {
+            if !listed && left.is_empty() {
                 self.workers.remove(&worker);
             }
         }
     }
 
+    /// Whether a run is over on a worker whose lease has lapsed by the clock that is known. Where that
+    /// life has not said that it has the run, a later one may: it took the start as late as that may
+    /// come, with a deadline far ahead on its own clock, and shortened it to the longest lease.
+    fn has_surely_lapsed(&self, key: task_key::TaskKey, now: Duration) -> bool {
+        let Some(run) = self.run(key) else { return true };
+        let longest = lease_clock::at_most(self.terms.longest_lease);
+        run.is_seen || now >= run.since + self.terms.start_term + longest
+    }
+
     fn repeat_stops(&mut self, now: Duration) {
         let patience = self.terms.stop_timeout + STOP_SLACK;
         let mut again = Vec::new();
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -311,6 +311,53 @@
     assert_eq!(support::stops(&bench.turn()).len(), 1);
 }
 
+/// Symptom: a task ran on two workers at a time. Sequence: a start waits for its turn to be sent; its
+/// worker starts again and takes the start in its new life; then it can't be reached any more. Cause:
+/// the task was tied to the worker for as long as its former clock gave. By that clock the deadline lay
+/// far ahead in the new life, which shortened it to the longest lease that it grants.
+#[test]
+fn a_start_that_the_known_life_has_not_confirmed_may_run_for_the_longest_lease() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
+    bench.core.hold_missed(&start.worker);
+    let other = 1 - support::index_of(&start.worker);
+    // It may leave for 2.5 s; the lease is 10 s then, on a clock that is 2% slow.
+    for (millis, n_starts) in [(6_700, 0), (5_900, 0), (200, 1)] {
+        bench.pass(millis);
+        bench.lists(other, &[], &[]);
+        assert_eq!(support::starts(&bench.turn()).len(), n_starts, "at {:?}", bench.now);
+    }
+}
+
+/// What has waited for longer than a start may is not sent any more: nothing bounds when a later life
+/// would take it.
+#[test]
+fn a_start_that_has_waited_for_too_long_is_outdated() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let order = order::PoolOrder::Start(support::starts(&bench.turn()).remove(0));
+    bench.pass(1_200);
+    assert!(!bench.core.is_outdated(&order, bench.now));
+    bench.pass(100);
+    assert!(bench.core.is_outdated(&order, bench.now));
+}
+
+/// Answers overtake each other: a clock that is a little lower than what is known puts no life in doubt.
+#[test]
+fn a_start_whose_answer_was_overtaken_is_seen() {
+    let mut bench = bench_of_one();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.pass(20);
+    answers(&mut bench, Some(FIRST), Duration::ZERO, &[support::running(&start, 0)], &[]);
+    bench.core.take_orders();
+    let clock_ms = bench.now.as_millis() as u64 - 10;
+    bench.core.start_answered(&start, order::StartAnswer::Started { clock_ms }, bench.now);
+    assert_eq!(bench.core.take_orders(), []);
+}
+
 /// An order that waits to be sent was meant for the life that is over. A start would be carried out
 /// by the later one while its task may run elsewhere.
 #[test]
@@ -319,10 +366,10 @@
     bench.admit(1, support::job(1, support::tasks(1)));
     let start = support::starts(&bench.turn()).remove(0);
     let order = order::PoolOrder::Start(start);
-    assert!(!bench.core.is_outdated(&order));
+    assert!(!bench.core.is_outdated(&order, bench.now));
     bench.pass(100);
     answers_fresh(&mut bench);
-    assert!(bench.core.is_outdated(&order));
+    assert!(bench.core.is_outdated(&order, bench.now));
 }
 
 /// A stop bars a start without answer in the life that has answered it, and in no other: the task
--- a/crates/graph/tests/pool/slowness.rs
+++ b/crates/graph/tests/pool/slowness.rs
@@ -103,6 +103,7 @@
         worker: support::worker_id(0),
         address: String::new(),
         generation: 0,
+        ordered_at: Duration::ZERO,
         task: almondpass_graph::task_key::TaskKey { graph: 1, occurrence: 0, step: 0, task },
         attempt: 1,
         body: "".into(),
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -21,7 +21,7 @@
     while let Some(order) = orders.recv().await {
         // Judged right before the order leaves: this process may have stood still since the
         // decision, another may have taken over, and the worker may have started again.
-        let is_outdated = lead.core().is_outdated(&order);
+        let is_outdated = lead.core().is_outdated(&order, state.site.clock().now());
         if lead.may_order(state.site.clock()) && !is_outdated {
             send(&state, &lead, order).await;
             lead.turn_due.notify_one();
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -25,8 +25,8 @@
 const SETTLE: Duration = Duration::from_secs(90);
 
 /// Storms that found a fault when workers start again: an acknowledgement behind a pause in which nobody
-/// looked, and a start that hid a later life.
-const RESTART_FINDINGS: [u64; 2] = [31_028, 52_395];
+/// looked, a start that hid a later life, and one that ran on in a later life that could not be reached.
+const RESTART_FINDINGS: [u64; 3] = [31_028, 52_395, 81_036];
 
 /// What the callers were told.
 #[derive(Default)]
