Tell apart what a look acknowledges from how it waits

From the reading of the diff: how to look at a worker decided in one function about deadlines, waits and acknowledgements, with two flags for the last. What is acknowledged is decided by the worker's record now and has a type. No change of behaviour; the tests are as they were.

--- a/crates/graph/src/life_trust.rs
+++ b/crates/graph/src/life_trust.rs
@@ -12,6 +12,27 @@
 /// 0.5 s, and the ends that it lists are waited for as long to become durable; this is twice the two.
 const TRUSTED_ONCE_FOR: Duration = Duration::from_secs(2);
 
+/// What a look acknowledges.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndAck {
+    /// No end is listed that could be.
+    Nothing,
+    /// There is one, but nobody knows in which life the worker is.
+    AskFirst,
+    /// All ends up to that number.
+    UpTo(u64),
+}
+
+impl EndAck {
+    /// The highest end that the worker may forget; 0 for none.
+    pub fn last_seen(self) -> u64 {
+        match self {
+            EndAck::UpTo(number) => number,
+            EndAck::Nothing | EndAck::AskFirst => 0,
+        }
+    }
+}
+
 /// What the last answered look at a worker tells of its life. Without it an acknowledgement reaches a
 /// worker that has started again while nobody looked: no look has failed then.
 #[derive(Clone, Copy, Debug, Default)]
@@ -30,9 +51,9 @@
     }
 
     /// A look is about to be sent.
-    pub fn asked(&mut self, wait: Duration, asks_only: bool) {
+    pub fn asked(&mut self, wait: Duration, ack: EndAck) {
         self.wait = wait;
-        self.asks_only = asks_only;
+        self.asks_only = ack == EndAck::AskFirst;
     }
 
     /// The worker has answered a look sent at `sent_at`.
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -8,6 +8,7 @@
 use crate::clearing;
 use crate::core;
 use crate::job;
+use crate::life_trust;
 use crate::order;
 use crate::pace;
 use crate::restarts;
@@ -40,29 +41,27 @@
         let busy_wait = (busy_wait * n_workers.max(FEW_WORKERS) / FEW_WORKERS).min(IDLE_WAIT);
         let record = self.workers.get_mut(worker)?;
         // To a worker that does not answer no new deadline is sent: it would move the moment
-        // on from which its tasks have surely lapsed. Nor is an end acknowledged: it may have started
-        // again, and would forget ends of its new life that have the same numbers, unseen. One sees
-        // it by tasks that are done, by the worker's word, and start once more.
-        let answers = record.n_missed == 0 && record.fenced;
+        // on from which its tasks have surely lapsed.
+        let answers = record.answers();
         let deadline_ms = if answers { record.clock.deadline_in(now, lease) } else { None };
+        let ack = record.next_ack(now);
         let has_runs = !record.runs.is_empty() || !record.strays.is_empty();
         let wait = match (answers, has_runs) {
             // Ends that are not durable yet are listed again at once.
             _ if !record.unsaved_ends.is_empty() => Duration::ZERO,
+            _ if ack == life_trust::EndAck::AskFirst => Duration::ZERO,
             (false, _) => Duration::ZERO,
             (true, true) => busy_wait,
             (true, false) => IDLE_WAIT,
         };
-        // Acknowledged is only what the last answer has listed: an acknowledgement that is repeated
-        // without need may reach a later life.
-        let is_owed = record.oldest_listed.is_some_and(|it| it <= record.acknowledged);
-        let is_trusted = answers && record.trust.holds(now);
-        let last_seen = if is_owed && is_trusted { record.acknowledged } else { 0 };
-        let wait = if is_owed && !is_trusted { Duration::ZERO } else { wait };
-        record.trust.asked(wait, is_owed && !is_trusted);
-        let address = record.listing.address.clone();
-        let generation = record.generation;
-        Some(order::HoldAsk { address, generation, deadline_ms, last_seen, wait })
+        record.trust.asked(wait, ack);
+        Some(order::HoldAsk {
+            address: record.listing.address.clone(),
+            generation: record.generation,
+            deadline_ms,
+            last_seen: ack.last_seen(),
+            wait,
+        })
     }
 
     fn has_urgent(&self, worker: &ids::WorkerId) -> bool {
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -140,6 +140,27 @@
         self.listing.capacity.minus(self.used)
     }
 
+    /// Whether it has answered under this tenure, and each call since.
+    pub fn answers(&self) -> bool {
+        self.fenced && self.n_missed == 0
+    }
+
+    /// What the next look acknowledges: only what the last answer has listed, and only to a life that
+    /// was seen a moment ago. A worker that has started again forgets ends of its new life that have the
+    /// same numbers, unseen; one notices by tasks that are done, by the worker's word, and start once
+    /// more. So no acknowledgement is repeated without need, either.
+    pub fn next_ack(&self, now: Duration) -> life_trust::EndAck {
+        let is_owed = self.oldest_listed.is_some_and(|it| it <= self.acknowledged);
+        if !is_owed {
+            return life_trust::EndAck::Nothing;
+        }
+        if self.answers() && self.trust.holds(now) {
+            life_trust::EndAck::UpTo(self.acknowledged)
+        } else {
+            life_trust::EndAck::AskFirst
+        }
+    }
+
     /// Whether it leaves and nothing is on it any more; nothing new will be.
     pub fn has_left(&self) -> bool {
         let is_empty = self.runs.is_empty() && self.strays.is_empty();
