--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -285,6 +285,49 @@
     let began = bench.now - Duration::from_millis(120);
     answers(&mut bench, Some(SECOND), began, &[support::running(&start, 1)], &[]);
     assert!(bench.core.is_busy());
+    assert_eq!(bench.core.take_n_restarts(), 1);
+}
+
+/// A later life that leaves stays for as long as it says itself, and not until the former one would have
+/// left: its tasks would be moved at once.
+#[test]
+fn a_later_life_that_leaves_stays_for_its_own_time() {
+    let mut bench = bench_of_one();
+    let leaving = |incarnation, seconds| worker::WorkerListing {
+        leaves_in: Some(Duration::from_secs(seconds)),
+        ..entry(0, incarnation)
+    };
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    let began = bench.now;
+    bench.core.learn_worker(support::worker_id(0), leaving(FIRST, 1), bench.now);
+    bench.pass(900);
+    bench.started(&start);
+    bench.core.learn_worker(support::worker_id(0), leaving(SECOND, 60), bench.now);
+    answers(&mut bench, Some(SECOND), began, &[support::running(&start, 10)], &[]);
+    bench.pass(50);
+    assert_eq!(support::stops(&bench.turn()), []);
+}
+
+/// A life that was not known yet may have been given a deadline by the clock of the former one, which
+/// lies far ahead of its own: its lease may be the longest that it grants.
+#[test]
+fn a_run_found_in_a_later_life_may_go_on_for_the_longest_lease() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let index = support::index_of(&start.worker);
+    bench.pass(1_000);
+    let mut listed = says(&bench, None, Duration::ZERO, &[support::running(&start, 1)], &[]);
+    listed.clock_ms = 100;
+    bench.core.hold_answered(&start.worker, listed, bench.now, bench.now);
+    bench.core.hold_missed(&start.worker);
+    // 10 s on a clock that is 2% slow.
+    for (millis, n_starts) in [(6_700, 0), (3_400, 0), (200, 1)] {
+        bench.pass(millis);
+        bench.lists(1 - index, &[], &[]);
+        assert_eq!(support::starts(&bench.turn()).len(), n_starts, "at {:?}", bench.now);
+    }
 }
 
 /// A start may reach a worker that has just started again, before any look has. The run goes on, and its
