Call what is there already where lives of workers are told apart

Cause, from reading the whole change once more: the same things stood twice. How slow a worker's clock may be was a constant in the core and in the seat; whether a worker answers was spelled out beside the method for it; what the roster tells of a worker was compared by two functions of one body; a refusal by token was judged twice; a record's generation was set by a default and patched behind it. Change: lease_clock::at_most, WorkerRecord::answers and is_found_at serve all places; records are made in one place, only where there is none; fenced_off tells what it found. No change of behaviour, no test touched.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -74,15 +74,17 @@
     }
 
     /// A worker refused what was meant for its life `generation`, for a higher fencing token: a later
-    /// scheduler's, or our own where a later life has been found meanwhile.
-    pub fn fenced_off(&mut self, worker: &ids::WorkerId, generation: u32) {
+    /// scheduler's, or our own where a later life has been found meanwhile. Tells whether it is the
+    /// former.
+    pub fn fenced_off(&mut self, worker: &ids::WorkerId, generation: u32) -> bool {
         if !self.is_generation(worker, generation) {
-            return;
+            return false;
         }
         if !self.is_fenced_off {
             tracing::warn!(worker, "worker has seen a later scheduler");
         }
         self.is_fenced_off = true;
+        true
     }
 
     fn start_confirmed(&mut self, start: &order::StartOrder, is_seen: bool, now: Duration) {
@@ -136,9 +138,7 @@
         self.log_start(start, "refused");
         let pause = match refusal {
             order::StartRefusal::Fenced => {
-                if self.is_generation(&start.worker, start.generation) {
-                    self.fenced_off(&start.worker, start.generation);
-                } else {
+                if !self.fenced_off(&start.worker, start.generation) {
                     self.withdraw(start, now);
                 }
                 return;
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -155,10 +155,9 @@
         let usable = self.workers.iter().filter(|(id, it)| {
             it.listed
                 && self.roster.is_saved(id)
-                && it.fenced
+                && it.answers()
                 && it.is_listed_life()
                 && it.leaves_at.is_none()
-                && it.n_missed == 0
                 && now < it.answered_at + ANSWERED_WITHIN
                 && now >= it.pauses_until
                 && !it.health.is_paused(now)
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -88,10 +88,9 @@
         listing: worker::WorkerListing,
         now: Duration,
     ) {
-        let fresh = worker::WorkerRecord::of_generation(self.newest_generation);
-        let record = self.workers.entry(worker.clone()).or_insert(fresh);
+        let record = self.record_or_new(&worker);
         let is_other_life = record.listing.incarnation != listing.incarnation;
-        let is_moved = !record.listing.is_found_like(&listing);
+        let is_moved = !record.listing.is_found_at(&listing.address, &listing.upstream);
         if !record.listed {
             tracing::info!(
                 worker,
@@ -133,17 +132,22 @@
         for page in self.roster.inherit(&entry.worker, page) {
             self.unsaved.touch(save_queue::SaveKey::Roster { page });
         }
-        let fresh = worker::WorkerRecord::of_generation(self.newest_generation);
-        let record = self.workers.entry(entry.worker.clone()).or_insert(fresh);
+        let record = self.record_or_new(&entry.worker);
         record.inherited = true;
         if !record.listed {
             record.listing.address = entry.address;
             record.listing.upstream = entry.upstream;
-        } else if !record.listing.is_found_as(&entry) {
+        } else if !record.listing.is_found_at(&entry.address, &entry.upstream) {
             self.refresh_roster(&entry.worker);
         }
     }
 
+    fn record_or_new(&mut self, worker: &ids::WorkerId) -> &mut worker::WorkerRecord {
+        let generation = self.newest_generation;
+        let fresh = || worker::WorkerRecord::of_generation(generation);
+        self.workers.entry(worker.clone()).or_insert_with(fresh)
+    }
+
     /// The list has the worker no more: it gets no new tasks. What runs there counts until its
     /// lease has lapsed, since a worker may be alive and cut off from the list alone.
     pub fn unlist_worker(&mut self, worker: &ids::WorkerId) {
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -50,7 +50,12 @@
 
     /// The record of a later life, of which nothing is known but the list's entry. The runs stay until
     /// it is settled for each that it does not take effect in the later life.
-    fn renewed(&mut self, incarnation: Option<ids::Incarnation>, now: Duration) -> Self {
+    fn renewed(
+        &mut self,
+        generation: u32,
+        incarnation: Option<ids::Incarnation>,
+        now: Duration,
+    ) -> Self {
         let is_of_entry = self.listing.incarnation == incarnation;
         worker::WorkerRecord {
             listing: std::mem::take(&mut self.listing),
@@ -61,7 +66,7 @@
             life_since: now,
             runs: std::mem::take(&mut self.runs),
             used: self.used,
-            ..worker::WorkerRecord::default()
+            ..worker::WorkerRecord::of_generation(generation)
         }
     }
 }
@@ -85,8 +90,7 @@
             "worker has started again"
         );
         self.newest_generation += 1;
-        *record = record.renewed(listed.incarnation, now);
-        record.generation = self.newest_generation;
+        *record = record.renewed(self.newest_generation, listed.incarnation, now);
         self.n_restarts += 1;
         self.carry_runs_over(worker, now);
         // With a higher token: from its answer on, nothing that was sent to the former life takes
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -127,7 +127,7 @@
                 // One that has moved since is not found by what the row says.
                 let is_found = |entry: &model::RosterEntry| {
                     let record = self.workers.get(&entry.worker);
-                    record.is_none_or(|it| it.listing.is_found_as(entry))
+                    record.is_none_or(|it| it.listing.is_found_at(&entry.address, &entry.upstream))
                 };
                 let found = workers.into_iter().filter(is_found).map(|it| it.worker);
                 self.roster.saved(page, found);
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_schema::{ids, model};
+use almondpass_schema::ids;
 
 use crate::berth;
 use crate::health;
@@ -34,14 +34,9 @@
 }
 
 impl WorkerListing {
-    /// Whether the roster tells the same of both.
-    pub fn is_found_like(&self, other: &WorkerListing) -> bool {
-        self.address == other.address && self.upstream == other.upstream
-    }
-
-    /// Whether the roster's entry tells the same.
-    pub fn is_found_as(&self, entry: &model::RosterEntry) -> bool {
-        self.address == entry.address && self.upstream == entry.upstream
+    /// Whether the worker is found at that address, for that upstream: all that the roster tells of it.
+    pub fn is_found_at(&self, address: &str, upstream: &str) -> bool {
+        self.address == address && self.upstream == upstream
     }
 }
 
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_graph::lease_clock;
 use almondpass_peer::codec;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
@@ -19,10 +20,6 @@
 use crate::tenure_watch;
 use crate::writer;
 
-/// Workers' clocks run at least this fast; a lease that an earlier holder granted lasts so much
-/// longer at most.
-const SLOWEST_RATE: f64 = 0.98;
-
 /// For an order that was under way when the earlier holder stopped giving orders.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
 
@@ -153,7 +150,7 @@
     let is_over = row.released || seen.is_of(&settings.peer_address);
     let times = settings.tenure;
     let goes_on = if is_over { Duration::ZERO } else { times.term + times.detached };
-    seen.first_seen + goes_on + ORDER_SLACK + settings.terms.lease.div_f64(SLOWEST_RATE)
+    seen.first_seen + goes_on + ORDER_SLACK + lease_clock::at_most(settings.terms.lease)
 }
 
 /// Time between two looks of this instance.
