Write rows, storms and lives of the stand-in in one place each

Cause, from reading the whole change once more: the support of the pool's tests built a row's write twice and the key of a worker's entry five times; seeds were played by two loops; a worker about to leave was made by hand in three tests; one arrangement of the core's tests repeated another. The stand-in kept the time of its own start to number lives, wrote out a Default for it, and gave two lives of one millisecond the same number. An entry that told no life kept the mark of leaving in its rack. Change: put_of, entry_key, play and leaving serve all; lives are counted, so that no two are alike. All assertions stand as they were, and the seeds draw the same storms.

--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -32,6 +32,12 @@
     worker::WorkerListing { incarnation: Some(incarnation), ..support::listing(index) }
 }
 
+/// The same of a worker that leaves.
+fn leaving(incarnation: ids::Incarnation, seconds: u64) -> worker::WorkerListing {
+    let leaves_in = Some(Duration::from_secs(seconds));
+    worker::WorkerListing { leaves_in, ..entry(0, incarnation) }
+}
+
 /// One worker in its first life, whose clock shows 1,000 s.
 fn bench_of_one() -> support::PoolBench {
     let mut bench = support::PoolBench::unanswered(1, Duration::ZERO);
@@ -77,13 +83,7 @@
 /// The worker ends the task of job 1 in its first life, and that is acknowledged; then it starts
 /// again, a moment ago.
 fn bench_after_restart(second: Option<ids::Incarnation>) -> support::PoolBench {
-    let mut bench = bench_of_one();
-    bench.admit(1, support::job(1, support::tasks(1)));
-    let start = bench.turn_and_start().remove(0);
-    bench.pass(500);
-    let end = support::ended(1, &start, order::EndKind::Done);
-    answers(&mut bench, Some(FIRST), Duration::ZERO, &[], &[end]);
-    bench.save();
+    let (mut bench, _) = bench_with_end();
     assert_eq!(last_seen(&mut bench), 1);
     bench.pass(600);
     bench.core.hold_missed(&support::worker_id(0));
@@ -257,9 +257,7 @@
 #[test]
 fn a_worker_that_was_leaving_gets_tasks_when_it_has_started_again() {
     let mut bench = bench_of_one();
-    let leaving =
-        worker::WorkerListing { leaves_in: Some(Duration::from_secs(2)), ..entry(0, FIRST) };
-    bench.core.learn_worker(support::worker_id(0), leaving, bench.now);
+    bench.core.learn_worker(support::worker_id(0), leaving(FIRST, 2), bench.now);
     bench.save();
     bench.pass(3_000);
     answers_fresh(&mut bench);
@@ -293,10 +291,6 @@
 #[test]
 fn a_later_life_that_leaves_stays_for_its_own_time() {
     let mut bench = bench_of_one();
-    let leaving = |incarnation, seconds| worker::WorkerListing {
-        leaves_in: Some(Duration::from_secs(seconds)),
-        ..entry(0, incarnation)
-    };
     bench.admit(1, support::job(1, support::tasks(1)));
     let start = support::starts(&bench.turn()).remove(0);
     let began = bench.now;
@@ -347,9 +341,7 @@
         assert_eq!(support::stops(&bench.turn()), []);
     }
     // Four fifths are left, at a hundredth a second.
-    let leaving =
-        worker::WorkerListing { leaves_in: Some(Duration::from_secs(8)), ..entry(0, SECOND) };
-    bench.core.learn_worker(support::worker_id(0), leaving, bench.now);
+    bench.core.learn_worker(support::worker_id(0), leaving(SECOND, 8), bench.now);
     bench.pass(50);
     assert_eq!(support::stops(&bench.turn()).len(), 1);
 }
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -4,6 +4,7 @@
 //! --release -p almondpass-pool --test pool -- --nocapture storms`.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::time::Duration;
 
 use almondpass_graph::order;
@@ -58,7 +59,7 @@
     ($($(#[$doc:meta])* $name:ident: $kind:ident;)*) => {
         $($(#[$doc])* #[test]
         fn $name() {
-            play(StormKind::$kind);
+            play(StormKind::$kind, fresh_seeds());
         })*
     };
 }
@@ -71,22 +72,24 @@
 
 #[test]
 fn storms_that_have_found_a_fault_with_restarts() {
-    for seed in RESTART_FINDINGS {
-        for kind in [StormKind::Restarts, StormKind::UntoldRestarts] {
-            println!("storm {seed}, {kind:?}");
-            support::run(storm(seed, kind));
-        }
+    for kind in [StormKind::Restarts, StormKind::UntoldRestarts] {
+        play(kind, RESTART_FINDINGS);
     }
 }
 
-fn play(kind: StormKind) {
-    let first = number("POOL_STORM_SEED", 0);
-    for seed in first..first + number("POOL_STORM_CASES", 8) {
+fn play(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
+    for seed in seeds {
         println!("storm {seed}, {kind:?}");
         support::run(storm(seed, kind));
     }
 }
 
+/// The seeds that the environment names, or the first few.
+fn fresh_seeds() -> Range<u64> {
+    let first = number("POOL_STORM_SEED", 0);
+    first..first + number("POOL_STORM_CASES", 8)
+}
+
 fn number(variable: &str, default: u64) -> u64 {
     std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
 }
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -101,7 +101,8 @@
     fn worker(&self, value: &[u8]) -> Result<worker::WorkerListing, worker_entry::EntryFault> {
         let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
         let text = std::str::from_utf8(value).map_err(form)?;
-        let (rack, incarnation) = text.trim_end_matches('-').split_once('@').unwrap_or((text, ""));
+        let staying = text.trim_end_matches('-');
+        let (rack, incarnation) = staying.split_once('@').unwrap_or((staying, ""));
         let rack = rack.to_owned();
         Ok(worker::WorkerListing {
             address: "worker".to_owned(),
@@ -222,7 +223,7 @@
 
     /// Somebody else writes over the entry of a worker.
     pub(crate) async fn spoil_entry(&self, index: usize) {
-        self.write(&format!("workers//{}", worker_id(index)), b"\xff\xfe").await;
+        self.write(&entry_key(index), b"\xff\xfe").await;
     }
 
     /// A worker dies, and starts again under the id that it had. Its entry tells of it at its next
@@ -236,31 +237,23 @@
 
     /// A worker writes its entry anew.
     pub(crate) async fn write_entry(&self, index: usize) {
-        self.write(&format!("workers//{}", worker_id(index)), self.entry(index).as_bytes()).await;
+        self.write(&entry_key(index), entry_of(&self.fleet, index).as_bytes()).await;
     }
 
     /// The worker says that it leaves.
     pub(crate) async fn drain_worker(&self, index: usize) {
-        let entry = format!("{}-", self.entry(index));
-        self.write(&format!("workers//{}", worker_id(index)), entry.as_bytes()).await;
-    }
-
-    fn entry(&self, index: usize) -> String {
-        entry_of(&self.fleet, index)
+        let entry = format!("{}-", entry_of(&self.fleet, index));
+        self.write(&entry_key(index), entry.as_bytes()).await;
     }
 
     /// A worker that is up writes its entry within a heartbeat, and again until the store takes it.
     pub(crate) fn write_entry_later(&self, index: usize, delay: Duration) {
         let (store, fleet) = (self.store.clone(), self.fleet.clone());
-        let key = format!("workers//{}", worker_id(index));
         tokio::spawn(async move {
             time::sleep(delay).await;
             while fleet.is_up(&worker_id(index)) {
                 let value = blob::Blob::from(entry_of(&fleet, index).into_bytes());
-                let write = model::TableWrite { key: key.clone(), value: Some(value) };
-                let transaction =
-                    model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
-                if store.transact(transaction).await.is_ok() {
+                if store.transact(put_of(&entry_key(index), Some(value))).await.is_ok() {
                     return;
                 }
                 time::sleep(ENTRY_AGAIN).await;
@@ -277,9 +270,7 @@
     }
 
     async fn put(&self, key: &str, value: Option<blob::Blob>) {
-        let write = model::TableWrite { key: key.to_owned(), value };
-        let transaction = model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
-        self.store.transact(transaction).await.expect("a write");
+        self.store.transact(put_of(key, value)).await.expect("a write");
     }
 
     /// Hands a job in at an instance.
@@ -340,6 +331,17 @@
     }
 }
 
+/// Writes or removes one row, whatever it holds.
+fn put_of(key: &str, value: Option<blob::Blob>) -> model::TableTransaction {
+    let write = model::TableWrite { key: key.to_owned(), value };
+    model::TableTransaction { conditions: Vec::new(), writes: vec![write] }
+}
+
+/// Where the entry of a worker stands in the platform's list.
+pub(crate) fn entry_key(index: usize) -> String {
+    format!("workers//{}", worker_id(index))
+}
+
 /// The entry of a worker: its rack, and its incarnation where it tells it.
 fn entry_of(fleet: &pool_fleet::PoolFleet, index: usize) -> String {
     let incarnation = fleet.incarnation(&worker_id(index));
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -78,7 +78,7 @@
         bench.submit(0, 2, support::job(1, 500)).await;
         time::sleep(Duration::from_secs(3)).await;
         bench.fleet.faults(&support::worker_id(1)).set(fault::Condition::Silent);
-        bench.remove(&format!("workers//{}", support::worker_id(1))).await;
+        bench.remove(&support::entry_key(1)).await;
         time::sleep(Duration::from_secs(1)).await;
         assert_waiting_job_starts(&mut bench, Duration::from_secs(2)).await;
     });
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -25,8 +25,9 @@
 /// An order without an answer fails after this.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// What the calendar shows when the runtime's clock begins, in Unix milliseconds: any day will do.
-const EPOCH_MS: u64 = 1_800_000_000_000;
+/// When the first life of a worker begins by the calendar, in Unix milliseconds: any day will do. Each
+/// life begins a millisecond behind the one before, so that no two can be mixed up.
+const FIRST_LIFE_MS: u64 = 1_800_000_000_000;
 
 /// How often a look that waits for an end looks again.
 const HOLD_TICK: Duration = Duration::from_millis(20);
@@ -39,9 +40,9 @@
     path: fault::FaultPlan,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct FleetState {
-    began: Instant,
+    n_lives: u64,
     workers: BTreeMap<ids::WorkerId, pool_worker::PoolWorker>,
     plans: BTreeMap<ids::WorkerId, fault::FaultPlan>,
     task_room: room::Room,
@@ -50,20 +51,6 @@
     starts_outlive: bool,
 }
 
-impl Default for FleetState {
-    fn default() -> FleetState {
-        FleetState {
-            began: Instant::now(),
-            workers: BTreeMap::new(),
-            plans: BTreeMap::new(),
-            task_room: room::Room::default(),
-            lost: Vec::new(),
-            hides_lives: false,
-            starts_outlive: false,
-        }
-    }
-}
-
 impl PoolFleet {
     /// No workers; tasks take `task_room` each.
     pub fn new(task_room: room::Room) -> PoolFleet {
@@ -80,7 +67,8 @@
     /// A new worker, or a new life of one that has died.
     pub fn add(&self, worker: &str, capacity: room::Room) {
         let mut state = state::lock(&self.state);
-        let incarnation = EPOCH_MS + state.began.elapsed().as_millis() as u64;
+        let incarnation = FIRST_LIFE_MS + state.n_lives;
+        state.n_lives += 1;
         let fresh = pool_worker::PoolWorker::new(worker, incarnation, capacity);
         state.workers.insert(worker.to_owned(), fresh);
     }
