Tell for each lost worker what ran there, for how long, and how the loss shows

The log said that a worker was over, and how many tasks it had; which ones had to be pieced together from all starts and ends before. One line now, whatever the sign (replaced, restarted, silent), with task, attempt and time run, and how long the worker had been silent: whether the same task is on each worker that is lost shows at once. No change of a decision.

--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -8,6 +8,7 @@
 use crate::berth;
 use crate::core;
 use crate::job;
+use crate::losses;
 use crate::progress;
 use crate::save_queue;
 use crate::worker;
@@ -172,8 +173,9 @@
             self.missed(worker);
             return;
         }
-        tracing::info!(worker, n_runs = record.runs.len(), "worker is over");
-        for key in record.runs.clone() {
+        let runs = record.runs.iter().copied().collect::<Vec<_>>();
+        self.worker_lost(worker, losses::LossSign::Replaced, &runs, now);
+        for key in runs {
             self.vacate(key, now);
         }
         self.workers.remove(worker);
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod job;
 pub mod lease_clock;
 pub mod life_trust;
+pub mod losses;
 pub mod objective;
 pub mod order;
 pub mod pace;
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -11,6 +11,7 @@
 
 use crate::core;
 use crate::job;
+use crate::losses;
 use crate::order;
 use crate::pace;
 use crate::worker;
@@ -79,6 +80,9 @@
         listed: &order::WorkerListed,
         now: Duration,
     ) {
+        let Some(record) = self.workers.get(worker) else { return };
+        let runs = record.runs.iter().copied().collect::<Vec<_>>();
+        self.worker_lost(worker, losses::LossSign::Restarted, &runs, now);
         let Some(record) = self.workers.get_mut(worker) else { return };
         tracing::info!(
             worker,
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -9,6 +9,7 @@
 use crate::core;
 use crate::job;
 use crate::lease_clock;
+use crate::losses;
 use crate::task_key;
 
 /// Time is taken note of this often: it goes over all runs, and turns come with each event.
@@ -54,7 +55,7 @@
                 .copied()
                 .partition::<Vec<_>, _>(|key| self.has_surely_lapsed(*key, now));
             if !lapsed.is_empty() {
-                tracing::warn!(worker, n_runs = lapsed.len(), "worker's lease has lapsed");
+                self.worker_lost(&worker, losses::LossSign::Silent, &lapsed, now);
             }
             for key in lapsed {
                 self.vacate(key, now);
