Let workers of the stand-in crash by what they run; tests of it, failing

Workers of the stand-in now crash some time behind the start of a task whose body says so, and come back under another id at their address or elsewhere, under their id, or not at all; they have addresses, at which another worker refuses what is not meant for it.

--- /dev/null
+++ b/crates/pool/tests/pool/crashes.rs
@@ -0,0 +1,77 @@
+//! Tasks that crash each worker that starts them.
+
+use std::time::Duration;
+
+use almondpass_graph::task_key;
+use almondpass_schema::model;
+use tokio::time;
+
+use crate::support;
+
+/// A crashed worker is back after this.
+const DOWN: Duration = Duration::from_secs(3);
+
+/// Once three workers have crashed under a task, it may be started twice more.
+const MOST_STARTS: usize = 5;
+
+/// The longest that the scheduler may need: five losses, each found by silence behind a lease.
+const GIVEN_UP: Duration = Duration::from_secs(60);
+
+/// How often the first task of a job was started.
+fn n_starts(bench: &support::PoolBench, graph: u64) -> usize {
+    let first = task_key::TaskKey { graph, occurrence: 0, step: 0, task: 0 };
+    bench.fleet.records().iter().filter(|it| it.task == first).count()
+}
+
+/// A job whose first task crashes its worker `after` milliseconds behind its start.
+fn crashing(n: u32, after: u64) -> model::GraphRow {
+    let mut row = support::job(n, 5_000);
+    row.graph.body.push_str(&format!(" crash={after}"));
+    row
+}
+
+/// A job that crashes its workers beside others, which end well.
+async fn check(row: model::GraphRow, comeback: support::Comeback) {
+    let bench = support::PoolBench::start(2, 8).await;
+    bench.bring_back(comeback, DOWN);
+    for graph in 2..6 {
+        bench.submit(0, graph, support::job(4, 6_000)).await;
+    }
+    bench.submit(0, 1, row).await;
+    bench.await_state(0, 1, model::GraphState::Failed, GIVEN_UP).await;
+    time::sleep(Duration::from_secs(20)).await;
+    for graph in 2..6 {
+        bench.await_state(0, graph, model::GraphState::Completed, GIVEN_UP).await;
+    }
+    let n_starts = n_starts(&bench, 1);
+    assert!(n_starts <= MOST_STARTS, "{n_starts} starts");
+    bench.assert_nothing_ran_twice();
+}
+
+macro_rules! crashes {
+    ($($name:ident: $row:expr, $comeback:ident;)*) => {
+        $(#[test]
+        fn $name() {
+            support::run(check($row, support::Comeback::$comeback));
+        })*
+    };
+}
+
+// Symptom: two jobs never ended, and a worker was lost every 1.6 s without end, with all that ran there.
+// Sequence: a task crashes its worker; once the worker is known to be lost, what ran there starts
+// elsewhere, the task with it, and so on. Cause: the loss of a worker counted against nothing that ran
+// on it.
+crashes! {
+    a_task_that_crashes_workers_is_given_up: crashing(1, 10), AtItsAddress;
+    a_task_that_crashes_workers_that_come_back_elsewhere: crashing(1, 10), Elsewhere;
+    a_task_that_crashes_workers_that_come_back_under_their_ids: crashing(1, 10), UnderItsId;
+    a_task_that_crashes_workers_for_good: crashing(1, 10), Never;
+    a_task_that_crashes_workers_late: crashing(1, 3_000), InTurn;
+    a_wide_step_with_a_task_that_crashes_workers: crashing(12, 500), InTurn;
+    a_gang_with_a_task_that_crashes_workers: gang(crashing(4, 1_000)), InTurn;
+}
+
+fn gang(mut row: model::GraphRow) -> model::GraphRow {
+    row.graph.steps[0].gang = true;
+    row
+}
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -1,6 +1,7 @@
 //! Instances on the stand-in, on the paused clock: the whole path of job graphs under faults.
 
 mod calm;
+mod crashes;
 mod entries;
 mod outages;
 mod restarts;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -28,6 +28,15 @@
 /// A worker whose entry the store did not take writes it again after this.
 const ENTRY_AGAIN: Duration = Duration::from_millis(200);
 
+/// Workers write their entries this often.
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Whether a task has crashed its worker is looked at this often.
+const CRASH_TICK: Duration = Duration::from_millis(20);
+
+/// More than the workers of any test; a multiple of the workers of a rack.
+const N_IDS: usize = 800;
+
 /// What each task takes.
 const TASK: room::Room = room::Room { cpu_milli: 4_000, memory_mb: 8_000, accelerators: 1 };
 
@@ -68,8 +77,8 @@
     }
 }
 
-/// A document is the number of its version; a worker's row is its rack and its incarnation, with a
-/// `-` behind them once the worker leaves.
+/// A document is the number of its version; a worker's row is its rack, its incarnation and its address,
+/// with a `-` behind them once the worker leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchReader;
 
@@ -102,10 +111,11 @@
         let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
         let text = std::str::from_utf8(value).map_err(form)?;
         let staying = text.trim_end_matches('-');
+        let (staying, address) = staying.split_once('#').unwrap_or((staying, "worker"));
         let (rack, incarnation) = staying.split_once('@').unwrap_or((staying, ""));
         let rack = rack.to_owned();
         Ok(worker::WorkerListing {
-            address: "worker".to_owned(),
+            address: address.to_owned(),
             upstream: UPSTREAM.to_owned(),
             capacity: CAPACITY,
             labels: vec!["a".to_owned(), rack.clone()],
@@ -116,6 +126,28 @@
     }
 }
 
+/// How a worker comes back that a task has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Comeback {
+    /// Under another id, at its address.
+    AtItsAddress,
+    /// Under another id, at another address.
+    Elsewhere,
+    /// Under its id.
+    UnderItsId,
+    /// Not at all.
+    Never,
+    /// In any of these ways, one after the other.
+    InTurn,
+}
+
+impl Comeback {
+    fn of(self, n_crashes: usize) -> Comeback {
+        let ways = [Comeback::AtItsAddress, Comeback::Elsewhere, Comeback::UnderItsId];
+        if self == Comeback::InTurn { ways[n_crashes % ways.len()] } else { self }
+    }
+}
+
 /// Everything at once.
 pub(crate) struct PoolBench {
     pub(crate) store: table::TableFake,
@@ -261,6 +293,26 @@
         });
     }
 
+    /// Workers that tasks crash come back from now on, `down` later, as the platform lets them.
+    pub(crate) fn bring_back(&self, comeback: Comeback, down: Duration) {
+        let (store, fleet) = (self.store.clone(), self.fleet.clone());
+        tokio::spawn(async move {
+            let mut n_crashes = 0;
+            loop {
+                for dead in fleet.take_crashed() {
+                    let way = comeback.of(n_crashes);
+                    n_crashes += 1;
+                    let back = come_back(fleet.clone(), store.clone(), dead.clone(), way, down);
+                    tokio::spawn(back);
+                    if way != Comeback::UnderItsId {
+                        tokio::spawn(expire_entry(store.clone(), dead.worker));
+                    }
+                }
+                time::sleep(CRASH_TICK).await;
+            }
+        });
+    }
+
     pub(crate) async fn remove(&self, key: &str) {
         self.put(key, None).await;
     }
@@ -337,16 +389,71 @@
     model::TableTransaction { conditions: Vec::new(), writes: vec![write] }
 }
 
+/// Lets a worker that was crashed start again, and write its entry once the store takes it.
+async fn come_back(
+    fleet: pool_fleet::PoolFleet,
+    store: table::TableFake,
+    dead: pool_fleet::CrashedWorker,
+    way: Comeback,
+    down: Duration,
+) {
+    time::sleep(down).await;
+    let fresh = fresh_id(&fleet, &dead.worker);
+    let worker = match way {
+        Comeback::UnderItsId => dead.worker,
+        _ => fresh,
+    };
+    match way {
+        Comeback::AtItsAddress => fleet.add_at(&worker, &dead.address, dead.capacity),
+        Comeback::Never => return,
+        _ => fleet.add(&worker, dead.capacity),
+    }
+    let index = index_of(&worker);
+    keep_writing(&store, &entry_key(index), || Some(entry_of(&fleet, index))).await;
+}
+
+/// An id that no worker had, of the same rack.
+fn fresh_id(fleet: &pool_fleet::PoolFleet, worker: &str) -> ids::WorkerId {
+    let mut index = index_of(worker) + N_IDS;
+    while fleet.was_up(&worker_id(index)) {
+        index += N_IDS;
+    }
+    worker_id(index)
+}
+
+/// The entry of a worker that is silent for three heartbeats goes.
+async fn expire_entry(store: table::TableFake, worker: ids::WorkerId) {
+    time::sleep(3 * HEARTBEAT).await;
+    keep_writing(&store, &entry_key(index_of(&worker)), || None).await;
+}
+
+/// Writes until the store takes it.
+async fn keep_writing(store: &table::TableFake, key: &str, value: impl Fn() -> Option<String>) {
+    loop {
+        let blob = value().map(|it| blob::Blob::from(it.into_bytes()));
+        if store.transact(put_of(key, blob)).await.is_ok() {
+            return;
+        }
+        time::sleep(ENTRY_AGAIN).await;
+    }
+}
+
 /// Where the entry of a worker stands in the platform's list.
 pub(crate) fn entry_key(index: usize) -> String {
     format!("workers//{}", worker_id(index))
 }
 
-/// The entry of a worker: its rack, and its incarnation where it tells it.
+/// The entry of a worker: its rack, its incarnation where it tells it, and its address.
 fn entry_of(fleet: &pool_fleet::PoolFleet, index: usize) -> String {
-    let incarnation = fleet.incarnation(&worker_id(index));
+    let worker = worker_id(index);
+    let incarnation = fleet.incarnation(&worker);
     let incarnation = incarnation.map(|it| it.to_string()).unwrap_or_default();
-    format!("r{}@{incarnation}", index / 8)
+    format!("r{}@{incarnation}#{}", index / 8, fleet.address_of(&worker))
+}
+
+/// Index of a worker by its id.
+fn index_of(worker: &str) -> usize {
+    worker.trim_start_matches('w').parse().expect("the id of a worker")
 }
 
 pub(crate) fn worker_id(index: usize) -> ids::WorkerId {
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -1,6 +1,6 @@
 //! Workers for job graphs, behind the control port, with faults on the way to each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -43,14 +43,41 @@
 #[derive(Debug, Default)]
 struct FleetState {
     n_lives: u64,
+    /// Ids that workers have, or had.
+    known: BTreeSet<ids::WorkerId>,
     workers: BTreeMap<ids::WorkerId, pool_worker::PoolWorker>,
     plans: BTreeMap<ids::WorkerId, fault::FaultPlan>,
     task_room: room::Room,
     lost: Vec<pool_worker::RunRecord>,
+    /// Where workers are that are not at the address that is their id.
+    addresses: BTreeMap<ids::PeerAddress, ids::WorkerId>,
+    /// Crashed by a task, and not handed out yet.
+    crashed: Vec<CrashedWorker>,
     hides_lives: bool,
     starts_outlive: bool,
 }
 
+/// Whom a call has reached.
+enum Reach<T> {
+    /// The worker that was meant, which answers that.
+    Worker(T),
+    /// Another worker, at its address.
+    Other,
+    /// Nobody.
+    Nobody,
+}
+
+/// A worker that a task has crashed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashedWorker {
+    /// Its id.
+    pub worker: ids::WorkerId,
+    /// Where it was.
+    pub address: ids::PeerAddress,
+    /// What it offered.
+    pub capacity: room::Room,
+}
+
 impl PoolFleet {
     /// No workers; tasks take `task_room` each.
     pub fn new(task_room: room::Room) -> PoolFleet {
@@ -69,10 +96,29 @@
         let mut state = state::lock(&self.state);
         let incarnation = FIRST_LIFE_MS + state.n_lives;
         state.n_lives += 1;
+        state.known.insert(worker.to_owned());
         let fresh = pool_worker::PoolWorker::new(worker, incarnation, capacity);
         state.workers.insert(worker.to_owned(), fresh);
     }
 
+    /// A new worker at an address, where another may have been.
+    pub fn add_at(&self, worker: &str, address: &str, capacity: room::Room) {
+        self.add(worker, capacity);
+        state::lock(&self.state).addresses.insert(address.to_owned(), worker.to_owned());
+    }
+
+    /// Where a worker is.
+    pub fn address_of(&self, worker: &str) -> ids::PeerAddress {
+        state::lock(&self.state).address_of(worker)
+    }
+
+    /// Workers that tasks have crashed since the last call.
+    pub fn take_crashed(&self) -> Vec<CrashedWorker> {
+        let mut state = state::lock(&self.state);
+        state.pass_crashes();
+        std::mem::take(&mut state.crashed)
+    }
+
     /// From now on no worker tells in which life it is.
     pub fn hide_lives(&self) {
         state::lock(&self.state).hides_lives = true;
@@ -95,25 +141,14 @@
         state::lock(&self.state).workers.contains_key(worker)
     }
 
+    /// Whether there ever was a worker of that id.
+    pub fn was_up(&self, worker: &str) -> bool {
+        state::lock(&self.state).known.contains(worker)
+    }
+
     /// The worker dies, and everything on it. Tells what it offered.
     pub fn crash(&self, worker: &str) -> Option<room::Room> {
-        let mut state = state::lock(&self.state);
-        let mut dead = state.workers.remove(worker)?;
-        dead.pass_time();
-        let running = dead.runs().iter().map(|(task, run)| pool_worker::RunRecord {
-            task: *task,
-            attempt: run.attempt,
-            worker: worker.to_owned(),
-            began: run.began,
-            ended: Instant::now(),
-            how: order::EndKind::Lapsed,
-            number: 0,
-            is_noted: false,
-        });
-        state.lost.extend(running);
-        let capacity = dead.capacity();
-        state.lost.extend(dead.records);
-        Some(capacity)
+        state::lock(&self.state).crash(worker)
     }
 
     /// Faults on the way to one worker.
@@ -124,6 +159,7 @@
     /// All runs that are over, those on dead workers included.
     pub fn records(&self) -> Vec<pool_worker::RunRecord> {
         let mut state = state::lock(&self.state);
+        state.pass_crashes();
         let mut records = state.lost.clone();
         for worker in state.workers.values_mut() {
             worker.pass_time();
@@ -135,6 +171,7 @@
     /// Tasks that run now.
     pub fn n_running(&self) -> usize {
         let mut state = state::lock(&self.state);
+        state.pass_crashes();
         let workers = state.workers.values_mut();
         workers
             .map(|it| {
@@ -146,24 +183,29 @@
 
     async fn pass<T: Send + 'static>(
         &self,
-        worker: &ids::WorkerId,
+        target: &control::WorkerTarget,
         step: &'static str,
         limit: Duration,
         effect: impl FnOnce(&mut pool_worker::PoolWorker, room::Room) -> T + Send + 'static,
     ) -> Result<T, control::ControlFault> {
+        let worker = &target.worker;
         let plan = self.faults(worker);
         let shared = Arc::clone(&self.state);
-        let id = worker.clone();
+        let target_there = target.clone();
         let life = state::lock(&self.state).workers.get(worker).map(|it| it.incarnation());
         let effect = move || {
             let mut state = state::lock(&shared);
+            state.pass_crashes();
+            if state.is_taken(&target_there) {
+                return Reach::Other;
+            }
             let room = state.task_room;
             // A call belongs to the life that it has reached, and ends with its connection.
             let outlives = step == START && state.starts_outlive;
             let is_reached =
                 |it: &&mut pool_worker::PoolWorker| outlives || Some(it.incarnation()) == life;
-            let reached = state.workers.get_mut(&id).filter(is_reached);
-            reached.map(|it| effect(it, room))
+            let reached = state.workers.get_mut(&target_there.worker).filter(is_reached);
+            reached.map_or(Reach::Nobody, |it| Reach::Worker(effect(it, room)))
         };
         let plans = [&self.path, &plan];
         let passing = fault::pass(&plans, worker, step, effect);
@@ -172,11 +214,58 @@
             let timed_out = almondpass_peer::error::CallFault::TimedOut(limit);
             Err(fault::call_error(worker, step, timed_out))
         })?;
-        // A dead worker does not answer; what it would say is a timeout.
-        passed.ok_or_else(|| {
-            let timed_out = almondpass_peer::error::CallFault::TimedOut(limit);
-            fault::call_error(worker, step, timed_out).into()
-        })
+        match passed {
+            Reach::Worker(answer) => Ok(answer),
+            Reach::Other => Err(control::ControlFault::Replaced(worker.clone())),
+            // A dead worker does not answer; what it would say is a timeout.
+            Reach::Nobody => {
+                let timed_out = almondpass_peer::error::CallFault::TimedOut(limit);
+                Err(fault::call_error(worker, step, timed_out).into())
+            }
+        }
+    }
+}
+
+impl FleetState {
+    /// Crashes the workers whose tasks do that, as far as it is time.
+    fn pass_crashes(&mut self) {
+        let now = Instant::now();
+        let due = self.workers.iter().filter(|(_, it)| it.crashes_at().is_some_and(|at| at <= now));
+        for worker in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let address = self.address_of(&worker);
+            let Some(capacity) = self.crash(&worker) else { continue };
+            self.crashed.push(CrashedWorker { worker, address, capacity });
+        }
+    }
+
+    fn crash(&mut self, worker: &str) -> Option<room::Room> {
+        let mut dead = self.workers.remove(worker)?;
+        dead.pass_time();
+        let running = dead.runs().iter().map(|(task, run)| pool_worker::RunRecord {
+            task: *task,
+            attempt: run.attempt,
+            worker: worker.to_owned(),
+            began: run.began,
+            ended: Instant::now(),
+            how: order::EndKind::Lapsed,
+            number: 0,
+            is_noted: false,
+        });
+        self.lost.extend(running);
+        let capacity = dead.capacity();
+        self.lost.extend(dead.records);
+        Some(capacity)
+    }
+
+    fn address_of(&self, worker: &str) -> ids::PeerAddress {
+        let placed = self.addresses.iter().find(|(_, it)| *it == worker);
+        placed.map_or_else(|| worker.to_owned(), |(address, _)| address.clone())
+    }
+
+    /// Whether another worker is up at the address, which refuses what is not meant for it.
+    fn is_taken(&self, target: &control::WorkerTarget) -> bool {
+        let there = self.addresses.get(&target.address);
+        there.is_some_and(|it| *it != target.worker && self.workers.contains_key(it))
     }
 }
 
@@ -197,7 +286,7 @@
                 listed.incarnation = listed.incarnation.filter(|_| !hides_lives);
                 Some((is_over || worker.has_ends()).then_some(listed))
             };
-            match self.pass(&target.worker, HOLD, ORDER_TIMEOUT, look).await? {
+            match self.pass(target, HOLD, ORDER_TIMEOUT, look).await? {
                 Some(Some(listed)) => return Ok(listed),
                 Some(None) => time::sleep(HOLD_TICK).await,
                 None => return Err(control::ControlFault::Fenced),
@@ -211,15 +300,18 @@
         start: &order::StartOrder,
     ) -> order::StartAnswer {
         let order = start.clone();
+        let target =
+            control::WorkerTarget { worker: start.worker.clone(), address: start.address.clone() };
         let begin = move |worker: &mut pool_worker::PoolWorker, room| {
-            let plan = pool_worker::plan_of(&order.body, room);
+            let plan = pool_worker::plan_of(&order, room);
             worker.start(token, &order, plan)
         };
-        match self.pass(&start.worker, START, ORDER_TIMEOUT, begin).await {
+        match self.pass(&target, START, ORDER_TIMEOUT, begin).await {
             Ok(answer) => answer,
             Err(control::ControlFault::Call(error)) if error.fault.had_no_effect() => {
                 order::StartAnswer::NotSent
             }
+            Err(control::ControlFault::Replaced(_)) => order::StartAnswer::Replaced,
             Err(_) => order::StartAnswer::Unknown,
         }
     }
@@ -230,8 +322,10 @@
         stop: &order::StopOrder,
     ) -> Result<(), control::ControlFault> {
         let order = stop.clone();
+        let target =
+            control::WorkerTarget { worker: stop.worker.clone(), address: stop.address.clone() };
         let end = move |worker: &mut pool_worker::PoolWorker, _| worker.stop(token, &order);
-        let is_accepted = self.pass(&stop.worker, STOP, ORDER_TIMEOUT, end).await?;
+        let is_accepted = self.pass(&target, STOP, ORDER_TIMEOUT, end).await?;
         if is_accepted { Ok(()) } else { Err(control::ControlFault::Fenced) }
     }
 }
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -1,7 +1,6 @@
 //! One worker that runs tasks of job graphs: one lease for everything on it, numbered ends, fencing.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use almondpass_graph::{order, room, task_key};
@@ -21,6 +20,8 @@
     pub work: Duration,
     /// It fails at the end.
     pub fails: bool,
+    /// Its worker crashes this long behind the start, if it is still there.
+    pub crashes: Option<Duration>,
     /// What each task takes.
     pub room: room::Room,
 }
@@ -119,6 +120,15 @@
         &self.runs
     }
 
+    /// When a task crashes it, as things stand.
+    pub fn crashes_at(&self) -> Option<Instant> {
+        let crash = |it: &PoolRun| {
+            let at = it.began + it.plan.crashes?;
+            (at <= it.end(self.lapses_at()).0).then_some(at)
+        };
+        self.runs.values().filter_map(crash).min()
+    }
+
     /// Takes a start.
     pub fn start(
         &mut self,
@@ -191,7 +201,7 @@
     /// Ends what is due: stops, work that is done, a lease that has run out.
     pub fn pass_time(&mut self) {
         let now = Instant::now();
-        let lapses_at = self.born + Duration::from_millis(self.deadline_ms);
+        let lapses_at = self.lapses_at();
         let ends = self.runs.iter().map(|(key, run)| (*key, run.end(lapses_at)));
         let due = ends.filter(|(_, (at, _))| *at <= now).collect::<Vec<_>>();
         for (key, (at, how)) in due {
@@ -225,7 +235,7 @@
 
     /// Takes note of the acknowledgement of ends.
     fn note_ends(&mut self, last_seen: u64) {
-        let lapses_at = self.born + Duration::from_millis(self.deadline_ms);
+        let lapses_at = self.lapses_at();
         let has_lapsed = lapses_at < Instant::now();
         for record in self.records.iter_mut().filter(|it| it.number > self.n_settled) {
             if has_lapsed {
@@ -236,6 +246,10 @@
         self.n_settled = if has_lapsed { self.n_ends } else { self.n_settled };
     }
 
+    fn lapses_at(&self) -> Instant {
+        self.born + Duration::from_millis(self.deadline_ms)
+    }
+
     fn extend(&mut self, deadline_ms: u64) {
         let longest = self.clock_ms() + LONGEST_LEASE.as_millis() as u64;
         self.deadline_ms = self.deadline_ms.max(deadline_ms.min(longest));
@@ -285,9 +299,16 @@
     (100.0 * share.min(1.0)) as u32
 }
 
-/// Reads what a task does from its body: `ms=2500`, `fail`, in any order, separated by spaces.
-pub fn plan_of(body: &Arc<str>, room: room::Room) -> TaskPlan {
-    let millis = body.split(' ').find_map(|it| it.strip_prefix("ms=")?.parse().ok());
-    let work = Duration::from_millis(millis.unwrap_or(1_000));
-    TaskPlan { work, fails: body.split(' ').any(|it| it == "fail"), room }
+/// Reads what a task does from its body: `ms=2500`, `fail`, `crash=10`, in any order, separated by
+/// spaces. Only the first task of a step crashes its worker.
+pub fn plan_of(start: &order::StartOrder, room: room::Room) -> TaskPlan {
+    let words = || start.body.split(' ');
+    let millis = |name| words().find_map(|it| it.strip_prefix(name)?.parse().ok());
+    let crashes = millis("crash=").filter(|_| start.task.task == 0);
+    TaskPlan {
+        work: Duration::from_millis(millis("ms=").unwrap_or(1_000)),
+        fails: words().any(|it| it == "fail"),
+        crashes: crashes.map(Duration::from_millis),
+        room,
+    }
 }
