--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -9,6 +9,7 @@
 use crate::placing;
 use crate::room;
 use crate::task_key;
+use crate::trials;
 
 impl core::PoolCore {
     /// What a unit asks for.
@@ -26,6 +27,7 @@
         };
         let waited = now.saturating_sub(tasks.first()?.waits_since);
         let waited = waited.min(self.wall.saturating_sub(job.due(unit.step as usize)));
+        let is_suspect = tasks.iter().any(|it| it.suspicion.is_suspect());
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: upstream_number(&job.upstream, berths),
@@ -37,9 +39,13 @@
             per_worker: step.spec.per_worker,
             present: present(step, berths),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
-            keeps_empty: self.kept_empty(job, berths, waited),
+            // What may crash its worker takes an empty one, before it takes others with it.
+            keeps_empty: if is_suspect { 0 } else { self.kept_empty(job, berths, waited) },
             far: false,
             takes_reserved: waited >= self.slack(job),
+            is_suspect,
+            is_apart: is_suspect && waited < trials::APART_PATIENCE,
+            may_open: trials::may_open(tasks, berths),
         };
         ask.far = waited >= self.near_patience(job) || !placing::could_be_near(berths, &ask);
         Some(ask)
--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -31,10 +31,16 @@
     pub rack: usize,
     /// Number of the upstream whose tasks it runs, for the same reason.
     pub upstream: usize,
+    /// What is in use, which may be more than there is.
+    pub used: room::Room,
     /// What is free now.
     pub free: room::Room,
+    /// Tasks there, those included that should not be.
+    pub n_runs: usize,
     /// Failed lately; used last.
     pub suspect: bool,
+    /// Whether a task has it for itself, as it may crash it: nothing else starts there.
+    pub is_closed: bool,
     /// Room that is being cleared for units.
     pub claims: Vec<(task_key::UnitKey, room::Room)>,
     /// Room that gathers for units that wait.
@@ -44,7 +50,7 @@
 impl WorkerBerth {
     /// Whether nothing is on it.
     pub fn is_empty(&self) -> bool {
-        self.free == self.place.capacity
+        self.n_runs == 0
     }
 
     /// Of `free`, what `unit` may take: all that is not being cleared for others.
@@ -89,12 +95,31 @@
     /// to its patience the least urgent class starves on the heaviest days: jobs lay for 50 s with one
     /// task left to run, and 2 of 40 days earned less than a seventh of its worth.
     pub takes_reserved: bool,
+    /// Whether a task of the unit is under suspicion of crashing its workers.
+    pub is_suspect: bool,
+    /// Whether it needs workers of its own.
+    pub is_apart: bool,
+    /// Whether it may have them now.
+    pub may_open: bool,
 }
 
 impl PlaceAsk<'_> {
+    /// How many of its tasks fit on that berth as it is, as far as the berth may be used at all.
+    pub fn count_now(&self, index: usize, berth: &WorkerBerth) -> u32 {
+        if self.is_apart && !(self.may_open && berth.is_empty()) {
+            return 0;
+        }
+        self.count_on(index, berth, berth.free)
+    }
+
+    /// What has to be kept on a berth for one of its tasks: all of it where the unit runs apart.
+    pub fn kept_room(&self, berth: &WorkerBerth) -> room::Room {
+        if self.is_apart { berth.place.capacity } else { self.room }
+    }
+
     /// How many of its tasks fit in `free` of that berth, as far as the berth may be used at all.
     pub fn count_on(&self, index: usize, berth: &WorkerBerth, free: room::Room) -> u32 {
-        if !self.allows(berth) {
+        if berth.is_closed || !self.allows(berth) {
             return 0;
         }
         let left = if self.takes_reserved {
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -102,11 +102,11 @@
         let pool = if is_guaranteed { &mut round.for_guaranteed } else { &mut round.for_others };
         let pool = pool.get_or_insert_with(|| self.victim_pool(is_guaranteed, berths, now));
         let Some(ask) = self.ask(unit, berths, now) else { return };
-        let room = ask.room;
         let Some(plan) = reclaiming::reclaim(berths, pool, &ask) else { return };
         if plan.cost > self.most_cost(unit, &ask, now) {
             return;
         }
+        let kept = plan.berths.iter().map(|it| ask.kept_room(&berths[*it])).collect::<Vec<_>>();
         tracing::info!(
             job = format_args!("{:016x}", unit.graph),
             step = unit.step,
@@ -125,7 +125,7 @@
         let other = if is_guaranteed { &mut round.for_others } else { &mut round.for_guaranteed };
         *other = None;
         let until = now + self.terms.stop_timeout + CLAIM_SLACK;
-        for index in plan.berths {
+        for (index, room) in plan.berths.into_iter().zip(kept) {
             berths[index].claims.push((unit, room));
             if let Some(record) = self.workers.get_mut(&berths[index].place.worker) {
                 record.claims.push(worker::RoomClaim { unit, room, until });
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -9,6 +9,8 @@
 use crate::catalog;
 use crate::headroom;
 use crate::job;
+use crate::loss_history;
+use crate::losses;
 use crate::order;
 use crate::roster;
 use crate::run_times;
@@ -48,6 +50,10 @@
     pub(crate) newest_generation: u32,
     /// Workers found to have started again since they were last asked for.
     pub(crate) n_restarts: u64,
+    /// How many workers are lost anyhow.
+    pub(crate) loss_history: loss_history::LossHistory,
+    /// Figures of losses since they were last asked for.
+    pub(crate) loss_counts: losses::LossCounts,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
@@ -86,6 +92,8 @@
             finished: Vec::new(),
             newest_generation: 0,
             n_restarts: 0,
+            loss_history: loss_history::LossHistory::default(),
+            loss_counts: losses::LossCounts::default(),
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
         }
@@ -117,7 +125,7 @@
     }
 
     /// How far a job is, as far as callers may be told: an end only once it is durable.
-    pub fn state_of(&self, graph: ids::GraphId) -> Option<(model::GraphState, Option<&str>)> {
+    pub fn state_of(&self, graph: ids::GraphId) -> Option<ShownJob<'_>> {
         let job = self.jobs.get(&graph)?;
         let state = match job.durable {
             model::GraphState::Pending | model::GraphState::Running if job.started => {
@@ -125,7 +133,8 @@
             }
             durable => durable,
         };
-        Some((state, job.account.as_deref()))
+        let failure = job.failure.filter(|_| state == model::GraphState::Failed);
+        Some(ShownJob { state, account: job.account.as_deref(), failure })
     }
 
     /// Jobs of a class of which no task has started.
@@ -155,8 +164,9 @@
         let mut summary = PoolSummary { n_workers: self.workers.len(), ..PoolSummary::default() };
         for (_, job) in self.active_jobs() {
             summary.n_jobs += 1;
-            let tasks = job.steps.iter().flat_map(|it| &it.tasks);
-            summary.n_waiting += tasks.filter(|it| !it.done && it.run.is_none()).count();
+            let tasks = || job.steps.iter().flat_map(|it| &it.tasks).filter(|it| !it.done);
+            summary.n_waiting += tasks().filter(|it| it.run.is_none()).count();
+            summary.n_suspects += tasks().filter(|it| it.suspicion.is_suspect()).count();
         }
         for worker in self.workers.values() {
             summary.n_running += worker.runs.len();
@@ -211,10 +221,15 @@
         let Some(run) = task.run.take() else { return };
         task.ended_attempt = task.ended_attempt.max(run.attempt);
         task.waits_since = now;
+        // Its outcome is settled: a successor must not take the start for lost.
+        let was_on_record = task.suspicion.trial.take().is_some();
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.remove(&key);
             worker.used = worker.used.minus(room);
         }
+        if was_on_record {
+            self.touch(key);
+        }
     }
 
     /// Asks for the stop of a task's run, unless that was done.
@@ -263,6 +278,17 @@
     FinishedJob { account: job.account.clone(), class: job.class.clone(), state: job.state, took }
 }
 
+/// What callers may be told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShownJob<'a> {
+    /// How far it is.
+    pub state: model::GraphState,
+    /// Whose it is.
+    pub account: Option<&'a str>,
+    /// Why it has failed, if it has.
+    pub failure: Option<model::FailureCause>,
+}
+
 /// A job that has ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FinishedJob {
@@ -285,6 +311,8 @@
     pub n_waiting: usize,
     /// Tasks on workers.
     pub n_running: usize,
+    /// Tasks under suspicion of crashing their workers.
+    pub n_suspects: usize,
     /// Workers known.
     pub n_workers: usize,
     /// Accelerators in use.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -44,14 +44,20 @@
         let mut failed = Vec::<failed_ask::FailedAsk>::new();
         let mut round = self.clearing_round();
         for unit in units {
+            if !self.is_on_record(unit, now) {
+                continue;
+            }
             let is_tried = !full.contains(&(unit.graph, unit.step));
             if is_tried && !self.is_hopeless(unit, &hopeless) {
                 let outcome = self.try_start(unit, &mut berths, &mut failed, now);
                 if outcome == StartOutcome::Started {
                     continue;
                 }
-                // Tasks of one step are alike: where one finds no room, neither do the others.
-                full.insert((unit.graph, unit.step));
+                // Tasks of one step are alike: where one finds no room, neither do the others. Those under
+                // suspicion ask for more.
+                if !self.has_suspect(unit) {
+                    full.insert((unit.graph, unit.step));
+                }
                 self.tell_wait(unit, &berths, now);
                 if outcome == StartOutcome::NoRoom {
                     hopeless.extend(self.hopeless_room(unit, &berths));
@@ -72,21 +78,22 @@
         self.jobs.get(&unit.graph).is_some_and(|it| it.priority == clearing::URGENT)
     }
 
-    /// Keeps the units that come later in this turn off the room for which a gang waits. Tasks by
-    /// themselves find room without.
+    /// Keeps the units that come later in this turn off the room for which a gang waits, or a suspect.
+    /// Other tasks by themselves find room without.
     fn reserve_for(
         &self,
         unit: task_key::UnitKey,
         berths: &mut [berth::WorkerBerth],
         now: Duration,
     ) {
-        if unit.task.is_some() {
+        if unit.task.is_some() && !self.has_suspect(unit) {
             return;
         }
         let Some(ask) = self.ask(unit, berths, now) else { return };
         let Some(chosen) = reserving::reserve(berths, &ask) else { return };
         for index in chosen {
-            berths[index].reserved.push((unit, ask.room));
+            let room = ask.kept_room(&berths[index]);
+            berths[index].reserved.push((unit, room));
         }
     }
 
@@ -169,8 +176,11 @@
             place: Arc::clone(&it.place),
             rack: number_of(&it.place.rack, &mut racks),
             upstream: number_of(&it.place.upstream, &mut upstreams),
+            used: it.used,
             free: it.free(),
+            n_runs: it.runs.len() + it.strays.len(),
             suspect: it.health.is_suspect(),
+            is_closed: it.runs.iter().any(|key| self.run(*key).is_some_and(|it| it.is_apart)),
             claims: it.claims.iter().map(|it| (it.unit, it.room)).collect(),
             reserved: Vec::new(),
         });
@@ -186,7 +196,7 @@
     ) -> StartOutcome {
         let Some(ask) = self.ask(unit, berths, now) else { return StartOutcome::Started };
         // Urgent units may have room that is kept for them alone, and gangs reserve some.
-        let is_plain = unit.task.is_some() && !self.is_urgent(unit);
+        let is_plain = unit.task.is_some() && !self.is_urgent(unit) && !ask.is_suspect;
         if is_plain && failed.iter().any(|it| it.covers(&ask)) {
             return StartOutcome::Covered;
         }
@@ -200,7 +210,8 @@
         let is_off = ask.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
         let is_far = is_off || (ask.same_rack && racks.len() > 1);
         let workers = chosen.iter().map(|it| berths[*it].place.worker.clone()).collect::<Vec<_>>();
-        self.start_unit(unit, workers, is_far, now);
+        let places = UnitPlaces { workers, is_apart: ask.is_apart, is_far };
+        self.start_unit(unit, places, now);
         StartOutcome::Started
     }
 
@@ -214,29 +225,20 @@
         urgent.map(|(_, it)| it.steps.iter().map(of_step).sum()).collect()
     }
 
-    fn start_unit(
-        &mut self,
-        unit: task_key::UnitKey,
-        workers: Vec<ids::WorkerId>,
-        is_far: bool,
-        now: Duration,
-    ) {
+    fn start_unit(&mut self, unit: task_key::UnitKey, places: UnitPlaces, now: Duration) {
+        let UnitPlaces { workers, is_apart, is_far } = places;
         let keys = self.unit_tasks(unit);
         let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
         job.started = true;
         if job.state == model::GraphState::Pending {
             job.state = model::GraphState::Running;
         }
-        let Some(step) = job.steps.get(unit.step as usize) else { return };
-        let attempt = 1 + match unit.task {
-            Some(task) => step.tasks[task as usize].attempt,
-            None => step.highest_attempt(),
-        };
+        let Some(attempt) = self.next_attempt(unit) else { return };
         for worker in self.workers.values_mut() {
             worker.claims.retain(|it| it.unit != unit);
         }
         for (key, worker) in keys.into_iter().zip(workers) {
-            self.start_task(key, worker, StartTerms { attempt, is_far }, now);
+            self.start_task(key, worker, StartTerms { attempt, is_apart, is_far }, now);
         }
     }
 
@@ -247,7 +249,7 @@
         terms: StartTerms,
         now: Duration,
     ) {
-        let StartTerms { attempt, is_far } = terms;
+        let StartTerms { attempt, is_apart, is_far } = terms;
         let start_term = self.terms.start_term;
         let Some(record) = self.workers.get_mut(&worker) else { return };
         let Some(deadline_ms) = record.clock.deadline_in(now, start_term) else { return };
@@ -263,6 +265,7 @@
             phase: job::RunPhase::Ordered,
             is_confirmed: false,
             is_seen: false,
+            is_apart,
             is_far,
             is_whole: task.checkpoint.is_none(),
             since: now,
@@ -307,10 +310,19 @@
     Covered,
 }
 
-/// How a unit starts.
+/// Where a unit starts.
+#[derive(Clone, Debug)]
+struct UnitPlaces {
+    workers: Vec<ids::WorkerId>,
+    is_apart: bool,
+    is_far: bool,
+}
+
+/// How a task starts.
 #[derive(Clone, Copy, Debug)]
 struct StartTerms {
     attempt: u32,
+    is_apart: bool,
     is_far: bool,
 }
 
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -31,6 +31,8 @@
         if end.checkpoint.is_some() {
             task.checkpoint = end.checkpoint.clone();
         }
+        let is_acquitted = self.acquit(key, end.attempt);
+        let is_settled = self.settle_trial(key, end.attempt) || is_acquitted;
         tracing::info!(
             job = format_args!("{:016x}", key.graph),
             task = %key,
@@ -57,7 +59,9 @@
             | order::EndKind::Broken
             | order::EndKind::Alone => {
                 self.spread_checkpoint(key);
-                None
+                // Acknowledged before, the end would be missing to a successor, which would take the
+                // start that is on record for lost.
+                if is_settled { self.touch(key) } else { None }
             }
         }
     }
@@ -129,6 +133,7 @@
         let job = self.jobs.get_mut(&key.graph)?;
         if is_last && !job.has_ended() {
             job.state = model::GraphState::Failed;
+            job.failure = Some(model::FailureCause::Attempts);
             self.finish(key.graph, now);
             self.stop_all(key.graph, now);
         }
--- a/crates/graph/src/failed_ask.rs
+++ b/crates/graph/src/failed_ask.rs
@@ -22,7 +22,8 @@
     /// What `ask` wanted, where that tells of others: not where it was alone in what it avoids, or in
     /// how many of its tasks a worker may have.
     pub fn of(ask: &berth::PlaceAsk) -> Option<FailedAsk> {
-        let tells = ask.n_tasks == 1 && ask.avoids.is_empty() && ask.per_worker == 0;
+        let tells =
+            ask.n_tasks == 1 && ask.avoids.is_empty() && ask.per_worker == 0 && !ask.is_suspect;
         tells.then(|| FailedAsk {
             upstream: ask.upstream,
             room: ask.room,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -151,13 +151,11 @@
 
     /// The list has the worker no more: it gets no new tasks. What runs there counts until its
     /// lease has lapsed, since a worker may be alive and cut off from the list alone.
-    pub fn unlist_worker(&mut self, worker: &ids::WorkerId) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            if record.listed {
-                tracing::info!(worker, n_runs = record.runs.len(), "worker no longer listed");
-            }
-            record.listed = false;
-        }
+    pub fn unlist_worker(&mut self, worker: &ids::WorkerId, now: Duration) {
+        let Some(record) = self.workers.get_mut(worker).filter(|it| it.listed) else { return };
+        tracing::info!(worker, n_runs = record.runs.len(), "worker no longer listed");
+        record.listed = false;
+        self.loss_confirmed(worker, losses::LossSign::Silent, now);
     }
 
     /// Another worker answers at `address`, so that everything on this one is over; but not where the
@@ -174,7 +172,7 @@
             return;
         }
         let runs = record.runs.iter().copied().collect::<Vec<_>>();
-        self.worker_lost(worker, losses::LossSign::Replaced, &runs, now);
+        self.life_is_over(worker, losses::LossSign::Replaced, &runs, now);
         for key in runs {
             self.vacate(key, now);
         }
@@ -204,6 +202,7 @@
         wait_told: false,
         started: false,
         state: model::GraphState::Pending,
+        failure: None,
         durable: model::GraphState::Pending,
     };
     let has_progress = !admitted.progress.is_empty();
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -7,6 +7,8 @@
 
 use crate::pace;
 use crate::room;
+use crate::save_queue;
+use crate::suspicion;
 use crate::task_key;
 
 /// An accepted job graph and how far it is.
@@ -42,6 +44,8 @@
     pub started: bool,
     /// How far it is.
     pub state: model::GraphState,
+    /// Why it has failed, if it has.
+    pub failure: Option<model::FailureCause>,
     /// How far it is as far as a successor would read it; the only state that callers are told
     /// when it is an end.
     pub durable: model::GraphState,
@@ -79,6 +83,10 @@
     pub avoids: Option<ids::WorkerId>,
     /// Since when it waits.
     pub waits_since: Duration,
+    /// What speaks for it that it crashes the workers that start it.
+    pub suspicion: suspicion::TaskSuspicion,
+    /// The change that puts its next start on record.
+    pub trial_mark: Option<save_queue::SaveMark>,
 }
 
 /// The attempts that failed. Each counts once although a worker may list its end to two
@@ -103,6 +111,8 @@
     /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
     /// by another clock.
     pub is_seen: bool,
+    /// Whether it has its worker for itself, as it may crash it.
+    pub is_apart: bool,
     /// Whether it takes longer here, away from its data or from its gang.
     pub is_far: bool,
     /// Whether it was here from its beginning, so that its end tells how long its class takes.
@@ -208,6 +218,14 @@
         task_key::TaskKey { graph, occurrence: index / per_run, step: index % per_run, task }
     }
 
+    /// What a task is placed with: its gang, or itself.
+    pub fn unit_of(&self, key: task_key::TaskKey) -> Option<task_key::UnitKey> {
+        let step = self.step_index(key)?;
+        let is_gang = self.steps.get(step as usize)?.spec.gang;
+        let task = (!is_gang).then_some(key.task);
+        Some(task_key::UnitKey { graph: key.graph, step, task })
+    }
+
     /// The step of a task, where there is one.
     pub fn step(&self, key: task_key::TaskKey) -> Option<&StepRecord> {
         self.steps.get(self.step_index(key)? as usize)
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -189,6 +189,7 @@
         let Some(run) = task.run.as_mut() else { return };
         run.is_confirmed = true;
         run.is_seen = true;
+        let attempt = run.attempt;
         let mut has_begun = false;
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
@@ -206,6 +207,9 @@
         if has_begun {
             self.note_begin(key, now);
         }
+        if self.acquit(key, attempt) {
+            self.touch(key);
+        }
     }
 
     /// A run that an earlier scheduler has ordered goes on.
@@ -227,6 +231,7 @@
             phase: job::RunPhase::Running { confirmed_at: now },
             is_confirmed: true,
             is_seen: true,
+            is_apart: false,
             is_far: false,
             is_whole: false,
             since: now,
@@ -234,6 +239,9 @@
             percent_at: now,
             pace: pace::RunPace::new(clock, listed.percent),
         });
+        if task.suspicion.inherited_trial == Some(listed.attempt) {
+            task.suspicion.trial = task.suspicion.inherited_trial.take();
+        }
         if let Some(record) = self.workers.get_mut(worker) {
             record.runs.insert(listed.task);
             record.used = record.used.plus(room);
--- /dev/null
+++ b/crates/graph/src/loss_history.rs
@@ -0,0 +1,69 @@
+//! How many workers are lost anyhow: what a loss under a task has to be compared with.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::task_key;
+
+/// Losses are remembered for this long.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Workers that lose power together are heard of last within this of each other: a worker with nothing to
+/// do is looked at every 2 s.
+const TOGETHER: Duration = Duration::from_millis(2_500);
+
+/// Losses that are assumed beside those seen, as a scheduler that has just begun has seen none.
+const ASSUMED: usize = 1;
+
+/// A worker that was lost without a suspect alone on it.
+#[derive(Clone, Debug)]
+struct PastLoss {
+    /// When it was last heard of.
+    heard_at: Duration,
+    /// What ran there.
+    tasks: Vec<task_key::TaskKey>,
+}
+
+/// The workers that were lost lately, but for those that a suspect explains.
+#[derive(Clone, Debug, Default)]
+pub struct LossHistory {
+    losses: VecDeque<PastLoss>,
+}
+
+/// What surrounds a loss.
+#[derive(Clone, Copy, Debug)]
+pub struct LossScene {
+    /// When the worker was last heard of.
+    pub heard_at: Duration,
+    /// How long the task runs, or ran there, whichever is longer: an innocent one is at risk for so long.
+    pub exposure: Duration,
+    /// Workers known.
+    pub n_workers: usize,
+    /// Other workers that fell silent at about the same time, and have not been counted as lost.
+    pub n_silent: usize,
+}
+
+impl LossHistory {
+    /// Takes in a loss.
+    pub fn note(&mut self, heard_at: Duration, tasks: Vec<task_key::TaskKey>, now: Duration) {
+        self.losses.retain(|it| now < it.heard_at + MEMORY);
+        self.losses.push_back(PastLoss { heard_at, tasks });
+    }
+
+    /// Chance that `task` was struck although it crashes nothing, by what else was lost.
+    pub fn odds(&self, task: task_key::TaskKey, scene: LossScene) -> f64 {
+        let others = || self.losses.iter().filter(|it| !it.tasks.contains(&task));
+        let n_together = others().filter(|it| is_together(it.heard_at, scene.heard_at)).count();
+        let n_workers = scene.n_workers.max(2) as f64;
+        let together = (n_together + scene.n_silent) as f64 / (n_workers - 1.0);
+        let worker_seconds = n_workers * MEMORY.as_secs_f64();
+        let rate = (others().count() + ASSUMED) as f64 / worker_seconds;
+        let by_rate = 1.0 - (-rate * scene.exposure.as_secs_f64()).exp();
+        together.max(by_rate).min(1.0)
+    }
+}
+
+/// Whether two workers may have been lost by one cause, by when each was last heard of.
+pub fn is_together(one: Duration, other: Duration) -> bool {
+    one.abs_diff(other) <= TOGETHER
+}
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -1,24 +1,45 @@
-//! Workers that are lost, and what ran there.
+//! Workers that are lost, and what of it is held against the tasks that ran there.
+//!
+//! Who did it is in doubt, mostly. A worker that was leaving, or lost power beside others, says little
+//! about its tasks; one that is silent may live; of several tasks one is to blame at most, and rather one
+//! under which a worker was lost before. So each task is charged with a chance, and given up once what
+//! has struck it is no chance any more.
 
 use std::time::Duration;
 
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 
 use crate::core;
+use crate::loss_history;
+use crate::suspicion;
 use crate::task_key;
 
 /// Tasks of a lost worker that are named in the log; a worker of the users' runs up to 24.
 const MOST_NAMED: usize = 32;
 
+/// Chance that a worker lives that is silent, and that the list has no more.
+const SILENT_ODDS: f64 = 0.2;
+
+/// The same of one that the list still has: others hear of it.
+const CUT_OFF_ODDS: f64 = 0.5;
+
+/// Chance that a worker was lost before it took a start that it has not answered.
+const UNSTARTED_ODDS: f64 = 0.2;
+
+/// Chance that a task did nothing while a suspect ran beside it.
+const BESIDE_SUSPECT_ODDS: f64 = 0.9;
+
 /// How a worker was found to be lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossSign {
     /// Another worker answers at its address.
     Replaced,
     /// It answers in a later life.
     Restarted,
-    /// It has been silent for longer than everything there may run: it may be cut off, and live.
+    /// It has been silent for longer than everything there may run, and the list has it no more.
     Silent,
+    /// It has been silent for as long, but is listed: rather it is cut off from here.
+    CutOff,
 }
 
 impl LossSign {
@@ -28,12 +49,50 @@
             LossSign::Replaced => "replaced",
             LossSign::Restarted => "restarted",
             LossSign::Silent => "silent",
+            LossSign::CutOff => "cut off",
+        }
+    }
+
+    /// Chance that the worker has not crashed.
+    fn odds(self) -> f64 {
+        match self {
+            LossSign::Replaced | LossSign::Restarted => 0.0,
+            LossSign::Silent => SILENT_ODDS,
+            LossSign::CutOff => CUT_OFF_ODDS,
         }
     }
 }
 
+/// A run on a worker that was lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LostRun {
+    /// The task.
+    pub task: task_key::TaskKey,
+    /// What it is placed with; the members of a gang share its fate.
+    pub unit: task_key::UnitKey,
+    /// Its attempt.
+    pub attempt: u32,
+    /// How long it ran.
+    pub ran: Duration,
+    /// Whether the worker had confirmed it.
+    pub is_confirmed: bool,
+    /// Whether the task was under suspicion already.
+    pub is_suspect: bool,
+    /// Chance that it was struck by what else was lost, as it looked then.
+    pub surroundings: f64,
+}
+
+/// Figures for metrics.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LossCounts {
+    /// The sign of each worker that was lost.
+    pub signs: Vec<LossSign>,
+    /// Jobs that were given up.
+    pub n_given_up: u64,
+}
+
 impl core::PoolCore {
-    /// Takes note that a worker is lost with `runs` on it.
+    /// Takes note that a worker is lost with `runs` on it, and holds it against them.
     pub(crate) fn worker_lost(
         &mut self,
         worker: &ids::WorkerId,
@@ -41,23 +100,194 @@
         runs: &[task_key::TaskKey],
         now: Duration,
     ) {
-        self.log_loss(worker, sign, runs, now);
+        let runs = self.lost_runs(worker, runs, now);
+        self.log_loss(worker, sign, &runs, now);
+        self.loss_counts.signs.push(sign);
+        let Some(record) = self.workers.get(worker) else { return };
+        // A worker that leaves may go before the time that it has told.
+        if record.leaves_at.is_some() {
+            return;
+        }
+        let heard_at = record.answered_at;
+        if !is_explained(&runs) {
+            let tasks = runs.iter().map(|it| it.task).collect();
+            self.loss_history.note(heard_at, tasks, now);
+        }
+        self.charge_all(sign, &runs, now);
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.lost_runs = runs;
+        }
     }
 
-    /// Tells what ran there, and for how long: whether workers are lost by what they run shows only by
-    /// comparing.
-    fn log_loss(
-        &self,
+    /// Takes note that a life of a worker is surely over.
+    pub(crate) fn life_is_over(
+        &mut self,
         worker: &ids::WorkerId,
         sign: LossSign,
         runs: &[task_key::TaskKey],
         now: Duration,
     ) {
-        let named = runs.iter().take(MOST_NAMED).filter_map(|key| {
-            let run = self.run(*key)?;
-            let ran_ms = now.saturating_sub(run.since).as_millis();
-            Some(format!("{key}#{} {ran_ms} ms", run.attempt))
+        let was_lost = self.workers.get(worker).is_some_and(|it| !it.lost_runs.is_empty());
+        self.loss_confirmed(worker, sign, now);
+        if !was_lost || !runs.is_empty() {
+            self.worker_lost(worker, sign, runs, now);
+        }
+    }
+
+    /// What is known of a worker that has been silent for long becomes surer: what ran there is charged
+    /// with more.
+    pub(crate) fn loss_confirmed(&mut self, worker: &ids::WorkerId, sign: LossSign, now: Duration) {
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        let runs = match sign {
+            LossSign::Silent | LossSign::CutOff => record.lost_runs.clone(),
+            LossSign::Replaced | LossSign::Restarted => std::mem::take(&mut record.lost_runs),
+        };
+        if !runs.is_empty() {
+            tracing::info!(worker, sign = sign.name(), n_runs = runs.len(), "loss is surer");
+            self.charge_all(sign, &runs, now);
+        }
+    }
+
+    /// Takes back what an attempt was charged with: its worker lists it, and lives.
+    pub(crate) fn acquit(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
+        let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) else {
+            return false;
+        };
+        let is_changed = task.suspicion.acquit(attempt);
+        if is_changed {
+            tracing::info!(
+                job = format_args!("{:016x}", key.graph),
+                task = %key,
+                attempt,
+                is_suspect = task.suspicion.is_suspect(),
+                "loss is not held against the task any more: its worker lives"
+            );
+        }
+        is_changed
+    }
+
+    /// Figures since the last call.
+    pub fn take_loss_counts(&mut self) -> LossCounts {
+        std::mem::take(&mut self.loss_counts)
+    }
+
+    fn lost_runs(
+        &self,
+        worker: &ids::WorkerId,
+        runs: &[task_key::TaskKey],
+        now: Duration,
+    ) -> Vec<LostRun> {
+        let lost = runs.iter().filter_map(|key| {
+            let job = self.jobs.get(&key.graph)?;
+            let task = job.task(*key)?;
+            let run = task.run.as_ref()?;
+            Some(LostRun {
+                task: *key,
+                unit: job.unit_of(*key)?,
+                attempt: run.attempt,
+                ran: now.saturating_sub(run.since),
+                is_confirmed: run.is_confirmed,
+                is_suspect: task.suspicion.is_suspect(),
+                surroundings: self.surroundings(worker, *key, now.saturating_sub(run.since)),
+            })
+        });
+        lost.collect()
+    }
+
+    /// Chance that a task was struck by what else was lost.
+    fn surroundings(&self, worker: &ids::WorkerId, key: task_key::TaskKey, ran: Duration) -> f64 {
+        let Some(record) = self.workers.get(worker) else { return 1.0 };
+        let heard_at = record.answered_at;
+        let silent = self.workers.iter().filter(|(id, it)| {
+            *id != worker
+                && it.n_missed > 0
+                && loss_history::is_together(it.answered_at, heard_at)
+                && !it.runs.contains(&key)
+                && !self.has_suspect_alone(it.runs.iter().copied())
         });
+        let class = self.jobs.get(&key.graph).map(|it| it.class.as_str()).unwrap_or_default();
+        let scene = loss_history::LossScene {
+            heard_at,
+            exposure: ran.max(self.run_times.mean(class)),
+            n_workers: self.workers.len(),
+            n_silent: silent.count(),
+        };
+        self.loss_history.odds(key, scene)
+    }
+
+    /// Whether one unit runs alone, and is under suspicion.
+    fn has_suspect_alone(&self, mut runs: impl Iterator<Item = task_key::TaskKey>) -> bool {
+        let unit_of = |it: task_key::TaskKey| self.jobs.get(&it.graph)?.unit_of(it);
+        let Some(first) = runs.next() else { return false };
+        let unit = unit_of(first);
+        unit.is_some_and(|it| self.has_suspect(it)) && runs.all(|it| unit_of(it) == unit)
+    }
+
+    /// Whether a task is under suspicion.
+    pub(crate) fn is_suspect(&self, key: task_key::TaskKey) -> bool {
+        let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
+        task.is_some_and(|it| it.suspicion.is_suspect())
+    }
+
+    fn charge_all(&mut self, sign: LossSign, runs: &[LostRun], now: Duration) {
+        for run in runs {
+            let odds = odds_of(run, runs, sign);
+            self.charge(run.task, odds, now);
+        }
+    }
+
+    /// Holds a loss against a task, and gives its job up if there is no doubt left.
+    pub(crate) fn charge(
+        &mut self,
+        key: task_key::TaskKey,
+        loss: suspicion::TaskLoss,
+        now: Duration,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.graph).filter(|it| !it.has_ended()) else { return };
+        let Some(task) = job.task_mut(key).filter(|it| !it.done) else { return };
+        task.suspicion.charge(loss);
+        let is_proved = task.suspicion.is_proved();
+        if task.suspicion.is_suspect() {
+            tracing::warn!(
+                job = format_args!("{:016x}", key.graph),
+                task = %key,
+                attempt = loss.attempt,
+                odds = loss.odds,
+                surroundings = loss.surroundings,
+                n_losses = task.suspicion.losses().len(),
+                all_odds = task.suspicion.odds(),
+                "task is under suspicion of crashing its workers"
+            );
+        }
+        if is_proved {
+            self.give_up(key, now);
+        }
+        self.touch(key);
+    }
+
+    fn give_up(&mut self, key: task_key::TaskKey, now: Duration) {
+        let Some(job) = self.jobs.get_mut(&key.graph) else { return };
+        let losses = job.task(key).map(|it| it.suspicion.losses().to_vec()).unwrap_or_default();
+        let attempts = losses.iter().map(|it| it.attempt).collect::<Vec<_>>();
+        tracing::warn!(
+            job = format_args!("{:016x}", key.graph),
+            task = %key,
+            ?attempts,
+            all_odds = losses.iter().map(|it| it.odds).product::<f64>(),
+            "job is given up: workers crash under its task"
+        );
+        job.state = model::GraphState::Failed;
+        job.failure = Some(model::FailureCause::CrashesWorkers);
+        self.loss_counts.n_given_up += 1;
+        self.finish(key.graph, now);
+        self.stop_all(key.graph, now);
+    }
+
+    /// Tells what ran there, and for how long: whether workers are lost by what they run shows only by
+    /// comparing.
+    fn log_loss(&self, worker: &ids::WorkerId, sign: LossSign, runs: &[LostRun], now: Duration) {
+        let named = runs.iter().take(MOST_NAMED);
+        let named = named.map(|it| format!("{}#{} {} ms", it.task, it.attempt, it.ran.as_millis()));
         let tasks = named.collect::<Vec<_>>().join(", ");
         let record = self.workers.get(worker);
         let silent_ms = record.map(|it| now.saturating_sub(it.answered_at).as_millis() as u64);
@@ -72,3 +302,27 @@
         );
     }
 }
+
+/// Whether a loss needs no other explanation: one unit ran there alone, and is under suspicion.
+fn is_explained(runs: &[LostRun]) -> bool {
+    let Some(first) = runs.first() else { return false };
+    runs.iter().all(|it| it.unit == first.unit) && runs.iter().any(|it| it.is_suspect)
+}
+
+/// What a run on a lost worker is charged with.
+fn odds_of(run: &LostRun, runs: &[LostRun], sign: LossSign) -> suspicion::TaskLoss {
+    let others = || runs.iter().filter(|it| it.unit != run.unit);
+    let n_suspects = others().filter(|it| it.is_suspect).count();
+    let n_rivals = if run.is_suspect { n_suspects } else { others().count() };
+    let is_beside_suspect = !run.is_suspect && n_suspects > 0;
+    let by_others = n_rivals as f64 / (n_rivals + 1) as f64;
+    let start = if run.is_confirmed { 0.0 } else { UNSTARTED_ODDS };
+    let beside = if is_beside_suspect { BESIDE_SUSPECT_ODDS } else { 0.0 };
+    let cut_off = if sign == LossSign::CutOff { CUT_OFF_ODDS } else { 0.0 };
+    let chances = [run.surroundings, by_others, sign.odds(), start, beside];
+    suspicion::TaskLoss {
+        attempt: run.attempt,
+        odds: chances.into_iter().fold(suspicion::LEAST_ODDS, f64::max),
+        surroundings: run.surroundings.max(beside).max(cut_off),
+    }
+}
--- a/crates/graph/src/placing.rs
+++ b/crates/graph/src/placing.rs
@@ -18,7 +18,11 @@
         return None;
     }
     for index in &chosen {
-        berths[*index].free = berths[*index].free.minus(ask.room);
+        let berth = &mut berths[*index];
+        berth.used = berth.used.plus(ask.room);
+        berth.free = berth.free.minus(ask.room);
+        berth.n_runs += 1;
+        berth.is_closed |= ask.is_apart;
     }
     // What was cleared for the unit is taken now; left as a claim it would keep others out twice.
     for it in berths.iter_mut() {
@@ -48,14 +52,16 @@
     let fitting = berths.iter().enumerate().filter(|(index, it)| {
         let is_near = ask.rack_number.is_none_or(|rack| it.rack == rack);
         let is_open = may_open || !it.is_empty();
-        is_open && (is_near || ask.far) && ask.count_on(*index, it, it.free) > 0
+        is_open && (is_near || ask.far) && ask.count_now(*index, it) > 0
     });
     let best = fitting.min_by_key(|(_, it)| {
         let is_far = ask.rack_number.is_some_and(|rack| it.rack != rack);
         let left = it.free.minus(ask.room);
         // Among workers left alike, that of the fullest rack: racks that empty serve gangs.
         let rack = free_by_rack[it.rack];
-        (is_far, it.suspect, left.accelerators, rack, left.cpu_milli)
+        // What may crash its worker runs where it puts least at risk.
+        let n_at_risk = if ask.is_suspect { it.n_runs } else { 0 };
+        (is_far, n_at_risk, it.suspect, left.accelerators, rack, left.cpu_milli)
     });
     best.map(|(index, _)| index)
 }
@@ -88,7 +94,7 @@
 }
 
 fn place_gang(berths: &[berth::WorkerBerth], ask: &berth::PlaceAsk) -> Option<Vec<usize>> {
-    let counts = berths.iter().enumerate().map(|(index, it)| ask.count_on(index, it, it.free));
+    let counts = berths.iter().enumerate().map(|(index, it)| ask.count_now(index, it));
     let counts = counts.collect::<Vec<_>>();
     let needs_rack = ask.same_rack || ask.rack_number.is_some();
     let near = if needs_rack { choose_rack(berths, ask, &counts) } else { None };
@@ -141,7 +147,8 @@
     order.retain(|index| allowed(&berths[*index]) && counts[*index] > 0);
     order.sort_by_key(|index| {
         let it = &berths[*index];
-        (it.suspect, it.free.accelerators, *index)
+        let n_at_risk = if ask.is_suspect { it.n_runs } else { 0 };
+        (n_at_risk, it.suspect, it.free.accelerators, *index)
     });
     let mut chosen = Vec::with_capacity(ask.n_tasks as usize);
     for index in order {
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -10,16 +10,21 @@
 use almondpass_schema::model;
 
 use crate::job;
+use crate::suspicion;
 use crate::task_key;
 
 /// Tasks of one chunk. A task takes about 90 bytes, and 420 with the longest checkpoint name and 19
-/// failures, so that a chunk stays below 27 KB where the platform takes 64.
+/// failures, so that a chunk stays below 27 KB where the platform takes 64. One under which seven
+/// workers were lost takes 370 more; a chunk of such tasks alone takes less than 52.
 pub const CHUNK_TASKS: u32 = 64;
 
 /// Longest name of a checkpoint that is saved, in bytes; the platform's take 16. A successor starts
 /// a task with a longer one anew, instead of a row being refused for its length.
 const LONGEST_CHECKPOINT: usize = 256;
 
+/// Chances are saved in millionths.
+const MILLION: f64 = 1_000_000.0;
+
 /// The chunk whose row also tells how far the job is.
 pub const HEAD_CHUNK: u32 = 0;
 
@@ -50,7 +55,12 @@
         return None;
     }
     let wanted = chunk * CHUNK_TASKS..(chunk + 1) * CHUNK_TASKS;
-    let mut row = model::ProgressRow { state: job.state, first_step: 0, steps: Vec::new() };
+    let mut row = model::ProgressRow {
+        state: job.state,
+        failure: job.failure,
+        first_step: 0,
+        steps: Vec::new(),
+    };
     let mut first = 0;
     for (index, step) in job.steps.iter().enumerate() {
         let tasks = first..first + step.tasks.len() as u32;
@@ -107,7 +117,9 @@
         if self.is_empty() {
             return;
         }
-        let told = self.chunks.get(&HEAD_CHUNK).map(|it| it.state);
+        let head = self.chunks.get(&HEAD_CHUNK);
+        let told = head.map(|it| it.state);
+        job.failure = head.and_then(|it| it.failure);
         for row in self.chunks.into_values() {
             let steps = job.steps.iter_mut().skip(row.first_step as usize);
             for (step, saved) in steps.zip(row.steps) {
@@ -127,23 +139,30 @@
     if job.has_ended() {
         return;
     }
-    if let Some(shown) = shown_state(job) {
+    let is_complete = job.steps.iter().all(job::StepRecord::is_done);
+    let failure = if is_complete { None } else { shown_failure(job) };
+    if is_complete || failure.is_some() {
+        let shown =
+            if is_complete { model::GraphState::Completed } else { model::GraphState::Failed };
         job.state = shown;
+        job.failure = failure;
         job.durable = shown;
         job.started = true;
     }
 }
 
-/// What the tasks show of the state of a job; nothing where they show no end of it.
-fn shown_state(job: &job::JobRecord) -> Option<model::GraphState> {
-    if job.steps.iter().all(job::StepRecord::is_done) {
-        return Some(model::GraphState::Completed);
-    }
+/// Why a job has failed, as its tasks show; nothing where they don't show that it has.
+fn shown_failure(job: &job::JobRecord) -> Option<model::FailureCause> {
     let most = job.max_attempts;
     let has_failed = |it: &job::StepRecord| {
         it.gang_failures.count() >= most || it.tasks.iter().any(|it| it.failures.count() >= most)
     };
-    job.steps.iter().any(has_failed).then_some(model::GraphState::Failed)
+    let crashes = |it: &job::TaskRecord| !it.done && it.suspicion.is_proved();
+    if job.steps.iter().any(has_failed) {
+        return Some(model::FailureCause::Attempts);
+    }
+    let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
+    tasks.any(crashes).then_some(model::FailureCause::CrashesWorkers)
 }
 
 fn first_task_of(job: &job::JobRecord, step: usize) -> u32 {
@@ -164,7 +183,10 @@
     }
     let started = tasks().filter(|(_, it)| it.attempt > 0 && !it.done);
     let saved = tasks().filter(|(_, it)| !it.done);
+    let charged = tasks().filter(|(_, it)| !it.done && !it.suspicion.losses().is_empty());
     model::StepProgress {
+        losses: charged.map(|(task, it)| task_losses(task, &it.suspicion)).collect(),
+        trials: tasks().filter_map(|(task, it)| trial(task, it)).collect(),
         done: tasks().filter(|(_, it)| it.done).map(|(task, _)| task).collect(),
         failures: failed,
         attempts: started
@@ -180,6 +202,31 @@
     }
 }
 
+/// What is held against a task, in millionths.
+fn task_losses(task: u32, suspicion: &suspicion::TaskSuspicion) -> model::TaskLosses {
+    let losses = suspicion.losses().iter().map(|it| model::WorkerLoss {
+        attempt: it.attempt,
+        odds_ppm: (it.odds * MILLION).round() as u32,
+        surroundings_ppm: (it.surroundings * MILLION).round() as u32,
+    });
+    model::TaskLosses { task, losses: losses.collect() }
+}
+
+/// The start of a task that is on record.
+fn trial(task: u32, record: &job::TaskRecord) -> Option<model::TaskAttempt> {
+    let attempt = record.suspicion.trial.or(record.suspicion.inherited_trial)?;
+    (!record.done).then_some(model::TaskAttempt { task, attempt })
+}
+
+fn restored_suspicion(losses: &[model::WorkerLoss]) -> suspicion::TaskSuspicion {
+    let losses = losses.iter().map(|it| suspicion::TaskLoss {
+        attempt: it.attempt,
+        odds: f64::from(it.odds_ppm) / MILLION,
+        surroundings: f64::from(it.surroundings_ppm) / MILLION,
+    });
+    suspicion::TaskSuspicion::restored(losses.collect())
+}
+
 fn restore_step(step: &mut job::StepRecord, saved: model::StepProgress) {
     // The end of one member is that of its gang; the rows of the others may not have been written.
     if step.spec.gang && !saved.done.is_empty() {
@@ -198,6 +245,16 @@
             task.failures = failures;
         }
     }
+    for it in saved.losses {
+        if let Some(task) = step.tasks.get_mut(it.task as usize) {
+            task.suspicion = restored_suspicion(&it.losses);
+        }
+    }
+    for it in saved.trials {
+        if let Some(task) = step.tasks.get_mut(it.task as usize) {
+            task.suspicion.inherited_trial = Some(it.attempt);
+        }
+    }
     for it in saved.attempts {
         if let Some(task) = step.tasks.get_mut(it.task as usize) {
             task.attempt = it.attempt;
--- a/crates/graph/src/reclaiming.rs
+++ b/crates/graph/src/reclaiming.rs
@@ -124,8 +124,9 @@
     berths: &'a [berth::WorkerBerth],
     pool: &'a VictimPool,
     ask: &'a berth::PlaceAsk<'a>,
-    /// What is free on each berth of the group, with what the plan frees and less what it takes.
-    free: BTreeMap<usize, room::Room>,
+    /// What is in use on each berth of the group, less what the plan frees and with what it takes. What is
+    /// free follows from it: a worker whose room has shrunk may have more in use than it offers.
+    used: BTreeMap<usize, room::Room>,
     /// How many tasks the plan places on each berth of the group.
     n_placed: BTreeMap<usize, u32>,
     /// The cheapest way to run one more task on each berth of the group that can.
@@ -145,15 +146,12 @@
         pool: &'a VictimPool,
         ask: &'a berth::PlaceAsk<'a>,
     ) -> PlanState<'a> {
-        let free_on = |index: usize| {
-            let berth = &berths[index];
-            berth.left_for(ask.unit, berth.free.plus(pool.freeing[index]))
-        };
+        let used_on = |index: usize| berths[index].used.minus(pool.freeing[index]);
         let mut state = PlanState {
             berths,
             pool,
             ask,
-            free: group.iter().map(|it| (*it, free_on(*it))).collect(),
+            used: group.iter().map(|it| (*it, used_on(*it))).collect(),
             n_placed: BTreeMap::new(),
             options: BTreeMap::new(),
             stopped: BTreeSet::new(),
@@ -173,14 +171,14 @@
         for victim in option.victims {
             self.stopped.insert(victim);
             for (berth, room) in &self.pool.victims[victim].runs {
-                if let Some(free) = self.free.get_mut(berth) {
-                    *free = free.plus(*room);
+                if let Some(used) = self.used.get_mut(berth) {
+                    *used = used.minus(*room);
                     changed.insert(*berth);
                 }
             }
         }
-        if let Some(free) = self.free.get_mut(&index) {
-            *free = free.minus(self.ask.room);
+        if let Some(used) = self.used.get_mut(&index) {
+            *used = used.plus(self.ask.room);
         }
         *self.n_placed.entry(index).or_default() += 1;
         changed.into_iter().for_each(|it| self.renew_option(it));
@@ -202,18 +200,28 @@
         if limit <= self.n_placed.get(&index).copied().unwrap_or_default() {
             return None;
         }
-        let mut free = self.free.get(&index).copied()?;
+        let mut used = self.used.get(&index).copied()?;
         let mut option = PlanOption { cost: 0, victims: Vec::new() };
         let is_there = |it: &&(usize, room::Room)| {
             !self.stopped.contains(&it.0) && !self.pool.stopping.contains(&it.0)
         };
         let mut on_berth = self.pool.by_berth[index].iter().rev().filter(is_there);
-        while !self.ask.room.fits_in(free) {
+        while !self.fits(index, used) {
             let (victim, freed) = on_berth.next()?;
-            free = free.plus(*freed);
+            used = used.minus(*freed);
             option.cost += self.pool.victims[*victim].cost;
             option.victims.push(*victim);
         }
         Some(option)
     }
+
+    /// Whether one more task fits on a berth with that much in use. One that runs apart needs it empty.
+    fn fits(&self, index: usize, used: room::Room) -> bool {
+        let berth = &self.berths[index];
+        let free = berth.place.capacity.minus(used);
+        let n_placed = self.n_placed.get(&index).copied().unwrap_or_default();
+        let is_empty = n_placed > 0 || used == room::Room::default();
+        let left = berth.left_for(self.ask.unit, free);
+        self.ask.room.fits_in(left) && (is_empty || !self.ask.is_apart)
+    }
 }
--- a/crates/graph/src/reserving.rs
+++ b/crates/graph/src/reserving.rs
@@ -36,7 +36,7 @@
 impl Outlook<'_> {
     fn n_now(&self, index: usize) -> u32 {
         let it = &self.berths[index];
-        self.ask.count_on(index, it, it.free)
+        self.ask.count_now(index, it)
     }
 
     fn n_ever(&self, index: usize) -> u32 {
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -82,7 +82,7 @@
     ) {
         let Some(record) = self.workers.get(worker) else { return };
         let runs = record.runs.iter().copied().collect::<Vec<_>>();
-        self.worker_lost(worker, losses::LossSign::Restarted, &runs, now);
+        self.life_is_over(worker, losses::LossSign::Restarted, &runs, now);
         let Some(record) = self.workers.get_mut(worker) else { return };
         tracing::info!(
             worker,
--- /dev/null
+++ b/crates/graph/src/suspicion.rs
@@ -0,0 +1,117 @@
+//! How far a task is under suspicion of crashing the workers that start it.
+//!
+//! A task that crashes its worker leaves nobody to list its end, so that no limit of attempts bounds how
+//! often it starts: one notices by workers that are lost one after the other, each with all that runs
+//! there. What is left to go by is that workers are lost under it, and how likely that was by chance.
+
+/// Chance at which a loss counts at least: no single one proves anything.
+pub const LEAST_ODDS: f64 = 0.01;
+
+/// A task crashes its workers if what it was struck by had a lower chance than this: that of two losses
+/// by themselves, under tasks that ran alone, while hardly any other worker was lost.
+const SURE_ODDS: f64 = LEAST_ODDS * LEAST_ODDS * 1.01;
+
+/// Losses that nothing else explains after which a task is given up, however they looked one by one. The
+/// platform lets a task be started twice more when three workers have crashed under it.
+const MOST_UNEXPLAINED: usize = 5;
+
+/// Up to this chance the surroundings don't explain a loss, when losses are counted.
+const UNEXPLAINED_ODDS: f64 = 0.1;
+
+/// Up to this chance a loss puts a task under suspicion. Above it, as when a rack loses power, it says so
+/// little that keeping what ran there apart would cost more than it tells.
+const SUSPECT_ODDS: f64 = 0.25;
+
+/// Most losses that are kept of a task, so that its row stays small: those that speak most against it.
+const MOST_KEPT: usize = 7;
+
+/// A worker that was lost under a task.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TaskLoss {
+    /// The attempt that ran there.
+    pub attempt: u32,
+    /// Chance that a task that crashes nothing was struck as it was: by what else was lost, by what else
+    /// ran there, and by how sure it is that the worker crashed.
+    pub odds: f64,
+    /// The part of that chance which what else was lost explains.
+    pub surroundings: f64,
+}
+
+/// What is held against a task.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TaskSuspicion {
+    losses: Vec<TaskLoss>,
+    /// The attempt of a start that is on record: should the scheduler go, its successor counts the start
+    /// unless it hears of its end.
+    pub trial: Option<u32>,
+    /// The same as an earlier scheduler has left it.
+    pub inherited_trial: Option<u32>,
+}
+
+impl TaskSuspicion {
+    /// What was saved of a task.
+    pub fn restored(losses: Vec<TaskLoss>) -> TaskSuspicion {
+        TaskSuspicion { losses, ..TaskSuspicion::default() }
+    }
+
+    /// What is held against it.
+    pub fn losses(&self) -> &[TaskLoss] {
+        &self.losses
+    }
+
+    /// Whether it runs apart from other work.
+    pub fn is_suspect(&self) -> bool {
+        self.losses.iter().any(|it| it.surroundings <= SUSPECT_ODDS)
+    }
+
+    /// Whether more than one loss speaks against it, or one under it alone.
+    pub fn is_strong(&self) -> bool {
+        self.n_unexplained() > 1 || (self.is_suspect() && self.odds() <= UNEXPLAINED_ODDS)
+    }
+
+    /// Whether it is taken to crash the workers that start it.
+    pub fn is_proved(&self) -> bool {
+        let is_sure = self.odds() < SURE_ODDS || self.n_unexplained() >= MOST_UNEXPLAINED;
+        self.losses.len() > 1 && is_sure
+    }
+
+    fn n_unexplained(&self) -> usize {
+        self.losses.iter().filter(|it| it.surroundings <= UNEXPLAINED_ODDS).count()
+    }
+
+    /// Chance of all that has struck it, if it crashes nothing.
+    pub fn odds(&self) -> f64 {
+        self.losses.iter().map(|it| it.odds).product()
+    }
+
+    /// Takes in a loss. One of the same attempt counts once, as what speaks most against the task.
+    pub fn charge(&mut self, loss: TaskLoss) {
+        if let Some(known) = self.losses.iter_mut().find(|it| it.attempt == loss.attempt) {
+            if loss.odds < known.odds {
+                *known = loss;
+            }
+            return;
+        }
+        self.losses.push(loss);
+        if self.losses.len() > MOST_KEPT {
+            let weakest = (0..self.losses.len())
+                .max_by(|one, other| self.losses[*one].odds.total_cmp(&self.losses[*other].odds));
+            weakest.map(|it| self.losses.remove(it));
+        }
+    }
+
+    /// Takes back what an attempt was charged with, as its worker lives. Tells whether there was anything.
+    pub fn acquit(&mut self, attempt: u32) -> bool {
+        let n_before = self.losses.len();
+        self.losses.retain(|it| it.attempt != attempt);
+        self.losses.len() < n_before
+    }
+
+    /// Takes the start of an attempt off the record, as its end is known. Tells whether it was there.
+    pub fn settle(&mut self, attempt: u32) -> bool {
+        let before = (self.trial, self.inherited_trial);
+        self.trial = self.trial.filter(|it| *it != attempt);
+        self.inherited_trial = self.inherited_trial.filter(|it| *it != attempt);
+        before != (self.trial, self.inherited_trial)
+    }
+}
--- /dev/null
+++ b/crates/graph/src/trials.rs
@@ -0,0 +1,106 @@
+//! Starts of tasks that are under suspicion: apart from other work, and on record before they are sent.
+//!
+//! A task that crashes its worker takes down what runs beside it; one notices by tasks that are struck
+//! again and again by different ones. And a scheduler that goes while the worker is down would leave no
+//! trace of the loss, so that the next one counts anew. A start on record is counted by the successor,
+//! unless a worker lists its end.
+
+use std::time::Duration;
+
+use crate::berth;
+use crate::core;
+use crate::job;
+use crate::suspicion;
+use crate::task_key;
+
+/// A suspect waits this long for a worker of its own; then it starts beside other work. The platform
+/// takes a job as lost that stands still for 3 s although there is room.
+pub(crate) const APART_PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// Of so many workers one at most is kept for suspects of which little is known: after one loss there may
+/// be as many as ran there.
+const WORKERS_A_SUSPECT: usize = 4;
+
+/// Chance that a start which an earlier scheduler has left on record never left, or goes on unseen.
+const INHERITED_ODDS: f64 = 0.2;
+
+/// Whether these tasks of a unit may have workers of their own now. What is all but proved may at any
+/// time.
+pub(crate) fn may_open(tasks: &[job::TaskRecord], berths: &[berth::WorkerBerth]) -> bool {
+    let n_closed = berths.iter().filter(|it| it.is_closed).count();
+    let has_room = n_closed < (berths.len() / WORKERS_A_SUSPECT).max(1);
+    has_room || tasks.iter().any(|it| it.suspicion.is_strong())
+}
+
+impl core::PoolCore {
+    /// Whether a unit may be started, as far as its tasks are under suspicion: their starts have to be on
+    /// record.
+    pub(crate) fn is_on_record(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
+        let suspects = self.unit_tasks(unit).into_iter().filter(|it| self.is_suspect(*it));
+        let suspects = suspects.collect::<Vec<_>>();
+        if suspects.is_empty() {
+            return true;
+        }
+        if self.charge_inherited(&suspects, now) {
+            return false;
+        }
+        let Some(attempt) = self.next_attempt(unit) else { return false };
+        suspects.into_iter().all(|it| self.put_on_record(it, attempt))
+    }
+
+    /// The end of a start that may be on record is known. Tells whether it was there.
+    pub(crate) fn settle_trial(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
+        self.task_of(key).is_some_and(|it| it.suspicion.settle(attempt))
+    }
+
+    /// The number of the next start of a unit.
+    pub(crate) fn next_attempt(&self, unit: task_key::UnitKey) -> Option<u32> {
+        let step = self.jobs.get(&unit.graph)?.steps.get(unit.step as usize)?;
+        let highest = match unit.task {
+            Some(task) => step.tasks.get(task as usize)?.attempt,
+            None => step.highest_attempt(),
+        };
+        Some(highest + 1)
+    }
+
+    /// Whether any task of a unit is under suspicion.
+    pub(crate) fn has_suspect(&self, unit: task_key::UnitKey) -> bool {
+        self.unit_tasks(unit).into_iter().any(|it| self.is_suspect(it))
+    }
+
+    /// Counts starts that an earlier scheduler has left on record and that no worker has listed, now that
+    /// all have answered or their leases have lapsed. Tells whether there were any.
+    fn charge_inherited(&mut self, suspects: &[task_key::TaskKey], now: Duration) -> bool {
+        let mut is_any = false;
+        for key in suspects {
+            let Some(attempt) =
+                self.task_of(*key).and_then(|it| it.suspicion.inherited_trial.take())
+            else {
+                continue;
+            };
+            let odds = INHERITED_ODDS;
+            let loss = suspicion::TaskLoss { attempt, odds, surroundings: 0.0 };
+            self.charge(*key, loss, now);
+            is_any = true;
+        }
+        is_any
+    }
+
+    /// Puts a start on record, and tells whether that is durable.
+    fn put_on_record(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
+        let Some(task) = self.task_of(key) else { return false };
+        if task.suspicion.trial != Some(attempt) {
+            task.suspicion.trial = Some(attempt);
+            let mark = self.touch(key);
+            if let Some(task) = self.task_of(key) {
+                task.trial_mark = mark;
+            }
+        }
+        let mark = self.task_of(key).and_then(|it| it.trial_mark);
+        mark.is_some_and(|it| self.unsaved.is_durable(it))
+    }
+
+    fn task_of(&mut self, key: task_key::TaskKey) -> Option<&mut job::TaskRecord> {
+        self.jobs.get_mut(&key.graph)?.task_mut(key)
+    }
+}
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -55,7 +55,8 @@
                 .copied()
                 .partition::<Vec<_>, _>(|key| self.has_surely_lapsed(*key, now));
             if !lapsed.is_empty() {
-                self.worker_lost(&worker, losses::LossSign::Silent, &lapsed, now);
+                let sign = if listed { losses::LossSign::CutOff } else { losses::LossSign::Silent };
+                self.worker_lost(&worker, sign, &lapsed, now);
             }
             for key in lapsed {
                 self.vacate(key, now);
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::health;
 use crate::lease_clock;
 use crate::life_trust;
+use crate::losses;
 use crate::room;
 use crate::save_queue;
 use crate::task_key;
@@ -93,6 +94,8 @@
     pub pauses_until: Duration,
     /// Room that is being cleared for units.
     pub claims: Vec<RoomClaim>,
+    /// What ran there when its life was taken to be over, for when it is surer whether it is.
+    pub lost_runs: Vec<losses::LostRun>,
 }
 
 /// Room that is being cleared for a unit and that nothing else may take.
--- a/crates/graph/tests/pool/failures.rs
+++ b/crates/graph/tests/pool/failures.rs
@@ -29,7 +29,9 @@
 
     assert_eq!(support::starts(&bench.turn()), []);
     bench.save();
-    assert_eq!(bench.core.state_of(1), Some((model::GraphState::Failed, Some("lab"))));
+    let shown = bench.core.state_of(1).map(|it| (it.state, it.account, it.failure));
+    let cause = Some(model::FailureCause::Attempts);
+    assert_eq!(shown, Some((model::GraphState::Failed, Some("lab"), cause)));
 }
 
 /// Symptom: a job is shown as failed after one failure. Sequence: a scheduler saves the failure
--- a/crates/graph/tests/pool/load.rs
+++ b/crates/graph/tests/pool/load.rs
@@ -239,7 +239,7 @@
         let now = self.bench.now;
         let core = &self.bench.core;
         let is_done = |it: &ids::GraphId| {
-            core.state_of(*it).is_some_and(|(state, _)| state == model::GraphState::Completed)
+            core.state_of(*it).is_some_and(|it| it.state == model::GraphState::Completed)
         };
         let done = self.jobs.iter_mut().filter(|(id, it)| it.counts && is_done(id));
         for (_, job) in done {
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -435,6 +435,9 @@
     bench.pass(10);
     let began = bench.now - Duration::from_millis(20);
     answers(&mut bench, Some(SECOND), began, &[], &[]);
+    // The worker was lost under the task, so that its next start is on record first.
+    assert_eq!(support::starts(&bench.turn()), []);
+    bench.save();
     assert_eq!(support::starts(&bench.turn())[0].attempt, 2);
 }
 
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -5,7 +5,7 @@
 /// The second of two workers is silent, unlisted, and forgotten once its lease has lapsed.
 fn with_a_forgotten_worker() -> support::PoolBench {
     let mut bench = support::PoolBench::new(2);
-    bench.core.unlist_worker(&support::worker_id(1));
+    bench.core.unlist_worker(&support::worker_id(1), bench.now);
     bench.core.hold_missed(&support::worker_id(1));
     bench.pass(20_000);
     bench.lists(0, &[], &[]);
--- a/crates/graph/tests/pool/schedules.rs
+++ b/crates/graph/tests/pool/schedules.rs
@@ -85,7 +85,7 @@
         set_wall(&mut bench, run * 2_000);
         let start = bench.turn_and_start().remove(0);
         end(&mut bench, run as u64 + 1, &start);
-        let state = bench.core.state_of(1).map(|(it, _)| it);
+        let state = bench.core.state_of(1).map(|it| it.state);
         assert_eq!(state, Some(model::GraphState::Running));
     }
     let progress = bench.saved.remove(&1);
@@ -95,5 +95,5 @@
     let start = successor.turn_and_start().remove(0);
     assert_eq!(start.task.to_string(), "0000000000000001.2.0.0");
     end(&mut successor, 1, &start);
-    assert_eq!(successor.core.state_of(1).map(|(it, _)| it), Some(model::GraphState::Completed));
+    assert_eq!(successor.core.state_of(1).map(|it| it.state), Some(model::GraphState::Completed));
 }
--- a/crates/pool/src/detour.rs
+++ b/crates/pool/src/detour.rs
@@ -83,12 +83,12 @@
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
-) -> DetourOutcome<model::LookOutcome> {
+) -> DetourOutcome<model::GraphLooked> {
     let account = account.map(str::to_owned);
     let call = |patience_ms| model::GraphLook { graph, account: account.clone(), patience_ms };
     let judge = |reply: model::GraphLooked| match reply.outcome {
         model::LookOutcome::Unavailable => DetourOutcome::NotServed,
-        served => DetourOutcome::Served(served),
+        _ => DetourOutcome::Served(reply),
     };
     ask(state, deadline, call, judge).await
 }
--- a/crates/pool/src/entry.rs
+++ b/crates/pool/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::progress;
+use almondpass_graph::{core, progress};
 use almondpass_peer::codec;
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::keys;
@@ -29,12 +29,12 @@
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
-) -> model::LookOutcome {
+) -> model::GraphLooked {
     let patience = if state.is_store_away() { Duration::ZERO } else { OWN_PATIENCE };
     let own = deadline.min(Instant::now() + patience);
-    match state_here(state, graph, account, own).await {
-        model::LookOutcome::Unavailable => {}
-        answer => return answer,
+    let answer = state_here(state, graph, account, own).await;
+    if answer.outcome != model::LookOutcome::Unavailable {
+        return answer;
     }
     match detour::look(state, graph, account, deadline).await {
         detour::DetourOutcome::Served(answer) => answer,
@@ -48,14 +48,14 @@
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
-) -> model::LookOutcome {
+) -> model::GraphLooked {
     let answer = ask_holder(state, model::GraphQuery { graph }).await;
-    if let Some(model::GraphAnswer { account: owner, state: Some(known) }) = answer {
+    if let Some(model::GraphAnswer { account: owner, state: Some(known), failure }) = answer {
         let is_theirs = owner.as_deref() == account;
         return if is_theirs {
-            model::LookOutcome::Known(known)
+            known_job(known, failure)
         } else {
-            model::LookOutcome::Absent
+            looked(model::LookOutcome::Absent)
         };
     }
     loop {
@@ -63,7 +63,7 @@
             return answer;
         }
         if Instant::now() + READ_AGAIN >= deadline {
-            return model::LookOutcome::Unavailable;
+            return looked(model::LookOutcome::Unavailable);
         }
         time::sleep(READ_AGAIN).await;
     }
@@ -84,17 +84,31 @@
     answer.ok()?.waiting
 }
 
+/// What peers are told of a job.
+pub(crate) fn answer_of(shown: core::ShownJob<'_>) -> model::GraphAnswer {
+    model::GraphAnswer {
+        account: shown.account.map(str::to_owned),
+        state: Some(shown.state),
+        failure: shown.failure,
+    }
+}
+
+fn known_job(state: model::GraphState, failure: Option<model::FailureCause>) -> model::GraphLooked {
+    let failure = failure.filter(|_| state == model::GraphState::Failed);
+    model::GraphLooked { outcome: model::LookOutcome::Known(state), failure }
+}
+
+fn looked(outcome: model::LookOutcome) -> model::GraphLooked {
+    model::GraphLooked { outcome, failure: None }
+}
+
 async fn ask_holder<S: state::PoolSite>(
     state: &state::PoolState<S>,
     query: model::GraphQuery,
 ) -> Option<model::GraphAnswer> {
     if let Some(lead) = state.lead() {
         let core = lead.core();
-        let (known, account) = core.state_of(query.graph)?;
-        return Some(model::GraphAnswer {
-            account: account.map(str::to_owned),
-            state: Some(known),
-        });
+        return core.state_of(query.graph).map(answer_of);
     }
     let holder = state.other_holder()?;
     let answer = state.site.peers().call(&holder.address, query, HOLDER_DEADLINE).await;
@@ -106,21 +120,22 @@
     state: &state::PoolState<S>,
     graph: ids::GraphId,
     account: Option<&str>,
-) -> Option<model::LookOutcome> {
+) -> Option<model::GraphLooked> {
     let (row, progress) = tokio::try_join!(
         read::<S, model::GraphRow>(state, keys::graph(graph)),
         read::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_CHUNK)),
     )
     .ok()?;
     let Some((row, _)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
-        return Some(model::LookOutcome::Absent);
+        return Some(looked(model::LookOutcome::Absent));
     };
+    let failure = progress.as_ref().and_then(|(it, _)| it.failure);
     let known = match progress.map(|(it, _)| it.state) {
         Some(ended @ (model::GraphState::Completed | model::GraphState::Failed)) => ended,
         _ if row.cancelled => model::GraphState::Cancelled,
         known => known.unwrap_or(model::GraphState::Pending),
     };
-    Some(model::LookOutcome::Known(known))
+    Some(known_job(known, failure))
 }
 
 /// Reads one row; nothing inside where there is none.
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -100,14 +100,14 @@
 ) {
     let Some(value) = &row.value else {
         state.faulty_entries().forget(&row.key);
-        return core.unlist_worker(&row.key);
+        return core.unlist_worker(&row.key, now);
     };
     let read = state.site.reader().worker(value).and_then(|it| check_upstream(state, it));
     state.faulty_entries().observe(&row.key, &read);
     match read {
         Ok(listing) => core.learn_worker(row.key.clone(), listing, now),
         // What runs there counts on: the worker may be sound, and only its entry overwritten.
-        Err(_) => core.unlist_worker(&row.key),
+        Err(_) => core.unlist_worker(&row.key, now),
     }
 }
 
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -48,10 +48,7 @@
     fn graph(&self, query: &model::GraphQuery) -> model::GraphAnswer {
         let Some(lead) = self.state.lead() else { return model::GraphAnswer::default() };
         let core = lead.core();
-        let Some((state, account)) = core.state_of(query.graph) else {
-            return model::GraphAnswer::default();
-        };
-        model::GraphAnswer { account: account.map(str::to_owned), state: Some(state) }
+        core.state_of(query.graph).map(entry::answer_of).unwrap_or_default()
     }
 
     async fn submit(&self, call: model::GraphSubmit) -> model::GraphSubmitted {
@@ -70,8 +67,7 @@
     async fn look(&self, call: model::GraphLook) -> model::GraphLooked {
         let deadline = deadline_in(call.patience_ms);
         let account = call.account.as_deref();
-        let outcome = entry::state_here(&self.state, call.graph, account, deadline).await;
-        model::GraphLooked { outcome }
+        entry::state_here(&self.state, call.graph, account, deadline).await
     }
 
     fn backlog(&self, query: &model::BacklogQuery) -> model::BacklogAnswer {
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::core;
+use almondpass_graph::{core, losses};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -73,6 +73,7 @@
         ("jobs", summary.n_jobs),
         ("waiting_tasks", summary.n_waiting),
         ("running_tasks", summary.n_running),
+        ("suspected_tasks", summary.n_suspects),
         ("workers", summary.n_workers),
         ("accelerators", summary.accelerators as usize),
         ("accelerators_used", summary.accelerators_used as usize),
@@ -91,6 +92,13 @@
     metrics::histogram!("almondpass_pool_completion_seconds", &labels).record(job.took);
 }
 
+fn meter_losses(counts: &losses::LossCounts) {
+    for sign in &counts.signs {
+        metrics::counter!("almondpass_pool_workers_lost_total", "sign" => sign.name()).increment(1);
+    }
+    metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
+}
+
 fn turn<S: state::PoolSite>(state: &state::PoolState<S>, lead: &lead::LeadState) {
     if !lead.may_order(state.site.clock()) {
         return;
@@ -101,6 +109,7 @@
     let orders = core.take_orders();
     core.take_finished().iter().for_each(meter_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
+    meter_losses(&core.take_loss_counts());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_changes());
     drop(core);
     if is_fenced_off {
--- a/crates/pool/src/worker_follower.rs
+++ b/crates/pool/src/worker_follower.rs
@@ -94,9 +94,10 @@
     time::sleep(BACK_WITHIN).await;
     let second = read(state, lead).await?;
     let still_missing = missing_from(lead, &second.rows);
+    let now = state.site.clock().now();
     let mut core = lead.core();
     for worker in missing.intersection(&still_missing) {
-        core.unlist_worker(worker);
+        core.unlist_worker(worker, now);
     }
     Some(second.version)
 }
--- a/crates/pool/tests/pool/crashes.rs
+++ b/crates/pool/tests/pool/crashes.rs
@@ -39,6 +39,7 @@
     }
     bench.submit(0, 1, row).await;
     bench.await_state(0, 1, model::GraphState::Failed, GIVEN_UP).await;
+    assert_eq!(bench.failure(0, 1).await, Some(model::FailureCause::CrashesWorkers));
     time::sleep(Duration::from_secs(20)).await;
     for graph in 2..6 {
         bench.await_state(0, graph, model::GraphState::Completed, GIVEN_UP).await;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -343,6 +343,25 @@
 
     pub(crate) async fn look(&self, index: usize, graph: ids::GraphId) -> model::LookOutcome {
         let deadline = Instant::now() + Duration::from_secs(2);
+        self.look_by(index, graph, deadline).await.outcome
+    }
+
+    /// Why a job has failed, as its caller is told.
+    pub(crate) async fn failure(
+        &self,
+        index: usize,
+        graph: ids::GraphId,
+    ) -> Option<model::FailureCause> {
+        let deadline = Instant::now() + Duration::from_secs(2);
+        self.look_by(index, graph, deadline).await.failure
+    }
+
+    async fn look_by(
+        &self,
+        index: usize,
+        graph: ids::GraphId,
+        deadline: Instant,
+    ) -> model::GraphLooked {
         entry::state_of(&self.instances[index].state, graph, Some("lab"), deadline).await
     }
 
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -138,8 +138,12 @@
     }
 }
 
-/// Progress of a step at its longest: every task has failed as often as it may, and has a checkpoint.
+/// Progress of a step at its longest: every task has failed as often as it may, has a checkpoint, and is
+/// under suspicion of crashing its workers.
 fn longest_progress(tasks: u32) -> model::StepProgress {
+    let loss =
+        |attempt| model::WorkerLoss { attempt, odds_ppm: 1_000_000, surroundings_ppm: 1_000_000 };
+    let losses = (100_021..100_028).map(loss).collect::<Vec<_>>();
     let attempts = (100_001..100_020).collect::<Vec<_>>();
     model::StepProgress {
         done: Vec::new(),
@@ -150,6 +154,8 @@
         checkpoints: (0..tasks)
             .map(|task| model::TaskCheckpoint { task, checkpoint: "c".repeat(256) })
             .collect(),
+        losses: (0..tasks).map(|task| model::TaskLosses { task, losses: losses.clone() }).collect(),
+        trials: (0..tasks).map(|task| model::TaskAttempt { task, attempt: 100_028 }).collect(),
     }
 }
 
@@ -167,6 +173,7 @@
     let mut chunks = progress::SavedChunks::default();
     let undivided = model::ProgressRow {
         state: model::GraphState::Running,
+        failure: None,
         first_step: 0,
         steps: widths.map(longest_progress).to_vec(),
     };
@@ -201,14 +208,21 @@
         failures: Vec::new(),
         attempts: Vec::new(),
         checkpoints: Vec::new(),
+        losses: Vec::new(),
+        trials: Vec::new(),
+    };
+    let row = model::ProgressRow {
+        state: model::GraphState::Running,
+        failure: None,
+        first_step: 0,
+        steps: vec![done],
     };
-    let row =
-        model::ProgressRow { state: model::GraphState::Running, first_step: 0, steps: vec![done] };
     let mut chunks = progress::SavedChunks::default();
     chunks.insert(2, row);
     let mut core = empty_core();
     inherit(&mut core, graph_row(vec![graph_step(160, true)]), chunks);
-    assert_eq!(core.state_of(1), Some((model::GraphState::Completed, None)));
+    let shown = core.state_of(1).map(|it| (it.state, it.account));
+    assert_eq!(shown, Some((model::GraphState::Completed, None)));
 }
 
 /// Symptom: a job that its caller has cancelled is shown as failed. Sequence: a task behind the first
@@ -222,9 +236,12 @@
         failures: vec![failures],
         attempts: Vec::new(),
         checkpoints: Vec::new(),
+        losses: Vec::new(),
+        trials: Vec::new(),
     };
     let row = model::ProgressRow {
         state: model::GraphState::Cancelled,
+        failure: None,
         first_step: 0,
         steps: vec![step],
     };
@@ -233,5 +250,6 @@
     let mut core = empty_core();
     let cancelled = model::GraphRow { cancelled: true, ..graph_row(vec![graph_step(100, false)]) };
     inherit(&mut core, cancelled, chunks);
-    assert_eq!(core.state_of(1), Some((model::GraphState::Cancelled, None)));
+    let shown = core.state_of(1).map(|it| (it.state, it.account));
+    assert_eq!(shown, Some((model::GraphState::Cancelled, None)));
 }
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -522,6 +522,61 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
+///Why a job graph has failed: its tasks have failed too often; workers crash under one of them.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum FailureCause {
+    #[serde(rename = "attempts")]
+    Attempts,
+    #[serde(rename = "crashes_workers")]
+    CrashesWorkers,
+}
+impl ::std::fmt::Display for FailureCause {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Attempts => f.write_str("attempts"),
+            Self::CrashesWorkers => f.write_str("crashes_workers"),
+        }
+    }
+}
+impl ::std::str::FromStr for FailureCause {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "attempts" => Ok(Self::Attempts),
+            "crashes_workers" => Ok(Self::CrashesWorkers),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for FailureCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for FailureCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Halls that an upstream had; keys made before `until` keep their home among them.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -642,6 +697,9 @@
     ///Whose it is.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub account: ::std::option::Option<crate::ids::AccountId>,
+    ///Why it has failed; absent where it has not.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub failure: ::std::option::Option<FailureCause>,
     ///How far it is, as far as that is durable.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<GraphState>,
@@ -677,6 +735,9 @@
 ///What the peer found.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct GraphLooked {
+    ///Why it has failed; absent where it has not.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub failure: ::std::option::Option<FailureCause>,
     ///The outcome.
     pub outcome: LookOutcome,
 }
@@ -1922,6 +1983,9 @@
 ///Row of what became of a job graph, or of a chunk of its tasks; written by the scheduler under its tenure.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ProgressRow {
+    ///Why it has failed; absent where it has not.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub failure: ::std::option::Option<FailureCause>,
     ///Index of the first step that the row tells of.
     #[serde(default)]
     pub first_step: u32,
@@ -2113,6 +2177,12 @@
     pub done: ::std::vec::Vec<u32>,
     ///Failures by task; of a gang under its first task.
     pub failures: ::std::vec::Vec<TaskFailures>,
+    ///Workers lost under a task.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub losses: ::std::vec::Vec<TaskLosses>,
+    ///Starts of suspected tasks, on record before they are sent.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub trials: ::std::vec::Vec<TaskAttempt>,
 }
 ///What became of a submission: stored; not stored for now; perhaps stored; the id is taken; never to be stored, as the store would refuse it again.
 #[derive(
@@ -2298,6 +2368,14 @@
     ///Index of the task.
     pub task: u32,
 }
+///Which workers were lost under a task.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TaskLosses {
+    ///The losses, one an attempt at most.
+    pub losses: ::std::vec::Vec<WorkerLoss>,
+    ///Index of the task.
+    pub task: u32,
+}
 ///Where one task of a gang is.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TaskPlacement {
@@ -2685,6 +2763,16 @@
     ///The workers by hall.
     pub halls: ::std::vec::Vec<HallWorkers>,
 }
+///A worker that was lost under a task.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct WorkerLoss {
+    ///The attempt that ran there.
+    pub attempt: u32,
+    ///Chance that the task has nothing to do with it, in millionths.
+    pub odds_ppm: u32,
+    ///The part of it that other losses explain, in millionths.
+    pub surroundings_ppm: u32,
+}
 ///Whether a worker takes work.
 #[derive(
     ::serde::Deserialize,
