Test what is held against a task and what is not

Ten cases on the core: given up after two losses alone; what ran beside ends well; a worker that lives on, one that is listed, one that was leaving, half of the workers losing power eight times: nobody is suspected, or given up; a suspect runs apart, and not without end; a successor goes on counting, and counts a start on record that nobody lists.

--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -11,4 +11,5 @@
 mod slowness;
 mod stops;
 mod support;
+mod suspicions;
 mod urgent;
--- /dev/null
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -0,0 +1,269 @@
+//! Tasks under which workers are lost: what is held against them, and what is not.
+
+use std::time::Duration;
+
+use almondpass_graph::{order, task_key, worker};
+use almondpass_schema::model;
+
+use crate::support;
+
+/// The only task of a job.
+fn first_task(graph: u64) -> task_key::TaskKey {
+    task_key::TaskKey { graph, occurrence: 0, step: 0, task: 0 }
+}
+
+/// Another worker answers at the address of a worker, and the list has it.
+fn replace(bench: &mut support::PoolBench, index: usize) {
+    let address = support::listing(index).address;
+    bench.core.worker_replaced(&support::worker_id(index), &address, bench.now);
+    bench.core.learn_worker(support::worker_id(index), support::listing(index), bench.now);
+    bench.save();
+    bench.lists(index, &[], &[]);
+}
+
+fn n_suspects(bench: &support::PoolBench) -> usize {
+    bench.core.summary().n_suspects
+}
+
+/// Turns, saves and turns again, as a suspect starts once that is on record. All starts succeed.
+fn turn_on_record(bench: &mut support::PoolBench) -> Vec<order::StartOrder> {
+    let mut starts = bench.turn_and_start();
+    bench.save();
+    starts.extend(bench.turn_and_start());
+    starts
+}
+
+/// Lets the workers of a pool answer that run what was started, and pass for a while.
+fn pass_with(bench: &mut support::PoolBench, starts: &[order::StartOrder], n_workers: usize) {
+    bench.pass(100);
+    for index in 0..n_workers {
+        let here = starts.iter().filter(|it| support::index_of(&it.worker) == index);
+        let running = here.map(|it| support::running(it, 1)).collect::<Vec<_>>();
+        bench.lists(index, &running, &[]);
+    }
+}
+
+/// One worker after the other is lost under a task that runs alone there: it is given up once two are,
+/// and its caller learns why.
+#[test]
+fn a_task_that_loses_its_workers_alone_is_given_up() {
+    let mut bench = support::PoolBench::new(16);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    for _ in 0..2 {
+        let start = turn_on_record(&mut bench).remove(0);
+        bench.pass(3_000);
+        replace(&mut bench, support::index_of(&start.worker));
+    }
+    bench.save();
+    let shown = bench.core.state_of(1).map(|it| (it.state, it.failure));
+    let cause = Some(model::FailureCause::CrashesWorkers);
+    assert_eq!(shown, Some((model::GraphState::Failed, cause)));
+    assert_eq!(bench.core.take_loss_counts().n_given_up, 1);
+}
+
+/// What ran beside a task that was given up is not: it was struck once, and ends well apart.
+#[test]
+fn what_ran_beside_is_not_given_up() {
+    let mut bench = support::PoolBench::new(16);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let starts = bench.turn_and_start();
+    assert_eq!(starts[0].worker, starts[1].worker);
+    bench.pass(3_000);
+    replace(&mut bench, support::index_of(&starts[0].worker));
+    assert_eq!(n_suspects(&bench), 2);
+
+    for _ in 0..2 {
+        let starts = turn_on_record(&mut bench);
+        let of = |graph| starts.iter().find(|it| it.task == first_task(graph)).cloned();
+        let first = of(1).expect("a start");
+        if let Some(second) = of(2) {
+            assert_ne!(first.worker, second.worker);
+            pass_with(&mut bench, &starts, 16);
+            let end = support::ended(1, &second, order::EndKind::Done);
+            bench.lists(support::index_of(&second.worker), &[], &[end]);
+        }
+        bench.pass(3_000);
+        replace(&mut bench, support::index_of(&first.worker));
+    }
+    bench.save();
+    let state = |graph| bench.core.state_of(graph).map(|it| it.state);
+    assert_eq!(state(1), Some(model::GraphState::Failed));
+    assert_eq!(state(2), Some(model::GraphState::Completed));
+}
+
+/// A worker that was cut off for longer than its lease lists what ran there, and has not crashed.
+#[test]
+fn a_worker_that_lives_on_is_held_against_nobody() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let index = support::index_of(&start.worker);
+    bench.core.hold_missed(&start.worker);
+    bench.pass(7_000);
+    bench.turn();
+    bench.core.unlist_worker(&start.worker, bench.now);
+    assert_eq!(n_suspects(&bench), 1);
+
+    bench.core.learn_worker(support::worker_id(index), support::listing(index), bench.now);
+    bench.lists(index, &[], &[support::ended(1, &start, order::EndKind::Lapsed)]);
+    assert_eq!(n_suspects(&bench), 0);
+}
+
+/// A worker that is silent, but whose entry is kept up, is cut off from here.
+#[test]
+fn a_silent_worker_that_is_listed_puts_nobody_under_suspicion() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.core.hold_missed(&start.worker);
+    bench.pass(7_000);
+    bench.turn();
+    assert_eq!(n_suspects(&bench), 0);
+    assert!(bench.core.summary().n_waiting + bench.core.summary().n_running > 0);
+}
+
+/// A worker that leaves may go sooner than it has told.
+#[test]
+fn a_worker_that_was_leaving_is_held_against_nobody() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    let index = support::index_of(&start.worker);
+    let leaves_in = Some(Duration::from_secs(60));
+    let leaving = worker::WorkerListing { leaves_in, ..support::listing(index) };
+    bench.core.learn_worker(start.worker.clone(), leaving, bench.now);
+    bench.pass(500);
+    bench.core.worker_replaced(&start.worker, &start.address, bench.now);
+    assert_eq!(n_suspects(&bench), 0);
+}
+
+/// Work that was struck by one power loss after the other is not given up: half of the workers each
+/// time.
+#[test]
+fn power_losses_are_held_against_nobody() {
+    let mut bench = support::PoolBench::new(16);
+    for graph in 1..=16 {
+        bench.admit(graph, support::job(0, support::whole_workers(1)));
+    }
+    let mut starts = bench.turn_and_start();
+    assert_eq!(starts.len(), 16);
+    for _ in 0..8 {
+        pass_with(&mut bench, &starts, 16);
+        let struck = starts.iter().filter(|it| it.task.graph <= 8).cloned().collect::<Vec<_>>();
+        for start in &struck {
+            bench.core.hold_missed(&start.worker);
+        }
+        bench.pass(600);
+        for start in &struck {
+            replace(&mut bench, support::index_of(&start.worker));
+        }
+        starts.retain(|it| it.task.graph > 8);
+        bench.save();
+        let again = turn_on_record(&mut bench);
+        assert_eq!(again.len(), 8);
+        starts.extend(again);
+    }
+    assert_eq!(n_suspects(&bench), 0);
+    let states = (1..=16).map(|it| bench.core.state_of(it).map(|it| it.state));
+    assert!(states.into_iter().all(|it| it == Some(model::GraphState::Running)));
+}
+
+/// A suspect starts on an empty worker, and nothing starts beside it.
+#[test]
+fn a_suspect_runs_apart() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let first = bench.turn_and_start().remove(0);
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let other = bench.turn_and_start().remove(0);
+    bench.pass(1_000);
+    replace(&mut bench, support::index_of(&first.worker));
+    let starts = turn_on_record(&mut bench);
+    let suspect = starts.iter().find(|it| it.task == first_task(1)).expect("a start").clone();
+    let beside = starts.iter().filter(|it| it.worker == suspect.worker);
+    assert_eq!(beside.count(), 1);
+    assert_eq!(first.worker, other.worker);
+    // Eight workers' worth of small tasks finds room on the others only.
+    bench.admit(3, support::job(0, support::tasks(64)));
+    let starts = bench.turn_and_start();
+    assert!(!starts.is_empty());
+    assert!(starts.iter().all(|it| it.worker != suspect.worker));
+}
+
+/// Where no worker comes free for it, a suspect starts beside other work within the time that the
+/// platform allows a job to stand still.
+#[test]
+fn a_suspect_does_not_wait_without_end() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(24)));
+    let starts = bench.turn_and_start();
+    bench.pass(500);
+    let lost = support::index_of(&starts[0].worker);
+    replace(&mut bench, lost);
+    let running = starts.into_iter().filter(|it| support::index_of(&it.worker) != lost);
+    let running = running.collect::<Vec<_>>();
+    let mut again = Vec::new();
+    for _ in 0..25 {
+        let all = running.iter().chain(&again).cloned().collect::<Vec<_>>();
+        pass_with(&mut bench, &all, 4);
+        bench.core.set_wall(bench.now);
+        again.extend(turn_on_record(&mut bench));
+    }
+    assert_eq!(again.len() + running.len(), 24);
+}
+
+/// What is held against a task outlives the scheduler.
+#[test]
+fn a_successor_goes_on_counting() {
+    let mut bench = support::PoolBench::new(16);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.pass(3_000);
+    replace(&mut bench, support::index_of(&start.worker));
+    bench.save();
+
+    let mut next = support::PoolBench::new(16);
+    next.inherit(1, support::job(1, support::tasks(1)), bench.saved.remove(&1));
+    assert_eq!(n_suspects(&next), 1);
+    let start = turn_on_record(&mut next).remove(0);
+    next.pass(3_000);
+    replace(&mut next, support::index_of(&start.worker));
+    next.save();
+    assert_eq!(next.core.state_of(1).map(|it| it.state), Some(model::GraphState::Failed));
+}
+
+/// Symptom: a scheduler that goes while a worker is down under a suspect leaves no trace of that loss. A
+/// start on record that no worker tells of counts for the successor, and one that a worker lists does
+/// not.
+#[test]
+fn a_start_on_record_that_nobody_lists_is_counted() {
+    let mut bench = support::PoolBench::new(16);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.pass(3_000);
+    replace(&mut bench, support::index_of(&start.worker));
+    let second = turn_on_record(&mut bench).remove(0);
+    let saved = bench.saved.remove(&1).expect("a start on record");
+    let n_losses = |bench: &mut support::PoolBench| {
+        turn_on_record(bench);
+        let rows = bench.saved.remove(&1).map(|it| format!("{it:?}")).unwrap_or_default();
+        rows.matches("odds_ppm").count()
+    };
+
+    let mut next = support::PoolBench::new(16);
+    next.inherit(1, support::job(1, support::tasks(1)), Some(saved.clone()));
+    next.turn();
+    assert_eq!(n_losses(&mut next), 2);
+
+    let mut next = support::PoolBench::unanswered(16, Duration::from_secs(2_000));
+    next.inherit(1, support::job(1, support::tasks(1)), Some(saved));
+    let index = support::index_of(&second.worker);
+    next.lists(index, &[support::running(&second, 5)], &[]);
+    for other in (0..16).filter(|it| *it != index) {
+        next.lists(other, &[], &[]);
+    }
+    let end = support::ended(1, &second, order::EndKind::Stopped);
+    next.lists(index, &[], &[end]);
+    assert_eq!(n_losses(&mut next), 1);
+}
