Let rooms of the stand-in's workers shrink and grow; two tests of it fail

Workers of the stand-in change what they offer while they run, tell so at a heartbeat, may refuse nothing, and note each start that brings them over their room; one that has shrunk counts 4.5 s later, what is being stopped counts. Found by it, on workers that refuse nothing, red and listed: tasks of a job that was cancelled between two schedulers are stopped, and 16 others start beside them meanwhile; with the store away, starts go on by rooms that have shrunk. The other two new tests (work goes by the room as it is; nothing starts beside what is beyond a shrunken room) pass on the code as it is.

--- a/crates/graph/src/room.rs
+++ b/crates/graph/src/room.rs
@@ -60,6 +60,15 @@
         }
     }
 
+    /// The larger amount of each resource.
+    pub fn most(self, other: Room) -> Room {
+        Room {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// One figure for comparing amounts of work, in thousandths of a core.
     pub fn weight(self) -> u64 {
         u64::from(self.cpu_milli) + ACCELERATOR_WEIGHT * u64::from(self.accelerators)
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod outages;
 mod restarts;
+mod rooms;
 mod rows;
 mod storms;
 mod strengths;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -77,8 +77,8 @@
     }
 }
 
-/// A document is the number of its version; a worker's row is its rack, its incarnation and its address,
-/// with a `-` behind them once the worker leaves.
+/// A document is the number of its version, with a `!` behind it if workers refuse nothing; a worker's row is its rack, its incarnation, its address and its
+/// accelerators, with a `-` behind them once the worker leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchReader;
 
@@ -96,7 +96,7 @@
             target_latency: Duration::from_secs(1),
         };
         Ok(document::PoolDocument {
-            version: std::str::from_utf8(source)?.parse()?,
+            version: std::str::from_utf8(source)?.trim_end_matches('!').parse()?,
             catalog: Arc::new(catalog::PoolCatalog {
                 classes: BTreeMap::from([("trend".to_owned(), class(1))]),
                 guaranteed: BTreeMap::new(),
@@ -111,13 +111,14 @@
         let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
         let text = std::str::from_utf8(value).map_err(form)?;
         let staying = text.trim_end_matches('-');
+        let (staying, accelerators) = staying.split_once('~').unwrap_or((staying, "8"));
         let (staying, address) = staying.split_once('#').unwrap_or((staying, "worker"));
         let (rack, incarnation) = staying.split_once('@').unwrap_or((staying, ""));
         let rack = rack.to_owned();
         Ok(worker::WorkerListing {
             address: address.to_owned(),
             upstream: UPSTREAM.to_owned(),
-            capacity: CAPACITY,
+            capacity: room_of(accelerators.parse().unwrap_or_default()),
             labels: vec!["a".to_owned(), rack.clone()],
             rack,
             leaves_in: text.ends_with('-').then_some(Duration::from_secs(2)),
@@ -247,6 +248,11 @@
         self.write("documents//newest", version.to_string().as_bytes()).await;
     }
 
+    /// A document by which workers start whatever they are told to.
+    pub(crate) async fn set_document_unguarded(&self, version: u64) {
+        self.write("documents//newest", format!("{version}!").as_bytes()).await;
+    }
+
     pub(crate) async fn add_worker(&self, index: usize) {
         let id = worker_id(index);
         self.fleet.add(&id, CAPACITY);
@@ -272,6 +278,12 @@
         self.write(&entry_key(index), entry_of(&self.fleet, index).as_bytes()).await;
     }
 
+    /// The room of a worker changes; its entry tells at its next heartbeat.
+    pub(crate) fn set_room(&self, worker: &ids::WorkerId, accelerators: u32, heartbeat: Duration) {
+        self.fleet.set_capacity(worker, room_of(accelerators));
+        self.write_entry_later(index_of(worker), heartbeat);
+    }
+
     /// The worker says that it leaves.
     pub(crate) async fn drain_worker(&self, index: usize) {
         let entry = format!("{}-", entry_of(&self.fleet, index));
@@ -467,11 +479,22 @@
     let worker = worker_id(index);
     let incarnation = fleet.incarnation(&worker);
     let incarnation = incarnation.map(|it| it.to_string()).unwrap_or_default();
-    format!("r{}@{incarnation}#{}", index / 8, fleet.address_of(&worker))
+    let accelerators = fleet.capacity(&worker).map_or(0, |it| it.accelerators);
+    format!("r{}@{incarnation}#{}~{accelerators}", index / 8, fleet.address_of(&worker))
+}
+
+/// What a worker offers of which that many accelerators are left; the rest shrinks alike.
+pub(crate) fn room_of(accelerators: u32) -> room::Room {
+    let share = |all: u32| all * accelerators / CAPACITY.accelerators;
+    room::Room {
+        cpu_milli: share(CAPACITY.cpu_milli),
+        memory_mb: share(CAPACITY.memory_mb),
+        accelerators,
+    }
 }
 
 /// Index of a worker by its id.
-fn index_of(worker: &str) -> usize {
+pub(crate) fn index_of(worker: &str) -> usize {
     worker.trim_start_matches('w').parse().expect("the id of a worker")
 }
 
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use almondpass_graph::{order, room};
+use almondpass_graph::{order, room, task_key};
 use almondpass_pool::control;
 use almondpass_schema::ids;
 use tokio::time::{self, Instant};
@@ -55,6 +55,9 @@
     crashed: Vec<CrashedWorker>,
     hides_lives: bool,
     starts_outlive: bool,
+    unguarded: bool,
+    /// Starts on dead workers beyond their rooms.
+    overfull: Vec<task_key::TaskKey>,
 }
 
 /// Whom a call has reached.
@@ -97,7 +100,10 @@
         let incarnation = FIRST_LIFE_MS + state.n_lives;
         state.n_lives += 1;
         state.known.insert(worker.to_owned());
-        let fresh = pool_worker::PoolWorker::new(worker, incarnation, capacity);
+        let mut fresh = pool_worker::PoolWorker::new(worker, incarnation, capacity);
+        if state.unguarded {
+            fresh.unguard();
+        }
         state.workers.insert(worker.to_owned(), fresh);
     }
 
@@ -119,6 +125,42 @@
         std::mem::take(&mut state.crashed)
     }
 
+    /// From now on workers start whatever they are told to, whether it fits or not.
+    pub fn unguard(&self) {
+        let mut state = state::lock(&self.state);
+        state.unguarded = true;
+        state.workers.values_mut().for_each(pool_worker::PoolWorker::unguard);
+    }
+
+    /// What a worker offers, if it is up.
+    pub fn capacity(&self, worker: &str) -> Option<room::Room> {
+        state::lock(&self.state).workers.get(worker).map(|it| it.capacity())
+    }
+
+    /// From now on a worker that is up offers that much.
+    pub fn set_capacity(&self, worker: &str, capacity: room::Room) {
+        if let Some(worker) = state::lock(&self.state).workers.get_mut(worker) {
+            worker.set_capacity(capacity);
+        }
+    }
+
+    /// Starts that brought their workers over their rooms, by the time from which these count.
+    pub fn overfull(&self) -> Vec<task_key::TaskKey> {
+        let state = state::lock(&self.state);
+        let now = state.workers.values().flat_map(|it| &it.overfull);
+        state.overfull.iter().chain(now).copied().collect()
+    }
+
+    /// The workers that are up.
+    pub fn workers_up(&self) -> Vec<ids::WorkerId> {
+        state::lock(&self.state).workers.keys().cloned().collect()
+    }
+
+    /// Faults on the way to each worker that had any.
+    pub fn all_faults(&self) -> Vec<fault::FaultPlan> {
+        state::lock(&self.state).plans.values().cloned().collect()
+    }
+
     /// From now on no worker tells in which life it is.
     pub fn hide_lives(&self) {
         state::lock(&self.state).hides_lives = true;
@@ -253,6 +295,7 @@
         });
         self.lost.extend(running);
         let capacity = dead.capacity();
+        self.overfull.append(&mut dead.overfull);
         self.lost.extend(dead.records);
         Some(capacity)
     }
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -13,6 +13,10 @@
 /// Longest lease that a worker grants; a longer one is shortened.
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
 
+/// A room that has shrunk counts this much later: as long as a change may take to be known by all, and a
+/// heartbeat.
+const SHRUNK_AFTER: Duration = Duration::from_millis(4_500);
+
 /// What a worker does with a task, as its body says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TaskPlan {
@@ -68,6 +72,12 @@
     incarnation: ids::Incarnation,
     born: Instant,
     capacity: room::Room,
+    /// Larger rooms that it had, with the time until which each counts.
+    former_rooms: Vec<(Instant, room::Room)>,
+    /// Whether it refuses what does not fit.
+    guards: bool,
+    /// Starts that it has taken beyond its room.
+    pub overfull: Vec<task_key::TaskKey>,
     token: ids::FencingToken,
     deadline_ms: u64,
     runs: BTreeMap<task_key::TaskKey, PoolRun>,
@@ -89,6 +99,9 @@
             incarnation,
             born: Instant::now(),
             capacity,
+            former_rooms: Vec::new(),
+            guards: true,
+            overfull: Vec::new(),
             token: 0,
             deadline_ms: 0,
             runs: BTreeMap::new(),
@@ -110,6 +123,17 @@
         self.capacity
     }
 
+    /// From now on it offers that much.
+    pub fn set_capacity(&mut self, capacity: room::Room) {
+        self.former_rooms.push((Instant::now() + SHRUNK_AFTER, self.capacity));
+        self.capacity = capacity;
+    }
+
+    /// From now on it starts whatever it is told to.
+    pub fn unguard(&mut self) {
+        self.guards = false;
+    }
+
     /// Its clock.
     pub fn clock_ms(&self) -> u64 {
         self.born.elapsed().as_millis() as u64
@@ -154,9 +178,12 @@
             return order::StartAnswer::Refused(order::StartRefusal::Old);
         }
         let used = self.runs.values().fold(room::Room::default(), |sum, it| sum.plus(it.plan.room));
-        if !plan.room.fits_in(self.capacity.minus(used)) {
+        if self.guards && !plan.room.fits_in(self.capacity.minus(used)) {
             return order::StartAnswer::Refused(order::StartRefusal::Room);
         }
+        if !used.plus(plan.room).fits_in(self.counted_room()) {
+            self.overfull.push(start.task);
+        }
         let run = PoolRun { attempt: start.attempt, began: Instant::now(), plan, stops_at: None };
         self.runs.insert(start.task, run);
         order::StartAnswer::Started { clock_ms }
@@ -246,6 +273,13 @@
         self.n_settled = if has_lapsed { self.n_ends } else { self.n_settled };
     }
 
+    /// Its room, or a larger one that it had a moment ago.
+    fn counted_room(&self) -> room::Room {
+        let now = Instant::now();
+        let former = self.former_rooms.iter().filter(|(until, _)| now < *until);
+        former.fold(self.capacity, |most, (_, it)| most.most(*it))
+    }
+
     fn lapses_at(&self) -> Instant {
         self.born + Duration::from_millis(self.deadline_ms)
     }
