Count the room of runs that are being stopped because nobody wants them

Workers that refuse nothing were filled beyond their room: tasks of a job that was cancelled between two schedulers are found on the workers and stopped, which takes a while, and others started beside them meanwhile (16 starts in the test). Cause: only the room of wanted tasks counted as in use. Now both do; a run whose job nobody knows any more counts as all that its worker offers. Where workers refuse what does not fit, starts that would be refused are not sent.

Before: rooms::what_is_being_stopped_still_counts failed.

--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -176,7 +176,7 @@
             place: Arc::clone(&it.place),
             rack: number_of(&it.place.rack, &mut racks),
             upstream: number_of(&it.place.upstream, &mut upstreams),
-            used: it.used,
+            used: it.in_use(),
             free: it.free(),
             n_runs: it.runs.len() + it.strays.len(),
             suspect: it.health.is_suspect(),
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -249,8 +249,11 @@
     }
 
     fn stop_stray(&mut self, worker: &ids::WorkerId, run: &order::ListedRun, now: Duration) {
+        let job = self.jobs.get(&run.task.graph);
+        let room = job.and_then(|it| it.step(run.task)).map(job::StepRecord::room);
         let Some(record) = self.workers.get_mut(worker) else { return };
-        let fresh = worker::StrayRun { attempt: run.attempt, asked_at: None };
+        let room = room.unwrap_or(record.listing.capacity);
+        let fresh = worker::StrayRun { attempt: run.attempt, room, asked_at: None };
         let stray = record.strays.entry(run.task).or_insert(fresh);
         stray.attempt = stray.attempt.max(run.attempt);
         if stray.asked_at.is_some_and(|it| now < it + STRAY_AGAIN) {
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -123,6 +123,8 @@
 pub struct StrayRun {
     /// Its attempt.
     pub attempt: u32,
+    /// What it takes: all that the worker offers where its job is not known any more.
+    pub room: room::Room,
     /// When a stop was last sent.
     pub asked_at: Option<Duration>,
 }
@@ -133,9 +135,16 @@
         WorkerRecord { generation, ..WorkerRecord::default() }
     }
 
-    /// What is free.
+    /// What is in use, by tasks that should be there and by those that are being stopped because they
+    /// should not.
+    pub fn in_use(&self) -> room::Room {
+        self.strays.values().fold(self.used, |sum, it| sum.plus(it.room))
+    }
+
+    /// What is free. A worker that refuses nothing would be filled beyond its room beside runs that are
+    /// being stopped.
     pub fn free(&self) -> room::Room {
-        self.listing.capacity.minus(self.used)
+        self.listing.capacity.minus(self.in_use())
     }
 
     /// Whether it has answered under this tenure, and each call since.
