Start nothing by a room that may have shrunk unheard, on workers that refuse nothing

Such workers were filled beyond their room while the store was away: their entries, which tell of a room that has shrunk, can neither be written nor read then, and starts went on by what was known. Cause: nothing bounded how old that may be. Now a worker of an upstream that refuses nothing gets no task once its entry has not been seen written for as long as a shrunken room takes to count (contact-ms and a heartbeat, less 0.3 s for the start's way). Counted from the reading of the list before the one that showed the write: with the store away in between, that is all one knows of when it was written. Whether workers refuse what does not fit is read from the configuration. A successor waits for one heartbeat of each such worker.

Tried first, and not enough: one bound for the age of the list. When the store is back, the list is read at once, and the workers write their entries a heartbeat later: the test failed still, with starts right behind the outage.

Upstreams whose workers refuse what does not fit are not concerned. Before: rooms::news_of_rooms_that_can_t_be_read_stops_starts failed. After: it passes, with all others of graph, pool and platform.

--- a/crates/graph/src/catalog.rs
+++ b/crates/graph/src/catalog.rs
@@ -1,6 +1,6 @@
 //! What the operators' configuration says of classes and accounts, as far as placing needs it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use almondpass_schema::ids;
@@ -28,4 +28,6 @@
     pub classes: BTreeMap<ids::ClassName, ClassSpec>,
     /// Accelerators that belong to an account's most urgent work at all times.
     pub guaranteed: BTreeMap<ids::AccountId, u32>,
+    /// Upstreams whose workers start whatever they are told to, whether it fits or not.
+    pub unguarded: BTreeSet<ids::UpstreamName>,
 }
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -54,6 +54,8 @@
     pub(crate) loss_history: loss_history::LossHistory,
     /// Figures of losses since they were last asked for.
     pub(crate) loss_counts: losses::LossCounts,
+    /// Until when all changes of the list of workers are taken in.
+    pub(crate) list_read_at: Duration,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
@@ -94,6 +96,7 @@
             n_restarts: 0,
             loss_history: loss_history::LossHistory::default(),
             loss_counts: losses::LossCounts::default(),
+            list_read_at: Duration::ZERO,
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
         }
@@ -104,6 +107,19 @@
         self.catalog = catalog;
     }
 
+    /// All changes of the list of workers until `at` are taken in.
+    pub fn list_read(&mut self, at: Duration) {
+        self.list_read_at = self.list_read_at.max(at);
+    }
+
+    /// A worker has written its entry since the list was last read.
+    pub fn worker_told(&mut self, worker: &ids::WorkerId) {
+        let at = self.list_read_at;
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.told_at = Some(at);
+        }
+    }
+
     /// Takes the time of day, as time since 1970.
     pub fn set_wall(&mut self, wall: Duration) {
         self.wall = wall;
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::reserving;
 use crate::room;
 use crate::task_key;
+use crate::worker;
 
 /// A worker that has not answered for this long gets no new tasks: longer than an idle look takes.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(3_500);
@@ -159,8 +160,15 @@
 
     /// The workers that may get tasks now.
     fn berths(&self, now: Duration) -> Vec<berth::WorkerBerth> {
+        let is_unguarded = |it: &worker::WorkerRecord| {
+            !self.catalog.unguarded.is_empty()
+                && self.catalog.unguarded.contains(&it.listing.upstream)
+        };
         let usable = self.workers.iter().filter(|(id, it)| {
-            it.listed
+            // A worker that refuses nothing would be filled beyond a room that has shrunk unheard, as
+            // while the store is away.
+            !(is_unguarded(it) && it.is_news_old(&self.terms, now))
+                && it.listed
                 && self.roster.is_saved(id)
                 && it.answers()
                 && it.is_listed_life()
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -62,6 +62,7 @@
             listing: std::mem::take(&mut self.listing),
             place: std::mem::take(&mut self.place),
             listed: self.listed,
+            told_at: self.told_at,
             leaves_at: self.leaves_at.filter(|_| is_of_entry),
             incarnation,
             life_since: now,
--- a/crates/graph/src/terms.rs
+++ b/crates/graph/src/terms.rs
@@ -9,6 +9,9 @@
 /// What workers grant where the platform does not say it: the most that the users' platform does.
 const LONGEST_GRANTED: Duration = Duration::from_secs(10);
 
+/// The platform's bound for what has changed to be known, and a heartbeat.
+const NEWS_TERM: Duration = Duration::from_millis(4_500);
+
 /// Kept below the longest lease that workers grant, since a longer one is shortened unheard.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -29,6 +32,8 @@
     pub start_term: Duration,
     /// A stop takes at most this long.
     pub stop_timeout: Duration,
+    /// A room that has shrunk counts this much later, on workers that refuse nothing.
+    pub news_term: Duration,
     /// Urgent work within a guarantee runs this long after it was accepted.
     pub reclaim: Duration,
     /// An ended job is answered for this long.
@@ -51,6 +56,7 @@
             longest_lease: LONGEST_GRANTED,
             start_term: Duration::from_millis(2_500),
             stop_timeout: Duration::from_millis(400),
+            news_term: NEWS_TERM,
             reclaim: Duration::from_millis(2_900),
             retention: RETENTION,
             remote_factor: 3.0,
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -14,6 +14,10 @@
 use crate::room;
 use crate::save_queue;
 use crate::task_key;
+use crate::terms;
+
+/// Kept for the way of a start.
+const NEWS_MARGIN: Duration = Duration::from_millis(300);
 
 /// What the platform's list says of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -50,6 +54,8 @@
     pub place: Arc<berth::BerthPlace>,
     /// Whether the list has it now.
     pub listed: bool,
+    /// It has written its entry since then, if it has under this tenure.
+    pub told_at: Option<Duration>,
     /// When the list first said that it leaves, as the time until which it stays at least.
     pub leaves_at: Option<Duration>,
     /// Whether it has answered under this tenure, so that orders of earlier ones are refused.
@@ -147,6 +153,12 @@
         self.listing.capacity.minus(self.in_use())
     }
 
+    /// Whether its room may have shrunk unheard, so that it counts by now: its entry has not been written,
+    /// or not been read, for so long.
+    pub fn is_news_old(&self, terms: &terms::PoolTerms, now: Duration) -> bool {
+        self.told_at.is_none_or(|it| now + NEWS_MARGIN >= it + terms.news_term)
+    }
+
     /// Whether it has answered under this tenure, and each call since.
     pub fn answers(&self) -> bool {
         self.fenced && self.n_missed == 0
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -55,6 +55,7 @@
     state: &Arc<state::PoolState<S>>,
     taken: &lead::TakenTenure,
 ) -> Result<LoadedLead, error::CallError> {
+    let asked_at = state.site.clock().now();
     let (graphs, progress, workers, roster) = tokio::try_join!(
         store_call::snapshot(state, keys::GRAPHS),
         store_call::snapshot(state, keys::PROGRESS),
@@ -72,6 +73,7 @@
     for row in workers.rows {
         learn_worker(state, &mut core, &row, now);
     }
+    core.list_read(asked_at);
     for row in &roster.rows {
         inherit_page(&mut core, row);
     }
--- a/crates/pool/src/worker_follower.rs
+++ b/crates/pool/src/worker_follower.rs
@@ -34,10 +34,14 @@
     mut after: ids::RowVersion,
 ) {
     loop {
+        let asked_at = state.site.clock().now();
         match store_call::follow(&state, S::Reader::WORKER_TABLE, after, Duration::ZERO).await {
             Ok(rows) => {
+                take(&state, &lead, &rows.rows, after);
                 after = after.max(rows.version);
-                take(&state, &lead, &rows.rows);
+                if !rows.more {
+                    lead.core().list_read(asked_at);
+                }
                 // Every worker writes its row again and again, and an answer tells of a bounded number:
                 // with pauses between full answers the changes of a large list would be read later
                 // and later, and tasks start on workers that have said long before that they leave.
@@ -54,7 +58,7 @@
             }
         }
         tracing::info!(after, "history of the workers is gone; the list is read");
-        if let Some(version) = read_anew(&state, &lead).await {
+        if let Some(version) = read_anew(&state, &lead, after).await {
             after = after.max(version);
         } else {
             time::sleep(AGAIN).await;
@@ -66,6 +70,7 @@
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     rows: &[row_feed::FeedRow],
+    after: ids::RowVersion,
 ) {
     if rows.is_empty() {
         return;
@@ -74,6 +79,9 @@
     let mut core = lead.core();
     for row in rows {
         lead_loader::learn_worker(state, &mut core, row, now);
+        if row.version > after {
+            core.worker_told(&row.key);
+        }
     }
     drop(core);
     lead.turn_due.notify_one();
@@ -85,14 +93,15 @@
 async fn read_anew<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
+    after: ids::RowVersion,
 ) -> Option<ids::RowVersion> {
-    let first = read(state, lead).await?;
+    let first = read(state, lead, after).await?;
     let missing = missing_from(lead, &first.rows);
     if missing.is_empty() {
         return Some(first.version);
     }
     time::sleep(BACK_WITHIN).await;
-    let second = read(state, lead).await?;
+    let second = read(state, lead, after).await?;
     let still_missing = missing_from(lead, &second.rows);
     let now = state.site.clock().now();
     let mut core = lead.core();
@@ -105,10 +114,13 @@
 async fn read<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
+    after: ids::RowVersion,
 ) -> Option<row_feed::FeedRows> {
+    let asked_at = state.site.clock().now();
     let read = store_call::snapshot(state, S::Reader::WORKER_TABLE).await;
     let rows = read.inspect_err(|error| tracing::debug!(%error, "workers can't be read")).ok()?;
-    take(state, lead, &rows.rows);
+    take(state, lead, &rows.rows, after);
+    lead.core().list_read(asked_at);
     Some(rows)
 }
 
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -95,11 +95,13 @@
             stretch: 2.0,
             target_latency: Duration::from_secs(1),
         };
+        let unguarded = source.ends_with(b"!").then(|| UPSTREAM.to_owned());
         Ok(document::PoolDocument {
             version: std::str::from_utf8(source)?.trim_end_matches('!').parse()?,
             catalog: Arc::new(catalog::PoolCatalog {
                 classes: BTreeMap::from([("trend".to_owned(), class(1))]),
                 guaranteed: BTreeMap::new(),
+                unguarded: unguarded.into_iter().collect(),
             }),
             upstreams: [UPSTREAM.to_owned()].into(),
             source: blob::Blob::from(source.to_vec()),
@@ -279,9 +281,21 @@
     }
 
     /// The room of a worker changes; its entry tells at its next heartbeat.
-    pub(crate) fn set_room(&self, worker: &ids::WorkerId, accelerators: u32, heartbeat: Duration) {
+    pub(crate) fn set_room(&self, worker: &ids::WorkerId, accelerators: u32) {
         self.fleet.set_capacity(worker, room_of(accelerators));
-        self.write_entry_later(index_of(worker), heartbeat);
+    }
+
+    /// Each worker that is up writes its entry at each heartbeat from now on, as far as the store takes it.
+    pub(crate) fn keep_heartbeats(&self) {
+        let (store, fleet) = (self.store.clone(), self.fleet.clone());
+        tokio::spawn(async move {
+            loop {
+                for worker in fleet.workers_up() {
+                    tokio::spawn(beat(store.clone(), fleet.clone(), index_of(&worker)));
+                }
+                time::sleep(HEARTBEAT).await;
+            }
+        });
     }
 
     /// The worker says that it leaves.
@@ -420,6 +434,14 @@
     model::TableTransaction { conditions: Vec::new(), writes: vec![write] }
 }
 
+/// A worker writes its entry once.
+async fn beat(store: table::TableFake, fleet: pool_fleet::PoolFleet, index: usize) {
+    let value = blob::Blob::from(entry_of(&fleet, index).into_bytes());
+    let write = store.transact(put_of(&entry_key(index), Some(value)));
+    // What the store does not take is told of by the next one.
+    let _ = time::timeout(HEARTBEAT, write).await;
+}
+
 /// Lets a worker that was crashed start again, and write its entry once the store takes it.
 async fn come_back(
     fleet: pool_fleet::PoolFleet,
