Compare losses with what is lost anyhow, over takeovers too; storms of crashing tasks and of rooms

Two new kinds of storms beside the others: tasks that crash each worker that starts them (workers come back at their address, elsewhere, under their ids, in turn), and rooms that shrink and grow on workers that refuse nothing, both beside outages, cuts, late orders, kills and workers that start again. Judged by the stated bounds: behind the third crash instances in touch start a task twice more at most; no start over a room; each job ends as it should.

They, and the storms of restarts, found faults of the mend's first form, mended here: - a successor took losses for rare, as it had seen none, and gave up work that was struck by chance (restarts 36, 93): losses of late, and how long they were watched, go with the tenure's row; the start that a predecessor left on record counts by them as well; - a task's risk was that of its class, though long tasks are struck most: its own pace counts; - what becomes surer of a loss was dropped where another doubt weighed as much (rooms 15): both parts are kept at their best; - a suspect started once more although the entry of its silent worker went 0.1 s later, which gave it up (rooms 11): it waits for that, 1.5 s at most; - five losses were needed where four that hardly anything else explains are as sure; one may have had no witness (tasks 26).

--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -85,6 +85,8 @@
     pub waits_since: Duration,
     /// What speaks for it that it crashes the workers that start it.
     pub suspicion: suspicion::TaskSuspicion,
+    /// It does not start before: whether the worker under it is lost will be surer soon.
+    pub held_until: Duration,
     /// The change that puts its next start on record.
     pub trial_mark: Option<save_queue::SaveMark>,
 }
--- a/crates/graph/src/loss_history.rs
+++ b/crates/graph/src/loss_history.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use almondpass_schema::model;
+
 use crate::task_key;
 
 /// Losses are remembered for this long.
@@ -28,11 +30,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct LossHistory {
     losses: VecDeque<PastLoss>,
+    /// Since when losses are taken note of; for as long as they are remembered, where that is not known.
+    began: Option<Duration>,
 }
 
 /// What surrounds a loss.
 #[derive(Clone, Copy, Debug)]
 pub struct LossScene {
+    /// The time.
+    pub now: Duration,
     /// When the worker was last heard of.
     pub heard_at: Duration,
     /// How long the task runs, or ran there, whichever is longer: an innocent one is at risk for so long.
@@ -44,6 +50,29 @@
 }
 
 impl LossHistory {
+    /// A scheduler begins to take note of losses. Without those that an earlier one has seen lately it
+    /// would take what follows for rare.
+    pub fn begin(&mut self, inherited: Option<&model::RecentLosses>, now: Duration) {
+        let watched = inherited.map_or(0, |it| it.watched_ms);
+        let watched = Duration::from_millis(watched).min(MEMORY);
+        self.began = Some(now.saturating_sub(watched));
+        let past = PastLoss { heard_at: now.saturating_sub(watched / 2), tasks: Vec::new() };
+        let n_losses = inherited.map_or(0, |it| it.count) as usize;
+        self.losses.extend(std::iter::repeat_n(past, n_losses));
+    }
+
+    /// What a successor has to know.
+    pub fn recent(&self, now: Duration) -> model::RecentLosses {
+        let n_recent = self.losses.iter().filter(|it| now < it.heard_at + MEMORY).count();
+        let watched_ms = self.watched(now).as_millis() as u64;
+        model::RecentLosses { count: n_recent as u32, watched_ms }
+    }
+
+    /// How long losses have been taken note of, as far as they are remembered.
+    fn watched(&self, now: Duration) -> Duration {
+        self.began.map_or(MEMORY, |it| now.saturating_sub(it)).min(MEMORY)
+    }
+
     /// Takes in a loss.
     pub fn note(&mut self, heard_at: Duration, tasks: Vec<task_key::TaskKey>, now: Duration) {
         self.losses.retain(|it| now < it.heard_at + MEMORY);
@@ -52,11 +81,12 @@
 
     /// Chance that `task` was struck although it crashes nothing, by what else was lost.
     pub fn odds(&self, task: task_key::TaskKey, scene: LossScene) -> f64 {
-        let others = || self.losses.iter().filter(|it| !it.tasks.contains(&task));
+        let is_recent = |it: &&PastLoss| scene.now < it.heard_at + MEMORY;
+        let others = || self.losses.iter().filter(is_recent).filter(|it| !it.tasks.contains(&task));
         let n_together = others().filter(|it| is_together(it.heard_at, scene.heard_at)).count();
         let n_workers = scene.n_workers.max(2) as f64;
         let together = (n_together + scene.n_silent) as f64 / (n_workers - 1.0);
-        let worker_seconds = n_workers * MEMORY.as_secs_f64();
+        let worker_seconds = n_workers * self.watched(scene.now).as_secs_f64().max(1.0);
         let rate = (others().count() + ASSUMED) as f64 / worker_seconds;
         let by_rate = 1.0 - (-rate * scene.exposure.as_secs_f64()).exp();
         together.max(by_rate).min(1.0)
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -166,6 +166,16 @@
         is_changed
     }
 
+    /// Begins to take note of losses, with those that an earlier scheduler has seen lately.
+    pub fn begin_losses(&mut self, inherited: Option<&model::RecentLosses>, now: Duration) {
+        self.loss_history.begin(inherited, now);
+    }
+
+    /// The losses of late, for a successor.
+    pub fn recent_losses(&self, now: Duration) -> model::RecentLosses {
+        self.loss_history.recent(now)
+    }
+
     /// Figures since the last call.
     pub fn take_loss_counts(&mut self) -> LossCounts {
         std::mem::take(&mut self.loss_counts)
@@ -188,14 +198,14 @@
                 ran: now.saturating_sub(run.since),
                 is_confirmed: run.is_confirmed,
                 is_suspect: task.suspicion.is_suspect(),
-                surroundings: self.surroundings(worker, *key, now.saturating_sub(run.since)),
+                surroundings: self.surroundings(worker, *key, now),
             })
         });
         lost.collect()
     }
 
     /// Chance that a task was struck by what else was lost.
-    fn surroundings(&self, worker: &ids::WorkerId, key: task_key::TaskKey, ran: Duration) -> f64 {
+    fn surroundings(&self, worker: &ids::WorkerId, key: task_key::TaskKey, now: Duration) -> f64 {
         let Some(record) = self.workers.get(worker) else { return 1.0 };
         let heard_at = record.answered_at;
         let silent = self.workers.iter().filter(|(id, it)| {
@@ -205,16 +215,40 @@
                 && !it.runs.contains(&key)
                 && !self.has_suspect_alone(it.runs.iter().copied())
         });
-        let class = self.jobs.get(&key.graph).map(|it| it.class.as_str()).unwrap_or_default();
         let scene = loss_history::LossScene {
+            now,
             heard_at,
-            exposure: ran.max(self.run_times.mean(class)),
+            exposure: self.exposure(key, now),
             n_workers: self.workers.len(),
             n_silent: silent.count(),
         };
         self.loss_history.odds(key, scene)
     }
 
+    /// Chance that a task was struck at some time that is not known.
+    pub(crate) fn usual_odds(&self, key: task_key::TaskKey, now: Duration) -> f64 {
+        let silent = self.workers.values().filter(|it| it.n_missed > 0);
+        let scene = loss_history::LossScene {
+            now,
+            heard_at: now,
+            exposure: self.exposure(key, now),
+            n_workers: self.workers.len(),
+            n_silent: silent.count(),
+        };
+        self.loss_history.odds(key, scene)
+    }
+
+    /// How long a task is at risk: until its end as its pace tells it, or as long as its class takes, or as
+    /// it ran. By the shortest, long tasks would be taken for culprits: they are struck most.
+    fn exposure(&self, key: task_key::TaskKey, now: Duration) -> Duration {
+        let class = self.jobs.get(&key.graph).map(|it| it.class.as_str()).unwrap_or_default();
+        let usual = self.run_times.mean(class);
+        let Some(run) = self.run(key) else { return usual };
+        let pace = run.pace.latest().filter(|it| *it > 0.0);
+        let whole = pace.map_or(Duration::ZERO, |it| Duration::from_secs_f64(100.0 / it));
+        whole.max(usual).max(now.saturating_sub(run.since))
+    }
+
     /// Whether one unit runs alone, and is under suspicion.
     fn has_suspect_alone(&self, mut runs: impl Iterator<Item = task_key::TaskKey>) -> bool {
         let unit_of = |it: task_key::TaskKey| self.jobs.get(&it.graph)?.unit_of(it);
@@ -231,8 +265,11 @@
 
     fn charge_all(&mut self, sign: LossSign, runs: &[LostRun], now: Duration) {
         for run in runs {
-            let odds = odds_of(run, runs, sign);
-            self.charge(run.task, odds, now);
+            let loss = odds_of(run, runs, sign);
+            self.charge(run.task, loss, now);
+            if sign == LossSign::CutOff {
+                self.hold_back(run.task, now);
+            }
         }
     }
 
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -11,16 +11,23 @@
 /// by themselves, under tasks that ran alone, while hardly any other worker was lost.
 const SURE_ODDS: f64 = LEAST_ODDS * LEAST_ODDS * 1.01;
 
-/// Losses that nothing else explains after which a task is given up, however they looked one by one. The
-/// platform lets a task be started twice more when three workers have crashed under it.
+/// Losses that hardly anything else explains after which a task is given up, though others ran beside it,
+/// or none of the workers has come back. The platform lets a task be started twice more when three workers
+/// have crashed under it; one more may have had no witness.
+const MOST_ALONE: usize = 4;
+
+/// Losses that something else may explain after which it is given up, at a chance below `MANY_ODDS`.
 const MOST_UNEXPLAINED: usize = 5;
 
-/// Up to this chance the surroundings don't explain a loss, when losses are counted.
-const UNEXPLAINED_ODDS: f64 = 0.1;
+/// See `MOST_UNEXPLAINED`.
+const MANY_ODDS: f64 = 0.001;
+
+/// Up to this chance what else was lost does not explain a loss. Above it, as when a rack loses power, a
+/// loss says so little that keeping what ran there apart would cost more than it tells.
+const UNEXPLAINED_ODDS: f64 = 0.25;
 
-/// Up to this chance a loss puts a task under suspicion. Above it, as when a rack loses power, it says so
-/// little that keeping what ran there apart would cost more than it tells.
-const SUSPECT_ODDS: f64 = 0.25;
+/// Up to this chance hardly anything else explains a loss; a task with a lower one is nearly proved.
+const STRONG_ODDS: f64 = 0.1;
 
 /// Most losses that are kept of a task, so that its row stays small: those that speak most against it.
 const MOST_KEPT: usize = 7;
@@ -61,17 +68,20 @@
 
     /// Whether it runs apart from other work.
     pub fn is_suspect(&self) -> bool {
-        self.losses.iter().any(|it| it.surroundings <= SUSPECT_ODDS)
+        self.n_unexplained() > 0
     }
 
     /// Whether more than one loss speaks against it, or one under it alone.
     pub fn is_strong(&self) -> bool {
-        self.n_unexplained() > 1 || (self.is_suspect() && self.odds() <= UNEXPLAINED_ODDS)
+        self.n_unexplained() > 1 || (self.is_suspect() && self.odds() <= STRONG_ODDS)
     }
 
     /// Whether it is taken to crash the workers that start it.
     pub fn is_proved(&self) -> bool {
-        let is_sure = self.odds() < SURE_ODDS || self.n_unexplained() >= MOST_UNEXPLAINED;
+        let is_alone = |it: &&TaskLoss| it.surroundings <= STRONG_ODDS;
+        let n_alone = self.losses.iter().filter(is_alone).count();
+        let are_many = self.n_unexplained() >= MOST_UNEXPLAINED && self.odds() < MANY_ODDS;
+        let is_sure = self.odds() < SURE_ODDS || n_alone >= MOST_ALONE || are_many;
         self.losses.len() > 1 && is_sure
     }
 
@@ -84,12 +94,11 @@
         self.losses.iter().map(|it| it.odds).product()
     }
 
-    /// Takes in a loss. One of the same attempt counts once, as what speaks most against the task.
+    /// Takes in a loss. One of the same attempt counts once, by what is known best.
     pub fn charge(&mut self, loss: TaskLoss) {
         if let Some(known) = self.losses.iter_mut().find(|it| it.attempt == loss.attempt) {
-            if loss.odds < known.odds {
-                *known = loss;
-            }
+            known.odds = known.odds.min(loss.odds);
+            known.surroundings = known.surroundings.min(loss.surroundings);
             return;
         }
         self.losses.push(loss);
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -21,6 +21,9 @@
 /// be as many as ran there.
 const WORKERS_A_SUSPECT: usize = 4;
 
+/// The entry of a worker that is down goes this soon behind the lapse of its lease.
+const UNLISTED_WITHIN: Duration = Duration::from_millis(1_500);
+
 /// Chance that a start which an earlier scheduler has left on record never left, or goes on unseen.
 const INHERITED_ODDS: f64 = 0.2;
 
@@ -41,6 +44,9 @@
         if suspects.is_empty() {
             return true;
         }
+        if suspects.iter().any(|it| self.task(*it).is_some_and(|it| now < it.held_until)) {
+            return false;
+        }
         if self.charge_inherited(&suspects, now) {
             return false;
         }
@@ -78,8 +84,9 @@
             else {
                 continue;
             };
-            let odds = INHERITED_ODDS;
-            let loss = suspicion::TaskLoss { attempt, odds, surroundings: 0.0 };
+            let surroundings = self.usual_odds(*key, now);
+            let odds = surroundings.max(INHERITED_ODDS);
+            let loss = suspicion::TaskLoss { attempt, odds, surroundings };
             self.charge(*key, loss, now);
             is_any = true;
         }
@@ -100,6 +107,18 @@
         mark.is_some_and(|it| self.unsaved.is_durable(it))
     }
 
+    /// Holds a suspect back that was struck by the loss of a worker that may live, where that will show
+    /// soon. It would be started once more although what is about to be known gives it up.
+    pub(crate) fn hold_back(&mut self, key: task_key::TaskKey, now: Duration) {
+        if let Some(task) = self.task_of(key).filter(|it| it.suspicion.is_strong()) {
+            task.held_until = now + UNLISTED_WITHIN;
+        }
+    }
+
+    fn task(&self, key: task_key::TaskKey) -> Option<&job::TaskRecord> {
+        self.jobs.get(&key.graph)?.task(key)
+    }
+
     fn task_of(&mut self, key: task_key::TaskKey) -> Option<&mut job::TaskRecord> {
         self.jobs.get_mut(&key.graph)?.task_mut(key)
     }
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -6,7 +6,7 @@
 
 use almondpass_graph::{core, order};
 use almondpass_ports::boot_clock::BootClock;
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -53,6 +53,8 @@
     pub(crate) version: ids::RowVersion,
     pub(crate) sent_at: Duration,
     pub(crate) settles_at: Duration,
+    /// Losses of workers that the earlier holder has seen lately.
+    pub(crate) losses: Option<model::RecentLosses>,
 }
 
 impl LeadState {
@@ -135,11 +137,12 @@
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
     metrics::counter!("almondpass_pool_tenures_total").increment(1);
     let (epoch, version) = (taken.epoch, taken.version);
-    let core = core::PoolCore::new(core::PoolStart {
+    let mut core = core::PoolCore::new(core::PoolStart {
         terms: state.settings.terms,
         catalog: Arc::default(),
         settles_at: taken.settles_at,
     });
+    core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
     let mut parts = JoinSet::new();
     parts.spawn(serve(Arc::clone(&state), Arc::clone(&lead), taken));
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -74,6 +74,7 @@
         learn_worker(state, &mut core, &row, now);
     }
     core.list_read(asked_at);
+    core.begin_losses(taken.losses.as_ref(), now);
     for row in &roster.rows {
         inherit_page(&mut core, row);
     }
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -91,12 +91,14 @@
     if wait_for(state, seen).is_some() {
         return None;
     }
+    let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
         address: settings.peer_address.clone(),
         epoch: seen.row.as_ref().map_or(0, |it| it.epoch) + 1,
         renewal: 0,
         released: false,
+        losses: losses.clone(),
     };
     let transaction = model::TableTransaction {
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
@@ -107,7 +109,7 @@
     let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
     let version = versions.first().copied()?;
     let settles_at = settles_at(seen, settings, now);
-    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at })
+    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses })
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -231,6 +231,7 @@
             epoch: self.lead.epoch,
             renewal: self.renewal,
             released,
+            losses: Some(self.lead.core().recent_losses(self.state.site.clock().now())),
         };
         let mut writes = vec![write_of(keys::pool_tenure(), &tenure)];
         writes.extend_from_slice(rows);
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use almondpass_graph::order;
+use almondpass_graph::{order, task_key};
 use almondpass_schema::{ids, model};
 use almondpass_standin::fault;
 use rand::{RngExt, SeedableRng};
@@ -21,10 +21,28 @@
 const N_WORKERS: usize = 4;
 const N_STEPS: usize = 45;
 
+/// Where tasks crash workers there are more of them: some are down all the while.
+const N_WORKERS_CRASHING: usize = 24;
+
+/// Once so many workers have crashed under a task...
+const N_CRASHES: usize = 3;
+
+/// ...it may be started so many times more.
+const MOST_LATER: usize = 2;
+
+/// Instances are in touch this long behind the last disruption.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
+
 /// Faults end, and this much later everything must be settled: leases, terms and outages of
 /// seconds, one after the other, then the longest tasks.
 const SETTLE: Duration = Duration::from_secs(90);
 
+/// Accelerators of a worker.
+const WHOLE_ROOM: u32 = 8;
+
+/// By then each worker has told of itself.
+const FIRST_HEARTBEATS: Duration = Duration::from_secs(4);
+
 /// Storms that found a fault when workers start again: an acknowledgement behind a pause in which nobody
 /// looked, a start that hid a later life, and one that ran on in a later life that could not be reached.
 const RESTART_FINDINGS: [u64; 3] = [31_028, 52_395, 81_036];
@@ -40,10 +58,35 @@
     cancelled: BTreeMap<ids::GraphId, Instant>,
     /// Jobs whose tasks fail.
     poisoned: BTreeSet<ids::GraphId>,
+    /// Since when something stands between the parties.
+    disrupted_since: Option<Instant>,
+    /// The times at which something did.
+    disruptions: Vec<(Instant, Instant)>,
+    /// Jobs whose first task crashes its workers.
+    crashing: BTreeSet<ids::GraphId>,
     /// Jobs of two steps, the second after the first.
     chained: BTreeSet<ids::GraphId>,
 }
 
+impl StormLedger {
+    /// Something stands between instances, store and workers from now on, or did for a moment.
+    fn disrupted(&mut self) {
+        self.disrupted_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Nothing does any more.
+    fn calmed(&mut self) {
+        if let Some(since) = self.disrupted_since.take() {
+            self.disruptions.push((since, Instant::now() + IN_TOUCH_AFTER));
+        }
+    }
+
+    /// Whether the instances were in touch at that moment, as far as is known.
+    fn is_in_touch(&self, at: Instant) -> bool {
+        self.disruptions.iter().all(|(from, until)| !(*from..*until).contains(&at))
+    }
+}
+
 /// What comes on top of the other faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StormKind {
@@ -53,6 +96,38 @@
     Restarts,
     /// The same, and they don't tell.
     UntoldRestarts,
+    /// Some tasks crash each worker that starts them, beside workers that start again by themselves.
+    Crashes,
+    /// Rooms shrink and grow, on workers that start whatever they are told to, beside tasks that crash
+    /// them.
+    Rooms,
+}
+
+impl StormKind {
+    /// Chance of each step that a worker starts again by itself. Where tasks crash workers, so seldom that
+    /// the two can be told apart.
+    fn restarts(self) -> f64 {
+        match self {
+            StormKind::Plain => 0.0,
+            StormKind::Restarts | StormKind::UntoldRestarts => 0.2,
+            StormKind::Crashes | StormKind::Rooms => 0.03,
+        }
+    }
+
+    /// Chance of each job that its first task crashes its workers.
+    fn crashes(self) -> f64 {
+        match self {
+            StormKind::Crashes | StormKind::Rooms => 0.08,
+            _ => 0.0,
+        }
+    }
+
+    fn n_workers(self) -> usize {
+        match self {
+            StormKind::Crashes | StormKind::Rooms => N_WORKERS_CRASHING,
+            _ => N_WORKERS,
+        }
+    }
 }
 
 macro_rules! storms {
@@ -68,6 +143,8 @@
     storms: Plain;
     storms_of_workers_that_start_again: Restarts;
     storms_of_workers_that_start_again_untold: UntoldRestarts;
+    storms_of_tasks_that_crash_workers: Crashes;
+    storms_of_rooms_that_shrink_and_grow: Rooms;
 }
 
 #[test]
@@ -96,7 +173,7 @@
 
 async fn storm(seed: u64, kind: StormKind) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut bench = support::PoolBench::start(N_INSTANCES, N_WORKERS).await;
+    let mut bench = support::PoolBench::start(N_INSTANCES, kind.n_workers()).await;
     if kind == StormKind::UntoldRestarts {
         bench.fleet.hide_lives();
         for worker in 0..N_WORKERS {
@@ -104,34 +181,66 @@
             bench.write_entry(worker).await;
         }
     }
+    if kind.crashes() > 0.0 {
+        bench.keep_heartbeats();
+        let down = Duration::from_millis(rng.random_range(1_000..4_000));
+        bench.bring_back(support::Comeback::InTurn, down);
+    }
+    if kind == StormKind::Rooms {
+        bench.fleet.unguard();
+        bench.set_document_unguarded(2).await;
+        time::sleep(FIRST_HEARTBEATS).await;
+    }
     let mut ledger = StormLedger::default();
     for step in 0..N_STEPS {
-        if kind != StormKind::Plain && rng.random_bool(0.2) {
+        if kind.restarts() > 0.0 && rng.random_bool(kind.restarts()) {
             restart(&bench, &mut rng).await;
         }
+        if kind == StormKind::Rooms && rng.random_bool(0.3) {
+            change_room(&bench, &mut rng);
+        }
         if rng.random_bool(0.5) {
-            hand_in(&bench, &mut ledger, &mut rng, 1 + step as u64).await;
+            let graph = 1 + step as u64;
+            let crashes = kind.crashes() > 0.0 && rng.random_bool(kind.crashes());
+            hand_in(&bench, &mut ledger, &mut rng, HandIn { graph, crashes }).await;
         } else {
             strike(&mut bench, &mut ledger, &mut rng).await;
         }
         time::sleep(Duration::from_millis(rng.random_range(50..1_200))).await;
     }
     calm(&bench);
+    ledger.calmed();
+    for worker in bench.fleet.workers_up() {
+        bench.set_room(&worker, WHOLE_ROOM);
+    }
     time::sleep(SETTLE).await;
     judge(&bench, &ledger, seed).await;
 }
 
+/// A job to hand in.
+#[derive(Clone, Copy, Debug)]
+struct HandIn {
+    graph: ids::GraphId,
+    crashes: bool,
+}
+
 async fn hand_in(
     bench: &support::PoolBench,
     ledger: &mut StormLedger,
     rng: &mut ChaCha8Rng,
-    graph: ids::GraphId,
+    job: HandIn,
 ) {
+    let HandIn { graph, crashes } = job;
     let mut row = support::job(rng.random_range(1..6), rng.random_range(200..6_000));
     if rng.random_bool(0.1) {
         row.graph.body.push_str(" fail");
         ledger.poisoned.insert(graph);
     }
+    if crashes {
+        // Before the shortest task has ended.
+        row.graph.body.push_str(&format!(" crash={}", rng.random_range(1..190)));
+        ledger.crashing.insert(graph);
+    }
     if rng.random_bool(0.3) {
         row.graph.steps.push(support::step(rng.random_range(1..4), &[0]));
         ledger.chained.insert(graph);
@@ -155,11 +264,23 @@
 }
 
 async fn restart(bench: &support::PoolBench, rng: &mut ChaCha8Rng) {
-    let worker = rng.random_range(0..N_WORKERS);
+    let up = bench.fleet.workers_up();
+    if up.is_empty() {
+        return;
+    }
+    let worker = support::index_of(&up[rng.random_range(0..up.len())]);
     bench.restart_worker(worker, Duration::from_millis(rng.random_range(50..3_000))).await;
     bench.write_entry_later(worker, Duration::from_millis(rng.random_range(0..1_500)));
 }
 
+fn change_room(bench: &support::PoolBench, rng: &mut ChaCha8Rng) {
+    for worker in bench.fleet.workers_up() {
+        if rng.random_bool(0.3) {
+            bench.set_room(&worker, rng.random_range(0..=WHOLE_ROOM));
+        }
+    }
+}
+
 async fn strike(bench: &mut support::PoolBench, ledger: &mut StormLedger, rng: &mut ChaCha8Rng) {
     let index = rng.random_range(0..bench.instances.len());
     let condition = match rng.random_range(0..4) {
@@ -168,7 +289,11 @@
         2 => fault::Condition::Slow(Duration::from_millis(rng.random_range(50..900))),
         _ => fault::Condition::Up,
     };
-    match rng.random_range(0..9) {
+    let kind = rng.random_range(0..9);
+    if matches!(kind, 0..=5) {
+        ledger.disrupted();
+    }
+    match kind {
         0 => bench.store.faults().set(condition),
         1 => bench.instances[index].to_store.set(condition),
         2 => bench.instances[index].to_workers.set(condition),
@@ -197,7 +322,10 @@
                 ledger.cancelled.entry(graph).or_insert_with(Instant::now);
             }
         }
-        _ => calm(bench),
+        _ => {
+            calm(bench);
+            ledger.calmed();
+        }
     }
 }
 
@@ -210,8 +338,7 @@
         instance.to_store.set(fault::Condition::Up);
         instance.to_workers.set(fault::Condition::Up);
     }
-    for worker in 0..N_WORKERS {
-        let faults = bench.fleet.faults(&support::worker_id(worker));
+    for faults in bench.fleet.all_faults() {
         faults.set(fault::Condition::Up);
         faults.sample(0, none);
     }
@@ -231,6 +358,18 @@
         *failures.entry(record.task).or_default() += 1;
     }
     assert!(failures.values().all(|it| *it <= 2), "storm {seed}: {failures:?}");
+    // BUDGET: behind the third worker that has crashed under a task, instances in touch start it twice more
+    // at most.
+    for graph in &ledger.crashing {
+        let first = task_key::TaskKey { graph: *graph, occurrence: 0, step: 0, task: 0 };
+        let mut runs = records.iter().filter(|it| it.task == first).collect::<Vec<_>>();
+        runs.sort_by_key(|it| it.began);
+        let later = runs.iter().skip(N_CRASHES).filter(|it| ledger.is_in_touch(it.began));
+        assert!(later.count() <= MOST_LATER, "storm {seed}: starts of {first}: {runs:?}");
+    }
+    // LIMIT: no start brings a worker over its room.
+    let overfull = bench.fleet.overfull();
+    assert_eq!(overfull, [], "storm {seed}");
     // ORDER: a step begins once each task of the one before it has ended well. A task may run once
     // more behind that: its end was not acknowledged before the worker's lease lapsed, another run
     // was started, and then the worker was back and listed the first end (storm 21056).
@@ -254,8 +393,12 @@
             panic!("storm {seed}: {graph} {shown:?}")
         };
         let expected = match shown {
-            model::GraphState::Completed => !ledger.poisoned.contains(graph),
-            model::GraphState::Failed => ledger.poisoned.contains(graph),
+            model::GraphState::Completed => {
+                !ledger.poisoned.contains(graph) && !ledger.crashing.contains(graph)
+            }
+            model::GraphState::Failed => {
+                ledger.poisoned.contains(graph) || ledger.crashing.contains(graph)
+            }
             model::GraphState::Cancelled => true,
             _ => false,
         };
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -558,8 +558,25 @@
     }
 }
 
+/// Log lines carry the time by the test's clock, in milliseconds.
+struct PausedTime;
+
+impl tracing_subscriber::fmt::time::FormatTime for PausedTime {
+    fn format_time(&self, w: &mut tracing_subscriber::fmt::format::Writer<'_>) -> std::fmt::Result {
+        static BEGAN: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+        write!(w, "{}", BEGAN.get_or_init(Instant::now).elapsed().as_millis())
+    }
+}
+
+/// Shows the logs of a test, if it is set.
+const LOG_VARIABLE: &str = "POOL_LOG";
+
 /// Runs a test on the paused clock, on one thread like the deployed program.
 pub(crate) fn run<F: Future<Output = ()>>(test: F) {
+    if std::env::var_os(LOG_VARIABLE).is_some() {
+        let log = tracing_subscriber::fmt().with_timer(PausedTime).with_ansi(false);
+        let _ = log.with_writer(std::io::stderr).try_init();
+    }
     let runtime = runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     runtime.expect("a runtime").block_on(test);
 }
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -14,6 +14,7 @@
         epoch: 7,
         renewal: 3,
         released,
+        losses: None,
     }
 }
 
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1946,6 +1946,9 @@
     pub epoch: crate::ids::Epoch,
     ///Instance that schedules.
     pub holder: crate::ids::InstanceId,
+    ///Losses of workers that the holder has seen lately; absent where it has seen nothing yet.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub losses: ::std::option::Option<RecentLosses>,
     ///Whether the holder gave it up, and gives no more orders.
     pub released: bool,
     ///Number of the write within the tenure.
@@ -2019,6 +2022,14 @@
     ///How many.
     pub workers: u32,
 }
+///How many workers were lost lately that no suspect explains, for a successor to compare with.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RecentLosses {
+    ///How many.
+    pub count: u32,
+    ///In how long, in milliseconds.
+    pub watched_ms: u64,
+}
 ///What became of a request or a job.
 #[derive(
     ::serde::Deserialize,
