Look at suspicion only where there is any

By reading: each turn made a list of tasks for each unit that waits, and looked each run of each worker up, to find the few under suspicion; on 1,300 workers with 19,000 tasks that is most of what a turn does. Now a unit's records are looked at in place, and a worker knows which of its runs have it for themselves. The starts of all suspects of a gang go on record at once, not one after the other. The field that tells whether a suspect may have a worker of its own says so by its name.

Time of a turn was not measured.

--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -1,6 +1,5 @@
 //! What a unit asks for in a turn.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::berth;
@@ -46,13 +45,10 @@
             takes_reserved: waited >= self.slack(job),
             is_suspect,
             is_apart: is_suspect && waited < trials::APART_PATIENCE,
-            may_open: trials::may_open(tasks, berths),
+            may_be_apart: is_suspect && trials::may_be_apart(tasks, berths),
         };
-        let lost_on = tasks.iter().flat_map(|it| &it.lost_on).map(String::as_str);
-        let lost_on = lost_on.collect::<BTreeSet<_>>();
-        let has_others = berths.iter().any(|it| !lost_on.contains(it.place.worker.as_str()));
-        if ask.is_apart && has_others {
-            ask.avoids.extend(lost_on);
+        if ask.is_apart {
+            ask.avoids.extend(trials::avoided(tasks, berths));
         }
         ask.far = waited >= self.near_patience(job) || !placing::could_be_near(berths, &ask);
         Some(ask)
--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -100,13 +100,13 @@
     /// Whether it needs workers of its own.
     pub is_apart: bool,
     /// Whether it may have them now.
-    pub may_open: bool,
+    pub may_be_apart: bool,
 }
 
 impl PlaceAsk<'_> {
     /// How many of its tasks fit on that berth as it is, as far as the berth may be used at all.
     pub fn count_now(&self, index: usize, berth: &WorkerBerth) -> u32 {
-        if self.is_apart && !(self.may_open && berth.is_empty()) {
+        if self.is_apart && !(self.may_be_apart && berth.is_empty()) {
             return 0;
         }
         self.count_on(index, berth, berth.free)
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -241,6 +241,7 @@
         let was_on_record = task.suspicion.trial.take().is_some();
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.remove(&key);
+            worker.apart_runs.remove(&key);
             worker.used = worker.used.minus(room);
         }
         if was_on_record {
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -188,7 +188,7 @@
             free: it.free(),
             n_runs: it.runs.len() + it.strays.len(),
             suspect: it.health.is_suspect(),
-            is_closed: it.runs.iter().any(|key| self.run(*key).is_some_and(|it| it.is_apart)),
+            is_closed: !it.apart_runs.is_empty(),
             claims: it.claims.iter().map(|it| (it.unit, it.room)).collect(),
             reserved: Vec::new(),
         });
@@ -273,7 +273,6 @@
             phase: job::RunPhase::Ordered,
             is_confirmed: false,
             is_seen: false,
-            is_apart,
             is_far,
             is_whole: task.checkpoint.is_none(),
             since: now,
@@ -283,6 +282,9 @@
         });
         record.runs.insert(key);
         record.used = record.used.plus(room);
+        if is_apart {
+            record.apart_runs.insert(key);
+        }
         tracing::info!(
             job = format_args!("{:016x}", key.graph),
             task = %key,
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -116,8 +116,6 @@
     /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
     /// by another clock.
     pub is_seen: bool,
-    /// Whether it has its worker for itself, as it may crash it.
-    pub is_apart: bool,
     /// Whether it takes longer here, away from its data or from its gang.
     pub is_far: bool,
     /// Whether it was here from its beginning, so that its end tells how long its class takes.
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -232,8 +232,6 @@
             phase: job::RunPhase::Running { confirmed_at: now },
             is_confirmed: true,
             is_seen: true,
-            // Where others run already, none joins them.
-            is_apart: task.suspicion.is_suspect(),
             is_far: false,
             is_whole: false,
             since: now,
@@ -244,9 +242,14 @@
         if task.suspicion.inherited_trial == Some(listed.attempt) {
             task.suspicion.trial = task.suspicion.inherited_trial.take();
         }
+        let is_suspect = task.suspicion.is_suspect();
         if let Some(record) = self.workers.get_mut(worker) {
             record.runs.insert(listed.task);
             record.used = record.used.plus(room);
+            // Where others run already, none joins them.
+            if is_suspect {
+                record.apart_runs.insert(listed.task);
+            }
         }
     }
 
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -14,7 +14,7 @@
 use crate::suspicion;
 use crate::task_key;
 
-/// Tasks of a lost worker that are named in the log; a worker of the users' runs up to 24.
+/// Tasks of a lost worker that are named in the log.
 const MOST_NAMED: usize = 32;
 
 /// Chance that a worker lives that is silent, and that the list has no more.
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -67,6 +67,7 @@
             incarnation,
             life_since: now,
             runs: std::mem::take(&mut self.runs),
+            apart_runs: std::mem::take(&mut self.apart_runs),
             used: self.used,
             ..worker::WorkerRecord::of_generation(generation)
         }
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -5,6 +5,7 @@
 //! trace of the loss, so that the next one counts anew. A start on record is counted by the successor,
 //! unless a worker lists its end.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondpass_schema::ids;
@@ -31,29 +32,47 @@
 
 /// Whether these tasks of a unit may have workers of their own now. What is all but proved may at any
 /// time.
-pub(crate) fn may_open(tasks: &[job::TaskRecord], berths: &[berth::WorkerBerth]) -> bool {
+pub(crate) fn may_be_apart(tasks: &[job::TaskRecord], berths: &[berth::WorkerBerth]) -> bool {
     let n_closed = berths.iter().filter(|it| it.is_closed).count();
     let has_room = n_closed < (berths.len() / WORKERS_A_SUSPECT).max(1);
     has_room || tasks.iter().any(|it| it.suspicion.is_strong())
 }
 
+/// Workers that these tasks of a unit avoid, as they were lost under them; none where there are no others.
+pub(crate) fn avoided<'a>(
+    tasks: &'a [job::TaskRecord],
+    berths: &[berth::WorkerBerth],
+) -> BTreeSet<&'a str> {
+    let lost_on = tasks.iter().flat_map(|it| &it.lost_on).map(String::as_str);
+    let lost_on = lost_on.collect::<BTreeSet<_>>();
+    let has_others = berths.iter().any(|it| !lost_on.contains(it.place.worker.as_str()));
+    if has_others { lost_on } else { BTreeSet::new() }
+}
+
 impl core::PoolCore {
     /// Whether a unit may be started, as far as its tasks are under suspicion: their starts have to be on
     /// record.
     pub(crate) fn is_on_record(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
-        let tasks = self.unit_tasks(unit);
-        if self.charge_inherited(&tasks, now) {
-            return false;
-        }
-        let suspects = tasks.into_iter().filter(|it| self.is_suspect(*it)).collect::<Vec<_>>();
-        if suspects.is_empty() {
+        // Nearly always nothing is held against any of the many units that wait.
+        let concerns = |it: &job::TaskRecord| {
+            it.suspicion.is_suspect() || it.suspicion.inherited_trial.is_some()
+        };
+        if !self.unit_records(unit).iter().any(concerns) {
             return true;
         }
-        if suspects.iter().any(|it| self.task(*it).is_some_and(|it| now < it.held_until)) {
+        if self.unit_records(unit).iter().any(|it| now < it.held_until) {
+            return false;
+        }
+        let tasks = self.unit_tasks(unit);
+        if self.charge_inherited(&tasks, now) {
             return false;
         }
         let Some(attempt) = self.next_attempt(unit) else { return false };
-        suspects.into_iter().all(|it| self.put_on_record(it, attempt))
+        let mut is_durable = true;
+        for key in tasks.into_iter().filter(|it| self.is_suspect(*it)).collect::<Vec<_>>() {
+            is_durable &= self.put_on_record(key, attempt);
+        }
+        is_durable
     }
 
     /// The end of a start that may be on record is known. Tells whether it was there.
@@ -73,7 +92,17 @@
 
     /// Whether any task of a unit is under suspicion.
     pub(crate) fn has_suspect(&self, unit: task_key::UnitKey) -> bool {
-        self.unit_tasks(unit).into_iter().any(|it| self.is_suspect(it))
+        self.unit_records(unit).iter().any(|it| it.suspicion.is_suspect())
+    }
+
+    /// The tasks of a unit.
+    fn unit_records(&self, unit: task_key::UnitKey) -> &[job::TaskRecord] {
+        let step = self.jobs.get(&unit.graph).and_then(|it| it.steps.get(unit.step as usize));
+        let tasks = step.map(|it| it.tasks.as_slice()).unwrap_or_default();
+        match unit.task {
+            Some(task) => tasks.get(task as usize).map(std::slice::from_ref).unwrap_or_default(),
+            None => tasks,
+        }
     }
 
     /// Counts starts that an earlier scheduler has left on record and that no worker has listed, now that
@@ -138,10 +167,6 @@
         }
     }
 
-    fn task(&self, key: task_key::TaskKey) -> Option<&job::TaskRecord> {
-        self.jobs.get(&key.graph)?.task(key)
-    }
-
     fn task_of(&mut self, key: task_key::TaskKey) -> Option<&mut job::TaskRecord> {
         self.jobs.get_mut(&key.graph)?.task_mut(key)
     }
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -88,6 +88,8 @@
     pub acknowledged: u64,
     /// Tasks whose room counts here.
     pub runs: BTreeSet<task_key::TaskKey>,
+    /// Those of them that have it for themselves, as they may crash it.
+    pub apart_runs: BTreeSet<task_key::TaskKey>,
     /// Room of these tasks.
     pub used: room::Room,
     /// Runs that should not be there, by attempt, with the time of the last stop.
