--- a/crates/pool/tests/pool/crashes.rs
+++ b/crates/pool/tests/pool/crashes.rs
@@ -61,7 +61,10 @@
 // Symptom: two jobs never ended, and a worker was lost every 1.6 s without end, with all that ran there.
 // Sequence: a task crashes its worker; once the worker is known to be lost, what ran there starts
 // elsewhere, the task with it, and so on. Cause: the loss of a worker counted against nothing that ran
-// on it.
+// on it, as only ends that a worker lists do.
+//
+// Evidence: 13 of 14 workers were lost 11 ms behind a start of one of two tasks on them, whatever their
+// racks; nothing was logged, saved or counted of it but that the worker was over.
 crashes! {
     a_task_that_crashes_workers_is_given_up: crashing(1, 10), AtItsAddress;
     a_task_that_crashes_workers_that_come_back_elsewhere: crashing(1, 10), Elsewhere;
