Take in once for each lost worker what surrounds its loss

By reading: for each run of a lost worker all workers were gone over to find those that fell silent with it; a fifth of 1,100 workers that lose power together made that two million looks. They are gathered once a worker now. What a loss is compared with has a name of its own (LossesBeside).

--- a/crates/graph/src/loss_history.rs
+++ b/crates/graph/src/loss_history.rs
@@ -34,9 +34,9 @@
     began: Option<Duration>,
 }
 
-/// What surrounds a loss.
+/// What a loss is compared with.
 #[derive(Clone, Copy, Debug)]
-pub struct LossScene {
+pub struct LossesBeside {
     /// The time.
     pub now: Duration,
     /// When the worker was last heard of.
@@ -80,18 +80,18 @@
     }
 
     /// Chance that `task` was struck although it crashes nothing, by what else was lost.
-    pub fn odds(&self, task: task_key::TaskKey, scene: LossScene) -> f64 {
-        let is_recent = |it: &&PastLoss| scene.now < it.heard_at + MEMORY;
+    pub fn odds(&self, task: task_key::TaskKey, beside: LossesBeside) -> f64 {
+        let is_recent = |it: &&PastLoss| beside.now < it.heard_at + MEMORY;
         let others = || self.losses.iter().filter(is_recent).filter(|it| !it.tasks.contains(&task));
-        let n_together = others().filter(|it| is_together(it.heard_at, scene.heard_at)).count();
-        let n_workers = scene.n_workers.max(2) as f64;
-        let together = (n_together + scene.n_silent) as f64 / (n_workers - 1.0);
-        let worker_seconds = n_workers * self.watched(scene.now).as_secs_f64().max(1.0);
+        let n_together = others().filter(|it| is_together(it.heard_at, beside.heard_at)).count();
+        let n_workers = beside.n_workers.max(2) as f64;
+        let together = (n_together + beside.n_silent) as f64 / (n_workers - 1.0);
+        let worker_seconds = n_workers * self.watched(beside.now).as_secs_f64().max(1.0);
         let seen = others().count() as f64 + ASSUMED;
         // A few losses tell the rate to a deviation only; taken too low, it gives up work that was struck
         // by chance.
         let rate = (seen + seen.sqrt()) / worker_seconds;
-        let by_rate = 1.0 - (-rate * scene.exposure.as_secs_f64()).exp();
+        let by_rate = 1.0 - (-rate * beside.exposure.as_secs_f64()).exp();
         together.max(by_rate).min(1.0)
     }
 }
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -5,6 +5,7 @@
 //! under which a worker was lost before. So each task is charged with a chance, and given up once what
 //! has struck it is no chance any more.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
@@ -87,6 +88,14 @@
     pub surroundings: f64,
 }
 
+/// What surrounds the loss of a worker.
+struct LossScene<'a> {
+    /// When it was last heard of.
+    heard_at: Duration,
+    /// What runs on each worker that fell silent at about the same time.
+    silent: Vec<&'a BTreeSet<task_key::TaskKey>>,
+}
+
 /// Figures for metrics.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LossCounts {
@@ -192,6 +201,7 @@
         runs: &[task_key::TaskKey],
         now: Duration,
     ) -> Vec<LostRun> {
+        let scene = self.scene_of(worker, now);
         let lost = runs.iter().filter_map(|key| {
             let job = self.jobs.get(&key.graph)?;
             let task = job.task(*key)?;
@@ -204,44 +214,52 @@
                 is_confirmed: run.is_confirmed,
                 is_suspect: task.suspicion.is_suspect(),
                 n_losses: task.suspicion.losses().len(),
-                surroundings: self.surroundings(worker, *key, now),
+                surroundings: self.surroundings(&scene, *key, now),
             })
         });
         lost.collect()
     }
 
-    /// Chance that a task was struck by what else was lost.
-    fn surroundings(&self, worker: &ids::WorkerId, key: task_key::TaskKey, now: Duration) -> f64 {
-        let Some(record) = self.workers.get(worker) else { return 1.0 };
-        let heard_at = record.answered_at;
+    /// What surrounds the loss of a worker: the others that fell silent at about the same time, but for those
+    /// that a suspect explains.
+    fn scene_of(&self, worker: &ids::WorkerId, now: Duration) -> LossScene<'_> {
+        let heard_at = self.workers.get(worker).map_or(now, |it| it.answered_at);
         let silent = self.workers.iter().filter(|(id, it)| {
             *id != worker
                 && it.n_missed > 0
                 && loss_history::is_together(it.answered_at, heard_at)
-                && !it.runs.contains(&key)
                 && !self.has_suspect_alone(it.runs.iter().copied())
         });
-        let scene = loss_history::LossScene {
-            now,
-            heard_at,
-            exposure: self.exposure(key, now),
-            n_workers: self.workers.len(),
-            n_silent: silent.count(),
-        };
-        self.loss_history.odds(key, scene)
+        LossScene { heard_at, silent: silent.map(|(_, it)| &it.runs).collect() }
+    }
+
+    /// Chance that a task was struck by what else was lost.
+    fn surroundings(&self, scene: &LossScene, key: task_key::TaskKey, now: Duration) -> f64 {
+        let silent = scene.silent.iter().filter(|it| !it.contains(&key));
+        self.odds_beside(silent.count(), scene.heard_at, key, now)
     }
 
     /// Chance that a task was struck at some time that is not known.
     pub(crate) fn usual_odds(&self, key: task_key::TaskKey, now: Duration) -> f64 {
         let silent = self.workers.values().filter(|it| it.n_missed > 0);
-        let scene = loss_history::LossScene {
+        self.odds_beside(silent.count(), now, key, now)
+    }
+
+    fn odds_beside(
+        &self,
+        n_silent: usize,
+        heard_at: Duration,
+        key: task_key::TaskKey,
+        now: Duration,
+    ) -> f64 {
+        let beside = loss_history::LossesBeside {
             now,
-            heard_at: now,
+            heard_at,
             exposure: self.exposure(key, now),
             n_workers: self.workers.len(),
-            n_silent: silent.count(),
+            n_silent,
         };
-        self.loss_history.odds(key, scene)
+        self.loss_history.odds(key, beside)
     }
 
     /// How long a task is at risk: until its end as its pace tells it, or as long as its class takes, or as
