Make the key of a unit in one place, and call what is there already

The chance of all losses of a job that is given up is asked of its suspicion instead of being multiplied anew; a record is found by task_of; an empty set needs no check before it is asked. The stand-in's heartbeat stands once in the tests; why a tenure that is not loaded yet knows of losses, and why storms draw nothing for what their kind lacks, is said there.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -101,17 +101,14 @@
     /// Notes that a run has begun, where it does not wait for other members of its gang.
     pub(crate) fn note_begin(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get(&key.graph) else { return };
-        let (Some(step), Some(index)) = (job.step(key), job.step_index(key)) else { return };
-        let is_gang = step.spec.gang;
+        let (Some(step), Some(unit)) = (job.step(key), job.unit_of(key)) else { return };
         let is_running = |it: &job::TaskRecord| {
             let run = it.run.as_ref();
             run.is_some_and(|it| matches!(it.phase, job::RunPhase::Running { .. }))
         };
-        if is_gang && !step.tasks.iter().all(is_running) {
+        if step.spec.gang && !step.tasks.iter().all(is_running) {
             return;
         }
-        let task = (!is_gang).then_some(key.task);
-        let unit = task_key::UnitKey { graph: key.graph, step: index, task };
         for member in self.unit_tasks(unit) {
             let worker = self.run(member).and_then(|it| self.workers.get(&it.worker));
             let Some(clock) = worker.and_then(|it| it.clock.reading(now)) else { continue };
--- a/crates/graph/src/clearing.rs
+++ b/crates/graph/src/clearing.rs
@@ -180,10 +180,7 @@
                 }
                 let factor = if is_urgent { URGENT_COST } else { 1 };
                 let Some(cost) = self.stop_cost(*key, now) else { continue };
-                let Some(step) = job.step_index(*key) else { continue };
-                let is_gang = job.steps[step as usize].spec.gang;
-                let task = (!is_gang).then_some(key.task);
-                let victim = task_key::UnitKey { graph: key.graph, step, task };
+                let Some(victim) = job.unit_of(*key) else { continue };
                 let entry = victims.entry(victim).or_insert_with(|| reclaiming::ReclaimVictim {
                     unit: victim,
                     cost: 0,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -160,10 +160,8 @@
 
     /// The workers that may get tasks now.
     fn berths(&self, now: Duration) -> Vec<berth::WorkerBerth> {
-        let is_unguarded = |it: &worker::WorkerRecord| {
-            !self.catalog.unguarded.is_empty()
-                && self.catalog.unguarded.contains(&it.listing.upstream)
-        };
+        let is_unguarded =
+            |it: &worker::WorkerRecord| self.catalog.unguarded.contains(&it.listing.upstream);
         let usable = self.workers.iter().filter(|(id, it)| {
             // A worker that refuses nothing would be filled beyond a room that has shrunk unheard, as
             // while the store is away.
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -164,9 +164,7 @@
 
     /// Takes back what an attempt was charged with: its worker lists it, and lives.
     pub(crate) fn acquit(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
-        let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) else {
-            return false;
-        };
+        let Some(task) = self.task_of(key) else { return false };
         let is_changed = task.suspicion.acquit(attempt);
         if is_changed {
             tracing::info!(
@@ -335,13 +333,13 @@
 
     fn give_up(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
-        let losses = job.task(key).map(|it| it.suspicion.losses().to_vec()).unwrap_or_default();
-        let attempts = losses.iter().map(|it| it.attempt).collect::<Vec<_>>();
+        let Some(task) = job.task(key) else { return };
+        let attempts = task.suspicion.losses().iter().map(|it| it.attempt).collect::<Vec<_>>();
         tracing::warn!(
             job = format_args!("{:016x}", key.graph),
             task = %key,
             ?attempts,
-            all_odds = losses.iter().map(|it| it.odds).product::<f64>(),
+            all_odds = task.suspicion.odds(),
             "job is given up: workers crash under its task"
         );
         job.state = model::GraphState::Failed;
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -167,7 +167,7 @@
         }
     }
 
-    fn task_of(&mut self, key: task_key::TaskKey) -> Option<&mut job::TaskRecord> {
+    pub(crate) fn task_of(&mut self, key: task_key::TaskKey) -> Option<&mut job::TaskRecord> {
         self.jobs.get_mut(&key.graph)?.task_mut(key)
     }
 }
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -142,6 +142,7 @@
         catalog: Arc::default(),
         settles_at: taken.settles_at,
     });
+    // The tenure is renewed, and with it what is known of losses, before anything is loaded.
     core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
     let mut parts = JoinSet::new();
--- a/crates/pool/tests/pool/restarts.rs
+++ b/crates/pool/tests/pool/restarts.rs
@@ -12,9 +12,6 @@
 /// A worker is away this long when it starts again.
 const DOWN: Duration = Duration::from_millis(600);
 
-/// A worker writes its entry this often.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
-
 /// Symptom: tasks that had ended well were started again. Sequence: a worker has listed some ends,
 /// loses power, and starts again under its id; the tasks that it gets then end. Cause: what was kept
 /// of the worker outlived its life. Ends are numbered from 1 in each life; those up to the highest
@@ -32,7 +29,7 @@
         bench.await_state(0, 1, model::GraphState::Completed, Duration::from_secs(5)).await;
         bench.restart_worker(0, DOWN).await;
         bench.write_entry(0).await;
-        time::sleep(HEARTBEAT).await;
+        time::sleep(support::HEARTBEAT).await;
 
         bench.submit(0, 2, support::job(4, 2_000)).await;
         bench.await_state(0, 2, model::GraphState::Completed, Duration::from_secs(20)).await;
@@ -63,7 +60,7 @@
         bench.submit(0, 2, wide).await;
         for index in [0, 1, 2, 0, 1] {
             bench.restart_worker(index, DOWN).await;
-            time::sleep(HEARTBEAT).await;
+            time::sleep(support::HEARTBEAT).await;
             bench.write_entry(index).await;
         }
         // Behind the last restart each task of the wide step runs once at most: two rounds of 3 s on
@@ -111,7 +108,7 @@
         time::sleep(Duration::from_secs(300)).await;
         bench.restart_worker(0, DOWN).await;
         bench.write_entry(0).await;
-        time::sleep(HEARTBEAT).await;
+        time::sleep(support::HEARTBEAT).await;
         bench.submit(0, 2, support::job(12, 3_000)).await;
         time::sleep(Duration::from_secs(1)).await;
         bench.fleet.crash(&support::worker_id(0));
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -212,6 +212,7 @@
     }
     let mut ledger = StormLedger::default();
     for step in 0..N_STEPS {
+        // Nothing is drawn for what a kind does not have: the seeds of the others stay what they were.
         if kind.restarts() > 0.0 && rng.random_bool(kind.restarts()) {
             restart(&bench, &mut rng).await;
         }
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -77,8 +77,8 @@
     }
 }
 
-/// A document is the number of its version, with a `!` behind it if workers refuse nothing; a worker's row is its rack, its incarnation, its address and its
-/// accelerators, with a `-` behind them once the worker leaves.
+/// A document is the number of its version, with a `!` behind it if workers refuse nothing. A worker's row
+/// is its rack, its incarnation, its address and its accelerators, with a `-` behind them once it leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchReader;
 
