Run apart what two losses have struck, and weigh how soon behind its start a worker fell silent

Callers saw a ticket repeat: behind the third worker that had crashed under a task, instances in touch started it three times more, where two are allowed. Only from the fourth on does it run alone, and the sixth start is one too many.

Change: what two losses have struck, whatever explains them, runs alone where an empty worker is there at once, with its start on record, which it does not wait for; silence counts by the share of the run time within which it came; three losses and more are proof at a chance of one in a thousand.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -164,13 +164,22 @@
     /// session with the worker asks again: with one for each of many starts that had no answer, the
     /// orders behind them would wait for looks that have none either.
     pub(crate) fn missed(&mut self, worker: &ids::WorkerId) {
-        let Some(record) = self.workers.get_mut(worker) else { return };
+        if self.note_miss(worker) {
+            self.order_look(worker);
+        }
+    }
+
+    /// Takes note of an exchange that had no answer. Tells whether it is the first behind an answer.
+    pub(crate) fn note_miss(&mut self, worker: &ids::WorkerId) -> bool {
+        let Some(record) = self.workers.get_mut(worker) else { return false };
         record.n_missed += 1;
         record.trust.missed();
-        if record.n_missed == 1 {
-            self.order_look(worker);
-            self.put_runs_on_record(worker);
+        if record.n_missed > 1 {
+            return false;
         }
+        record.missed_at = self.kept_up_at;
+        self.put_runs_on_record(worker);
+        true
     }
 
     /// Takes in the clock of a worker that has answered a start, and tells whether it is the known
--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -28,6 +28,9 @@
         let waited = now.saturating_sub(tasks.first()?.waits_since);
         let waited = waited.min(self.wall.saturating_sub(job.due(unit.step as usize)));
         let is_suspect = tasks.iter().any(|it| it.suspicion.is_suspect());
+        let is_trial = tasks.iter().any(|it| it.suspicion.is_on_trial());
+        let is_patient = waited < trials::APART_PATIENCE;
+        let may_be_apart = is_trial && trials::may_be_apart(tasks, berths);
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: upstream_number(&job.upstream, berths),
@@ -40,15 +43,17 @@
             present: present(step, berths),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
             // What may crash its worker takes an empty one, before it takes others with it.
-            keeps_empty: if is_suspect { 0 } else { self.kept_empty(job, berths, waited) },
+            keeps_empty: if is_trial { 0 } else { self.kept_empty(job, berths, waited) },
             far: false,
             takes_reserved: waited >= self.slack(job),
-            is_suspect,
-            is_apart: is_suspect && waited < trials::APART_PATIENCE,
-            may_be_apart: is_suspect && trials::may_be_apart(tasks, berths),
+            is_trial,
+            is_apart: is_suspect && is_patient,
+            may_be_apart,
         };
         if ask.is_apart {
             ask.avoids.extend(trials::avoided(tasks, berths));
+        } else if may_be_apart && is_patient {
+            ask = trials::apart_at_once(ask, tasks, berths);
         }
         ask.far = waited >= self.near_patience(job) || !placing::could_be_near(berths, &ask);
         Some(ask)
--- a/crates/graph/src/berth.rs
+++ b/crates/graph/src/berth.rs
@@ -95,8 +95,8 @@
     /// to its patience the least urgent class starves on the heaviest days: jobs lay for 50 s with one
     /// task left to run, and 2 of 40 days earned less than a seventh of its worth.
     pub takes_reserved: bool,
-    /// Whether a task of the unit is under suspicion of crashing its workers.
-    pub is_suspect: bool,
+    /// Whether its start is a trial: a task of it may crash its workers.
+    pub is_trial: bool,
     /// Whether it needs workers of its own.
     pub is_apart: bool,
     /// Whether it may have them now.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -56,7 +56,7 @@
                 }
                 // Tasks of one step are alike: where one finds no room, neither do the others. Those under
                 // suspicion ask for more.
-                if !self.has_suspect(unit) {
+                if !self.has_trial(unit) {
                     full.insert((unit.graph, unit.step));
                 }
                 self.tell_wait(unit, &berths, now);
@@ -87,7 +87,7 @@
         berths: &mut [berth::WorkerBerth],
         now: Duration,
     ) {
-        if unit.task.is_some() && !self.has_suspect(unit) {
+        if unit.task.is_some() && !self.has_trial(unit) {
             return;
         }
         let Some(ask) = self.ask(unit, berths, now) else { return };
@@ -202,7 +202,7 @@
     ) -> StartOutcome {
         let Some(ask) = self.ask(unit, berths, now) else { return StartOutcome::Started };
         // Urgent units may have room that is kept for them alone, and gangs reserve some.
-        let is_plain = unit.task.is_some() && !self.is_urgent(unit) && !ask.is_suspect;
+        let is_plain = unit.task.is_some() && !self.is_urgent(unit) && !ask.is_trial;
         if is_plain && failed.iter().any(|it| it.covers(&ask)) {
             return StartOutcome::Covered;
         }
--- a/crates/graph/src/failed_ask.rs
+++ b/crates/graph/src/failed_ask.rs
@@ -23,7 +23,7 @@
     /// how many of its tasks a worker may have.
     pub fn of(ask: &berth::PlaceAsk) -> Option<FailedAsk> {
         let tells =
-            ask.n_tasks == 1 && ask.avoids.is_empty() && ask.per_worker == 0 && !ask.is_suspect;
+            ask.n_tasks == 1 && ask.avoids.is_empty() && ask.per_worker == 0 && !ask.is_trial;
         tells.then(|| FailedAsk {
             upstream: ask.upstream,
             room: ask.room,
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -77,13 +77,9 @@
 
     /// A look at a worker had no answer.
     pub fn hold_missed(&mut self, worker: &ids::WorkerId) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.n_missed += 1;
-            record.trust.missed();
-            if record.n_missed == 1 {
-                tracing::info!(worker, n_runs = record.runs.len(), "worker does not answer");
-                self.put_runs_on_record(worker);
-            }
+        if self.note_miss(worker) {
+            let n_runs = self.workers.get(worker).map_or(0, |it| it.runs.len());
+            tracing::info!(worker, n_runs, "worker does not answer");
         }
     }
 
@@ -242,12 +238,12 @@
         if task.suspicion.inherited_trial == Some(listed.attempt) {
             task.suspicion.trial = task.suspicion.inherited_trial.take();
         }
-        let is_suspect = task.suspicion.is_suspect();
+        let is_on_trial = task.suspicion.is_on_trial();
         if let Some(record) = self.workers.get_mut(worker) {
             record.runs.insert(listed.task);
             record.used = record.used.plus(room);
             // Where others run already, none joins them.
-            if is_suspect {
+            if is_on_trial {
                 record.apart_runs.insert(listed.task);
             }
         }
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -27,6 +27,9 @@
 /// Chance that a worker was lost before it took a start that it has not answered.
 const UNSTARTED_ODDS: f64 = 0.2;
 
+/// How much later than at the last turn a worker may have been missed first.
+const MISS_SLACK: Duration = Duration::from_millis(100);
+
 /// How likely a task is to have done it under which fewer workers were lost before, as a share.
 const LESS_STRUCK_WEIGHT: f64 = 0.1;
 
@@ -86,12 +89,17 @@
     pub n_losses: usize,
     /// Chance that it was struck by what else was lost, as it looked then.
     pub surroundings: f64,
+    /// The share of its run time within which it was struck. What cuts a worker off comes at any time of a
+    /// run.
+    pub struck_within: f64,
 }
 
 /// What surrounds the loss of a worker.
 struct LossScene<'a> {
     /// When it was last heard of.
     heard_at: Duration,
+    /// By when it was lost at the latest.
+    lost_by: Duration,
     /// What runs on each worker that fell silent at about the same time.
     silent: Vec<&'a BTreeSet<task_key::TaskKey>>,
 }
@@ -213,6 +221,7 @@
                 is_suspect: task.suspicion.is_suspect(),
                 n_losses: task.suspicion.losses().len(),
                 surroundings: self.surroundings(&scene, *key, now),
+                struck_within: self.struck_within(&scene, *key, now),
             })
         });
         lost.collect()
@@ -221,14 +230,17 @@
     /// What surrounds the loss of a worker: the others that fell silent at about the same time, but for those
     /// that a suspect explains.
     fn scene_of(&self, worker: &ids::WorkerId, now: Duration) -> LossScene<'_> {
-        let heard_at = self.workers.get(worker).map_or(now, |it| it.answered_at);
+        let record = self.workers.get(worker);
+        let heard_at = record.map_or(now, |it| it.answered_at);
+        let missed_at = record.filter(|it| it.n_missed > 0).map(|it| it.missed_at + MISS_SLACK);
+        let lost_by = missed_at.map_or(now, |it| it.min(now));
         let silent = self.workers.iter().filter(|(id, it)| {
             *id != worker
                 && it.n_missed > 0
                 && loss_history::is_together(it.answered_at, heard_at)
                 && !self.has_suspect_alone(it.runs.iter().copied())
         });
-        LossScene { heard_at, silent: silent.map(|(_, it)| &it.runs).collect() }
+        LossScene { heard_at, lost_by, silent: silent.map(|(_, it)| &it.runs).collect() }
     }
 
     /// Chance that a task was struck by what else was lost.
@@ -237,6 +249,14 @@
         self.odds_beside(silent.count(), scene.heard_at, key, now)
     }
 
+    /// The share of its run time within which a task was struck.
+    fn struck_within(&self, scene: &LossScene, key: task_key::TaskKey, now: Duration) -> f64 {
+        let Some(run) = self.run(key) else { return 1.0 };
+        let ran = scene.lost_by.saturating_sub(run.since).as_secs_f64();
+        let exposure = self.exposure(key, now).as_secs_f64();
+        if exposure > 0.0 { (ran / exposure).min(1.0) } else { 1.0 }
+    }
+
     /// Chance that a task was struck at some time that is not known.
     pub(crate) fn usual_odds(&self, key: task_key::TaskKey, now: Duration) -> f64 {
         let silent = self.workers.values().filter(|it| it.n_missed > 0);
@@ -285,6 +305,12 @@
         task.is_some_and(|it| it.suspicion.is_suspect())
     }
 
+    /// Whether the starts of a task are trials.
+    pub(crate) fn is_on_trial(&self, key: task_key::TaskKey) -> bool {
+        let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
+        task.is_some_and(|it| it.suspicion.is_on_trial())
+    }
+
     fn charge_all(
         &mut self,
         worker: &ids::WorkerId,
@@ -386,7 +412,7 @@
     let start = if run.is_confirmed { 0.0 } else { UNSTARTED_ODDS };
     let beside = if is_beside_suspect { BESIDE_SUSPECT_ODDS } else { 0.0 };
     let cut_off = if sign == LossSign::CutOff { CUT_OFF_ODDS } else { 0.0 };
-    let chances = [run.surroundings, by_others, sign.odds(), start, beside];
+    let chances = [run.surroundings, by_others, sign.odds() * run.struck_within, start, beside];
     suspicion::TaskLoss {
         attempt: run.attempt,
         odds: chances.into_iter().fold(suspicion::LEAST_ODDS, f64::max),
--- a/crates/graph/src/placing.rs
+++ b/crates/graph/src/placing.rs
@@ -60,7 +60,7 @@
         // Among workers left alike, that of the fullest rack: racks that empty serve gangs.
         let rack = free_by_rack[it.rack];
         // What may crash its worker runs where it puts least at risk.
-        let n_at_risk = if ask.is_suspect { it.n_runs } else { 0 };
+        let n_at_risk = if ask.is_trial { it.n_runs } else { 0 };
         (is_far, n_at_risk, it.suspect, left.accelerators, rack, left.cpu_milli)
     });
     best.map(|(index, _)| index)
@@ -147,7 +147,7 @@
     order.retain(|index| allowed(&berths[*index]) && counts[*index] > 0);
     order.sort_by_key(|index| {
         let it = &berths[*index];
-        let n_at_risk = if ask.is_suspect { it.n_runs } else { 0 };
+        let n_at_risk = if ask.is_trial { it.n_runs } else { 0 };
         (n_at_risk, it.suspect, it.free.accelerators, *index)
     });
     let mut chosen = Vec::with_capacity(ask.n_tasks as usize);
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -7,21 +7,12 @@
 /// Chance at which a loss counts at least: no single one proves anything.
 pub const LEAST_ODDS: f64 = 0.01;
 
-/// A task crashes its workers if what it was struck by had a lower chance than this: that of two losses
-/// by themselves, under tasks that ran alone, while hardly any other worker was lost.
-const SURE_ODDS: f64 = 2.0 * LEAST_ODDS * LEAST_ODDS;
-
-/// Losses that hardly anything else explains after which a task is given up, though others ran beside it,
-/// or none of the workers has come back. The platform lets a task be started twice more when three workers
-/// have crashed under it; one more may have had no witness.
-const MOST_ALONE: usize = 4;
-
-/// Losses of any kind after which it is given up at a chance below `MANY_ODDS`: of the first ones, amid
-/// an outage, little may be known.
-const MANY_LOSSES: usize = 5;
-
-/// See `MANY_LOSSES`.
-const MANY_ODDS: f64 = 0.001;
+/// A task is given up once the chance of all that has struck it is lower than this, after two losses and
+/// after more. Two losses have to be by themselves, under a task that ran alone, while hardly any other
+/// worker was lost. The more there are, the less has to be known of each: the platform lets a task be started
+/// twice more when three workers have crashed under it, and of the first losses, amid an outage, little may
+/// be known, or nothing.
+const PROOF_ODDS: [f64; 2] = [2.0 * LEAST_ODDS * LEAST_ODDS, 0.001];
 
 /// Up to this chance what else was lost does not explain a loss. Above it, as when a rack loses power, a
 /// loss says so little that keeping what ran there apart would cost more than it tells.
@@ -30,6 +21,9 @@
 /// Up to this chance hardly anything else explains a loss; a task with a lower one is nearly proved.
 const STRONG_ODDS: f64 = 0.1;
 
+/// Losses of any kind after which the starts of a task are trials.
+const LOSSES_TO_TRIAL: usize = 2;
+
 /// Most losses that are kept of a task, so that its row stays small: those that speak most against it.
 const MOST_KEPT: usize = 7;
 
@@ -67,11 +61,17 @@
         &self.losses
     }
 
-    /// Whether it runs apart from other work.
+    /// Whether something is held against it that nothing else explains.
     pub fn is_suspect(&self) -> bool {
         self.n_unexplained() > 0
     }
 
+    /// Whether its starts are trials: apart from other work, and on record. What was struck several times,
+    /// amid whatever, runs alone at last; beside others each further loss would say as little.
+    pub fn is_on_trial(&self) -> bool {
+        self.is_suspect() || self.losses.len() >= LOSSES_TO_TRIAL
+    }
+
     /// Whether more than one loss speaks against it, or one under it alone.
     pub fn is_strong(&self) -> bool {
         self.n_unexplained() > 1 || (self.is_suspect() && self.odds() <= STRONG_ODDS)
@@ -79,11 +79,8 @@
 
     /// Whether it is taken to crash the workers that start it.
     pub fn is_proved(&self) -> bool {
-        let is_alone = |it: &&TaskLoss| it.surroundings <= STRONG_ODDS;
-        let n_alone = self.losses.iter().filter(is_alone).count();
-        let are_many = self.losses.len() >= MANY_LOSSES && self.odds() < MANY_ODDS;
-        let is_sure = self.odds() < SURE_ODDS || n_alone >= MOST_ALONE || are_many;
-        self.losses.len() > 1 && is_sure
+        let Some(n_more) = self.losses.len().checked_sub(2) else { return false };
+        self.odds() < PROOF_ODDS[n_more.min(PROOF_ODDS.len() - 1)]
     }
 
     fn n_unexplained(&self) -> usize {
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -38,6 +38,19 @@
     has_room || tasks.iter().any(|it| it.suspicion.is_strong())
 }
 
+/// Asks for workers of its own, where there are some now. Rather an accident has struck a unit that is no
+/// suspect than the unit its workers: it runs alone only where that costs no wait.
+pub(crate) fn apart_at_once<'a>(
+    ask: berth::PlaceAsk<'a>,
+    tasks: &'a [job::TaskRecord],
+    berths: &[berth::WorkerBerth],
+) -> berth::PlaceAsk<'a> {
+    let mut apart = berth::PlaceAsk { is_apart: true, ..ask.clone() };
+    apart.avoids.extend(avoided(tasks, berths));
+    let places = berths.iter().enumerate().map(|(index, it)| apart.count_now(index, it));
+    if places.sum::<u32>() >= apart.n_tasks { apart } else { ask }
+}
+
 /// Workers that these tasks of a unit avoid, as they were lost under them; none where there are no others.
 pub(crate) fn avoided<'a>(
     tasks: &'a [job::TaskRecord],
@@ -55,7 +68,7 @@
     pub(crate) fn is_on_record(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
         // Nearly always nothing is held against any of the many units that wait.
         let concerns = |it: &job::TaskRecord| {
-            it.suspicion.is_suspect() || it.suspicion.inherited_trial.is_some()
+            it.suspicion.is_on_trial() || it.suspicion.inherited_trial.is_some()
         };
         if !self.unit_records(unit).iter().any(concerns) {
             return true;
@@ -69,8 +82,10 @@
         }
         let Some(attempt) = self.next_attempt(unit) else { return false };
         let mut is_durable = true;
-        for key in tasks.into_iter().filter(|it| self.is_suspect(*it)).collect::<Vec<_>>() {
-            is_durable &= self.put_on_record(key, attempt);
+        for key in tasks.into_iter().filter(|it| self.is_on_trial(*it)).collect::<Vec<_>>() {
+            // What is no suspect waits for no record: work that two accidents have struck would stand still
+            // while the store is away.
+            is_durable &= self.put_on_record(key, attempt) || !self.is_suspect(key);
         }
         is_durable
     }
@@ -95,6 +110,11 @@
         self.unit_records(unit).iter().any(|it| it.suspicion.is_suspect())
     }
 
+    /// Whether a start of any task of a unit is a trial.
+    pub(crate) fn has_trial(&self, unit: task_key::UnitKey) -> bool {
+        self.unit_records(unit).iter().any(|it| it.suspicion.is_on_trial())
+    }
+
     /// The tasks of a unit.
     fn unit_records(&self, unit: task_key::UnitKey) -> &[job::TaskRecord] {
         let step = self.jobs.get(&unit.graph).and_then(|it| it.steps.get(unit.step as usize));
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -76,6 +76,8 @@
     /// Exchanges without an answer since it last answered a look. While there are any, nobody knows
     /// whether the worker has started again.
     pub n_missed: u32,
+    /// When time was last taken note of before the first of them.
+    pub missed_at: Duration,
     /// What its looks tell of which life it is in.
     pub trust: life_trust::LifeTrust,
     /// Lowest end that its last answer has listed.
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -169,8 +169,34 @@
 /// outages and a takeover, and say little.
 #[test]
 fn storms_that_blur_the_first_losses() {
-    play(StormKind::Crashes, [101, 194]);
-    play(StormKind::Rooms, [192, 317]);
+    play(StormKind::Crashes, [101, 194, 990_038]);
+    play(StormKind::Rooms, [192, 317, 770_039, 880_104]);
+}
+
+/// A task that ran beside what crashes workers four times is taken for it.
+#[test]
+fn storms_in_which_tasks_travel_with_a_culprit() {
+    play(StormKind::Crashes, [990_050]);
+}
+
+/// A task that accidents have struck on each worker in turn finds none that it does not avoid, and waits for
+/// ever.
+#[test]
+fn storms_that_strike_a_task_everywhere() {
+    play(StormKind::Restarts, [990_044]);
+}
+
+/// A task that was struck five and six times in a row by workers that start again by themselves is given up.
+#[test]
+fn storms_that_look_like_a_culprit() {
+    play(StormKind::Restarts, [990_115]);
+    play(StormKind::UntoldRestarts, [990_167]);
+}
+
+/// A worker's entry that the store carries out late tells of a room that has shrunk since.
+#[test]
+fn storms_with_entries_carried_out_late() {
+    play(StormKind::Rooms, [880_060]);
 }
 
 fn play(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
