Start nothing in a data centre that is being evacuated

Cause: nobody read the operator's rows.

Each instance keeps the whole set of evacuated data centres as of one version of the store: from the feed that it follows for the configuration anyhow, from the table where the history is gone, from peers while the store gives it no answer, and from a read of its own before a new holder's first turn. An older word never undoes a newer one; while nobody can be asked, what was known stays. The core takes the set before each turn; workers there are no places, so that nothing is placed, reserved, kept empty or cleared there, and work tied to a rack there may run far.

Weighed: leaving the workers in and refusing at the start (clearing and reserving would go on for room that can't be used); following a table of its own (one more long call for each instance).

--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -63,6 +63,7 @@
                 accelerators: ACCELERATORS,
             },
             labels: vec!["a".to_owned(), rack.clone()],
+            data_center: "dc0".to_owned(),
             rack,
             leaves_in: None,
             incarnation: None,
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -60,6 +60,8 @@
     pub(crate) kept_up_at: Duration,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
     pub(crate) wall: Duration,
+    /// Data centres under evacuation: nothing starts on their workers.
+    pub(crate) evacuated: Arc<[ids::DataCenter]>,
 }
 
 /// What a scheduler begins with.
@@ -99,6 +101,7 @@
             list_read_at: Duration::ZERO,
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
+            evacuated: Arc::default(),
         }
     }
 
@@ -120,6 +123,11 @@
         }
     }
 
+    /// Takes the data centres under evacuation: nothing starts on their workers until they are taken back.
+    pub fn set_evacuated(&mut self, data_centers: Arc<[ids::DataCenter]>) {
+        self.evacuated = data_centers;
+    }
+
     /// Takes the time of day, as time since 1970.
     pub fn set_wall(&mut self, wall: Duration) {
         self.wall = wall;
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -29,8 +29,7 @@
     /// Takes note of the time, then starts what can start and clears room for urgent work.
     pub fn turn(&mut self, now: Duration) {
         self.keep_up(now);
-        let accelerators = self.workers.values().map(|it| it.listing.capacity.accelerators);
-        let all = accelerators.sum();
+        let all = self.startable_accelerators();
         let urgent = self.urgent_accelerators();
         self.headroom.observe(&urgent, all, now);
         self.within_guarantee = self.accounts_within_guarantee();
@@ -108,6 +107,7 @@
         let (room, n_tasks, same_rack) = (ask.room, ask.n_tasks, ask.same_rack);
         let (keeps_empty, is_far_allowed) = (ask.keeps_empty, ask.far);
         let n_with_room = berths.iter().filter(|it| room.fits_in(it.free)).count();
+        let evacuated = self.evacuated.join(", ");
         let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
         job.wait_told = true;
         tracing::info!(
@@ -121,6 +121,7 @@
             n_with_room,
             keeps_empty,
             is_far_allowed,
+            evacuated,
             "job waits for room"
         );
     }
@@ -171,6 +172,7 @@
                 && it.answers()
                 && it.is_listed_life()
                 && it.leaves_at.is_none()
+                && !self.is_evacuated(it)
                 && now < it.answered_at + ANSWERED_WITHIN
                 && now >= it.pauses_until
                 && !it.health.is_paused(now)
@@ -193,6 +195,17 @@
         berths.collect()
     }
 
+    /// Accelerators of the workers on which something may start while they are well.
+    fn startable_accelerators(&self) -> u32 {
+        let workers = self.workers.values().filter(|it| !self.is_evacuated(it));
+        workers.map(|it| it.listing.capacity.accelerators).sum()
+    }
+
+    /// Whether nothing may start on a worker until its data centre is taken back.
+    fn is_evacuated(&self, worker: &worker::WorkerRecord) -> bool {
+        self.evacuated.contains(&worker.listing.data_center)
+    }
+
     fn try_start(
         &mut self,
         unit: task_key::UnitKey,
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -30,6 +30,8 @@
     pub capacity: room::Room,
     /// All its labels.
     pub labels: Vec<String>,
+    /// Its data centre.
+    pub data_center: ids::DataCenter,
     /// The label that names its rack.
     pub rack: ids::RackName,
     /// Whether it is about to leave, and the least time that it stays.
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -165,6 +165,11 @@
     worker.trim_start_matches('w').parse().unwrap()
 }
 
+/// Each rack stands in a data centre of its own.
+pub(crate) fn data_center(index: usize) -> ids::DataCenter {
+    format!("dc{}", index / RACK)
+}
+
 pub(crate) fn listing(index: usize) -> worker::WorkerListing {
     let rack = format!("r{}", index / RACK);
     worker::WorkerListing {
@@ -172,6 +177,7 @@
         upstream: "analysis".to_owned(),
         capacity: CAPACITY,
         labels: vec!["a".to_owned(), rack.clone()],
+        data_center: data_center(index),
         rack,
         leaves_in: None,
         incarnation: None,
--- a/crates/pool/src/document.rs
+++ b/crates/pool/src/document.rs
@@ -50,6 +50,9 @@
     /// Table of the workers; a row each, under the worker's id.
     const WORKER_TABLE: &'static str;
 
+    /// The data centre under evacuation of which a row of the document's table tells, while it is there.
+    fn evacuated(key: &str) -> Option<&str>;
+
     /// Reads a document.
     fn document(&self, source: &[u8]) -> anyhow::Result<PoolDocument>;
 
--- a/crates/pool/src/document_follower.rs
+++ b/crates/pool/src/document_follower.rs
@@ -1,4 +1,5 @@
-//! Follows the operators' document: in the store, and at the peers while the store gives none.
+//! Follows the operators' document and their evacuations: in the store, and at the peers while the store
+//! gives none.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use tokio::time;
 
 use crate::document::PlatformReader;
+use crate::evacuation;
 use crate::state;
 use crate::store_call;
 
@@ -39,8 +41,11 @@
                 }
                 is_away = false;
                 state.set_store_away(false);
+                match after {
+                    Some(_) => take_changes(&state, &rows),
+                    None => take_all(&state, &rows),
+                }
                 after = Some(rows.version);
-                take(&state, &rows.rows);
             }
             Err(row_feed::FeedFault::HistoryGone) => after = None,
             Err(row_feed::FeedFault::Call(error)) => {
@@ -69,7 +74,18 @@
     }
 }
 
-fn take<S: state::PoolSite>(state: &state::PoolState<S>, rows: &[row_feed::FeedRow]) {
+/// Takes in the whole table.
+pub(crate) fn take_all<S: state::PoolSite>(state: &state::PoolState<S>, read: &row_feed::FeedRows) {
+    take_document(state, &read.rows);
+    state.evacuations.offer(evacuation::view_of(read, S::Reader::evacuated), "store");
+}
+
+fn take_changes<S: state::PoolSite>(state: &state::PoolState<S>, read: &row_feed::FeedRows) {
+    take_document(state, &read.rows);
+    state.evacuations.follow(read.rows.iter(), read.version, S::Reader::evacuated);
+}
+
+fn take_document<S: state::PoolSite>(state: &state::PoolState<S>, rows: &[row_feed::FeedRow]) {
     for row in rows.iter().filter(|it| it.key == S::Reader::DOCUMENT_KEY) {
         if let Some(value) = &row.value {
             offer(state, value, "store");
@@ -99,8 +115,12 @@
     }
     *next = next.wrapping_add(n_asked);
     while let Some(answered) = asking.join_next().await {
-        if let Ok(Ok(model::DocumentPulled { document: Some(source) })) = answered {
+        let Ok(Ok(pulled)) = answered else { continue };
+        if let Some(source) = pulled.document {
             offer(state, &source, "peer");
         }
+        if let Some(view) = pulled.evacuations {
+            state.evacuations.offer(view, "peer");
+        }
     }
 }
--- /dev/null
+++ b/crates/pool/src/evacuation.rs
@@ -0,0 +1,136 @@
+//! Which data centres are under evacuation: nothing more starts there until the operator takes them back.
+//!
+//! A row for each stands in the table of the operators' document, and is deleted at the end. What is known
+//! is the whole set as of one version of the store, so that whoever brings it, a feed, a fresh read or a
+//! peer, an older word never undoes a newer one. While nobody can be asked, what was known stays.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use almondpass_ports::row_feed;
+use almondpass_schema::{ids, model};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::state;
+
+/// The evacuations in force.
+#[derive(Debug)]
+pub struct EvacuationSlot {
+    book: Mutex<EvacuationBook>,
+    changes: watch::Sender<u64>,
+}
+
+/// What is known, as of one version of the store.
+#[derive(Debug, Default)]
+struct EvacuationBook {
+    version: Option<ids::RowVersion>,
+    /// Since when each is in force here.
+    since: BTreeMap<ids::DataCenter, Instant>,
+}
+
+impl Default for EvacuationSlot {
+    fn default() -> EvacuationSlot {
+        EvacuationSlot { book: Mutex::default(), changes: watch::Sender::new(0) }
+    }
+}
+
+impl EvacuationSlot {
+    /// Tells of changes.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// What is known, for peers; nothing before the first read.
+    pub fn view(&self) -> Option<model::EvacuationView> {
+        let book = state::lock(&self.book);
+        let data_centers = book.since.keys().cloned().collect();
+        book.version.map(|version| model::EvacuationView { version, data_centers })
+    }
+
+    /// The data centres under evacuation.
+    pub fn data_centers(&self) -> Arc<[ids::DataCenter]> {
+        state::lock(&self.book).since.keys().cloned().collect()
+    }
+
+    /// Takes in all of them, as of a version of the store. `origin` says who brought it.
+    pub fn offer(&self, view: model::EvacuationView, origin: &str) {
+        let mut book = state::lock(&self.book);
+        if book.version.is_some_and(|it| view.version <= it) {
+            return;
+        }
+        let ended = book.since.keys().filter(|it| !view.data_centers.contains(it));
+        let mut has_changed = false;
+        for data_center in ended.cloned().collect::<Vec<_>>() {
+            has_changed |= book.end(&data_center, view.version, origin);
+        }
+        for data_center in view.data_centers {
+            has_changed |= book.begin(data_center, view.version, origin);
+        }
+        book.version = Some(view.version);
+        self.tell(&book, has_changed);
+    }
+
+    /// Takes in what has changed until `version`: each row that `name` takes for one of an evacuation.
+    pub fn follow<'a>(
+        &self,
+        rows: impl Iterator<Item = &'a row_feed::FeedRow>,
+        version: ids::RowVersion,
+        name: impl Fn(&str) -> Option<&str>,
+    ) {
+        let mut book = state::lock(&self.book);
+        let Some(known) = book.version else { return };
+        let mut has_changed = false;
+        for row in rows.filter(|it| it.version > known) {
+            let Some(data_center) = name(&row.key) else { continue };
+            has_changed |= match row.value {
+                Some(_) => book.begin(data_center.to_owned(), row.version, "store"),
+                None => book.end(data_center, row.version, "store"),
+            };
+        }
+        book.version = Some(version.max(known));
+        self.tell(&book, has_changed);
+    }
+
+    fn tell(&self, book: &EvacuationBook, has_changed: bool) {
+        if has_changed {
+            metrics::gauge!("almondpass_pool_evacuated_data_centers").set(book.since.len() as f64);
+            self.changes.send_modify(|it| *it += 1);
+        }
+    }
+}
+
+impl EvacuationBook {
+    /// Tells whether it was not known.
+    fn begin(
+        &mut self,
+        data_center: ids::DataCenter,
+        version: ids::RowVersion,
+        origin: &str,
+    ) -> bool {
+        if self.since.contains_key(&data_center) {
+            return false;
+        }
+        tracing::info!(data_center, version, origin, "data centre is evacuated");
+        self.since.insert(data_center, Instant::now());
+        true
+    }
+
+    /// Tells whether it was known.
+    fn end(&mut self, data_center: &str, version: ids::RowVersion, origin: &str) -> bool {
+        let Some(since) = self.since.remove(data_center) else { return false };
+        let age_ms = since.elapsed().as_millis() as u64;
+        tracing::info!(data_center, version, origin, age_ms, "data centre is taken back");
+        true
+    }
+}
+
+/// The evacuations that a whole read of the table tells.
+pub(crate) fn view_of<'a>(
+    read: &'a row_feed::FeedRows,
+    name: impl Fn(&'a str) -> Option<&'a str>,
+) -> model::EvacuationView {
+    let present = read.rows.iter().filter(|it| it.value.is_some());
+    let data_centers = present.filter_map(|it| name(&it.key)).map(str::to_owned).collect();
+    model::EvacuationView { version: read.version, data_centers }
+}
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::document::PlatformReader;
+use crate::document_follower;
 use crate::lead;
 use crate::state;
 use crate::store_call;
@@ -56,12 +57,15 @@
     taken: &lead::TakenTenure,
 ) -> Result<LoadedLead, error::CallError> {
     let asked_at = state.site.clock().now();
-    let (graphs, progress, workers, roster) = tokio::try_join!(
+    let (operators, graphs, progress, workers, roster) = tokio::try_join!(
+        store_call::snapshot(state, S::Reader::DOCUMENT_TABLE),
         store_call::snapshot(state, keys::GRAPHS),
         store_call::snapshot(state, keys::PROGRESS),
         store_call::snapshot(state, S::Reader::WORKER_TABLE),
         store_call::snapshot(state, keys::ROSTER),
     )?;
+    // Before the first start: what this instance follows may have gone silent a moment ago.
+    document_follower::take_all(state, &operators);
     let now = state.site.clock().now();
     let catalog = state.document.current().map(|it| Arc::clone(&it.catalog));
     let mut core = core::PoolCore::new(core::PoolStart {
@@ -69,6 +73,7 @@
         catalog: catalog.unwrap_or_default(),
         settles_at: taken.settles_at,
     });
+    core.set_evacuated(state.evacuations.data_centers());
     let (graphs_at, workers_at) = (graphs.version, workers.version);
     for row in workers.rows {
         learn_worker(state, &mut core, &row, now);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod document;
 pub mod entry;
+pub mod evacuation;
 pub mod fencing;
 pub mod instance;
 pub mod peers;
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -35,7 +35,8 @@
 
     fn document(&self, pull: &model::DocumentPull) -> model::DocumentPulled {
         let newer = self.state.document.current().filter(|it| it.version > pull.have);
-        model::DocumentPulled { document: newer.map(|it| it.source.clone()) }
+        let document = newer.map(|it| it.source.clone());
+        model::DocumentPulled { document, evacuations: self.state.evacuations.view() }
     }
 
     fn nudge(&self, nudge: model::GraphNudge) -> model::Ack {
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -12,6 +12,7 @@
 use crate::control;
 use crate::detour;
 use crate::document;
+use crate::evacuation;
 use crate::hand_over;
 use crate::lead;
 use crate::settings;
@@ -51,6 +52,8 @@
     pub settings: settings::PoolSettings,
     /// The configuration in force.
     pub document: document::DocumentSlot,
+    /// The data centres under evacuation.
+    pub evacuations: evacuation::EvacuationSlot,
     /// Ends when the instance is to leave.
     pub leaving: CancellationToken,
     /// Who holds the tenure, as last seen.
@@ -85,6 +88,7 @@
             site,
             settings,
             document: document::DocumentSlot::default(),
+            evacuations: evacuation::EvacuationSlot::default(),
             leaving: CancellationToken::new(),
             holder: Mutex::default(),
             lead: Mutex::default(),
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -43,6 +43,7 @@
 ) {
     let mut sessions = JoinSet::new();
     let mut versions = state.document.subscribe();
+    let mut evacuations = state.evacuations.subscribe();
     let mut metered_at = Instant::now();
     loop {
         lead::keep_sessions(&state, &lead, &mut sessions);
@@ -51,7 +52,9 @@
             () = lead.turn_due.notified() => time::sleep(GATHERING).await,
             () = time::sleep(tick) => {}
             Ok(()) = versions.changed() => {}
+            Ok(()) = evacuations.changed() => {}
         }
+        lead.core().set_evacuated(state.evacuations.data_centers());
         if let Some(document) = state.document.current() {
             lead.core().set_catalog(Arc::clone(&document.catalog));
         }
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -3,6 +3,7 @@
 mod calm;
 mod crashes;
 mod entries;
+mod evacuations;
 mod outages;
 mod restarts;
 mod rooms;
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -9,7 +9,7 @@
 
 use almondpass_graph::{order, task_key};
 use almondpass_schema::{ids, model};
-use almondpass_standin::fault;
+use almondpass_standin::{fault, pool_worker};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{self, Instant};
@@ -24,6 +24,19 @@
 /// Where tasks crash workers there are more of them: some are down all the while.
 const N_WORKERS_CRASHING: usize = 24;
 
+/// Workers of a data centre, and data centres, where these are evacuated.
+const WORKERS_A_DATA_CENTER: usize = 8;
+const N_DATA_CENTERS: usize = N_WORKERS_CRASHING / WORKERS_A_DATA_CENTER;
+
+/// Jobs that are handed in beside an evacuation when nothing is amiss.
+const N_CALM_JOBS: usize = 40;
+
+/// An evacuation is in force this long behind its acknowledgement at the latest.
+const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
+
+/// The operator writes again after this.
+const OPERATOR_AGAIN: Duration = Duration::from_millis(200);
+
 /// Once so many workers have crashed under a task...
 const N_CRASHES: usize = 3;
 
@@ -64,10 +77,30 @@
     disruptions: Vec<(Instant, Instant)>,
     /// Jobs whose first task crashes its workers.
     crashing: BTreeSet<ids::GraphId>,
+    /// The evacuations that the store has acknowledged, and those that are over.
+    evacuations: BTreeMap<usize, Instant>,
+    past_evacuations: Vec<EvacuationSpan>,
     /// Jobs of two steps, the second after the first.
     chained: BTreeSet<ids::GraphId>,
 }
 
+/// An evacuation from its acknowledgement until the operator began to take it back.
+#[derive(Clone, Copy, Debug)]
+struct EvacuationSpan {
+    /// Number of the data centre.
+    number: usize,
+    acked_at: Instant,
+    until: Instant,
+}
+
+impl EvacuationSpan {
+    /// Whether a run was started there although it had long been known.
+    fn is_broken_by(&self, run: &pool_worker::RunRecord) -> bool {
+        let is_there = support::index_of(&run.worker) / WORKERS_A_DATA_CENTER == self.number;
+        is_there && run.began > self.acked_at + EVACUATED_WITHIN && run.began < self.until
+    }
+}
+
 impl StormLedger {
     /// Something stands between instances, store and workers from now on, or did for a moment.
     fn disrupted(&mut self) {
@@ -98,6 +131,8 @@
     UntoldRestarts,
     /// Some tasks crash each worker that starts them, beside workers that start again by themselves.
     Crashes,
+    /// The operator evacuates data centres and takes them back, beside workers that start again.
+    Evacuations,
     /// Rooms shrink and grow, on workers that start whatever they are told to, beside tasks that crash
     /// them.
     Rooms,
@@ -110,7 +145,7 @@
         match self {
             StormKind::Plain => 0.0,
             StormKind::Restarts | StormKind::UntoldRestarts => 0.2,
-            StormKind::Crashes | StormKind::Rooms => 0.03,
+            StormKind::Crashes | StormKind::Rooms | StormKind::Evacuations => 0.03,
         }
     }
 
@@ -124,7 +159,7 @@
 
     fn n_workers(self) -> usize {
         match self {
-            StormKind::Crashes | StormKind::Rooms => N_WORKERS_CRASHING,
+            StormKind::Crashes | StormKind::Rooms | StormKind::Evacuations => N_WORKERS_CRASHING,
             _ => N_WORKERS,
         }
     }
@@ -145,6 +180,7 @@
     storms_of_workers_that_start_again_untold: UntoldRestarts;
     storms_of_tasks_that_crash_workers: Crashes;
     storms_of_rooms_that_shrink_and_grow: Rooms;
+    storms_of_evacuations: Evacuations;
 }
 
 #[test]
@@ -173,6 +209,13 @@
     play(StormKind::Rooms, [192, 317, 770_039, 880_104]);
 }
 
+/// A task is started once too often although its losses were told apart: its start was not on record, or
+/// what was known of its losses was not saved, when the scheduler went while the store was away.
+#[test]
+fn storms_that_forget_losses_at_takeovers() {
+    play(StormKind::Crashes, [1_200_271, 1_200_275]);
+}
+
 /// A task that ran beside what crashes workers four times is taken for it.
 #[test]
 fn storms_in_which_tasks_travel_with_a_culprit() {
@@ -196,7 +239,7 @@
 /// A worker's entry that the store carries out late tells of a room that has shrunk since.
 #[test]
 fn storms_with_entries_carried_out_late() {
-    play(StormKind::Rooms, [880_060]);
+    play(StormKind::Rooms, [880_060, 880_245, 1_200_399]);
 }
 
 fn play(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
@@ -242,6 +285,9 @@
         if kind.restarts() > 0.0 && rng.random_bool(kind.restarts()) {
             restart(&bench, &mut rng).await;
         }
+        if kind == StormKind::Evacuations && rng.random_bool(0.3) {
+            evacuate_or_take_back(&bench, &mut ledger, &mut rng).await;
+        }
         if kind == StormKind::Rooms && rng.random_bool(0.3) {
             change_room(&bench, &mut rng);
         }
@@ -256,6 +302,9 @@
     }
     calm(&bench);
     ledger.calmed();
+    if kind == StormKind::Evacuations {
+        evacuate_in_calm(&bench, &mut ledger, &mut rng).await;
+    }
     for worker in bench.fleet.workers_up() {
         bench.set_room(&worker, WHOLE_ROOM);
     }
@@ -319,6 +368,60 @@
     bench.write_entry_later(worker, Duration::from_millis(rng.random_range(0..1_500)));
 }
 
+async fn evacuate_or_take_back(
+    bench: &support::PoolBench,
+    ledger: &mut StormLedger,
+    rng: &mut ChaCha8Rng,
+) {
+    let number = rng.random_range(0..N_DATA_CENTERS);
+    if ledger.evacuations.contains_key(&number) {
+        take_back(bench, ledger, number).await;
+    } else if bench.evacuate(&data_center(number)).await {
+        ledger.evacuations.insert(number, Instant::now());
+    }
+}
+
+/// Empties a data centre once nothing is amiss any more, hands in work beside it, and takes all back.
+async fn evacuate_in_calm(
+    bench: &support::PoolBench,
+    ledger: &mut StormLedger,
+    rng: &mut ChaCha8Rng,
+) {
+    let number = rng.random_range(0..N_DATA_CENTERS);
+    if !ledger.evacuations.contains_key(&number) {
+        while !bench.evacuate(&data_center(number)).await {
+            time::sleep(OPERATOR_AGAIN).await;
+        }
+        ledger.evacuations.insert(number, Instant::now());
+    }
+    for job in 0..N_CALM_JOBS {
+        let graph = (N_STEPS + 1 + job) as u64;
+        hand_in(bench, ledger, rng, HandIn { graph, crashes: false }).await;
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    for number in 0..N_DATA_CENTERS {
+        take_back(bench, ledger, number).await;
+    }
+}
+
+async fn take_back(bench: &support::PoolBench, ledger: &mut StormLedger, number: usize) {
+    // An attempt that had no answer may have landed.
+    let until = Instant::now();
+    if let Some(acked_at) = ledger.evacuations.remove(&number) {
+        ledger.past_evacuations.push(EvacuationSpan { number, acked_at, until });
+    }
+    while !bench.take_back(&data_center(number)).await {
+        time::sleep(OPERATOR_AGAIN).await;
+        if ledger.disrupted_since.is_some() {
+            return;
+        }
+    }
+}
+
+fn data_center(number: usize) -> String {
+    format!("dc{number}")
+}
+
 fn change_room(bench: &support::PoolBench, rng: &mut ChaCha8Rng) {
     for worker in bench.fleet.workers_up() {
         if rng.random_bool(0.3) {
@@ -413,6 +516,12 @@
         let later = runs.iter().skip(N_CRASHES).filter(|it| ledger.is_in_touch(it.began));
         assert!(later.count() <= MOST_LATER, "storm {seed}: starts of {first}: {runs:?}");
     }
+    // EVAC: instances in touch start nothing in a data centre that has been evacuated for a while.
+    for span in &ledger.past_evacuations {
+        let broken = records.iter().filter(|it| span.is_broken_by(it));
+        let broken = broken.filter(|it| ledger.is_in_touch(it.began)).collect::<Vec<_>>();
+        assert!(broken.is_empty(), "storm {seed}: {span:?}, {broken:?}");
+    }
     // LIMIT: no start brings a worker over its room.
     let overfull = bench.fleet.overfull();
     assert_eq!(overfull, [], "storm {seed}");
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -31,6 +31,9 @@
 /// Workers write their entries this often.
 pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
+/// For a write of the operator.
+const OPERATOR_DEADLINE: Duration = Duration::from_secs(1);
+
 /// Whether a task has crashed its worker is looked at this often.
 const CRASH_TICK: Duration = Duration::from_millis(20);
 
@@ -87,6 +90,10 @@
     const DOCUMENT_KEY: &'static str = "newest";
     const WORKER_TABLE: &'static str = "workers";
 
+    fn evacuated(key: &str) -> Option<&str> {
+        key.strip_prefix("evacuate-")
+    }
+
     fn document(&self, source: &[u8]) -> anyhow::Result<document::PoolDocument> {
         let class = |priority| catalog::ClassSpec {
             upstream: UPSTREAM.to_owned(),
@@ -122,6 +129,7 @@
             upstream: UPSTREAM.to_owned(),
             capacity: room_of(accelerators.parse().unwrap_or_default()),
             labels: vec!["a".to_owned(), rack.clone()],
+            data_center: rack.replacen('r', "dc", 1),
             rack,
             leaves_in: text.ends_with('-').then_some(Duration::from_secs(2)),
             incarnation: incarnation.parse().ok(),
@@ -261,6 +269,16 @@
         self.write_entry(index).await;
     }
 
+    /// The operator evacuates a data centre, as far as the store takes it.
+    pub(crate) async fn evacuate(&self, data_center: &str) -> bool {
+        self.try_put(&evacuation_key(data_center), Some(blob::Blob::from(b"{}".to_vec()))).await
+    }
+
+    /// The operator takes a data centre back, as far as the store takes it.
+    pub(crate) async fn take_back(&self, data_center: &str) -> bool {
+        self.try_put(&evacuation_key(data_center), None).await
+    }
+
     /// Somebody else writes over the entry of a worker.
     pub(crate) async fn spoil_entry(&self, index: usize) {
         self.write(&entry_key(index), b"\xff\xfe").await;
@@ -348,6 +366,11 @@
         self.put(key, Some(blob::Blob::from(value.to_vec()))).await;
     }
 
+    async fn try_put(&self, key: &str, value: Option<blob::Blob>) -> bool {
+        let writing = time::timeout(OPERATOR_DEADLINE, self.store.transact(put_of(key, value)));
+        matches!(writing.await, Ok(Ok(model::TableOutcome::Committed { .. })))
+    }
+
     async fn put(&self, key: &str, value: Option<blob::Blob>) {
         self.store.transact(put_of(key, value)).await.expect("a write");
     }
@@ -429,6 +452,10 @@
     }
 }
 
+fn evacuation_key(data_center: &str) -> String {
+    format!("documents//evacuate-{data_center}")
+}
+
 /// Writes or removes one row, whatever it holds.
 fn put_of(key: &str, value: Option<blob::Blob>) -> model::TableTransaction {
     let write = model::TableWrite { key: key.to_owned(), value };
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -477,18 +477,21 @@
     ///Its number.
     pub version: crate::ids::ConfigVersion,
 }
-///Asks a peer for an operators' document newer than a version.
+///Asks a peer for an operators' document newer than a version, and for the evacuations.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DocumentPull {
     ///Version that the asker has; 0 for none.
     pub have: crate::ids::ConfigVersion,
 }
-///The document in force at the peer, where it is newer.
+///The document in force at the peer, where it is newer, and what it knows of evacuations.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct DocumentPulled {
     ///The document as the operator wrote it.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub document: ::std::option::Option<crate::blob::Blob>,
+    ///Nothing where the peer has not read them, or knows of none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub evacuations: ::std::option::Option<EvacuationView>,
 }
 ///Drains in force.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -522,6 +525,14 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
+///The data centres in which nothing may start, as of one version of the store.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EvacuationView {
+    ///The data centres under evacuation.
+    pub data_centers: ::std::vec::Vec<crate::ids::DataCenter>,
+    ///Version of the store.
+    pub version: crate::ids::RowVersion,
+}
 ///Why a job graph has failed: its tasks have failed too often; workers crash under one of them.
 #[derive(
     ::serde::Deserialize,
