--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -102,6 +102,15 @@
 }
 
 impl StormLedger {
+    fn is_evacuated(&self, number: usize) -> bool {
+        self.evacuations.contains_key(&number)
+    }
+
+    /// The store has acknowledged that a data centre is evacuated.
+    fn evacuated(&mut self, number: usize) {
+        self.evacuations.insert(number, Instant::now());
+    }
+
     /// Something stands between instances, store and workers from now on, or did for a moment.
     fn disrupted(&mut self) {
         self.disrupted_since.get_or_insert_with(Instant::now);
@@ -374,10 +383,10 @@
     rng: &mut ChaCha8Rng,
 ) {
     let number = rng.random_range(0..N_DATA_CENTERS);
-    if ledger.evacuations.contains_key(&number) {
+    if ledger.is_evacuated(number) {
         take_back(bench, ledger, number).await;
     } else if bench.evacuate(&data_center(number)).await {
-        ledger.evacuations.insert(number, Instant::now());
+        ledger.evacuated(number);
     }
 }
 
@@ -388,11 +397,10 @@
     rng: &mut ChaCha8Rng,
 ) {
     let number = rng.random_range(0..N_DATA_CENTERS);
-    if !ledger.evacuations.contains_key(&number) {
-        while !bench.evacuate(&data_center(number)).await {
-            time::sleep(OPERATOR_AGAIN).await;
+    while !ledger.is_evacuated(number) {
+        if bench.evacuate(&data_center(number)).await {
+            ledger.evacuated(number);
         }
-        ledger.evacuations.insert(number, Instant::now());
     }
     for job in 0..N_CALM_JOBS {
         let graph = (N_STEPS + 1 + job) as u64;
