--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -27,7 +27,7 @@
 /// Chance that a worker was lost before it took a start that it has not answered.
 const UNSTARTED_ODDS: f64 = 0.2;
 
-/// How much later than at the last turn a worker may have been missed first.
+/// A worker may have been missed first this much behind the moment at which time was taken note of last.
 const MISS_SLACK: Duration = Duration::from_millis(100);
 
 /// How likely a task is to have done it under which fewer workers were lost before, as a share.
