Show jobs of which nothing runs for over 3 s although most of the pool is empty; three tests, failing

On the core alone, 48 workers: - its data's rack is full (8 of 48 workers in use): "8 of 48 workers are in use", not started within 3 s; it waits for the near place for twice the run time of its class, 10 s for one that is not known; - a gang of one rack, each rack with one worker in use (6 of 48): the same wait; - workers kept empty for urgent work that is over (10 of 48): up to the slack of the job.

--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -14,3 +14,4 @@
 mod support;
 mod suspicions;
 mod urgent;
+mod waits;
--- /dev/null
+++ b/crates/graph/tests/pool/waits.rs
@@ -0,0 +1,143 @@
+//! Work that waits although less than half of the pool is in use.
+
+use almondpass_graph::order;
+use almondpass_schema::model;
+
+use crate::support;
+
+/// A job of which nothing runs starts this soon where there is room, in milliseconds.
+const STARTS_WITHIN_MS: u64 = 3_000;
+
+/// Time between two turns, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// Workers of the pool.
+const N_WORKERS: usize = 48;
+
+/// Workers of a rack.
+const N_RACK: usize = 8;
+
+/// A pool on which long tasks go on, and how long a job has waited there.
+struct WaitPlay {
+    bench: support::PoolBench,
+    running: Vec<order::StartOrder>,
+    ends: Vec<u64>,
+}
+
+impl WaitPlay {
+    fn new() -> WaitPlay {
+        let mut bench = support::PoolBench::new(N_WORKERS);
+        bench.core.set_wall(bench.now);
+        WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS] }
+    }
+
+    /// Starts a job at once.
+    fn start(&mut self, graph: u64, row: model::GraphRow) {
+        let n_tasks = row.graph.steps.iter().map(|it| it.tasks).sum::<u32>();
+        self.bench.admit(graph, row);
+        let starts = self.bench.turn_and_start();
+        assert_eq!(starts.len(), n_tasks as usize);
+        self.running.extend(starts);
+    }
+
+    /// The tasks of a job end well.
+    fn end(&mut self, graph: u64) {
+        let (ended, running) = self.running.drain(..).partition(|it| it.task.graph == graph);
+        self.running = running;
+        let ended: Vec<order::StartOrder> = ended;
+        for start in ended {
+            let worker = support::index_of(&start.worker);
+            self.ends[worker] += 1;
+            let end = support::ended(self.ends[worker], &start, order::EndKind::Done);
+            self.look(worker, &[end]);
+        }
+        self.bench.save();
+    }
+
+    fn look(&mut self, worker: usize, ended: &[order::ListedEnd]) {
+        let on_it = self.running.iter().filter(|it| support::index_of(&it.worker) == worker);
+        let running = on_it.map(|it| support::running(it, 1)).collect::<Vec<_>>();
+        self.bench.lists(worker, &running, ended);
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / TICK_MS {
+            self.bench.pass(TICK_MS);
+            self.bench.core.set_wall(self.bench.now);
+            for worker in 0..N_WORKERS {
+                self.look(worker, &[]);
+            }
+            let starts = self.bench.turn_and_start();
+            self.running.extend(starts);
+        }
+    }
+
+    fn runs(&self, graph: u64) -> bool {
+        self.running.iter().any(|it| it.task.graph == graph)
+    }
+
+    fn n_in_use(&self) -> usize {
+        let whole = self.running.iter().map(|it| support::index_of(&it.worker));
+        whole.collect::<std::collections::BTreeSet<_>>().len()
+    }
+}
+
+/// Less than half of the pool is in use; `row` starts in time all the same.
+fn check_starts(mut play: WaitPlay, row: model::GraphRow) {
+    const LAST: u64 = 99;
+    assert!(2 * play.n_in_use() < N_WORKERS);
+    play.bench.admit(LAST, row);
+    let starts = play.bench.turn_and_start();
+    play.running.extend(starts);
+    play.pass(STARTS_WITHIN_MS);
+    assert!(play.runs(LAST), "{} of {N_WORKERS} workers are in use", play.n_in_use());
+}
+
+/// The rack of its data is full.
+fn near_its_data() -> (WaitPlay, model::GraphRow) {
+    let near = |n| model::GraphStep { rack: Some("r0".to_owned()), ..support::whole_workers(n) };
+    let mut play = WaitPlay::new();
+    play.start(1, support::job(1, near(N_RACK as u32)));
+    (play, support::job(1, near(1)))
+}
+
+/// Each rack has one worker in use.
+fn gang_of_one_rack() -> (WaitPlay, model::GraphRow) {
+    let mut play = WaitPlay::new();
+    for (graph, rack) in (0..N_WORKERS / N_RACK).enumerate() {
+        let rack = Some(format!("r{rack}"));
+        let step = model::GraphStep { rack, ..support::whole_workers(1) };
+        play.start(graph as u64, support::job(1, step));
+    }
+    let step = support::gang(support::whole_workers(N_RACK as u32));
+    (play, support::job(1, model::GraphStep { same_rack: true, ..step }))
+}
+
+/// Urgent work has used most of the pool, and is over.
+fn behind_urgent_work() -> (WaitPlay, model::GraphRow) {
+    let mut play = WaitPlay::new();
+    play.start(1, support::job(0, support::whole_workers(40)));
+    play.pass(20_000);
+    play.end(1);
+    play.start(2, support::job(2, support::whole_workers(10)));
+    (play, support::job(2, support::whole_workers(1)))
+}
+
+macro_rules! waits {
+    ($($(#[$doc:meta])* $name:ident: $situation:ident;)*) => {
+        $($(#[$doc])* #[test]
+        fn $name() {
+            let (play, row) = $situation();
+            check_starts(play, row);
+        })*
+    };
+}
+
+waits! {
+    /// A job of which nothing runs waits for its rack although most of the pool is empty.
+    a_job_beside_a_full_rack_starts_elsewhere: near_its_data;
+    /// A gang of which nothing runs waits for a whole rack although most of the pool is empty.
+    a_gang_without_a_rack_starts_across_racks: gang_of_one_rack;
+    /// A job of which nothing runs waits for workers that are kept empty although most of the pool is empty.
+    a_job_takes_workers_that_are_kept_empty: behind_urgent_work;
+}
