Tell what a job waits for, since when and on which belief, again and again; count jobs left standing beside room

What on-call engineers could not tell: a job's wait was told once, a second behind its admission, and only where a start was tried and found no place. A wait that began later, or for another reason, left no line: an inherited job before the tenure has settled, a start or a stop without outcome, a start that is not on record, a suspect that is held back, workers that are no place.

Now every half second the holder goes over the jobs of which nothing runs, or that have waited for longer than was told. Each is told 1, 5, 21 s and so on behind its last move, eight at a time, with the cause, the belief and its age, and how many workers are barred for which reason (the same code that bars them says so). A job of which nothing has run for 3 s although there is room twice over and less than half of the pool is in use is told at WARN and counted.

Tests: intervals and cause of a wait behind a takeover; the counts.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -17,6 +17,8 @@
 use crate::save_queue;
 use crate::task_key;
 use crate::terms;
+use crate::wait_note;
+use crate::waiting;
 use crate::worker;
 
 /// Everything that the scheduler of a pool knows. Events are taken in by its methods; each returns
@@ -56,8 +58,14 @@
     pub(crate) loss_counts: losses::LossCounts,
     /// Until when all changes of the list of workers are taken in.
     pub(crate) list_read_at: Duration,
+    /// Upstreams of whose workers less than half is in use, as of the last turn.
+    pub(crate) ample: BTreeSet<ids::UpstreamName>,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
+    /// When jobs that wait were last gone over.
+    pub(crate) waits_told_at: Duration,
+    /// The jobs that wait, as of then.
+    pub(crate) wait_counts: waiting::WaitCounts,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
     pub(crate) wall: Duration,
     /// Data centres under evacuation: nothing starts on their workers.
@@ -99,7 +107,10 @@
             loss_history: loss_history::LossHistory::default(),
             loss_counts: losses::LossCounts::default(),
             list_read_at: Duration::ZERO,
+            ample: BTreeSet::new(),
             kept_up_at: Duration::ZERO,
+            waits_told_at: Duration::ZERO,
+            wait_counts: waiting::WaitCounts::default(),
             wall: Duration::ZERO,
             evacuated: Arc::default(),
         }
@@ -247,6 +258,9 @@
         task.waits_since = now;
         // Its outcome is settled: a successor must not take the start for lost.
         let was_on_record = task.suspicion.trial.take().is_some();
+        if job.runs().next().is_none() {
+            job.wait = wait_note::WaitNote::new(now);
+        }
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.remove(&key);
             worker.apart_runs.remove(&key);
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -17,13 +17,7 @@
 use crate::reserving;
 use crate::room;
 use crate::task_key;
-use crate::worker;
-
-/// A worker that has not answered for this long gets no new tasks: longer than an idle look takes.
-const ANSWERED_WITHIN: Duration = Duration::from_millis(3_500);
-
-/// A job that waits is told of after this.
-const WAIT_TOLD_AFTER: Duration = Duration::from_secs(1);
+use crate::wait_note;
 
 impl core::PoolCore {
     /// Takes note of the time, then starts what can start and clears room for urgent work.
@@ -33,12 +27,26 @@
         let urgent = self.urgent_accelerators();
         self.headroom.observe(&urgent, all, now);
         self.within_guarantee = self.accounts_within_guarantee();
+        self.ample = self.ample_upstreams();
         let units = self.waiting_units(now);
-        if units.is_empty() {
+        let tells_waits = self.tells_waits(now);
+        if units.is_empty() && !tells_waits {
             return;
         }
         self.drop_claims(now);
         let mut berths = self.berths(now);
+        self.start_units(units, &mut berths, now);
+        if tells_waits {
+            self.tell_waits(&berths, now);
+        }
+    }
+
+    fn start_units(
+        &mut self,
+        units: Vec<task_key::UnitKey>,
+        berths: &mut [berth::WorkerBerth],
+        now: Duration,
+    ) {
         let mut full = BTreeSet::<(ids::GraphId, u32)>::new();
         let mut hopeless = Vec::<room::Room>::new();
         let mut failed = Vec::<failed_ask::FailedAsk>::new();
@@ -49,7 +57,7 @@
             }
             let is_tried = !full.contains(&(unit.graph, unit.step));
             if is_tried && !self.is_hopeless(unit, &hopeless) {
-                let outcome = self.try_start(unit, &mut berths, &mut failed, now);
+                let outcome = self.try_start(unit, berths, &mut failed, now);
                 if outcome == StartOutcome::Started {
                     continue;
                 }
@@ -58,18 +66,17 @@
                 if !self.has_trial(unit) {
                     full.insert((unit.graph, unit.step));
                 }
-                self.tell_wait(unit, &berths, now);
                 if outcome == StartOutcome::NoRoom {
-                    hopeless.extend(self.hopeless_room(unit, &berths));
+                    hopeless.extend(self.hopeless_room(unit, berths));
                     if !self.is_urgent(unit) {
-                        self.reserve_for(unit, &mut berths, now);
+                        self.reserve_for(unit, berths, now);
                     }
                 }
             }
             // In its turn, before less urgent units are looked at: they would start in the room that
             // is about to be cleared, and be stopped again at once.
             if self.is_urgent(unit) {
-                self.clear_for_urgent(unit, &mut berths, &mut round, now);
+                self.clear_for_urgent(unit, berths, &mut round, now);
             }
         }
     }
@@ -97,35 +104,6 @@
         }
     }
 
-    /// Tells once a job why its tasks wait, when they have for a while.
-    fn tell_wait(&mut self, unit: task_key::UnitKey, berths: &[berth::WorkerBerth], now: Duration) {
-        let is_due = |it: &job::JobRecord| !it.wait_told && now >= it.admitted_at + WAIT_TOLD_AFTER;
-        if !self.jobs.get(&unit.graph).is_some_and(is_due) {
-            return;
-        }
-        let Some(ask) = self.ask(unit, berths, now) else { return };
-        let (room, n_tasks, same_rack) = (ask.room, ask.n_tasks, ask.same_rack);
-        let (keeps_empty, is_far_allowed) = (ask.keeps_empty, ask.far);
-        let n_with_room = berths.iter().filter(|it| room.fits_in(it.free)).count();
-        let evacuated = self.evacuated.join(", ");
-        let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
-        job.wait_told = true;
-        tracing::info!(
-            job = format_args!("{:016x}", unit.graph),
-            step = unit.step,
-            class = job.class,
-            n_tasks,
-            same_rack,
-            accelerators_each = room.accelerators,
-            n_workers = berths.len(),
-            n_with_room,
-            keeps_empty,
-            is_far_allowed,
-            evacuated,
-            "job waits for room"
-        );
-    }
-
     /// The room of one task of a unit, if no worker has that much left: nothing that needs as much
     /// has to be tried in this turn.
     fn hopeless_room(
@@ -161,23 +139,7 @@
 
     /// The workers that may get tasks now.
     fn berths(&self, now: Duration) -> Vec<berth::WorkerBerth> {
-        let is_unguarded =
-            |it: &worker::WorkerRecord| self.catalog.unguarded.contains(&it.listing.upstream);
-        let usable = self.workers.iter().filter(|(id, it)| {
-            // A worker that refuses nothing would be filled beyond a room that has shrunk unheard, as
-            // while the store is away.
-            !(is_unguarded(it) && it.is_news_old(&self.terms, now))
-                && it.listed
-                && self.roster.is_saved(id)
-                && it.answers()
-                && it.is_listed_life()
-                && it.leaves_at.is_none()
-                && !self.is_evacuated(it)
-                && now < it.answered_at + ANSWERED_WITHIN
-                && now >= it.pauses_until
-                && !it.health.is_paused(now)
-                && now >= it.slow_until
-        });
+        let usable = self.workers.iter().filter(|(id, it)| self.place_bar(id, it, now).is_none());
         let mut racks = BTreeMap::<&str, usize>::new();
         let mut upstreams = BTreeMap::<&str, usize>::new();
         let berths = usable.map(|(_, it)| berth::WorkerBerth {
@@ -201,11 +163,6 @@
         workers.map(|it| it.listing.capacity.accelerators).sum()
     }
 
-    /// Whether nothing may start on a worker until its data centre is taken back.
-    fn is_evacuated(&self, worker: &worker::WorkerRecord) -> bool {
-        self.evacuated.contains(&worker.listing.data_center)
-    }
-
     fn try_start(
         &mut self,
         unit: task_key::UnitKey,
@@ -249,6 +206,7 @@
         let keys = self.unit_tasks(unit);
         let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
         job.started = true;
+        job.wait = wait_note::WaitNote::new(now);
         if job.state == model::GraphState::Pending {
             job.state = model::GraphState::Running;
         }
@@ -348,7 +306,7 @@
 }
 
 /// Units of a job that may start at the time of day `wall`.
-fn waiting_units_of(
+pub(crate) fn waiting_units_of(
     graph: ids::GraphId,
     job: &job::JobRecord,
     wall: Duration,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -11,6 +11,7 @@
 use crate::losses;
 use crate::progress;
 use crate::save_queue;
+use crate::wait_note;
 use crate::worker;
 
 /// Attempts left out behind the highest one on record, for tasks that an earlier scheduler may
@@ -199,7 +200,7 @@
         inherited: admitted.inherited,
         admitted_at: now,
         ended_at: None,
-        wait_told: false,
+        wait: wait_note::WaitNote::new(now),
         started: false,
         state: model::GraphState::Pending,
         failure: None,
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -11,6 +11,7 @@
 use crate::save_queue;
 use crate::suspicion;
 use crate::task_key;
+use crate::wait_note;
 
 /// An accepted job graph and how far it is.
 #[derive(Clone, Debug)]
@@ -39,8 +40,8 @@
     pub admitted_at: Duration,
     /// When this scheduler learned of its end.
     pub ended_at: Option<Duration>,
-    /// Whether it was told why its tasks wait.
-    pub wait_told: bool,
+    /// Since when it waits, behind its last start or the end of its last run, and what was told of that.
+    pub wait: wait_note::WaitNote,
     /// Whether any task was ever started.
     pub started: bool,
     /// How far it is.
@@ -155,6 +156,11 @@
 }
 
 impl RunPhase {
+    /// Whether the worker has it, as far as is known.
+    pub fn is_running(self) -> bool {
+        matches!(self, RunPhase::Running { .. })
+    }
+
     /// Whether a stop was asked for.
     pub fn is_stopping(self) -> bool {
         matches!(self, RunPhase::Stopping { .. })
@@ -250,6 +256,11 @@
         self.step(key)?.tasks.get(key.task as usize)
     }
 
+    /// The runs of its tasks.
+    pub fn runs(&self) -> impl Iterator<Item = &TaskRun> {
+        self.steps.iter().flat_map(|it| &it.tasks).filter_map(|it| it.run.as_ref())
+    }
+
     /// Accelerators that all tasks of one run need together.
     pub fn accelerators(&self) -> u32 {
         let of_run = self.steps.iter().take(self.steps_per_run as usize);
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -73,7 +73,7 @@
         if !self.unit_records(unit).iter().any(concerns) {
             return true;
         }
-        if self.unit_records(unit).iter().any(|it| now < it.held_until) {
+        if self.is_held(unit, now) {
             return false;
         }
         let tasks = self.unit_tasks(unit);
@@ -90,6 +90,19 @@
         is_durable
     }
 
+    /// Whether a task of a unit is held back until the loss of its worker is surer.
+    pub(crate) fn is_held(&self, unit: task_key::UnitKey, now: Duration) -> bool {
+        self.unit_records(unit).iter().any(|it| now < it.held_until)
+    }
+
+    /// Whether a unit can't start because a start of it is not on record yet.
+    pub(crate) fn awaits_record(&self, unit: task_key::UnitKey) -> bool {
+        self.unit_records(unit).iter().any(|it| {
+            let is_durable = it.trial_mark.is_some_and(|mark| self.unsaved.is_durable(mark));
+            it.suspicion.inherited_trial.is_some() || (it.suspicion.is_suspect() && !is_durable)
+        })
+    }
+
     /// The end of a start that may be on record is known. Tells whether it was there.
     pub(crate) fn settle_trial(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
         self.task_of(key).is_some_and(|it| it.suspicion.settle(attempt))
--- /dev/null
+++ b/crates/graph/src/waiting.rs
@@ -0,0 +1,320 @@
+//! Jobs that wait: what is told of them, and which are left standing although there is room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use almondpass_schema::ids;
+
+use crate::berth;
+use crate::core;
+use crate::dispatch;
+use crate::job;
+use crate::place_bar;
+use crate::task_key;
+
+/// Jobs that wait are gone over this often.
+const TELL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Jobs told of at a time, those first that have waited longest: where there is more work than room they wait
+/// by the hundred.
+const MOST_TOLD: usize = 8;
+
+/// A job is left standing once nothing of it has run for this long although there is room: the platform's
+/// bound.
+const LEFT_AFTER: Duration = Duration::from_secs(3);
+
+/// There is room for a unit if it would fit so many times.
+const TIMES_OVER: u32 = 2;
+
+/// Workers named in a line.
+const MOST_NAMED: usize = 3;
+
+/// Jobs of which nothing runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaitCounts {
+    /// Those with a task whose turn has come, or whose order is open.
+    pub n_standing: usize,
+    /// Those of them that have stood for long although there is room.
+    pub n_left: usize,
+    /// How many began to be left standing since this was last asked for.
+    pub n_newly_left: u64,
+}
+
+/// What a job waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitCause {
+    /// It may run on a worker that an earlier scheduler has used and that has not answered yet.
+    Takeover,
+    /// A start or a stop of it is open.
+    OpenOrder,
+    /// Whether the worker under it is lost will be surer soon.
+    Loss,
+    /// Its start has to be on record first.
+    Record,
+    /// There is no room for it.
+    Room,
+    /// There is room, which is kept for other work, or which is far from its data or its gang.
+    Choice,
+}
+
+impl WaitCause {
+    fn name(self) -> &'static str {
+        match self {
+            WaitCause::Takeover => "takeover",
+            WaitCause::OpenOrder => "open order",
+            WaitCause::Loss => "loss",
+            WaitCause::Record => "record",
+            WaitCause::Room => "room",
+            WaitCause::Choice => "choice",
+        }
+    }
+}
+
+/// What a job waits for, and the belief behind that.
+#[derive(Clone, Debug)]
+struct WaitReason {
+    cause: WaitCause,
+    belief: String,
+    /// How old the belief is.
+    age: Duration,
+}
+
+/// A job that waits.
+#[derive(Clone, Copy, Debug)]
+struct JobWait {
+    graph: ids::GraphId,
+    /// What of it would start next; nothing where only open orders keep it.
+    unit: Option<task_key::UnitKey>,
+    since: Duration,
+    /// Whether nothing of it runs.
+    is_standing: bool,
+    is_due: bool,
+}
+
+/// What there is for a unit.
+#[derive(Clone, Copy, Debug, Default)]
+struct UnitOutlook {
+    n_tasks: u32,
+    same_rack: bool,
+    accelerators_each: u32,
+    /// Tasks of it that fit on the workers that may be used, whatever that room is kept for.
+    n_fitting: u32,
+    /// Workers with room for one.
+    n_with_room: usize,
+    keeps_empty: usize,
+    is_far_allowed: bool,
+}
+
+impl UnitOutlook {
+    fn has_room(&self) -> bool {
+        self.n_fitting >= self.n_tasks
+    }
+
+    fn has_much_room(&self) -> bool {
+        self.n_fitting >= TIMES_OVER * self.n_tasks
+    }
+}
+
+impl core::PoolCore {
+    /// Jobs of which nothing runs, as of late. The number of those newly left standing begins anew.
+    pub fn take_wait_counts(&mut self) -> WaitCounts {
+        let counts = self.wait_counts;
+        self.wait_counts.n_newly_left = 0;
+        counts
+    }
+
+    /// Whether the jobs that wait are to be gone over now.
+    pub(crate) fn tells_waits(&self, now: Duration) -> bool {
+        now >= self.waits_told_at + TELL_INTERVAL
+    }
+
+    /// Tells why jobs wait, and counts those that are left standing.
+    pub(crate) fn tell_waits(&mut self, berths: &[berth::WorkerBerth], now: Duration) {
+        self.waits_told_at = now;
+        let waits = self.job_waits(now);
+        let standing = || waits.iter().filter(|it| it.is_standing);
+        let left = standing().filter(|it| self.is_left(it, berths, now)).copied();
+        let left = left.collect::<Vec<_>>();
+        self.wait_counts.n_standing = standing().count();
+        self.wait_counts.n_left = left.len();
+        for wait in &left {
+            self.count_left(wait, berths, now);
+        }
+        let mut due = waits.into_iter().filter(|it| it.is_due).collect::<Vec<_>>();
+        due.sort_by_key(|it| (!it.is_standing, it.since));
+        for wait in due.into_iter().take(MOST_TOLD) {
+            self.log_wait(&wait, berths, now, false);
+            if let Some(job) = self.jobs.get_mut(&wait.graph) {
+                job.wait.told(now);
+            }
+        }
+    }
+
+    fn job_waits(&self, now: Duration) -> Vec<JobWait> {
+        let waits = self.active_jobs().filter_map(|(graph, job)| {
+            let is_standing = !job.runs().any(|it| it.phase.is_running());
+            let is_due = job.wait.is_due(now);
+            if !is_standing && !is_due {
+                return None;
+            }
+            let unit = dispatch::waiting_units_of(graph, job, self.wall).into_iter().next();
+            let has_open_order = job.runs().next().is_some() && is_standing;
+            let due = unit.map(|it| self.wall.saturating_sub(job.due(it.step as usize)));
+            let due_at = due.map_or(Duration::ZERO, |it| now.saturating_sub(it));
+            let since = job.wait.since().max(due_at);
+            (unit.is_some() || has_open_order).then_some(JobWait {
+                graph,
+                unit,
+                since,
+                is_standing,
+                is_due,
+            })
+        });
+        waits.collect()
+    }
+
+    /// Whether a job has stood for long although there is much room.
+    fn is_left(&self, wait: &JobWait, berths: &[berth::WorkerBerth], now: Duration) -> bool {
+        let is_ample =
+            || self.jobs.get(&wait.graph).is_some_and(|it| self.ample.contains(&it.upstream));
+        let has_room = |unit| self.outlook(unit, berths, now).is_some_and(|it| it.has_much_room());
+        now >= wait.since + LEFT_AFTER && is_ample() && wait.unit.is_none_or(has_room)
+    }
+
+    fn count_left(&mut self, wait: &JobWait, berths: &[berth::WorkerBerth], now: Duration) {
+        let Some(job) = self.jobs.get_mut(&wait.graph) else { return };
+        if std::mem::replace(&mut job.wait.is_counted, true) {
+            return;
+        }
+        self.wait_counts.n_newly_left += 1;
+        self.log_wait(wait, berths, now, true);
+    }
+
+    fn log_wait(
+        &self,
+        wait: &JobWait,
+        berths: &[berth::WorkerBerth],
+        now: Duration,
+        is_left: bool,
+    ) {
+        let Some(job) = self.jobs.get(&wait.graph) else { return };
+        let outlook = wait.unit.and_then(|it| self.outlook(it, berths, now)).unwrap_or_default();
+        let reason = self.reason(wait, job, &outlook, now);
+        let n_workers = berths.iter().filter(|it| it.place.upstream == job.upstream).count();
+        let message = if is_left { "job is left standing beside room" } else { "job waits" };
+        macro_rules! tell {
+            ($level:ident) => {
+                tracing::$level!(
+                    job = format_args!("{:016x}", wait.graph),
+                    step = wait.unit.map(|it| it.step),
+                    class = job.class,
+                    cause = reason.cause.name(),
+                    belief = reason.belief,
+                    belief_age_ms = reason.age.as_millis() as u64,
+                    waited_ms = now.saturating_sub(wait.since).as_millis() as u64,
+                    is_standing = wait.is_standing,
+                    n_tasks = outlook.n_tasks,
+                    same_rack = outlook.same_rack,
+                    accelerators_each = outlook.accelerators_each,
+                    n_workers,
+                    n_with_room = outlook.n_with_room,
+                    keeps_empty = outlook.keeps_empty,
+                    is_far_allowed = outlook.is_far_allowed,
+                    is_ample = self.ample.contains(&job.upstream),
+                    barred = self.barred(&job.upstream, now),
+                    evacuated = self.evacuated.join(", "),
+                    "{message}"
+                )
+            };
+        }
+        if is_left { tell!(warn) } else { tell!(info) }
+    }
+
+    fn outlook(
+        &self,
+        unit: task_key::UnitKey,
+        berths: &[berth::WorkerBerth],
+        now: Duration,
+    ) -> Option<UnitOutlook> {
+        let ask = self.ask(unit, berths, now)?;
+        let any = berth::PlaceAsk { takes_reserved: true, is_apart: false, ..ask.clone() };
+        let counts = berths.iter().enumerate().map(|(index, it)| any.count_now(index, it));
+        let (n_fitting, n_with_room) = counts.fold((0, 0), |(sum, n_with_room), count| {
+            (sum + count, n_with_room + usize::from(count > 0))
+        });
+        Some(UnitOutlook {
+            n_tasks: ask.n_tasks,
+            same_rack: ask.same_rack,
+            accelerators_each: ask.room.accelerators,
+            n_fitting,
+            n_with_room,
+            keeps_empty: ask.keeps_empty,
+            is_far_allowed: ask.far,
+        })
+    }
+
+    fn reason(
+        &self,
+        wait: &JobWait,
+        job: &job::JobRecord,
+        outlook: &UnitOutlook,
+        now: Duration,
+    ) -> WaitReason {
+        let waited = now.saturating_sub(wait.since);
+        if job.inherited && !self.is_settled(now) {
+            return self.takeover_reason(job, now);
+        }
+        let Some(unit) = wait.unit else { return open_order_reason(job, now) };
+        let reason =
+            |cause, belief: &str| WaitReason { cause, belief: belief.to_owned(), age: waited };
+        if self.is_held(unit, now) {
+            return reason(WaitCause::Loss, "a worker under it may live");
+        }
+        if self.awaits_record(unit) {
+            return reason(WaitCause::Record, "its start is not on record");
+        }
+        if outlook.has_room() {
+            return reason(WaitCause::Choice, "room is kept, or far");
+        }
+        reason(WaitCause::Room, "no worker that may be used has room")
+    }
+
+    fn takeover_reason(&self, job: &job::JobRecord, now: Duration) -> WaitReason {
+        let open = self.workers.iter().filter(|(_, it)| it.inherited && !it.fenced);
+        let open = open.map(|(id, _)| id.as_str()).collect::<Vec<_>>();
+        let named = open.iter().take(MOST_NAMED).copied().collect::<Vec<_>>().join(", ");
+        let settles_in = self.settles_at.saturating_sub(now);
+        let belief = format!(
+            "{} workers of an earlier scheduler have not answered, such as {named}; {} ms more",
+            open.len(),
+            settles_in.as_millis()
+        );
+        WaitReason { cause: WaitCause::Takeover, belief, age: now.saturating_sub(job.admitted_at) }
+    }
+
+    /// How many workers of an upstream are no place, why, and for how long at most none of them was heard.
+    fn barred(&self, upstream: &str, now: Duration) -> String {
+        let mut barred = BTreeMap::<place_bar::PlaceBar, (usize, Duration)>::new();
+        let of_upstream = self.workers.iter().filter(|(_, it)| it.listing.upstream == upstream);
+        for (id, worker) in of_upstream {
+            let Some(bar) = self.place_bar(id, worker, now) else { continue };
+            let (n_workers, age) = barred.entry(bar).or_default();
+            *n_workers += 1;
+            *age = (*age).max(now.saturating_sub(worker.answered_at));
+        }
+        let named = barred.iter().map(|(bar, (n_workers, age))| {
+            format!("{n_workers} {} (heard up to {} ms ago)", bar.name(), age.as_millis())
+        });
+        named.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// The order that has been open for longest.
+fn open_order_reason(job: &job::JobRecord, now: Duration) -> WaitReason {
+    let oldest = job.runs().min_by_key(|it| it.since);
+    let belief = oldest.map_or(String::new(), |it| {
+        format!("attempt {} on {}: {:?}", it.attempt, it.worker, it.phase)
+    });
+    let age = oldest.map_or(Duration::ZERO, |it| now.saturating_sub(it.since));
+    WaitReason { cause: WaitCause::OpenOrder, belief, age }
+}
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -1,5 +1,10 @@
 //! Work that waits although less than half of the pool is in use.
 
+use std::collections::BTreeSet;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
 use almondpass_graph::order;
 use almondpass_schema::model;
 
@@ -78,7 +83,7 @@
 
     fn n_in_use(&self) -> usize {
         let whole = self.running.iter().map(|it| support::index_of(&it.worker));
-        whole.collect::<std::collections::BTreeSet<_>>().len()
+        whole.collect::<BTreeSet<_>>().len()
     }
 }
 
@@ -141,3 +146,87 @@
     /// A job of which nothing runs waits for workers that are kept empty although most of the pool is empty.
     a_job_takes_workers_that_are_kept_empty: behind_urgent_work;
 }
+
+/// Lines written so far.
+#[derive(Clone, Default)]
+struct LogLines(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for LogLines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The lines that a play writes about waits, as `waited_ms`, with their cause.
+fn waits_told(play: impl FnOnce()) -> Vec<(u64, String)> {
+    let lines = LogLines::default();
+    let writer = lines.clone();
+    let log = tracing_subscriber::fmt().json().flatten_event(true);
+    let log = log.with_writer(move || writer.clone()).finish();
+    tracing::subscriber::with_default(log, play);
+    let written = lines.0.lock().unwrap().clone();
+    let lines = String::from_utf8(written).unwrap();
+    let lines = lines.lines().map(|it| serde_json::from_str::<serde_json::Value>(it).unwrap());
+    let waits = lines.filter(|it| it["message"] == "job waits");
+    waits
+        .map(|it| (it["waited_ms"].as_u64().unwrap(), it["cause"].as_str().unwrap().to_owned()))
+        .collect()
+}
+
+/// A pool after a takeover, one worker of which does not answer.
+fn unreached() -> support::PoolBench {
+    let settles_at = Duration::from_secs(1_040);
+    let mut bench = support::PoolBench::unanswered(4, settles_at);
+    for index in 0..4 {
+        let listing = support::listing(index);
+        let entry = model::RosterEntry {
+            worker: support::worker_id(index),
+            address: listing.address,
+            upstream: listing.upstream,
+        };
+        bench.core.inherit_worker(entry, 0);
+    }
+    bench.save();
+    bench.inherit(1, support::job(1, support::tasks(1)), None);
+    bench
+}
+
+fn pass_unreached(bench: &mut support::PoolBench, seconds: u64) {
+    for _ in 0..seconds * 10 {
+        bench.pass(100);
+        bench.core.set_wall(bench.now);
+        for worker in 0..3 {
+            bench.lists(worker, &[], &[]);
+        }
+        bench.turn_and_start();
+    }
+}
+
+/// A wait goes on without a line behind the first.
+#[test]
+fn a_wait_is_told_at_growing_intervals_with_its_cause() {
+    let told = waits_told(|| pass_unreached(&mut unreached(), 30));
+    let causes = told.iter().map(|(_, cause)| cause.as_str()).collect::<Vec<_>>();
+    assert_eq!(causes, ["takeover"; 3]);
+    let times = told.iter().map(|(waited_ms, _)| waited_ms / 1_000).collect::<Vec<_>>();
+    assert_eq!(times, [1, 5, 21]);
+}
+
+/// Nobody sees that a job is left standing although there is room.
+#[test]
+fn jobs_left_standing_beside_room_are_counted() {
+    let mut bench = unreached();
+    pass_unreached(&mut bench, 2);
+    assert_eq!(bench.core.take_wait_counts().n_left, 0);
+    pass_unreached(&mut bench, 10);
+    let counts = bench.core.take_wait_counts();
+    assert_eq!((counts.n_standing, counts.n_left, counts.n_newly_left), (1, 1, 1));
+    pass_unreached(&mut bench, 30);
+    let counts = bench.core.take_wait_counts();
+    assert_eq!((counts.n_left, counts.n_newly_left), (0, 0));
+}
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, losses};
+use almondpass_graph::{core, losses, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -61,6 +61,7 @@
         let began = Instant::now();
         if began >= metered_at + METER_INTERVAL {
             meter(&lead.core().summary());
+            meter_waits(&lead.core().take_wait_counts());
             metered_at = began;
         }
         turn(&state, &lead);
@@ -86,6 +87,15 @@
     }
 }
 
+fn meter_waits(counts: &waiting::WaitCounts) {
+    let figures =
+        [("standing_jobs", counts.n_standing), ("standing_jobs_beside_room", counts.n_left)];
+    for (of, figure) in figures {
+        metrics::gauge!("almondpass_pool_size", "of" => of).set(figure as f64);
+    }
+    metrics::counter!("almondpass_pool_jobs_left_standing_total").increment(counts.n_newly_left);
+}
+
 fn meter_finished(job: &core::FinishedJob) {
     let labels = [
         ("account", job.account.clone().unwrap_or_default()),
