Let nothing be kept from a job that stands still while less than half of its pool is in use

What callers saw, by the record: an accepted job of which nothing runs although a task of it could run. The class: a decision for scarce room that is taken although room isn't scarce.

Now a job of which nothing runs takes any room behind 2 s, while less than half of each resource of its upstream's workers is in use.

That the incident came about so is not shown: suspected.

--- a/crates/graph/src/ample_pool.rs
+++ b/crates/graph/src/ample_pool.rs
@@ -5,24 +5,46 @@
 use almondpass_schema::ids;
 
 use crate::core;
+use crate::room;
 
 impl core::PoolCore {
-    /// The upstreams of whose workers less than half is in use, by what is counted for their resources.
+    /// The upstreams of whose workers less than half is in use, of each resource.
     pub(crate) fn ample_upstreams(&self) -> BTreeSet<ids::UpstreamName> {
         let mut amounts = BTreeMap::<&ids::UpstreamName, PoolAmounts>::new();
         for worker in self.workers.values().filter(|it| it.listed) {
-            let amount = amounts.entry(&worker.listing.upstream).or_default();
-            amount.offered += worker.listing.capacity.weight();
-            amount.used += worker.in_use().weight();
+            amounts
+                .entry(&worker.listing.upstream)
+                .or_default()
+                .add(worker.listing.capacity, worker.in_use());
         }
-        let ample = amounts.into_iter().filter(|(_, it)| 2 * it.used < it.offered);
+        let ample = amounts.into_iter().filter(|(_, it)| it.is_ample());
         ample.map(|(upstream, _)| upstream.clone()).collect()
     }
 }
 
-/// Weights of what the workers of an upstream offer, and of what is in use there.
+/// What the workers of an upstream offer, and what is in use there, by resource: thousandths of a core,
+/// megabytes, accelerators.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolAmounts {
-    offered: u64,
-    used: u64,
+    offered: [u64; 3],
+    used: [u64; 3],
+}
+
+impl PoolAmounts {
+    fn add(&mut self, offered: room::Room, used: room::Room) {
+        for (sum, amount) in self.offered.iter_mut().zip(by_resource(offered)) {
+            *sum += amount;
+        }
+        for (sum, amount) in self.used.iter_mut().zip(by_resource(used)) {
+            *sum += amount;
+        }
+    }
+
+    fn is_ample(&self) -> bool {
+        self.used.iter().zip(self.offered).all(|(used, offered)| 2 * used < offered)
+    }
+}
+
+fn by_resource(room: room::Room) -> [u64; 3] {
+    [room.cpu_milli, room.memory_mb, room.accelerators].map(u64::from)
 }
--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -11,6 +11,10 @@
 use crate::task_key;
 use crate::trials;
 
+/// A job of which nothing runs waits this long at most for a better place, or for room that is kept for other
+/// work, while the pool is ample. The platform takes a job as lost that stands still for 3 s beside room.
+const STANDING_PATIENCE: Duration = Duration::from_secs(2);
+
 impl core::PoolCore {
     /// What a unit asks for.
     pub(crate) fn ask<'a>(
@@ -31,6 +35,7 @@
         let is_trial = tasks.iter().any(|it| it.suspicion.is_on_trial());
         let is_patient = waited < trials::APART_PATIENCE;
         let may_be_apart = is_trial && trials::may_be_apart(tasks, berths);
+        let takes_any = waited >= STANDING_PATIENCE && self.stands_beside_room(job);
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: upstream_number(&job.upstream, berths),
@@ -43,9 +48,13 @@
             present: present(step, berths),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
             // What may crash its worker takes an empty one, before it takes others with it.
-            keeps_empty: if is_trial { 0 } else { self.kept_empty(job, berths, waited) },
+            keeps_empty: if is_trial || takes_any {
+                0
+            } else {
+                self.kept_empty(job, berths, waited)
+            },
             far: false,
-            takes_reserved: waited >= self.slack(job),
+            takes_reserved: takes_any || waited >= self.slack(job),
             is_trial,
             is_apart: is_suspect && is_patient,
             may_be_apart,
@@ -55,10 +64,17 @@
         } else if may_be_apart && is_patient {
             ask = trials::apart_at_once(ask, tasks, berths);
         }
-        ask.far = waited >= self.near_patience(job) || !placing::could_be_near(berths, &ask);
+        ask.far =
+            takes_any || waited >= self.near_patience(job) || !placing::could_be_near(berths, &ask);
         Some(ask)
     }
 
+    /// Whether nothing of a job runs, and less than half of its pool is in use. What is kept there for other
+    /// work, or for a better place, is not scarce.
+    fn stands_beside_room(&self, job: &job::JobRecord) -> bool {
+        self.ample.contains(&job.upstream) && !job.runs().any(|it| it.phase.is_running())
+    }
+
     /// Workers that a unit of `job` leaves empty for more urgent work. A class right below the urgent
     /// one leaves half of what urgent work is likely to need: its tasks are large, are stopped for
     /// urgent work at a loss all the same, and are late when they wait. The classes below leave all
