Have one unit of a job that stands still take kept room, not all of them

Behind 2 s without a run, each unit of the job took kept room in the same turn, as none of those just started counted: a job of 25 tasks of a whole worker each took 25 of the workers kept for urgent work. It is enough that the job no longer stands still. Test: one task of 20 starts within 3 s; with the former condition 20 did (left: 20, right: 1).

--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -69,10 +69,11 @@
         Some(ask)
     }
 
-    /// Whether nothing of a job runs, and less than half of its pool is in use. What is kept there for other
-    /// work, or for a better place, is not scarce.
+    /// Whether nothing of a job was started, and less than half of its pool is in use. What is kept there for
+    /// other work, or for a better place, is not scarce. Once one of its units has started, the others wait like
+    /// those of any job.
     fn stands_beside_room(&self, job: &job::JobRecord) -> bool {
-        self.ample.contains(&job.upstream) && !job.runs().any(|it| it.phase.is_running())
+        self.ample.contains(&job.upstream) && job.runs().next().is_none()
     }
 
     /// Workers that a unit of `job` leaves empty for more urgent work. A class right below the urgent
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -126,6 +126,15 @@
     (play, support::job(2, support::whole_workers(1)))
 }
 
+/// A job takes all of the room that is kept for urgent work, once it has stood still.
+#[test]
+fn one_task_of_a_standing_job_takes_room_that_is_kept() {
+    let (mut play, _) = behind_urgent_work();
+    play.bench.admit(3, support::job(2, support::whole_workers(20)));
+    play.pass(STARTS_WITHIN_MS);
+    assert_eq!(play.running.iter().filter(|it| it.task.graph == 3).count(), 1);
+}
+
 macro_rules! waits {
     ($($(#[$doc:meta])* $name:ident: $situation:ident;)*) => {
         $($(#[$doc])* #[test]
