Settle a start that was refused at its worker's former address

What callers would see: an accepted job of which nothing runs, with the pool empty, until the tenure changes hands. The answer "another worker is here" ends what is on a worker only where the list still has it at that address. Where the list had moved it meanwhile, the worker was only marked as missed, and the run stayed `Ordered`: looks pass that phase over, and nothing else comes, since the answer was the one that there is.

Now such a start counts as unclear like one without an answer: a look, a stop and a look behind it settle it. Not taken back at once, since an earlier sending of the same start may have reached the worker before it moved.

The test failed before: `assertion left == right failed, left: [], right: [2]`, no second attempt within a second of looks that do not list the run. It holds now since every arm of `start_answered` leaves the phase `Ordered`, or ends the run or the tenure.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -39,15 +39,12 @@
             order::StartAnswer::Unknown => {
                 self.log_start(start, "no answer");
                 self.missed(&start.worker);
-                if let Some(run) = self.run_of(&start.worker, start.task, start.attempt)
-                    && run.phase == job::RunPhase::Ordered
-                {
-                    run.phase = job::RunPhase::Unclear { since: now };
-                    self.order_look(&start.worker);
-                }
+                self.start_unclear(start, now);
             }
             order::StartAnswer::Replaced => {
                 self.worker_replaced(&start.worker, &start.address, now);
+                // Where the worker has moved meanwhile, another sending of the start may have reached it.
+                self.start_unclear(start, now);
             }
         }
     }
@@ -98,6 +95,15 @@
         }
     }
 
+    /// Nobody knows whether a start takes effect.
+    fn start_unclear(&mut self, start: &order::StartOrder, now: Duration) {
+        let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
+        if run.phase == job::RunPhase::Ordered {
+            run.phase = job::RunPhase::Unclear { since: now };
+            self.order_look(&start.worker);
+        }
+    }
+
     /// Notes that a run has begun, where it does not wait for other members of its gang.
     pub(crate) fn note_begin(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get(&key.graph) else { return };
--- /dev/null
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -0,0 +1,44 @@
+//! Beliefs that keep a task or a worker out of use: each has an end, though what usually ends it never comes.
+
+use almondpass_graph::{order, worker};
+
+use crate::support;
+
+/// Time between two looks.
+const LOOK_MS: u64 = 100;
+
+/// Lets `millis` pass, in which the workers list nothing. Returns the starts that were ordered.
+fn pass_idle(
+    bench: &mut support::PoolBench,
+    millis: u64,
+    answers_stops: bool,
+) -> Vec<order::StartOrder> {
+    let mut started = Vec::new();
+    for _ in 0..millis / LOOK_MS {
+        bench.pass(LOOK_MS);
+        for worker in 0..bench.core.summary().n_workers {
+            bench.lists(worker, &[], &[]);
+        }
+        let orders = bench.turn();
+        for stop in support::stops(&orders) {
+            bench.core.stop_answered(&stop, answers_stops, bench.now);
+        }
+        started.extend(support::starts(&orders));
+        bench.save();
+    }
+    started
+}
+
+/// A start that another worker refused, where the one that was meant had been, keeps its task from running.
+#[test]
+fn a_start_refused_at_a_former_address_is_settled() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    let moved =
+        worker::WorkerListing { address: "127.0.0.1:9000".to_owned(), ..support::listing(0) };
+    bench.core.learn_worker(start.worker.clone(), moved, bench.now);
+    bench.core.start_answered(&start, order::StartAnswer::Replaced, bench.now);
+    let again = pass_idle(&mut bench, 1_000, true);
+    assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
+}
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! The core of a pool, driven by hand: what it orders, given what workers answer.
 
+mod beliefs;
 mod evacuations;
 mod failures;
 mod load;
