Settle a start without answer by its deadline where the worker answers no stops

What callers would see: a task that never began is kept from every other worker for as long as its worker answers looks and no stops, or refuses them. Each unanswered stop marked the worker as missed, the next answered look took that back and extended the lease, and so neither the stop's answer nor the lapse of the lease, the two ends of this belief, ever came.

A third end: the worker itself refuses a start behind its deadline. So a look of the life that the start was meant for whose clock is past that deadline, and which lists neither the run nor its end, shows that nothing runs and nothing will. The deadline and the life are kept with the run, and 0.1 s is left between what is listed and the clock. Runs that the worker has confirmed, and those that are still `Ordered`, are judged as before; a later life has another generation, so that its clock decides nothing.

--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -282,6 +282,7 @@
             worker: worker.clone(),
             attempt,
             phase: job::RunPhase::Ordered,
+            bound: Some(job::StartBound { generation: record.generation, deadline_ms }),
             is_confirmed: false,
             is_seen: false,
             is_far,
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -111,6 +111,8 @@
     pub attempt: u32,
     /// How far the orders for it are.
     pub phase: RunPhase,
+    /// What bounds its start, where this scheduler has ordered it.
+    pub bound: Option<StartBound>,
     /// Whether the worker has said that it has, or had, it.
     pub is_confirmed: bool,
     /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
@@ -130,6 +132,15 @@
     pub pace: pace::RunPace,
 }
 
+/// Until when a start may take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartBound {
+    /// The life of the worker that it was meant for, as the scheduler counts.
+    pub generation: u32,
+    /// On the clock of that life: the start is refused behind it.
+    pub deadline_ms: u64,
+}
+
 /// How far the orders for a run are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -155,6 +166,16 @@
 }
 
 impl RunPhase {
+    /// A short name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunPhase::Ordered => "ordered",
+            RunPhase::Running { .. } => "running",
+            RunPhase::Unclear { .. } => "unclear",
+            RunPhase::Stopping { .. } => "stopping",
+        }
+    }
+
     /// Whether a stop was asked for.
     pub fn is_stopping(self) -> bool {
         matches!(self, RunPhase::Stopping { .. })
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -29,6 +29,10 @@
 /// the looks stay within what a small instance can do: 100 a second take 8 ms of a core.
 const FEW_WORKERS: u32 = 100;
 
+/// A start counts as refused for its deadline this much behind it: what runs and what the clock shows may
+/// not be of quite the same moment.
+pub(crate) const LATE_SLACK: Duration = Duration::from_millis(100);
+
 /// Wait before a stop is sent again to a worker that lists the run still.
 const STRAY_AGAIN: Duration = Duration::from_millis(500);
 
@@ -119,12 +123,12 @@
         }
         let running = listed.running.iter().map(|it| (it.task, it.attempt));
         let running = running.collect::<BTreeMap<_, _>>();
-        let listed_at = ListedAt { clock: Duration::from_millis(listed.clock_ms), now };
+        let listed_at = ListedAt { clock: Duration::from_millis(listed.clock_ms), sent_at, now };
         for run in listed.running {
             self.take_running(worker, run, listed_at);
         }
         if listed.complete {
-            self.take_missing(worker, &running, sent_at, now);
+            self.take_missing(worker, &running, listed_at);
         }
         self.judge_pace(worker, now);
     }
@@ -178,7 +182,7 @@
     }
 
     fn update_run(&mut self, listed: order::ListedRun, at: ListedAt) {
-        let ListedAt { clock, now } = at;
+        let ListedAt { clock, now, .. } = at;
         let usual = self.class_pace(listed.task).or_else(|| self.sibling_pace(listed.task));
         let key = listed.task;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
@@ -211,7 +215,7 @@
 
     /// A run that an earlier scheduler has ordered goes on.
     fn adopt_run(&mut self, worker: &ids::WorkerId, listed: order::ListedRun, at: ListedAt) {
-        let ListedAt { clock, now } = at;
+        let ListedAt { clock, now, .. } = at;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         job.started = true;
         job.state = almondpass_schema::model::GraphState::Running;
@@ -226,6 +230,7 @@
             worker: worker.clone(),
             attempt: listed.attempt,
             phase: job::RunPhase::Running { confirmed_at: now },
+            bound: None,
             is_confirmed: true,
             is_seen: true,
             is_far: false,
@@ -277,23 +282,21 @@
         &mut self,
         worker: &ids::WorkerId,
         running: &BTreeMap<task_key::TaskKey, u32>,
-        sent_at: Duration,
-        now: Duration,
+        at: ListedAt,
     ) {
         let Some(record) = self.workers.get_mut(worker) else { return };
         record.strays.retain(|key, _| running.contains_key(key));
         let missing = record.runs.iter().filter(|it| !running.contains_key(it));
         for key in missing.copied().collect::<Vec<_>>() {
-            self.take_missing_run(key, sent_at, now);
+            self.take_missing_run(key, at);
         }
     }
 
-    fn take_missing_run(&mut self, key: task_key::TaskKey, sent_at: Duration, now: Duration) {
+    fn take_missing_run(&mut self, key: task_key::TaskKey, at: ListedAt) {
+        let ListedAt { sent_at, now, .. } = at;
         let Some(job) = self.jobs.get(&key.graph) else { return };
         let Some(run) = job.task(key).and_then(|it| it.run.as_ref()) else { return };
         match run.phase {
-            // It has not come yet and may come later: a stop makes the worker refuse it then.
-            job::RunPhase::Unclear { since } if sent_at > since => self.stop_run(key, now),
             job::RunPhase::Stopping { acked_at: Some(acked_at), .. } if sent_at > acked_at => {
                 self.vacate(key, now);
             }
@@ -311,9 +314,34 @@
                 );
                 self.vacate(key, now);
             }
+            // Its answer is still to come.
+            job::RunPhase::Ordered | job::RunPhase::Running { .. } => {}
+            _ if self.is_start_over(run, at) => {
+                tracing::info!(
+                    job = format_args!("{:016x}", key.graph),
+                    task = %key,
+                    attempt = run.attempt,
+                    worker = run.worker,
+                    belief = run.phase.name(),
+                    "start has not taken effect by its deadline"
+                );
+                self.vacate(key, now);
+            }
+            // It has not come yet and may come later: a stop makes the worker refuse it then.
+            job::RunPhase::Unclear { since } if sent_at > since => self.stop_run(key, now),
             _ => {}
         }
     }
+
+    /// Whether a run that is not listed can't begin any more: the life that it was meant for is behind its
+    /// deadline. Without it a worker that answers no stop would keep the task for as long as it does so.
+    fn is_start_over(&self, run: &job::TaskRun, at: ListedAt) -> bool {
+        let (Some(bound), Some(record)) = (run.bound, self.workers.get(&run.worker)) else {
+            return false;
+        };
+        let over_at = Duration::from_millis(bound.deadline_ms).saturating_add(LATE_SLACK);
+        bound.generation == record.generation && at.clock > over_at
+    }
 }
 
 /// When a worker listed something.
@@ -321,6 +349,8 @@
 struct ListedAt {
     /// By the worker's clock.
     clock: Duration,
+    /// When the look was sent, by ours.
+    sent_at: Duration,
     /// When it was taken in, by ours.
     now: Duration,
 }
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -42,3 +42,16 @@
     let again = pass_idle(&mut bench, 1_000, true);
     assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
 }
+
+/// A worker that answers looks and no stops keeps a task that it never got for as long as it does so.
+#[test]
+fn a_start_without_answer_is_over_behind_its_deadline() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
+    let early = pass_idle(&mut bench, 2_500, false);
+    assert_eq!(early, []);
+    let late = pass_idle(&mut bench, 1_000, false);
+    assert_eq!(late.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
+}
