Find starts that nothing settles, tell of them and have them settled

What callers would see: a task whose start's answer was lost inside the holder counts as `Ordered` for the rest of the tenure, and starts nowhere. Only the answer ended that phase; looks pass it over, since the answer may still be on its way.

A start is answered, withheld or refused by its deadline, so that one that is unsettled 0.2 s behind its term, on the slowest clock, is overdue. When time is taken note of, each such start is told of once, at WARN with its job, the belief, its age and whether its worker answers, and counted by belief in `almondpass_pool_overdue_starts_total`. An `Ordered` one counts as unclear from then on, and its worker is looked at: its task starts elsewhere only once that look, or a stop and a look, settle it.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -52,6 +52,8 @@
     pub(crate) n_restarts: u64,
     /// How many workers are lost anyhow.
     pub(crate) loss_history: loss_history::LossHistory,
+    /// What was believed of the starts that were found overdue since they were last asked for.
+    pub(crate) overdue: Vec<job::RunPhase>,
     /// Figures of losses since they were last asked for.
     pub(crate) loss_counts: losses::LossCounts,
     /// Until when all changes of the list of workers are taken in.
@@ -97,6 +99,7 @@
             newest_generation: 0,
             n_restarts: 0,
             loss_history: loss_history::LossHistory::default(),
+            overdue: Vec::new(),
             loss_counts: losses::LossCounts::default(),
             list_read_at: Duration::ZERO,
             kept_up_at: Duration::ZERO,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -284,6 +284,7 @@
             phase: job::RunPhase::Ordered,
             bound: Some(job::StartBound { generation: record.generation, deadline_ms }),
             is_confirmed: false,
+            is_overdue: false,
             is_seen: false,
             is_far,
             is_whole: task.checkpoint.is_none(),
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -115,6 +115,8 @@
     pub bound: Option<StartBound>,
     /// Whether the worker has said that it has, or had, it.
     pub is_confirmed: bool,
+    /// Whether it was told of as unsettled for too long.
+    pub is_overdue: bool,
     /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
     /// by another clock.
     pub is_seen: bool,
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -41,6 +41,7 @@
 mod ends;
 mod hanging;
 mod listing;
+mod overdue;
 mod restarts;
 mod slowness;
 mod trials;
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -232,6 +232,7 @@
             phase: job::RunPhase::Running { confirmed_at: now },
             bound: None,
             is_confirmed: true,
+            is_overdue: false,
             is_seen: true,
             is_far: false,
             is_whole: false,
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -33,6 +33,7 @@
         }
         self.kept_up_at = now;
         self.drop_lapsed(now);
+        self.settle_overdue(now);
         self.repeat_stops(now);
         self.stop_hanging(now);
         self.move_off_slow(now);
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -4,6 +4,9 @@
 
 use crate::support;
 
+/// A job waits for at most this long although there is room for it.
+const PATIENCE_MS: u64 = 3_000;
+
 /// Time between two looks.
 const LOOK_MS: u64 = 100;
 
@@ -29,6 +32,16 @@
     started
 }
 
+/// A start that is lost inside the scheduler keeps its task from running without end.
+#[test]
+fn a_start_that_is_never_answered_is_settled() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    assert_eq!(support::starts(&bench.turn()).len(), 1);
+    let again = pass_idle(&mut bench, PATIENCE_MS, true);
+    assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
+}
+
 /// A start that another worker refused, where the one that was meant had been, keeps its task from running.
 #[test]
 fn a_start_refused_at_a_former_address_is_settled() {
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, losses};
+use almondpass_graph::{core, job, losses};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -102,6 +102,13 @@
     metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
 }
 
+fn meter_overdue(beliefs: &[job::RunPhase]) {
+    for belief in beliefs {
+        metrics::counter!("almondpass_pool_overdue_starts_total", "belief" => belief.name())
+            .increment(1);
+    }
+}
+
 fn turn<S: state::PoolSite>(state: &state::PoolState<S>, lead: &lead::LeadState) {
     if !lead.may_order(state.site.clock()) {
         return;
@@ -113,6 +120,7 @@
     core.take_finished().iter().for_each(meter_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     meter_losses(&core.take_loss_counts());
+    meter_overdue(&core.take_overdue());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_changes());
     drop(core);
     if is_fenced_off {
