Begin a session with a worker anew that has failed, and hold no order back in silence

What callers would see: a job of which nothing runs, or a task that never ends, on a worker that is well. The looks and the orders of a worker were two tasks whose results nobody read. Where one of them panicked, its channel stayed in the map: tasks went on being started on that worker, and their orders vanished; or the worker was never looked at again, so that its lease lapsed while nothing took note of it. `send_order` dropped an order without a channel without a word.

Starts that were under way to its worker count as unclear, since nobody knows which of them left, and the worker gets new tasks once it has answered a look. A start that finds no channel is withheld like one that leaves too late: it certainly had no effect.

The stand-in's new fault panics in the caller of a call.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -95,6 +95,18 @@
         }
     }
 
+    /// Whatever was under way to a worker, or waited for it, may have left or not.
+    pub fn session_failed(&mut self, worker: &ids::WorkerId, now: Duration) {
+        let runs = self.workers.get(worker).map(|it| it.runs.clone()).unwrap_or_default();
+        for key in runs {
+            let Some(run) = self.task_of(key).and_then(|it| it.run.as_mut()) else { continue };
+            if run.phase == job::RunPhase::Ordered {
+                run.phase = job::RunPhase::Unclear { since: now };
+            }
+        }
+        self.missed(worker);
+    }
+
     /// Nobody knows whether a start takes effect.
     fn start_unclear(&mut self, start: &order::StartOrder, now: Duration) {
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -14,9 +14,7 @@
 use crate::graph_follower;
 use crate::hand_over;
 use crate::lead_loader;
-use crate::order_sender;
 use crate::retention;
-use crate::session;
 use crate::settings;
 use crate::standing;
 use crate::state;
@@ -102,21 +100,23 @@
         self.over.cancel();
     }
 
-    /// Hands an order to the sender of its worker.
-    pub(crate) fn send_order(&self, order: order::PoolOrder) {
+    /// Hands an order to the sender of its worker. Returns it where there is none.
+    pub(crate) fn send_order(&self, order: order::PoolOrder) -> Option<order::PoolOrder> {
         let worker = match &order {
             order::PoolOrder::Start(it) => &it.worker,
             order::PoolOrder::Stop(it) => &it.worker,
             order::PoolOrder::Look { worker } => worker,
         };
-        // Without a sender the worker is gone, and with it what was ordered there.
-        if let Some(sender) = state::lock(&self.senders).get(worker) {
-            let _ = sender.send(order);
-        }
+        let senders = state::lock(&self.senders);
+        let Some(sender) = senders.get(worker) else { return Some(order) };
+        sender.send(order).err().map(|it| it.0)
     }
 
-    pub(crate) fn has_sender(&self, worker: &ids::WorkerId) -> bool {
-        state::lock(&self.senders).contains_key(worker)
+    /// The workers to which nothing can be sent yet.
+    pub(crate) fn without_sender(&self) -> Vec<ids::WorkerId> {
+        let core = self.core();
+        let senders = state::lock(&self.senders);
+        core.worker_ids().filter(|it| !senders.contains_key(*it)).cloned().collect()
     }
 
     pub(crate) fn add_sender(
@@ -181,24 +181,3 @@
         retention::run(Arc::clone(&state), Arc::clone(&lead)),
     );
 }
-
-/// Keeps a session with each worker that the core knows.
-pub(crate) fn keep_sessions<S: state::PoolSite>(
-    state: &Arc<state::PoolState<S>>,
-    lead: &Arc<LeadState>,
-    sessions: &mut JoinSet<()>,
-) {
-    let fresh = {
-        let core = lead.core();
-        let fresh = core.worker_ids().filter(|it| !lead.has_sender(it));
-        fresh.cloned().collect::<Vec<_>>()
-    };
-    for worker in fresh {
-        let (sender, orders) = mpsc::unbounded_channel();
-        lead.add_sender(&worker, sender);
-        let sending = order_sender::run(Arc::clone(state), Arc::clone(lead), orders);
-        sessions.spawn(sending);
-        sessions.spawn(session::run(Arc::clone(state), Arc::clone(lead), worker));
-    }
-    while sessions.try_join_next().is_some() {}
-}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -28,6 +28,7 @@
 mod retention;
 mod seat;
 mod session;
+mod sessions;
 mod turner;
 mod worker_follower;
 mod writer;
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -75,7 +75,7 @@
 }
 
 /// A start that does not leave has no effect; anything else is decided again.
-fn withhold<S: state::PoolSite>(
+pub(crate) fn withhold<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     order: &order::PoolOrder,
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -5,10 +5,11 @@
 
 use almondpass_graph::{core, job, losses};
 use almondpass_ports::boot_clock::BootClock;
-use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
 use crate::lead;
+use crate::order_sender;
+use crate::sessions;
 use crate::state;
 
 /// A turn at least this often while anything runs or waits: the core's own time limits are a few
@@ -41,12 +42,12 @@
     state: Arc<state::PoolState<S>>,
     lead: Arc<lead::LeadState>,
 ) {
-    let mut sessions = JoinSet::new();
+    let mut sessions = sessions::WorkerSessions::default();
     let mut versions = state.document.subscribe();
     let mut evacuations = state.evacuations.subscribe();
     let mut metered_at = Instant::now();
     loop {
-        lead::keep_sessions(&state, &lead, &mut sessions);
+        sessions.keep(&state, &lead);
         let tick = if lead.core().is_busy() { BUSY_TICK } else { IDLE_TICK };
         tokio::select! {
             () = lead.turn_due.notified() => time::sleep(GATHERING).await,
@@ -129,7 +130,9 @@
         return;
     }
     for order in orders {
-        lead.send_order(order);
+        if let Some(unsent) = lead.send_order(order) {
+            order_sender::withhold(state, lead, &unsent);
+        }
     }
     if has_changes {
         lead.save_due.notify_one();
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -8,6 +8,7 @@
 mod restarts;
 mod rooms;
 mod rows;
+mod sessions;
 mod storms;
 mod strengths;
 mod support;
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -53,6 +53,8 @@
     DelayedEffect(Duration),
     /// The call takes this long, with its effect half-way.
     Slow(Duration),
+    /// The caller's own program fails: it panics before any effect.
+    CallerPanics,
 }
 
 /// How often each fault strikes a call, from 0 to 1.
@@ -253,6 +255,7 @@
             time::sleep(SILENCE).await;
             Err(no_answer())
         }
+        Fault::CallerPanics => fail_caller(),
         Fault::AnswerLost => {
             effect();
             Err(no_answer())
@@ -276,6 +279,11 @@
     }
 }
 
+/// Ends the task of the caller, as a fault of its program would.
+pub(crate) fn fail_caller() -> ! {
+    panic!("a caller that panics, as its test has asked for")
+}
+
 fn no_answer() -> error::CallFault {
     error::CallFault::NoAnswer("a broken connection".to_owned())
 }
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -230,6 +230,7 @@
             time::sleep(fault::SILENCE).await;
             Err(no_answer())
         }
+        fault::Fault::CallerPanics => fault::fail_caller(),
         fault::Fault::AnswerLost => {
             let _ = serve.await;
             Err(no_answer())
