Let a task go back after a while to the only worker that has what it needs

What callers would see: a job of which nothing runs, on an empty worker. A task avoids the worker on which it failed last, without an end: where no other has its label, its rack or its room, because there is none or the others pause, leave or are full, it never starts again and never fails either.

The test failed before: `assertion left == right failed, left: [], right: [2]`, no second attempt within 3 s on the only worker.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -1,11 +1,12 @@
 //! The state of a pool under one tenure.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
 
+use crate::avoidance;
 use crate::catalog;
 use crate::headroom;
 use crate::job;
@@ -52,6 +53,8 @@
     pub(crate) n_restarts: u64,
     /// How many workers are lost anyhow.
     pub(crate) loss_history: loss_history::LossHistory,
+    /// When tasks no longer avoid the workers on which they failed, by time.
+    pub(crate) avoidance_ends: VecDeque<avoidance::AvoidanceEnd>,
     /// What was believed of the starts that were found overdue since they were last asked for.
     pub(crate) overdue: Vec<job::RunPhase>,
     /// Figures of losses since they were last asked for.
@@ -99,6 +102,7 @@
             newest_generation: 0,
             n_restarts: 0,
             loss_history: loss_history::LossHistory::default(),
+            avoidance_ends: VecDeque::new(),
             overdue: Vec::new(),
             loss_counts: losses::LossCounts::default(),
             list_read_at: Duration::ZERO,
--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -123,12 +123,13 @@
         if task.done {
             return None;
         }
-        task.avoids = Some(worker.clone());
         let failures = if is_gang { &mut step.gang_failures } else { &mut task.failures };
-        if !failures.count_attempt(attempt) {
+        let is_new = failures.count_attempt(attempt);
+        let is_last = failures.count() >= most;
+        self.keep_off(key, worker, now);
+        if !is_new {
             return None;
         }
-        let is_last = failures.count() >= most;
         self.spread_checkpoint(key);
         let job = self.jobs.get_mut(&key.graph)?;
         if is_last && !job.has_ended() {
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -82,6 +82,8 @@
     pub n_hangs: u32,
     /// Worker on which it failed last, which it avoids.
     pub avoids: Option<ids::WorkerId>,
+    /// Until when it does.
+    pub avoids_until: Duration,
     /// Since when it waits.
     pub waits_since: Duration,
     /// What speaks for it that it crashes the workers that start it.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -36,6 +36,7 @@
 
 mod answers;
 mod asking;
+mod avoidance;
 mod clearing;
 mod dispatch;
 mod ends;
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -32,6 +32,7 @@
             return;
         }
         self.kept_up_at = now;
+        self.end_avoidances(now);
         self.drop_lapsed(now);
         self.settle_overdue(now);
         self.repeat_stops(now);
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -68,3 +68,14 @@
     let late = pass_idle(&mut bench, 1_000, false);
     assert_eq!(late.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
 }
+
+/// A task that failed on the only worker that has what it needs never started again.
+#[test]
+fn a_task_starts_again_where_it_failed_if_there_is_no_other_place() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.turn_and_start().remove(0);
+    bench.lists(0, &[], &[support::ended(1, &start, order::EndKind::Failed)]);
+    let again = pass_idle(&mut bench, PATIENCE_MS, true);
+    assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
+}
