--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -83,6 +83,8 @@
     pub n_hangs: u32,
     /// Worker on which it failed last, which it avoids.
     pub avoids: Option<ids::WorkerId>,
+    /// Until when it does.
+    pub avoids_until: Duration,
     /// Since when it waits.
     pub waits_since: Duration,
     /// What speaks for it that it crashes the workers that start it.
@@ -112,8 +114,12 @@
     pub attempt: u32,
     /// How far the orders for it are.
     pub phase: RunPhase,
+    /// What bounds its start, where this scheduler has ordered it.
+    pub bound: Option<StartBound>,
     /// Whether the worker has said that it has, or had, it.
     pub is_confirmed: bool,
+    /// Whether it was told of as unsettled for too long.
+    pub is_overdue: bool,
     /// Whether the known life of the worker has said so. Else a later one may have it, under a lease
     /// by another clock.
     pub is_seen: bool,
@@ -131,6 +137,15 @@
     pub pace: pace::RunPace,
 }
 
+/// Until when a start may take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartBound {
+    /// The life of the worker that it was meant for, as the scheduler counts.
+    pub generation: u32,
+    /// On the clock of that life: the start is refused behind it.
+    pub deadline_ms: u64,
+}
+
 /// How far the orders for a run are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -161,6 +176,16 @@
         matches!(self, RunPhase::Running { .. })
     }
 
+    /// A short name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunPhase::Ordered => "ordered",
+            RunPhase::Running { .. } => "running",
+            RunPhase::Unclear { .. } => "unclear",
+            RunPhase::Stopping { .. } => "stopping",
+        }
+    }
+
     /// Whether a stop was asked for.
     pub fn is_stopping(self) -> bool {
         matches!(self, RunPhase::Stopping { .. })
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -32,7 +32,9 @@
             return;
         }
         self.kept_up_at = now;
+        self.end_avoidances(now);
         self.drop_lapsed(now);
+        self.settle_overdue(now);
         self.repeat_stops(now);
         self.stop_hanging(now);
         self.move_off_slow(now);
--- a/crates/pool/src/turner.rs
+++ b/crates/pool/src/turner.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, losses, waiting};
+use almondpass_graph::{core, job, losses, waiting};
 use almondpass_ports::boot_clock::BootClock;
-use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
 use crate::lead;
+use crate::order_sender;
+use crate::sessions;
 use crate::state;
 
 /// A turn at least this often while anything runs or waits: the core's own time limits are a few
@@ -41,12 +42,12 @@
     state: Arc<state::PoolState<S>>,
     lead: Arc<lead::LeadState>,
 ) {
-    let mut sessions = JoinSet::new();
+    let mut sessions = sessions::WorkerSessions::default();
     let mut versions = state.document.subscribe();
     let mut evacuations = state.evacuations.subscribe();
     let mut metered_at = Instant::now();
     loop {
-        lead::keep_sessions(&state, &lead, &mut sessions);
+        sessions.keep(&state, &lead);
         let tick = if lead.core().is_busy() { BUSY_TICK } else { IDLE_TICK };
         tokio::select! {
             () = lead.turn_due.notified() => time::sleep(GATHERING).await,
@@ -112,6 +113,13 @@
     metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
 }
 
+fn meter_overdue(beliefs: &[job::RunPhase]) {
+    for belief in beliefs {
+        metrics::counter!("almondpass_pool_overdue_starts_total", "belief" => belief.name())
+            .increment(1);
+    }
+}
+
 fn turn<S: state::PoolSite>(state: &state::PoolState<S>, lead: &lead::LeadState) {
     if !lead.may_order(state.site.clock()) {
         return;
@@ -123,6 +131,7 @@
     core.take_finished().iter().for_each(meter_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     meter_losses(&core.take_loss_counts());
+    meter_overdue(&core.take_overdue());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_changes());
     drop(core);
     if is_fenced_off {
@@ -131,7 +140,9 @@
         return;
     }
     for order in orders {
-        lead.send_order(order);
+        if let Some(unsent) = lead.send_order(order) {
+            order_sender::withhold(state, lead, &unsent);
+        }
     }
     if has_changes {
         lead.save_due.notify_one();
