Distrust a peer's connections when a caller gives an answer up

Where all open connections to the store, a peer or a worker go silent at once, callers saw one timeout for each connection that was pooled: with four of them, the feed of accepted jobs could stand still for four times 2.5 s, the writer of the tenure for four times 0.9 s, and a submission used up its 0.65 s again and again.

The HTTP client forgets all connections to a peer once a deadline is missed, but the deadline has to pass inside the client. The store's calls have an outer timeout of the same length that is armed a little earlier (feed, write, read of a row) or a shorter one (a submission's own patience), so that the exchange is dropped before its own deadline passes and nothing is learned. An exchange that is dropped while its answer has been awaited for 200 ms or more now counts as a missed deadline. A shorter wait tells nothing about the peer and costs no connection.

The test serves three connections, lets them go silent, gives one call up by a timeout of the caller, and expects the next call to be answered on a fresh connection. Before, it failed: left: Err(Elapsed(())), right: Ok(Ok(Ack)).

Ruled out: that the connections in use at that moment are given back later; their generation is outdated.

--- a/crates/peer/src/http_client.rs
+++ b/crates/peer/src/http_client.rs
@@ -56,6 +56,9 @@
     pub body: Bytes,
 }
 
+/// An answer that is given up sooner than this tells nothing about the peer.
+const TELLING_SILENCE: Duration = Duration::from_millis(200);
+
 /// Sends requests over pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -143,7 +146,9 @@
         deadline: Duration,
         answer: impl Future<Output = T>,
     ) -> Result<T, error::CallFault> {
+        let mut pending = PendingAnswer::new(&self.pool, peer);
         let answer = time::timeout_at(expires, answer).await;
+        pending.is_over = true;
         answer.map_err(|_| {
             self.pool.distrust(peer);
             error::CallFault::TimedOut(deadline)
@@ -157,6 +162,29 @@
     }
 }
 
+/// An answer that is awaited. A caller whose own timeout comes first drops the exchange, and the
+/// deadline that would have told of a silent peer never passes.
+struct PendingAnswer<'a> {
+    pool: &'a pool::ConnectionPool,
+    peer: &'a ids::PeerAddress,
+    since: Instant,
+    is_over: bool,
+}
+
+impl<'a> PendingAnswer<'a> {
+    fn new(pool: &'a pool::ConnectionPool, peer: &'a ids::PeerAddress) -> PendingAnswer<'a> {
+        PendingAnswer { pool, peer, since: Instant::now(), is_over: false }
+    }
+}
+
+impl Drop for PendingAnswer<'_> {
+    fn drop(&mut self) {
+        if !self.is_over && self.since.elapsed() >= TELLING_SILENCE {
+            self.pool.distrust(self.peer);
+        }
+    }
+}
+
 async fn connect(
     peer: &ids::PeerAddress,
     side: &'static str,
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls over sockets: what reaches the peer, and what the caller learns of it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use almondpass_peer::call::PeerCall;
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, oneshot};
+use tokio::time;
 
 const KEY: &str = "shared by all instances";
 
@@ -243,6 +244,40 @@
     }
 }
 
+/// Serves calls on every connection until the first `n_old` go silent for good.
+async fn serve_until_silent(listener: TcpListener, n_old: usize, silent: Arc<AtomicBool>) {
+    for nth in 0.. {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let silent = Arc::clone(&silent);
+        tokio::spawn(async move {
+            while stream.read(&mut [0; 1024]).await.is_ok_and(|it| it > 0) {
+                if nth < n_old && silent.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n\x80";
+                stream.write_all(answer).await.unwrap();
+            }
+        });
+    }
+}
+
+/// Guards against silent connections that cost one timeout each where the caller's own timeout comes before
+/// the deadline of the call.
+#[tokio::test]
+async fn call_given_up_by_its_caller_discards_the_peers_connections() {
+    let (listener, address) = listen().await;
+    let silent = Arc::new(AtomicBool::new(false));
+    tokio::spawn(serve_until_silent(listener, 3, Arc::clone(&silent)));
+    let client = client_with(KEY);
+    let call = || client.call(&address, hand_over("vadodara"), PATIENT);
+    let pooled = tokio::join!(call(), call(), call());
+    assert_eq!(pooled, (Ok(model::Ack {}), Ok(model::Ack {}), Ok(model::Ack {})));
+    silent.store(true, Ordering::SeqCst);
+    assert!(time::timeout(IMPATIENT, call()).await.is_err());
+    let next = time::timeout(IMPATIENT, call()).await;
+    assert_eq!(next, Ok(Ok(model::Ack {})));
+}
+
 /// Symptom: the first call after a peer's restart fails though the peer is up. Sequence: a call
 /// pools its connection, the peer closes it, the next call takes it from the pool. Cause: a
 /// connection that is closed already carries nothing.
