Repeat nudges until the holder knows of the job

A job that was accepted could wait for the feed of the holder alone. The instance that stored it told the holder once, with a timeout of 0.5 s, did not look at the reply, and told nobody at all where its write met its own row (an answer of the store was lost, or a caller came again) or where its cancelling had been written before. The holder took a nudge only while firm, and answered the same whether it had or not; an instance that holds nothing answered it too. So a reset connection, a takeover under way or a holder that is stale cost the nudge, and callers saw a pending job, or a cancelled one that ran on, for as long as the feed stood still.

The reply of a nudge now says whether the holder knows of the row. A write that meets its own row, and a cancelling that is there already, are nudged as well. What is known by a holder that was firm then stays known by its successors: they read all rows written before their tenure.

Releases side by side: an answer of the former one has no member `known` and counts as taken, as before. The former one can't read the new answer, but did not look at it either: the nudge has had its effect by then.

The tests stop the feeds of the holder and lose the nudge, or the answer to the write.

Not the cause of what was seen as far as the record goes: suspected only.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -161,6 +161,11 @@
         Some(ShownJob { state, account: job.account.as_deref(), failure })
     }
 
+    /// Whether a job is known, and its cancelling if it was `cancelled`.
+    pub fn knows(&self, graph: ids::GraphId, cancelled: bool) -> bool {
+        self.jobs.get(&graph).is_some_and(|it| !cancelled || it.has_ended())
+    }
+
     /// Jobs of a class of which no task has started.
     pub fn backlog(&self, class: &str) -> u64 {
         let waiting = self.active_jobs().filter(|(_, it)| it.class == class && !it.started);
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -79,7 +79,7 @@
     "/v1/peer/config" ConfigFetch => ConfigFetched;
     "/v1/peer/hand-over" HandOver => Ack;
     "/v1/peer/document" DocumentPull => DocumentPulled;
-    "/v1/pool/nudge" GraphNudge => Ack;
+    "/v1/pool/nudge" GraphNudge => NudgeTaken;
     "/v1/pool/graph" GraphQuery => GraphAnswer;
     "/v1/pool/submit" GraphSubmit => GraphSubmitted;
     "/v1/pool/cancel" GraphCancel => GraphCancelled;
--- a/crates/pool/src/cancel.rs
+++ b/crates/pool/src/cancel.rs
@@ -9,9 +9,9 @@
 
 use crate::detour;
 use crate::entry;
+use crate::nudge;
 use crate::state;
 use crate::store_call;
-use crate::submit;
 use crate::writer;
 
 /// Wait before the row is read and written again.
@@ -68,6 +68,8 @@
         return Some(model::CancelOutcome::Absent);
     };
     if row.cancelled {
+        // Cancelled before, by an earlier call or by a write of this one whose answer was lost.
+        nudge::tell(state, model::GraphNudge { graph, version, row });
         return Some(model::CancelOutcome::Cancelled);
     }
     row.cancelled = true;
@@ -80,6 +82,6 @@
         return None;
     };
     let version = versions.first().copied().unwrap_or_default();
-    submit::nudge(state, model::GraphNudge { graph, version, row });
+    nudge::tell(state, model::GraphNudge { graph, version, row });
     Some(model::CancelOutcome::Cancelled)
 }
--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -58,17 +58,23 @@
     rows.is_empty() || admit(state, lead, admitted)
 }
 
-/// Takes the row that an instance has just written. Where it can't be taken, the feed brings it.
+/// Takes the row that an instance has just written. Tells whether it is known from then on; where it
+/// can't be taken, the feed or another nudge brings it.
 pub(crate) fn take_nudge<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
-    nudge: model::GraphNudge,
-) {
-    let inherited = nudge.version < lead.taken_at;
-    let model::GraphNudge { graph, row, .. } = nudge;
-    let progress = progress::SavedChunks::default();
-    let admitted = intake::AdmittedJob { graph, row, progress, inherited };
-    admit(state, lead, std::iter::once(admitted));
+    nudge: &model::GraphNudge,
+) -> bool {
+    if lead.core().knows(nudge.graph, nudge.row.cancelled) {
+        return true;
+    }
+    let admitted = intake::AdmittedJob {
+        graph: nudge.graph,
+        row: nudge.row.clone(),
+        progress: progress::SavedChunks::default(),
+        inherited: nudge.version < lead.taken_at,
+    };
+    admit(state, lead, std::iter::once(admitted))
 }
 
 /// Takes job graphs into the core. A holder that isn't firm takes none: another may have taken
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -39,11 +39,10 @@
         model::DocumentPulled { document, evacuations: self.state.evacuations.view() }
     }
 
-    fn nudge(&self, nudge: model::GraphNudge) -> model::Ack {
-        if let Some(lead) = self.state.lead() {
-            graph_follower::take_nudge(&self.state, &lead, nudge);
-        }
-        model::Ack {}
+    fn nudge(&self, nudge: &model::GraphNudge) -> model::NudgeTaken {
+        let lead = self.state.lead();
+        let known = lead.is_some_and(|it| graph_follower::take_nudge(&self.state, &it, nudge));
+        model::NudgeTaken { known: Some(known) }
     }
 
     fn graph(&self, query: &model::GraphQuery) -> model::GraphAnswer {
@@ -83,7 +82,7 @@
             model::DocumentPull::PATH => {
                 dispatch::answer(&body, async |it| self.document(&it)).await
             }
-            model::GraphNudge::PATH => dispatch::answer(&body, async |it| self.nudge(it)).await,
+            model::GraphNudge::PATH => dispatch::answer(&body, async |it| self.nudge(&it)).await,
             model::GraphQuery::PATH => dispatch::answer(&body, async |it| self.graph(&it)).await,
             model::GraphSubmit::PATH => {
                 dispatch::answer(&body, async |it| self.submit(it).await).await
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -15,6 +15,7 @@
 use crate::evacuation;
 use crate::hand_over;
 use crate::lead;
+use crate::nudge;
 use crate::settings;
 use crate::worker_entry;
 
@@ -64,6 +65,8 @@
     store_away: AtomicBool,
     /// Whether calls by way of peers are worth a try.
     detours: Mutex<detour::DetourState>,
+    /// Nudges that the holder has not acknowledged yet.
+    nudges: Mutex<nudge::PendingNudges>,
     /// Instances that were found, this one included.
     members: Mutex<Vec<model::InstanceRow>>,
     /// Stronger instances to which this one has offered the tenure.
@@ -94,6 +97,7 @@
             lead: Mutex::default(),
             store_away: AtomicBool::new(false),
             detours: Mutex::default(),
+            nudges: Mutex::default(),
             members: Mutex::default(),
             offered: Mutex::default(),
             faulty_entries: Mutex::default(),
@@ -148,6 +152,10 @@
         lock(&self.detours)
     }
 
+    pub(crate) fn nudges(&self) -> MutexGuard<'_, nudge::PendingNudges> {
+        lock(&self.nudges)
+    }
+
     pub(crate) fn offered(&self) -> MutexGuard<'_, hand_over::OfferedInstances> {
         lock(&self.offered)
     }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use almondpass_peer::codec;
-use almondpass_peer::link::PeerLink;
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
 use metrics::Label;
 use tokio::time::{self, Instant};
 
 use crate::detour;
-use crate::graph_follower;
+use crate::nudge;
 use crate::state;
 use crate::store_call;
 use crate::writer;
@@ -27,9 +26,6 @@
 /// Wait before the row is written again.
 const WRITE_AGAIN: Duration = Duration::from_millis(80);
 
-/// For the scheduler to take a nudge; the feed brings the row all the same.
-const NUDGE_DEADLINE: Duration = Duration::from_millis(500);
-
 /// Stores a job graph under its id, unless it is stored already: by the own way to the store, or
 /// by that of a peer.
 pub async fn submit<S: state::PoolSite>(
@@ -97,12 +93,14 @@
         match written {
             Ok(model::TableOutcome::Committed { versions }) => {
                 let version = versions.first().copied().unwrap_or_default();
-                nudge(state, model::GraphNudge { graph, version, row: row.clone() });
+                nudge::tell(state, model::GraphNudge { graph, version, row: row.clone() });
                 return model::SubmitOutcome::Accepted;
             }
             // Stored before: by an earlier call of the caller, or by a write of this one whose
             // answer was lost.
-            Ok(model::TableOutcome::Conflict { rows }) => return judge(&rows, row),
+            Ok(model::TableOutcome::Conflict { rows }) => {
+                return settle(state, graph, &rows, row);
+            }
             Err(error) if error.fault.is_for_good() => {
                 tracing::error!(
                     job = format_args!("{graph:016x}"),
@@ -147,29 +145,20 @@
     if may_be_stored { model::SubmitOutcome::Unknown } else { outcome }
 }
 
-fn judge(rows: &[model::TableRow], wanted: &model::GraphRow) -> model::SubmitOutcome {
-    let stored = rows.iter().find_map(|it| it.value.as_ref());
-    let stored = stored.and_then(|it| codec::decode::<model::GraphRow>(it).ok());
-    match stored {
-        Some(stored) if stored.account == wanted.account => model::SubmitOutcome::Accepted,
-        Some(_) => model::SubmitOutcome::Taken,
-        None => model::SubmitOutcome::Unknown,
-    }
-}
-
-/// Tells the scheduler of a row, without waiting for it.
-pub(crate) fn nudge<S: state::PoolSite>(
+/// What the row tells that was found in place of `wanted`. The holder may not know of it yet.
+fn settle<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
-    nudge: model::GraphNudge,
-) {
-    if let Some(lead) = state.lead() {
-        return graph_follower::take_nudge(state, &lead, nudge);
+    graph: ids::GraphId,
+    rows: &[model::TableRow],
+    wanted: &model::GraphRow,
+) -> model::SubmitOutcome {
+    let found = rows.iter().find_map(|it| Some((it.version, it.value.as_ref()?)));
+    let stored = found.and_then(|(version, it)| Some((version, codec::decode(it).ok()?)));
+    let Some((version, row)) = stored else { return model::SubmitOutcome::Unknown };
+    let row: model::GraphRow = row;
+    if row.account != wanted.account {
+        return model::SubmitOutcome::Taken;
     }
-    let Some(holder) = state.other_holder() else { return };
-    let peers = state.site.peers().clone();
-    tokio::spawn(async move {
-        if let Err(error) = peers.call(&holder.address, nudge, NUDGE_DEADLINE).await {
-            tracing::debug!(%error, "nudge without answer");
-        }
-    });
+    nudge::tell(state, model::GraphNudge { graph, version, row });
+    model::SubmitOutcome::Accepted
 }
--- /dev/null
+++ b/crates/pool/tests/pool/nudges.rs
@@ -0,0 +1,85 @@
+//! How the holder of the tenure learns of jobs while its feeds stand still.
+
+use std::time::Duration;
+
+use almondpass_graph::order;
+use almondpass_peer::call::PeerCall;
+use almondpass_peer::codec;
+use almondpass_schema::model;
+use almondpass_standin::{fault, table};
+use tokio::time;
+
+use crate::support;
+
+const SOON: Duration = Duration::from_secs(5);
+
+/// More calls than feeds make in any of these tests.
+const N_LOST: u64 = 400;
+
+/// No feed of an instance is answered any more; everything else is.
+fn stop_feeds(instance: &support::BenchInstance) {
+    for nth in 1..=N_LOST {
+        instance.to_store.nth(table::FOLLOW, nth, fault::Fault::RequestLost);
+        instance.to_store.nth(table::SNAPSHOT, nth, fault::Fault::RequestLost);
+    }
+}
+
+/// The next nudge of one instance to another is lost.
+fn lose_nudge(bench: &support::PoolBench, from: usize, to: usize) {
+    let address = |it: usize| bench.instances[it].address.as_str();
+    let path = bench.net.path(address(from), address(to));
+    path.next(model::GraphNudge::PATH, fault::Fault::Refused);
+}
+
+/// Guards against a job that waits for the feed because its one nudge was lost.
+#[test]
+fn a_lost_nudge_is_repeated() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        stop_feeds(&bench.instances[holder]);
+        lose_nudge(&bench, other, holder);
+        bench.submit(other, 1, support::job(1, 500)).await;
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+    });
+}
+
+/// Guards against a job that waits for the feed because the answer to its write was lost.
+#[test]
+fn a_write_that_meets_its_own_row_is_followed_by_a_nudge() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        stop_feeds(&bench.instances[holder]);
+        let step = model::TableTransaction::PATH;
+        bench.instances[other].to_store.next(step, fault::Fault::AnswerLost);
+        let accepted = bench.submit(other, 1, support::job(1, 500)).await;
+        assert_eq!(accepted, model::SubmitOutcome::Accepted);
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+    });
+}
+
+/// Guards against a task that runs on because the nudge of its job's cancelling was lost.
+#[test]
+fn a_lost_nudge_of_a_cancelling_is_repeated() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, support::job(1, 60_000)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        stop_feeds(&bench.instances[holder]);
+        lose_nudge(&bench, other, holder);
+        assert_eq!(bench.cancel(other, 1).await, model::CancelOutcome::Cancelled);
+        time::sleep(Duration::from_secs(2)).await;
+        let records = bench.fleet.records();
+        assert_eq!(records.iter().map(|it| it.how).collect::<Vec<_>>(), [order::EndKind::Stopped]);
+    });
+}
+
+/// Guards against a holder of the former release whose answers can't be read.
+#[test]
+fn an_answer_of_the_former_release_counts_as_taken() {
+    let former = codec::encode(&model::Ack {}).expect("an answer");
+    let read = codec::decode::<model::NudgeTaken>(&former).expect("an answer that can be read");
+    assert_eq!(read.known, None);
+}
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1765,6 +1765,13 @@
         Self::Known(value)
     }
 }
+///What became of a nudge.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct NudgeTaken {
+    ///Whether the scheduler knows of the row, or a later one; absent where an earlier release answers, which takes what it can.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub known: ::std::option::Option<bool>,
+}
 ///Answer to a read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct ObjectFound {
