Take in a job that the holder does not know although it is stored

Two faults with one mend, the rule by which a holder takes a row that it is told of:

- A job whose row the feed had passed without its being taken in (a row that could not be read, a position beyond a row) was shown as pending by its row, and nobody scheduled it before the next takeover.
Nothing compared what callers ask for with what the holder knows.
- A nudge that arrived after its job had been forgotten, late by a network or by a repetition, was taken for a new job and ran once more.
The holder took every row that it did not know, whatever its version.

A holder now takes a row from a nudge only where its version is beyond what its feed has told. For one behind that it reads the row and the saved progress from the store, as a takeover would: a forgotten job has no row, and one that was missed is taken in with a line at WARN (`missed job is taken in`) and counted in `almondpass_pool_missed_jobs_total`. A state query whose holder schedules and does not know the job, though its row is there and unfinished, leads to such a nudge. The answer to the query has a member of its own for that, `schedules`, as a holder that still loads knows nothing yet; an answer of the former release has none and leads to no nudge.

The first makes the core forget a job, since no way to miss one is known by now: this is a check beside the mends, in place of none.

--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -34,6 +34,13 @@
     n_tasks.div_ceil(CHUNK_TASKS).max(1)
 }
 
+/// How many chunks a job has, by the row of its acceptance.
+pub fn n_chunks_of(row: &model::GraphRow) -> u32 {
+    let runs = row.graph.schedule.as_ref().map_or(1, |it| it.runs.get());
+    let n_tasks = row.graph.steps.iter().map(|it| it.tasks).sum::<u32>();
+    n_tasks.saturating_mul(runs).div_ceil(CHUNK_TASKS).max(1)
+}
+
 /// The chunk of a task.
 pub fn chunk_of(job: &job::JobRecord, key: task_key::TaskKey) -> Option<u32> {
     let step = job.step_index(key)? as usize;
--- a/crates/pool/src/entry.rs
+++ b/crates/pool/src/entry.rs
@@ -1,8 +1,9 @@
 //! What callers ask of an instance.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, progress};
+use almondpass_graph::progress;
 use almondpass_peer::codec;
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::keys;
@@ -10,6 +11,8 @@
 use tokio::time::{self, Instant};
 
 use crate::detour;
+use crate::lead;
+use crate::nudge;
 use crate::state;
 use crate::store_call;
 
@@ -25,7 +28,7 @@
 /// How far a job is. The holder of the tenure is asked first, then the store, and a peer where
 /// neither gives an answer.
 pub async fn state_of<S: state::PoolSite>(
-    state: &state::PoolState<S>,
+    state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
@@ -44,13 +47,14 @@
 
 /// How far a job is, by the holder of the tenure or the own way to the store.
 pub(crate) async fn state_here<S: state::PoolSite>(
-    state: &state::PoolState<S>,
+    state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     account: Option<&str>,
     deadline: Instant,
 ) -> model::GraphLooked {
     let answer = ask_holder(state, model::GraphQuery { graph }).await;
-    if let Some(model::GraphAnswer { account: owner, state: Some(known), failure }) = answer {
+    let holder_schedules = answer.as_ref().is_some_and(|it| it.schedules == Some(true));
+    if let Some(model::GraphAnswer { account: owner, state: Some(known), failure, .. }) = answer {
         let is_theirs = owner.as_deref() == account;
         return if is_theirs {
             known_job(known, failure)
@@ -59,8 +63,11 @@
         };
     }
     loop {
-        if let Some(answer) = stored_state(state, graph, account).await {
-            return answer;
+        if let Some(stored) = stored_job(state, graph, account).await {
+            if let Some(nudge) = stored.unfinished.filter(|_| holder_schedules) {
+                nudge::tell(state, nudge);
+            }
+            return stored.looked;
         }
         if Instant::now() + READ_AGAIN >= deadline {
             return looked(model::LookOutcome::Unavailable);
@@ -84,12 +91,18 @@
     answer.ok()?.waiting
 }
 
-/// What peers are told of a job.
-pub(crate) fn answer_of(shown: core::ShownJob<'_>) -> model::GraphAnswer {
+/// What the holder of the tenure knows of a job.
+pub(crate) fn holder_answer(lead: &lead::LeadState, graph: ids::GraphId) -> model::GraphAnswer {
+    let schedules = Some(true);
+    let core = lead.core();
+    let Some(shown) = core.state_of(graph) else {
+        return model::GraphAnswer { schedules, ..model::GraphAnswer::default() };
+    };
     model::GraphAnswer {
         account: shown.account.map(str::to_owned),
         state: Some(shown.state),
         failure: shown.failure,
+        schedules,
     }
 }
 
@@ -107,27 +120,33 @@
     query: model::GraphQuery,
 ) -> Option<model::GraphAnswer> {
     if let Some(lead) = state.lead() {
-        let core = lead.core();
-        return core.state_of(query.graph).map(answer_of);
+        return Some(holder_answer(&lead, query.graph));
     }
     let holder = state.other_holder()?;
     let answer = state.site.peers().call(&holder.address, query, HOLDER_DEADLINE).await;
     answer.inspect_err(|error| tracing::debug!(%error, "holder gave no answer")).ok()
 }
 
-/// The state by the rows of the store; nothing where they can't be read.
-async fn stored_state<S: state::PoolSite>(
+/// A job by the rows of the store.
+struct StoredJob {
+    looked: model::GraphLooked,
+    /// What the holder is told where it does not know the job; nothing where nothing is left to do.
+    unfinished: Option<model::GraphNudge>,
+}
+
+/// A job by the rows of the store; nothing where they can't be read.
+async fn stored_job<S: state::PoolSite>(
     state: &state::PoolState<S>,
     graph: ids::GraphId,
     account: Option<&str>,
-) -> Option<model::GraphLooked> {
+) -> Option<StoredJob> {
     let (row, progress) = tokio::try_join!(
         read::<S, model::GraphRow>(state, keys::graph(graph)),
         read::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_CHUNK)),
     )
     .ok()?;
-    let Some((row, _)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
-        return Some(looked(model::LookOutcome::Absent));
+    let Some((row, version)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
+        return Some(StoredJob { looked: looked(model::LookOutcome::Absent), unfinished: None });
     };
     let failure = progress.as_ref().and_then(|(it, _)| it.failure);
     let known = match progress.map(|(it, _)| it.state) {
@@ -135,7 +154,9 @@
         _ if row.cancelled => model::GraphState::Cancelled,
         known => known.unwrap_or(model::GraphState::Pending),
     };
-    Some(known_job(known, failure))
+    let is_unfinished = matches!(known, model::GraphState::Pending | model::GraphState::Running);
+    let unfinished = is_unfinished.then_some(model::GraphNudge { graph, version, row });
+    Some(StoredJob { looked: known_job(known, failure), unfinished })
 }
 
 /// Reads one row; nothing inside where there is none.
--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -12,6 +12,7 @@
 
 use crate::lead;
 use crate::lead_loader;
+use crate::missed_job;
 use crate::state;
 use crate::store_call;
 
@@ -38,7 +39,10 @@
         };
         match followed {
             // Rows that could not be taken come again.
-            Ok(rows) if take(&state, &lead, &rows.rows) => after = after.max(rows.version),
+            Ok(rows) if take(&state, &lead, &rows.rows) => {
+                after = after.max(rows.version);
+                lead.set_graphs_until(after);
+            }
             Ok(_) => time::sleep(AGAIN).await,
             Err(error) => {
                 tracing::debug!(%error, "job graphs can't be followed");
@@ -61,13 +65,18 @@
 /// Takes the row that an instance has just written. Tells whether it is known from then on; where it
 /// can't be taken, the feed or another nudge brings it.
 pub(crate) fn take_nudge<S: state::PoolSite>(
-    state: &state::PoolState<S>,
-    lead: &lead::LeadState,
+    state: &Arc<state::PoolState<S>>,
+    lead: &Arc<lead::LeadState>,
     nudge: &model::GraphNudge,
 ) -> bool {
     if lead.core().knows(nudge.graph, nudge.row.cancelled) {
         return true;
     }
+    if nudge.version <= lead.graphs_until() {
+        // Forgotten since, or missed: only the store can tell, and what was saved of its progress.
+        missed_job::take_in(state, lead, nudge.graph);
+        return false;
+    }
     let admitted = intake::AdmittedJob {
         graph: nudge.graph,
         row: nudge.row.clone(),
@@ -79,7 +88,7 @@
 
 /// Takes job graphs into the core. A holder that isn't firm takes none: another may have taken
 /// over, and would not know that this one has started them.
-fn admit<S: state::PoolSite>(
+pub(crate) fn admit<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     admitted: impl Iterator<Item = intake::AdmittedJob>,
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -1,6 +1,7 @@
 //! The tenure of the pools while this instance holds it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
     pub taken_at: ids::RowVersion,
     core: Mutex<core::PoolCore>,
     tenure: Mutex<standing::TenureState>,
+    graphs_until: AtomicU64,
+    missed_jobs: Mutex<BTreeSet<ids::GraphId>>,
     senders: Mutex<BTreeMap<ids::WorkerId, mpsc::UnboundedSender<order::PoolOrder>>>,
     /// A turn is due.
     pub(crate) turn_due: Notify,
@@ -68,6 +71,8 @@
             taken_at: taken.version,
             core: Mutex::new(core),
             tenure: Mutex::new(standing::TenureState::new(times, taken.sent_at)),
+            graphs_until: AtomicU64::new(0),
+            missed_jobs: Mutex::default(),
             senders: Mutex::default(),
             turn_due: Notify::new(),
             save_due: Notify::new(),
@@ -86,6 +91,20 @@
         state::lock(&self.tenure)
     }
 
+    /// Up to which version all rows of accepted jobs were taken in.
+    pub(crate) fn graphs_until(&self) -> ids::RowVersion {
+        self.graphs_until.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_graphs_until(&self, version: ids::RowVersion) {
+        self.graphs_until.store(version, Ordering::Relaxed);
+    }
+
+    /// Jobs that are being looked for in the store.
+    pub(crate) fn missed_jobs(&self) -> MutexGuard<'_, BTreeSet<ids::GraphId>> {
+        state::lock(&self.missed_jobs)
+    }
+
     /// Whether orders may be given now.
     pub(crate) fn may_order(&self, clock: &impl BootClock) -> bool {
         !self.over.is_cancelled() && self.tenure().may_order(clock.now())
@@ -171,6 +190,7 @@
         return;
     };
     *lead.core() = loaded.core;
+    lead.set_graphs_until(loaded.graphs_at);
     state.set_lead(Some(Arc::clone(&lead)));
     metrics::gauge!("almondpass_pool_held").set(1.0);
     tokio::join!(
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -24,6 +24,7 @@
 mod lead;
 mod lead_loader;
 mod member_list;
+mod missed_job;
 mod nudge;
 mod order_sender;
 mod retention;
--- /dev/null
+++ b/crates/pool/src/missed_job.rs
@@ -0,0 +1,72 @@
+//! Jobs that are stored although the holder of the tenure does not know them, and whose rows its feed has
+//! passed. None should be; one that is would wait for the next takeover.
+
+use std::sync::Arc;
+
+use almondpass_graph::{intake, progress};
+use almondpass_ports::keys;
+use almondpass_schema::{ids, model};
+
+use crate::entry;
+use crate::graph_follower;
+use crate::lead;
+use crate::state;
+
+/// Looks for a job in the store and takes it in, without waiting for it.
+pub(crate) fn take_in<S: state::PoolSite>(
+    state: &Arc<state::PoolState<S>>,
+    lead: &Arc<lead::LeadState>,
+    graph: ids::GraphId,
+) {
+    if !lead.missed_jobs().insert(graph) {
+        return;
+    }
+    let (state, lead) = (Arc::clone(state), Arc::clone(lead));
+    tokio::spawn(async move {
+        // Where it can't be read, whoever has asked asks again.
+        if let Ok(Some(missed)) = read(&state, &lead, graph).await {
+            admit(&state, &lead, missed);
+        }
+        lead.missed_jobs().remove(&graph);
+    });
+}
+
+fn admit<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    missed: intake::AdmittedJob,
+) {
+    let graph = missed.graph;
+    if lead.core().knows(graph, missed.row.cancelled) {
+        return;
+    }
+    if graph_follower::admit(state, lead, std::iter::once(missed)) {
+        let followed_until = lead.graphs_until();
+        tracing::warn!(
+            job = format_args!("{graph:016x}"),
+            followed_until,
+            "missed job is taken in"
+        );
+        metrics::counter!("almondpass_pool_missed_jobs_total").increment(1);
+    }
+}
+
+/// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance comes first: it is the
+/// first to go when a job is forgotten, and one without progress would run once more.
+async fn read<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    graph: ids::GraphId,
+) -> Result<Option<intake::AdmittedJob>, entry::StoreFault> {
+    let accepted = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await?;
+    let Some((row, version)) = accepted else { return Ok(None) };
+    let mut saved = progress::SavedChunks::default();
+    for chunk in 0..progress::n_chunks_of(&row) {
+        let key = keys::progress(graph, chunk);
+        if let Some((content, _)) = entry::read::<S, model::ProgressRow>(state, key).await? {
+            saved.insert(chunk, content);
+        }
+    }
+    let inherited = version < lead.taken_at || !saved.is_empty();
+    Ok(Some(intake::AdmittedJob { graph, row, progress: saved, inherited }))
+}
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -46,9 +46,8 @@
     }
 
     fn graph(&self, query: &model::GraphQuery) -> model::GraphAnswer {
-        let Some(lead) = self.state.lead() else { return model::GraphAnswer::default() };
-        let core = lead.core();
-        core.state_of(query.graph).map(entry::answer_of).unwrap_or_default()
+        let lead = self.state.lead();
+        lead.map(|it| entry::holder_answer(&it, query.graph)).unwrap_or_default()
     }
 
     async fn submit(&self, call: model::GraphSubmit) -> model::GraphSubmitted {
--- a/crates/pool/tests/pool/nudges.rs
+++ b/crates/pool/tests/pool/nudges.rs
@@ -5,6 +5,8 @@
 use almondpass_graph::order;
 use almondpass_peer::call::PeerCall;
 use almondpass_peer::codec;
+use almondpass_peer::link::PeerLink;
+use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::{fault, table};
 use tokio::time;
@@ -76,6 +78,43 @@
     });
 }
 
+/// Guards against a job that nobody schedules: one that the holder does not know although it is stored.
+#[test]
+fn a_job_that_the_holder_does_not_know_is_taken_in_once_asked_for() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 0).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, support::job(1, 500)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        bench.add_worker(0).await;
+        time::sleep(SOON).await;
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
+
+/// Guards against a job that runs once more because a nudge arrives after it was forgotten.
+#[test]
+fn a_late_nudge_of_a_forgotten_job_starts_nothing() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, support::job(1, 500)).await;
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+        let version = bench.store.peek(&keys::graph(1)).first().map_or(0, |it| it.version);
+        bench.remove(&keys::graph(1)).await;
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        time::sleep(Duration::from_secs(1)).await;
+        let nudge = model::GraphNudge { graph: 1, version, row: support::job(1, 500) };
+        let link = bench.net.link(&bench.instances[other].address);
+        let taken = link.call(&bench.instances[holder].address, nudge, SOON).await;
+        assert!(taken.is_ok(), "{taken:?}");
+        time::sleep(SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
+
 /// Guards against a holder of the former release whose answers can't be read.
 #[test]
 fn an_answer_of_the_former_release_counts_as_taken() {
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -711,6 +711,9 @@
     ///Why it has failed; absent where it has not.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub failure: ::std::option::Option<FailureCause>,
+    ///Whether the answerer schedules; absent where an earlier release answers.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub schedules: ::std::option::Option<bool>,
     ///How far it is, as far as that is durable.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<GraphState>,
