Start nothing of a job that is forgotten while the table is read

Callers could have seen a job run a second time. Sequence: the store has lost its history, so the holder reads the table of accepted jobs anew; while the answer is under way, a job that ended long ago is forgotten, first its row and then what the holder knows of it; the answer still has the row. Cause: every row of the table that was not known was taken for a new job.

Rows of a table now follow the rule of nudges: one that the feed has passed and that is not known is looked up in the store, with its saved progress, before it is taken in. A row that is known is passed over.

The test holds the answer up for the forgetting. It failed before: left: 2, right: 1 (runs of the job).

--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -54,14 +54,35 @@
 
 /// Takes rows of accepted job graphs into the core.
 fn take<S: state::PoolSite>(
-    state: &state::PoolState<S>,
-    lead: &lead::LeadState,
+    state: &Arc<state::PoolState<S>>,
+    lead: &Arc<lead::LeadState>,
     rows: &[row_feed::FeedRow],
 ) -> bool {
-    let admitted = rows.iter().filter_map(|it| lead_loader::read_graph(it, lead.taken_at));
+    let admitted = rows.iter().filter_map(|row| {
+        let admitted = lead_loader::read_graph(row, lead.taken_at)?;
+        is_new(state, lead, row.version, &admitted).then_some(admitted)
+    });
     rows.is_empty() || admit(state, lead, admitted)
 }
 
+/// Whether a row of that version is to be taken in as it is. One that the feed has passed and that is not
+/// known was forgotten since, or missed: only the store can tell, and what was saved of its progress.
+fn is_new<S: state::PoolSite>(
+    state: &Arc<state::PoolState<S>>,
+    lead: &Arc<lead::LeadState>,
+    version: ids::RowVersion,
+    admitted: &intake::AdmittedJob,
+) -> bool {
+    if lead.core().knows(admitted.graph, admitted.row.cancelled) {
+        return false;
+    }
+    if version > lead.graphs_until() {
+        return true;
+    }
+    missed_job::take_in(state, lead, admitted.graph);
+    false
+}
+
 /// Takes the row that an instance has just written. Tells whether it is known from then on; where it
 /// can't be taken, the feed or another nudge brings it.
 pub(crate) fn take_nudge<S: state::PoolSite>(
@@ -72,18 +93,13 @@
     if lead.core().knows(nudge.graph, nudge.row.cancelled) {
         return true;
     }
-    if nudge.version <= lead.graphs_until() {
-        // Forgotten since, or missed: only the store can tell, and what was saved of its progress.
-        missed_job::take_in(state, lead, nudge.graph);
-        return false;
-    }
     let admitted = intake::AdmittedJob {
         graph: nudge.graph,
         row: nudge.row.clone(),
         progress: progress::SavedChunks::default(),
         inherited: nudge.version < lead.taken_at,
     };
-    admit(state, lead, std::iter::once(admitted))
+    is_new(state, lead, nudge.version, &admitted) && admit(state, lead, std::iter::once(admitted))
 }
 
 /// Takes job graphs into the core. A holder that isn't firm takes none: another may have taken
--- /dev/null
+++ b/crates/pool/tests/pool/feeds.rs
@@ -0,0 +1,40 @@
+//! Feeds of the holder that give no answers, and tables that are read in their place.
+
+use std::time::Duration;
+
+use almondpass_ports::keys;
+use almondpass_schema::model;
+use almondpass_standin::{fault, table};
+use tokio::time;
+
+use crate::support;
+
+const SOON: Duration = Duration::from_secs(10);
+
+/// More calls than feeds make in any of these tests.
+const N_CALLS: u64 = 400;
+
+/// Each call of `step` that an instance makes from now on is struck.
+fn strike(instance: &support::BenchInstance, step: &'static str, fault: fault::Fault) {
+    (1..=N_CALLS).for_each(|nth| instance.to_store.nth(step, nth, fault));
+}
+
+/// Guards against a job that runs once more because it is forgotten while the table is read.
+#[test]
+fn a_job_that_is_forgotten_while_the_table_is_read_starts_nothing() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 2).await;
+        let holder = bench.holder();
+        bench.submit(holder, 1, support::job(1, 500)).await;
+        bench.await_state(holder, 1, model::GraphState::Completed, SOON).await;
+        let slow = fault::Fault::Slow(Duration::from_millis(1_400));
+        strike(&bench.instances[holder], table::SNAPSHOT, slow);
+        bench.store.forget_history();
+        // Between the reading of the table and its answer.
+        time::sleep(Duration::from_secs(1)).await;
+        bench.remove(&keys::graph(1)).await;
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        time::sleep(SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod entries;
 mod evacuations;
+mod feeds;
 mod nudges;
 mod outages;
 mod restarts;
