--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -711,6 +711,9 @@
     ///Why it has failed; absent where it has not.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub failure: ::std::option::Option<FailureCause>,
+    ///Whether the answerer schedules; absent where an earlier release answers.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub schedules: ::std::option::Option<bool>,
     ///How far it is, as far as that is durable.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<GraphState>,
@@ -1765,6 +1768,13 @@
         Self::Known(value)
     }
 }
+///What became of a nudge.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct NudgeTaken {
+    ///Whether the scheduler knows of the row, or a later one; absent where an earlier release answers, which takes what it can.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub known: ::std::option::Option<bool>,
+}
 ///Answer to a read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct ObjectFound {
