Judge an evacuation until the store has ended it

What was seen: storm 660007 of evacuations failed each time with "storm 660007: EvacuationSpan { number: 1, .. }, [RunRecord { task: TaskKey { graph: 75, .. }, worker: "w08", .. }, ..]": tasks start on workers of an evacuated data centre 8.7 s behind the acknowledged evacuation.

Cause, by a trace of the operator's calls and the store's history: the rule is kept, the check was wrong. The storm's operator sent a taking back that had no answer (its effect delayed by the storm), wrote the evacuation anew 0.86 s later and had it acknowledged, and 2.46 s behind that acknowledgement the store carried out the former removal. From then on the store held no evacuation; all three instances followed its one history in its order. No start fell between the acknowledgement and that removal. Ruled out: a feed or a peer that undoes a newer word (the row was gone from the store itself).

Change: the store tells when each row was removed, past all faults, and a span ends when the operator begins to take the evacuation back or when the store removes its row, whichever comes first. All starts while the store holds an acknowledged evacuation are judged as before. The seed is kept as a test; it failed before and passes now.

--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -84,7 +84,8 @@
     chained: BTreeSet<ids::GraphId>,
 }
 
-/// An evacuation from its acknowledgement until the operator began to take it back.
+/// An evacuation from its acknowledgement until the operator began to take it back, or until a former
+/// taking back reached the store late, whichever came first.
 #[derive(Clone, Copy, Debug)]
 struct EvacuationSpan {
     /// Number of the data centre.
@@ -225,6 +226,12 @@
     play(StormKind::Crashes, [1_200_271, 1_200_275]);
 }
 
+/// A taking back without answer that the store carries out behind a newer evacuation ends that one.
+#[test]
+fn storms_with_evacuations_undone_late() {
+    play(StormKind::Evacuations, [660_007]);
+}
+
 /// A task that ran beside what crashes workers four times is taken for it.
 #[test]
 fn storms_in_which_tasks_travel_with_a_culprit() {
@@ -416,6 +423,8 @@
     // An attempt that had no answer may have landed.
     let until = Instant::now();
     if let Some(acked_at) = ledger.evacuations.remove(&number) {
+        let removals = bench.evacuation_removals(&data_center(number));
+        let until = removals.into_iter().find(|it| acked_at <= *it).unwrap_or(until);
         ledger.past_evacuations.push(EvacuationSpan { number, acked_at, until });
     }
     while !bench.take_back(&data_center(number)).await {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -279,6 +279,11 @@
         self.try_put(&evacuation_key(data_center), None).await
     }
 
+    /// When the store ended an evacuation of a data centre, whoever had asked for it.
+    pub(crate) fn evacuation_removals(&self, data_center: &str) -> Vec<Instant> {
+        self.store.removals(&evacuation_key(data_center))
+    }
+
     /// Somebody else writes over the entry of a worker.
     pub(crate) async fn spoil_entry(&self, index: usize) {
         self.write(&entry_key(index), b"\xff\xfe").await;
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -95,6 +95,8 @@
     numbering: VersionNumbering,
     /// Changes up to this transaction are forgotten.
     forgotten: u64,
+    /// When each row was removed that was there.
+    removals: BTreeMap<ids::RowKey, Vec<Instant>>,
     /// Rows that were told to those who read or follow tables, by the prefix of the table.
     told: BTreeMap<String, usize>,
 }
@@ -164,6 +166,11 @@
         state::lock(&self.rows).transactions
     }
 
+    /// When a row that was there was removed, past all faults, for oracles.
+    pub fn removals(&self, key: &str) -> Vec<Instant> {
+        state::lock(&self.rows).removals.get(key).cloned().unwrap_or_default()
+    }
+
     /// The rows below a prefix as they are, past all faults, for oracles.
     pub fn peek(&self, prefix: &str) -> Vec<model::TableRow> {
         let scan = model::TableScan { prefix: prefix.to_owned(), after: None, limit: u32::MAX };
@@ -242,7 +249,10 @@
 
     fn write(&mut self, write: model::TableWrite) -> ids::RowVersion {
         let empty = StoredRow { version: 0, changed: 0, value: None };
-        let row = self.rows.entry(write.key).or_insert(empty);
+        let row = self.rows.entry(write.key.clone()).or_insert(empty);
+        if row.value.is_some() && write.value.is_none() {
+            self.removals.entry(write.key).or_default().push(Instant::now());
+        }
         row.changed = self.transactions;
         row.version = match self.numbering {
             VersionNumbering::PerRow => row.version + 1,
