Read the table where a feed gives no answers for seconds

A feed whose answers never come usable, one too large, cut, or lost each time, stood still until the store forgot its history, 20 s on the users' sites: jobs waited for a nudge, workers that came got no tasks. The store's table could be read all the while. Only the operators' document was read anew after a failure.

A feed of jobs or workers that has given no answer for 4 s is now replaced by a read of the whole table, and again every 4 s. That its answers fail is told at WARN once, with the position, and at INFO with how long it stood once it answers again (it was told at DEBUG, which no process writes); `almondpass_pool_feed_stands_still` and `almondpass_pool_feed_failures_total` show it.

The tests lose the answers of feeds alone, at the holder. Both failed before: left: Known(Pending), right: Known(Completed) (a job stored without a nudge), and "expected completed, found Known(Pending)" (a worker that comes). An answer that is too large is suspected only: the client takes 4 MB, and no answer of the store came near it.

--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -10,6 +10,7 @@
 use almondpass_schema::{ids, model};
 use tokio::time;
 
+use crate::feed_watch;
 use crate::lead;
 use crate::lead_loader;
 use crate::missed_job;
@@ -29,15 +30,9 @@
     lead: Arc<lead::LeadState>,
     mut after: ids::RowVersion,
 ) {
+    let mut watch = feed_watch::FeedWatch::new("jobs");
     loop {
-        let followed = match store_call::follow(&state, keys::GRAPHS, after, WAIT).await {
-            Err(row_feed::FeedFault::HistoryGone) => {
-                tracing::info!(after, "history of the job graphs is gone; the table is read");
-                store_call::snapshot(&state, keys::GRAPHS).await.map_err(Into::into)
-            }
-            followed => followed,
-        };
-        match followed {
+        match next(&state, &mut watch, after).await {
             // Rows that could not be taken come again.
             Ok(rows) if take(&state, &lead, &rows.rows) => {
                 after = after.max(rows.version);
@@ -45,13 +40,35 @@
             }
             Ok(_) => time::sleep(AGAIN).await,
             Err(error) => {
-                tracing::debug!(%error, "job graphs can't be followed");
+                watch.failed(&error, after);
                 time::sleep(AGAIN).await;
             }
         }
     }
 }
 
+/// What has changed behind `after`, or the whole table.
+async fn next<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    watch: &mut feed_watch::FeedWatch,
+    after: ids::RowVersion,
+) -> Result<row_feed::FeedRows, row_feed::FeedFault> {
+    if watch.take_table_due() {
+        return Ok(store_call::snapshot(state, keys::GRAPHS).await?);
+    }
+    match store_call::follow(state, keys::GRAPHS, after, WAIT).await {
+        Ok(rows) => {
+            watch.answered(after);
+            Ok(rows)
+        }
+        Err(row_feed::FeedFault::HistoryGone) => {
+            tracing::info!(after, "history of the job graphs is gone; the table is read");
+            Ok(store_call::snapshot(state, keys::GRAPHS).await?)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Takes rows of accepted job graphs into the core.
 fn take<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod entry;
 pub mod evacuation;
+mod feed_watch;
 pub mod fencing;
 pub mod instance;
 pub mod peers;
--- a/crates/pool/src/worker_follower.rs
+++ b/crates/pool/src/worker_follower.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 
 use crate::document::PlatformReader;
+use crate::feed_watch;
 use crate::lead;
 use crate::lead_loader;
 use crate::state;
@@ -33,10 +34,15 @@
     lead: Arc<lead::LeadState>,
     mut after: ids::RowVersion,
 ) {
+    let mut watch = feed_watch::FeedWatch::new("workers");
     loop {
+        if watch.take_table_due() {
+            after = read_anew(&state, &lead, after).await.map_or(after, |it| after.max(it));
+        }
         let asked_at = state.site.clock().now();
         match store_call::follow(&state, S::Reader::WORKER_TABLE, after, Duration::ZERO).await {
             Ok(rows) => {
+                watch.answered(after);
                 take(&state, &lead, &rows.rows, after);
                 after = after.max(rows.version);
                 if !rows.more {
@@ -52,7 +58,7 @@
             }
             Err(row_feed::FeedFault::HistoryGone) => {}
             Err(error) => {
-                tracing::debug!(%error, "workers can't be followed");
+                watch.failed(&error, after);
                 time::sleep(AGAIN).await;
                 continue;
             }
--- a/crates/pool/tests/pool/feeds.rs
+++ b/crates/pool/tests/pool/feeds.rs
@@ -19,6 +19,36 @@
     (1..=N_CALLS).for_each(|nth| instance.to_store.nth(step, nth, fault));
 }
 
+/// Guards against a feed of jobs that stands still for good although the table can be read.
+#[test]
+fn a_feed_of_jobs_without_answers_is_replaced_by_the_table() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        strike(&bench.instances[holder], table::FOLLOW, fault::Fault::AnswerLost);
+        let address = |it: usize| bench.instances[it].address.as_str();
+        bench.net.partition(&[address(other)], &[address(holder)], fault::Condition::Refusing);
+        bench.submit(other, 1, support::job(1, 500)).await;
+        // Whoever asks for the job sooner has the holder take it in.
+        time::sleep(SOON).await;
+        let completed = model::LookOutcome::Known(model::GraphState::Completed);
+        assert_eq!(bench.look(holder, 1).await, completed);
+    });
+}
+
+/// Guards against a list of workers that stands still for good although the table can be read.
+#[test]
+fn a_feed_of_workers_without_answers_is_replaced_by_the_table() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 0).await;
+        let holder = bench.holder();
+        strike(&bench.instances[holder], table::FOLLOW, fault::Fault::AnswerLost);
+        bench.submit(holder, 1, support::job(1, 500)).await;
+        bench.add_worker(0).await;
+        bench.await_state(holder, 1, model::GraphState::Completed, SOON).await;
+    });
+}
+
 /// Guards against a job that runs once more because it is forgotten while the table is read.
 #[test]
 fn a_job_that_is_forgotten_while_the_table_is_read_starts_nothing() {
