Tell how the holder learned of a job

From the log of an accepted job nobody could tell whether its nudge, the feed or a takeover brought it, nor which row, so that a feed that stands still showed only where it failed and not what it delayed. `job admitted` now has `origin` (nudge, feed, load, lookup) and the `version` of the row.

Tests gather the log: the origins of jobs through a nudge, the feed and a takeover; one line for a nudge that is not acknowledged, and one when it is; one line for each feed that stands still, and one when it answers again.

Constructors in tests have the two new members; no check has changed.

--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -113,7 +113,17 @@
         upstream: "analysis".to_owned(),
     };
     let progress = progress::SavedChunks::default();
-    core.admit(intake::AdmittedJob { graph, row, progress, inherited: false }, now);
+    core.admit(
+        intake::AdmittedJob {
+            graph,
+            row,
+            version: 1,
+            origin: intake::JobOrigin::Load,
+            progress,
+            inherited: false,
+        },
+        now,
+    );
 }
 
 fn step(tasks: u32, accelerators: u32) -> model::GraphStep {
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -24,12 +24,41 @@
     pub graph: ids::GraphId,
     /// The row of its acceptance.
     pub row: model::GraphRow,
+    /// The version of that row.
+    pub version: ids::RowVersion,
+    /// How it became known.
+    pub origin: JobOrigin,
     /// What an earlier scheduler has saved of it.
     pub progress: progress::SavedChunks,
     /// Whether it was accepted before this tenure began.
     pub inherited: bool,
 }
 
+/// How a scheduler learns of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobOrigin {
+    /// Read at the beginning of the tenure.
+    Load,
+    /// Told by the feed of accepted jobs.
+    Feed,
+    /// Told by the instance that stored it.
+    Nudge,
+    /// Looked up in the store, as it was asked for and not known.
+    Lookup,
+}
+
+impl JobOrigin {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            JobOrigin::Load => "load",
+            JobOrigin::Feed => "feed",
+            JobOrigin::Nudge => "nudge",
+            JobOrigin::Lookup => "lookup",
+        }
+    }
+}
+
 impl core::PoolCore {
     /// Takes in a job graph, or the cancelling of one that is known.
     pub fn admit(&mut self, admitted: AdmittedJob, now: Duration) {
@@ -42,6 +71,8 @@
                 class = admitted.row.class,
                 account = admitted.row.account,
                 inherited = admitted.inherited,
+                origin = admitted.origin.name(),
+                version = admitted.version,
                 "job admitted"
             );
             record_of(admitted, now)
--- a/crates/graph/tests/pool/failures.rs
+++ b/crates/graph/tests/pool/failures.rs
@@ -51,6 +51,8 @@
         almondpass_graph::intake::AdmittedJob {
             graph: 1,
             row: support::job(1, support::tasks(1)),
+            version: 1,
+            origin: almondpass_graph::intake::JobOrigin::Load,
             progress: bench.saved.remove(&1).expect("a failure to save"),
             inherited: true,
         },
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -81,6 +81,8 @@
         let admitted = intake::AdmittedJob {
             graph,
             row,
+            version: 1,
+            origin: intake::JobOrigin::Nudge,
             progress: progress::SavedChunks::default(),
             inherited: false,
         };
@@ -97,6 +99,8 @@
         let admitted = intake::AdmittedJob {
             graph,
             row,
+            version: 1,
+            origin: intake::JobOrigin::Load,
             progress: progress.unwrap_or_default(),
             inherited: true,
         };
--- a/crates/pool/src/graph_follower.rs
+++ b/crates/pool/src/graph_follower.rs
@@ -76,24 +76,23 @@
     rows: &[row_feed::FeedRow],
 ) -> bool {
     let admitted = rows.iter().filter_map(|row| {
-        let admitted = lead_loader::read_graph(row, lead.taken_at)?;
-        is_new(state, lead, row.version, &admitted).then_some(admitted)
+        let admitted = lead_loader::read_graph(row, intake::JobOrigin::Feed, lead.taken_at)?;
+        is_new(state, lead, &admitted).then_some(admitted)
     });
     rows.is_empty() || admit(state, lead, admitted)
 }
 
-/// Whether a row of that version is to be taken in as it is. One that the feed has passed and that is not
+/// Whether a row is to be taken in as it is. One that the feed has passed and that is not
 /// known was forgotten since, or missed: only the store can tell, and what was saved of its progress.
 fn is_new<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
     lead: &Arc<lead::LeadState>,
-    version: ids::RowVersion,
     admitted: &intake::AdmittedJob,
 ) -> bool {
     if lead.core().knows(admitted.graph, admitted.row.cancelled) {
         return false;
     }
-    if version > lead.graphs_until() {
+    if admitted.version > lead.graphs_until() {
         return true;
     }
     missed_job::take_in(state, lead, admitted.graph);
@@ -113,10 +112,12 @@
     let admitted = intake::AdmittedJob {
         graph: nudge.graph,
         row: nudge.row.clone(),
+        version: nudge.version,
+        origin: intake::JobOrigin::Nudge,
         progress: progress::SavedChunks::default(),
         inherited: nudge.version < lead.taken_at,
     };
-    is_new(state, lead, nudge.version, &admitted) && admit(state, lead, std::iter::once(admitted))
+    is_new(state, lead, &admitted) && admit(state, lead, std::iter::once(admitted))
 }
 
 /// Takes job graphs into the core. A holder that isn't firm takes none: another may have taken
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -87,7 +87,8 @@
     let accepted = graphs.rows.iter().filter_map(|it| task_key::parse_graph(&it.key));
     let accepted = accepted.collect::<BTreeSet<_>>();
     for row in graphs.rows {
-        let Some(mut admitted) = read_graph(&row, taken.version) else { continue };
+        let read = read_graph(&row, intake::JobOrigin::Load, taken.version);
+        let Some(mut admitted) = read else { continue };
         admitted.progress = progress.remove(&admitted.graph).unwrap_or_default();
         admitted.inherited |= !admitted.progress.is_empty();
         core.admit(admitted, now);
@@ -135,6 +136,7 @@
 /// Reads a row of an accepted job graph. It is inherited if it was written before version `taken`.
 pub(crate) fn read_graph(
     row: &row_feed::FeedRow,
+    origin: intake::JobOrigin,
     taken: ids::RowVersion,
 ) -> Option<intake::AdmittedJob> {
     let graph = task_key::parse_graph(&row.key)?;
@@ -143,6 +145,8 @@
     Some(intake::AdmittedJob {
         graph,
         row: content,
+        version: row.version,
+        origin,
         progress: progress::SavedChunks::default(),
         inherited,
     })
--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -68,5 +68,6 @@
         }
     }
     let inherited = version < lead.taken_at || !saved.is_empty();
-    Ok(Some(intake::AdmittedJob { graph, row, progress: saved, inherited }))
+    let origin = intake::JobOrigin::Lookup;
+    Ok(Some(intake::AdmittedJob { graph, row, version, origin, progress: saved, inherited }))
 }
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod evacuations;
 mod feeds;
+mod logs;
 mod nudges;
 mod outages;
 mod restarts;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -1,7 +1,7 @@
 //! A few instances, workers, a store and a network, all in one process.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use almondpass_graph::{catalog, order, room, task_key, worker};
@@ -600,6 +600,41 @@
 /// Shows the logs of a test, if it is set.
 const LOG_VARIABLE: &str = "POOL_LOG";
 
+/// What is logged while a test runs, a line each.
+#[derive(Clone, Default)]
+pub(crate) struct LogLines {
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl LogLines {
+    /// Gathers what the thread logs from now on.
+    pub(crate) fn gather() -> (LogLines, tracing::subscriber::DefaultGuard) {
+        let lines = LogLines::default();
+        let writer = lines.clone();
+        let log = tracing_subscriber::fmt().with_ansi(false).with_timer(PausedTime);
+        let log = log.with_writer(move || writer.clone()).finish();
+        (lines, tracing::subscriber::set_default(log))
+    }
+
+    /// The lines with `wanted` in them.
+    pub(crate) fn with(&self, wanted: &str) -> Vec<String> {
+        let written = self.written.lock().expect("lines");
+        let text = String::from_utf8_lossy(&written);
+        text.lines().filter(|it| it.contains(wanted)).map(str::to_owned).collect()
+    }
+}
+
+impl std::io::Write for LogLines {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        self.written.lock().expect("lines").extend_from_slice(line);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Runs a test on the paused clock, on one thread like the deployed program.
 pub(crate) fn run<F: Future<Output = ()>>(test: F) {
     if std::env::var_os(LOG_VARIABLE).is_some() {
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -160,7 +160,14 @@
 }
 
 fn inherit(core: &mut core::PoolCore, row: model::GraphRow, chunks: progress::SavedChunks) {
-    let admitted = intake::AdmittedJob { graph: 1, row, progress: chunks, inherited: true };
+    let admitted = intake::AdmittedJob {
+        graph: 1,
+        row,
+        version: 1,
+        origin: intake::JobOrigin::Load,
+        progress: chunks,
+        inherited: true,
+    };
     core.admit(admitted, Duration::ZERO);
 }
 
