Pause half of the workers at most for what fails on them

What callers would see: sound jobs of which nothing runs while jobs come that fail wherever they run. Two failures of different jobs in a row pause a worker, for 4 s at first and up to 32 s, and nothing bounded how many are paused at a time: on four workers 13 s of such jobs paused all, and a sound urgent job did not start within 3 s, though the pool was empty.

A worker is paused, for failures as for hangs, only if it can be spared: half of the workers of its upstream that answer are out of use on this belief at most. Beyond that it tells of the jobs rather. Workers that have failed are used last, as before.

The test failed with `found only []` where every worker counted as spare, which is what was done before.

--- a/crates/graph/src/ends.rs
+++ b/crates/graph/src/ends.rs
@@ -110,8 +110,9 @@
         attempt: u32,
         now: Duration,
     ) -> Option<save_queue::SaveMark> {
+        let is_spare = self.can_spare(worker, |it| it.health.is_paused(now));
         if let Some(record) = self.workers.get_mut(worker)
-            && record.health.failed(key.graph, now)
+            && record.health.failed(key.graph, is_spare, now)
         {
             tracing::warn!(worker, "worker fails tasks of several jobs and is paused");
         }
--- a/crates/graph/src/hanging.rs
+++ b/crates/graph/src/hanging.rs
@@ -46,10 +46,11 @@
                 worker,
                 "task stands still and is stopped"
             );
+            let is_spare = self.can_spare(&worker, |it| it.health.is_paused(now));
             if let Some(record) = self.workers.get_mut(&worker)
                 && !record.health.is_paused(now)
             {
-                record.health.hung(now);
+                record.health.hung(is_spare, now);
             }
             if let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) {
                 task.n_hangs += 1;
--- a/crates/graph/src/health.rs
+++ b/crates/graph/src/health.rs
@@ -33,24 +33,27 @@
         self.last_job = None;
     }
 
-    /// A task of `job` failed. Tells whether the worker is paused by it.
-    pub fn failed(&mut self, job: ids::GraphId, now: Duration) -> bool {
+    /// A task of `job` failed. Tells whether the worker is paused by it, which it is only if it can be
+    /// spared.
+    pub fn failed(&mut self, job: ids::GraphId, is_spare: bool, now: Duration) -> bool {
         if self.last_job == Some(job) {
             return false;
         }
         self.last_job = Some(job);
         self.failures += 1;
-        if self.failures < FAILURES_TO_PAUSE {
+        if self.failures < FAILURES_TO_PAUSE || !is_spare {
             return false;
         }
         self.pause(now);
         true
     }
 
-    /// A task stood still.
-    pub fn hung(&mut self, now: Duration) {
+    /// A task stood still. The worker is paused by it if it can be spared.
+    pub fn hung(&mut self, is_spare: bool, now: Duration) {
         self.failures += 1;
-        self.pause(now);
+        if is_spare {
+            self.pause(now);
+        }
     }
 
     /// Whether it gets no tasks for now.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -39,6 +39,7 @@
 mod avoidance;
 mod clearing;
 mod dispatch;
+mod doubt;
 mod ends;
 mod hanging;
 mod listing;
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -79,3 +79,27 @@
     let again = pass_idle(&mut bench, PATIENCE_MS, true);
     assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
 }
+
+/// Jobs that fail wherever they run paused all workers, for half a minute at last.
+#[test]
+fn jobs_that_fail_everywhere_leave_workers_for_others() {
+    let mut bench = support::PoolBench::new(4);
+    let mut n_ends = [0; 4];
+    for graph in 1..=130 {
+        bench.admit(graph, support::job(1, support::tasks(1)));
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &[], &[]);
+        }
+        for start in bench.turn_and_start() {
+            let worker = support::index_of(&start.worker);
+            n_ends[worker] += 1;
+            let end = support::ended(n_ends[worker], &start, order::EndKind::Failed);
+            bench.lists(worker, &[], &[end]);
+        }
+        bench.save();
+    }
+    bench.admit(1_000, support::job(0, support::tasks(1)));
+    let started = pass_idle(&mut bench, PATIENCE_MS, true);
+    assert!(started.iter().any(|it| it.task.graph == 1_000), "found only {started:?}");
+}
