Take half of the workers at most for slow at a time

What callers would see: a job of which nothing runs while long tasks of its class, or of any other, run beside much free room. A run at less than a quarter of its class's usual pace makes its worker slow until 2.5 s behind the last such sign, and so for as long as the run lasts. Tasks that are longer by nature, one on each worker, kept everything else from starting.

As with workers that fail, one counts as slow only if half of those of its upstream stay in use.

The test failed before: four runs of 20 s of a class that takes 0.5 s, five of eight accelerators each, and a fifth job of one accelerator that did not start within 4 s, `found only []`.

--- a/crates/graph/src/slowness.rs
+++ b/crates/graph/src/slowness.rs
@@ -34,8 +34,9 @@
         // wherever that is.
         let is_slow = verdicts.contains(&pace::PaceVerdict::Slow)
             && !verdicts.contains(&pace::PaceVerdict::Sound);
+        let is_spare = is_slow && self.can_spare(worker, |it| now < it.slow_until);
         let Some(record) = self.workers.get_mut(worker) else { return };
-        if is_slow {
+        if is_spare {
             if now >= record.slow_until {
                 tracing::info!(worker, n_runs = verdicts.len(), "worker is slow");
             }
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -1,6 +1,7 @@
 //! Beliefs that keep a task or a worker out of use: each has an end, though what usually ends it never comes.
 
 use almondpass_graph::{order, worker};
+use almondpass_schema::model;
 
 use crate::support;
 
@@ -103,3 +104,49 @@
     let started = pass_idle(&mut bench, PATIENCE_MS, true);
     assert!(started.iter().any(|it| it.task.graph == 1_000), "found only {started:?}");
 }
+
+/// Tasks that take far longer than their class usually does made all workers count as slow while they ran.
+#[test]
+fn long_tasks_of_a_class_leave_workers_for_others() {
+    let mut bench = support::PoolBench::new(4);
+    let mut n_ends = [0; 4];
+    for graph in 1..=10 {
+        bench.admit(graph, support::job(1, support::tasks(1)));
+        let start = bench.turn_and_start().remove(0);
+        bench.pass(500);
+        let worker = support::index_of(&start.worker);
+        n_ends[worker] += 1;
+        bench.lists(worker, &[], &[support::ended(n_ends[worker], &start, order::EndKind::Done)]);
+        bench.save();
+    }
+    let most = model::GraphStep { accelerators: 5, ..support::tasks(1) };
+    for graph in 51..=54 {
+        bench.admit(graph, support::job(1, most.clone()));
+    }
+    let mut long = Vec::new();
+    for _ in 0..20 {
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &runs_on(&long, worker, 0), &[]);
+        }
+        long.extend(bench.turn_and_start());
+    }
+    assert_eq!(long.len(), 4);
+    let mut started = Vec::new();
+    for tick in 0..80 {
+        if tick == 40 {
+            bench.admit(100, support::job(1, support::tasks(1)));
+        }
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &runs_on(&long, worker, tick / 2), &[]);
+        }
+        started.extend(bench.turn_and_start());
+    }
+    assert!(started.iter().any(|it| it.task.graph == 100), "found only {started:?}");
+}
+
+fn runs_on(starts: &[order::StartOrder], worker: usize, percent: u32) -> Vec<order::ListedRun> {
+    let there = starts.iter().filter(|it| support::index_of(&it.worker) == worker);
+    there.map(|it| support::running(it, percent)).collect()
+}
