Reckon with any reading of a worker's clock

A worker's clock is added to in whole milliseconds without a bound. It saturates now. No deployed program has been seen to do this: workers' clocks start at 0.

The test failed before with `attempt to add with overflow` in `LeaseClock::is_behind`.

--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -41,11 +41,11 @@
     pub fn is_behind(&self, clock_ms: u64, sent_at: Duration) -> bool {
         let Some(sample) = self.sample else { return false };
         let least = match sent_at.checked_sub(sample.received_at) {
-            Some(since) => sample.clock_ms + millis(since.mul_f64(SLOWEST_RATE)),
+            Some(since) => sample.clock_ms.saturating_add(millis(since.mul_f64(SLOWEST_RATE))),
             // The answer was overtaken by that of the sample; no clock is fast.
             None => sample.clock_ms.saturating_sub(millis(sample.received_at - sent_at)),
         };
-        clock_ms + ROUNDING_MS < least
+        clock_ms.saturating_add(ROUNDING_MS) < least
     }
 
     /// What the worker's clock shows at `now`, as far as it is known.
@@ -60,7 +60,7 @@
     pub fn deadline_in(&mut self, now: Duration, span: Duration) -> Option<u64> {
         let sample = self.sample?;
         let elapsed = now.saturating_sub(sample.received_at);
-        let deadline = sample.clock_ms + millis(elapsed) + millis(span);
+        let deadline = sample.clock_ms.saturating_add(millis(elapsed) + millis(span));
         self.deadline_sent = self.deadline_sent.max(deadline);
         Some(deadline)
     }
@@ -68,7 +68,8 @@
     /// Assumes that somebody else may have sent a deadline `span` behind the newest reading.
     pub fn assume_deadline(&mut self, span: Duration) {
         if let Some(sample) = self.sample {
-            self.deadline_sent = self.deadline_sent.max(sample.clock_ms + millis(span));
+            self.deadline_sent =
+                self.deadline_sent.max(sample.clock_ms.saturating_add(millis(span)));
         }
     }
 
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -150,3 +150,29 @@
     let there = starts.iter().filter(|it| support::index_of(&it.worker) == worker);
     there.map(|it| support::running(it, percent)).collect()
 }
+
+/// Whatever workers answer, the scheduler goes on.
+#[test]
+fn odd_clocks_and_progress_end_no_turn() {
+    let clocks = [0, 1, u64::MAX / 2, u64::MAX - 1, u64::MAX];
+    for (first, then) in clocks.iter().flat_map(|one| clocks.map(|other| (*one, other))) {
+        let mut bench = support::PoolBench::new(1);
+        bench.admit(1, support::job(0, support::tasks(2)));
+        let starts = bench.turn_and_start();
+        for (clock_ms, percent) in [(first, 0), (then, 1), (then, u32::MAX), (first, 99)] {
+            bench.pass(1_500);
+            let running = starts.iter().map(|it| support::running(it, percent));
+            let listed = order::WorkerListed {
+                clock_ms,
+                running: running.collect(),
+                complete: true,
+                ..order::WorkerListed::default()
+            };
+            bench.core.hold_ask(&support::worker_id(0), bench.now);
+            bench.core.hold_answered(&support::worker_id(0), listed, bench.now, bench.now);
+            bench.turn();
+            bench.pass(40_000);
+            bench.turn();
+        }
+    }
+}
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod loads;
 mod objectives;
+mod oddities;
 mod reservations;
 mod restarts;
 mod rosters;
