--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -42,6 +42,7 @@
 mod avoidance;
 mod clearing;
 mod dispatch;
+mod doubt;
 mod ends;
 mod hanging;
 mod listing;
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -1,6 +1,7 @@
 //! Beliefs that keep a task or a worker out of use: each has an end, though what usually ends it never comes.
 
 use almondpass_graph::{order, worker};
+use almondpass_schema::model;
 
 use crate::support;
 
@@ -79,3 +80,99 @@
     let again = pass_idle(&mut bench, PATIENCE_MS, true);
     assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
 }
+
+/// Jobs that fail wherever they run paused all workers, for half a minute at last.
+#[test]
+fn jobs_that_fail_everywhere_leave_workers_for_others() {
+    let mut bench = support::PoolBench::new(4);
+    let mut n_ends = [0; 4];
+    for graph in 1..=130 {
+        bench.admit(graph, support::job(1, support::tasks(1)));
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &[], &[]);
+        }
+        for start in bench.turn_and_start() {
+            let worker = support::index_of(&start.worker);
+            n_ends[worker] += 1;
+            let end = support::ended(n_ends[worker], &start, order::EndKind::Failed);
+            bench.lists(worker, &[], &[end]);
+        }
+        bench.save();
+    }
+    bench.admit(1_000, support::job(0, support::tasks(1)));
+    let started = pass_idle(&mut bench, PATIENCE_MS, true);
+    assert!(started.iter().any(|it| it.task.graph == 1_000), "found only {started:?}");
+}
+
+/// Tasks that take far longer than their class usually does made all workers count as slow while they ran.
+#[test]
+fn long_tasks_of_a_class_leave_workers_for_others() {
+    let mut bench = support::PoolBench::new(4);
+    let mut n_ends = [0; 4];
+    for graph in 1..=10 {
+        bench.admit(graph, support::job(1, support::tasks(1)));
+        let start = bench.turn_and_start().remove(0);
+        bench.pass(500);
+        let worker = support::index_of(&start.worker);
+        n_ends[worker] += 1;
+        bench.lists(worker, &[], &[support::ended(n_ends[worker], &start, order::EndKind::Done)]);
+        bench.save();
+    }
+    let most = model::GraphStep { accelerators: 5, ..support::tasks(1) };
+    for graph in 51..=54 {
+        bench.admit(graph, support::job(1, most.clone()));
+    }
+    let mut long = Vec::new();
+    for _ in 0..20 {
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &runs_on(&long, worker, 0), &[]);
+        }
+        long.extend(bench.turn_and_start());
+    }
+    assert_eq!(long.len(), 4);
+    let mut started = Vec::new();
+    for tick in 0..80 {
+        if tick == 40 {
+            bench.admit(100, support::job(1, support::tasks(1)));
+        }
+        bench.pass(LOOK_MS);
+        for worker in 0..4 {
+            bench.lists(worker, &runs_on(&long, worker, tick / 2), &[]);
+        }
+        started.extend(bench.turn_and_start());
+    }
+    assert!(started.iter().any(|it| it.task.graph == 100), "found only {started:?}");
+}
+
+fn runs_on(starts: &[order::StartOrder], worker: usize, percent: u32) -> Vec<order::ListedRun> {
+    let there = starts.iter().filter(|it| support::index_of(&it.worker) == worker);
+    there.map(|it| support::running(it, percent)).collect()
+}
+
+/// Whatever workers answer, the scheduler goes on.
+#[test]
+fn odd_clocks_and_progress_end_no_turn() {
+    let clocks = [0, 1, u64::MAX / 2, u64::MAX - 1, u64::MAX];
+    for (first, then) in clocks.iter().flat_map(|one| clocks.map(|other| (*one, other))) {
+        let mut bench = support::PoolBench::new(1);
+        bench.admit(1, support::job(0, support::tasks(2)));
+        let starts = bench.turn_and_start();
+        for (clock_ms, percent) in [(first, 0), (then, 1), (then, u32::MAX), (first, 99)] {
+            bench.pass(1_500);
+            let running = starts.iter().map(|it| support::running(it, percent));
+            let listed = order::WorkerListed {
+                clock_ms,
+                running: running.collect(),
+                complete: true,
+                ..order::WorkerListed::default()
+            };
+            bench.core.hold_ask(&support::worker_id(0), bench.now);
+            bench.core.hold_answered(&support::worker_id(0), listed, bench.now, bench.now);
+            bench.turn();
+            bench.pass(40_000);
+            bench.turn();
+        }
+    }
+}
