Storms of accepted work, with an oracle of jobs that stand still

Faults and calm in turn, over pools that are nearly empty to half full, with three classes, gangs, gangs of one rack, steps near their data and up to three steps behind each other. Faults: the store refused, silent, slow or flapping for one instance or all; answers to follows alone cut, lost and late; links between instances cut, so that nudges are lost; the history dropped while answers are under way; the holder killed right behind an acceptance; instances whose calls stand still and go on later; workers that are cut off, start again, and die for good, also along with the holder; stronger instances that join.

The oracle looks at workers and store past all faults, every 100 ms: 3 s behind calm and behind a takeover the holder in force knows each accepted job; and once it has been calm for 4 s, no job has nothing running for 3 s although a step's turn has come, there is room for it twice over and under half of the accelerators are in use. The beliefs of the holder are printed.

The stand-in samples faults of one step alone, and tells what runs where.

--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! Instances on the stand-in, on the paused clock: the whole path of job graphs under faults.
 
+mod accepted_work;
 mod calm;
 mod crashes;
 mod entries;
@@ -8,6 +9,7 @@
 mod restarts;
 mod rooms;
 mod rows;
+mod still_jobs;
 mod storms;
 mod strengths;
 mod support;
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -4,7 +4,6 @@
 //! --release -p almondpass-pool --test pool -- --nocapture storms`.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Range;
 use std::time::Duration;
 
 use almondpass_graph::{order, task_key};
@@ -179,7 +178,7 @@
     ($($(#[$doc:meta])* $name:ident: $kind:ident;)*) => {
         $($(#[$doc])* #[test]
         fn $name() {
-            play(StormKind::$kind, fresh_seeds());
+            play(StormKind::$kind, support::storm_seeds());
         })*
     };
 }
@@ -265,16 +264,6 @@
     }
 }
 
-/// The seeds that the environment names, or the first few.
-fn fresh_seeds() -> Range<u64> {
-    let first = number("POOL_STORM_SEED", 0);
-    first..first + number("POOL_STORM_CASES", 8)
-}
-
-fn number(variable: &str, default: u64) -> u64 {
-    std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
-}
-
 async fn storm(seed: u64, kind: StormKind) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut bench = support::PoolBench::start(N_INSTANCES, kind.n_workers()).await;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -1,6 +1,7 @@
 //! A few instances, workers, a store and a network, all in one process.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
 /// What each worker offers.
 const CAPACITY: room::Room = room::Room { cpu_milli: 32_000, memory_mb: 65_536, accelerators: 8 };
 
+/// Classes of jobs, with their priorities.
+pub(crate) const CLASSES: [(&str, u32); 3] = [("urgent", 0), ("trend", 1), ("bulk", 2)];
+
 /// Thousandths of a core of an instance.
 const STRENGTH_MILLI: u32 = 250;
 
@@ -106,7 +110,7 @@
         Ok(document::PoolDocument {
             version: std::str::from_utf8(source)?.trim_end_matches('!').parse()?,
             catalog: Arc::new(catalog::PoolCatalog {
-                classes: BTreeMap::from([("trend".to_owned(), class(1))]),
+                classes: CLASSES.map(|(name, priority)| (name.to_owned(), class(priority))).into(),
                 guaranteed: BTreeMap::new(),
                 unguarded: unguarded.into_iter().collect(),
             }),
@@ -166,6 +170,7 @@
     pub(crate) net: net::FakeNet,
     pub(crate) instances: Vec<BenchInstance>,
     pub(crate) clock: boot_clock::RuntimeClock,
+    pub(crate) started: Instant,
     n_started: usize,
 }
 
@@ -187,6 +192,7 @@
             net: net::FakeNet::new(),
             instances: Vec::new(),
             clock: boot_clock::RuntimeClock::new(),
+            started: Instant::now(),
             n_started: 0,
         };
         bench.net.set_latency(Duration::from_millis(1));
@@ -245,6 +251,13 @@
         dead.address
     }
 
+    /// Whoever holds the tenure, by the latest epoch.
+    pub(crate) fn holder_in_force(&self) -> Option<usize> {
+        let leads = self.instances.iter().enumerate();
+        let leads = leads.filter_map(|(index, it)| Some((it.state.lead()?.epoch, index)));
+        leads.max().map(|(_, index)| index)
+    }
+
     /// Index of the instance that holds the tenure.
     pub(crate) fn holder(&self) -> usize {
         self.instances.iter().position(|it| it.state.lead().is_some()).expect("a holder")
@@ -343,6 +356,18 @@
         });
     }
 
+    /// A worker dies, and comes back `down` later that way, if at all.
+    pub(crate) fn lose_worker(&self, index: usize, way: Comeback, down: Duration) {
+        let worker = worker_id(index);
+        let address = self.fleet.address_of(&worker);
+        let Some(capacity) = self.fleet.crash(&worker) else { return };
+        let dead = pool_fleet::CrashedWorker { worker: worker.clone(), address, capacity };
+        tokio::spawn(come_back(self.fleet.clone(), self.store.clone(), dead, way, down));
+        if way != Comeback::UnderItsId {
+            tokio::spawn(expire_entry(self.store.clone(), worker));
+        }
+    }
+
     /// Workers that tasks crash come back from now on, `down` later, as the platform lets them.
     pub(crate) fn bring_back(&self, comeback: Comeback, down: Duration) {
         let (store, fleet) = (self.store.clone(), self.fleet.clone());
@@ -602,6 +627,16 @@
     }
 }
 
+/// The seeds of storms that the environment names, or the first few.
+pub(crate) fn storm_seeds() -> Range<u64> {
+    let first = number("POOL_STORM_SEED", 0);
+    first..first + number("POOL_STORM_CASES", 8)
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
+
 /// Shows the logs of a test, if it is set.
 const LOG_VARIABLE: &str = "POOL_LOG";
 
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -95,6 +95,8 @@
 struct FaultSampling {
     rng: ChaCha8Rng,
     rates: FaultRates,
+    /// The step that is struck; nothing for all.
+    step: Option<&'static str>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -130,7 +132,14 @@
     /// Strikes calls at random from `seed`; rates of zero end it.
     pub fn sample(&self, seed: u64, rates: FaultRates) {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        state::lock(&self.state).sampling = Some(FaultSampling { rng, rates });
+        state::lock(&self.state).sampling = Some(FaultSampling { rng, rates, step: None });
+    }
+
+    /// The same, for calls of `step` alone.
+    pub fn sample_step(&self, step: &'static str, seed: u64, rates: FaultRates) {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let sampling = FaultSampling { rng, rates, step: Some(step) };
+        state::lock(&self.state).sampling = Some(sampling);
     }
 
     /// Calls of `step` that arrived so far.
@@ -160,7 +169,9 @@
         *calls += 1;
         let nth = *calls;
         let scripted = self.scripted.remove(&(step, nth));
-        scripted.or_else(|| self.sampling.as_mut()?.draw())
+        let sampling = self.sampling.as_mut();
+        let sampling = sampling.filter(|it| it.step.is_none_or(|wanted| wanted == step));
+        scripted.or_else(|| sampling?.draw())
     }
 }
 
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -210,6 +210,18 @@
         records
     }
 
+    /// Which tasks run now, and where.
+    pub fn running(&self) -> Vec<(ids::WorkerId, task_key::TaskKey)> {
+        let mut state = state::lock(&self.state);
+        state.pass_crashes();
+        let mut running = Vec::new();
+        for (id, worker) in &mut state.workers {
+            worker.pass_time();
+            running.extend(worker.runs().keys().map(|task| (id.clone(), *task)));
+        }
+        running
+    }
+
     /// Tasks that run now.
     pub fn n_running(&self) -> usize {
         let mut state = state::lock(&self.state);
