Learn from a former holder's machine when it is over

What callers would see: a holder is lost and, within seconds, any one worker.

Cause: until all that the former holder may have ordered has ended, a worker that does not answer may run any task of an inherited job. The successor counted the lease from when a holder that goes on without the store would give its last order, 7 s behind the last renewal that was read, also where the former process is long over.

Change: a successor asks at the address of the former holder until it is settled. Another process there, or the same one without that tenure, shows that it is over and since when at least; one that still holds it ends it. Only an answer counts: a refused connection may be a cut link. The lease is waited for from then on. No bound is given up: what the answering side says holds whatever the store does.

The test failed before with "assertion `left == right` failed, left: 0, right: 2": 10.2 s behind the loss of a holder and a worker none of two tasks ran on 15 other workers. Ruled out: nudges and feeds (the job was known to the successor at once).

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// What earlier schedulers have ordered has surely ended at `at` on the workers that don't answer.
+    pub fn settles_by(&mut self, at: Duration) {
+        self.settles_at = self.settles_at.min(at);
+    }
+
     /// Takes a new configuration.
     pub fn set_catalog(&mut self, catalog: Arc<catalog::PoolCatalog>) {
         self.catalog = catalog;
@@ -202,10 +207,16 @@
 
     /// Whether every worker on which tasks of an earlier tenure may be has answered, or their
     /// leases have lapsed.
-    pub(crate) fn is_settled(&self, now: Duration) -> bool {
+    pub fn is_settled(&self, now: Duration) -> bool {
         now >= self.settles_at || self.workers.values().all(|it| it.fenced || !it.inherited)
     }
 
+    /// Whether each worker on which a successor has to expect tasks answers.
+    pub fn all_answer(&self) -> bool {
+        let mut records = self.roster.workers().filter_map(|it| self.workers.get(it));
+        records.all(|it| it.answers() || it.has_left())
+    }
+
     /// The jobs that have not ended.
     pub(crate) fn active_jobs(&self) -> impl Iterator<Item = (ids::GraphId, &job::JobRecord)> {
         self.active.iter().filter_map(|it| Some((*it, self.jobs.get(it)?)))
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -85,6 +85,7 @@
     "/v1/pool/cancel" GraphCancel => GraphCancelled;
     "/v1/pool/look" GraphLook => GraphLooked;
     "/v1/pool/backlog" BacklogQuery => BacklogAnswer;
+    "/v1/pool/tenure" TenureQuery => TenureAnswer;
     "/v1/hall/grant" GrantRequest => GrantReply;
     "/v1/hall/returns" GrantReturns => ReturnReply;
     "/v1/hall/report" GrantReport => ReturnReply;
--- a/crates/peer/tests/decoders/main.rs
+++ b/crates/peer/tests/decoders/main.rs
@@ -139,7 +139,7 @@
     instances: InstanceQuery;
     worker: LeaseReserve TaskStart LeaseRenew TaskSignal LeaseRelease LeaseList;
     peers: PeerBeat ConfigFetch HandOver DocumentPull;
-    pools: GraphNudge GraphQuery GraphSubmit GraphCancel GraphLook BacklogQuery;
+    pools: GraphNudge GraphQuery GraphSubmit GraphCancel GraphLook BacklogQuery TenureQuery;
     halls: GrantRequest GrantReturns GrantReport JobSubmit JobQuery JobCancel HallQuery;
 }
 
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -15,6 +15,7 @@
 use crate::hand_over;
 use crate::lead_loader;
 use crate::order_sender;
+use crate::predecessor;
 use crate::retention;
 use crate::session;
 use crate::settings;
@@ -55,6 +56,8 @@
     pub(crate) settles_at: Duration,
     /// Losses of workers that the earlier holder has seen lately.
     pub(crate) losses: Option<model::RecentLosses>,
+    /// The earlier holder, unless it is known to be over.
+    pub(crate) predecessor: Option<predecessor::Predecessor>,
 }
 
 impl LeadState {
@@ -86,6 +89,11 @@
         state::lock(&self.tenure)
     }
 
+    /// Whether no order leaves any more.
+    pub fn is_over(&self) -> bool {
+        self.over.is_cancelled()
+    }
+
     /// Whether orders may be given now.
     pub(crate) fn may_order(&self, clock: &impl BootClock) -> bool {
         !self.over.is_cancelled() && self.tenure().may_order(clock.now())
@@ -137,6 +145,7 @@
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
     metrics::counter!("almondpass_pool_tenures_total").increment(1);
     let (epoch, version) = (taken.epoch, taken.version);
+    state.set_taken(Some(epoch));
     let mut core = core::PoolCore::new(core::PoolStart {
         terms: state.settings.terms,
         catalog: Arc::default(),
@@ -153,6 +162,7 @@
     lead.end();
     parts.shutdown().await;
     state.set_lead(None);
+    state.set_taken(None);
     metrics::gauge!("almondpass_pool_held").set(0.0);
     tracing::info!(epoch, "tenure is over");
 }
@@ -178,6 +188,7 @@
         worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at),
         turner::run(Arc::clone(&state), Arc::clone(&lead)),
         hand_over::run(Arc::clone(&state), Arc::clone(&lead)),
+        predecessor::run(Arc::clone(&state), Arc::clone(&lead), taken.predecessor),
         retention::run(Arc::clone(&state), Arc::clone(&lead)),
     );
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fencing;
 pub mod instance;
 pub mod peers;
+mod predecessor;
 pub mod settings;
 pub mod standing;
 pub mod state;
--- a/crates/pool/src/peers.rs
+++ b/crates/pool/src/peers.rs
@@ -12,6 +12,7 @@
 use crate::cancel;
 use crate::entry;
 use crate::graph_follower;
+use crate::predecessor;
 use crate::state;
 use crate::submit;
 
@@ -71,6 +72,10 @@
         entry::state_here(&self.state, call.graph, account, deadline).await
     }
 
+    fn tenure(&self, query: &model::TenureQuery) -> model::TenureAnswer {
+        predecessor::answer(&self.state, query)
+    }
+
     fn backlog(&self, query: &model::BacklogQuery) -> model::BacklogAnswer {
         let lead = self.state.lead();
         model::BacklogAnswer { waiting: lead.map(|it| it.core().backlog(&query.class)) }
@@ -92,6 +97,7 @@
                 dispatch::answer(&body, async |it| self.cancel(it).await).await
             }
             model::GraphLook::PATH => dispatch::answer(&body, async |it| self.look(it).await).await,
+            model::TenureQuery::PATH => dispatch::answer(&body, async |it| self.tenure(&it)).await,
             model::BacklogQuery::PATH => {
                 dispatch::answer(&body, async |it| self.backlog(&it)).await
             }
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -14,15 +14,13 @@
 
 use crate::document;
 use crate::lead;
+use crate::predecessor;
 use crate::settings;
 use crate::state;
 use crate::store_call;
 use crate::tenure_watch;
 use crate::writer;
 
-/// For an order that was under way when the earlier holder stopped giving orders.
-const ORDER_SLACK: Duration = Duration::from_millis(300);
-
 /// Looks of different instances are spread over this share of the time between two looks.
 const SPREAD: f64 = 0.3;
 
@@ -109,7 +107,8 @@
     let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
     let version = versions.first().copied()?;
     let settles_at = settles_at(seen, settings, now);
-    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses })
+    let predecessor = predecessor_of(seen, settings);
+    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses, predecessor })
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
@@ -152,7 +151,27 @@
     let is_over = row.released || seen.is_of(&settings.peer_address);
     let times = settings.tenure;
     let goes_on = if is_over { Duration::ZERO } else { times.term + times.detached };
-    seen.first_seen + goes_on + ORDER_SLACK + lease_clock::at_most(settings.terms.lease)
+    seen.first_seen
+        + goes_on
+        + predecessor::ORDER_SLACK
+        + lease_clock::at_most(settings.terms.lease)
+}
+
+/// The earlier holder, where it may go on.
+fn predecessor_of(
+    seen: &tenure_watch::SeenRow,
+    settings: &settings::PoolSettings,
+) -> Option<predecessor::Predecessor> {
+    let row = seen.row.as_ref()?;
+    if row.released || seen.is_of(&settings.peer_address) {
+        return None;
+    }
+    Some(predecessor::Predecessor {
+        holder: row.holder.clone(),
+        address: row.address.clone(),
+        epoch: row.epoch,
+        others_go_on_until: seen.epoch_since + settings.tenure.detached,
+    })
 }
 
 /// Time between two looks of this instance.
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use almondpass_peer::link;
+use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::{boot_clock, row_feed, table};
 use almondpass_schema::{ids, model};
 use tokio_util::sync::CancellationToken;
@@ -50,6 +52,8 @@
     pub site: S,
     /// What the instance was told at its start.
     pub settings: settings::PoolSettings,
+    /// When the process began.
+    pub(crate) began_at: Duration,
     /// The configuration in force.
     pub document: document::DocumentSlot,
     /// The data centres under evacuation.
@@ -60,6 +64,8 @@
     holder: Mutex<Option<HolderView>>,
     /// The tenure, while this instance holds it.
     lead: Mutex<Option<Arc<lead::LeadState>>>,
+    /// Number of the tenure from its taking on, before its rows are read.
+    taken: Mutex<Option<ids::Epoch>>,
     /// Whether the store gives this instance no answers, as its last long call showed.
     store_away: AtomicBool,
     /// Whether calls by way of peers are worth a try.
@@ -84,14 +90,17 @@
 impl<S: PoolSite> PoolState<S> {
     /// An instance that knows nothing yet.
     pub fn new(site: S, settings: settings::PoolSettings) -> PoolState<S> {
+        let began_at = site.clock().now();
         PoolState {
             site,
             settings,
+            began_at,
             document: document::DocumentSlot::default(),
             evacuations: evacuation::EvacuationSlot::default(),
             leaving: CancellationToken::new(),
             holder: Mutex::default(),
             lead: Mutex::default(),
+            taken: Mutex::default(),
             store_away: AtomicBool::new(false),
             detours: Mutex::default(),
             members: Mutex::default(),
@@ -109,6 +118,15 @@
         *lock(&self.lead) = lead;
     }
 
+    /// Number of the tenure that this instance has taken and not ended.
+    pub(crate) fn taken(&self) -> Option<ids::Epoch> {
+        *lock(&self.taken)
+    }
+
+    pub(crate) fn set_taken(&self, epoch: Option<ids::Epoch>) {
+        *lock(&self.taken) = epoch;
+    }
+
     /// Another instance that holds the tenure, as last seen.
     pub fn other_holder(&self) -> Option<HolderView> {
         let holder = lock(&self.holder).clone();
--- a/crates/pool/src/tenure_watch.rs
+++ b/crates/pool/src/tenure_watch.rs
@@ -21,6 +21,8 @@
     pub since: Duration,
     /// When this version was first read in truth: no later renewal has reached the store.
     pub first_seen: Duration,
+    /// When its epoch was first read.
+    pub epoch_since: Duration,
 }
 
 impl TenureWatch {
@@ -28,7 +30,12 @@
     pub fn saw(&mut self, version: ids::RowVersion, row: Option<model::PoolTenure>, now: Duration) {
         match &mut self.seen {
             Some(seen) if seen.version == version => {}
-            _ => self.seen = Some(SeenRow { version, row, since: now, first_seen: now }),
+            seen => {
+                let epoch = |row: &Option<model::PoolTenure>| row.as_ref().map(|it| it.epoch);
+                let known = seen.as_ref().filter(|it| epoch(&it.row) == epoch(&row));
+                let epoch_since = known.map_or(now, |it| it.epoch_since);
+                *seen = Some(SeenRow { version, row, since: now, first_seen: now, epoch_since });
+            }
         }
     }
 
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use almondpass_graph::order;
+use almondpass_peer::link::PeerLink;
 use almondpass_schema::model;
 use almondpass_standin::{fault, pool_fleet, table};
 use tokio::time;
@@ -11,6 +12,9 @@
 
 const SOON: Duration = Duration::from_secs(30);
 
+/// What was started by a scheduler that is over ends within its lease.
+const LEASE_AND_MORE: Duration = Duration::from_millis(7_200);
+
 /// Tables that a successor reads at once.
 const N_TABLES: u64 = 4;
 
@@ -228,3 +232,50 @@
         bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
     });
 }
+
+/// Accepted jobs wait for orders of a scheduler that is over, because one worker is dead.
+#[test]
+fn a_dead_worker_holds_up_accepted_jobs_no_longer_than_its_lease() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 16).await;
+        bench.keep_heartbeats();
+        let holder = bench.holder();
+        bench.lose_worker(0, support::Comeback::Never, Duration::ZERO);
+        let address = bench.kill(holder).await;
+        let accepted = bench.submit(0, 1, support::job(2, 1_000)).await;
+        assert_eq!(accepted, model::SubmitOutcome::Accepted);
+        // Another instance has taken over by then.
+        time::sleep(Duration::from_secs(3)).await;
+        assert!(bench.holder_in_force().is_some());
+        bench.start_instance(&address);
+        time::sleep(LEASE_AND_MORE).await;
+        assert_eq!(bench.fleet.running().len(), 2);
+    });
+}
+
+/// A tenure that is over for its successor goes on, or one that goes on counts as over.
+#[test]
+fn a_former_tenure_ends_when_its_successor_asks() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        let asker = bench.net.link("10.9.9.9:7000");
+        let holder = bench.holder();
+        let instance = bench.instances[holder].state.settings.instance.clone();
+        let epoch = bench.instances[holder].state.lead().map_or(0, |it| it.epoch);
+        let address = bench.instances[holder].address.clone();
+        let ask = async |epoch| {
+            let query = model::TenureQuery { holder: instance.clone(), epoch };
+            asker.call(&address, query, Duration::from_secs(1)).await.ok()?.over_for_ms
+        };
+        assert_eq!(ask(epoch - 1).await, Some(0));
+        assert!(bench.instances[holder].state.lead().is_some());
+        assert_eq!(ask(epoch).await, Some(0));
+        let later = bench.instances[holder].state.lead().filter(|it| it.epoch == epoch);
+        assert!(later.is_none_or(|it| it.is_over()));
+        bench.kill(holder).await;
+        assert_eq!(ask(epoch).await, None);
+        bench.start_instance(&address);
+        time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(ask(epoch).await, Some(3_001));
+    });
+}
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2510,6 +2510,21 @@
         reason: ::std::string::String,
     },
 }
+///Whether a tenure is over.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct TenureAnswer {
+    ///For how long it has been over at least; absent where it may go on.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub over_for_ms: ::std::option::Option<u64>,
+}
+///Asks where an instance held a tenure whether that is over, behind a later one; it ends it if it still holds it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TenureQuery {
+    ///Number of the tenure.
+    pub epoch: crate::ids::Epoch,
+    ///The instance that held it.
+    pub holder: crate::ids::InstanceId,
+}
 ///Row of the table that changes only with the tenure of a hall, so that the holder's writes can be conditional on it while the scheduler row changes with each renewal.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TenureRow {
