Hand no tenure over while a worker does not answer

Change: the tenure is handed over once all workers of the roster answer, or after 30 s. Leaving instances go at once as before.

The test failed before with "assertion `left == right` failed, left: 0, right: 2".

--- a/crates/pool/src/hand_over.rs
+++ b/crates/pool/src/hand_over.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::ids;
 use tokio::time;
 
@@ -17,6 +18,10 @@
 /// instances that start along with this one come within it.
 const KEPT_FOR: Duration = Duration::from_secs(3);
 
+/// A worker that does not answer is waited for this long: a successor waits for its lease anew, and accepted
+/// jobs with it.
+const SILENCE_PATIENCE: Duration = Duration::from_secs(30);
+
 /// The instances that were found are looked at this often.
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -33,23 +38,32 @@
     lead: Arc<lead::LeadState>,
 ) {
     time::sleep(KEPT_FOR).await;
+    let mut wanted_since = None;
     loop {
         // While the store is away a tenure that is given up could be taken by nobody.
         let may_write = lead.is_firm(state.site.clock()) && !state.is_store_away();
-        if may_write && offer(&state) {
-            tracing::info!(epoch = lead.epoch, "tenure is handed over to a stronger instance");
-            lead.giving_up.cancel();
-            return;
+        if may_write && knows_new(&state) {
+            let now = state.site.clock().now();
+            let since = *wanted_since.get_or_insert(now);
+            if now >= since + SILENCE_PATIENCE || lead.core().all_answer() {
+                tracing::info!(epoch = lead.epoch, "tenure is handed over to a stronger instance");
+                note_offered(&state);
+                lead.giving_up.cancel();
+                return;
+            }
         }
         time::sleep(INTERVAL).await;
     }
 }
 
-/// Whether there is a stronger instance that was not offered the tenure; notes that all were.
-fn offer<S: state::PoolSite>(state: &state::PoolState<S>) -> bool {
+/// Whether there is a stronger instance that was not offered the tenure.
+fn knows_new<S: state::PoolSite>(state: &state::PoolState<S>) -> bool {
+    let stronger = state.stronger();
+    !stronger.is_subset(&state.offered().offered)
+}
+
+/// Notes that all stronger instances were offered the tenure.
+fn note_offered<S: state::PoolSite>(state: &state::PoolState<S>) {
     let stronger = state.stronger();
-    let mut offered = state.offered();
-    let is_new = !stronger.is_subset(&offered.offered);
-    offered.offered.extend(stronger);
-    is_new
+    state.offered().offered.extend(stronger);
 }
--- a/crates/pool/tests/pool/strengths.rs
+++ b/crates/pool/tests/pool/strengths.rs
@@ -10,6 +10,9 @@
 
 const WEAK: u32 = 120;
 const STRONG: u32 = 500;
+
+/// What was started by a scheduler that is over ends within its lease.
+const LEASE_AND_MORE: Duration = Duration::from_millis(7_200);
 const STRONG_ADDRESS: &str = "10.0.9.1:7000";
 
 /// Symptom: on some days urgent work was late from the first moment on, on one in 25 nearly all work.
@@ -78,3 +81,26 @@
         assert!(bench.store.told(keys::INSTANCES) - told <= 6, "nothing has changed");
     });
 }
+
+/// Each hand-over makes accepted jobs wait anew for the lease of a worker that does not answer.
+#[test]
+fn a_tenure_is_not_handed_over_while_a_worker_does_not_answer() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(0, 16).await;
+        bench.start_instance_of(STRONG_ADDRESS, STRONG);
+        bench.start_instance_of("10.0.0.1:7000", WEAK);
+        time::sleep(Duration::from_secs(8)).await;
+        bench.keep_heartbeats();
+        bench.lose_worker(0, support::Comeback::Never, Duration::ZERO);
+        bench.kill(0).await;
+        let accepted = bench.submit(0, 1, support::job(2, 20_000)).await;
+        assert_eq!(accepted, model::SubmitOutcome::Accepted);
+        time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(bench.holder_in_force(), Some(0));
+        let strong = bench.start_instance_of(STRONG_ADDRESS, STRONG);
+        time::sleep(LEASE_AND_MORE).await;
+        assert_eq!(bench.fleet.running().len(), 2);
+        time::sleep(Duration::from_secs(9)).await;
+        assert_eq!(bench.holder(), strong);
+    });
+}
