--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fencing;
 pub mod instance;
 pub mod peers;
+mod predecessor;
 pub mod settings;
 pub mod standing;
 pub mod state;
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! Instances on the stand-in, on the paused clock: the whole path of job graphs under faults.
 
+mod accepted_work;
 mod calm;
 mod crashes;
 mod entries;
@@ -12,6 +13,7 @@
 mod rooms;
 mod rows;
 mod sessions;
+mod still_jobs;
 mod storms;
 mod strengths;
 mod support;
