Go on where a part of an instance panics

A panic ended a part of an instance for good and without a word, while the process lived on: a session with a worker (nobody looked at it any more, its lease lapsed, its tasks stood still), the sender of a worker's orders (a start counted as under way for ever, and no order reached that worker any more), the following of the configuration, that of the members, and the seat (no tenure was taken any more, and callers were answered by what an ended one knew). The handles of these tasks were dropped or not looked at. No panic is known; the class is a belief that nothing ends.

A tenure ends here however its work ends. A panic of what a holder decides or follows still gives the tenure up, as before.

Tests panic at a look, at a start and at a document. The seat and the members go the same way as the configuration, but no test has them panic.

--- a/crates/pool/src/instance.rs
+++ b/crates/pool/src/instance.rs
@@ -6,6 +6,7 @@
 
 use crate::document_follower;
 use crate::member_list;
+use crate::part;
 use crate::seat;
 use crate::state;
 
@@ -13,8 +14,10 @@
 /// Returns once the instance is leaving and has given up the tenure.
 pub async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>) {
     let mut parts = JoinSet::new();
-    parts.spawn(document_follower::run(Arc::clone(&state)));
-    parts.spawn(member_list::run(Arc::clone(&state)));
-    seat::run(state).await;
+    let shared = Arc::clone(&state);
+    parts.spawn(part::keep("configuration", move || document_follower::run(Arc::clone(&shared))));
+    let shared = Arc::clone(&state);
+    parts.spawn(part::keep("members", move || member_list::run(Arc::clone(&shared))));
+    part::keep("tenure", || seat::run(Arc::clone(&state))).await;
     parts.shutdown().await;
 }
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -164,6 +164,7 @@
     // The tenure is renewed, and with it what is known of losses, before anything is loaded.
     core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
+    let _held = HeldTenure { state: &state, lead: &lead };
     let mut parts = JoinSet::new();
     parts.spawn(serve(Arc::clone(&state), Arc::clone(&lead), taken));
     // From the start on: while the store is slow the reads take longer than the term, and each
@@ -171,11 +172,24 @@
     writer::run(&state, &lead, version).await;
     lead.end();
     parts.shutdown().await;
-    state.set_lead(None);
-    metrics::gauge!("almondpass_pool_held").set(0.0);
     tracing::info!(epoch, "tenure is over");
 }
 
+/// A tenure that ends here however its work ends, by a panic too: callers and peers would be answered by
+/// what it knew.
+struct HeldTenure<'a, S: state::PoolSite> {
+    state: &'a state::PoolState<S>,
+    lead: &'a LeadState,
+}
+
+impl<S: state::PoolSite> Drop for HeldTenure<'_, S> {
+    fn drop(&mut self) {
+        self.lead.end();
+        self.state.set_lead(None);
+        metrics::gauge!("almondpass_pool_held").set(0.0);
+    }
+}
+
 /// Reads how the pools stand, then schedules.
 async fn serve<S: state::PoolSite>(
     state: Arc<state::PoolState<S>>,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -28,6 +28,7 @@
 mod missed_job;
 mod nudge;
 mod order_sender;
+mod part;
 mod retention;
 mod seat;
 mod session;
--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -10,6 +10,7 @@
 use crate::entry;
 use crate::graph_follower;
 use crate::lead;
+use crate::part;
 use crate::state;
 
 /// Looks for a job in the store and takes it in, without waiting for it.
@@ -23,14 +24,22 @@
     }
     let (state, lead) = (Arc::clone(state), Arc::clone(lead));
     tokio::spawn(async move {
-        // Where it can't be read, whoever has asked asks again.
-        if let Ok(Some(missed)) = read(&state, &lead, graph).await {
-            admit(&state, &lead, missed);
-        }
+        part::attempt("lookup", look_up(&state, &lead, graph)).await;
         lead.missed_jobs().remove(&graph);
     });
 }
 
+async fn look_up<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    graph: ids::GraphId,
+) {
+    // Where it can't be read, whoever has asked asks again.
+    if let Ok(Some(missed)) = read(state, lead, graph).await {
+        admit(state, lead, missed);
+    }
+}
+
 fn admit<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
--- a/crates/pool/src/nudge.rs
+++ b/crates/pool/src/nudge.rs
@@ -14,6 +14,7 @@
 use tokio::time::{self, Instant};
 
 use crate::graph_follower;
+use crate::part;
 use crate::state;
 
 /// For the holder to answer.
@@ -78,7 +79,7 @@
     };
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        repeat(&state, &nudge, patience).await;
+        part::attempt("nudge", repeat(&state, &nudge, patience)).await;
         state.nudges().pending.remove(&key);
     });
 }
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -9,6 +9,7 @@
 use crate::control::{self, TaskControl};
 use crate::fencing;
 use crate::lead;
+use crate::part;
 use crate::session;
 use crate::state;
 
@@ -23,7 +24,9 @@
         // decision, another may have taken over, and the worker may have started again.
         let is_outdated = lead.core().is_outdated(&order, state.site.clock().now());
         if lead.may_order(state.site.clock()) && !is_outdated {
-            send(&state, &lead, order).await;
+            if part::attempt("orders", send(&state, &lead, &order)).await.is_none() {
+                settle(&state, &lead, &order);
+            }
             lead.turn_due.notify_one();
         } else {
             withhold(&state, &lead, &order);
@@ -34,10 +37,10 @@
 async fn send<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
-    order: order::PoolOrder,
+    order: &order::PoolOrder,
 ) {
     let control = state.site.control();
-    let kind = match &order {
+    let kind = match order {
         order::PoolOrder::Start(_) => "start",
         order::PoolOrder::Stop(_) => "stop",
         order::PoolOrder::Look { .. } => "look",
@@ -46,16 +49,16 @@
     match order {
         order::PoolOrder::Start(start) => {
             let token = fencing::token(lead.epoch, start.generation);
-            let answer = control.start(token, &start).await;
-            lead.core().start_answered(&start, answer, state.site.clock().now());
+            let answer = control.start(token, start).await;
+            lead.core().start_answered(start, answer, state.site.clock().now());
         }
         order::PoolOrder::Stop(stop) => {
             let token = fencing::token(lead.epoch, stop.generation);
-            let answer = control.stop(token, &stop).await;
+            let answer = control.stop(token, stop).await;
             let now = state.site.clock().now();
             let mut core = lead.core();
             match answer {
-                Ok(()) => core.stop_answered(&stop, true, now),
+                Ok(()) => core.stop_answered(stop, true, now),
                 Err(control::ControlFault::Replaced(_)) => {
                     core.worker_replaced(&stop.worker, &stop.address, now);
                 }
@@ -64,13 +67,29 @@
                 }
                 Err(control::ControlFault::Call(error)) => {
                     tracing::debug!(worker = stop.worker, %error, "stop without answer");
-                    core.stop_answered(&stop, false, now);
+                    core.stop_answered(stop, false, now);
                 }
             }
         }
         order::PoolOrder::Look { worker } => {
-            session::look_now(state, lead, &worker).await;
+            session::look_now(state, lead, worker).await;
+        }
+    }
+}
+
+/// An order whose sending has panicked: it may have left.
+fn settle<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    order: &order::PoolOrder,
+) {
+    let now = state.site.clock().now();
+    match order {
+        order::PoolOrder::Start(start) => {
+            lead.core().start_answered(start, order::StartAnswer::Unknown, now);
         }
+        order::PoolOrder::Stop(stop) => lead.core().stop_answered(stop, false, now),
+        order::PoolOrder::Look { .. } => {}
     }
 }
 
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -11,6 +11,7 @@
 use crate::control::{self, TaskControl};
 use crate::fencing;
 use crate::lead;
+use crate::part;
 use crate::state;
 
 /// Longest wait for ends to become durable before the worker is looked at again: while the store
@@ -34,10 +35,14 @@
             time::sleep(PAUSE).await;
             continue;
         }
-        match look(&state, &lead, &worker).await {
-            LookOutcome::Answered => await_save(&lead, &worker).await,
-            LookOutcome::Missed => time::sleep(AGAIN).await,
-            LookOutcome::Over => break,
+        match part::attempt("session", look(&state, &lead, &worker)).await {
+            Some(LookOutcome::Answered) => await_save(&lead, &worker).await,
+            Some(LookOutcome::Missed) => time::sleep(AGAIN).await,
+            Some(LookOutcome::Over) => break,
+            None => {
+                lead.core().hold_missed(&worker);
+                time::sleep(part::AGAIN).await;
+            }
         }
     }
     lead.drop_sender(&worker);
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod nudges;
 mod outages;
+mod panics;
 mod restarts;
 mod rooms;
 mod rows;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -6,7 +6,7 @@
 
 use almondpass_graph::{catalog, order, room, task_key, worker};
 use almondpass_pool::{
-    cancel, document, entry, instance, peers, settings, state, submit, worker_entry,
+    cancel, control, document, entry, instance, peers, settings, state, submit, worker_entry,
 };
 use almondpass_ports::boot_clock;
 use almondpass_ports::table::TableService;
@@ -47,14 +47,14 @@
 #[derive(Clone)]
 pub(crate) struct BenchSite {
     store: table::TableFake,
-    control: pool_fleet::PoolFleet,
+    control: BenchControl,
     peers: net::FakeLink,
     clock: boot_clock::RuntimeClock,
 }
 
 impl state::PoolSite for BenchSite {
     type Store = table::TableFake;
-    type Control = pool_fleet::PoolFleet;
+    type Control = BenchControl;
     type Reader = BenchReader;
     type Peers = net::FakeLink;
     type Clock = boot_clock::RuntimeClock;
@@ -63,7 +63,7 @@
         &self.store
     }
 
-    fn control(&self) -> &pool_fleet::PoolFleet {
+    fn control(&self) -> &BenchControl {
         &self.control
     }
 
@@ -80,6 +80,69 @@
     }
 }
 
+/// The workers, with calls at which the caller panics.
+#[derive(Clone)]
+pub(crate) struct BenchControl {
+    fleet: pool_fleet::PoolFleet,
+    panics: PanicPlan,
+}
+
+/// At which call to a worker an instance panics.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PanicPlan {
+    step: Arc<Mutex<Option<&'static str>>>,
+}
+
+impl PanicPlan {
+    /// At the next call of `step`.
+    pub(crate) fn next(&self, step: &'static str) {
+        *self.step.lock().expect("a step") = Some(step);
+    }
+
+    /// Whether that call is still to come.
+    pub(crate) fn is_due(&self) -> bool {
+        self.step.lock().expect("a step").is_some()
+    }
+
+    fn strike(&self, step: &'static str) {
+        let due = self.step.lock().expect("a step").take_if(|it| *it == step);
+        assert_eq!(due, None, "a panic that the test asked for");
+    }
+}
+
+impl control::TaskControl for BenchControl {
+    async fn hold(
+        &self,
+        target: &control::WorkerTarget,
+        token: ids::FencingToken,
+        ask: &order::HoldAsk,
+    ) -> Result<order::WorkerListed, control::ControlFault> {
+        self.panics.strike(pool_fleet::HOLD);
+        self.fleet.hold(target, token, ask).await
+    }
+
+    async fn start(
+        &self,
+        token: ids::FencingToken,
+        start: &order::StartOrder,
+    ) -> order::StartAnswer {
+        self.panics.strike(pool_fleet::START);
+        self.fleet.start(token, start).await
+    }
+
+    async fn stop(
+        &self,
+        token: ids::FencingToken,
+        stop: &order::StopOrder,
+    ) -> Result<(), control::ControlFault> {
+        self.panics.strike(pool_fleet::STOP);
+        self.fleet.stop(token, stop).await
+    }
+}
+
+/// A document at which its reader panics.
+pub(crate) const PANICKING_DOCUMENT: &[u8] = b"panic";
+
 /// A document is the number of its version, with a `!` behind it if workers refuse nothing. A worker's row
 /// is its rack, its incarnation, its address and its accelerators, with a `-` behind them once it leaves.
 #[derive(Clone, Debug)]
@@ -95,6 +158,7 @@
     }
 
     fn document(&self, source: &[u8]) -> anyhow::Result<document::PoolDocument> {
+        assert_ne!(source, PANICKING_DOCUMENT, "a panic that the test asked for");
         let class = |priority| catalog::ClassSpec {
             upstream: UPSTREAM.to_owned(),
             priority,
@@ -175,6 +239,7 @@
     pub(crate) address: String,
     pub(crate) to_store: fault::FaultPlan,
     pub(crate) to_workers: fault::FaultPlan,
+    pub(crate) panics: PanicPlan,
     running: JoinHandle<()>,
 }
 
@@ -210,9 +275,13 @@
     pub(crate) fn start_instance_of(&mut self, address: &str, strength_milli: u32) -> usize {
         self.n_started += 1;
         let (to_store, to_workers) = (fault::FaultPlan::new(), fault::FaultPlan::new());
+        let panics = PanicPlan::default();
         let site = BenchSite {
             store: self.store.seen_through(to_store.clone()),
-            control: self.fleet.seen_through(to_workers.clone()),
+            control: BenchControl {
+                fleet: self.fleet.seen_through(to_workers.clone()),
+                panics: panics.clone(),
+            },
             peers: self.net.link(address),
             clock: self.clock,
         };
@@ -228,7 +297,7 @@
         self.net.register(address, peers::PeerDesk::new(Arc::clone(&state)));
         let running = tokio::spawn(instance::run(Arc::clone(&state)));
         let address = address.to_owned();
-        let fresh = BenchInstance { state, address, to_store, to_workers, running };
+        let fresh = BenchInstance { state, address, to_store, to_workers, panics, running };
         self.instances.push(fresh);
         self.instances.len() - 1
     }
@@ -258,6 +327,10 @@
         self.write("documents//newest", version.to_string().as_bytes()).await;
     }
 
+    pub(crate) async fn write_document(&self, source: &[u8]) {
+        self.write("documents//newest", source).await;
+    }
+
     /// A document by which workers start whatever they are told to.
     pub(crate) async fn set_document_unguarded(&self, version: u64) {
         self.write("documents//newest", format!("{version}!").as_bytes()).await;
