Look at once where the write that takes the tenure had no answer

A tenure could lie idle for a look, 0.6 to 0.8 s, behind a write that took it and whose answer was lost: the instance read the row again only then, and found itself its holder; all others left it alone meanwhile. With the wait for the answer nobody scheduled for up to 1.7 s more than a takeover takes. The row is now read again 0.12 s behind such a write.

The test loses the answers to the taking writes and expects a holder within 0.3 s of the row. It failed before: assertion failed: bench.instances.iter().any(|it| it.state.lead().is_some()).

--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -23,6 +23,9 @@
 /// For an order that was under way when the earlier holder stopped giving orders.
 const ORDER_SLACK: Duration = Duration::from_millis(300);
 
+/// Wait before the row is read again whose write had no answer.
+const UNCLEAR_AGAIN: Duration = Duration::from_millis(120);
+
 /// Looks of different instances are spread over this share of the time between two looks.
 const SPREAD: f64 = 0.3;
 
@@ -36,10 +39,18 @@
             instance: it.holder.clone(),
             address: it.address.clone(),
         }));
-        if let Some(taken) = take(&state, &watch).await {
-            lead::run(Arc::clone(&state), taken).await;
-            watch = tenure_watch::TenureWatch::default();
-            continue;
+        match take(&state, &watch).await {
+            TakeOutcome::Taken(taken) => {
+                lead::run(Arc::clone(&state), taken).await;
+                watch = tenure_watch::TenureWatch::default();
+                continue;
+            }
+            // It may be taken, and by this instance, which the row tells.
+            TakeOutcome::Unclear => {
+                time::sleep(UNCLEAR_AGAIN).await;
+                continue;
+            }
+            TakeOutcome::NotTaken => {}
         }
         // The next look comes at the moment at which the tenure may be taken, if that is sooner.
         let due = watch.seen().and_then(|it| wait_for(&state, it));
@@ -79,18 +90,28 @@
     }
 }
 
+/// What became of taking the tenure.
+enum TakeOutcome {
+    Taken(lead::TakenTenure),
+    /// It is not free, or another was first.
+    NotTaken,
+    /// The write had no answer.
+    Unclear,
+}
+
 async fn take<S: state::PoolSite>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
-) -> Option<lead::TakenTenure> {
+) -> TakeOutcome {
     let settings = &state.settings;
     // Without a configuration nothing could be decided.
-    state.document.current()?;
-    let now = state.site.clock().now();
-    let seen = watch.seen()?;
-    if wait_for(state, seen).is_some() {
-        return None;
+    if state.document.current().is_none() {
+        return TakeOutcome::NotTaken;
     }
+    let now = state.site.clock().now();
+    let Some(seen) = watch.seen().filter(|it| wait_for(state, it).is_none()) else {
+        return TakeOutcome::NotTaken;
+    };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
@@ -105,11 +126,15 @@
         writes: vec![writer::write_of(keys::pool_tenure(), &row)],
     };
     let sent_at = state.site.clock().now();
-    let outcome = store_call::transact(state, transaction).await;
-    let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
-    let version = versions.first().copied()?;
+    let versions = match store_call::transact(state, transaction).await {
+        Ok(model::TableOutcome::Committed { versions }) => versions,
+        Err(error) if !error.fault.had_no_effect() => return TakeOutcome::Unclear,
+        Ok(model::TableOutcome::Conflict { .. }) | Err(_) => return TakeOutcome::NotTaken,
+    };
+    let Some(version) = versions.first().copied() else { return TakeOutcome::NotTaken };
     let settles_at = settles_at(seen, settings, now);
-    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses })
+    let epoch = row.epoch;
+    TakeOutcome::Taken(lead::TakenTenure { epoch, version, sent_at, settles_at, losses })
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use almondpass_graph::order;
+use almondpass_peer::call::PeerCall;
+use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::{fault, pool_fleet, table};
 use tokio::time;
@@ -228,3 +230,24 @@
         bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
     });
 }
+
+/// Guards against a tenure that lies idle for a look because the answer to the write that took it was lost.
+#[test]
+fn a_tenure_whose_taking_had_no_answer_is_served_at_once() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 2).await;
+        let holder = bench.holder();
+        bench.kill(holder).await;
+        for instance in &bench.instances {
+            let step = model::TableTransaction::PATH;
+            instance.to_store.next(step, fault::Fault::AnswerLost);
+        }
+        let version = || bench.store.peek(&keys::pool_tenure()).first().map(|it| it.version);
+        let left_at = version();
+        while version() == left_at {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        time::sleep(Duration::from_millis(300)).await;
+        assert!(bench.instances.iter().any(|it| it.state.lead().is_some()));
+    });
+}
