Leave a tenure that can't be served to the others

An instance that can write and not read (its reads are refused or cut, the store serves the others) took the tenure, failed to read the tables three times, gave the tenure up, and was the first to see it free: it took it again at once, for as long as its reads failed. Nobody scheduled meanwhile, although each other instance could have: accepted jobs had nothing running, and the log showed `tenure is given up: its rows can't be read` again and again at one instance. The three tries were meant to leave the tenure to others, and nothing did.

An instance that has given a tenure up although it stays now waits for two of the longest looks before it looks itself.

The test has one instance whose reads fail take the tenure first and expects another one to hold it five seconds later. It failed before: assertion failed: bench.instances[1].state.lead().is_some().

--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -151,8 +151,12 @@
     }
 }
 
-/// Schedules until the tenure is over, then gives it up if it is still held.
-pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>, taken: TakenTenure) {
+/// Schedules until the tenure is over, then gives it up if it is still held. Tells whether it was to be
+/// given up although the instance stays.
+pub(crate) async fn run<S: state::PoolSite>(
+    state: Arc<state::PoolState<S>>,
+    taken: TakenTenure,
+) -> bool {
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
     metrics::counter!("almondpass_pool_tenures_total").increment(1);
     let (epoch, version) = (taken.epoch, taken.version);
@@ -170,9 +174,11 @@
     // From the start on: while the store is slow the reads take longer than the term, and each
     // successor would lose the tenure to the next one before it had scheduled anything.
     writer::run(&state, &lead, version).await;
+    let was_given_up = lead.giving_up.is_cancelled();
     lead.end();
     parts.shutdown().await;
     tracing::info!(epoch, "tenure is over");
+    was_given_up
 }
 
 /// A tenure that ends here however its work ends, by a panic too: callers and peers would be answered by
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -41,8 +41,11 @@
         }));
         match take(&state, &watch).await {
             TakeOutcome::Taken(taken) => {
-                lead::run(Arc::clone(&state), taken).await;
+                let was_given_up = lead::run(Arc::clone(&state), taken).await;
                 watch = tenure_watch::TenureWatch::default();
+                if was_given_up {
+                    leave_to_others(&state).await;
+                }
                 continue;
             }
             // It may be taken, and by this instance, which the row tells.
@@ -62,6 +65,16 @@
     }
 }
 
+/// Waits until each other instance has had a look. One that can write and not read, or panics at what it
+/// reads, would otherwise be the first each time to take the tenure that it has just given up.
+async fn leave_to_others<S: state::PoolSite>(state: &state::PoolState<S>) {
+    let looks = state.settings.tenure.look.mul_f64(2.0 * (1.0 + SPREAD));
+    tokio::select! {
+        () = time::sleep(looks) => {}
+        () = state.leaving.cancelled() => {}
+    }
+}
+
 /// Ends once there is a configuration. After a power loss of all instances the former holder's
 /// machine may take the tenure at once, and reads its row before the configuration.
 async fn first_document(document: &document::DocumentSlot) {
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -13,6 +13,9 @@
 
 const SOON: Duration = Duration::from_secs(30);
 
+/// More reads than a successor makes in any of these tests.
+const N_REFUSED: u64 = 400;
+
 /// Tables that a successor reads at once.
 const N_TABLES: u64 = 4;
 
@@ -251,3 +254,21 @@
         assert!(bench.instances.iter().any(|it| it.state.lead().is_some()));
     });
 }
+
+/// Guards against an instance that can write and not read, and takes the tenure again and again.
+#[test]
+fn a_tenure_that_can_not_be_served_is_left_to_others() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 2).await;
+        bench.kill(bench.holder()).await;
+        // Whichever is first.
+        time::sleep(Duration::from_millis(1_500)).await;
+        let lame = bench.instances[0].to_store.clone();
+        (1..=N_REFUSED).for_each(|nth| lame.nth(table::SNAPSHOT, nth, fault::Fault::Refused));
+        bench.instances[1].to_store.set(fault::Condition::Silent);
+        time::sleep(Duration::from_secs(1)).await;
+        bench.instances[1].to_store.set(fault::Condition::Up);
+        time::sleep(Duration::from_secs(5)).await;
+        assert!(bench.instances[1].state.lead().is_some());
+    });
+}
