Settle no sooner than the holders before the last one

A task could run twice at a time. A holder that has lost the store goes on for 5 s beyond its term, and starts tasks at workers that its successor may not reach; the successor waits for these, until everything that the holder may have ordered has ended. Two ways led past it:

- The write that takes the tenure has no answer and lands.
The instance finds its own row, takes it for that of its own former process, which is over, and takes the tenure again: it settled 4 s too early.
- An instance takes the tenure, can't read the tables and gives it up.
The next one sees a tenure that was given up, and believes that nobody gives orders any more.

An instance now keeps the latest such moment of all holders that it has seen: that of each tenure that it takes, and that of each holder that another followed without its having given the tenure up.

Both tests let the holder lose the store, start a task late at a worker, and cut that worker off.

What remains: a process that has started since the last change of holders has seen the last one alone.

--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -32,14 +32,17 @@
 /// Watches and schedules until the instance leaves.
 pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>) {
     let mut watch = tenure_watch::TenureWatch::default();
+    let mut floor = SettleFloor::default();
     let look = spread(&state.settings.instance, state.settings.tenure.look);
     while !state.leaving.is_cancelled() {
+        let before = watch.seen().cloned();
         read(&state, &mut watch).await;
+        floor.saw(before.as_ref(), watch.row(), &state.settings);
         state.set_holder(watch.row().filter(|it| !it.released).map(|it| state::HolderView {
             instance: it.holder.clone(),
             address: it.address.clone(),
         }));
-        match take(&state, &watch).await {
+        match take(&state, &watch, &mut floor).await {
             TakeOutcome::Taken(taken) => {
                 let was_given_up = lead::run(Arc::clone(&state), taken).await;
                 watch = tenure_watch::TenureWatch::default();
@@ -103,6 +106,36 @@
     }
 }
 
+/// Until when holders before the last one may have left something running. The row tells of the last one
+/// alone, which may have taken the tenure and not served it: it knows nothing of what runs.
+#[derive(Debug, Default)]
+struct SettleFloor {
+    until: Duration,
+}
+
+impl SettleFloor {
+    /// A tenure settles no sooner than any before it.
+    fn raise(&mut self, settles_at: Duration) -> Duration {
+        self.until = self.until.max(settles_at);
+        self.until
+    }
+
+    /// The row was read again. A holder that another follows without having given the tenure up goes on
+    /// for a while.
+    fn saw(
+        &mut self,
+        before: Option<&tenure_watch::SeenRow>,
+        row: Option<&model::PoolTenure>,
+        settings: &settings::PoolSettings,
+    ) {
+        let Some((before, row)) = before.zip(row) else { return };
+        let is_other = before.row.as_ref().is_some_and(|it| it.epoch < row.epoch);
+        if is_other {
+            self.raise(settles_at(before, settings, before.first_seen));
+        }
+    }
+}
+
 /// What became of taking the tenure.
 enum TakeOutcome {
     Taken(lead::TakenTenure),
@@ -115,6 +148,7 @@
 async fn take<S: state::PoolSite>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
+    floor: &mut SettleFloor,
 ) -> TakeOutcome {
     let settings = &state.settings;
     // Without a configuration nothing could be decided.
@@ -138,6 +172,7 @@
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
         writes: vec![writer::write_of(keys::pool_tenure(), &row)],
     };
+    let settles_at = floor.raise(settles_at(seen, settings, now));
     let sent_at = state.site.clock().now();
     let versions = match store_call::transact(state, transaction).await {
         Ok(model::TableOutcome::Committed { versions }) => versions,
@@ -145,7 +180,6 @@
         Ok(model::TableOutcome::Conflict { .. }) | Err(_) => return TakeOutcome::NotTaken,
     };
     let Some(version) = versions.first().copied() else { return TakeOutcome::NotTaken };
-    let settles_at = settles_at(seen, settings, now);
     let epoch = row.epoch;
     TakeOutcome::Taken(lead::TakenTenure { epoch, version, sent_at, settles_at, losses })
 }
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -1,9 +1,11 @@
 //! The holder of the tenure goes, and another takes over.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use almondpass_graph::order;
 use almondpass_peer::call::PeerCall;
+use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::{fault, pool_fleet, table};
@@ -272,3 +274,68 @@
         assert!(bench.instances[1].state.lead().is_some());
     });
 }
+
+/// Guards against a task that runs twice: the write that took the tenure from a holder that goes on without
+/// the store had no answer, and the successor took its own row for that of a holder that is over.
+#[test]
+fn a_tenure_that_is_taken_twice_waits_for_its_holder_before() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 2).await;
+        let (old, successor) = (bench.holder(), bench.other());
+        let step = model::TableTransaction::PATH;
+        bench.instances[successor].to_store.next(step, fault::Fault::AnswerLost);
+        assert_detached_start_is_waited_for(&bench, old, successor).await;
+    });
+}
+
+/// Guards against a task that runs twice: an instance takes the tenure from a holder that goes on without the
+/// store, can't read the tables and gives it up, and the next one believes that nobody gives orders.
+#[test]
+fn a_tenure_that_was_given_up_unserved_waits_for_its_holder_before() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let old = bench.holder();
+        let (between, successor) = ((old + 1) % 3, (old + 2) % 3);
+        let lame = bench.instances[between].to_store.clone();
+        (1..=N_REFUSED).for_each(|nth| lame.nth(table::SNAPSHOT, nth, fault::Fault::Refused));
+        bench.instances[successor].to_store.set(fault::Condition::Silent);
+        let leaving = bench.instances[between].state.leaving.clone();
+        let back = bench.instances[successor].to_store.clone();
+        tokio::spawn(async move {
+            time::sleep(Duration::from_millis(3_500)).await;
+            leaving.cancel();
+            back.set(fault::Condition::Up);
+        });
+        assert_detached_start_is_waited_for(&bench, old, successor).await;
+    });
+}
+
+/// The holder `old` loses the store, and starts a task late at a worker that `successor` does not reach. It
+/// runs nowhere else until it has surely ended there.
+async fn assert_detached_start_is_waited_for(
+    bench: &support::PoolBench,
+    old: usize,
+    successor: usize,
+) {
+    let mut row = support::job(1, 20_000);
+    let due = bench.clock.wall() + Duration::from_millis(5_500);
+    row.graph.schedule = Some(model::RunSchedule {
+        runs: NonZeroU32::MIN,
+        first_ms: due.as_millis() as u64,
+        interval_ms: 1,
+    });
+    bench.submit(old, 1, row).await;
+    time::sleep(Duration::from_millis(100)).await;
+    bench.instances[old].to_store.set(fault::Condition::Silent);
+    for instance in bench.instances.iter().filter(|it| it.address != bench.instances[old].address) {
+        instance.to_workers.set(fault::Condition::Silent);
+    }
+    time::sleep(Duration::from_millis(5_800)).await;
+    bench.fleet.faults(&support::worker_id(0)).set(fault::Condition::Silent);
+    bench.instances[successor].to_workers.set(fault::Condition::Up);
+    time::sleep(Duration::from_secs(60)).await;
+    bench.fleet.faults(&support::worker_id(0)).set(fault::Condition::Up);
+    bench.await_state(successor, 1, model::GraphState::Completed, SOON).await;
+    assert_eq!(bench.fleet.records()[0].worker, support::worker_id(0));
+    bench.assert_nothing_ran_twice();
+}
