--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -159,8 +159,12 @@
     }
 }
 
-/// Schedules until the tenure is over, then gives it up if it is still held.
-pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>, taken: TakenTenure) {
+/// Schedules until the tenure is over, then gives it up if it is still held. Tells whether it was to be
+/// given up although the instance stays.
+pub(crate) async fn run<S: state::PoolSite>(
+    state: Arc<state::PoolState<S>>,
+    taken: TakenTenure,
+) -> bool {
     tracing::info!(epoch = taken.epoch, version = taken.version, "tenure taken");
     metrics::counter!("almondpass_pool_tenures_total").increment(1);
     let (epoch, version) = (taken.epoch, taken.version);
@@ -173,17 +177,33 @@
     // The tenure is renewed, and with it what is known of losses, before anything is loaded.
     core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
+    let _held = HeldTenure { state: &state, lead: &lead };
     let mut parts = JoinSet::new();
     parts.spawn(serve(Arc::clone(&state), Arc::clone(&lead), taken));
     // From the start on: while the store is slow the reads take longer than the term, and each
     // successor would lose the tenure to the next one before it had scheduled anything.
     writer::run(&state, &lead, version).await;
+    let was_given_up = lead.giving_up.is_cancelled();
     lead.end();
     parts.shutdown().await;
-    state.set_lead(None);
-    state.set_taken(None);
-    metrics::gauge!("almondpass_pool_held").set(0.0);
     tracing::info!(epoch, "tenure is over");
+    was_given_up
+}
+
+/// A tenure that ends here however its work ends, by a panic too: callers and peers would be answered by
+/// what it knew.
+struct HeldTenure<'a, S: state::PoolSite> {
+    state: &'a state::PoolState<S>,
+    lead: &'a LeadState,
+}
+
+impl<S: state::PoolSite> Drop for HeldTenure<'_, S> {
+    fn drop(&mut self) {
+        self.lead.end();
+        self.state.set_lead(None);
+        self.state.set_taken(None);
+        metrics::gauge!("almondpass_pool_held").set(0.0);
+    }
 }
 
 /// Reads how the pools stand, then schedules.
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -21,23 +21,40 @@
 use crate::tenure_watch;
 use crate::writer;
 
+/// Wait before the row is read again whose write had no answer.
+const UNCLEAR_AGAIN: Duration = Duration::from_millis(120);
+
 /// Looks of different instances are spread over this share of the time between two looks.
 const SPREAD: f64 = 0.3;
 
 /// Watches and schedules until the instance leaves.
 pub(crate) async fn run<S: state::PoolSite>(state: Arc<state::PoolState<S>>) {
     let mut watch = tenure_watch::TenureWatch::default();
+    let mut floor = SettleFloor::default();
     let look = spread(&state.settings.instance, state.settings.tenure.look);
     while !state.leaving.is_cancelled() {
+        let before = watch.seen().cloned();
         read(&state, &mut watch).await;
+        floor.saw(before.as_ref(), watch.row(), &state.settings);
         state.set_holder(watch.row().filter(|it| !it.released).map(|it| state::HolderView {
             instance: it.holder.clone(),
             address: it.address.clone(),
         }));
-        if let Some(taken) = take(&state, &watch).await {
-            lead::run(Arc::clone(&state), taken).await;
-            watch = tenure_watch::TenureWatch::default();
-            continue;
+        match take(&state, &watch, &mut floor).await {
+            TakeOutcome::Taken(taken) => {
+                let was_given_up = lead::run(Arc::clone(&state), taken).await;
+                watch = tenure_watch::TenureWatch::default();
+                if was_given_up {
+                    leave_to_others(&state).await;
+                }
+                continue;
+            }
+            // It may be taken, and by this instance, which the row tells.
+            TakeOutcome::Unclear => {
+                time::sleep(UNCLEAR_AGAIN).await;
+                continue;
+            }
+            TakeOutcome::NotTaken => {}
         }
         // The next look comes at the moment at which the tenure may be taken, if that is sooner.
         let due = watch.seen().and_then(|it| wait_for(&state, it));
@@ -49,6 +66,16 @@
     }
 }
 
+/// Waits until each other instance has had a look. One that can write and not read, or panics at what it
+/// reads, would otherwise be the first each time to take the tenure that it has just given up.
+async fn leave_to_others<S: state::PoolSite>(state: &state::PoolState<S>) {
+    let looks = state.settings.tenure.look.mul_f64(2.0 * (1.0 + SPREAD));
+    tokio::select! {
+        () = time::sleep(looks) => {}
+        () = state.leaving.cancelled() => {}
+    }
+}
+
 /// Ends once there is a configuration. After a power loss of all instances the former holder's
 /// machine may take the tenure at once, and reads its row before the configuration.
 async fn first_document(document: &document::DocumentSlot) {
@@ -77,18 +104,59 @@
     }
 }
 
+/// Until when holders before the last one may have left something running. The row tells of the last one
+/// alone, which may have taken the tenure and not served it: it knows nothing of what runs.
+#[derive(Debug, Default)]
+struct SettleFloor {
+    until: Duration,
+}
+
+impl SettleFloor {
+    /// A tenure settles no sooner than any before it.
+    fn raise(&mut self, settles_at: Duration) -> Duration {
+        self.until = self.until.max(settles_at);
+        self.until
+    }
+
+    /// The row was read again. A holder that another follows without having given the tenure up goes on
+    /// for a while.
+    fn saw(
+        &mut self,
+        before: Option<&tenure_watch::SeenRow>,
+        row: Option<&model::PoolTenure>,
+        settings: &settings::PoolSettings,
+    ) {
+        let Some((before, row)) = before.zip(row) else { return };
+        let is_other = before.row.as_ref().is_some_and(|it| it.epoch < row.epoch);
+        if is_other {
+            self.raise(settles_at(before, settings, before.first_seen));
+        }
+    }
+}
+
+/// What became of taking the tenure.
+enum TakeOutcome {
+    Taken(lead::TakenTenure),
+    /// It is not free, or another was first.
+    NotTaken,
+    /// The write had no answer.
+    Unclear,
+}
+
 async fn take<S: state::PoolSite>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
-) -> Option<lead::TakenTenure> {
+    floor: &mut SettleFloor,
+) -> TakeOutcome {
     let settings = &state.settings;
     // Without a configuration nothing could be decided.
-    state.document.current()?;
-    let now = state.site.clock().now();
-    let seen = watch.seen()?;
-    if wait_for(state, seen).is_some() {
-        return None;
+    if state.document.current().is_none() {
+        return TakeOutcome::NotTaken;
     }
+    let now = state.site.clock().now();
+    let Some(seen) = watch.seen().filter(|it| wait_for(state, it).is_none()) else {
+        return TakeOutcome::NotTaken;
+    };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
@@ -102,13 +170,18 @@
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
         writes: vec![writer::write_of(keys::pool_tenure(), &row)],
     };
+    let settles_at = floor.raise(settles_at(seen, settings, now));
     let sent_at = state.site.clock().now();
-    let outcome = store_call::transact(state, transaction).await;
-    let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
-    let version = versions.first().copied()?;
-    let settles_at = settles_at(seen, settings, now);
+    let versions = match store_call::transact(state, transaction).await {
+        Ok(model::TableOutcome::Committed { versions }) => versions,
+        Err(error) if !error.fault.had_no_effect() => return TakeOutcome::Unclear,
+        Ok(model::TableOutcome::Conflict { .. }) | Err(_) => return TakeOutcome::NotTaken,
+    };
+    let Some(version) = versions.first().copied() else { return TakeOutcome::NotTaken };
+    let epoch = row.epoch;
     let predecessor = predecessor_of(seen, settings);
-    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses, predecessor })
+    let taken = lead::TakenTenure { epoch, version, sent_at, settles_at, losses, predecessor };
+    TakeOutcome::Taken(taken)
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
