Take a pool without accelerators for ample where little of it is in use

What callers would see: in a pool whose workers have no accelerators, a job of which nothing runs waits for its rack, or for reserved room, beyond 3 s although most of the pool is empty. Cause: a pool counted as ample only where less than half of each resource is in use, and of a resource that nobody offers, half of nothing is in use at all times (0 < 0).

The play of these tests now lets its tasks progress. With all of them at one percent the core took them to hang behind some seconds and paused their workers, which changed what is kept empty.

The new test failed before: "8 of 48 workers are in use", not started within 3 s.

--- a/crates/graph/src/ample_pool.rs
+++ b/crates/graph/src/ample_pool.rs
@@ -41,7 +41,8 @@
     }
 
     fn is_ample(&self) -> bool {
-        self.used.iter().zip(self.offered).all(|(used, offered)| 2 * used < offered)
+        // What nobody offers, such as accelerators, can't be scarce either.
+        self.used.iter().zip(self.offered).all(|(used, offered)| 2 * used < offered.max(1))
     }
 }
 
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use almondpass_graph::{order, wait_note, waiting};
+use almondpass_graph::{order, room, wait_note, waiting, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -34,6 +34,17 @@
         WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS] }
     }
 
+    /// The same pool without accelerators.
+    fn without_accelerators() -> WaitPlay {
+        let mut play = WaitPlay::new();
+        let capacity = room::Room { accelerators: 0, ..support::CAPACITY };
+        for index in 0..N_WORKERS {
+            let listing = worker::WorkerListing { capacity, ..support::listing(index) };
+            play.bench.core.learn_worker(support::worker_id(index), listing, play.bench.now);
+        }
+        play
+    }
+
     /// Starts a job at once.
     fn start(&mut self, graph: u64, row: model::GraphRow) {
         let n_tasks = row.graph.steps.iter().map(|it| it.tasks).sum::<u32>();
@@ -59,10 +70,16 @@
 
     fn look(&mut self, worker: usize, ended: &[order::ListedEnd]) {
         let on_it = self.running.iter().filter(|it| support::index_of(&it.worker) == worker);
-        let running = on_it.map(|it| support::running(it, 1)).collect::<Vec<_>>();
+        let running = on_it.map(|it| support::running(it, self.percent(it))).collect::<Vec<_>>();
         self.bench.lists(worker, &running, ended);
     }
 
+    /// How far a task is, one percent a second: one that stands still would be taken to hang.
+    fn percent(&self, start: &order::StartOrder) -> u32 {
+        let ran = self.bench.now.saturating_sub(start.ordered_at);
+        1 + (ran.as_secs() as u32).min(90)
+    }
+
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / TICK_MS {
             self.bench.pass(TICK_MS);
@@ -104,6 +121,19 @@
     (play, support::job(1, near(1)))
 }
 
+/// The rack of its data is full, in a pool without accelerators.
+fn near_its_data_without_accelerators() -> (WaitPlay, model::GraphRow) {
+    let near = |n| model::GraphStep {
+        accelerators: 0,
+        cpu_milli: support::CAPACITY.cpu_milli,
+        rack: Some("r0".to_owned()),
+        ..support::tasks(n)
+    };
+    let mut play = WaitPlay::without_accelerators();
+    play.start(1, support::job(1, near(N_RACK as u32)));
+    (play, support::job(1, near(1)))
+}
+
 /// Each rack has one worker in use.
 fn gang_of_one_rack() -> (WaitPlay, model::GraphRow) {
     let mut play = WaitPlay::new();
@@ -148,6 +178,8 @@
 waits! {
     /// A job of which nothing runs waits for its rack although most of the pool is empty.
     a_job_beside_a_full_rack_starts_elsewhere: near_its_data;
+    /// A job of a pool without accelerators waits for its rack although most of the pool is empty.
+    a_job_without_accelerators_starts_elsewhere: near_its_data_without_accelerators;
     /// A gang of which nothing runs waits for a whole rack although most of the pool is empty.
     a_gang_without_a_rack_starts_across_racks: gang_of_one_rack;
     /// A job of which nothing runs waits for workers that are kept empty although most of the pool is empty.
