Have jobs that stand still leave half of the pool alone, within a turn too

What callers would see: urgent work that finds no empty worker.

Now what is in use is summed up again before a job takes kept room; only for jobs that have stood still, in pools that were ample at the beginning of the turn, so that nothing is summed up on a full pool. Starts count at once, as the core books their room when it orders them.

The test failed before: "48 of 48 are in use", with 48 jobs of a whole worker each, 10 workers in use, and nearly all others kept.

--- a/crates/graph/src/ample_pool.rs
+++ b/crates/graph/src/ample_pool.rs
@@ -20,6 +20,16 @@
         let ample = amounts.into_iter().filter(|(_, it)| it.is_ample());
         ample.map(|(upstream, _)| upstream.clone()).collect()
     }
+
+    /// Whether less than half of the workers of an upstream is in use now, within a turn too.
+    pub(crate) fn is_ample(&self, upstream: &str) -> bool {
+        let mut amounts = PoolAmounts::default();
+        let of_upstream = self.workers.values().filter(|it| it.listing.upstream == upstream);
+        for worker in of_upstream.filter(|it| it.listed) {
+            amounts.add(worker.listing.capacity, worker.in_use());
+        }
+        amounts.is_ample()
+    }
 }
 
 /// What the workers of an upstream offer, and what is in use there, by resource: thousandths of a core,
--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -71,9 +71,11 @@
 
     /// Whether nothing of a job was started, and less than half of its pool is in use. What is kept there for
     /// other work, or for a better place, is not scarce. Once one of its units has started, the others wait like
-    /// those of any job.
+    /// those of any job; what has started in this turn counts.
     fn stands_beside_room(&self, job: &job::JobRecord) -> bool {
-        self.ample.contains(&job.upstream) && job.runs().next().is_none()
+        self.ample.contains(&job.upstream)
+            && job.runs().next().is_none()
+            && self.is_ample(&job.upstream)
     }
 
     /// Workers that a unit of `job` leaves empty for more urgent work. A class right below the urgent
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -165,6 +165,19 @@
     assert_eq!(play.running.iter().filter(|it| it.task.graph == 3).count(), 1);
 }
 
+/// Jobs that stand still take more than half of the pool at once.
+#[test]
+fn standing_jobs_leave_half_of_the_pool_to_urgent_work() {
+    let (mut play, row) = behind_urgent_work();
+    let n_before = play.n_in_use();
+    for graph in 0..N_WORKERS as u64 {
+        play.bench.admit(100 + graph, row.clone());
+    }
+    play.pass(STARTS_WITHIN_MS);
+    assert!(play.n_in_use() > n_before);
+    assert!(2 * play.n_in_use() <= N_WORKERS, "{} of {N_WORKERS} are in use", play.n_in_use());
+}
+
 macro_rules! waits {
     ($($(#[$doc:meta])* $name:ident: $situation:ident;)*) => {
         $($(#[$doc])* #[test]
