Let an open start keep no other task of its job waiting

What callers would see: a job of several tasks of which nothing runs for as long as the start or the stop of one is without outcome, up to the lapse of a lease, although most of the pool is empty. Cause: once any task of a job had a run, whatever was known of it, the others waited for kept room like those of any job. So one answer lost right behind the first start was enough.

A run now counts where it runs, or while its order is under way, which is bounded. One that is unclear or being stopped doesn't.

It asks for one more urgent job than the others do, since a silent worker lowers what is kept by two.

--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -69,12 +69,14 @@
         Some(ask)
     }
 
-    /// Whether nothing of a job was started, and less than half of its pool is in use. What is kept there for
-    /// other work, or for a better place, is not scarce. Once one of its units has started, the others wait like
-    /// those of any job; what has started in this turn counts.
+    /// Whether nothing of a job runs or is about to, and less than half of its pool is in use. What is kept
+    /// there for other work, or for a better place, is not scarce. Once one of its units has started, the others
+    /// wait like those of any job; what has started in this turn counts.
     fn stands_beside_room(&self, job: &job::JobRecord) -> bool {
+        let is_going =
+            |it: &job::TaskRun| it.phase.is_running() || matches!(it.phase, job::RunPhase::Ordered);
         self.ample.contains(&job.upstream)
-            && job.runs().next().is_none()
+            && !job.runs().any(is_going)
             && self.is_ample(&job.upstream)
     }
 
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -25,13 +25,15 @@
     bench: support::PoolBench,
     running: Vec<order::StartOrder>,
     ends: Vec<u64>,
+    /// Workers that answer nothing.
+    silent: BTreeSet<usize>,
 }
 
 impl WaitPlay {
     fn new() -> WaitPlay {
         let mut bench = support::PoolBench::new(N_WORKERS);
         bench.core.set_wall(bench.now);
-        WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS] }
+        WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS], silent: BTreeSet::new() }
     }
 
     /// The same pool without accelerators.
@@ -82,16 +84,35 @@
 
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / TICK_MS {
-            self.bench.pass(TICK_MS);
-            self.bench.core.set_wall(self.bench.now);
-            for worker in 0..N_WORKERS {
-                self.look(worker, &[]);
-            }
+            self.tick();
             let starts = self.bench.turn_and_start();
             self.running.extend(starts);
         }
     }
 
+    fn tick(&mut self) {
+        self.bench.pass(TICK_MS);
+        self.bench.core.set_wall(self.bench.now);
+        for worker in (0..N_WORKERS).filter(|it| !self.silent.contains(it)).collect::<Vec<_>>() {
+            self.look(worker, &[]);
+        }
+    }
+
+    /// The next start, which is not answered, nor is anything else by its worker from then on.
+    fn lose_start(&mut self) {
+        let mut starts = Vec::new();
+        for _ in 0..STARTS_WITHIN_MS / TICK_MS {
+            self.tick();
+            starts = support::starts(&self.bench.turn());
+            if !starts.is_empty() {
+                break;
+            }
+        }
+        let start = starts.first().expect("a start");
+        self.silent.insert(support::index_of(&start.worker));
+        self.bench.core.start_answered(start, order::StartAnswer::Unknown, self.bench.now);
+    }
+
     fn runs(&self, graph: u64) -> bool {
         self.running.iter().any(|it| it.task.graph == graph)
     }
@@ -178,6 +199,18 @@
     assert!(2 * play.n_in_use() <= N_WORKERS, "{} of {N_WORKERS} are in use", play.n_in_use());
 }
 
+/// A job stands still for as long as the start of one of its tasks is open.
+#[test]
+fn a_task_takes_room_that_is_kept_although_a_start_of_its_job_is_open() {
+    let (mut play, _) = behind_urgent_work();
+    // One worker less leaves no other one beside those that are kept.
+    play.start(4, support::job(0, support::whole_workers(3)));
+    play.bench.admit(3, support::job(2, support::whole_workers(2)));
+    play.lose_start();
+    play.pass(STARTS_WITHIN_MS);
+    assert!(play.runs(3), "{} of {N_WORKERS} workers are in use", play.n_in_use());
+}
+
 macro_rules! waits {
     ($($(#[$doc:meta])* $name:ident: $situation:ident;)*) => {
         $($(#[$doc])* #[test]
