Let a nudge that panics keep no later one of its job back

What callers would see: a job that is pending for as long as the feed of the holder stands still, however often they ask for it. Nudges that are under way are marked by their job, so that each is sent by one task.

The mark now ends with its task, however that ends, and only by the task that has set it.

The test failed before: "expected completed, found Known(Pending)", 5 s behind the submission, with callers asking all the while.

--- a/crates/pool/src/nudge.rs
+++ b/crates/pool/src/nudge.rs
@@ -68,21 +68,34 @@
         return;
     }
     let key = (nudge.graph, nudge.row.cancelled);
-    let patience = {
+    let is_repeated = {
         let mut nudges = state.nudges();
         if nudges.pending.contains(&key) {
             return;
         }
-        let has_place = nudges.pending.len() < MOST_PENDING;
-        has_place.then(|| nudges.pending.insert(key)).map_or(Duration::ZERO, |_| PATIENCE)
+        nudges.pending.len() < MOST_PENDING && nudges.pending.insert(key)
     };
+    let mark = is_repeated.then(|| PendingMark { state: Arc::clone(state), key });
+    let patience = if is_repeated { PATIENCE } else { Duration::ZERO };
     let state = Arc::clone(state);
     tokio::spawn(async move {
         repeat(&state, &nudge, patience).await;
-        state.nudges().pending.remove(&key);
+        drop(mark);
     });
 }
 
+/// A nudge that is under way. It ends with its task, by a panic too: else no later nudge would tell of its job.
+struct PendingMark<S: state::PoolSite> {
+    state: Arc<state::PoolState<S>>,
+    key: NudgeKey,
+}
+
+impl<S: state::PoolSite> Drop for PendingMark<S> {
+    fn drop(&mut self) {
+        self.state.nudges().pending.remove(&self.key);
+    }
+}
+
 /// Nudges until the holder knows of the row, for as long as `patience`.
 async fn repeat<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
--- a/crates/pool/tests/pool/nudges.rs
+++ b/crates/pool/tests/pool/nudges.rs
@@ -115,6 +115,21 @@
     });
 }
 
+/// Guards against a job of which the holder is never told again because a nudge of it has panicked.
+#[test]
+fn a_nudge_that_panics_is_followed_by_others() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        stop_feeds(&bench.instances[holder]);
+        let address = |it: usize| bench.instances[it].address.as_str();
+        let path = bench.net.path(address(other), address(holder));
+        path.next(model::GraphNudge::PATH, fault::Fault::CallerPanics);
+        bench.submit(other, 1, support::job(1, 500)).await;
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+    });
+}
+
 /// Guards against a holder of the former release whose answers can't be read.
 #[test]
 fn an_answer_of_the_former_release_counts_as_taken() {
