Look for a missed job again where looking for it has panicked

What callers would see: a job that the holder does not know although it is stored, and that stays so until the next takeover. The job is marked while it is looked for; a panic left the mark for as long as the tenure lasts, and whoever asked later ended at it.

The mark now ends with its task, however that ends.

The test failed before: "expected completed, found Known(Pending)", with callers asking all the while.

--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -21,16 +21,27 @@
     if !lead.missed_jobs().insert(graph) {
         return;
     }
-    let (state, lead) = (Arc::clone(state), Arc::clone(lead));
+    let (state, mark) = (Arc::clone(state), MissedMark { lead: Arc::clone(lead), graph });
     tokio::spawn(async move {
         // Where it can't be read, whoever has asked asks again.
-        if let Ok(Some(missed)) = read(&state, &lead, graph).await {
-            admit(&state, &lead, missed);
+        if let Ok(Some(missed)) = read(&state, &mark.lead, graph).await {
+            admit(&state, &mark.lead, missed);
         }
-        lead.missed_jobs().remove(&graph);
     });
 }
 
+/// A job that is being looked for. It ends with its task, by a panic too: else nobody would look for it again.
+struct MissedMark {
+    lead: Arc<lead::LeadState>,
+    graph: ids::GraphId,
+}
+
+impl Drop for MissedMark {
+    fn drop(&mut self) {
+        self.lead.missed_jobs().remove(&self.graph);
+    }
+}
+
 fn admit<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
--- a/crates/pool/tests/pool/nudges.rs
+++ b/crates/pool/tests/pool/nudges.rs
@@ -130,6 +130,23 @@
     });
 }
 
+/// Guards against a job that is never taken in because one reading of its rows has panicked.
+#[test]
+fn a_reading_of_a_missed_job_that_panics_is_followed_by_others() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 0).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, support::job(1, 500)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        bench.add_worker(0).await;
+        time::sleep(SOON).await;
+        bench.instances[holder].to_store.next(model::TableGet::PATH, fault::Fault::CallerPanics);
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
+
 /// Guards against a holder of the former release whose answers can't be read.
 #[test]
 fn an_answer_of_the_former_release_counts_as_taken() {
