Take in no job that is forgotten while its rows are read

What callers would see: a job that ran to its end runs once more (TWICE). Its acceptance is the first row to go when a job is forgotten. It was read first, and its progress behind it, so that a job that was forgotten between the two was taken for one that had never started. The order has to be the other way round: an acceptance that is there behind the reading of the progress shows that nothing of it was gone.

The acceptance is now read again at the end, and that row is taken: it tells of a cancelling too that came meanwhile.

The test lets each read of one row take 0.5 s and removes the rows between two of them. It makes the core forget the job, since no way is known in which a holder misses a job that has run: suspected as a fault in the field.

--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -62,15 +62,15 @@
     }
 }
 
-/// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance comes first: it is the
-/// first to go when a job is forgotten, and one without progress would run once more.
+/// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance is the first to go when a
+/// job is forgotten, and one without progress would run once more: so it has to be there still at the end.
 async fn read<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     graph: ids::GraphId,
 ) -> Result<Option<intake::AdmittedJob>, entry::StoreFault> {
     let accepted = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await?;
-    let Some((row, version)) = accepted else { return Ok(None) };
+    let Some((row, _)) = accepted else { return Ok(None) };
     let mut saved = progress::SavedChunks::default();
     for chunk in 0..progress::n_chunks_of(&row) {
         let key = keys::progress(graph, chunk);
@@ -78,6 +78,8 @@
             saved.insert(chunk, content);
         }
     }
+    let kept = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await?;
+    let Some((row, version)) = kept else { return Ok(None) };
     let inherited = version < lead.taken_at || !saved.is_empty();
     Ok(Some(intake::AdmittedJob { graph, row, progress: saved, inherited }))
 }
--- a/crates/pool/tests/pool/nudges.rs
+++ b/crates/pool/tests/pool/nudges.rs
@@ -147,6 +147,32 @@
     });
 }
 
+/// Guards against a job that runs once more because it is forgotten while its rows are read one by one.
+#[test]
+fn a_job_that_is_forgotten_while_its_rows_are_read_starts_nothing() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 2).await;
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, support::job(1, 500)).await;
+        bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
+        let version = bench.store.peek(&keys::graph(1)).first().map_or(0, |it| it.version);
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        let slow = fault::Fault::Slow(Duration::from_millis(500));
+        let to_store = &bench.instances[holder].to_store;
+        (1..=N_LOST).for_each(|nth| to_store.nth(model::TableGet::PATH, nth, slow));
+        let nudge = model::GraphNudge { graph: 1, version, row: support::job(1, 500) };
+        let link = bench.net.link(&bench.instances[other].address);
+        let taken = link.call(&bench.instances[holder].address, nudge, SOON).await;
+        assert!(taken.is_ok(), "{taken:?}");
+        // Between the reading of its acceptance and that of its progress.
+        time::sleep(Duration::from_millis(500)).await;
+        bench.remove(&keys::graph(1)).await;
+        bench.remove(&keys::progress(1, 0)).await;
+        time::sleep(2 * SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
+
 /// Guards against a holder of the former release whose answers can't be read.
 #[test]
 fn an_answer_of_the_former_release_counts_as_taken() {
