Look for a missed job until it is known

What callers would see: a job that nobody schedules before the next takeover, unless somebody asks for it. A row of a table that the feed had passed without its being known was looked for once. Where that read had no answer, or the holder was not firm at that moment, nothing looked again: the position of the feed was beyond the row, and no nudge stands behind a table. A lost history and a read without answer come from the same trouble with the store.

It is looked for again now, after 0.25 s and at doubled intervals of at most 8 s, until it is known, not there, or the tenure is over.

The test refuses one read behind a lost history.

--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -2,16 +2,24 @@
 //! passed. None should be; one that is would wait for the next takeover.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondpass_graph::{intake, progress};
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
+use tokio::time;
 
 use crate::entry;
 use crate::graph_follower;
 use crate::lead;
 use crate::state;
 
+/// Wait before a job that could not be read or taken in is looked for again; doubled for each further time.
+const FIRST_AGAIN: Duration = Duration::from_millis(250);
+
+/// Longest wait between two times.
+const LONGEST_AGAIN: Duration = Duration::from_secs(8);
+
 /// Looks for a job in the store and takes it in, without waiting for it.
 pub(crate) fn take_in<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
@@ -23,13 +31,35 @@
     }
     let (state, mark) = (Arc::clone(state), MissedMark { lead: Arc::clone(lead), graph });
     tokio::spawn(async move {
-        // Where it can't be read, whoever has asked asks again.
-        if let Ok(Some(missed)) = read(&state, &mark.lead, graph).await {
-            admit(&state, &mark.lead, missed);
-        }
+        look_for(&state, &mark.lead, graph).await;
+        drop(mark);
     });
 }
 
+/// Looks for a job until it is known, or nowhere to be found, or the tenure is over.
+async fn look_for<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    graph: ids::GraphId,
+) {
+    let mut again = FIRST_AGAIN;
+    loop {
+        let is_over = match read(state, lead, graph).await {
+            Ok(Some(missed)) => admit(state, lead, missed),
+            Ok(None) => true,
+            Err(entry::StoreFault) => false,
+        };
+        if is_over {
+            return;
+        }
+        tokio::select! {
+            () = lead.over.cancelled() => return,
+            () = time::sleep(again) => {}
+        }
+        again = (again * 2).min(LONGEST_AGAIN);
+    }
+}
+
 /// A job that is being looked for. It ends with its task, by a panic too: else nobody would look for it again.
 struct MissedMark {
     lead: Arc<lead::LeadState>,
@@ -42,24 +72,23 @@
     }
 }
 
+/// Takes a job in. Tells whether it is known from then on; a holder that isn't firm takes none.
 fn admit<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     missed: intake::AdmittedJob,
-) {
+) -> bool {
     let graph = missed.graph;
     if lead.core().knows(graph, missed.row.cancelled) {
-        return;
+        return true;
     }
-    if graph_follower::admit(state, lead, std::iter::once(missed)) {
-        let followed_until = lead.graphs_until();
-        tracing::warn!(
-            job = format_args!("{graph:016x}"),
-            followed_until,
-            "missed job is taken in"
-        );
-        metrics::counter!("almondpass_pool_missed_jobs_total").increment(1);
+    if !graph_follower::admit(state, lead, std::iter::once(missed)) {
+        return false;
     }
+    let followed_until = lead.graphs_until();
+    tracing::warn!(job = format_args!("{graph:016x}"), followed_until, "missed job is taken in");
+    metrics::counter!("almondpass_pool_missed_jobs_total").increment(1);
+    true
 }
 
 /// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance is the first to go when a
--- a/crates/pool/tests/pool/feeds.rs
+++ b/crates/pool/tests/pool/feeds.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use almondpass_peer::call::PeerCall;
 use almondpass_ports::keys;
 use almondpass_schema::model;
 use almondpass_standin::{fault, table};
@@ -38,3 +39,21 @@
         assert_eq!(bench.fleet.records().len(), 1);
     });
 }
+
+/// Guards against a job that nobody schedules because it can't be read when a table shows that it was missed.
+#[test]
+fn a_missed_job_that_can_not_be_read_is_read_again() {
+    support::run(async {
+        let bench = support::PoolBench::start(2, 0).await;
+        let holder = bench.holder();
+        bench.submit(holder, 1, support::job(1, 500)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        bench.instances[holder].state.lead().expect("a tenure").core().forget(1);
+        let to_store = &bench.instances[holder].to_store;
+        to_store.next(model::TableGet::PATH, fault::Fault::Unavailable);
+        bench.store.forget_history();
+        bench.add_worker(0).await;
+        time::sleep(SOON).await;
+        assert_eq!(bench.fleet.records().len(), 1);
+    });
+}
