Judge and tell of many jobs that are left standing within a turn's time

What callers would see: a holder that stands still in its turns behind a takeover, with the lock on its decisions held, so that looks, renewals and callers' queries wait. For each job that had stood for 3 s in an ample pool all workers were gone over twice a second, and each that was found to be left standing had a line at WARN in the same turn, for which all workers are gone over again.

Units of one shape (upstream, label, room, number of tasks) are judged once in a going over now, and of those newly left the eight that have waited longest get a line at a time. All are counted at once; the others are told of as jobs that wait, eight at a time.

The test bounds the lines, by a count of them that is new; with it and without the bound it failed: "316 lines in a second". It asserts too that all 300 jobs are counted.

--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -10,6 +10,7 @@
 use crate::dispatch;
 use crate::job;
 use crate::place_bar;
+use crate::room;
 use crate::task_key;
 
 /// Jobs that wait are gone over this often.
@@ -38,6 +39,8 @@
     pub n_left: usize,
     /// How many began to be left standing since this was last asked for.
     pub n_newly_left: u64,
+    /// Lines that told of waits since this was last asked for.
+    pub n_lines: u64,
 }
 
 /// What a job waits for.
@@ -94,6 +97,43 @@
     is_due: bool,
 }
 
+/// What a unit asks for, as far as it tells how much room there is for others alike.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct UnitShape {
+    upstream: ids::UpstreamName,
+    label: Option<String>,
+    room: room::Room,
+    n_tasks: usize,
+}
+
+impl UnitShape {
+    /// Nothing for a unit that has workers of its own to keep off, or a number of tasks on each.
+    fn of(
+        unit: task_key::UnitKey,
+        job: &job::JobRecord,
+        step: &job::StepRecord,
+    ) -> Option<UnitShape> {
+        let tasks = match unit.task {
+            Some(task) => step.tasks.get(task as usize..=task as usize)?,
+            None => &step.tasks[..],
+        };
+        let is_plain = |it: &job::TaskRecord| it.avoids.is_none() && !it.suspicion.is_on_trial();
+        let tells = step.spec.per_worker == 0 && tasks.iter().all(is_plain);
+        tells.then(|| UnitShape {
+            upstream: job.upstream.clone(),
+            label: step.spec.label.clone(),
+            room: step.room(),
+            n_tasks: tasks.len(),
+        })
+    }
+}
+
+/// Shapes that were judged in this going over, with whether there is much room for each.
+#[derive(Clone, Debug, Default)]
+struct JudgedShapes {
+    shapes: Vec<(UnitShape, bool)>,
+}
+
 /// What there is for a unit.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnitOutlook {
@@ -119,10 +159,11 @@
 }
 
 impl core::PoolCore {
-    /// Jobs of which nothing runs, as of late. The number of those newly left standing begins anew.
+    /// Jobs of which nothing runs, as of late. The numbers since the last call begin anew.
     pub fn take_wait_counts(&mut self) -> WaitCounts {
         let counts = self.wait_counts;
         self.wait_counts.n_newly_left = 0;
+        self.wait_counts.n_lines = 0;
         counts
     }
 
@@ -145,16 +186,26 @@
         self.waits_told_at = now;
         let waits = self.job_waits(now);
         let standing = || waits.iter().filter(|it| it.is_standing);
-        let left = standing().filter(|it| self.is_left(it, berths, now)).copied();
-        let left = left.collect::<Vec<_>>();
+        let mut judged = JudgedShapes::default();
+        let mut left = Vec::new();
+        for wait in standing() {
+            if self.is_left(wait, berths, &mut judged, now) {
+                left.push(*wait);
+            }
+        }
         self.wait_counts.n_standing = standing().count();
         self.wait_counts.n_left = left.len();
-        for wait in &left {
-            self.count_left(wait, berths, now);
+        left.sort_by_key(|it| it.since);
+        let newly_left = left.into_iter().filter(|it| self.note_left(it)).collect::<Vec<_>>();
+        self.wait_counts.n_newly_left += newly_left.len() as u64;
+        for wait in newly_left.iter().take(MOST_TOLD) {
+            self.wait_counts.n_lines += 1;
+            self.log_wait(wait, berths, now, true);
         }
         let mut due = waits.into_iter().filter(|it| it.is_due).collect::<Vec<_>>();
         due.sort_by_key(|it| (!it.is_standing, it.since));
         for wait in due.into_iter().take(MOST_TOLD) {
+            self.wait_counts.n_lines += 1;
             self.log_wait(&wait, berths, now, false);
             if let Some(job) = self.jobs.get_mut(&wait.graph) {
                 job.wait.told(now);
@@ -191,20 +242,44 @@
     }
 
     /// Whether a job has stood for long although there is much room.
-    fn is_left(&self, wait: &JobWait, berths: &[berth::WorkerBerth], now: Duration) -> bool {
-        let is_ample =
-            || self.jobs.get(&wait.graph).is_some_and(|it| self.ample.contains(&it.upstream));
-        let has_room = |unit| self.outlook(unit, berths, now).is_some_and(|it| it.has_much_room());
-        now >= wait.since + LEFT_AFTER && is_ample() && wait.unit.is_none_or(has_room)
+    fn is_left(
+        &self,
+        wait: &JobWait,
+        berths: &[berth::WorkerBerth],
+        judged: &mut JudgedShapes,
+        now: Duration,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&wait.graph) else { return false };
+        if now < wait.since + LEFT_AFTER || !self.ample.contains(&job.upstream) {
+            return false;
+        }
+        wait.unit.is_none_or(|it| self.has_much_room(it, job, berths, judged, now))
     }
 
-    fn count_left(&mut self, wait: &JobWait, berths: &[berth::WorkerBerth], now: Duration) {
-        let Some(job) = self.jobs.get_mut(&wait.graph) else { return };
-        if std::mem::replace(&mut job.wait.is_counted, true) {
-            return;
+    /// Whether there is much room for a unit. Units of one shape are judged once: behind a takeover thousands
+    /// wait beside empty workers, and each judgement goes over all workers.
+    fn has_much_room(
+        &self,
+        unit: task_key::UnitKey,
+        job: &job::JobRecord,
+        berths: &[berth::WorkerBerth],
+        judged: &mut JudgedShapes,
+        now: Duration,
+    ) -> bool {
+        let shape = job.steps.get(unit.step as usize).and_then(|it| UnitShape::of(unit, job, it));
+        let known = shape.as_ref().and_then(|it| judged.shapes.iter().find(|(of, _)| of == it));
+        if let Some((_, has_much_room)) = known {
+            return *has_much_room;
         }
-        self.wait_counts.n_newly_left += 1;
-        self.log_wait(wait, berths, now, true);
+        let has_much_room = self.outlook(unit, berths, now).is_some_and(|it| it.has_much_room());
+        judged.shapes.extend(shape.map(|it| (it, has_much_room)));
+        has_much_room
+    }
+
+    /// Notes that a job is left standing. Tells whether that is new.
+    fn note_left(&mut self, wait: &JobWait) -> bool {
+        let job = self.jobs.get_mut(&wait.graph);
+        job.is_some_and(|it| !std::mem::replace(&mut it.wait.is_counted, true))
     }
 
     fn log_wait(
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -301,3 +301,23 @@
     let counts = bench.core.take_wait_counts();
     assert_eq!((counts.n_left, counts.n_newly_left), (0, 0));
 }
+
+/// Telling of many jobs that are left standing at once holds the turns up.
+#[test]
+fn jobs_left_standing_by_the_hundred_are_told_a_few_at_a_time() {
+    const N_JOBS: u64 = 300;
+    const MOST_LINES: u64 = 16;
+    let mut bench = unreached();
+    for graph in 2..=N_JOBS {
+        bench.inherit(graph, support::job(1, support::tasks(1)), None);
+    }
+    let mut n_newly_left = 0;
+    for _ in 0..10 {
+        pass_unreached(&mut bench, 1);
+        let counts = bench.core.take_wait_counts();
+        n_newly_left += counts.n_newly_left;
+        // Two times a second, eight lines that a job waits and as many that one is left.
+        assert!(counts.n_lines <= 2 * MOST_LINES, "{} lines in a second", counts.n_lines);
+    }
+    assert_eq!(n_newly_left, N_JOBS);
+}
