--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use almondpass_graph::{order, wait_note, waiting};
+use almondpass_graph::{order, room, wait_note, waiting, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -25,13 +25,26 @@
     bench: support::PoolBench,
     running: Vec<order::StartOrder>,
     ends: Vec<u64>,
+    /// Workers that answer nothing.
+    silent: BTreeSet<usize>,
 }
 
 impl WaitPlay {
     fn new() -> WaitPlay {
         let mut bench = support::PoolBench::new(N_WORKERS);
         bench.core.set_wall(bench.now);
-        WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS] }
+        WaitPlay { bench, running: Vec::new(), ends: vec![0; N_WORKERS], silent: BTreeSet::new() }
+    }
+
+    /// The same pool without accelerators.
+    fn without_accelerators() -> WaitPlay {
+        let mut play = WaitPlay::new();
+        let capacity = room::Room { accelerators: 0, ..support::CAPACITY };
+        for index in 0..N_WORKERS {
+            let listing = worker::WorkerListing { capacity, ..support::listing(index) };
+            play.bench.core.learn_worker(support::worker_id(index), listing, play.bench.now);
+        }
+        play
     }
 
     /// Starts a job at once.
@@ -59,22 +72,47 @@
 
     fn look(&mut self, worker: usize, ended: &[order::ListedEnd]) {
         let on_it = self.running.iter().filter(|it| support::index_of(&it.worker) == worker);
-        let running = on_it.map(|it| support::running(it, 1)).collect::<Vec<_>>();
+        let running = on_it.map(|it| support::running(it, self.percent(it))).collect::<Vec<_>>();
         self.bench.lists(worker, &running, ended);
     }
 
+    /// How far a task is, one percent a second: one that stands still would be taken to hang.
+    fn percent(&self, start: &order::StartOrder) -> u32 {
+        let ran = self.bench.now.saturating_sub(start.ordered_at);
+        1 + (ran.as_secs() as u32).min(90)
+    }
+
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / TICK_MS {
-            self.bench.pass(TICK_MS);
-            self.bench.core.set_wall(self.bench.now);
-            for worker in 0..N_WORKERS {
-                self.look(worker, &[]);
-            }
+            self.tick();
             let starts = self.bench.turn_and_start();
             self.running.extend(starts);
         }
     }
 
+    fn tick(&mut self) {
+        self.bench.pass(TICK_MS);
+        self.bench.core.set_wall(self.bench.now);
+        for worker in (0..N_WORKERS).filter(|it| !self.silent.contains(it)).collect::<Vec<_>>() {
+            self.look(worker, &[]);
+        }
+    }
+
+    /// The next start, which is not answered, nor is anything else by its worker from then on.
+    fn lose_start(&mut self) {
+        let mut starts = Vec::new();
+        for _ in 0..STARTS_WITHIN_MS / TICK_MS {
+            self.tick();
+            starts = support::starts(&self.bench.turn());
+            if !starts.is_empty() {
+                break;
+            }
+        }
+        let start = starts.first().expect("a start");
+        self.silent.insert(support::index_of(&start.worker));
+        self.bench.core.start_answered(start, order::StartAnswer::Unknown, self.bench.now);
+    }
+
     fn runs(&self, graph: u64) -> bool {
         self.running.iter().any(|it| it.task.graph == graph)
     }
@@ -104,6 +142,19 @@
     (play, support::job(1, near(1)))
 }
 
+/// The rack of its data is full, in a pool without accelerators.
+fn near_its_data_without_accelerators() -> (WaitPlay, model::GraphRow) {
+    let near = |n| model::GraphStep {
+        accelerators: 0,
+        cpu_milli: support::CAPACITY.cpu_milli,
+        rack: Some("r0".to_owned()),
+        ..support::tasks(n)
+    };
+    let mut play = WaitPlay::without_accelerators();
+    play.start(1, support::job(1, near(N_RACK as u32)));
+    (play, support::job(1, near(1)))
+}
+
 /// Each rack has one worker in use.
 fn gang_of_one_rack() -> (WaitPlay, model::GraphRow) {
     let mut play = WaitPlay::new();
@@ -135,6 +186,31 @@
     assert_eq!(play.running.iter().filter(|it| it.task.graph == 3).count(), 1);
 }
 
+/// Jobs that stand still take more than half of the pool at once.
+#[test]
+fn standing_jobs_leave_half_of_the_pool_to_urgent_work() {
+    let (mut play, row) = behind_urgent_work();
+    let n_before = play.n_in_use();
+    for graph in 0..N_WORKERS as u64 {
+        play.bench.admit(100 + graph, row.clone());
+    }
+    play.pass(STARTS_WITHIN_MS);
+    assert!(play.n_in_use() > n_before);
+    assert!(2 * play.n_in_use() <= N_WORKERS, "{} of {N_WORKERS} are in use", play.n_in_use());
+}
+
+/// A job stands still for as long as the start of one of its tasks is open.
+#[test]
+fn a_task_takes_room_that_is_kept_although_a_start_of_its_job_is_open() {
+    let (mut play, _) = behind_urgent_work();
+    // One worker less leaves no other one beside those that are kept.
+    play.start(4, support::job(0, support::whole_workers(3)));
+    play.bench.admit(3, support::job(2, support::whole_workers(2)));
+    play.lose_start();
+    play.pass(STARTS_WITHIN_MS);
+    assert!(play.runs(3), "{} of {N_WORKERS} workers are in use", play.n_in_use());
+}
+
 macro_rules! waits {
     ($($(#[$doc:meta])* $name:ident: $situation:ident;)*) => {
         $($(#[$doc])* #[test]
@@ -148,6 +224,8 @@
 waits! {
     /// A job of which nothing runs waits for its rack although most of the pool is empty.
     a_job_beside_a_full_rack_starts_elsewhere: near_its_data;
+    /// A job of a pool without accelerators waits for its rack although most of the pool is empty.
+    a_job_without_accelerators_starts_elsewhere: near_its_data_without_accelerators;
     /// A gang of which nothing runs waits for a whole rack although most of the pool is empty.
     a_gang_without_a_rack_starts_across_racks: gang_of_one_rack;
     /// A job of which nothing runs waits for workers that are kept empty although most of the pool is empty.
@@ -223,3 +301,23 @@
     let counts = bench.core.take_wait_counts();
     assert_eq!((counts.n_left, counts.n_newly_left), (0, 0));
 }
+
+/// Telling of many jobs that are left standing at once holds the turns up.
+#[test]
+fn jobs_left_standing_by_the_hundred_are_told_a_few_at_a_time() {
+    const N_JOBS: u64 = 300;
+    const MOST_LINES: u64 = 16;
+    let mut bench = unreached();
+    for graph in 2..=N_JOBS {
+        bench.inherit(graph, support::job(1, support::tasks(1)), None);
+    }
+    let mut n_newly_left = 0;
+    for _ in 0..10 {
+        pass_unreached(&mut bench, 1);
+        let counts = bench.core.take_wait_counts();
+        n_newly_left += counts.n_newly_left;
+        // Two times a second, eight lines that a job waits and as many that one is left.
+        assert!(counts.n_lines <= 2 * MOST_LINES, "{} lines in a second", counts.n_lines);
+    }
+    assert_eq!(n_newly_left, N_JOBS);
+}
--- a/crates/pool/src/missed_job.rs
+++ b/crates/pool/src/missed_job.rs
@@ -2,17 +2,24 @@
 //! passed. None should be; one that is would wait for the next takeover.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondpass_graph::{intake, progress};
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
+use tokio::time;
 
 use crate::entry;
 use crate::graph_follower;
 use crate::lead;
-use crate::part;
 use crate::state;
 
+/// Wait before a job that could not be read or taken in is looked for again; doubled for each further time.
+const FIRST_AGAIN: Duration = Duration::from_millis(250);
+
+/// Longest wait between two times.
+const LONGEST_AGAIN: Duration = Duration::from_secs(8);
+
 /// Looks for a job in the store and takes it in, without waiting for it.
 pub(crate) fn take_in<S: state::PoolSite>(
     state: &Arc<state::PoolState<S>>,
@@ -22,53 +29,77 @@
     if !lead.missed_jobs().insert(graph) {
         return;
     }
-    let (state, lead) = (Arc::clone(state), Arc::clone(lead));
+    let (state, mark) = (Arc::clone(state), MissedMark { lead: Arc::clone(lead), graph });
     tokio::spawn(async move {
-        part::attempt("lookup", look_up(&state, &lead, graph)).await;
-        lead.missed_jobs().remove(&graph);
+        look_for(&state, &mark.lead, graph).await;
+        drop(mark);
     });
 }
 
-async fn look_up<S: state::PoolSite>(
+/// Looks for a job until it is known, or nowhere to be found, or the tenure is over.
+async fn look_for<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     graph: ids::GraphId,
 ) {
-    // Where it can't be read, whoever has asked asks again.
-    if let Ok(Some(missed)) = read(state, lead, graph).await {
-        admit(state, lead, missed);
+    let mut again = FIRST_AGAIN;
+    loop {
+        let is_over = match read(state, lead, graph).await {
+            Ok(Some(missed)) => admit(state, lead, missed),
+            Ok(None) => true,
+            Err(entry::StoreFault) => false,
+        };
+        if is_over {
+            return;
+        }
+        tokio::select! {
+            () = lead.over.cancelled() => return,
+            () = time::sleep(again) => {}
+        }
+        again = (again * 2).min(LONGEST_AGAIN);
+    }
+}
+
+/// A job that is being looked for. It ends with its task, by a panic too: else nobody would look for it again.
+struct MissedMark {
+    lead: Arc<lead::LeadState>,
+    graph: ids::GraphId,
+}
+
+impl Drop for MissedMark {
+    fn drop(&mut self) {
+        self.lead.missed_jobs().remove(&self.graph);
     }
 }
 
+/// Takes a job in. Tells whether it is known from then on; a holder that isn't firm takes none.
 fn admit<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     missed: intake::AdmittedJob,
-) {
+) -> bool {
     let graph = missed.graph;
     if lead.core().knows(graph, missed.row.cancelled) {
-        return;
+        return true;
     }
-    if graph_follower::admit(state, lead, std::iter::once(missed)) {
-        let followed_until = lead.graphs_until();
-        tracing::warn!(
-            job = format_args!("{graph:016x}"),
-            followed_until,
-            "missed job is taken in"
-        );
-        metrics::counter!("almondpass_pool_missed_jobs_total").increment(1);
+    if !graph_follower::admit(state, lead, std::iter::once(missed)) {
+        return false;
     }
+    let followed_until = lead.graphs_until();
+    tracing::warn!(job = format_args!("{graph:016x}"), followed_until, "missed job is taken in");
+    metrics::counter!("almondpass_pool_missed_jobs_total").increment(1);
+    true
 }
 
-/// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance comes first: it is the
-/// first to go when a job is forgotten, and one without progress would run once more.
+/// Reads a job as a takeover would; nothing where it was forgotten. Its acceptance is the first to go when a
+/// job is forgotten, and one without progress would run once more: so it has to be there still at the end.
 async fn read<S: state::PoolSite>(
     state: &state::PoolState<S>,
     lead: &lead::LeadState,
     graph: ids::GraphId,
 ) -> Result<Option<intake::AdmittedJob>, entry::StoreFault> {
     let accepted = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await?;
-    let Some((row, version)) = accepted else { return Ok(None) };
+    let Some((row, _)) = accepted else { return Ok(None) };
     let mut saved = progress::SavedChunks::default();
     for chunk in 0..progress::n_chunks_of(&row) {
         let key = keys::progress(graph, chunk);
@@ -76,6 +107,8 @@
             saved.insert(chunk, content);
         }
     }
+    let kept = entry::read::<S, model::GraphRow>(state, keys::graph(graph)).await?;
+    let Some((row, version)) = kept else { return Ok(None) };
     let inherited = version < lead.taken_at || !saved.is_empty();
     let origin = intake::JobOrigin::Lookup;
     Ok(Some(intake::AdmittedJob { graph, row, version, origin, progress: saved, inherited }))
