Count from the start of a process what its former one had ordered

What callers would see: accepted jobs stand still for the lease of a silent worker, counted from when the restarted holder first reads the tenure's row. Where the store turns it away at first, that is seconds behind its start.

Cause: its former process had ended by the time this one began, which was not taken into account.

The test failed before with "assertion `left == right` failed, left: 0, right: 2", 7.2 s behind the start.

--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -107,7 +107,7 @@
     let outcome = store_call::transact(state, transaction).await;
     let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
     let version = versions.first().copied()?;
-    let settles_at = settles_at(seen, settings, now);
+    let settles_at = settles_at(state, seen, now);
     let predecessor = predecessor_of(seen, settings);
     Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses, predecessor })
 }
@@ -143,19 +143,25 @@
 }
 
 /// When whatever the earlier holder ordered has surely ended, on workers that don't answer.
-fn settles_at(
+fn settles_at<S: state::PoolSite>(
+    state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
-    settings: &settings::PoolSettings,
     now: Duration,
 ) -> Duration {
     let Some(row) = &seen.row else { return now };
-    let is_over = row.released || seen.is_of(&settings.peer_address);
+    let settings = &state.settings;
     let times = settings.tenure;
-    let goes_on = if is_over { Duration::ZERO } else { times.term + times.detached };
-    seen.first_seen
-        + goes_on
-        + predecessor::ORDER_SLACK
-        + lease_clock::at_most(settings.terms.lease)
+    let is_of_former_process =
+        seen.is_of(&settings.peer_address) && row.holder != settings.instance;
+    let over_at = if is_of_former_process {
+        // That process has ended before this one began.
+        seen.first_seen.min(state.began_at)
+    } else if row.released || seen.is_of(&settings.peer_address) {
+        seen.first_seen
+    } else {
+        seen.first_seen + times.term + times.detached
+    };
+    over_at + predecessor::ORDER_SLACK + lease_clock::at_most(settings.terms.lease)
 }
 
 /// The earlier holder, where it may go on.
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -253,6 +253,30 @@
     });
 }
 
+/// A process that starts again reads late that its former one held the tenure, and waits from then on for
+/// what that one had ordered.
+#[test]
+fn a_restarted_holder_counts_from_its_own_start() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(1, 16).await;
+        bench.keep_heartbeats();
+        let accepted = bench.submit(0, 1, support::job(2, 20_000)).await;
+        assert_eq!(accepted, model::SubmitOutcome::Accepted);
+        time::sleep(Duration::from_secs(1)).await;
+        let silent = bench.fleet.running().into_iter().map(|(worker, _)| worker);
+        for worker in silent {
+            bench.lose_worker(support::index_of(&worker), support::Comeback::Never, Duration::ZERO);
+        }
+        let address = bench.kill(0).await;
+        bench.start_instance(&address);
+        bench.instances[0].to_store.set(fault::Condition::Refusing);
+        time::sleep(Duration::from_secs(3)).await;
+        bench.instances[0].to_store.set(fault::Condition::Up);
+        time::sleep(LEASE_AND_MORE - Duration::from_secs(3)).await;
+        assert_eq!(bench.fleet.running().len(), 2);
+    });
+}
+
 /// A tenure that is over for its successor goes on, or one that goes on counts as over.
 #[test]
 fn a_former_tenure_ends_when_its_successor_asks() {
