--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -35,7 +35,7 @@
     while !state.leaving.is_cancelled() {
         let before = watch.seen().cloned();
         read(&state, &mut watch).await;
-        floor.saw(before.as_ref(), watch.row(), &state.settings);
+        floor.saw(&state, before.as_ref(), watch.row());
         state.set_holder(watch.row().filter(|it| !it.released).map(|it| state::HolderView {
             instance: it.holder.clone(),
             address: it.address.clone(),
@@ -59,9 +59,10 @@
         // The next look comes at the moment at which the tenure may be taken, if that is sooner.
         let due = watch.seen().and_then(|it| wait_for(&state, it));
         tokio::select! {
-            () = time::sleep(due.map_or(look, |it| it.min(look))) => {}
-            () = first_document(&state.document), if state.document.version() == 0 => {}
+            biased;
             () = state.leaving.cancelled() => {}
+            () = first_document(&state.document), if state.document.version() == 0 => {}
+            () = time::sleep(due.map_or(look, |it| it.min(look))) => {}
         }
     }
 }
@@ -120,16 +121,16 @@
 
     /// The row was read again. A holder that another follows without having given the tenure up goes on
     /// for a while.
-    fn saw(
+    fn saw<S: state::PoolSite>(
         &mut self,
+        state: &state::PoolState<S>,
         before: Option<&tenure_watch::SeenRow>,
         row: Option<&model::PoolTenure>,
-        settings: &settings::PoolSettings,
     ) {
         let Some((before, row)) = before.zip(row) else { return };
         let is_other = before.row.as_ref().is_some_and(|it| it.epoch < row.epoch);
         if is_other {
-            self.raise(settles_at(before, settings, before.first_seen));
+            self.raise(settles_at(state, before, before.first_seen));
         }
     }
 }
@@ -170,7 +171,7 @@
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
         writes: vec![writer::write_of(keys::pool_tenure(), &row)],
     };
-    let settles_at = floor.raise(settles_at(seen, settings, now));
+    let settles_at = floor.raise(settles_at(state, seen, now));
     let sent_at = state.site.clock().now();
     let versions = match store_call::transact(state, transaction).await {
         Ok(model::TableOutcome::Committed { versions }) => versions,
@@ -215,19 +216,25 @@
 }
 
 /// When whatever the earlier holder ordered has surely ended, on workers that don't answer.
-fn settles_at(
+fn settles_at<S: state::PoolSite>(
+    state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
-    settings: &settings::PoolSettings,
     now: Duration,
 ) -> Duration {
     let Some(row) = &seen.row else { return now };
-    let is_over = row.released || seen.is_of(&settings.peer_address);
+    let settings = &state.settings;
     let times = settings.tenure;
-    let goes_on = if is_over { Duration::ZERO } else { times.term + times.detached };
-    seen.first_seen
-        + goes_on
-        + predecessor::ORDER_SLACK
-        + lease_clock::at_most(settings.terms.lease)
+    let is_of_former_process =
+        seen.is_of(&settings.peer_address) && row.holder != settings.instance;
+    let over_at = if is_of_former_process {
+        // That process has ended before this one began.
+        seen.first_seen.min(state.began_at)
+    } else if row.released || seen.is_of(&settings.peer_address) {
+        seen.first_seen
+    } else {
+        seen.first_seen + times.term + times.detached
+    };
+    over_at + predecessor::ORDER_SLACK + lease_clock::at_most(settings.terms.lease)
 }
 
 /// The earlier holder, where it may go on.
