Let a worker that was silent before hold up no successor but for what is on record

What callers would see: all jobs that were accepted before a takeover, or while nobody held the tenure, stand still for up to 14 s, while jobs accepted behind it start; most of the pool may be free. A successor starts nothing of an inherited job until each worker of the roster has answered it, or term, detached time and lease are over. One worker that is dead, and listed still or within its lease, is enough: a worker and then the holder lost within seconds. That is longer than the 7 s of calm behind which the platform takes such a job for lost.

The holder puts what runs on a worker that does not answer on record with its tasks, and starts nothing more there. It now notes that in the worker's entry of the roster, once all of it is durable and the worker has been silent for 0.7 s; the worker gets tasks again once a page without the note is saved. Where all workers that a successor can't reach are noted, only jobs with a start on record of which nothing was heard wait for them; all others can't be there. A worker that was not noted holds up as before: the rule that nothing runs twice comes first. Releases without notes may start tasks on a noted worker, so the tenure's row tells whether its holder keeps them; where not, the notes are taken back before any is believed, and the row says so only once the roster is saved.

The test of the whole path failed before: `expected completed, found Known(Pending)` 6 s behind the submission, with the worker silent for 4 s before the holder was killed. It also asserts that no task on the silent worker ran at two places at a time. Open: a worker that falls silent with the holder, or less than a second before it, holds up its successor as before.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -9,6 +9,7 @@
 use crate::avoidance;
 use crate::catalog;
 use crate::headroom;
+use crate::inheritance;
 use crate::job;
 use crate::loss_history;
 use crate::losses;
@@ -65,6 +66,8 @@
     pub(crate) kept_up_at: Duration,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
     pub(crate) wall: Duration,
+    /// Whether a successor may go by what the roster notes of silent workers.
+    pub(crate) keeps_silence: bool,
     /// Data centres under evacuation: nothing starts on their workers.
     pub(crate) evacuated: Arc<[ids::DataCenter]>,
 }
@@ -108,6 +111,7 @@
             list_read_at: Duration::ZERO,
             kept_up_at: Duration::ZERO,
             wall: Duration::ZERO,
+            keeps_silence: false,
             evacuated: Arc::default(),
         }
     }
@@ -207,10 +211,9 @@
         summary
     }
 
-    /// Whether every worker on which tasks of an earlier tenure may be has answered, or their
-    /// leases have lapsed.
-    pub(crate) fn is_settled(&self, now: Duration) -> bool {
-        now >= self.settles_at || self.workers.values().all(|it| it.fenced || !it.inherited)
+    /// What has settled by `now` of what an earlier tenure has left.
+    pub(crate) fn settled(&self, now: Duration) -> inheritance::SettledShare {
+        inheritance::SettledShare::of(self, now)
     }
 
     /// The jobs that have not ended.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -150,8 +150,8 @@
     /// Units that may start now, in the order in which they are to: by class, and within a class first
     /// what can be in time, by age.
     fn waiting_units(&self, now: Duration) -> Vec<task_key::UnitKey> {
-        let is_settled = self.is_settled(now);
-        let jobs = self.active_jobs().filter(|(_, it)| is_settled || !it.inherited);
+        let settled = self.settled(now);
+        let jobs = self.active_jobs().filter(|(_, it)| settled.covers(it));
         let mut jobs = jobs.collect::<Vec<_>>();
         jobs.sort_by_cached_key(|(graph, it)| {
             (it.priority, self.prospect(it, now), it.admitted_at, *graph)
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -130,7 +130,7 @@
     /// Takes in a worker to which an earlier scheduler may have given orders, as it stands on a page of
     /// the roster.
     pub fn inherit_worker(&mut self, entry: model::RosterEntry, page: u32) {
-        for page in self.roster.inherit(&entry.worker, page) {
+        for page in self.roster.inherit(&entry.worker, entry.on_record, page) {
             self.unsaved.touch(save_queue::SaveKey::Roster { page });
         }
         let record = self.record_or_new(&entry.worker);
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -42,6 +42,7 @@
 mod doubt;
 mod ends;
 mod hanging;
+mod inheritance;
 mod listing;
 mod overdue;
 mod restarts;
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -114,6 +114,7 @@
         record.oldest_listed = listed.ended.first().map(|it| it.number);
         let is_first = !record.fenced;
         record.fenced = true;
+        self.end_silence(worker);
         self.heard(worker, listed.clock_ms, now);
         if is_first {
             self.adopt_lease(worker, life);
--- a/crates/graph/src/roster.rs
+++ b/crates/graph/src/roster.rs
@@ -19,6 +19,8 @@
     page_of: BTreeMap<ids::WorkerId, u32>,
     /// By page, the workers that a successor surely finds there.
     saved: BTreeMap<u32, BTreeSet<ids::WorkerId>>,
+    /// Workers of which the store has, or may have, that all that may run there is on record.
+    on_record: BTreeSet<ids::WorkerId>,
 }
 
 impl RosterPages {
@@ -62,8 +64,29 @@
         Some(page)
     }
 
+    /// Notes whether all that may run on a worker is on record. Tells which page has to be written, where
+    /// that has changed. Until a page without the note is saved the worker gets no tasks.
+    pub fn put_on_record(&mut self, worker: &ids::WorkerId, is_on_record: bool) -> Option<u32> {
+        if self.on_record.contains(worker) == is_on_record {
+            return None;
+        }
+        let page = self.refresh(worker)?;
+        if is_on_record {
+            self.on_record.insert(worker.clone());
+        } else {
+            self.on_record.remove(worker);
+        }
+        Some(page)
+    }
+
+    /// Whether all that may run on a worker is on record.
+    pub fn is_on_record(&self, worker: &ids::WorkerId) -> bool {
+        self.on_record.contains(worker)
+    }
+
     /// Takes a worker off its page. Tells which page has to be written.
     pub fn remove(&mut self, worker: &ids::WorkerId) -> Option<u32> {
+        self.on_record.remove(worker);
         let page = self.page_of.remove(worker)?;
         if let Some(workers) = self.pages.get_mut(&page) {
             workers.remove(worker);
@@ -74,18 +97,26 @@
     /// Takes in a worker as the store has it on a page. Tells which pages have to be written, the one
     /// with its new place first, where that page is full already: an earlier release kept one row for
     /// all workers.
-    pub fn inherit(&mut self, worker: &ids::WorkerId, page: u32) -> Vec<u32> {
+    pub fn inherit(&mut self, worker: &ids::WorkerId, is_on_record: bool, page: u32) -> Vec<u32> {
         if self.page_of.contains_key(worker) {
             // Named twice: once in its old place, once in the one that it was being moved to.
+            if !is_on_record {
+                self.on_record.remove(worker);
+            }
             return vec![page];
         }
+        if is_on_record {
+            self.on_record.insert(worker.clone());
+        }
         let workers = self.pages.entry(page).or_default();
         if workers.len() >= PAGE_WORKERS {
             return vec![self.add(worker), page];
         }
         workers.insert(worker.clone());
         self.page_of.insert(worker.clone(), page);
-        self.saved.entry(page).or_default().insert(worker.clone());
+        if !is_on_record {
+            self.saved.entry(page).or_default().insert(worker.clone());
+        }
         Vec::new()
     }
 
@@ -99,7 +130,7 @@
 
     /// The store has the page with these workers.
     pub fn saved(&mut self, page: u32, workers: impl Iterator<Item = ids::WorkerId>) {
-        let workers = workers.collect::<BTreeSet<_>>();
+        let workers = workers.filter(|it| !self.on_record.contains(it)).collect::<BTreeSet<_>>();
         if workers.is_empty() {
             self.saved.remove(&page);
         } else {
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -109,6 +109,12 @@
         self.is_durable(SaveMark { row, change: u64::MAX })
     }
 
+    /// Whether the store lacks a change of any such row.
+    pub fn lacks_any(&self, is_such: impl Fn(SaveKey) -> bool) -> bool {
+        let rows = self.due.keys().chain(self.in_flight.keys()).chain(self.set_apart.keys());
+        rows.copied().any(is_such)
+    }
+
     /// Whether a row waits to be taken.
     pub fn has_due(&self) -> bool {
         !self.due.is_empty()
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -47,6 +47,7 @@
         mut add: impl FnMut(&SaveRow) -> bool,
     ) -> Option<SaveBatch> {
         self.review_roster();
+        self.review_silent(now);
         let refused = self.unsaved.take_refused(now);
         let is_alone = refused.is_some();
         let mut batch = SaveBatch::default();
@@ -76,6 +77,7 @@
             self.unsaved.saved(row.key);
             self.row_saved(row);
         }
+        self.review_kept_silence();
         for worker in self.workers.values_mut() {
             worker.settle_ends(&self.unsaved);
         }
@@ -108,6 +110,7 @@
                 worker: worker.clone(),
                 address: listing.map(|it| it.address.clone()).unwrap_or_default(),
                 upstream: listing.map(|it| it.upstream.clone()).unwrap_or_default(),
+                on_record: self.roster.is_on_record(worker),
             }
         });
         let workers = named.collect::<Vec<_>>();
@@ -126,6 +129,9 @@
                 };
                 // One that has moved since is not found by what the row says.
                 let is_found = |entry: &model::RosterEntry| {
+                    if entry.on_record {
+                        return false;
+                    }
                     let record = self.workers.get(&entry.worker);
                     record.is_none_or(|it| it.listing.is_found_at(&entry.address, &entry.upstream))
                 };
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -139,10 +139,10 @@
 
     /// Stops the other members of a gang that has lost one, so that it can start again as a whole.
     fn repair_gangs(&mut self, now: Duration) {
-        let is_settled = self.is_settled(now);
+        let settled = self.settled(now);
         let mut broken = BTreeSet::<(ids::GraphId, usize)>::new();
         for (graph, job) in self.active_jobs() {
-            if job.inherited && !is_settled {
+            if !settled.covers(job) {
                 continue;
             }
             for (index, step) in job.steps.iter().enumerate() {
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -1,7 +1,14 @@
 //! Which workers a successor would know of, and so may get tasks.
 
+use std::time::Duration;
+
+use almondpass_schema::{ids, model};
+
 use crate::support;
 
+/// Behind all that happens in a test.
+const SETTLES_AT: Duration = Duration::from_secs(2_000);
+
 /// The second of two workers is silent, unlisted, and forgotten once its lease has lapsed.
 fn with_a_forgotten_worker() -> support::PoolBench {
     let mut bench = support::PoolBench::new(2);
@@ -49,3 +56,68 @@
     bench.save();
     assert_eq!(n_starts(&mut bench), 8);
 }
+
+/// A worker that a successor takes to have nothing new got tasks that the successor would start once more.
+#[test]
+fn a_worker_noted_as_silent_gets_tasks_once_the_note_is_gone() {
+    let mut bench = support::PoolBench::new(1);
+    bench.core.hold_missed(&support::worker_id(0));
+    bench.pass(800);
+    bench.turn();
+    bench.pass(800);
+    let noting = bench.take_batch().expect("a note");
+    bench.lists(0, &[], &[]);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    assert_eq!(n_starts(&mut bench), 0);
+    bench.core.batch_saved(noting);
+    assert_eq!(n_starts(&mut bench), 0);
+    bench.save();
+    assert_eq!(n_starts(&mut bench), 1);
+}
+
+/// Worker 1 went silent with the task of job 1; a successor takes over that has reached worker 0 alone.
+fn successor_of(notes_silence: bool) -> support::PoolBench {
+    let mut first = support::PoolBench::new(2);
+    first.admit(1, support::job(1, support::tasks(1)));
+    let start = first.turn_and_start().remove(0);
+    first.core.hold_missed(&start.worker);
+    first.save();
+    let (silent, other) = (support::index_of(&start.worker), 1 - support::index_of(&start.worker));
+
+    let mut next = support::PoolBench::unanswered(0, SETTLES_AT);
+    for (index, on_record) in [(silent, true), (other, false)] {
+        let listing = support::listing(index);
+        let (address, upstream) = (listing.address, listing.upstream);
+        let worker = support::worker_id(index);
+        let entry = model::RosterEntry { worker, address, upstream, on_record };
+        next.core.inherit_worker(entry, 0);
+        next.core.learn_worker(support::worker_id(index), support::listing(index), next.now);
+    }
+    next.core.inherit_silence(notes_silence);
+    next.inherit(1, support::job(1, support::tasks(1)), first.saved.remove(&1));
+    next.inherit(2, support::job(1, support::tasks(1)), None);
+    next.lists(other, &[], &[]);
+    next.save();
+    next
+}
+
+fn started(bench: &mut support::PoolBench) -> Vec<ids::GraphId> {
+    bench.turn_and_start().iter().map(|it| it.task.graph).collect()
+}
+
+/// What may run on a silent worker started elsewhere, or nothing did until its lease had lapsed.
+#[test]
+fn only_what_is_on_record_waits_for_a_silent_worker() {
+    let mut next = successor_of(true);
+    assert_eq!(started(&mut next), [2]);
+    next.pass(5_000);
+    assert!(started(&mut next).is_empty());
+}
+
+/// An earlier release keeps no notes, and may have started tasks on a worker that one names.
+#[test]
+fn notes_that_an_earlier_release_has_left_tell_nothing() {
+    let mut next = successor_of(false);
+    assert!(started(&mut next).is_empty());
+    assert!(next.core.keeps_silence());
+}
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -53,6 +53,8 @@
     pub(crate) settles_at: Duration,
     /// Losses of workers that the earlier holder has seen lately.
     pub(crate) losses: Option<model::RecentLosses>,
+    /// Whether the earlier holder has kept what the roster notes of silent workers.
+    pub(crate) notes_silence: bool,
 }
 
 impl LeadState {
@@ -143,6 +145,7 @@
         settles_at: taken.settles_at,
     });
     // The tenure is renewed, and with it what is known of losses, before anything is loaded.
+    core.inherit_silence(taken.notes_silence);
     core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
     let mut parts = JoinSet::new();
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -83,6 +83,7 @@
     for row in &roster.rows {
         inherit_page(&mut core, row);
     }
+    core.inherit_silence(taken.notes_silence);
     let mut progress = progress_by_graph(progress);
     let accepted = graphs.rows.iter().filter_map(|it| task_key::parse_graph(&it.key));
     let accepted = accepted.collect::<BTreeSet<_>>();
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -92,6 +92,7 @@
         return None;
     }
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
+    let notes_silence = seen.row.as_ref().is_some_and(|it| it.notes_silence);
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
         address: settings.peer_address.clone(),
@@ -99,6 +100,7 @@
         renewal: 0,
         released: false,
         losses: losses.clone(),
+        notes_silence,
     };
     let transaction = model::TableTransaction {
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
@@ -109,7 +111,8 @@
     let Ok(model::TableOutcome::Committed { versions }) = outcome else { return None };
     let version = versions.first().copied()?;
     let settles_at = settles_at(seen, settings, now);
-    Some(lead::TakenTenure { epoch: row.epoch, version, sent_at, settles_at, losses })
+    let epoch = row.epoch;
+    Some(lead::TakenTenure { epoch, version, sent_at, settles_at, losses, notes_silence })
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -225,13 +225,18 @@
     /// The rows behind that of the tenure.
     fn with_tenure(&self, rows: &[model::TableWrite], released: bool) -> Vec<model::TableWrite> {
         let settings = &self.state.settings;
+        let (losses, notes_silence) = {
+            let core = self.lead.core();
+            (core.recent_losses(self.state.site.clock().now()), core.keeps_silence())
+        };
         let tenure = model::PoolTenure {
             holder: settings.instance.clone(),
             address: settings.peer_address.clone(),
             epoch: self.lead.epoch,
             renewal: self.renewal,
             released,
-            losses: Some(self.lead.core().recent_losses(self.state.site.clock().now())),
+            notes_silence,
+            losses: Some(losses),
         };
         let mut writes = vec![write_of(keys::pool_tenure(), &tenure)];
         writes.extend_from_slice(rows);
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -4,7 +4,7 @@
 
 use almondpass_graph::order;
 use almondpass_schema::model;
-use almondpass_standin::{fault, pool_fleet, table};
+use almondpass_standin::{fault, pool_fleet, pool_worker, table};
 use tokio::time;
 
 use crate::support;
@@ -228,3 +228,26 @@
         bench.await_state(other, 1, model::GraphState::Completed, SOON).await;
     });
 }
+
+/// A worker that had long been found silent held up each job that the next holder had not accepted itself.
+#[test]
+fn a_worker_that_was_found_silent_holds_up_no_successor() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 3).await;
+        bench.submit(0, 1, support::job(6, 60_000)).await;
+        time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(bench.fleet.n_running(), 6);
+        bench.fleet.faults(&support::worker_id(0)).set(fault::Condition::Silent);
+        time::sleep(Duration::from_secs(4)).await;
+        let holder = bench.holder();
+        bench.kill(holder).await;
+        bench.submit(0, 2, support::job(1, 500)).await;
+        bench.await_state(0, 2, model::GraphState::Completed, Duration::from_secs(6)).await;
+        time::sleep(Duration::from_secs(20)).await;
+        bench.fleet.faults(&support::worker_id(0)).set(fault::Condition::Up);
+        bench.await_state(0, 1, model::GraphState::Completed, 4 * SOON).await;
+        bench.assert_nothing_ran_twice();
+        let was_there = |it: &pool_worker::RunRecord| it.worker == support::worker_id(0);
+        assert_eq!(bench.fleet.records().iter().filter(|it| was_there(it)).count(), 6);
+    });
+}
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -96,6 +96,7 @@
     let mut core = empty_core();
     for index in 0..1_000 {
         let entry = model::RosterEntry {
+            on_record: true,
             worker: worker_named(index),
             address: String::new(),
             upstream: String::new(),
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1960,6 +1960,9 @@
     ///Losses of workers that the holder has seen lately; absent where it has seen nothing yet.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub losses: ::std::option::Option<RecentLosses>,
+    ///Whether the holder keeps what the roster notes of silent workers; an earlier release does not.
+    #[serde(default)]
+    pub notes_silence: bool,
     ///Whether the holder gave it up, and gives no more orders.
     pub released: bool,
     ///Number of the write within the tenure.
@@ -2123,6 +2126,9 @@
 pub struct RosterEntry {
     ///Its control address.
     pub address: crate::ids::PeerAddress,
+    ///Whether every task that may run there has its start on record; nothing else is started there meanwhile.
+    #[serde(default)]
+    pub on_record: bool,
     ///Whose tasks it runs.
     pub upstream: crate::ids::UpstreamName,
     ///The worker.
