--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -9,6 +9,7 @@
 use crate::avoidance;
 use crate::catalog;
 use crate::headroom;
+use crate::inheritance;
 use crate::job;
 use crate::loss_history;
 use crate::losses;
@@ -73,6 +74,8 @@
     pub(crate) wait_counts: waiting::WaitCounts,
     /// What the clock of the day showed last, as time since 1970: runs are due by it.
     pub(crate) wall: Duration,
+    /// Whether a successor may go by what the roster notes of silent workers.
+    pub(crate) keeps_silence: bool,
     /// Data centres under evacuation: nothing starts on their workers.
     pub(crate) evacuated: Arc<[ids::DataCenter]>,
 }
@@ -119,6 +122,7 @@
             waits_told_at: Duration::ZERO,
             wait_counts: waiting::WaitCounts::default(),
             wall: Duration::ZERO,
+            keeps_silence: false,
             evacuated: Arc::default(),
         }
     }
@@ -231,7 +235,12 @@
     /// Whether every worker on which tasks of an earlier tenure may be has answered, or their
     /// leases have lapsed.
     pub fn is_settled(&self, now: Duration) -> bool {
-        now >= self.settles_at || self.workers.values().all(|it| it.fenced || !it.inherited)
+        self.settled(now) == inheritance::SettledShare::All
+    }
+
+    /// What has settled by `now` of what an earlier tenure has left.
+    pub(crate) fn settled(&self, now: Duration) -> inheritance::SettledShare {
+        inheritance::SettledShare::of(self, now)
     }
 
     /// Whether each worker on which a successor has to expect tasks answers.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -45,6 +45,7 @@
 mod doubt;
 mod ends;
 mod hanging;
+mod inheritance;
 mod listing;
 mod overdue;
 mod place_bar;
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -353,7 +353,7 @@
         now: Duration,
     ) -> WaitReason {
         let waited = now.saturating_sub(wait.since);
-        if job.inherited && !self.is_settled(now) {
+        if !self.settled(now).covers(job) {
             return self.takeover_reason(job, now);
         }
         let Some(unit) = wait.unit else { return open_order_reason(job, now) };
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -59,6 +59,8 @@
     pub(crate) losses: Option<model::RecentLosses>,
     /// The earlier holder, unless it is known to be over.
     pub(crate) predecessor: Option<predecessor::Predecessor>,
+    /// Whether the earlier holder has kept what the roster notes of silent workers.
+    pub(crate) notes_silence: bool,
 }
 
 impl LeadState {
@@ -175,6 +177,7 @@
         settles_at: taken.settles_at,
     });
     // The tenure is renewed, and with it what is known of losses, before anything is loaded.
+    core.inherit_silence(taken.notes_silence);
     core.begin_losses(taken.losses.as_ref(), state.site.clock().now());
     let lead = Arc::new(LeadState::new(&taken, state.settings.tenure, core));
     let _held = HeldTenure { state: &state, lead: &lead };
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -159,6 +159,7 @@
         return TakeOutcome::NotTaken;
     };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
+    let notes_silence = seen.row.as_ref().is_some_and(|it| it.notes_silence);
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
         address: settings.peer_address.clone(),
@@ -166,6 +167,7 @@
         renewal: 0,
         released: false,
         losses: losses.clone(),
+        notes_silence,
     };
     let transaction = model::TableTransaction {
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
@@ -181,8 +183,15 @@
     let Some(version) = versions.first().copied() else { return TakeOutcome::NotTaken };
     let epoch = row.epoch;
     let predecessor = predecessor_of(seen, settings);
-    let taken = lead::TakenTenure { epoch, version, sent_at, settles_at, losses, predecessor };
-    TakeOutcome::Taken(taken)
+    TakeOutcome::Taken(lead::TakenTenure {
+        epoch,
+        version,
+        sent_at,
+        settles_at,
+        losses,
+        predecessor,
+        notes_silence,
+    })
 }
 
 /// How much longer this instance leaves the tenure to its holder and to others; nothing once it may
