--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -242,6 +242,7 @@
             worker: support::worker_id(index),
             address: listing.address,
             upstream: listing.upstream,
+            on_record: false,
         };
         bench.core.inherit_worker(entry, 0);
     }
