Take a worker off the roster once its lease has lapsed

What callers would see: accepted jobs wait for the lease of a worker that has long been dead, at each takeover and hand-over, as long as the platform lists it.

Cause: a worker left the roster with the list alone. One that is silent and whose lease has surely lapsed, with nothing on it, was named on; a successor can't know that nothing is there and waits for a lease, and a hand-over waited for its answer.

Change: such a worker is taken off the roster, and gets its place back, on record first, before it gets tasks again.

The test failed before with "a roster to write": nothing was to be written.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -214,7 +214,7 @@
     /// Whether each worker on which a successor has to expect tasks answers.
     pub fn all_answer(&self) -> bool {
         let mut records = self.roster.workers().filter_map(|it| self.workers.get(it));
-        records.all(|it| it.answers() || it.has_left())
+        records.all(|it| it.answers() || !it.is_for_roster())
     }
 
     /// The jobs that have not ended.
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -106,6 +106,7 @@
         let Some(record) = self.workers.get_mut(worker) else { return };
         record.incarnation = listed.incarnation.or(record.incarnation);
         record.n_missed = 0;
+        record.has_lapsed = false;
         record.trust.answered(sent_at, now);
         record.oldest_listed = listed.ended.first().map(|it| it.number);
         let is_first = !record.fenced;
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -8,6 +8,7 @@
 use crate::progress;
 use crate::save_queue;
 use crate::task_key;
+use crate::worker;
 
 /// Rows to be written in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -181,12 +182,15 @@
     }
 
     /// Brings the roster up to date. A successor waits for each worker that it names, so that none may
-    /// stay that has left: for that the successor would wait for as long as a lease lasts.
+    /// stay that has left, or whose lease has lapsed: for that the successor would wait for as long as a
+    /// lease lasts.
     pub(crate) fn review_roster(&mut self) {
-        let stays = |id: &ids::WorkerId| self.workers.get(id).is_some_and(|it| !it.has_left());
+        let stays = |id: &ids::WorkerId| {
+            self.workers.get(id).is_some_and(worker::WorkerRecord::is_for_roster)
+        };
         let gone = self.roster.workers().filter(|it| !stays(it)).cloned().collect::<Vec<_>>();
         let fresh =
-            self.workers.iter().filter(|(id, it)| !it.has_left() && !self.roster.contains(id));
+            self.workers.iter().filter(|(id, it)| it.is_for_roster() && !self.roster.contains(id));
         let fresh = fresh.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         for worker in gone {
             if let Some(page) = self.roster.remove(&worker) {
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -61,8 +61,13 @@
             for key in lapsed {
                 self.vacate(key, now);
             }
-            if !listed && left.is_empty() {
+            if !left.is_empty() {
+                continue;
+            }
+            if !listed {
                 self.workers.remove(&worker);
+            } else if let Some(record) = self.workers.get_mut(&worker) {
+                record.has_lapsed = record.strays.is_empty();
             }
         }
     }
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -80,6 +80,8 @@
     pub n_missed: u32,
     /// When time was last taken note of before the first of them.
     pub missed_at: Duration,
+    /// Whether it is silent, its lease has surely lapsed, and nothing can be on it before it answers.
+    pub has_lapsed: bool,
     /// What its looks tell of which life it is in.
     pub trust: life_trust::LifeTrust,
     /// Lowest end that its last answer has listed.
@@ -192,6 +194,11 @@
         self.leaves_at.is_some() && self.fenced && is_empty
     }
 
+    /// Whether a successor has to expect tasks on it.
+    pub fn is_for_roster(&self) -> bool {
+        !self.has_left() && !self.has_lapsed
+    }
+
     /// Moves on the end that may be acknowledged, as far as what the ends changed is durable.
     pub fn settle_ends(&mut self, unsaved: &save_queue::SaveQueue) {
         while let Some(end) = self.unsaved_ends.front().copied() {
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -1,5 +1,7 @@
 //! Which workers a successor would know of, and so may get tasks.
 
+use almondpass_graph::saving;
+
 use crate::support;
 
 /// The second of two workers is silent, unlisted, and forgotten once its lease has lapsed.
@@ -49,3 +51,28 @@
     bench.save();
     assert_eq!(n_starts(&mut bench), 8);
 }
+
+/// A successor waits for the lease of a worker that is dead, and listed on, although it has long lapsed.
+#[test]
+fn a_worker_whose_lease_has_lapsed_holds_up_no_successor() {
+    let mut bench = support::PoolBench::new(2);
+    bench.save();
+    bench.core.hold_missed(&support::worker_id(1));
+    bench.pass(20_000);
+    bench.lists(0, &[], &[]);
+    bench.turn();
+    let batch = bench.take_batch().expect("a roster to write");
+    let rosters = batch.rows.iter().filter_map(|it| match &it.content {
+        saving::SaveContent::Roster(roster) => Some(&roster.workers),
+        _ => None,
+    });
+    let named = rosters.flatten().map(|it| it.worker.clone()).collect::<Vec<_>>();
+    assert_eq!(named, [support::worker_id(0)]);
+    bench.core.batch_saved(batch);
+    // It is back: on record first, then it gets tasks.
+    bench.lists(1, &[], &[]);
+    bench.admit(1, support::job(1, support::tasks(16)));
+    assert_eq!(n_starts(&mut bench), 8);
+    bench.save();
+    assert_eq!(n_starts(&mut bench), 8);
+}
