--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -176,3 +176,54 @@
         }
     }
 }
+
+/// A task has just failed on one of two workers, and the other one is full: the number of the former, and the
+/// run on the latter.
+fn beside_a_busy_worker() -> (support::PoolBench, usize, order::StartOrder) {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::whole_workers(1)));
+    let other = bench.turn_and_start().remove(0);
+    bench.admit(2, support::job(1, support::whole_workers(1)));
+    let start = bench.turn_and_start().remove(0);
+    let worker = support::index_of(&start.worker);
+    bench.lists(worker, &[], &[support::ended(1, &start, order::EndKind::Failed)]);
+    bench.save();
+    (bench, worker, other)
+}
+
+/// Lets seconds pass, in which the busy worker goes on.
+fn pass_beside(
+    bench: &mut support::PoolBench,
+    worker: usize,
+    other: &order::StartOrder,
+    seconds: u32,
+) -> Vec<order::StartOrder> {
+    let mut started = Vec::new();
+    for _ in 0..seconds {
+        bench.pass(1_000);
+        bench.lists(worker, &[], &[]);
+        let percent = bench.now.saturating_sub(other.ordered_at).as_secs() as u32;
+        bench.lists(1 - worker, &[support::running(other, percent)], &[]);
+        started.extend(bench.turn_and_start());
+    }
+    started
+}
+
+/// A task goes back to the worker on which it failed, until its attempts are used up, beside one that is soon free.
+#[test]
+fn a_task_waits_for_another_worker_than_the_one_on_which_it_failed() {
+    let (mut bench, worker, other) = beside_a_busy_worker();
+    assert_eq!(pass_beside(&mut bench, worker, &other, 4), []);
+    bench.lists(1 - worker, &[], &[support::ended(1, &other, order::EndKind::Done)]);
+    let again = bench.turn_and_start();
+    assert_eq!(again.iter().map(|it| &it.worker).collect::<Vec<_>>(), [&other.worker]);
+}
+
+/// A task keeps off the worker on which it failed without end, as another one has what it needs and is never free.
+#[test]
+fn a_task_goes_back_where_it_failed_if_no_other_worker_comes_free() {
+    let (mut bench, worker, other) = beside_a_busy_worker();
+    assert_eq!(pass_beside(&mut bench, worker, &other, 9), []);
+    let again = pass_beside(&mut bench, worker, &other, 1);
+    assert_eq!(again.iter().map(|it| support::index_of(&it.worker)).collect::<Vec<_>>(), [worker]);
+}
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -121,6 +121,7 @@
     let mut next = successor_of(false);
     assert!(started(&mut next).is_empty());
     assert!(next.core.keeps_silence());
+}
 
 /// A successor waits for the lease of a worker that is dead, and listed on, although it has long lapsed.
 #[test]
