--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -322,3 +322,20 @@
     }
     assert_eq!(n_newly_left, N_JOBS);
 }
+
+/// A job of which nothing runs is never told to wait, as each start that is refused begins its wait anew.
+#[test]
+fn a_job_whose_starts_are_refused_is_told_to_wait() {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    for _ in 0..50 {
+        bench.pass(TICK_MS);
+        bench.core.set_wall(bench.now);
+        (0..4).for_each(|it| bench.lists(it, &[], &[]));
+        for start in support::starts(&bench.turn()) {
+            let refused = order::StartAnswer::Refused(order::StartRefusal::Room);
+            bench.core.start_answered(&start, refused, bench.now);
+        }
+    }
+    assert!(bench.core.take_wait_counts().n_lines > 0, "nothing is told in 5 s");
+}
