Settle a start that was meant for a former life of its worker where the later one answers no stops

What callers would see: a task of which nothing runs for as long as its worker, which has started again meanwhile, answers looks and no stops. A start without answer is over behind its deadline by the clock of the life that it was meant for; a later life has another clock, and there nothing but an answered stop or a silent worker ended the belief.

Where the life is a later one, and has not said that it has the run, a look settles it that does not list the run and was sent when a lease that this life might have granted has surely lapsed: the bound by which the runs of a silent worker are freed.

It asserts too that nothing starts before the start's term and the longest lease are over.

--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -319,7 +319,7 @@
             }
             // Its answer is still to come.
             job::RunPhase::Ordered | job::RunPhase::Running { .. } => {}
-            _ if self.is_start_over(run, at) => {
+            _ if self.is_start_over(key, run, at) => {
                 tracing::info!(
                     job = format_args!("{:016x}", key.graph),
                     task = %key,
@@ -338,12 +338,16 @@
 
     /// Whether a run that is not listed can't begin any more: the life that it was meant for is behind its
     /// deadline. Without it a worker that answers no stop would keep the task for as long as it does so.
-    fn is_start_over(&self, run: &job::TaskRun, at: ListedAt) -> bool {
+    /// A later life has another clock: there it is over once a lease has surely lapsed, had that life taken it.
+    fn is_start_over(&self, key: task_key::TaskKey, run: &job::TaskRun, at: ListedAt) -> bool {
         let (Some(bound), Some(record)) = (run.bound, self.workers.get(&run.worker)) else {
             return false;
         };
+        if bound.generation != record.generation {
+            return !run.is_seen && self.has_surely_lapsed(key, at.sent_at);
+        }
         let over_at = Duration::from_millis(bound.deadline_ms).saturating_add(LATE_SLACK);
-        bound.generation == record.generation && at.clock > over_at
+        at.clock > over_at
     }
 }
 
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -77,7 +77,7 @@
     /// Whether a run is over on a worker whose lease has lapsed by the clock that is known. Where that
     /// life has not said that it has the run, a later one may: it took the start as late as that may
     /// come, with a deadline far ahead on its own clock, and shortened it to the longest lease.
-    fn has_surely_lapsed(&self, key: task_key::TaskKey, now: Duration) -> bool {
+    pub(crate) fn has_surely_lapsed(&self, key: task_key::TaskKey, now: Duration) -> bool {
         let Some(run) = self.run(key) else { return true };
         let longest = lease_clock::at_most(self.terms.longest_lease);
         run.is_seen || now >= run.since + self.terms.start_term + longest
--- a/crates/graph/tests/pool/beliefs.rs
+++ b/crates/graph/tests/pool/beliefs.rs
@@ -1,6 +1,6 @@
 //! Beliefs that keep a task or a worker out of use: each has an end, though what usually ends it never comes.
 
-use almondpass_graph::{order, worker};
+use almondpass_graph::{order, terms, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -227,3 +227,41 @@
     let again = pass_beside(&mut bench, worker, &other, 1);
     assert_eq!(again.iter().map(|it| support::index_of(&it.worker)).collect::<Vec<_>>(), [worker]);
 }
+
+/// A worker that has started again, and answers looks and no stops, keeps a task that its former life never got.
+#[test]
+fn a_start_to_a_former_life_is_over_behind_the_longest_lease() {
+    const SURELY_OVER_MS: u64 = 20_000;
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
+    bench.pass(1_000);
+    let born = bench.now;
+    let listing = worker::WorkerListing { incarnation: Some(7), ..support::listing(0) };
+    bench.core.learn_worker(start.worker.clone(), listing, bench.now);
+    let mut again = Vec::new();
+    for _ in 0..SURELY_OVER_MS / LOOK_MS {
+        bench.pass(LOOK_MS);
+        let listed = order::WorkerListed {
+            incarnation: Some(7),
+            clock_ms: (bench.now - born).as_millis() as u64,
+            running: Vec::new(),
+            ended: Vec::new(),
+            complete: true,
+        };
+        bench.core.hold_answered(&start.worker, listed, bench.now, bench.now);
+        let orders = bench.turn();
+        for stop in support::stops(&orders) {
+            bench.core.stop_answered(&stop, false, bench.now);
+        }
+        again = support::starts(&orders);
+        if !again.is_empty() {
+            break;
+        }
+        bench.save();
+    }
+    assert_eq!(again.iter().map(|it| it.attempt).collect::<Vec<_>>(), [2]);
+    let terms = terms::PoolTerms::default();
+    assert!(bench.now - start.ordered_at > terms.start_term + terms.longest_lease);
+}
