Begin a job's wait anew where a run begins or ends, not with each start that is refused

What on-call engineers could not see: a job whose starts are refused again and again was told by its refusals alone, never as one that waits, as each start and each withdrawal began its wait anew. Now a wait begins behind a run that a worker has, and behind the end of one.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -9,6 +9,7 @@
 use crate::order;
 use crate::pace;
 use crate::task_key;
+use crate::wait_note;
 
 /// Wait before a worker that had no room although the book says so is used again. The next look
 /// shows what runs there, within a second.
@@ -118,7 +119,8 @@
 
     /// Notes that a run has begun, where it does not wait for other members of its gang.
     pub(crate) fn note_begin(&mut self, key: task_key::TaskKey, now: Duration) {
-        let Some(job) = self.jobs.get(&key.graph) else { return };
+        let Some(job) = self.jobs.get_mut(&key.graph) else { return };
+        job.wait = wait_note::WaitNote::new(now);
         let (Some(step), Some(unit)) = (job.step(key), job.unit_of(key)) else { return };
         let is_running = |it: &job::TaskRecord| {
             let run = it.run.as_ref();
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -290,7 +290,7 @@
         task.waits_since = now;
         // Its outcome is settled: a successor must not take the start for lost.
         let was_on_record = task.suspicion.trial.take().is_some();
-        if job.runs().next().is_none() {
+        if run.is_confirmed && job.runs().next().is_none() {
             job.wait = wait_note::WaitNote::new(now);
         }
         if let Some(worker) = self.workers.get_mut(&run.worker) {
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -17,7 +17,6 @@
 use crate::reserving;
 use crate::room;
 use crate::task_key;
-use crate::wait_note;
 
 impl core::PoolCore {
     /// Takes note of the time, then starts what can start and clears room for urgent work.
@@ -206,7 +205,6 @@
         let keys = self.unit_tasks(unit);
         let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
         job.started = true;
-        job.wait = wait_note::WaitNote::new(now);
         if job.state == model::GraphState::Pending {
             job.state = model::GraphState::Running;
         }
