Carry in the tenure's row how much longer earlier holders may go on

A task could run twice at a time. A holder that has lost the store goes on for 5 s beyond its term; its successor waits for what it may have ordered. Where that successor started again, or handed over to an instance that had not seen the one before, the next holder went by the last one alone, which is over, and started the task elsewhere while it ran on at a worker that it did not reach. A restarted holder that counts from its own start came to it sooner still.

Each write of the tenure now tells how much longer what was ordered before may go on; a successor settles no sooner, counted from when it read the row. The test cuts the two instances from each other, since a former holder that is asked ends its tenure. A former release tells nothing, and is taken as before.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// How much longer what earlier schedulers have ordered may go on, on workers that don't answer.
+    pub fn settles_in(&self, now: Duration) -> Duration {
+        self.settles_at.saturating_sub(now)
+    }
+
     /// What earlier schedulers have ordered has surely ended at `at` on the workers that don't answer.
     pub fn settles_by(&mut self, at: Duration) {
         self.settles_at = self.settles_at.min(at);
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -159,6 +159,7 @@
         return TakeOutcome::NotTaken;
     };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
+    let settles_at = floor.raise(settles_at(state, seen, now));
     let notes_silence = seen.row.as_ref().is_some_and(|it| it.notes_silence);
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
@@ -167,13 +168,13 @@
         renewal: 0,
         released: false,
         losses: losses.clone(),
+        settles_in_ms: settles_at.saturating_sub(now).as_millis() as u64,
         notes_silence,
     };
     let transaction = model::TableTransaction {
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
         writes: vec![writer::write_of(keys::pool_tenure(), &row)],
     };
-    let settles_at = floor.raise(settles_at(state, seen, now));
     let sent_at = state.site.clock().now();
     let versions = match store_call::transact(state, transaction).await {
         Ok(model::TableOutcome::Committed { versions }) => versions,
@@ -243,7 +244,9 @@
     } else {
         seen.first_seen + times.term + times.detached
     };
-    over_at + predecessor::ORDER_SLACK + lease_clock::at_most(settings.terms.lease)
+    let of_last = over_at + predecessor::ORDER_SLACK + lease_clock::at_most(settings.terms.lease);
+    // Holders before it may go on for longer.
+    of_last.max(seen.first_seen + Duration::from_millis(row.settles_in_ms))
 }
 
 /// The earlier holder, where it may go on.
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -226,9 +226,10 @@
     /// The rows behind that of the tenure.
     fn with_tenure(&self, rows: &[model::TableWrite], released: bool) -> Vec<model::TableWrite> {
         let settings = &self.state.settings;
-        let (losses, notes_silence) = {
+        let now = self.state.site.clock().now();
+        let (losses, settles_in, notes_silence) = {
             let core = self.lead.core();
-            (core.recent_losses(self.state.site.clock().now()), core.keeps_silence())
+            (core.recent_losses(now), core.settles_in(now), core.keeps_silence())
         };
         let tenure = model::PoolTenure {
             holder: settings.instance.clone(),
@@ -236,6 +237,7 @@
             epoch: self.lead.epoch,
             renewal: self.renewal,
             released,
+            settles_in_ms: settles_in.as_millis() as u64,
             notes_silence,
             losses: Some(losses),
         };
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -384,6 +384,27 @@
     });
 }
 
+/// Guards against a task that runs twice: a holder takes over from one that goes on without the store, and starts
+/// again.
+#[test]
+fn a_holder_that_starts_again_waits_for_the_one_before_it() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(2, 2).await;
+        let (old, successor) = (bench.holder(), bench.other());
+        let [here, there] = [old, successor].map(|it| bench.instances[it].address.clone());
+        bench.net.partition(&[&here], &[&there], fault::Condition::Silent);
+        detach(&bench, old).await;
+        time::sleep(Duration::from_millis(4_000)).await;
+        assert!(bench.instances[successor].state.lead().is_some());
+        let address = bench.kill(successor).await;
+        bench.start_instance(&address);
+        let successor = bench.instances.len() - 1;
+        bench.instances[successor].to_workers.set(fault::Condition::Silent);
+        time::sleep(Duration::from_millis(1_800)).await;
+        assert_waited_for(&bench, successor).await;
+    });
+}
+
 /// The holder `old` loses the store, and starts a task late at a worker that `successor` does not reach. It
 /// runs nowhere else until it has surely ended there.
 async fn assert_detached_start_is_waited_for(
@@ -391,6 +412,13 @@
     old: usize,
     successor: usize,
 ) {
+    detach(bench, old).await;
+    time::sleep(Duration::from_millis(5_800)).await;
+    assert_waited_for(bench, successor).await;
+}
+
+/// The holder `old` loses the store, with a task to start in 5.4 s, and no other instance reaches the workers.
+async fn detach(bench: &support::PoolBench, old: usize) {
     let mut row = support::job(1, 20_000);
     let due = bench.clock.wall() + Duration::from_millis(5_500);
     row.graph.schedule = Some(model::RunSchedule {
@@ -404,7 +432,10 @@
     for instance in bench.instances.iter().filter(|it| it.address != bench.instances[old].address) {
         instance.to_workers.set(fault::Condition::Silent);
     }
-    time::sleep(Duration::from_millis(5_800)).await;
+}
+
+/// The worker that has just started a task is cut off, and `successor` reaches the others.
+async fn assert_waited_for(bench: &support::PoolBench, successor: usize) {
     bench.fleet.faults(&support::worker_id(0)).set(fault::Condition::Silent);
     bench.instances[successor].to_workers.set(fault::Condition::Up);
     time::sleep(Duration::from_secs(60)).await;
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -10,6 +10,7 @@
 fn row(address: &str, released: bool) -> model::PoolTenure {
     model::PoolTenure {
         notes_silence: false,
+        settles_in_ms: 0,
         holder: "a-1".to_owned(),
         address: address.to_owned(),
         epoch: 7,
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1977,6 +1977,9 @@
     pub released: bool,
     ///Number of the write within the tenure.
     pub renewal: u64,
+    ///Milliseconds from this write until everything that earlier holders may have ordered has ended; an earlier release does not tell.
+    #[serde(default)]
+    pub settles_in_ms: u64,
 }
 ///An error as RFC 9457 writes it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
