--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -92,6 +92,12 @@
     runs: Vec<(task_key::TaskKey, u32, ids::WorkerId, Duration, Duration)>,
 }
 
+/// Accepted jobs wait for the lease of a worker that is lost with its holder, or whose start had no answer.
+#[test]
+fn storms_that_wait_for_a_lost_worker() {
+    play(WorkKind::Losses, [14, 52, 53, 139, 172, 194, 3_100_023]);
+}
+
 fn play(kind: WorkKind, seeds: impl IntoIterator<Item = u64>) {
     for seed in seeds {
         println!("storm {seed}, accepted work, {kind:?}");
