Ask for each line in tests of the log, so that none is off for a thread

Cause, by the library's way of caching: whether a line is written is kept for the whole process by whoever meets it first, and a thread without a subscriber that meets it while another thread's begins turns it off for all. Now a subscriber that writes nothing is there for all threads before the first line, and is asked each time. No check is changed.

--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -754,6 +754,42 @@
         let log = tracing_subscriber::fmt().with_timer(PausedTime).with_ansi(false);
         let _ = log.with_writer(std::io::stderr).try_init();
     }
+    // A line that is met first by a thread without a subscriber would be off for all threads.
+    let _ = tracing::subscriber::set_global_default(DeafSubscriber);
     let runtime = runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     runtime.expect("a runtime").block_on(test)
 }
+
+/// Writes nothing, and is asked for each line, so that each thread may have lines of its own.
+struct DeafSubscriber;
+
+impl tracing::Subscriber for DeafSubscriber {
+    fn register_callsite(
+        &self,
+        _: &'static tracing::Metadata<'static>,
+    ) -> tracing::subscriber::Interest {
+        tracing::subscriber::Interest::sometimes()
+    }
+
+    fn enabled(&self, _: &tracing::Metadata<'_>) -> bool {
+        false
+    }
+
+    fn max_level_hint(&self) -> Option<tracing_subscriber::filter::LevelFilter> {
+        Some(tracing_subscriber::filter::LevelFilter::INFO)
+    }
+
+    fn new_span(&self, _: &tracing::span::Attributes<'_>) -> tracing::span::Id {
+        tracing::span::Id::from_u64(1)
+    }
+
+    fn record(&self, _: &tracing::span::Id, _: &tracing::span::Record<'_>) {}
+
+    fn record_follows_from(&self, _: &tracing::span::Id, _: &tracing::span::Id) {}
+
+    fn event(&self, _: &tracing::Event<'_>) {}
+
+    fn enter(&self, _: &tracing::span::Id) {}
+
+    fn exit(&self, _: &tracing::span::Id) {}
+}
