--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -64,7 +64,7 @@
     pub(crate) loss_counts: losses::LossCounts,
     /// Until when all changes of the list of workers are taken in.
     pub(crate) list_read_at: Duration,
-    /// Upstreams of whose workers less than half is in use, as of the last turn.
+    /// Upstreams of whose workers less than half is in use, as of when jobs that wait were last gone over.
     pub(crate) ample: BTreeSet<ids::UpstreamName>,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -26,9 +26,12 @@
         let urgent = self.urgent_accelerators();
         self.headroom.observe(&urgent, all, now);
         self.within_guarantee = self.accounts_within_guarantee();
-        self.ample = self.ample_upstreams();
         let units = self.waiting_units(now);
         let tells_waits = self.tells_waits(now);
+        // It goes over all workers, and what it finds is looked at anew before it counts.
+        if tells_waits {
+            self.ample = self.ample_upstreams();
+        }
         if units.is_empty() && !tells_waits {
             return;
         }
--- a/crates/graph/src/place_bar.rs
+++ b/crates/graph/src/place_bar.rs
@@ -61,23 +61,38 @@
         worker: &worker::WorkerRecord,
         now: Duration,
     ) -> Option<PlaceBar> {
+        if !worker.listed {
+            return Some(PlaceBar::Unlisted);
+        }
+        if !worker.answers() || now >= worker.answered_at + ANSWERED_WITHIN {
+            return Some(PlaceBar::Silent);
+        }
+        if now < worker.pauses_until {
+            return Some(PlaceBar::Refusing);
+        }
+        if worker.health.is_paused(now) {
+            return Some(PlaceBar::Failing);
+        }
+        if now < worker.slow_until {
+            return Some(PlaceBar::Slow);
+        }
+        if worker.leaves_at.is_some() {
+            return Some(PlaceBar::Leaving);
+        }
+        if !worker.is_listed_life() {
+            return Some(PlaceBar::OtherLife);
+        }
+        if self.is_evacuated(worker) {
+            return Some(PlaceBar::Evacuated);
+        }
+        if !self.roster.is_saved(id) {
+            return Some(PlaceBar::OffRoster);
+        }
         // A worker that refuses nothing would be filled beyond a room that has shrunk unheard, as
         // while the store is away.
         let is_unguarded = self.catalog.unguarded.contains(&worker.listing.upstream);
-        let is_silent = !worker.answers() || now >= worker.answered_at + ANSWERED_WITHIN;
-        let bars = [
-            (!worker.listed, PlaceBar::Unlisted),
-            (is_unguarded && worker.is_news_old(&self.terms, now), PlaceBar::OldNews),
-            (!self.roster.is_saved(id), PlaceBar::OffRoster),
-            (is_silent, PlaceBar::Silent),
-            (!worker.is_listed_life(), PlaceBar::OtherLife),
-            (worker.leaves_at.is_some(), PlaceBar::Leaving),
-            (self.is_evacuated(worker), PlaceBar::Evacuated),
-            (now < worker.pauses_until, PlaceBar::Refusing),
-            (worker.health.is_paused(now), PlaceBar::Failing),
-            (now < worker.slow_until, PlaceBar::Slow),
-        ];
-        bars.into_iter().find_map(|(is_barred, bar)| is_barred.then_some(bar))
+        let is_old = is_unguarded && worker.is_news_old(&self.terms, now);
+        is_old.then_some(PlaceBar::OldNews)
     }
 
     /// Whether nothing may start on a worker until its data centre is taken back.
