Count the workers in doubt only where one more is to be put out of use

A worker that is slow is found so with each look, and each time all workers of its pool were counted, though it was out of use already.

--- a/crates/graph/src/doubt.rs
+++ b/crates/graph/src/doubt.rs
@@ -20,12 +20,15 @@
         is_out: impl Fn(&worker::WorkerRecord) -> bool,
     ) -> bool {
         let Some(record) = self.workers.get(worker) else { return false };
+        if is_out(record) {
+            return true;
+        }
         let upstream = &record.listing.upstream;
         let alike = || {
             let usable = self.workers.values().filter(|it| it.listed && it.answers());
             usable.filter(|it| it.listing.upstream == *upstream)
         };
         let n_out = alike().filter(|it| is_out(it)).count();
-        is_out(record) || (n_out + 1) * ONE_IN <= alike().count()
+        (n_out + 1) * ONE_IN <= alike().count()
     }
 }
