Keep to its module what only that uses, and say when a wait begins

Found on reading the change again: since sessions begin anew by themselves, a single step of a part that panics is tried within its module alone; and the comment on a job's wait told of its last start, where it begins behind the beginning or the end of its last run.

--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -40,7 +40,7 @@
     pub admitted_at: Duration,
     /// When this scheduler learned of its end.
     pub ended_at: Option<Duration>,
-    /// Since when it waits, behind its last start or the end of its last run, and what was told of that.
+    /// Since when it waits, behind the beginning or the end of its last run, and what was told of that.
     pub wait: wait_note::WaitNote,
     /// Whether any task was ever started.
     pub started: bool,
--- a/crates/pool/src/part.rs
+++ b/crates/pool/src/part.rs
@@ -21,7 +21,7 @@
 }
 
 /// Makes one step of a part; nothing if it has panicked.
-pub(crate) async fn attempt<T>(part: &'static str, step: impl Future<Output = T>) -> Option<T> {
+async fn attempt<T>(part: &'static str, step: impl Future<Output = T>) -> Option<T> {
     // The state behind locks is whole between any two statements.
     let done = AssertUnwindSafe(step).catch_unwind().await.ok();
     if done.is_none() {
