Tell in the logs of storms what strikes when, and when the faults end

Sight before the mends: of a storm that fails, the log told what the instances believed, not which worker had died or which instance was struck, so that a wait could not be held against the moment from which it was owed.

--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -156,6 +156,7 @@
 
     /// Ends all faults, and goes on handing jobs in.
     async fn calm(&mut self, seed: u64) {
+        tracing::info!("faults end");
         let down = std::mem::take(&mut self.down);
         for (_, address) in down {
             self.bring_back(&address);
@@ -271,6 +272,7 @@
         if kind != 11 {
             self.jobs.disrupted();
         }
+        tracing::info!(kind, address = self.bench.instances[index].address, "strike");
         match kind {
             0 => self.bench.instances[index].to_store.set(fault::Condition::Refusing),
             1 => {
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -445,6 +445,7 @@
         _ => fault::Condition::Up,
     };
     let kind = rng.random_range(0..9);
+    tracing::info!(kind, ?condition, address = bench.instances[index].address, "strike");
     if matches!(kind, 0..=5) {
         ledger.disrupted();
     }
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -311,6 +311,7 @@
     /// Kills the process of an instance; returns its address.
     pub(crate) async fn kill(&mut self, index: usize) -> String {
         let dead = self.instances.remove(index);
+        tracing::info!(address = dead.address, "instance is killed");
         self.net.crash(&dead.address);
         // What the dead process had under way does not reach anybody any more.
         dead.to_store.set(fault::Condition::Silent);
@@ -380,6 +381,7 @@
     pub(crate) async fn restart_worker(&self, index: usize, down: Duration) {
         let id = worker_id(index);
         let capacity = self.fleet.crash(&id).expect("a worker");
+        tracing::info!(worker = id, ?down, "worker dies and starts again");
         time::sleep(down).await;
         self.fleet.add(&id, capacity);
     }
@@ -434,6 +436,7 @@
         let worker = worker_id(index);
         let address = self.fleet.address_of(&worker);
         let Some(capacity) = self.fleet.crash(&worker) else { return };
+        tracing::info!(worker, ?way, ?down, "worker dies");
         let dead = pool_fleet::CrashedWorker { worker: worker.clone(), address, capacity };
         tokio::spawn(come_back(self.fleet.clone(), self.store.clone(), dead, way, down));
         if way != Comeback::UnderItsId {
