Hold no loss against a task that was seen to run on beyond the moment at which it came

What was held against it is only that workers were lost, not when. A task that crashes the worker that starts it does so at a like moment of each run; a run that goes on beyond the moment of an earlier loss shows that the loss was not its doing. That was heard with each look, and not kept.

Mend: the longest that a run of a task was seen to go on, and how far into its run each loss came at the latest, go with what is held against it, and are saved with that. A loss counts as long as no run was seen to go on for half as long again and a quarter of a second more (workers differ in pace). Not compared: runs that resume from a checkpoint, away from their data, or of gangs, as their moments are others; such losses count as before.

Looked for elsewhere: a loss that is told by a start on record alone (a takeover) has no moment, and counts. Ruled out: a higher bar for proof alone: with the bar at which these tasks stay, what does crash its workers is started too often.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -86,9 +86,11 @@
     }
 
     fn start_confirmed(&mut self, start: &order::StartOrder, is_seen: bool, now: Duration) {
+        let clock = self.workers.get(&start.worker).and_then(|it| it.clock.reading(now));
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
         run.is_confirmed = true;
         run.is_seen |= is_seen;
+        run.known_since = run.known_since.or(clock.filter(|_| is_seen));
         if matches!(run.phase, job::RunPhase::Ordered | job::RunPhase::Unclear { .. }) {
             run.phase = job::RunPhase::Running { confirmed_at: now };
             run.percent_at = now;
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -251,6 +251,7 @@
             percent: 0,
             percent_at: now,
             pace: pace::RunPace::unbegun(),
+            known_since: None,
         });
         record.runs.insert(key);
         record.used = record.used.plus(room);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -135,6 +135,8 @@
     pub percent_at: Duration,
     /// How fast it progresses.
     pub pace: pace::RunPace,
+    /// What the clock of the worker showed when it was first known to have it.
+    pub known_since: Option<Duration>,
 }
 
 /// Until when a start may take effect.
@@ -281,6 +283,14 @@
         self.step(key)?.tasks.get(key.task as usize)
     }
 
+    /// Whether moments of the run of a task compare with those of its other runs: it began anew, by itself and
+    /// near its data.
+    pub fn tells_moments(&self, key: task_key::TaskKey) -> bool {
+        let Some(step) = self.step(key).filter(|it| !it.spec.gang) else { return false };
+        let run = step.tasks.get(key.task as usize).and_then(|it| it.run.as_ref());
+        run.is_some_and(|it| it.is_whole && !it.is_far)
+    }
+
     /// The runs of its tasks.
     pub fn runs(&self) -> impl Iterator<Item = &TaskRun> {
         self.steps.iter().flat_map(|it| &it.tasks).filter_map(|it| it.run.as_ref())
--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -188,6 +188,7 @@
         let usual = self.class_pace(listed.task).or_else(|| self.sibling_pace(listed.task));
         let key = listed.task;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
+        let tells_moments = job.tells_moments(key);
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
         run.is_confirmed = true;
@@ -199,6 +200,7 @@
             run.percent_at = now;
             has_begun = true;
         }
+        let known_since = *run.known_since.get_or_insert(clock);
         run.pace.observe(clock, listed.percent, usual);
         if run.percent != listed.percent {
             run.percent = listed.percent;
@@ -207,6 +209,9 @@
         if listed.checkpoint.is_some() && listed.checkpoint != task.checkpoint {
             task.checkpoint = listed.checkpoint;
         }
+        if tells_moments {
+            task.suspicion.has_survived(clock.saturating_sub(known_since));
+        }
         if has_begun {
             self.note_begin(key, now);
         }
@@ -242,6 +247,7 @@
             percent: listed.percent,
             percent_at: now,
             pace: pace::RunPace::new(clock, listed.percent),
+            known_since: Some(clock),
         });
         if task.suspicion.inherited_trial == Some(listed.attempt) {
             task.suspicion.trial = task.suspicion.inherited_trial.take();
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -92,6 +92,8 @@
     /// The share of its run time within which it was struck. What cuts a worker off comes at any time of a
     /// run.
     pub struck_within: f64,
+    /// How far into its run that was at the latest; nothing where that can't be compared with other runs.
+    pub struck_by: Option<Duration>,
 }
 
 /// What surrounds the loss of a worker.
@@ -222,6 +224,7 @@
                 n_losses: task.suspicion.losses().len(),
                 surroundings: self.surroundings(&scene, *key, now),
                 struck_within: self.struck_within(&scene, *key, now),
+                struck_by: job.tells_moments(*key).then(|| scene.lost_by.saturating_sub(run.since)),
             })
         });
         lost.collect()
@@ -417,5 +420,6 @@
         attempt: run.attempt,
         odds: chances.into_iter().fold(suspicion::LEAST_ODDS, f64::max),
         surroundings: run.surroundings.max(beside).max(cut_off),
+        struck_by: run.struck_by,
     }
 }
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::ops::{Range, RangeInclusive};
 use std::sync::Arc;
+use std::time::Duration;
 
 use almondpass_schema::model;
 
@@ -215,8 +216,10 @@
         attempt: it.attempt,
         odds_ppm: (it.odds * MILLION).round() as u32,
         surroundings_ppm: (it.surroundings * MILLION).round() as u32,
+        struck_ms: it.struck_by.map(millis),
     });
-    model::TaskLosses { task, losses: losses.collect() }
+    let survived_ms = Some(suspicion.survived()).filter(|it| !it.is_zero()).map(millis);
+    model::TaskLosses { task, losses: losses.collect(), survived_ms }
 }
 
 /// The start of a task that is on record.
@@ -225,13 +228,20 @@
     (!record.done).then_some(model::TaskAttempt { task, attempt })
 }
 
-fn restored_suspicion(losses: &[model::WorkerLoss]) -> suspicion::TaskSuspicion {
-    let losses = losses.iter().map(|it| suspicion::TaskLoss {
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn restored_suspicion(saved: &model::TaskLosses) -> suspicion::TaskSuspicion {
+    let span = |ms: u32| Duration::from_millis(u64::from(ms));
+    let losses = saved.losses.iter().map(|it| suspicion::TaskLoss {
         attempt: it.attempt,
         odds: f64::from(it.odds_ppm) / MILLION,
         surroundings: f64::from(it.surroundings_ppm) / MILLION,
+        struck_by: it.struck_ms.map(span),
     });
-    suspicion::TaskSuspicion::restored(losses.collect())
+    let survived = saved.survived_ms.map(span).unwrap_or_default();
+    suspicion::TaskSuspicion::restored(losses.collect(), survived)
 }
 
 fn restore_step(step: &mut job::StepRecord, saved: model::StepProgress) {
@@ -254,7 +264,7 @@
     }
     for it in saved.losses {
         if let Some(task) = step.tasks.get_mut(it.task as usize) {
-            task.suspicion = restored_suspicion(&it.losses);
+            task.suspicion = restored_suspicion(&it);
         }
     }
     for it in saved.trials {
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -114,6 +114,7 @@
             let Some(run) = task.and_then(|it| it.run.as_mut()) else { continue };
             run.is_seen = false;
             run.pace = pace::RunPace::unbegun();
+            run.known_since = None;
             if run.phase.is_stopping() {
                 run.phase = job::RunPhase::Stopping { asked_at: now, acked_at: None };
                 let attempt = run.attempt;
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -4,6 +4,8 @@
 //! often it starts: one notices by workers that are lost one after the other, each with all that runs
 //! there. What is left to go by is that workers are lost under it, and how likely that was by chance.
 
+use std::time::Duration;
+
 /// Chance at which a loss counts at least: no single one proves anything.
 pub const LEAST_ODDS: f64 = 0.01;
 
@@ -21,6 +23,13 @@
 /// Up to this chance hardly anything else explains a loss; a task with a lower one is nearly proved.
 const STRONG_ODDS: f64 = 0.1;
 
+/// A task that crashes its workers does so at a like moment of each run: workers differ in pace by up to this
+/// factor...
+const MOMENT_SPREAD: f64 = 1.5;
+
+/// ...and it is known up to this when a run began, and when its worker was lost.
+const MOMENT_SLACK: Duration = Duration::from_millis(250);
+
 /// Losses of any kind after which the starts of a task are trials.
 const LOSSES_TO_TRIAL: usize = 2;
 
@@ -37,12 +46,17 @@
     pub odds: f64,
     /// The part of that chance which what else was lost explains.
     pub surroundings: f64,
+    /// How far into its run the worker was lost at the latest; nothing where that can't be compared with
+    /// other runs.
+    pub struck_by: Option<Duration>,
 }
 
 /// What is held against a task.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TaskSuspicion {
     losses: Vec<TaskLoss>,
+    /// The longest that a run of it was seen to go on.
+    survived: Duration,
     /// The attempt of a start that is on record: should the scheduler go, its successor counts the start
     /// unless it hears of its end.
     pub trial: Option<u32>,
@@ -52,8 +66,8 @@
 
 impl TaskSuspicion {
     /// What was saved of a task.
-    pub fn restored(losses: Vec<TaskLoss>) -> TaskSuspicion {
-        TaskSuspicion { losses, ..TaskSuspicion::default() }
+    pub fn restored(losses: Vec<TaskLoss>, survived: Duration) -> TaskSuspicion {
+        TaskSuspicion { losses, survived, ..TaskSuspicion::default() }
     }
 
     /// What is held against it.
@@ -61,6 +75,16 @@
         &self.losses
     }
 
+    /// The longest that a run of it was seen to go on.
+    pub fn survived(&self) -> Duration {
+        self.survived
+    }
+
+    /// A run of it was seen to go on for so long. It is not what ended others much sooner.
+    pub fn has_survived(&mut self, ran: Duration) {
+        self.survived = self.survived.max(ran);
+    }
+
     /// Whether something is held against it that nothing else explains.
     pub fn is_suspect(&self) -> bool {
         self.n_unexplained() > 0
@@ -69,7 +93,7 @@
     /// Whether its starts are trials: apart from other work, and on record. What was struck several times,
     /// amid whatever, runs alone at last; beside others each further loss would say as little.
     pub fn is_on_trial(&self) -> bool {
-        self.is_suspect() || self.losses.len() >= LOSSES_TO_TRIAL
+        self.is_suspect() || self.standing().count() >= LOSSES_TO_TRIAL
     }
 
     /// Whether more than one loss speaks against it, or one under it alone.
@@ -79,17 +103,25 @@
 
     /// Whether it is taken to crash the workers that start it.
     pub fn is_proved(&self) -> bool {
-        let Some(n_more) = self.losses.len().checked_sub(2) else { return false };
+        let Some(n_more) = self.standing().count().checked_sub(2) else { return false };
         self.odds() < PROOF_ODDS[n_more.min(PROOF_ODDS.len() - 1)]
     }
 
     fn n_unexplained(&self) -> usize {
-        self.losses.iter().filter(|it| it.surroundings <= UNEXPLAINED_ODDS).count()
+        self.standing().filter(|it| it.surroundings <= UNEXPLAINED_ODDS).count()
+    }
+
+    /// The losses that may be its doing: no run of it was seen to go on far beyond the moment of theirs.
+    fn standing(&self) -> impl Iterator<Item = &TaskLoss> {
+        let latest = |it: Duration| it.mul_f64(MOMENT_SPREAD) + MOMENT_SLACK;
+        self.losses
+            .iter()
+            .filter(move |it| it.struck_by.is_none_or(|by| latest(by) >= self.survived))
     }
 
     /// Chance of all that has struck it, if it crashes nothing.
     pub fn odds(&self) -> f64 {
-        self.losses.iter().map(|it| it.odds).product()
+        self.standing().map(|it| it.odds).product()
     }
 
     /// Takes in a loss. One of the same attempt counts once, by what is known best.
@@ -97,6 +129,7 @@
         if let Some(known) = self.losses.iter_mut().find(|it| it.attempt == loss.attempt) {
             known.odds = known.odds.min(loss.odds);
             known.surroundings = known.surroundings.min(loss.surroundings);
+            known.struck_by = known.struck_by.or(loss.struck_by);
             return;
         }
         self.losses.push(loss);
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -150,7 +150,7 @@
             };
             let surroundings = self.usual_odds(*key, now);
             let odds = surroundings.max(INHERITED_ODDS);
-            let loss = suspicion::TaskLoss { attempt, odds, surroundings };
+            let loss = suspicion::TaskLoss { attempt, odds, surroundings, struck_by: None };
             self.charge(*key, loss, now);
             is_any = true;
         }
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -61,6 +61,25 @@
     assert_eq!(bench.core.take_loss_counts().n_given_up, 1);
 }
 
+/// A task whose run was seen to go on far beyond the moment at which its next worker is lost is taken for what crashes
+/// them.
+#[test]
+fn a_task_that_ran_on_before_is_not_given_up_for_early_losses() {
+    let mut bench = support::PoolBench::new(16);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    for ran_ms in [4_000, 300, 500, 200] {
+        let starts = turn_on_record(&mut bench);
+        pass_with(&mut bench, &starts, 16);
+        bench.pass(ran_ms);
+        if ran_ms > 1_000 {
+            pass_with(&mut bench, &starts, 16);
+        }
+        replace(&mut bench, support::index_of(&starts[0].worker));
+    }
+    bench.save();
+    assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
+}
+
 /// What ran beside a task that was given up is not: it was struck once, and ends well apart.
 #[test]
 fn what_ran_beside_is_not_given_up() {
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -142,8 +142,12 @@
 /// Progress of a step at its longest: every task has failed as often as it may, has a checkpoint, and is
 /// under suspicion of crashing its workers.
 fn longest_progress(tasks: u32) -> model::StepProgress {
-    let loss =
-        |attempt| model::WorkerLoss { attempt, odds_ppm: 1_000_000, surroundings_ppm: 1_000_000 };
+    let loss = |attempt| model::WorkerLoss {
+        attempt,
+        odds_ppm: 1_000_000,
+        surroundings_ppm: 1_000_000,
+        struck_ms: Some(100_000_000),
+    };
     let losses = (100_021..100_028).map(loss).collect::<Vec<_>>();
     let attempts = (100_001..100_020).collect::<Vec<_>>();
     model::StepProgress {
@@ -155,7 +159,13 @@
         checkpoints: (0..tasks)
             .map(|task| model::TaskCheckpoint { task, checkpoint: "c".repeat(256) })
             .collect(),
-        losses: (0..tasks).map(|task| model::TaskLosses { task, losses: losses.clone() }).collect(),
+        losses: (0..tasks)
+            .map(|task| model::TaskLosses {
+                task,
+                losses: losses.clone(),
+                survived_ms: Some(100_000_000),
+            })
+            .collect(),
         trials: (0..tasks).map(|task| model::TaskAttempt { task, attempt: 100_028 }).collect(),
     }
 }
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2414,6 +2414,9 @@
 pub struct TaskLosses {
     ///The losses, one an attempt at most.
     pub losses: ::std::vec::Vec<WorkerLoss>,
+    ///The longest that a run of the task was seen to go on, in milliseconds; absent where none was.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub survived_ms: ::std::option::Option<u32>,
     ///Index of the task.
     pub task: u32,
 }
@@ -2826,6 +2829,9 @@
     pub attempt: u32,
     ///Chance that the task has nothing to do with it, in millionths.
     pub odds_ppm: u32,
+    ///How far into the run it was lost at the latest, in milliseconds; absent where that can not be compared with other runs.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub struck_ms: ::std::option::Option<u32>,
     ///The part of it that other losses explain, in millionths.
     pub surroundings_ppm: u32,
 }
