Take losses that come right behind each start of a task for more than losses at any time

Mend: where moments of runs compare, the rate counts for as long only as any run of the task has lasted, this one included, not for its whole run time. Among many tasks some are struck early in a row, so that proof by this alone takes four losses at one in a million, or five at one in ten thousand; the bars for losses at any time stay.

What can be known, by calculation: with five starts to go by and workers lost at a rate of r, a task that lasts T and crashes nothing is struck five times with (rT)^5; one that crashes its workers within t of each start has its last two starts apart and timed, (rt)^2, whatever is known of the three before. At r = 0.06 a second, as in storms of restarts on four workers, and T = 6 s the first is 0.006: by rate alone both promises can't be held there. With moments the second is 6e-6 at t = 40 ms, and the first 6e-3 times the chance that five moments agree.

--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -94,6 +94,8 @@
     pub struck_within: f64,
     /// How far into its run that was at the latest; nothing where that can't be compared with other runs.
     pub struck_by: Option<Duration>,
+    /// The same chance for as long only as any of its runs has lasted, this one included.
+    pub early_surroundings: f64,
 }
 
 /// What surrounds the loss of a worker.
@@ -214,6 +216,11 @@
             let job = self.jobs.get(&key.graph)?;
             let task = job.task(*key)?;
             let run = task.run.as_ref()?;
+            let struck_by =
+                job.tells_moments(*key).then(|| scene.lost_by.saturating_sub(run.since));
+            let longest = struck_by.map(|it| task.suspicion.longest_run().max(it));
+            let exposure = self.exposure(*key, now);
+            let early = longest.map_or(exposure, |it| it.min(exposure));
             Some(LostRun {
                 task: *key,
                 unit: job.unit_of(*key)?,
@@ -222,9 +229,10 @@
                 is_confirmed: run.is_confirmed,
                 is_suspect: task.suspicion.is_suspect(),
                 n_losses: task.suspicion.losses().len(),
-                surroundings: self.surroundings(&scene, *key, now),
+                surroundings: self.surroundings(&scene, *key, exposure, now),
+                early_surroundings: self.surroundings(&scene, *key, early, now),
                 struck_within: self.struck_within(&scene, *key, now),
-                struck_by: job.tells_moments(*key).then(|| scene.lost_by.saturating_sub(run.since)),
+                struck_by,
             })
         });
         lost.collect()
@@ -246,10 +254,23 @@
         LossScene { heard_at, lost_by, silent: silent.map(|(_, it)| &it.runs).collect() }
     }
 
-    /// Chance that a task was struck by what else was lost.
-    fn surroundings(&self, scene: &LossScene, key: task_key::TaskKey, now: Duration) -> f64 {
+    /// Chance that a task that is at risk for `exposure` was struck by what else was lost.
+    fn surroundings(
+        &self,
+        scene: &LossScene,
+        key: task_key::TaskKey,
+        exposure: Duration,
+        now: Duration,
+    ) -> f64 {
         let silent = scene.silent.iter().filter(|it| !it.contains(&key));
-        self.odds_beside(silent.count(), scene.heard_at, key, now)
+        let beside = loss_history::LossesBeside {
+            now,
+            heard_at: scene.heard_at,
+            exposure,
+            n_workers: self.workers.len(),
+            n_silent: silent.count(),
+        };
+        self.loss_history.odds(key, beside)
     }
 
     /// The share of its run time within which a task was struck.
@@ -263,24 +284,9 @@
     /// Chance that a task was struck at some time that is not known.
     pub(crate) fn usual_odds(&self, key: task_key::TaskKey, now: Duration) -> f64 {
         let silent = self.workers.values().filter(|it| it.n_missed > 0);
-        self.odds_beside(silent.count(), now, key, now)
-    }
-
-    fn odds_beside(
-        &self,
-        n_silent: usize,
-        heard_at: Duration,
-        key: task_key::TaskKey,
-        now: Duration,
-    ) -> f64 {
-        let beside = loss_history::LossesBeside {
-            now,
-            heard_at,
-            exposure: self.exposure(key, now),
-            n_workers: self.workers.len(),
-            n_silent,
-        };
-        self.loss_history.odds(key, beside)
+        let scene =
+            LossScene { heard_at: now, lost_by: now, silent: silent.map(|it| &it.runs).collect() };
+        self.surroundings(&scene, key, self.exposure(key, now), now)
     }
 
     /// How long a task is at risk: until its end as its pace tells it, or as long as its class takes, or as
@@ -415,7 +421,8 @@
     let start = if run.is_confirmed { 0.0 } else { UNSTARTED_ODDS };
     let beside = if is_beside_suspect { BESIDE_SUSPECT_ODDS } else { 0.0 };
     let cut_off = if sign == LossSign::CutOff { CUT_OFF_ODDS } else { 0.0 };
-    let chances = [run.surroundings, by_others, sign.odds() * run.struck_within, start, beside];
+    let by_sign = sign.odds() * run.struck_within;
+    let chances = [run.early_surroundings, by_others, by_sign, start, beside];
     suspicion::TaskLoss {
         attempt: run.attempt,
         odds: chances.into_iter().fold(suspicion::LEAST_ODDS, f64::max),
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -10,12 +10,16 @@
 pub const LEAST_ODDS: f64 = 0.01;
 
 /// A task is given up once the chance of all that has struck it is lower than this, after two losses and
-/// after more. Two losses have to be by themselves, under a task that ran alone, while hardly any other
-/// worker was lost. The more there are, the less has to be known of each: the platform lets a task be started
-/// twice more when three workers have crashed under it, and of the first losses, amid an outage, little may
-/// be known, or nothing.
+/// after more, whenever in its runs they came. Two losses have to be by themselves, under a task that ran alone,
+/// while hardly any other worker was lost. The more there are, the less has to be known of each: the platform
+/// lets a task be started twice more when three workers have crashed under it, and of the first losses, amid an
+/// outage, little may be known, or nothing.
 const PROOF_ODDS: [f64; 2] = [2.0 * LEAST_ODDS * LEAST_ODDS, 0.001];
 
+/// The same of the chance that all struck it so early, after four losses and after more. Among many tasks some are
+/// struck early in a row, so that it has to be lower.
+const EARLY_PROOF_ODDS: [f64; 2] = [0.000_001, 0.000_1];
+
 /// Up to this chance what else was lost does not explain a loss. Above it, as when a rack loses power, a
 /// loss says so little that keeping what ran there apart would cost more than it tells.
 const UNEXPLAINED_ODDS: f64 = 0.25;
@@ -41,10 +45,10 @@
 pub struct TaskLoss {
     /// The attempt that ran there.
     pub attempt: u32,
-    /// Chance that a task that crashes nothing was struck as it was: by what else was lost, by what else
-    /// ran there, and by how sure it is that the worker crashed.
+    /// Chance that a task that crashes nothing was struck as it was, so early in its run: by what else was
+    /// lost, by what else ran there, and by how sure it is that the worker crashed.
     pub odds: f64,
-    /// The part of that chance which what else was lost explains.
+    /// Chance that what else was lost struck it at any time of its run.
     pub surroundings: f64,
     /// How far into its run the worker was lost at the latest; nothing where that can't be compared with
     /// other runs.
@@ -103,8 +107,19 @@
 
     /// Whether it is taken to crash the workers that start it.
     pub fn is_proved(&self) -> bool {
-        let Some(n_more) = self.standing().count().checked_sub(2) else { return false };
-        self.odds() < PROOF_ODDS[n_more.min(PROOF_ODDS.len() - 1)]
+        let n_losses = self.standing().count();
+        let is_below = |odds: f64, bounds: [f64; 2], least_losses: usize| {
+            let n_more = n_losses.checked_sub(least_losses);
+            n_more.is_some_and(|it| odds < bounds[it.min(bounds.len() - 1)])
+        };
+        let at_any_time = self.standing().map(|it| it.odds.max(it.surroundings)).product();
+        is_below(at_any_time, PROOF_ODDS, 2) || is_below(self.odds(), EARLY_PROOF_ODDS, 4)
+    }
+
+    /// The longest that any run of it has lasted, as far as is known.
+    pub fn longest_run(&self) -> Duration {
+        let struck = self.standing().filter_map(|it| it.struck_by).max();
+        self.survived.max(struck.unwrap_or_default())
     }
 
     fn n_unexplained(&self) -> usize {
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -80,6 +80,35 @@
     assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
 }
 
+/// Idle workers of a pool of four are lost one after the other, for 21 s.
+fn lose_others(bench: &mut support::PoolBench) {
+    for other in 0..8 {
+        bench.pass(2_600);
+        (0..4).for_each(|it| bench.lists(it, &[], &[]));
+        replace(bench, other % 4);
+    }
+    bench.pass(2_600);
+    (0..4).for_each(|it| bench.lists(it, &[], &[]));
+}
+
+/// Many workers are lost all the while, which explains each loss by itself; that five of them came right behind a
+/// start of the same task is not explained, and it is started without end.
+#[test]
+fn losses_right_behind_each_start_are_proof_amid_many_others() {
+    let mut bench = support::PoolBench::new(4);
+    lose_others(&mut bench);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    for _ in 0..5 {
+        let Some(start) = turn_on_record(&mut bench).pop() else { break };
+        bench.pass(150);
+        replace(&mut bench, support::index_of(&start.worker));
+        lose_others(&mut bench);
+    }
+    bench.save();
+    let cause = Some(model::FailureCause::CrashesWorkers);
+    assert_eq!(bench.core.state_of(1).map(|it| it.failure), Some(cause));
+}
+
 /// What ran beside a task that was given up is not: it was struck once, and ends well apart.
 #[test]
 fn what_ran_beside_is_not_given_up() {
