Settle a start without answer with the lease where the list tells of no later life of its worker

Cause: the wait was owed to not knowing whether a later life under the worker's id had taken the start, with a deadline far ahead on its own clock. That life would have told of itself: each writes its entry when it begins and at each heartbeat, with its incarnation, and the holder reads the list all the while. The knowledge was there and not asked.

Mend: where a worker tells its lives, the list was read up to the start's term and a heartbeat behind the start, and it tells of no other life, only the known life can have the start, and what that runs is over with its lease. Where lives are not told apart, the list tells of another life, or can't be read, the wait is as long as before; a known later life too, which may have the start. Looked for elsewhere: the same wait for a worker that answers in a later life stays, as that life may have taken it.

Ruled out: the orders' own deadline (it bounds the known life alone); other instances that reach the worker (a dead one is reached by nobody).

The first of the three new tests failed on the code before (13.0 s in place of 7.0); the other two hold on both sides.

--- a/crates/graph/src/terms.rs
+++ b/crates/graph/src/terms.rs
@@ -12,6 +12,9 @@
 /// The platform's bound for what has changed to be known, and a heartbeat.
 const NEWS_TERM: Duration = Duration::from_millis(4_500);
 
+/// Workers write their entries this often.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
 /// Kept below the longest lease that workers grant, since a longer one is shortened unheard.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -34,6 +37,8 @@
     pub stop_timeout: Duration,
     /// A room that has shrunk counts this much later, on workers that refuse nothing.
     pub news_term: Duration,
+    /// Workers write their entries this often, the first time when they begin.
+    pub heartbeat: Duration,
     /// Urgent work within a guarantee runs this long after it was accepted.
     pub reclaim: Duration,
     /// An ended job is answered for this long.
@@ -57,6 +62,7 @@
             start_term: Duration::from_millis(2_500),
             stop_timeout: Duration::from_millis(400),
             news_term: NEWS_TERM,
+            heartbeat: HEARTBEAT,
             reclaim: Duration::from_millis(2_900),
             retention: RETENTION,
             remote_factor: 3.0,
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -22,6 +22,9 @@
 /// later, it is sent again.
 const STOP_SLACK: Duration = Duration::from_millis(600);
 
+/// Kept for a worker's write of its entry.
+const ENTRY_MARGIN: Duration = Duration::from_millis(300);
+
 /// Kept for stopping a task before its worker leaves, beyond the time that a stop takes.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -51,11 +54,9 @@
         for worker in silent {
             let Some(record) = self.workers.get(&worker) else { continue };
             let listed = record.listed;
-            let (lapsed, left) = record
-                .runs
-                .iter()
-                .copied()
-                .partition::<Vec<_>, _>(|key| self.has_surely_lapsed(*key, now));
+            let (lapsed, left) = record.runs.iter().copied().partition::<Vec<_>, _>(|key| {
+                self.is_of_known_life(*key) || self.has_surely_lapsed(*key, now)
+            });
             if !lapsed.is_empty() {
                 let sign = if listed { losses::LossSign::CutOff } else { losses::LossSign::Silent };
                 self.worker_lost(&worker, sign, &lapsed, now);
@@ -83,6 +84,21 @@
         run.is_seen || now >= run.since + self.terms.start_term + longest
     }
 
+    /// Whether no life behind the known one of its worker can have taken a start: it would have told of itself
+    /// in the list by the time up to which that was read.
+    fn is_of_known_life(&self, key: task_key::TaskKey) -> bool {
+        let Some(run) = self.run(key) else { return false };
+        let (Some(bound), Some(worker)) = (run.bound, self.workers.get(&run.worker)) else {
+            return false;
+        };
+        let tells_lives = worker.incarnation.is_some();
+        let told_by = run.since + self.terms.start_term + self.terms.heartbeat + ENTRY_MARGIN;
+        tells_lives
+            && bound.generation == worker.generation
+            && worker.is_listed_life()
+            && self.list_read_at >= told_by
+    }
+
     fn repeat_stops(&mut self, now: Duration) {
         let patience = self.terms.stop_timeout + STOP_SLACK;
         let mut again = Vec::new();
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -366,6 +366,54 @@
     }
 }
 
+/// A worker that tells its lives takes a start without an answer and can't be reached any more; a second one
+/// answers. How many milliseconds behind the start the task starts elsewhere.
+fn starts_again_behind(told: ids::Incarnation, is_list_read: bool) -> Option<u128> {
+    let mut bench = support::PoolBench::unanswered(2, Duration::ZERO);
+    for index in 0..2 {
+        bench.core.learn_worker(support::worker_id(index), entry(index, FIRST), bench.now);
+        let listed = says(&bench, Some(FIRST), Duration::ZERO, &[], &[]);
+        bench.core.hold_answered(&support::worker_id(index), listed, bench.now, bench.now);
+    }
+    bench.save();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.turn()).remove(0);
+    let silent = support::index_of(&start.worker);
+    bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
+    bench.core.learn_worker(start.worker.clone(), entry(silent, told), bench.now);
+    let other = support::worker_id(1 - silent);
+    for millis in [2_500, 4_500, 5_500, 500] {
+        bench.pass(millis);
+        if is_list_read {
+            bench.core.list_read(bench.now);
+        }
+        let listed = says(&bench, Some(FIRST), Duration::ZERO, &[], &[]);
+        bench.core.hold_answered(&other, listed, bench.now, bench.now);
+        if !support::starts(&bench.turn()).is_empty() {
+            return Some((bench.now - start.ordered_at).as_millis());
+        }
+    }
+    None
+}
+
+/// A task stands still for 12.7 s because a worker died before it took the start.
+#[test]
+fn a_start_that_no_later_life_can_have_is_over_with_the_lease() {
+    assert_eq!(starts_again_behind(FIRST, true), Some(7_000));
+}
+
+/// A later life that has told of itself may have taken the start, and runs it for the longest lease.
+#[test]
+fn a_start_that_a_later_life_may_have_waits_for_the_longest_lease() {
+    assert_eq!(starts_again_behind(SECOND, true), Some(13_000));
+}
+
+/// While the list can't be read a later life may have told of itself unheard.
+#[test]
+fn a_start_waits_for_the_longest_lease_while_the_list_is_not_read() {
+    assert_eq!(starts_again_behind(FIRST, false), Some(13_000));
+}
+
 /// What has waited for longer than a start may is not sent any more: nothing bounds when a later life
 /// would take it.
 #[test]
