Go by the tenure's row for how long holders before the last one may go on

The last holder had known that the one before was over, as it had run on the same machine, and had written it into the row (`settles_in_ms`).

Mend: where the row tells how much longer what earlier holders have ordered may go on, that holds. Only for a row of an earlier release, which tells nothing, is it reckoned from the epoch. The two sums of slack and lease are one function.

--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::lease_clock;
+use almondpass_graph::{lease_clock, terms};
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::{ids, model};
@@ -16,7 +16,7 @@
 use crate::state;
 
 /// For an order that was under way when the earlier holder stopped giving orders.
-pub(crate) const ORDER_SLACK: Duration = Duration::from_millis(300);
+const ORDER_SLACK: Duration = Duration::from_millis(300);
 
 /// For the former holder's machine to answer.
 const DEADLINE: Duration = Duration::from_millis(300);
@@ -30,8 +30,14 @@
     pub(crate) holder: ids::InstanceId,
     pub(crate) address: ids::PeerAddress,
     pub(crate) epoch: ids::Epoch,
-    /// Until then, holders before it may have gone on.
-    pub(crate) others_go_on_until: Duration,
+    /// Until then, what holders before it have ordered may go on.
+    pub(crate) others_settle_at: Duration,
+}
+
+/// When all that a holder has ordered has ended on workers that don't answer, if it gives no orders from
+/// `over_at` on.
+pub(crate) fn settles_behind(over_at: Duration, terms: &terms::PoolTerms) -> Duration {
+    over_at + ORDER_SLACK + lease_clock::at_most(terms.lease)
 }
 
 /// Asks at the address of the former holder until it is known to be over there, or all that it may have
@@ -44,8 +50,8 @@
     let Some(predecessor) = predecessor else { return };
     while !lead.core().is_settled(state.site.clock().now()) {
         if let Some(over_at) = over_at(&state, &predecessor).await {
-            let lease = lease_clock::at_most(state.settings.terms.lease);
-            let settles_at = over_at.max(predecessor.others_go_on_until) + ORDER_SLACK + lease;
+            let settles_at = settles_behind(over_at, &state.settings.terms);
+            let settles_at = settles_at.max(predecessor.others_settle_at);
             let former = &predecessor.holder;
             let left_ms = settles_at.saturating_sub(state.site.clock().now()).as_millis() as u64;
             tracing::info!(former, left_ms, "former holder of the tenure is over");
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::lease_clock;
 use almondpass_peer::codec;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
@@ -244,9 +243,23 @@
     } else {
         seen.first_seen + times.term + times.detached
     };
-    let of_last = over_at + predecessor::ORDER_SLACK + lease_clock::at_most(settings.terms.lease);
     // Holders before it may go on for longer.
-    of_last.max(seen.first_seen + Duration::from_millis(row.settles_in_ms))
+    predecessor::settles_behind(over_at, &settings.terms).max(others_settle_at(seen, row, settings))
+}
+
+/// When all that holders before the one of the row have ordered has ended, on workers that don't answer.
+fn others_settle_at(
+    seen: &tenure_watch::SeenRow,
+    row: &model::PoolTenure,
+    settings: &settings::PoolSettings,
+) -> Duration {
+    let told = seen.first_seen + Duration::from_millis(row.settles_in_ms);
+    if row.notes_silence || row.settles_in_ms > 0 {
+        return told;
+    }
+    // An earlier release does not tell: the holder before may have gone on without the store.
+    let over_at = seen.epoch_since + settings.tenure.detached;
+    told.max(predecessor::settles_behind(over_at, &settings.terms))
 }
 
 /// The earlier holder, where it may go on.
@@ -262,7 +275,7 @@
         holder: row.holder.clone(),
         address: row.address.clone(),
         epoch: row.epoch,
-        others_go_on_until: seen.epoch_since + settings.tenure.detached,
+        others_settle_at: others_settle_at(seen, row, settings),
     })
 }
 
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -17,5 +17,6 @@
 mod still_jobs;
 mod storms;
 mod strengths;
+mod successors;
 mod support;
 mod takeovers;
--- /dev/null
+++ b/crates/pool/tests/pool/successors.rs
@@ -0,0 +1,69 @@
+//! How long a successor waits for what holders before it may have left on a worker that does not answer.
+
+use std::time::Duration;
+
+use almondpass_schema::model;
+use almondpass_standin::fault;
+use tokio::time::{self, Instant};
+
+use crate::support;
+
+/// The last order of a holder extends leases for this long, on a clock that is 2% slow, and what is found then
+/// starts within a turn.
+const LEASE: Duration = Duration::from_millis(6_900);
+
+/// The work of the task that waits, and looks at it.
+const WORK: Duration = Duration::from_millis(700);
+
+/// Accepted work of a pool of two workers: job 1 fills both for long, job 2 waits for it.
+async fn start_full(n_instances: usize) -> support::PoolBench {
+    let bench = support::PoolBench::start(n_instances, 2).await;
+    bench.submit(0, 1, support::job(16, 60_000)).await;
+    bench.submit(0, 2, support::job(1, 500)).await;
+    time::sleep(Duration::from_secs(3)).await;
+    bench
+}
+
+/// Nobody reaches a worker any more.
+fn silence_worker(bench: &support::PoolBench) {
+    bench.fleet.faults(&support::worker_id(1)).set(fault::Condition::Silent);
+}
+
+/// Job 1 is cancelled, and job 2 has to be done in its room by `due`.
+async fn assert_waiting_job_is_done_by(bench: &support::PoolBench, due: Instant) {
+    bench.cancel(0, 1).await;
+    let limit = due.saturating_duration_since(Instant::now());
+    bench.await_state(0, 2, model::GraphState::Completed, limit).await;
+    bench.assert_nothing_ran_twice();
+}
+
+async fn await_holder(bench: &support::PoolBench) {
+    while bench.holder_in_force().is_none() {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Accepted work waits for holders before the last one as if nothing were known of them.
+#[test]
+fn holders_before_the_last_one_are_over_as_the_row_tells() {
+    support::run(async {
+        let mut bench = start_full(3).await;
+        silence_worker(&bench);
+        kill_and_start(&mut bench, Duration::from_millis(500)).await;
+        await_holder(&bench).await;
+        time::sleep(Duration::from_millis(500)).await;
+        let holder = bench.holder();
+        let address = bench.kill(holder).await;
+        await_holder(&bench).await;
+        let back_at = Instant::now();
+        bench.start_instance(&address);
+        assert_waiting_job_is_done_by(&bench, back_at + LEASE + WORK).await;
+    });
+}
+
+async fn kill_and_start(bench: &mut support::PoolBench, down: Duration) {
+    let holder = bench.holder();
+    let address = bench.kill(holder).await;
+    time::sleep(down).await;
+    bench.start_instance(&address);
+}
