Count a lease from a former holder's last order, not from its answer

Cause: an instance that finds itself without the tenure answered as if it had given orders until it was asked. It gives none once its term is over and it sees no outage, and none while it stands still.

Mend: each check that lets an order leave notes the time, on the clock that counts while the machine is suspended; a former holder answers with how long ago that was. One that may order still, and ends for its successor now, answers 0 as before; so does one that holds a later tenure.

Ruled out: the wait for the former holder's machine (it answered as soon as it was awake).

A process that stands still can't be played on the paused clock; the test has one that lost the store and its peers.

--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -33,6 +33,8 @@
     pub taken_at: ids::RowVersion,
     core: Mutex<core::PoolCore>,
     tenure: Mutex<standing::TenureState>,
+    /// When an order may have left last, if any has.
+    ordered_at: Mutex<Option<Duration>>,
     graphs_until: AtomicU64,
     missed_jobs: Mutex<BTreeSet<ids::GraphId>>,
     senders: Mutex<BTreeMap<ids::WorkerId, mpsc::UnboundedSender<order::PoolOrder>>>,
@@ -74,6 +76,7 @@
             taken_at: taken.version,
             core: Mutex::new(core),
             tenure: Mutex::new(standing::TenureState::new(times, taken.sent_at)),
+            ordered_at: Mutex::default(),
             graphs_until: AtomicU64::new(0),
             missed_jobs: Mutex::default(),
             senders: Mutex::default(),
@@ -113,9 +116,19 @@
         self.over.is_cancelled()
     }
 
-    /// Whether orders may be given now.
+    /// Whether orders may be given now. They are taken to be.
     pub(crate) fn may_order(&self, clock: &impl BootClock) -> bool {
-        !self.over.is_cancelled() && self.tenure().may_order(clock.now())
+        let now = clock.now();
+        let may_order = !self.over.is_cancelled() && self.tenure().may_order(now);
+        if may_order {
+            *state::lock(&self.ordered_at) = Some(now);
+        }
+        may_order
+    }
+
+    /// When an order may have left last, if any has.
+    pub(crate) fn ordered_at(&self) -> Option<Duration> {
+        *state::lock(&self.ordered_at)
     }
 
     /// Whether nobody else can hold the tenure now.
@@ -203,6 +216,7 @@
 impl<S: state::PoolSite> Drop for HeldTenure<'_, S> {
     fn drop(&mut self) {
         self.lead.end();
+        self.state.note_ordered(self.lead.ordered_at());
         self.state.set_lead(None);
         self.state.set_taken(None);
         metrics::gauge!("almondpass_pool_held").set(0.0);
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -79,18 +79,30 @@
     state: &state::PoolState<S>,
     query: &model::TenureQuery,
 ) -> model::TenureAnswer {
-    let now = state.site.clock().now();
+    let clock = state.site.clock();
+    let over_for = |since| {
+        let over_for = clock.now().saturating_sub(since).as_millis() as u64;
+        model::TenureAnswer { over_for_ms: Some(over_for) }
+    };
     if query.holder != state.settings.instance {
         // No two processes answer at one address: that one has ended before this one began.
-        let over_for = now.saturating_sub(state.began_at);
-        return model::TenureAnswer { over_for_ms: Some(over_for.as_millis() as u64) };
+        return over_for(state.began_at);
     }
-    if let Some(lead) = state.lead().filter(|it| it.epoch <= query.epoch) {
+    if state.taken().is_some_and(|it| it > query.epoch) {
+        return over_for(clock.now());
+    }
+    let lead = state.lead();
+    if let Some(lead) = lead.as_ref().filter(|it| !it.is_over()) {
         tracing::warn!(epoch = lead.epoch, "tenure is ended for a successor");
+        // Else it may have stood still, or been without the store, for long.
+        let ends_now = lead.may_order(clock);
         lead.end();
+        if ends_now {
+            return over_for(clock.now());
+        }
+    } else if lead.is_none() && state.taken().is_some() {
+        return model::TenureAnswer { over_for_ms: None };
     }
-    let may_go_on = state.taken().is_some_and(|it| it <= query.epoch);
-    let is_ended = state.lead().is_some_and(|it| it.is_over());
-    let over_for_ms = (!may_go_on || is_ended).then_some(0);
-    model::TenureAnswer { over_for_ms }
+    let ordered_at = lead.and_then(|it| it.ordered_at()).max(state.ordered_at());
+    over_for(ordered_at.unwrap_or(state.began_at))
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -67,6 +67,8 @@
     lead: Mutex<Option<Arc<lead::LeadState>>>,
     /// Number of the tenure from its taking on, before its rows are read.
     taken: Mutex<Option<ids::Epoch>>,
+    /// When an order of a tenure that is over here may have left last.
+    ordered_at: Mutex<Option<Duration>>,
     /// Whether the store gives this instance no answers, as its last long call showed.
     store_away: AtomicBool,
     /// Whether calls by way of peers are worth a try.
@@ -104,6 +106,7 @@
             holder: Mutex::default(),
             lead: Mutex::default(),
             taken: Mutex::default(),
+            ordered_at: Mutex::default(),
             store_away: AtomicBool::new(false),
             detours: Mutex::default(),
             nudges: Mutex::default(),
@@ -131,6 +134,17 @@
         *lock(&self.taken) = epoch;
     }
 
+    /// When an order of a tenure that is over here may have left last, if any has.
+    pub(crate) fn ordered_at(&self) -> Option<Duration> {
+        *lock(&self.ordered_at)
+    }
+
+    /// A tenure is over here, whose last order may have left at `at`.
+    pub(crate) fn note_ordered(&self, at: Option<Duration>) {
+        let mut latest = lock(&self.ordered_at);
+        *latest = (*latest).max(at);
+    }
+
     /// Another instance that holds the tenure, as last seen.
     pub fn other_holder(&self) -> Option<HolderView> {
         let holder = lock(&self.holder).clone();
--- a/crates/pool/tests/pool/successors.rs
+++ b/crates/pool/tests/pool/successors.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use almondpass_peer::link::PeerLink;
 use almondpass_schema::model;
 use almondpass_standin::fault;
 use tokio::time::{self, Instant};
@@ -43,6 +44,27 @@
     }
 }
 
+/// A successor counts the lease from the moment at which a former holder answers it, not from its last order.
+#[test]
+fn a_former_holder_tells_since_when_it_has_given_no_orders() {
+    support::run(async {
+        let bench = start_full(2).await;
+        let (former, other) = (bench.holder(), bench.other());
+        let address = &bench.instances[former].address;
+        let other = &bench.instances[other].address;
+        bench.net.partition(&[address], &[other], fault::Condition::Silent);
+        bench.instances[former].to_store.set(fault::Condition::Silent);
+        time::sleep(Duration::from_secs(12)).await;
+        bench.net.partition(&[address], &[other], fault::Condition::Up);
+        let holder = bench.instances[former].state.settings.instance.clone();
+        let query = model::TenureQuery { holder, epoch: 1 };
+        let answer = bench.net.link(other).call(address, query, Duration::from_secs(1)).await;
+        let over_for_ms = answer.expect("an answer").over_for_ms.expect("it is over");
+        // Its term, and as long as it may go on without the store.
+        assert!((4_000..12_000).contains(&over_for_ms), "{over_for_ms}");
+    });
+}
+
 /// Accepted work waits for holders before the last one as if nothing were known of them.
 #[test]
 fn holders_before_the_last_one_are_over_as_the_row_tells() {
