Ask a holder that has given the tenure up since when it gives no orders

Order of events: the holder hands the tenure over to a stronger machine; the store then answers nobody for 5 s, and a worker dies. A successor reads the row as soon as the store is back, and waits for a lease from that moment; the row does not tell that it was written 5 s before.

Mend: the former holder is asked in this case too. It is there, mostly: it handed over or could not read its tables.

The new test failed before.

--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -59,7 +59,7 @@
     pub(crate) settles_at: Duration,
     /// Losses of workers that the earlier holder has seen lately.
     pub(crate) losses: Option<model::RecentLosses>,
-    /// The earlier holder, unless it is known to be over.
+    /// The earlier holder, unless it was a process of this machine.
     pub(crate) predecessor: Option<predecessor::Predecessor>,
     /// Whether the earlier holder has kept what the roster notes of silent workers.
     pub(crate) notes_silence: bool,
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -262,13 +262,13 @@
     told.max(predecessor::settles_behind(over_at, &settings.terms))
 }
 
-/// The earlier holder, where it may go on.
+/// The earlier holder, where it may go on, or knows since when it has given no orders.
 fn predecessor_of(
     seen: &tenure_watch::SeenRow,
     settings: &settings::PoolSettings,
 ) -> Option<predecessor::Predecessor> {
     let row = seen.row.as_ref()?;
-    if row.released || seen.is_of(&settings.peer_address) {
+    if seen.is_of(&settings.peer_address) {
         return None;
     }
     Some(predecessor::Predecessor {
--- a/crates/pool/tests/pool/successors.rs
+++ b/crates/pool/tests/pool/successors.rs
@@ -65,6 +65,34 @@
     });
 }
 
+/// Accepted work waits for a lease from the moment at which a successor reads that the tenure was given up.
+#[test]
+fn a_holder_that_has_given_up_is_asked_since_when() {
+    support::run(async {
+        let mut bench = start_full(2).await;
+        let former = bench.holder();
+        let other = bench.other();
+        let stronger = bench.start_instance_of("10.0.1.1:7000", 400);
+        for index in [other, stronger] {
+            bench.instances[index].to_store.set(fault::Condition::Slow(Duration::from_millis(50)));
+        }
+        while bench.instances[former].state.lead().is_some() {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        let given_up_at = Instant::now();
+        silence_worker(&bench);
+        for instance in &bench.instances {
+            instance.to_store.set(fault::Condition::Refusing);
+        }
+        time::sleep(Duration::from_secs(5)).await;
+        for instance in &bench.instances {
+            instance.to_store.set(fault::Condition::Up);
+        }
+        await_holder(&bench).await;
+        assert_waiting_job_is_done_by(&bench, given_up_at + LEASE + Duration::from_secs(1)).await;
+    });
+}
+
 /// Accepted work waits for holders before the last one as if nothing were known of them.
 #[test]
 fn holders_before_the_last_one_are_over_as_the_row_tells() {
