Keep a tenure for a while behind its settling

In the moment at which the tenure settles no worker is silent any more, which is what handing over waits for: it is given away before what has waited has started, and the next holder begins anew.

Mend: the 3 s for which a tenure is kept count from its settling, not from its taking.

The new test failed before.

--- a/crates/pool/src/hand_over.rs
+++ b/crates/pool/src/hand_over.rs
@@ -14,8 +14,9 @@
 use crate::lead;
 use crate::state;
 
-/// A tenure is kept for at least this long: its beginning is the busiest time, and the rows of the
-/// instances that start along with this one come within it.
+/// A tenure is kept for at least this long, and behind its settling: its beginning is the busiest time, the
+/// rows of the instances that start along with this one come within it, and what has waited for it to settle is
+/// about to start.
 const KEPT_FOR: Duration = Duration::from_secs(3);
 
 /// A worker that does not answer is waited for this long: a successor waits for its lease anew, and accepted
@@ -37,6 +38,9 @@
     state: Arc<state::PoolState<S>>,
     lead: Arc<lead::LeadState>,
 ) {
+    while !lead.core().is_settled(state.site.clock().now()) {
+        time::sleep(INTERVAL).await;
+    }
     time::sleep(KEPT_FOR).await;
     let mut wanted_since = None;
     loop {
--- a/crates/pool/tests/pool/successors.rs
+++ b/crates/pool/tests/pool/successors.rs
@@ -111,6 +111,26 @@
     });
 }
 
+/// A tenure that has just settled is given away before what has waited for that has started.
+#[test]
+fn a_tenure_is_kept_for_a_while_behind_its_settling() {
+    support::run(async {
+        let mut bench = start_full(1).await;
+        silence_worker(&bench);
+        bench.start_instance_of("10.0.1.1:7000", 400);
+        let weak = bench.holder();
+        let address = bench.kill(weak).await;
+        let weak = bench.start_instance(&address);
+        time::sleep(Duration::from_millis(200)).await;
+        bench.cancel(weak, 1).await;
+        let holder_was_weak = || bench.instances[weak].state.lead().is_some();
+        assert!(holder_was_weak());
+        bench.await_state(weak, 2, model::GraphState::Completed, Duration::from_secs(9)).await;
+        time::sleep(Duration::from_millis(1_500)).await;
+        assert!(holder_was_weak());
+    });
+}
+
 async fn kill_and_start(bench: &mut support::PoolBench, down: Duration) {
     let holder = bench.holder();
     let address = bench.kill(holder).await;
