Wait no longer for a former holder's orders than their deadlines allow

Callers saw: accepted work that stands still for more than 7 s behind a loss, beside room. The wait behind a former holder's last order was 6.93 s, and a turn.

Cause: 0.3 s of it were kept for an order that was under way when the holder ended. Such an order extends no lease: its deadline is a moment on the worker's clock, reckoned before it leaves, and holds however late it is carried out. What could be late is the reckoning: the reading of a slow clock was taken up to 2% ahead since the last answer.

Mend: a deadline is reckoned from the least that the worker's clock shows by then, so that it never lies ahead, and 0.1 s is left for what lies between the check that lets an order leave and that reckoning: 6.73 s. Leases are up to 50 ms shorter at a look every 2.5 s.

Looked for elsewhere: a start that a later life takes has a deadline far ahead on that life's clock; such runs are waited for separately, as before.

--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -55,11 +55,12 @@
         Some(Duration::from_millis(sample.clock_ms) + elapsed)
     }
 
-    /// A deadline `span` from now on the worker's clock, which an order is about to carry. It is
+    /// A deadline at most `span` from now on the worker's clock, which an order is about to carry. It is
     /// remembered as sent, whether or not an answer comes: the worker may have taken it.
     pub fn deadline_in(&mut self, now: Duration, span: Duration) -> Option<u64> {
         let sample = self.sample?;
-        let elapsed = now.saturating_sub(sample.received_at);
+        // What the clock shows at least: others reckon from now on when the lease is over.
+        let elapsed = now.saturating_sub(sample.received_at).mul_f64(SLOWEST_RATE);
         let deadline = sample.clock_ms.saturating_add(millis(elapsed) + millis(span));
         self.deadline_sent = self.deadline_sent.max(deadline);
         Some(deadline)
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -15,8 +15,10 @@
 use crate::lead;
 use crate::state;
 
-/// For an order that was under way when the earlier holder stopped giving orders.
-const ORDER_SLACK: Duration = Duration::from_millis(300);
+/// Between the check that lets an order leave and the reckoning of its deadline. An order that was under way when
+/// the earlier holder stopped giving orders extends no lease beyond that: the deadline is a moment on the worker's
+/// clock.
+const ORDER_SLACK: Duration = Duration::from_millis(100);
 
 /// For the former holder's machine to answer.
 const DEADLINE: Duration = Duration::from_millis(300);
