Name in the tenure's row all holders before whose orders may not have ended, and ask each

Order of events: the holder is killed; another takes over, and is killed in turn before the first one's machine is back; the third asks the second's machine alone. In another order an instance takes the tenure by a write that had no answer, finds its own row, and counts a lease from then, though it knows that it has ordered nothing.

Cause: the row told when what earlier holders have ordered ends, not who they are.

Those at the own address are over: former processes since before this one began, this process since its last order. An earlier release reads `settles_in_ms` as before, and a row of it, which names nobody, is reckoned as before.

Two tests of takeovers play on: a holder without the store, and a successor that must wait for it. That holder would now be asked and end at once, so that there would be nothing to wait for; it is cut from its peers there, as in the third such test. What they check is as it was.

The new test failed before.

--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -16,6 +16,7 @@
 use crate::hand_over;
 use crate::lead_loader;
 use crate::predecessor;
+use crate::predecessor_list;
 use crate::retention;
 use crate::settings;
 use crate::standing;
@@ -35,6 +36,7 @@
     tenure: Mutex<standing::TenureState>,
     /// When an order may have left last, if any has.
     ordered_at: Mutex<Option<Duration>>,
+    predecessors: Mutex<predecessor_list::PredecessorList>,
     graphs_until: AtomicU64,
     missed_jobs: Mutex<BTreeSet<ids::GraphId>>,
     senders: Mutex<BTreeMap<ids::WorkerId, mpsc::UnboundedSender<order::PoolOrder>>>,
@@ -59,8 +61,8 @@
     pub(crate) settles_at: Duration,
     /// Losses of workers that the earlier holder has seen lately.
     pub(crate) losses: Option<model::RecentLosses>,
-    /// The earlier holder, unless it was a process of this machine.
-    pub(crate) predecessor: Option<predecessor::Predecessor>,
+    /// The holders before.
+    pub(crate) predecessors: predecessor_list::PredecessorList,
     /// Whether the earlier holder has kept what the roster notes of silent workers.
     pub(crate) notes_silence: bool,
 }
@@ -77,6 +79,7 @@
             core: Mutex::new(core),
             tenure: Mutex::new(standing::TenureState::new(times, taken.sent_at)),
             ordered_at: Mutex::default(),
+            predecessors: Mutex::new(taken.predecessors.clone()),
             graphs_until: AtomicU64::new(0),
             missed_jobs: Mutex::default(),
             senders: Mutex::default(),
@@ -131,6 +134,11 @@
         *state::lock(&self.ordered_at)
     }
 
+    /// The holders before.
+    pub(crate) fn predecessors(&self) -> MutexGuard<'_, predecessor_list::PredecessorList> {
+        state::lock(&self.predecessors)
+    }
+
     /// Whether nobody else can hold the tenure now.
     pub(crate) fn is_firm(&self, clock: &impl BootClock) -> bool {
         self.tenure().standing(clock.now()) == standing::TenureStanding::Firm
@@ -245,7 +253,7 @@
         worker_follower::run(Arc::clone(&state), Arc::clone(&lead), loaded.workers_at),
         turner::run(Arc::clone(&state), Arc::clone(&lead)),
         hand_over::run(Arc::clone(&state), Arc::clone(&lead)),
-        predecessor::run(Arc::clone(&state), Arc::clone(&lead), taken.predecessor),
+        predecessor::run(Arc::clone(&state), Arc::clone(&lead)),
         retention::run(Arc::clone(&state), Arc::clone(&lead)),
     );
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod instance;
 pub mod peers;
 mod predecessor;
+mod predecessor_list;
 pub mod settings;
 pub mod standing;
 pub mod state;
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -3,16 +3,19 @@
 //! Until everything that it may have ordered has ended, one worker that does not answer holds up each job
 //! that was accepted before. Unless it is known to be over, it may go on without the store for a while.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use almondpass_graph::{lease_clock, terms};
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::boot_clock::BootClock;
-use almondpass_schema::{ids, model};
+use almondpass_schema::model;
+use futures_util::future;
 use tokio::time;
 
 use crate::lead;
+use crate::predecessor_list;
 use crate::state;
 
 /// Between the check that lets an order leave and the reckoning of its deadline. An order that was under way when
@@ -26,52 +29,62 @@
 /// Wait before it is asked again.
 const AGAIN: Duration = Duration::from_millis(250);
 
-/// The former holder of a tenure.
-#[derive(Clone, Debug)]
-pub(crate) struct Predecessor {
-    pub(crate) holder: ids::InstanceId,
-    pub(crate) address: ids::PeerAddress,
-    pub(crate) epoch: ids::Epoch,
-    /// Until then, what holders before it have ordered may go on.
-    pub(crate) others_settle_at: Duration,
-}
-
 /// When all that a holder has ordered has ended on workers that don't answer, if it gives no orders from
 /// `over_at` on.
 pub(crate) fn settles_behind(over_at: Duration, terms: &terms::PoolTerms) -> Duration {
     over_at + ORDER_SLACK + lease_clock::at_most(terms.lease)
 }
 
-/// Asks at the address of the former holder until it is known to be over there, or all that it may have
+/// Asks at the addresses of the former holders until each is known to be over there, or all that they may have
 /// ordered has ended.
 pub(crate) async fn run<S: state::PoolSite>(
     state: Arc<state::PoolState<S>>,
     lead: Arc<lead::LeadState>,
-    predecessor: Option<Predecessor>,
 ) {
-    let Some(predecessor) = predecessor else { return };
-    while !lead.core().is_settled(state.site.clock().now()) {
-        if let Some(over_at) = over_at(&state, &predecessor).await {
-            let settles_at = settles_behind(over_at, &state.settings.terms);
-            let settles_at = settles_at.max(predecessor.others_settle_at);
-            let former = &predecessor.holder;
-            let left_ms = settles_at.saturating_sub(state.site.clock().now()).as_millis() as u64;
-            tracing::info!(former, left_ms, "former holder of the tenure is over");
-            lead.core().settles_by(settles_at);
+    let mut told = BTreeSet::new();
+    loop {
+        let now = state.site.clock().now();
+        let mut open = lead.predecessors().unsettled(now);
+        open.retain(|it| !it.address.is_empty() && !told.contains(&it.epoch));
+        if open.is_empty() {
             return;
         }
+        let asked = open.iter().map(|it| over_at(&state, it));
+        for (former, over_at) in open.iter().zip(future::join_all(asked).await) {
+            let Some(over_at) = over_at else { continue };
+            told.insert(former.epoch);
+            note_over(&state, &lead, former, over_at);
+        }
         time::sleep(AGAIN).await;
     }
 }
 
-/// Since when the former holder is surely over, if it is. That it can't be reached tells nothing.
+fn note_over<S: state::PoolSite>(
+    state: &state::PoolState<S>,
+    lead: &lead::LeadState,
+    former: &predecessor_list::Predecessor,
+    over_at: Duration,
+) {
+    let settles_at = settles_behind(over_at, &state.settings.terms);
+    let left_ms = settles_at.saturating_sub(state.site.clock().now()).as_millis() as u64;
+    tracing::info!(
+        former = former.holder,
+        epoch = former.epoch,
+        left_ms,
+        "former holder of the tenure is over"
+    );
+    lead.predecessors().settles_by(former.epoch, settles_at);
+    let settles_at = lead.predecessors().settles_at();
+    lead.core().settles_by(settles_at);
+}
+
+/// Since when a former holder is surely over, if it is. That it can't be reached tells nothing.
 async fn over_at<S: state::PoolSite>(
     state: &state::PoolState<S>,
-    predecessor: &Predecessor,
+    former: &predecessor_list::Predecessor,
 ) -> Option<Duration> {
-    let Predecessor { holder, address, epoch, .. } = predecessor;
-    let query = model::TenureQuery { holder: holder.clone(), epoch: *epoch };
-    let answer = state.site.peers().call(address, query, DEADLINE).await.ok()?;
+    let query = model::TenureQuery { holder: former.holder.clone(), epoch: former.epoch };
+    let answer = state.site.peers().call(&former.address, query, DEADLINE).await.ok()?;
     let over_for = Duration::from_millis(answer.over_for_ms?);
     Some(state.site.clock().now().saturating_sub(over_for))
 }
--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -13,8 +13,7 @@
 
 use crate::document;
 use crate::lead;
-use crate::predecessor;
-use crate::settings;
+use crate::predecessor_list;
 use crate::state;
 use crate::store_call;
 use crate::tenure_watch;
@@ -104,20 +103,14 @@
     }
 }
 
-/// Until when holders before the last one may have left something running. The row tells of the last one
-/// alone, which may have taken the tenure and not served it: it knows nothing of what runs.
+/// Until when holders before the last one may have left something running, where the row does not name them: an
+/// earlier release tells of the last one alone, which may have taken the tenure and not served it.
 #[derive(Debug, Default)]
 struct SettleFloor {
     until: Duration,
 }
 
 impl SettleFloor {
-    /// A tenure settles no sooner than any before it.
-    fn raise(&mut self, settles_at: Duration) -> Duration {
-        self.until = self.until.max(settles_at);
-        self.until
-    }
-
     /// The row was read again. A holder that another follows without having given the tenure up goes on
     /// for a while.
     fn saw<S: state::PoolSite>(
@@ -128,8 +121,9 @@
     ) {
         let Some((before, row)) = before.zip(row) else { return };
         let is_other = before.row.as_ref().is_some_and(|it| it.epoch < row.epoch);
-        if is_other {
-            self.raise(settles_at(state, before, before.first_seen));
+        if is_other && !row.names_earlier {
+            let earlier = predecessor_list::PredecessorList::of_row(state, before);
+            self.until = self.until.max(earlier.settles_at());
         }
     }
 }
@@ -158,7 +152,9 @@
         return TakeOutcome::NotTaken;
     };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
-    let settles_at = floor.raise(settles_at(state, seen, now));
+    let mut predecessors = predecessor_list::PredecessorList::of_row(state, seen);
+    predecessors.add_others(floor.until);
+    let settles_at = predecessors.settles_at().max(now);
     let notes_silence = seen.row.as_ref().is_some_and(|it| it.notes_silence);
     let row = model::PoolTenure {
         holder: settings.instance.clone(),
@@ -169,6 +165,8 @@
         losses: losses.clone(),
         settles_in_ms: settles_at.saturating_sub(now).as_millis() as u64,
         notes_silence,
+        earlier: predecessors.entries(now),
+        names_earlier: true,
     };
     let transaction = model::TableTransaction {
         conditions: vec![model::TableCondition { key: keys::pool_tenure(), version: seen.version }],
@@ -182,14 +180,13 @@
     };
     let Some(version) = versions.first().copied() else { return TakeOutcome::NotTaken };
     let epoch = row.epoch;
-    let predecessor = predecessor_of(seen, settings);
     TakeOutcome::Taken(lead::TakenTenure {
         epoch,
         version,
         sent_at,
         settles_at,
         losses,
-        predecessor,
+        predecessors,
         notes_silence,
     })
 }
@@ -224,61 +221,6 @@
     first + to_stronger
 }
 
-/// When whatever the earlier holder ordered has surely ended, on workers that don't answer.
-fn settles_at<S: state::PoolSite>(
-    state: &state::PoolState<S>,
-    seen: &tenure_watch::SeenRow,
-    now: Duration,
-) -> Duration {
-    let Some(row) = &seen.row else { return now };
-    let settings = &state.settings;
-    let times = settings.tenure;
-    let is_of_former_process =
-        seen.is_of(&settings.peer_address) && row.holder != settings.instance;
-    let over_at = if is_of_former_process {
-        // That process has ended before this one began.
-        seen.first_seen.min(state.began_at)
-    } else if row.released || seen.is_of(&settings.peer_address) {
-        seen.first_seen
-    } else {
-        seen.first_seen + times.term + times.detached
-    };
-    // Holders before it may go on for longer.
-    predecessor::settles_behind(over_at, &settings.terms).max(others_settle_at(seen, row, settings))
-}
-
-/// When all that holders before the one of the row have ordered has ended, on workers that don't answer.
-fn others_settle_at(
-    seen: &tenure_watch::SeenRow,
-    row: &model::PoolTenure,
-    settings: &settings::PoolSettings,
-) -> Duration {
-    let told = seen.first_seen + Duration::from_millis(row.settles_in_ms);
-    if row.notes_silence || row.settles_in_ms > 0 {
-        return told;
-    }
-    // An earlier release does not tell: the holder before may have gone on without the store.
-    let over_at = seen.epoch_since + settings.tenure.detached;
-    told.max(predecessor::settles_behind(over_at, &settings.terms))
-}
-
-/// The earlier holder, where it may go on, or knows since when it has given no orders.
-fn predecessor_of(
-    seen: &tenure_watch::SeenRow,
-    settings: &settings::PoolSettings,
-) -> Option<predecessor::Predecessor> {
-    let row = seen.row.as_ref()?;
-    if seen.is_of(&settings.peer_address) {
-        return None;
-    }
-    Some(predecessor::Predecessor {
-        holder: row.holder.clone(),
-        address: row.address.clone(),
-        epoch: row.epoch,
-        others_settle_at: others_settle_at(seen, row, settings),
-    })
-}
-
 /// Time between two looks of this instance.
 fn spread(instance: &ids::InstanceId, look: Duration) -> Duration {
     let mut hasher = xxh3::Xxh3Default::new();
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -239,6 +239,8 @@
             released,
             settles_in_ms: settles_in.as_millis() as u64,
             notes_silence,
+            earlier: self.lead.predecessors().entries(now),
+            names_earlier: true,
             losses: Some(losses),
         };
         let mut writes = vec![write_of(keys::pool_tenure(), &tenure)];
--- a/crates/pool/tests/pool/successors.rs
+++ b/crates/pool/tests/pool/successors.rs
@@ -111,6 +111,25 @@
     });
 }
 
+/// A successor that goes before the holder ahead of it was heard of leaves nobody who would ask that one.
+#[test]
+fn each_holder_that_may_go_on_is_asked() {
+    support::run(async {
+        let mut bench = start_full(3).await;
+        silence_worker(&bench);
+        let first = bench.holder();
+        let first = bench.kill(first).await;
+        await_holder(&bench).await;
+        let second = bench.holder();
+        let second = bench.kill(second).await;
+        bench.start_instance(&second);
+        bench.start_instance(&first);
+        let back_at = Instant::now();
+        await_holder(&bench).await;
+        assert_waiting_job_is_done_by(&bench, back_at + LEASE + WORK).await;
+    });
+}
+
 /// A tenure that has just settled is given away before what has waited for that has started.
 #[test]
 fn a_tenure_is_kept_for_a_while_behind_its_settling() {
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -358,6 +358,7 @@
         let (old, successor) = (bench.holder(), bench.other());
         let step = model::TableTransaction::PATH;
         bench.instances[successor].to_store.next(step, fault::Fault::AnswerLost);
+        cut_from_peers(&bench, old);
         assert_detached_start_is_waited_for(&bench, old, successor).await;
     });
 }
@@ -373,6 +374,7 @@
         let lame = bench.instances[between].to_store.clone();
         (1..=N_REFUSED).for_each(|nth| lame.nth(table::SNAPSHOT, nth, fault::Fault::Refused));
         bench.instances[successor].to_store.set(fault::Condition::Silent);
+        cut_from_peers(&bench, old);
         let leaving = bench.instances[between].state.leaving.clone();
         let back = bench.instances[successor].to_store.clone();
         tokio::spawn(async move {
@@ -417,6 +419,14 @@
     assert_waited_for(bench, successor).await;
 }
 
+/// No other instance reaches `index`, which would end there once it is asked.
+fn cut_from_peers(bench: &support::PoolBench, index: usize) {
+    let addresses = bench.instances.iter().map(|it| it.address.as_str()).collect::<Vec<_>>();
+    let others = addresses.iter().copied().filter(|it| *it != addresses[index]);
+    let others = others.collect::<Vec<_>>();
+    bench.net.partition(&[addresses[index]], &others, fault::Condition::Silent);
+}
+
 /// The holder `old` loses the store, with a task to start in 5.4 s, and no other instance reaches the workers.
 async fn detach(bench: &support::PoolBench, old: usize) {
     let mut row = support::job(1, 20_000);
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -11,6 +11,8 @@
     model::PoolTenure {
         notes_silence: false,
         settles_in_ms: 0,
+        earlier: Vec::new(),
+        names_earlier: true,
         holder: "a-1".to_owned(),
         address: address.to_owned(),
         epoch: 7,
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -525,6 +525,18 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub worker: ::std::option::Option<crate::ids::WorkerId>,
 }
+///A holder of the tenure before the one that writes the row, of which it is not known that all its orders have ended.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EarlierHolder {
+    ///Where it answers its peers; empty for several whose names are left out.
+    pub address: crate::ids::PeerAddress,
+    ///Number of its tenure.
+    pub epoch: crate::ids::Epoch,
+    ///The instance.
+    pub holder: crate::ids::InstanceId,
+    ///Milliseconds from this write until all that it may have ordered has ended on workers that do not answer.
+    pub settles_in_ms: u64,
+}
 ///The data centres in which nothing may start, as of one version of the store.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EvacuationView {
@@ -1963,6 +1975,9 @@
 pub struct PoolTenure {
     ///Where it answers its peers.
     pub address: crate::ids::PeerAddress,
+    ///Holders before this one whose orders may not have ended.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub earlier: ::std::vec::Vec<EarlierHolder>,
     ///Number of the tenure; also the fencing token of its orders.
     pub epoch: crate::ids::Epoch,
     ///Instance that schedules.
@@ -1970,6 +1985,9 @@
     ///Losses of workers that the holder has seen lately; absent where it has seen nothing yet.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub losses: ::std::option::Option<RecentLosses>,
+    ///Whether the holder names those before it; an earlier release does not.
+    #[serde(default)]
+    pub names_earlier: bool,
     ///Whether the holder keeps what the roster notes of silent workers; an earlier release does not.
     #[serde(default)]
     pub notes_silence: bool,
