Go by the last life that a worker's entry has told of

The worker's last entry, written while it died, told no life and no room, as an entry of another writer may; the life known was compared with what the entry says now, and the two differed.

Mend: the last life that the entry has told of is kept, and counts. An entry that tells none tells of no later one.

The new test failed before for the entry without a life.

--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -149,6 +149,7 @@
             labels: listing.labels.clone(),
             capacity: listing.capacity,
         });
+        record.told_life = listing.incarnation.or(record.told_life);
         record.listing = listing;
         if is_other_life && !record.is_listed_life() {
             // The list has learned of another life first.
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -61,6 +61,7 @@
         worker::WorkerRecord {
             listing: std::mem::take(&mut self.listing),
             place: std::mem::take(&mut self.place),
+            told_life: self.told_life,
             listed: self.listed,
             told_at: self.told_at,
             leaves_at: self.leaves_at.filter(|_| is_of_entry),
--- a/crates/graph/src/upkeep.rs
+++ b/crates/graph/src/upkeep.rs
@@ -91,12 +91,9 @@
         let (Some(bound), Some(worker)) = (run.bound, self.workers.get(&run.worker)) else {
             return false;
         };
-        let tells_lives = worker.incarnation.is_some();
+        let is_told_life = worker.incarnation.is_some() && worker.told_life == worker.incarnation;
         let told_by = run.since + self.terms.start_term + self.terms.heartbeat + ENTRY_MARGIN;
-        tells_lives
-            && bound.generation == worker.generation
-            && worker.is_listed_life()
-            && self.list_read_at >= told_by
+        is_told_life && bound.generation == worker.generation && self.list_read_at >= told_by
     }
 
     fn repeat_stops(&mut self, now: Duration) {
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -54,6 +54,8 @@
     pub listing: WorkerListing,
     /// The same as placing needs it.
     pub place: Arc<berth::BerthPlace>,
+    /// The life that its entry told of last.
+    pub told_life: Option<ids::Incarnation>,
     /// Whether the list has it now.
     pub listed: bool,
     /// It has written its entry since then, if it has under this tenure.
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -369,6 +369,11 @@
 /// A worker that tells its lives takes a start without an answer and can't be reached any more; a second one
 /// answers. How many milliseconds behind the start the task starts elsewhere.
 fn starts_again_behind(told: ids::Incarnation, is_list_read: bool) -> Option<u128> {
+    starts_again_behind_entry(Some(told), is_list_read)
+}
+
+/// The same where the entry tells no life, or that one.
+fn starts_again_behind_entry(told: Option<ids::Incarnation>, is_list_read: bool) -> Option<u128> {
     let mut bench = support::PoolBench::unanswered(2, Duration::ZERO);
     for index in 0..2 {
         bench.core.learn_worker(support::worker_id(index), entry(index, FIRST), bench.now);
@@ -380,7 +385,8 @@
     let start = support::starts(&bench.turn()).remove(0);
     let silent = support::index_of(&start.worker);
     bench.core.start_answered(&start, order::StartAnswer::Unknown, bench.now);
-    bench.core.learn_worker(start.worker.clone(), entry(silent, told), bench.now);
+    let told = worker::WorkerListing { incarnation: told, ..entry(silent, FIRST) };
+    bench.core.learn_worker(start.worker.clone(), told, bench.now);
     let other = support::worker_id(1 - silent);
     for millis in [2_500, 4_500, 5_500, 500] {
         bench.pass(millis);
@@ -408,6 +414,13 @@
     assert_eq!(starts_again_behind(SECOND, true), Some(13_000));
 }
 
+/// An entry that tells no life, of a worker that does, is not the worker's own, and tells of no later life.
+#[test]
+fn an_entry_that_tells_no_life_keeps_no_start() {
+    let entries = [None, Some(FIRST)].map(|it| (it, starts_again_behind_entry(it, true)));
+    assert_eq!(entries, [(None, Some(7_000)), (Some(FIRST), Some(7_000))]);
+}
+
 /// While the list can't be read a later life may have told of itself unheard.
 #[test]
 fn a_start_waits_for_the_longest_lease_while_the_list_is_not_read() {
