Let a suspect of a standing job run apart at once where the pool is ample

Order of events: a worker dies with tasks of several jobs; each task is a suspect from then, and waits for a worker of its own. One worker in four is kept for such tasks at a time, and what waits reserves the empty ones; the tasks of one job take them all, and another job, of which nothing runs, waits for the whole 2 s with more than half of the pool idle.

Mend: one task of a job of which nothing runs is not bound by the share, nor by what other suspects have reserved, while less than half of the pool is in use. It still runs alone on its worker. Once one runs the job does not stand, and the others wait as before. Nothing more is computed for tasks without suspicion.

The new test of the core failed before.

--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -34,8 +34,10 @@
         let is_suspect = tasks.iter().any(|it| it.suspicion.is_suspect());
         let is_trial = tasks.iter().any(|it| it.suspicion.is_on_trial());
         let is_patient = waited < trials::APART_PATIENCE;
-        let may_be_apart = is_trial && trials::may_be_apart(tasks, berths);
-        let takes_any = waited >= STANDING_PATIENCE && self.stands_beside_room(job);
+        let may_stand = is_trial || waited >= STANDING_PATIENCE;
+        let stands = may_stand && self.stands_beside_room(job);
+        let may_be_apart = is_trial && (stands || trials::may_be_apart(tasks, berths));
+        let takes_any = waited >= STANDING_PATIENCE && stands;
         let mut ask = berth::PlaceAsk {
             unit,
             upstream: upstream_number(&job.upstream, berths),
@@ -54,7 +56,7 @@
                 self.kept_empty(job, berths, waited)
             },
             far: false,
-            takes_reserved: takes_any || waited >= self.slack(job),
+            takes_reserved: stands || waited >= self.slack(job),
             is_trial,
             is_apart: is_suspect && is_patient,
             may_be_apart,
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -261,6 +261,25 @@
     assert_eq!(again.len() + running.len(), 24);
 }
 
+/// The workers that are kept for suspects are in use, and a job of which nothing runs stands still for 2 s more
+/// although half of the pool is idle.
+#[test]
+fn a_suspect_of_a_standing_job_runs_apart_at_once() {
+    let mut bench = support::PoolBench::new(8);
+    bench.admit(1, support::job(1, support::tasks(7)));
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let lost = support::index_of(&bench.turn_and_start()[0].worker);
+    bench.pass(1_000);
+    replace(&mut bench, lost);
+    let mut starts = turn_on_record(&mut bench);
+    for _ in 0..10 {
+        pass_with(&mut bench, &starts, 8);
+        starts.extend(turn_on_record(&mut bench));
+    }
+    let standing = starts.iter().find(|it| it.task == first_task(2)).expect("a start");
+    assert_eq!(starts.iter().filter(|it| it.worker == standing.worker).count(), 1);
+}
+
 /// What is held against a task outlives the scheduler.
 #[test]
 fn a_successor_goes_on_counting() {
