Tell a successor what was held against tasks and was not saved

Cause: what a holder learns of losses is in its memory until the store takes it, and goes with it while the store is away, which is when workers are lost. The former holder is there, and asked already whether it is over.

The successor takes in what it does not know itself: nothing of an attempt that is known to be over, whose worker may have told how it ended. It is soft: where the former holder is gone, too, nothing is told, and the successor is as careful as it was. Nothing is held less against a task for it.

Looked for elsewhere: what the former holder has taken back meanwhile, as a worker lives, is not told. A holder that is killed while the store is away still takes what it has learnt with it (postmortem).

--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -52,4 +52,5 @@
 mod restarts;
 mod slowness;
 mod trials;
+mod unsaved;
 mod upkeep;
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -232,7 +232,8 @@
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn restored_suspicion(saved: &model::TaskLosses) -> suspicion::TaskSuspicion {
+/// What was saved of a task.
+pub(crate) fn restored_suspicion(saved: &model::TaskLosses) -> suspicion::TaskSuspicion {
     let span = |ms: u32| Duration::from_millis(u64::from(ms));
     let losses = saved.losses.iter().map(|it| suspicion::TaskLoss {
         attempt: it.attempt,
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -111,8 +111,14 @@
 
     /// Whether the store lacks a change of any such row.
     pub fn lacks_any(&self, is_such: impl Fn(SaveKey) -> bool) -> bool {
+        self.rows().any(is_such)
+    }
+
+    /// The rows of which the store lacks a change.
+    pub fn rows(&self) -> impl Iterator<Item = SaveKey> {
         let rows = self.due.keys().chain(self.in_flight.keys()).chain(self.set_apart.keys());
-        rows.copied().any(is_such)
+        let rows = rows.copied().collect::<BTreeSet<_>>();
+        rows.into_iter()
     }
 
     /// Whether a row waits to be taken.
--- a/crates/pool/src/lead.rs
+++ b/crates/pool/src/lead.rs
@@ -119,7 +119,7 @@
         self.over.is_cancelled()
     }
 
-    /// Whether orders may be given now. They are taken to be.
+    /// Whether orders may be given now; if so, they are taken to be.
     pub(crate) fn may_order(&self, clock: &impl BootClock) -> bool {
         let now = clock.now();
         let may_order = !self.over.is_cancelled() && self.tenure().may_order(now);
@@ -224,7 +224,8 @@
 impl<S: state::PoolSite> Drop for HeldTenure<'_, S> {
     fn drop(&mut self) {
         self.lead.end();
-        self.state.note_ordered(self.lead.ordered_at());
+        let unsaved = self.lead.core().unsaved_suspicions();
+        self.state.note_ended(self.lead.ordered_at(), unsaved);
         self.state.set_lead(None);
         self.state.set_taken(None);
         metrics::gauge!("almondpass_pool_held").set(0.0);
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -49,11 +49,16 @@
         if open.is_empty() {
             return;
         }
-        let asked = open.iter().map(|it| over_at(&state, it));
-        for (former, over_at) in open.iter().zip(future::join_all(asked).await) {
-            let Some(over_at) = over_at else { continue };
+        let asked = open.iter().map(|it| ask(&state, it));
+        for (former, answer) in open.iter().zip(future::join_all(asked).await) {
+            let Some(answer) = answer else { continue };
+            let Some(over_for_ms) = answer.over_for_ms else { continue };
             told.insert(former.epoch);
+            let now = state.site.clock().now();
+            let over_at = now.saturating_sub(Duration::from_millis(over_for_ms));
             note_over(&state, &lead, former, over_at);
+            let mut core = lead.core();
+            answer.unsaved.into_iter().for_each(|it| core.learn_suspicions(it, now));
         }
         time::sleep(AGAIN).await;
     }
@@ -78,15 +83,13 @@
     lead.core().settles_by(settles_at);
 }
 
-/// Since when a former holder is surely over, if it is. That it can't be reached tells nothing.
-async fn over_at<S: state::PoolSite>(
+/// Asks a former holder whether it is over. That it can't be reached tells nothing.
+async fn ask<S: state::PoolSite>(
     state: &state::PoolState<S>,
     former: &predecessor_list::Predecessor,
-) -> Option<Duration> {
+) -> Option<model::TenureAnswer> {
     let query = model::TenureQuery { holder: former.holder.clone(), epoch: former.epoch };
-    let answer = state.site.peers().call(&former.address, query, DEADLINE).await.ok()?;
-    let over_for = Duration::from_millis(answer.over_for_ms?);
-    Some(state.site.clock().now().saturating_sub(over_for))
+    state.site.peers().call(&former.address, query, DEADLINE).await.ok()
 }
 
 /// Answers a successor. A tenure that is held still ends here: a later one is in force.
@@ -95,16 +98,16 @@
     query: &model::TenureQuery,
 ) -> model::TenureAnswer {
     let clock = state.site.clock();
-    let over_for = |since| {
+    let over_for = |since, unsaved| {
         let over_for = clock.now().saturating_sub(since).as_millis() as u64;
-        model::TenureAnswer { over_for_ms: Some(over_for) }
+        model::TenureAnswer { over_for_ms: Some(over_for), unsaved }
     };
     if query.holder != state.settings.instance {
         // No two processes answer at one address: that one has ended before this one began.
-        return over_for(state.began_at);
+        return over_for(state.began_at, Vec::new());
     }
     if state.taken().is_some_and(|it| it > query.epoch) {
-        return over_for(clock.now());
+        return over_for(clock.now(), Vec::new());
     }
     let lead = state.lead();
     if let Some(lead) = lead.as_ref().filter(|it| !it.is_over()) {
@@ -113,11 +116,13 @@
         let ends_now = lead.may_order(clock);
         lead.end();
         if ends_now {
-            return over_for(clock.now());
+            return over_for(clock.now(), lead.core().unsaved_suspicions());
         }
     } else if lead.is_none() && state.taken().is_some() {
-        return model::TenureAnswer { over_for_ms: None };
+        return model::TenureAnswer::default();
     }
-    let ordered_at = lead.and_then(|it| it.ordered_at()).max(state.ordered_at());
-    over_for(ordered_at.unwrap_or(state.began_at))
+    let ordered_at = lead.as_ref().and_then(|it| it.ordered_at()).max(state.ordered_at());
+    let unsaved = lead.map(|it| it.core().unsaved_suspicions());
+    let unsaved = unsaved.unwrap_or_else(|| state.unsaved_suspicions());
+    over_for(ordered_at.unwrap_or(state.began_at), unsaved)
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -69,6 +69,8 @@
     taken: Mutex<Option<ids::Epoch>>,
     /// When an order of a tenure that is over here may have left last.
     ordered_at: Mutex<Option<Duration>>,
+    /// What the last such tenure held against tasks and had not saved.
+    unsaved: Mutex<Vec<model::UnsavedSuspicions>>,
     /// Whether the store gives this instance no answers, as its last long call showed.
     store_away: AtomicBool,
     /// Whether calls by way of peers are worth a try.
@@ -107,6 +109,7 @@
             lead: Mutex::default(),
             taken: Mutex::default(),
             ordered_at: Mutex::default(),
+            unsaved: Mutex::default(),
             store_away: AtomicBool::new(false),
             detours: Mutex::default(),
             nudges: Mutex::default(),
@@ -139,10 +142,20 @@
         *lock(&self.ordered_at)
     }
 
-    /// A tenure is over here, whose last order may have left at `at`.
-    pub(crate) fn note_ordered(&self, at: Option<Duration>) {
+    /// What the last tenure that is over here held against tasks and had not saved.
+    pub(crate) fn unsaved_suspicions(&self) -> Vec<model::UnsavedSuspicions> {
+        lock(&self.unsaved).clone()
+    }
+
+    /// A tenure is over here, whose last order may have left at `ordered_at`.
+    pub(crate) fn note_ended(
+        &self,
+        ordered_at: Option<Duration>,
+        unsaved: Vec<model::UnsavedSuspicions>,
+    ) {
         let mut latest = lock(&self.ordered_at);
-        *latest = (*latest).max(at);
+        *latest = (*latest).max(ordered_at);
+        *lock(&self.unsaved) = unsaved;
     }
 
     /// Another instance that holds the tenure, as last seen.
--- a/crates/pool/tests/pool/crashes.rs
+++ b/crates/pool/tests/pool/crashes.rs
@@ -4,6 +4,7 @@
 
 use almondpass_graph::task_key;
 use almondpass_schema::model;
+use almondpass_standin::fault;
 use tokio::time;
 
 use crate::support;
@@ -79,3 +80,18 @@
     row.graph.steps[0].gang = true;
     row
 }
+
+/// What a holder has learnt of losses without the store goes with it, and a task crashes as many workers again.
+#[test]
+fn a_successor_is_told_of_losses_that_were_not_saved() {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 8).await;
+        bench.bring_back(support::Comeback::AtItsAddress, Duration::from_secs(1));
+        let (holder, other) = (bench.holder(), bench.other());
+        bench.submit(other, 1, crashing(1, 10)).await;
+        bench.instances[holder].to_store.set(fault::Condition::Silent);
+        bench.await_state(other, 1, model::GraphState::Failed, GIVEN_UP).await;
+        assert!(bench.instances[holder].state.lead().is_none_or(|it| it.is_over()));
+        assert_eq!(n_starts(&bench, 1), 3);
+    });
+}
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2243,6 +2243,14 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub trials: ::std::vec::Vec<TaskAttempt>,
 }
+///What was held against tasks of a step.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StepSuspicions {
+    ///Workers lost under a task.
+    pub losses: ::std::vec::Vec<TaskLosses>,
+    ///Starts that were to be on record, of which nothing was heard since.
+    pub trials: ::std::vec::Vec<TaskAttempt>,
+}
 ///What became of a submission: stored; not stored for now; perhaps stored; the id is taken; never to be stored, as the store would refuse it again.
 #[derive(
     ::serde::Deserialize,
@@ -2556,6 +2564,9 @@
     ///For how long it has been over at least; absent where it may go on.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub over_for_ms: ::std::option::Option<u64>,
+    ///What it held against tasks and has not saved.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub unsaved: ::std::vec::Vec<UnsavedSuspicions>,
 }
 ///Asks where an instance held a tenure whether that is over, behind a later one; it ends it if it still holds it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -2633,6 +2644,16 @@
     ///PEM key, not readable by others.
     pub key_file: ::std::string::String,
 }
+///What was held against tasks of a job, or of a chunk of its tasks, and was not saved.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct UnsavedSuspicions {
+    ///Index of the first step that is told of.
+    pub first_step: u32,
+    ///The job.
+    pub graph: crate::ids::GraphId,
+    ///These steps in order.
+    pub steps: ::std::vec::Vec<StepSuspicions>,
+}
 ///An upstream's service on one worker.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct UpstreamEndpoint {
