Count what has struck a task before toward the rate of losses that it is judged by

Cause: what had struck the task itself was left out of the rate, so that of the losses on four workers hardly any was left to tell it. Under the hypothesis that is tested, that the task crashes nothing, these are losses like any other.

--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -269,6 +269,7 @@
             exposure,
             n_workers: self.workers.len(),
             n_silent: silent.count(),
+            n_before: self.n_losses_before(key),
         };
         self.loss_history.odds(key, beside)
     }
@@ -289,6 +290,13 @@
         self.surroundings(&scene, key, self.exposure(key, now), now)
     }
 
+    /// Workers that were lost under a task before the attempt that is under way.
+    fn n_losses_before(&self, key: task_key::TaskKey) -> usize {
+        let Some(task) = self.jobs.get(&key.graph).and_then(|it| it.task(key)) else { return 0 };
+        let losses = task.suspicion.losses().iter();
+        losses.filter(|it| it.attempt != task.attempt).count()
+    }
+
     /// How long a task is at risk: until its end as its pace tells it, or as long as its class takes, or as
     /// it ran. By the shortest, long tasks would be taken for culprits: they are struck most.
     fn exposure(&self, key: task_key::TaskKey, now: Duration) -> Duration {
