Take an entry that comes long behind the one before it for no news of a worker's room

Order of events (, shown by lines that tell when an entry is written and a room changes): a worker writes its entry at 33.5 s; the store, whose answers are lost and whose effects come late in this storm, carries the write out behind 35 s; at 34.1 s the room shrinks to nothing, which counts from 38.6 s; the holder reads the entry at 37.6 s, takes what it says for as old as its last reading of the list, and starts tasks at 38.7 and 40.0 s.

Cause, suspected before and shown now: that an entry is told anew says when the store took it, not when it was written.

Mend: where the list tells of an entry anew more than a heartbeat and 1.2 s behind the time before, what it says may be from any time since then, and its worker gets no tasks before the next one. With regular entries nothing changes; behind a gap it costs a heartbeat more, on workers that refuse nothing only. Ruled out: to go by the entry before each time (a worker would be barred whenever one heartbeat is late).

The new test of the core failed before; the second test holds on both sides.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -23,6 +23,9 @@
 use crate::waiting;
 use crate::worker;
 
+/// For a worker's write of its entry, and for reading it: the list is asked for changes every 0.6 s.
+const ENTRY_SLACK: Duration = Duration::from_millis(1_200);
+
 /// Everything that the scheduler of a pool knows. Events are taken in by its methods; each returns
 /// nothing and leaves orders, which [`PoolCore::take_orders`] hands out.
 #[derive(Debug)]
@@ -147,10 +150,14 @@
         self.list_read_at = self.list_read_at.max(at);
     }
 
-    /// A worker has written its entry since the list was last read.
+    /// The list tells of the entry of a worker anew since it was last read. Where that is long behind the time
+    /// before, the store may have carried the write out late, and what it says is from any time since.
     pub fn worker_told(&mut self, worker: &ids::WorkerId) {
         let at = self.list_read_at;
-        if let Some(record) = self.workers.get_mut(worker) {
+        let usual_gap = self.terms.heartbeat + ENTRY_SLACK;
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        let before = record.entry_at.replace(at);
+        if before.is_none_or(|it| at <= it + usual_gap) {
             record.told_at = Some(at);
         }
     }
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -121,7 +121,9 @@
         listing: worker::WorkerListing,
         now: Duration,
     ) {
+        let list_read_at = self.list_read_at;
         let record = self.record_or_new(&worker);
+        record.entry_at.get_or_insert(list_read_at);
         let is_other_life = record.listing.incarnation != listing.incarnation;
         let is_moved = !record.listing.is_found_at(&listing.address, &listing.upstream);
         if !record.listed {
--- a/crates/graph/src/restarts.rs
+++ b/crates/graph/src/restarts.rs
@@ -64,6 +64,7 @@
             told_life: self.told_life,
             listed: self.listed,
             told_at: self.told_at,
+            entry_at: self.entry_at,
             leaves_at: self.leaves_at.filter(|_| is_of_entry),
             incarnation,
             life_since: now,
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -58,8 +58,10 @@
     pub told_life: Option<ids::Incarnation>,
     /// Whether the list has it now.
     pub listed: bool,
-    /// It has written its entry since then, if it has under this tenure.
+    /// What its entry says is from then or later, as far as that is known under this tenure.
     pub told_at: Option<Duration>,
+    /// The list told of its entry anew behind then.
+    pub entry_at: Option<Duration>,
     /// When the list first said that it leaves, as the time until which it stays at least.
     pub leaves_at: Option<Duration>,
     /// Whether it has answered under this tenure, so that orders of earlier ones are refused.
--- /dev/null
+++ b/crates/graph/tests/pool/entries.rs
@@ -0,0 +1,58 @@
+//! What the entries of workers are worth that refuse nothing.
+
+use std::sync::Arc;
+
+use almondpass_graph::catalog;
+
+use crate::support;
+
+/// Workers write their entries this often, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+
+/// One worker that refuses nothing, whose entry has been read.
+fn unguarded_bench() -> support::PoolBench {
+    let mut bench = support::PoolBench::new(1);
+    bench.core.set_catalog(Arc::new(catalog::PoolCatalog {
+        unguarded: [support::listing(0).upstream].into(),
+        ..catalog::PoolCatalog::default()
+    }));
+    bench.core.list_read(bench.now);
+    tells(&mut bench, 1);
+    bench
+}
+
+/// The list tells of the entry anew, behind as many heartbeats, and the worker answers.
+fn tells(bench: &mut support::PoolBench, n_heartbeats: u64) {
+    for _ in 0..n_heartbeats {
+        bench.pass(HEARTBEAT_MS);
+        bench.core.list_read(bench.now);
+        bench.lists(0, &[], &[]);
+    }
+    bench.core.worker_told(&support::worker_id(0));
+}
+
+/// How many of the tasks of a job start now.
+fn n_starts(bench: &mut support::PoolBench) -> usize {
+    bench.admit(1, support::job(1, support::tasks(1)));
+    support::starts(&bench.turn()).len()
+}
+
+/// Tasks start beyond a room that has shrunk meanwhile: the store has carried the write of an entry out late.
+#[test]
+fn an_entry_that_comes_late_tells_of_no_room() {
+    let mut bench = unguarded_bench();
+    tells(&mut bench, 3);
+    assert_eq!(n_starts(&mut bench), 0);
+    tells(&mut bench, 1);
+    assert_eq!(n_starts(&mut bench), 1);
+}
+
+/// One write of an entry that is lost costs nothing yet.
+#[test]
+fn an_entry_that_comes_in_time_tells_of_room() {
+    let mut bench = unguarded_bench();
+    tells(&mut bench, 1);
+    bench.pass(HEARTBEAT_MS);
+    bench.lists(0, &[], &[]);
+    assert_eq!(n_starts(&mut bench), 1);
+}
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -1,6 +1,7 @@
 //! The core of a pool, driven by hand: what it orders, given what workers answer.
 
 mod beliefs;
+mod entries;
 mod evacuations;
 mod failures;
 mod load;
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -75,10 +75,10 @@
     });
     core.set_evacuated(state.evacuations.data_centers());
     let (graphs_at, workers_at) = (graphs.version, workers.version);
+    core.list_read(asked_at);
     for row in workers.rows {
         learn_worker(state, &mut core, &row, now);
     }
-    core.list_read(asked_at);
     core.begin_losses(taken.losses.as_ref(), now);
     for row in &roster.rows {
         inherit_page(&mut core, row);
--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -96,6 +96,7 @@
 #[test]
 fn storms_that_wait_for_a_lost_worker() {
     play(WorkKind::Losses, [14, 52, 53, 139, 172, 194, 3_100_023]);
+    play(WorkKind::Losses, [770_372, 41_400_013, 41_400_229, 41_400_243, 45_300_029]);
 }
 
 fn play(kind: WorkKind, seeds: impl IntoIterator<Item = u64>) {
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -222,7 +222,7 @@
 /// what was known of its losses was not saved, when the scheduler went while the store was away.
 #[test]
 fn storms_that_forget_losses_at_takeovers() {
-    play(StormKind::Crashes, [1_200_271, 1_200_275]);
+    play(StormKind::Crashes, [1_200_271, 1_200_275, 41_200_329]);
 }
 
 /// A taking back without answer that the store carries out behind a newer evacuation ends that one.
@@ -247,14 +247,14 @@
 /// A task that was struck five and six times in a row by workers that start again by themselves is given up.
 #[test]
 fn storms_that_look_like_a_culprit() {
-    play(StormKind::Restarts, [990_115]);
+    play(StormKind::Restarts, [990_115, 770_410]);
     play(StormKind::UntoldRestarts, [990_167]);
 }
 
 /// A worker's entry that the store carries out late tells of a room that has shrunk since.
 #[test]
 fn storms_with_entries_carried_out_late() {
-    play(StormKind::Rooms, [880_060, 880_245, 1_200_399]);
+    play(StormKind::Rooms, [880_060, 880_245, 1_200_399, 770_460, 41_300_120]);
 }
 
 fn play(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -393,6 +393,7 @@
 
     /// The room of a worker changes; its entry tells at its next heartbeat.
     pub(crate) fn set_room(&self, worker: &ids::WorkerId, accelerators: u32) {
+        tracing::info!(worker, accelerators, "room changes");
         self.fleet.set_capacity(worker, room_of(accelerators));
     }
 
@@ -574,7 +575,9 @@
     let writing = async {
         let read = store.get(model::TableGet { keys: vec![key.clone()] }).await.ok()?;
         let version = read.rows.first().map_or(0, |it| it.version);
-        let value = blob::Blob::from(entry_of(&fleet, index).into_bytes());
+        let entry = entry_of(&fleet, index);
+        tracing::info!(entry, version, "entry is written");
+        let value = blob::Blob::from(entry.into_bytes());
         let mut put = put_of(&key, Some(value));
         // One that is carried out late must not overwrite what was told since.
         put.conditions.push(model::TableCondition { key, version });
