Count a suspect's wait for a worker of its own only while it could start

Order of events: the task is under suspicion, and waits for the takeover to settle, for a tenure that may order, or for workers that can be reached; 9 s later it starts at once beside seven others, as it has waited for longer than the 2 s for which a suspect waits to run apart. The loss that would have been proof is blurred.

Mend: these 2 s count from the first turn in which nothing but room is missing, and anew behind a pause of turns or a time without any worker that may get tasks.

The new test of the core failed before (others started with the first turn).

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -69,6 +69,10 @@
     pub(crate) list_read_at: Duration,
     /// Upstreams of whose workers less than half is in use, as of when jobs that wait were last gone over.
     pub(crate) ample: BTreeSet<ids::UpstreamName>,
+    /// When the last turn was.
+    pub(crate) turned_at: Duration,
+    /// Since when there have been turns all the while, and workers that may get tasks.
+    pub(crate) resumed_at: Duration,
     /// When time was last taken note of.
     pub(crate) kept_up_at: Duration,
     /// When jobs that wait were last gone over.
@@ -121,6 +125,8 @@
             loss_counts: losses::LossCounts::default(),
             list_read_at: Duration::ZERO,
             ample: BTreeSet::new(),
+            turned_at: Duration::ZERO,
+            resumed_at: Duration::ZERO,
             kept_up_at: Duration::ZERO,
             waits_told_at: Duration::ZERO,
             wait_counts: waiting::WaitCounts::default(),
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -18,9 +18,13 @@
 use crate::room;
 use crate::task_key;
 
+/// Turns come at least twice as often while anything waits: behind a longer pause nothing could be ordered.
+const TURN_GAP: Duration = Duration::from_secs(1);
+
 impl core::PoolCore {
     /// Takes note of the time, then starts what can start and clears room for urgent work.
     pub fn turn(&mut self, now: Duration) {
+        self.note_turn(now);
         self.keep_up(now);
         let all = self.startable_accelerators();
         let urgent = self.urgent_accelerators();
@@ -37,12 +41,22 @@
         }
         self.drop_claims(now);
         let mut berths = self.berths(now);
+        if berths.is_empty() {
+            self.resumed_at = now;
+        }
         self.start_units(units, &mut berths, now);
         if tells_waits {
             self.tell_waits(&berths, now);
         }
     }
 
+    fn note_turn(&mut self, now: Duration) {
+        if now > self.turned_at + TURN_GAP {
+            self.resumed_at = now;
+        }
+        self.turned_at = now;
+    }
+
     fn start_units(
         &mut self,
         units: Vec<task_key::UnitKey>,
@@ -57,6 +71,7 @@
             if !self.is_on_record(unit, now) {
                 continue;
             }
+            self.note_apart_wait(unit, now);
             let is_tried = !full.contains(&(unit.graph, unit.step));
             if is_tried && !self.is_hopeless(unit, &hopeless) {
                 let outcome = self.try_start(unit, berths, &mut failed, now);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -93,6 +93,8 @@
     pub lost_on: BTreeSet<ids::WorkerId>,
     /// It does not start before: whether the worker under it is lost will be surer soon.
     pub held_until: Duration,
+    /// Since when it could run apart, as far as its start and its room go; before `waits_since` where it could not yet.
+    pub apart_since: Duration,
     /// The change that puts its next start on record.
     pub trial_mark: Option<save_queue::SaveMark>,
 }
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -90,6 +90,27 @@
         is_durable
     }
 
+    /// Takes note that a unit could run apart from now on: nothing but room is missing.
+    pub(crate) fn note_apart_wait(&mut self, unit: task_key::UnitKey, now: Duration) {
+        if !self.has_trial(unit) {
+            return;
+        }
+        for key in self.unit_tasks(unit) {
+            if let Some(task) = self.task_of(key).filter(|it| it.apart_since < it.waits_since) {
+                task.apart_since = now;
+            }
+        }
+    }
+
+    /// How long a task has waited for a worker of its own: not while nothing could be started, as before a takeover
+    /// has settled. Else it would run beside others right behind an outage, where what is lost says least.
+    pub(crate) fn waited_apart(&self, task: &job::TaskRecord, now: Duration) -> Duration {
+        if task.apart_since < task.waits_since {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(task.apart_since.max(self.resumed_at))
+    }
+
     /// Whether a task of a unit is held back until the loss of its worker is surer.
     pub(crate) fn is_held(&self, unit: task_key::UnitKey, now: Duration) -> bool {
         self.unit_records(unit).iter().any(|it| now < it.held_until)
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -280,6 +280,30 @@
     assert_eq!(starts.iter().filter(|it| it.worker == standing.worker).count(), 1);
 }
 
+/// Suspects run beside others as soon as an outage is over: the time in which nothing could start counted as time in
+/// which they had waited for workers of their own.
+#[test]
+fn suspects_wait_to_run_apart_behind_an_outage() {
+    let mut bench = support::PoolBench::new(3);
+    bench.admit(1, support::job(1, support::tasks(5)));
+    let starts = bench.turn_and_start();
+    let lost = support::index_of(&starts[0].worker);
+    bench.admit(2, support::job(1, support::tasks(8)));
+    let mut running = bench.turn_and_start();
+    running.retain(|it| support::index_of(&it.worker) != lost);
+    replace(&mut bench, lost);
+    let mut n_starts = Vec::new();
+    for millis in [5_000, 500, 500, 500, 500, 500] {
+        bench.pass(millis);
+        pass_with(&mut bench, &running, 3);
+        let starts = turn_on_record(&mut bench);
+        n_starts.push(starts.iter().filter(|it| it.task.graph == 1).count());
+        running.extend(starts);
+    }
+    assert_eq!(n_starts[..4], [1, 0, 0, 0]);
+    assert!(n_starts[4..].iter().sum::<usize>() > 0, "{n_starts:?}");
+}
+
 /// What is held against a task outlives the scheduler.
 #[test]
 fn a_successor_goes_on_counting() {
