Pass over an entry of a worker that a later one has overtaken

Order of events: the worker writes its entry before 35.0 s, with room for two; its room shrinks to nothing, and entries that say so are read at 35.3 s, 38.5 s and 39.7 s; the store carries the first write out at 40.3 s, and two tasks start.

Mend: entries are numbered by their workers on the platform (`sequence`); one of the same life with a lower number than the last that was read is passed over, and is no news of its worker. Not where lives are not told apart: a later one begins to count anew. The stand-in's workers number their entries now.

The new test of the core failed to build before, as nothing read the number; the storm failed before and passes behind, and stands in `storms_with_entries_carried_out_late`.

--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -114,15 +114,20 @@
         }
     }
 
-    /// Takes in a worker of the platform's list.
+    /// Takes in a worker of the platform's list. Tells whether that is news: not where the worker has written
+    /// its entry anew since.
     pub fn learn_worker(
         &mut self,
         worker: ids::WorkerId,
         listing: worker::WorkerListing,
         now: Duration,
-    ) {
+    ) -> bool {
         let list_read_at = self.list_read_at;
         let record = self.record_or_new(&worker);
+        if record.listed && listing.is_overtaken_by(&record.listing) {
+            tracing::info!(worker, sequence = listing.sequence, "entry of a worker was overtaken");
+            return false;
+        }
         record.entry_at.get_or_insert(list_read_at);
         let is_other_life = record.listing.incarnation != listing.incarnation;
         let is_moved = !record.listing.is_found_at(&listing.address, &listing.upstream);
@@ -160,6 +165,7 @@
         if is_moved {
             self.refresh_roster(&worker);
         }
+        true
     }
 
     /// Takes in a worker to which an earlier scheduler may have given orders, as it stands on a page of
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -38,9 +38,17 @@
     pub leaves_in: Option<Duration>,
     /// The life of the worker that says so, where the platform tells lives apart.
     pub incarnation: Option<ids::Incarnation>,
+    /// Rises with each time that a life of the worker has written this, where the platform numbers that.
+    pub sequence: Option<u64>,
 }
 
 impl WorkerListing {
+    /// Whether the same life has written `later` behind this: the store may carry writes out late.
+    pub fn is_overtaken_by(&self, later: &WorkerListing) -> bool {
+        let is_same_life = self.incarnation.is_some() && self.incarnation == later.incarnation;
+        is_same_life && self.sequence.zip(later.sequence).is_some_and(|(it, later)| it < later)
+    }
+
     /// Whether the worker is found at that address, for that upstream: all that the roster tells of it.
     pub fn is_found_at(&self, address: &str, upstream: &str) -> bool {
         self.address == address && self.upstream == upstream
--- a/crates/graph/tests/pool/entries.rs
+++ b/crates/graph/tests/pool/entries.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use almondpass_graph::catalog;
+use almondpass_graph::{catalog, room, worker};
 
 use crate::support;
 
@@ -47,6 +47,25 @@
     assert_eq!(n_starts(&mut bench), 1);
 }
 
+/// The store carries the write of an entry out behind one that its worker has made later.
+#[test]
+fn an_entry_that_was_overtaken_is_no_news() {
+    let mut bench = unguarded_bench();
+    let entry = |sequence, accelerators| worker::WorkerListing {
+        incarnation: Some(1),
+        sequence: Some(sequence),
+        capacity: room::Room { accelerators, ..support::CAPACITY },
+        ..support::listing(0)
+    };
+    let id = support::worker_id(0);
+    assert!(bench.core.learn_worker(id.clone(), entry(7, 0), bench.now));
+    assert!(!bench.core.learn_worker(id.clone(), entry(6, 8), bench.now));
+    assert_eq!(bench.core.summary().accelerators, 0);
+    let reborn = worker::WorkerListing { incarnation: Some(2), ..entry(1, 4) };
+    assert!(bench.core.learn_worker(id, reborn, bench.now));
+    assert_eq!(bench.core.summary().accelerators, 4);
+}
+
 /// One write of an entry that is lost costs nothing yet.
 #[test]
 fn an_entry_that_comes_in_time_tells_of_room() {
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -185,6 +185,7 @@
         rack,
         leaves_in: None,
         incarnation: None,
+        sequence: None,
     }
 }
 
--- a/crates/pool/src/lead_loader.rs
+++ b/crates/pool/src/lead_loader.rs
@@ -101,23 +101,27 @@
     Ok(LoadedLead { core, graphs_at, workers_at })
 }
 
-/// Takes a row of the workers' table into the core.
+/// Takes a row of the workers' table into the core. Tells whether that is news of its worker.
 pub(crate) fn learn_worker<S: state::PoolSite>(
     state: &state::PoolState<S>,
     core: &mut core::PoolCore,
     row: &row_feed::FeedRow,
     now: Duration,
-) {
+) -> bool {
     let Some(value) = &row.value else {
         state.faulty_entries().forget(&row.key);
-        return core.unlist_worker(&row.key, now);
+        core.unlist_worker(&row.key, now);
+        return true;
     };
     let read = state.site.reader().worker(value).and_then(|it| check_upstream(state, it));
     state.faulty_entries().observe(&row.key, &read);
     match read {
         Ok(listing) => core.learn_worker(row.key.clone(), listing, now),
         // What runs there counts on: the worker may be sound, and only its entry overwritten.
-        Err(_) => core.unlist_worker(&row.key, now),
+        Err(_) => {
+            core.unlist_worker(&row.key, now);
+            true
+        }
     }
 }
 
--- a/crates/pool/src/worker_follower.rs
+++ b/crates/pool/src/worker_follower.rs
@@ -84,8 +84,8 @@
     let now = state.site.clock().now();
     let mut core = lead.core();
     for row in rows {
-        lead_loader::learn_worker(state, &mut core, row, now);
-        if row.version > after {
+        let is_news = lead_loader::learn_worker(state, &mut core, row, now);
+        if is_news && row.version > after {
             core.worker_told(&row.key);
         }
     }
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -254,7 +254,7 @@
 /// A worker's entry that the store carries out late tells of a room that has shrunk since.
 #[test]
 fn storms_with_entries_carried_out_late() {
-    play(StormKind::Rooms, [880_060, 880_245, 1_200_399, 770_460, 41_300_120]);
+    play(StormKind::Rooms, [880_060, 880_245, 1_200_399, 770_460, 41_300_120, 50_300_071]);
 }
 
 fn play(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -148,7 +148,8 @@
 pub(crate) const PANICKING_DOCUMENT: &[u8] = b"panic";
 
 /// A document is the number of its version, with a `!` behind it if workers refuse nothing. A worker's row
-/// is its rack, its incarnation, its address and its accelerators, with a `-` behind them once it leaves.
+/// is its rack, its incarnation, its address, its accelerators and its number, with a `-` behind them once
+/// it leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchReader;
 
@@ -188,6 +189,7 @@
         let form = |fault: std::str::Utf8Error| worker_entry::EntryFault::Form(fault.to_string());
         let text = std::str::from_utf8(value).map_err(form)?;
         let staying = text.trim_end_matches('-');
+        let (staying, sequence) = staying.split_once('+').unwrap_or((staying, ""));
         let (staying, accelerators) = staying.split_once('~').unwrap_or((staying, "8"));
         let (staying, address) = staying.split_once('#').unwrap_or((staying, "worker"));
         let (rack, incarnation) = staying.split_once('@').unwrap_or((staying, ""));
@@ -201,6 +203,7 @@
             rack,
             leaves_in: text.ends_with('-').then_some(Duration::from_secs(2)),
             incarnation: incarnation.parse().ok(),
+            sequence: sequence.parse().ok(),
         })
     }
 }
@@ -634,13 +637,14 @@
     format!("workers//{}", worker_id(index))
 }
 
-/// The entry of a worker: its rack, its incarnation where it tells it, and its address.
+/// The next entry of a worker: its rack, its incarnation where it tells it, its address and so on.
 fn entry_of(fleet: &pool_fleet::PoolFleet, index: usize) -> String {
     let worker = worker_id(index);
     let incarnation = fleet.incarnation(&worker);
     let incarnation = incarnation.map(|it| it.to_string()).unwrap_or_default();
     let accelerators = fleet.capacity(&worker).map_or(0, |it| it.accelerators);
-    format!("r{}@{incarnation}#{}~{accelerators}", index / 8, fleet.address_of(&worker))
+    let (address, sequence) = (fleet.address_of(&worker), fleet.number_entry());
+    format!("r{}@{incarnation}#{address}~{accelerators}+{sequence}", index / 8)
 }
 
 /// What a worker offers of which that many accelerators are left; the rest shrinks alike.
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -43,6 +43,7 @@
 #[derive(Debug, Default)]
 struct FleetState {
     n_lives: u64,
+    n_entries: u64,
     /// Ids that workers have, or had.
     known: BTreeSet<ids::WorkerId>,
     workers: BTreeMap<ids::WorkerId, pool_worker::PoolWorker>,
@@ -178,6 +179,13 @@
         (!state.hides_lives).then_some(incarnation)
     }
 
+    /// The number of the next entry that a worker writes.
+    pub fn number_entry(&self) -> u64 {
+        let mut state = state::lock(&self.state);
+        state.n_entries += 1;
+        state.n_entries
+    }
+
     /// Whether a worker is up.
     pub fn is_up(&self, worker: &str) -> bool {
         state::lock(&self.state).workers.contains_key(worker)
