Bound a suspect's wait, and tell a successor of jobs that were given up unsaved

A job that the former holder has given up, and could not save, is told with what was held against its task: the successor comes to the same without starting it again. `SaveQueue::rows` allocates nothing at each save; a field stands beside the one that its comment speaks of.

--- a/crates/graph/src/asking.rs
+++ b/crates/graph/src/asking.rs
@@ -33,7 +33,8 @@
         let waited = waited.min(self.wall.saturating_sub(job.due(unit.step as usize)));
         let is_suspect = tasks.iter().any(|it| it.suspicion.is_suspect());
         let is_trial = tasks.iter().any(|it| it.suspicion.is_on_trial());
-        let is_patient = tasks.iter().all(|it| self.waited_apart(it, now) < trials::APART_PATIENCE);
+        let is_patient = waited < trials::LONGEST_APART_WAIT
+            && tasks.iter().all(|it| self.waited_apart(it, now) < trials::APART_PATIENCE);
         let may_stand = is_trial || waited >= STANDING_PATIENCE;
         let stands = may_stand && self.stands_beside_room(job);
         let may_be_apart = is_trial && (stands || trials::may_be_apart(tasks, berths));
--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -89,13 +89,13 @@
     pub n_losses: usize,
     /// Chance that it was struck by what else was lost, as it looked then.
     pub surroundings: f64,
+    /// The same of being struck as early as all its runs were that have ended so, this one included.
+    pub early_surroundings: f64,
     /// The share of its run time within which it was struck. What cuts a worker off comes at any time of a
     /// run.
     pub struck_within: f64,
     /// How far into its run that was at the latest; nothing where that can't be compared with other runs.
     pub struck_by: Option<Duration>,
-    /// The same chance for as long only as any of its runs has lasted, this one included.
-    pub early_surroundings: f64,
 }
 
 /// What surrounds the loss of a worker.
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -114,11 +114,10 @@
         self.rows().any(is_such)
     }
 
-    /// The rows of which the store lacks a change.
+    /// The rows of which the store lacks a change, some of them twice.
     pub fn rows(&self) -> impl Iterator<Item = SaveKey> {
         let rows = self.due.keys().chain(self.in_flight.keys()).chain(self.set_apart.keys());
-        let rows = rows.copied().collect::<BTreeSet<_>>();
-        rows.into_iter()
+        rows.copied()
     }
 
     /// Whether a row waits to be taken.
--- a/crates/graph/src/trials.rs
+++ b/crates/graph/src/trials.rs
@@ -20,6 +20,10 @@
 /// takes a job as lost that stands still for 3 s although there is room.
 pub(crate) const APART_PATIENCE: Duration = Duration::from_millis(2_000);
 
+/// The same whatever keeps it from starting meanwhile: outages of the store and of ways to workers take seconds, and
+/// a takeover up to 14.
+pub(crate) const LONGEST_APART_WAIT: Duration = Duration::from_secs(20);
+
 /// Of so many workers one at most is kept for suspects of which little is known: after one loss there may
 /// be as many as ran there.
 const WORKERS_A_SUSPECT: usize = 4;
--- a/crates/graph/src/unsaved.rs
+++ b/crates/graph/src/unsaved.rs
@@ -3,6 +3,7 @@
 //! Losses come amid outages: while the store is away, what was learnt of them would go with the scheduler, and a
 //! task that crashes its workers would be started anew as often again.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
@@ -23,9 +24,12 @@
             save_queue::SaveKey::Progress { graph, chunk } => Some((graph, chunk)),
             save_queue::SaveKey::Roster { .. } => None,
         });
+        let chunks = chunks.collect::<BTreeSet<_>>().into_iter();
         let told = chunks.filter_map(|(graph, chunk)| {
-            let job = self.jobs.get(&graph).filter(|it| !it.has_ended())?;
-            suspicions_of(graph, job, chunk)
+            let job = self.jobs.get(&graph)?;
+            let is_given_up = job.failure == Some(model::FailureCause::CrashesWorkers);
+            let is_told = is_given_up || !job.has_ended();
+            if is_told { suspicions_of(graph, job, chunk) } else { None }
         });
         told.take(MOST_TOLD).collect()
     }
