--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -99,6 +99,12 @@
     play(WorkKind::Losses, [770_372, 41_400_013, 41_400_229, 41_400_243, 45_300_029]);
 }
 
+/// Accepted jobs stand still behind losses for a reason that is not traced yet.
+#[test]
+fn storms_that_still_wait_behind_losses() {
+    play(WorkKind::Losses, [52_400_104, 52_400_138]);
+}
+
 fn play(kind: WorkKind, seeds: impl IntoIterator<Item = u64>) {
     for seed in seeds {
         println!("storm {seed}, accepted work, {kind:?}");
