--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -67,6 +67,7 @@
             rack,
             leaves_in: None,
             incarnation: None,
+            sequence: None,
         };
         core.learn_worker(format!("w{index:05}"), listing, now);
     }
