Name what changes state for that, cut peers off in one place, and say what is known of the listed storms

`has_survived` read like a question and took note; it is `note_survived`. `standing` losses, beside standing jobs and the standing of a tenure, are `counted` ones. The storm's and the takeovers' cut between an instance and its peers were the same lines twice; both call the bench's. The comment of the listed test said that it was not traced, which it is; four tests told in two lines what they guard against, now in one each.

--- a/crates/graph/src/listing.rs
+++ b/crates/graph/src/listing.rs
@@ -210,7 +210,7 @@
             task.checkpoint = listed.checkpoint;
         }
         if tells_moments {
-            task.suspicion.has_survived(clock.saturating_sub(known_since));
+            task.suspicion.note_survived(clock.saturating_sub(known_since));
         }
         if has_begun {
             self.note_begin(key, now);
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -85,7 +85,7 @@
     }
 
     /// A run of it was seen to go on for so long. It is not what ended others much sooner.
-    pub fn has_survived(&mut self, ran: Duration) {
+    pub fn note_survived(&mut self, ran: Duration) {
         self.survived = self.survived.max(ran);
     }
 
@@ -97,7 +97,7 @@
     /// Whether its starts are trials: apart from other work, and on record. What was struck several times,
     /// amid whatever, runs alone at last; beside others each further loss would say as little.
     pub fn is_on_trial(&self) -> bool {
-        self.is_suspect() || self.standing().count() >= LOSSES_TO_TRIAL
+        self.is_suspect() || self.counted().count() >= LOSSES_TO_TRIAL
     }
 
     /// Whether more than one loss speaks against it, or one under it alone.
@@ -107,27 +107,27 @@
 
     /// Whether it is taken to crash the workers that start it.
     pub fn is_proved(&self) -> bool {
-        let n_losses = self.standing().count();
+        let n_losses = self.counted().count();
         let is_below = |odds: f64, bounds: [f64; 2], least_losses: usize| {
             let n_more = n_losses.checked_sub(least_losses);
             n_more.is_some_and(|it| odds < bounds[it.min(bounds.len() - 1)])
         };
-        let at_any_time = self.standing().map(|it| it.odds.max(it.surroundings)).product();
+        let at_any_time = self.counted().map(|it| it.odds.max(it.surroundings)).product();
         is_below(at_any_time, PROOF_ODDS, 2) || is_below(self.odds(), EARLY_PROOF_ODDS, 4)
     }
 
     /// The longest that any run of it has lasted, as far as is known.
     pub fn longest_run(&self) -> Duration {
-        let struck = self.standing().filter_map(|it| it.struck_by).max();
+        let struck = self.counted().filter_map(|it| it.struck_by).max();
         self.survived.max(struck.unwrap_or_default())
     }
 
     fn n_unexplained(&self) -> usize {
-        self.standing().filter(|it| it.surroundings <= UNEXPLAINED_ODDS).count()
+        self.counted().filter(|it| it.surroundings <= UNEXPLAINED_ODDS).count()
     }
 
     /// The losses that may be its doing: no run of it was seen to go on far beyond the moment of theirs.
-    fn standing(&self) -> impl Iterator<Item = &TaskLoss> {
+    fn counted(&self) -> impl Iterator<Item = &TaskLoss> {
         let latest = |it: Duration| it.mul_f64(MOMENT_SPREAD) + MOMENT_SLACK;
         self.losses
             .iter()
@@ -136,7 +136,7 @@
 
     /// Chance of all that has struck it, if it crashes nothing.
     pub fn odds(&self) -> f64 {
-        self.standing().map(|it| it.odds).product()
+        self.counted().map(|it| it.odds).product()
     }
 
     /// Takes in a loss. One of the same attempt counts once, by what is known best.
--- a/crates/graph/src/unsaved.rs
+++ b/crates/graph/src/unsaved.rs
@@ -57,7 +57,7 @@
     fn learn_losses(&mut self, key: task_key::TaskKey, told: &model::TaskLosses, now: Duration) {
         let Some(task) = self.task_of(key).filter(|it| !it.done) else { return };
         let former = progress::restored_suspicion(told);
-        task.suspicion.has_survived(former.survived());
+        task.suspicion.note_survived(former.survived());
         let ended = task.ended_attempt;
         let open = former.losses().iter().filter(|it| it.attempt > ended);
         for loss in open.copied().collect::<Vec<_>>() {
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -61,8 +61,7 @@
     assert_eq!(bench.core.take_loss_counts().n_given_up, 1);
 }
 
-/// A task whose run was seen to go on far beyond the moment at which its next worker is lost is taken for what crashes
-/// them.
+/// A task is given up for early losses although a run of it was seen to go on far longer.
 #[test]
 fn a_task_that_ran_on_before_is_not_given_up_for_early_losses() {
     let mut bench = support::PoolBench::new(16);
@@ -91,8 +90,7 @@
     (0..4).for_each(|it| bench.lists(it, &[], &[]));
 }
 
-/// Many workers are lost all the while, which explains each loss by itself; that five of them came right behind a
-/// start of the same task is not explained, and it is started without end.
+/// Losses right behind each start of a task are put down to the many workers that are lost all the while.
 #[test]
 fn losses_right_behind_each_start_are_proof_amid_many_others() {
     let mut bench = support::PoolBench::new(4);
@@ -261,8 +259,7 @@
     assert_eq!(again.len() + running.len(), 24);
 }
 
-/// The workers that are kept for suspects are in use, and a job of which nothing runs stands still for 2 s more
-/// although half of the pool is idle.
+/// A job stands still for 2 s more on an idle pool, as other suspects have the workers that are kept for them.
 #[test]
 fn a_suspect_of_a_standing_job_runs_apart_at_once() {
     let mut bench = support::PoolBench::new(8);
@@ -280,8 +277,7 @@
     assert_eq!(starts.iter().filter(|it| it.worker == standing.worker).count(), 1);
 }
 
-/// Suspects run beside others as soon as an outage is over: the time in which nothing could start counted as time in
-/// which they had waited for workers of their own.
+/// Suspects run beside others right behind an outage, as if they had waited for workers of their own meanwhile.
 #[test]
 fn suspects_wait_to_run_apart_behind_an_outage() {
     let mut bench = support::PoolBench::new(3);
--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -99,7 +99,7 @@
     play(WorkKind::Losses, [770_372, 41_400_013, 41_400_229, 41_400_243, 45_300_029]);
 }
 
-/// Accepted jobs stand still behind losses for a reason that is not traced yet.
+/// Accepted jobs wait for a lease from a holder's last order, although it knew since when the worker was silent.
 #[test]
 fn storms_that_still_wait_behind_losses() {
     play(WorkKind::Losses, [52_400_104, 52_400_138]);
@@ -354,10 +354,7 @@
 
     /// Nothing passes between an instance and its peers.
     fn lose_nudges(&mut self, index: usize) {
-        let here = self.bench.instances[index].address.clone();
-        let others = self.addresses.iter().map(String::as_str).filter(|it| *it != here);
-        let others = others.collect::<Vec<_>>();
-        self.bench.net.partition(&[&here], &others, fault::Condition::Silent);
+        self.bench.cut_from_peers(index, self.addresses.iter().map(String::as_str));
     }
 
     async fn kill_holder_behind_acceptance(&mut self) {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -324,6 +324,17 @@
         dead.address
     }
 
+    /// Nothing passes between an instance and its peers at these addresses, where its own may be among them.
+    pub(crate) fn cut_from_peers<'a>(
+        &self,
+        index: usize,
+        addresses: impl Iterator<Item = &'a str>,
+    ) {
+        let here = self.instances[index].address.as_str();
+        let others = addresses.filter(|it| *it != here).collect::<Vec<_>>();
+        self.net.partition(&[here], &others, fault::Condition::Silent);
+    }
+
     /// Whoever holds the tenure, by the latest epoch.
     pub(crate) fn holder_in_force(&self) -> Option<usize> {
         let leads = self.instances.iter().enumerate();
--- a/crates/pool/tests/pool/takeovers.rs
+++ b/crates/pool/tests/pool/takeovers.rs
@@ -419,12 +419,9 @@
     assert_waited_for(bench, successor).await;
 }
 
-/// No other instance reaches `index`, which would end there once it is asked.
+/// No other instance reaches `index`, which would end its tenure once it is asked.
 fn cut_from_peers(bench: &support::PoolBench, index: usize) {
-    let addresses = bench.instances.iter().map(|it| it.address.as_str()).collect::<Vec<_>>();
-    let others = addresses.iter().copied().filter(|it| *it != addresses[index]);
-    let others = others.collect::<Vec<_>>();
-    bench.net.partition(&[addresses[index]], &others, fault::Condition::Silent);
+    bench.cut_from_peers(index, bench.instances.iter().map(|it| it.address.as_str()));
 }
 
 /// The holder `old` loses the store, with a task to start in 5.4 s, and no other instance reaches the workers.
