Order a stop once until its outcome is known

Cause: a stop without answer was ordered again every 400 ms while the one before still waited in the queue of its worker, or for its answer. With a slow link 300 to 425 stops a second left the holder, nearly all of them repeats, and took the place of starts.

Change: the core keeps the stops in transit of each worker and orders none of them again before the sender tells the outcome. A session that failed, or a later incarnation, forgets them.

Test: a_stop_without_an_outcome_is_not_ordered_again fails before (a second stop after 400 ms).

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -57,6 +57,7 @@
         if !self.is_current_generation(&stop.worker, stop.generation) {
             return;
         }
+        self.stop_not_sent(stop);
         if !acked {
             self.note_missed_exchange(&stop.worker);
             return;
@@ -72,6 +73,17 @@
         }
     }
 
+    /// Records that a stop has left the queue of its worker without an answer from the intended
+    /// incarnation. It is ordered again while the run is still there.
+    pub fn stop_not_sent(&mut self, stop: &order::StopOrder) {
+        if !self.is_current_generation(&stop.worker, stop.generation) {
+            return;
+        }
+        if let Some(record) = self.workers.get_mut(&stop.worker) {
+            record.stops_in_transit.remove(&(stop.task, stop.attempt));
+        }
+    }
+
     /// Records that a worker refused an order to its incarnation `generation` because it had seen a higher
     /// fencing token. The token is a later scheduler's, or this scheduler's own if it has found a later
     /// incarnation since. Returns whether it is a later scheduler's.
@@ -108,8 +120,9 @@
     /// Records that the session with a worker failed: orders in transit or queued may or may not have reached
     /// it.
     pub fn session_failed(&mut self, worker: &ids::WorkerId, now: Duration) {
-        let runs = self.workers.get(worker).map(|it| it.runs.clone()).unwrap_or_default();
-        for key in runs {
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        record.stops_in_transit.clear();
+        for key in record.runs.clone() {
             let Some(run) = self.task_record_mut(key).and_then(|it| it.run.as_mut()) else {
                 continue;
             };
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -341,13 +341,18 @@
         self.order_stop(worker, key, attempt);
     }
 
+    /// Orders a stop, unless the same stop is still waiting to be sent or answered. Repeats of it would
+    /// take the place of other orders to the worker.
     pub(crate) fn order_stop(
         &mut self,
         worker: ids::WorkerId,
         task: task_key::TaskKey,
         attempt: u32,
     ) {
-        let Some(record) = self.workers.get(&worker) else { return };
+        let Some(record) = self.workers.get_mut(&worker) else { return };
+        if !record.stops_in_transit.insert((task, attempt)) {
+            return;
+        }
         let address = record.entry.address.clone();
         let generation = record.generation;
         self.orders.push(order::PoolOrder::Stop(order::StopOrder {
--- a/crates/graph/src/maintenance.rs
+++ b/crates/graph/src/maintenance.rs
@@ -126,6 +126,9 @@
                 let job::RunPhase::Stopping { stop_sent_at, stop_acked_at } = run.phase else {
                     continue;
                 };
+                if worker.stops_in_transit.contains(&(*key, run.attempt)) {
+                    continue;
+                }
                 let wait =
                     if stop_acked_at.is_some() { stopped_end_timeout } else { STOP_RETRY_INTERVAL };
                 if now >= stop_sent_at + wait {
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -124,6 +124,8 @@
     pub used: resources::Resources,
     /// Runs that should not be on the worker and are being stopped.
     pub unwanted_runs: BTreeMap<task_key::TaskKey, UnwantedRun>,
+    /// Stops that were ordered and have no outcome yet, by task and attempt.
+    pub stops_in_transit: BTreeSet<(task_key::TaskKey, u32)>,
     /// Recent failures of tasks on the worker.
     pub health: health::WorkerHealth,
     /// Nothing starts on the worker before this time, as its tasks are far slower than expected.
--- a/crates/graph/tests/pool/stops.rs
+++ b/crates/graph/tests/pool/stops.rs
@@ -1,6 +1,7 @@
 //! Stops, and starts that may or may not have taken effect.
 
 use almondpass_graph::order;
+use almondpass_schema::model;
 
 use crate::support;
 
@@ -82,3 +83,28 @@
         assert_eq!(support::starts(&bench.run_round()).len(), n_starts);
     }
 }
+
+/// Guards against stops that crowd out everything else to a worker that is slow to answer: the stop of
+/// each run was ordered again every 400 ms while the one before was still waiting to be sent.
+#[test]
+fn a_stop_without_an_outcome_is_not_ordered_again() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.run_round_and_start().remove(0);
+    let row = support::job(1, support::tasks(1));
+    bench.admit(1, model::GraphRow { cancelled: true, ..row });
+    let stop = support::stops(&bench.run_round()).remove(0);
+    assert_eq!(stop.task, start.task);
+    for _ in 0..20 {
+        bench.advance(200);
+        assert_eq!(support::stops(&bench.run_round()), []);
+    }
+
+    bench.core.stop_not_sent(&stop);
+    bench.advance(50);
+    assert_eq!(support::stops(&bench.run_round()), [stop.clone()]);
+    bench.core.stop_answered(&stop, false, bench.now);
+    bench.answer_poll(0, &[support::listed_run(&start, 10)], &[]);
+    bench.advance(500);
+    assert_eq!(support::stops(&bench.run_round()), [stop]);
+}
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -57,9 +57,11 @@
             match answer {
                 Ok(()) => core.stop_answered(&stop, true, now),
                 Err(control::ControlFault::Replaced(_)) => {
+                    core.stop_not_sent(&stop);
                     core.worker_replaced(&stop.worker, &stop.address, now);
                 }
                 Err(control::ControlFault::Fenced) => {
+                    core.stop_not_sent(&stop);
                     core.note_fenced_off(&stop.worker, stop.generation);
                 }
                 Err(control::ControlFault::Call(error)) => {
@@ -81,8 +83,12 @@
     leader: &leader::LeaderState,
     order: &order::PoolOrder,
 ) {
-    if let order::PoolOrder::Start(start) = order {
-        let now = state.adapters.clock().now();
-        leader.core().start_answered(start, order::StartAnswer::NotSent, now);
+    match order {
+        order::PoolOrder::Start(start) => {
+            let now = state.adapters.clock().now();
+            leader.core().start_answered(start, order::StartAnswer::NotSent, now);
+        }
+        order::PoolOrder::Stop(stop) => leader.core().stop_not_sent(stop),
+        order::PoolOrder::Poll { .. } => {}
     }
 }
