Bound the starts in transit by how promptly starts were answered lately

Cause: a round passed on every start for which there was room. With more starts under way than the holder's link carries within the time for which an answer is waited for, nearly all had no answer, their gangs were stopped and started anew, and the load held itself up.

Change: a window bounds the starts in transit. A prompt answer raises it while it is full; where two fifths of the answers are late or missing, it falls to what was answered within the same time. A gang starts whole within it, or alone. Units behind one that has to wait don't overtake it.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -26,6 +26,9 @@
         answer: order::StartAnswer,
         now: Duration,
     ) {
+        let is_answered =
+            !matches!(answer, order::StartAnswer::NotSent | order::StartAnswer::Unknown);
+        self.start_window.start_settled(start.task, start.attempt, is_answered, now);
         match answer {
             order::StartAnswer::Started { clock_ms } => {
                 let is_confirmed_by_incarnation = self.note_start_contact(start, clock_ms, now);
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -16,6 +16,7 @@
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
+use crate::start_window;
 use crate::takeover;
 use crate::task_key;
 use crate::timing;
@@ -43,6 +44,8 @@
     /// Rows whose current content is not in the store yet.
     pub(crate) unsaved: save_queue::SaveQueue,
     pub(crate) orders: Vec<order::PoolOrder>,
+    /// Starts in transit, and the limit of their number.
+    pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
@@ -115,6 +118,7 @@
             roster: roster::RosterPages::default(),
             unsaved: save_queue::SaveQueue::default(),
             orders: Vec::new(),
+            start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -69,7 +69,11 @@
         let mut exhausted = Vec::<resources::Resources>::new();
         let mut failed = Vec::<failed_placement::FailedPlacement>::new();
         let mut round = self.preemption_round();
+        self.start_window.drop_older(self.timing.start_timeout, now);
         for unit in units {
+            if !self.start_window.admits(1) {
+                break;
+            }
             if !self.ensure_start_saved(unit, now) {
                 continue;
             }
@@ -77,8 +81,11 @@
             let is_tried = !full_steps.contains(&(unit.graph, unit.step));
             if is_tried && !self.cannot_fit(unit, &exhausted) {
                 let outcome = self.try_start(unit, candidates, &mut failed, now);
-                if outcome == StartOutcome::Started {
-                    continue;
+                match outcome {
+                    StartOutcome::Started => continue,
+                    // The units behind this one may not overtake it, or a large gang would never start.
+                    StartOutcome::TooManyInTransit => break,
+                    StartOutcome::NoCapacity | StartOutcome::Covered => {}
                 }
                 // Tasks of one step need the same, so if one does not fit, the others do not either. Tasks
                 // under suspicion need more, and say nothing about the others.
@@ -216,6 +223,9 @@
         let workers =
             chosen.iter().map(|it| candidates[*it].profile.worker.clone()).collect::<Vec<_>>();
         let places = UnitPlaces { workers, is_isolated: request.is_isolated, is_remote };
+        if !self.start_window.admits(places.workers.len()) {
+            return StartOutcome::TooManyInTransit;
+        }
         self.start_unit(unit, places, now);
         StartOutcome::Started
     }
@@ -296,6 +306,7 @@
             free_accelerators = record.free().accelerators,
             "task starts"
         );
+        self.start_window.start_ordered(key, attempt, now);
         self.orders.push(order::PoolOrder::Start(order::StartOrder {
             worker,
             address: record.entry.address.clone(),
@@ -317,6 +328,8 @@
     Started,
     /// The unit does not fit on the candidates.
     NoCapacity,
+    /// The unit fits, but more starts are in transit than are answered in time.
+    TooManyInTransit,
     /// Not tried, because a unit that needs the same or less did not fit in this round.
     Covered,
 }
