Wait for the answer to an order by how long answers take

Cause: a start or stop waited 180 ms for its answer and was then sent again on a new connection, three times, however slow all answers were at the moment.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,5 +1,6 @@
 //! Calls between the processes of almondpass, and to the platform: typed MessagePack messages over HTTP.
 
+pub mod answer_times;
 pub mod call;
 pub mod client;
 pub mod codec;
