Let each instance read a bounded number of rows, and the tenure's row rarely

Cause: each start of an instance read the rows of all, so that bytes grew with the square of their number; each instance read the tenure's row every 0.6 to 0.8 s, the feed of the configuration every second and the rows of the others every 6 s, 2.6 calls a second whatever it did.

Change: rows of instances are ordered by strength and then by a hash. The eight strongest watch the tenure as before; the others read its row every 3 to 4 s, or at once when the holder doesn't answer, and take over when it didn't change between two reads. The tenure's row tells the strength of the strongest instance that the holder knows, so that a weaker one that never read its row leaves it the tenure.

--- a/crates/graph/tests/pool/stops.rs
+++ b/crates/graph/tests/pool/stops.rs
@@ -102,7 +102,7 @@
 
     bench.core.stop_not_sent(&stop);
     bench.advance(50);
-    assert_eq!(support::stops(&bench.run_round()), [stop.clone()]);
+    assert_eq!(support::stops(&bench.run_round()), std::slice::from_ref(&stop));
     bench.core.stop_answered(&stop, false, bench.now);
     bench.answer_poll(0, &[support::listed_run(&start, 10)], &[]);
     bench.advance(500);
--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -1,19 +1,18 @@
 //! Watches the tenure of the pools and acquires it when no instance holds it.
 
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 
 use almondpass_peer::codec;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
-use almondpass_schema::{ids, model};
+use almondpass_schema::model;
 use tokio::time;
-use xxhash_rust::xxh3;
 
 use crate::document;
 use crate::leader;
 use crate::predecessor_list;
+use crate::spread;
 use crate::state;
 use crate::store_call;
 use crate::tenure_watch;
@@ -29,7 +28,10 @@
 pub(crate) async fn run<S: state::PoolAdapters>(state: Arc<state::PoolState<S>>) {
     let mut watch = tenure_watch::TenureWatch::default();
     let mut unnamed_bound = UnnamedHolderBound::default();
-    let interval = spread_interval(&state.settings.instance, state.settings.tenure.watch_interval);
+    let settings = &state.settings;
+    let spread = |interval| spread::lengthen(&settings.instance, interval, MAX_SPREAD_SHARE);
+    let interval = spread(settings.tenure.watch_interval);
+    let rare_interval = spread(settings.tenure.rare_watch_interval);
     while !state.shutdown.is_cancelled() {
         let before = watch.seen().cloned();
         read(&state, &mut watch).await;
@@ -54,17 +56,44 @@
             }
             AcquireOutcome::NotAcquired => {}
         }
-        // Reads the row as soon as the tenure may be acquired, if that is before the next regular read.
-        let due = watch.seen().and_then(|it| time_until_free(&state, it));
+        let wait = time_until_read(&state, &watch, interval, rare_interval);
         tokio::select! {
             biased;
             () = state.shutdown.cancelled() => {}
             () = wait_for_first_document(&state.document), if state.document.version() == 0 => {}
-            () = time::sleep(due.map_or(interval, |it| it.min(interval))) => {}
+            () = time::sleep(wait) => {}
+            // A doubt makes a watcher that reads rarely read as often as a candidate, and no one more often.
+            () = doubted_after(&state, interval) => {}
         }
     }
 }
 
+/// Returns once the holder was doubted, but not before `min_wait` has passed.
+async fn doubted_after<S: state::PoolAdapters>(state: &state::PoolState<S>, min_wait: Duration) {
+    tokio::join!(state.holder_doubted.notified(), time::sleep(min_wait));
+}
+
+/// Wait before the tenure's row is read again.
+///
+/// If all instances read the row often, the calls to the store would grow with their number. So only
+/// candidates do, and the others once the row has not changed since their last read.
+fn time_until_read<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    watch: &tenure_watch::TenureWatch,
+    interval: Duration,
+    rare_interval: Duration,
+) -> Duration {
+    let Some(seen) = watch.seen() else { return interval };
+    let now = state.adapters.clock().now();
+    let is_held = seen.row.as_ref().is_some_and(|it| !it.released);
+    let is_renewed = now < seen.unchanged_since + interval;
+    if is_held && is_renewed && !state.is_candidate() {
+        return rare_interval;
+    }
+    // Reads the row as soon as the tenure may be acquired, if that is before the next regular read.
+    time_until_free(state, seen).map_or(interval, |it| it.min(interval))
+}
+
 /// Waits until each other instance has read the tenure's row. An instance that can write but not read, or
 /// that panics at what it reads, would otherwise be the first to reacquire the tenure each time after
 /// releasing it.
@@ -167,6 +196,7 @@
         losses: losses.clone(),
         settles_in_ms: settles_at.saturating_sub(now).as_millis() as u64,
         notes_silence,
+        strongest_milli: state.strongest_milli(),
         earlier: predecessors.row_entries(now),
         names_earlier: true,
     };
@@ -219,16 +249,14 @@
     }
     // Which instances are stronger is known only once all of them have written their rows.
     let startup_delay = if seen.row.is_none() { timing.first_start_delay } else { Duration::ZERO };
-    let stronger_delay =
-        if state.knows_stronger_instance() { timing.weaker_delay } else { Duration::ZERO };
+    let strongest_of_holder = seen.row.as_ref().map_or(0, |it| it.strongest_milli);
+    let strongest = state.strongest_milli().max(strongest_of_holder);
+    let is_weaker = state.settings.strength_milli < strongest;
+    let stronger_delay = match (is_weaker, state.is_candidate()) {
+        (false, _) => Duration::ZERO,
+        (true, true) => timing.weaker_delay,
+        // The stronger instances may all be gone but for those that read the row as rarely as this one.
+        (true, false) => 2 * timing.weaker_delay,
+    };
     startup_delay + stronger_delay
 }
-
-/// Interval between two reads of the tenure's row by this instance: the watch interval, lengthened by a share
-/// that is derived from the instance's name.
-fn spread_interval(instance: &ids::InstanceId, interval: Duration) -> Duration {
-    let mut hasher = xxh3::Xxh3Default::new();
-    hasher.write(instance.as_bytes());
-    let share = (hasher.finish() % 1_000) as f64 / 1_000.0;
-    interval.mul_f64(1.0 + MAX_SPREAD_SHARE * share)
-}
--- a/crates/pool/src/job_query.rs
+++ b/crates/pool/src/job_query.rs
@@ -131,7 +131,10 @@
     let holder = state.remote_holder()?;
     let answer = state.adapters.peers().call(&holder.address, query, HOLDER_TIMEOUT).await;
     answer
-        .inspect_err(|error| tracing::debug!(%error, "tenure holder did not answer a job query"))
+        .inspect_err(|error| {
+            tracing::debug!(%error, "tenure holder did not answer a job query");
+            state.holder_doubted.notify_one();
+        })
         .ok()
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -34,6 +34,7 @@
 mod scheduling_loop;
 mod session;
 mod sessions;
+mod spread;
 mod supervisor;
 mod tenure_loader;
 mod worker_follower;
--- a/crates/pool/src/nudge.rs
+++ b/crates/pool/src/nudge.rs
@@ -115,6 +115,7 @@
     let mut n_tries = 1;
     while let Err(fault) = try_once(state, nudge).await {
         count(fault.outcome());
+        state.holder_doubted.notify_one();
         if n_tries == 1 {
             let version = nudge.version;
             tracing::info!(job, version, %fault, "nudge is not acknowledged");
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -35,6 +35,8 @@
     pub max_detached: Duration,
     /// Interval between two reads of the tenure's row by a watcher.
     pub watch_interval: Duration,
+    /// The same for watchers that take over only if those before them do not.
+    pub rare_watch_interval: Duration,
     /// A watcher that knows a stronger instance waits this much longer before it takes over.
     pub weaker_delay: Duration,
     /// A tenure that no instance has held yet is not acquired for this long.
@@ -54,6 +56,8 @@
             // The store is unavailable for up to 5.5 s on the users' sites.
             max_detached: Duration::from_millis(5_000),
             watch_interval: Duration::from_millis(600),
+            // Longer than the term, so that one more read shows whether the tenure has lapsed.
+            rare_watch_interval: Duration::from_millis(3_000),
             // One watch interval of the stronger instances, including its spread.
             weaker_delay: Duration::from_millis(900),
             // Instances start within 0.8 s of each other on the users' sites, and read each other's rows a
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -9,6 +9,7 @@
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::{boot_clock, row_feed, table};
 use almondpass_schema::{ids, model};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::control;
@@ -77,8 +78,12 @@
     relays: Mutex<relay::RelayState>,
     /// Nudges that the tenure holder has not acknowledged yet.
     nudges: Mutex<nudge::PendingNudges>,
-    /// Rows of all known instances, including this one.
+    /// Rows of the known instances, which may include this one.
     members: Mutex<Vec<model::InstanceRow>>,
+    /// Whether this instance is one of the first to take over the tenure.
+    is_candidate: AtomicBool,
+    /// Notified when the holder of the tenure may be another than the known one.
+    pub(crate) holder_doubted: Notify,
     /// Stronger instances to which this one has offered the tenure.
     offered_instances: Mutex<hand_over::OfferedInstances>,
     /// Entries of the list of workers that are invalid and not used.
@@ -114,6 +119,8 @@
             relays: Mutex::default(),
             nudges: Mutex::default(),
             members: Mutex::default(),
+            is_candidate: AtomicBool::new(true),
+            holder_doubted: Notify::new(),
             offered_instances: Mutex::default(),
             faulty_entries: Mutex::default(),
         }
@@ -213,13 +220,24 @@
         lock(&self.faulty_entries)
     }
 
+    /// Whether this instance is one of the first to take over the tenure; true until the others are known.
+    pub(crate) fn is_candidate(&self) -> bool {
+        self.is_candidate.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_candidate(&self, is_candidate: bool) {
+        self.is_candidate.store(is_candidate, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_members(&self, members: Vec<model::InstanceRow>) {
         *lock(&self.members) = members;
     }
 
-    /// Returns whether an instance with a higher strength than this one is known.
-    pub(crate) fn knows_stronger_instance(&self) -> bool {
-        !self.stronger_instances().is_empty()
+    /// Thousandths of a core of the strongest known instance, which may be this one.
+    pub(crate) fn strongest_milli(&self) -> u32 {
+        let members = lock(&self.members);
+        let strongest = members.iter().map(|it| it.strength_milli).max();
+        strongest.unwrap_or_default().max(self.settings.strength_milli)
     }
 
     /// Returns the known instances with a higher strength than this one.
--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -96,6 +96,14 @@
     within(model::TableGet::PATH, READ_DEADLINE, state.adapters.store().get(get)).await
 }
 
+/// Reads the rows behind a prefix within `READ_DEADLINE`.
+pub(crate) async fn scan<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    scan: model::TableScan,
+) -> Result<model::TableRows, error::CallError> {
+    within(model::TableScan::PATH, READ_DEADLINE, state.adapters.store().scan(scan)).await
+}
+
 pub(crate) async fn snapshot<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     table: &str,
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -240,6 +240,7 @@
             released,
             settles_in_ms: settles_in.as_millis() as u64,
             notes_silence,
+            strongest_milli: self.state.strongest_milli(),
             earlier: self.leader.predecessors().row_entries(now),
             names_earlier: true,
             losses: Some(losses),
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod feeds;
 mod logs;
+mod many_instances;
 mod normal_operation;
 mod nudges;
 mod outages;
--- /dev/null
+++ b/crates/pool/tests/pool/many_instances.rs
@@ -0,0 +1,73 @@
+//! What each instance costs the store and its peers, by the number of instances.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use almondpass_ports::keys;
+use tokio::time;
+
+use crate::support;
+
+/// Rows of other instances that an instance may read at its start, however many instances there are.
+const MAX_ROWS_READ: usize = 72;
+
+/// Calls that an idle instance may make to the store in a second.
+const MAX_CALLS_A_SECOND: f64 = 1.0;
+
+/// Time within which another instance holds the tenure after those that are to take it over are gone.
+const TAKEN_WITHIN: Duration = Duration::from_secs(5);
+
+/// Instances that are the first to take the tenure over.
+const N_CANDIDATES: usize = 8;
+
+/// Guards against reads that grow with the square of the number of instances: each start of an instance
+/// read the rows of all.
+fn check_rows_read(n_instances: usize) {
+    support::run(async move {
+        let bench = support::PoolBench::start(n_instances, 1).await;
+        let n_rows = bench.store.rows_returned(keys::INSTANCES);
+        assert!(n_rows <= n_instances * MAX_ROWS_READ, "{n_rows} rows read");
+    });
+}
+
+/// Guards against an idle fleet that takes the calls that the store serves.
+fn check_idle_calls(n_instances: usize) {
+    support::run(async move {
+        let bench = support::PoolBench::start(n_instances, 1).await;
+        let n_calls_before = bench.store.n_calls();
+        time::sleep(Duration::from_secs(60)).await;
+        let n_calls = (bench.store.n_calls() - n_calls_before) as f64;
+        let per_second = n_calls / 60.0 / n_instances as f64;
+        assert!(per_second <= MAX_CALLS_A_SECOND, "{per_second:.2} calls a second");
+    });
+}
+
+macro_rules! sizes {
+    ($($name:ident: $check:ident($n_instances:expr);)*) => {
+        $(#[test] fn $name() { $check($n_instances); })*
+    };
+}
+
+sizes! {
+    nine_instances_read_bounded_rows: check_rows_read(9);
+    many_instances_read_bounded_rows: check_rows_read(120);
+    many_idle_instances_call_the_store_rarely: check_idle_calls(60);
+}
+
+/// Guards against a tenure that stays free because the instances that watch it most often are all gone.
+#[test]
+fn the_tenure_is_taken_when_all_candidates_are_gone() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(40, 1).await;
+        let mut by_rank = bench.store.peek(&keys::instances());
+        by_rank.truncate(N_CANDIDATES);
+        let candidates = by_rank.iter().map(support::address_of_member).collect::<BTreeSet<_>>();
+        assert_eq!(candidates.len(), N_CANDIDATES);
+        for address in candidates {
+            let index = bench.instances.iter().position(|it| it.address == address);
+            bench.kill(index.expect("an instance")).await;
+        }
+        time::sleep(TAKEN_WITHIN).await;
+        assert!(bench.latest_holder().is_some(), "no instance holds the tenure");
+    });
+}
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use almondpass_graph::{catalog, order, resources, task_key, worker};
+use almondpass_peer::codec;
 use almondpass_pool::{
     cancel, control, document, instance, job_query, peer_handler, settings, state, submit,
     worker_entry,
@@ -835,3 +836,10 @@
 
     fn exit(&self, _: &tracing::span::Id) {}
 }
+
+/// Address in the row of an instance.
+pub(crate) fn address_of_member(row: &model::TableRow) -> ids::PeerAddress {
+    let value = row.value.as_ref().expect("a row of an instance");
+    let member: model::InstanceRow = codec::decode(value).expect("a readable row");
+    member.address
+}
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -13,6 +13,7 @@
         settles_in_ms: 0,
         earlier: Vec::new(),
         names_earlier: true,
+        strongest_milli: 0,
         holder: "a-1".to_owned(),
         address: address.to_owned(),
         epoch: 7,
--- a/crates/ports/src/keys.rs
+++ b/crates/ports/src/keys.rs
@@ -130,7 +130,13 @@
     }
 }
 
-/// Row of an instance, by which other instances find it.
-pub fn instance(instance: &str) -> ids::RowKey {
-    format!("{INSTANCES}/all/{instance}")
+/// Prefix of the rows of the instances, the strongest instance first.
+pub fn instances() -> ids::RowKey {
+    format!("{INSTANCES}/all/s")
+}
+
+/// Row of an instance, by which other instances find it. Instances of the same strength are in the order of
+/// `hash`, a hash of the address, so that neighbours are in different places.
+pub fn instance(strength_milli: u32, hash: u64) -> ids::RowKey {
+    format!("{}{:08x}-{hash:016x}", instances(), u32::MAX - strength_milli)
 }
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -1222,6 +1222,9 @@
     pub address: crate::ids::PeerAddress,
     ///The instance.
     pub instance: crate::ids::InstanceId,
+    ///When the instance last wrote the row, in Unix milliseconds; an earlier release does not tell.
+    #[serde(default)]
+    pub renewed_ms: u64,
     ///Thousandths of a core that it may use.
     pub strength_milli: u32,
 }
@@ -1998,6 +2001,9 @@
     ///Milliseconds from this write until everything that earlier holders may have ordered has ended; an earlier release does not tell.
     #[serde(default)]
     pub settles_in_ms: u64,
+    ///Thousandths of a core of the strongest instance that the holder knows, itself included; an earlier release does not tell.
+    #[serde(default)]
+    pub strongest_milli: u32,
 }
 ///An error as RFC 9457 writes it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -97,8 +97,10 @@
     forgotten_through: u64,
     /// Times at which existing rows were removed, by key.
     removals: BTreeMap<ids::RowKey, Vec<Instant>>,
-    /// Number of rows read for snapshots and followers, by the prefix of the table.
+    /// Number of rows read by scans, for snapshots and by followers, by the prefix of the table.
     rows_returned: BTreeMap<String, usize>,
+    /// Number of calls, those without an answer included.
+    n_calls: u64,
 }
 
 /// How row versions are numbered.
@@ -156,12 +158,21 @@
         *state::lock(&self.limits) = limits;
     }
 
-    /// Number of rows of `table` read for snapshots and followers so far.
+    /// Number of rows of `table` read by scans, for snapshots and by followers so far.
     pub fn rows_returned(&self, table: &str) -> usize {
         let rows = state::lock(&self.rows);
         rows.rows_returned.get(&format!("{table}/")).copied().unwrap_or_default()
     }
 
+    /// Number of calls of all instances so far, those without an answer included.
+    pub fn n_calls(&self) -> u64 {
+        state::lock(&self.rows).n_calls
+    }
+
+    fn count_call(&self) {
+        state::lock(&self.rows).n_calls += 1;
+    }
+
     /// Number of transactions committed so far.
     pub fn committed_transactions(&self) -> u64 {
         state::lock(&self.rows).transactions
@@ -194,6 +205,7 @@
         &self,
         transaction: model::TableTransaction,
     ) -> Result<model::TableOutcome, error::CallError> {
+        self.count_call();
         let step = model::TableTransaction::PATH;
         if let Some(fault) = state::lock(&self.limits).rejection(&transaction) {
             return Err(error::CallError { step, peer: PEER.to_owned(), fault });
@@ -202,11 +214,19 @@
     }
 
     async fn get(&self, get: model::TableGet) -> Result<model::TableRows, error::CallError> {
+        self.count_call();
         self.call_with_faults(model::TableGet::PATH, move |rows| rows.get(&get)).await
     }
 
     async fn scan(&self, scan: model::TableScan) -> Result<model::TableRows, error::CallError> {
-        self.call_with_faults(model::TableScan::PATH, move |rows| rows.scan(&scan)).await
+        self.count_call();
+        let read = move |rows: &mut TableRows| {
+            let scanned = rows.scan(&scan);
+            let table = scan.prefix.split('/').next().unwrap_or_default();
+            *rows.rows_returned.entry(format!("{table}/")).or_default() += scanned.rows.len();
+            scanned
+        };
+        self.call_with_faults(model::TableScan::PATH, read).await
     }
 }
 
@@ -274,6 +294,7 @@
         let max_rows = state::lock(&self.limits).page_rows;
         let mut snapshot = row_feed::FeedRows::default();
         loop {
+            self.count_call();
             let (prefix, after) = (prefix.clone(), snapshot.rows.last().map(|it| it.key.clone()));
             let page = self
                 .call_with_faults(SNAPSHOT_STEP, move |rows| rows.page(&prefix, after, max_rows));
@@ -298,6 +319,7 @@
     ) -> Result<row_feed::FeedRows, row_feed::FeedFault> {
         let prefix = format!("{table}/");
         let wait_ends = Instant::now() + wait;
+        self.count_call();
         loop {
             let prefix = prefix.clone();
             let max_rows = state::lock(&self.limits).feed_rows;
