Write the row of an instance only when it is missing or old, and spread the tries

Cause: 585 instances that start together write their rows to one part of the store, which takes 200 transactions a second.

Change: the own row is read with its neighbours and written only if it is missing or older than five minutes, so that a restart writes nothing; tries double their interval and are spread by the name.

Test: instances_that_start_together_are_all_listed: 80 of 120 rows within 6 s before, all now. The fake store refuses transactions over a rate by part.

--- a/crates/pool/src/member_list.rs
+++ b/crates/pool/src/member_list.rs
@@ -29,55 +29,75 @@
 /// Number of rows behind the own one that each instance reads.
 const N_NEIGHBOURS: u32 = 8;
 
-/// Interval between two reads, and between two writes of the own row. Peers are needed while the store is
-/// unavailable, and the peers known from before are enough then.
+/// Interval between two reads. Peers are needed while the store is unavailable, and the peers known from before
+/// are enough then.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(600);
 
-/// Share of the interval over which the reads of different instances are spread.
-const MAX_SPREAD_SHARE: f64 = 0.5;
-
-/// Interval between the first reads, shorter because all instances start at about the same time.
+/// Interval between the first reads, shorter because all instances start at about the same time. While the own
+/// row can't be written, it doubles with each read.
 const EARLY_READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of reads at the shorter interval.
 const N_EARLY_READS: u32 = 2;
 
-/// Wait after a failed read or write.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Longest interval between reads while the own row can't be written.
+const MAX_WRITE_RETRY_INTERVAL: Duration = Duration::from_secs(64);
+
+/// Share of an interval over which the reads of different instances are spread. The store takes a bounded number
+/// of writes a second, and refuses all if many instances try again at the same time.
+const MAX_SPREAD_SHARE: f64 = 1.0;
 
 /// Interval at which the tenure holder reads the rows that have changed: a stronger instance may have started.
 const HOLDER_READ_INTERVAL: Duration = Duration::from_secs(6);
 
+/// The own row is written again when it is older than this.
+const RENEW_AFTER: Duration = Duration::from_secs(300);
+
 /// A row that was not renewed for this long belongs to a machine that is gone. Rows of machines that are gone
 /// would in time take the places of all strongest instances.
 const OBSOLETE_AFTER: Duration = Duration::from_secs(3_600);
 
-/// Writes the row of this instance and reads the rows of others, again and again.
+/// Reads the rows of others and keeps the row of this instance in the store.
 pub(crate) async fn run<S: state::PoolAdapters>(state: Arc<state::PoolState<S>>) {
     let mut list = MemberList::default();
-    for _ in 0..N_EARLY_READS {
-        refresh(&state, &mut list).await;
-        time::sleep(EARLY_READ_INTERVAL).await;
-    }
-    let interval = spread::lengthen(&state.settings.instance, REFRESH_INTERVAL, MAX_SPREAD_SHARE);
+    let mut n_reads = 0;
     loop {
-        refresh(&state, &mut list).await;
-        let refresh_at = Instant::now() + interval;
-        while Instant::now() < refresh_at {
-            time::sleep(HOLDER_READ_INTERVAL).await;
-            if state.leader().is_some() && !follow(&state, &mut list).await {
-                break;
-            }
+        if let Some(read) = read_rows(&state).await {
+            list = MemberList { after: list.after, ..read };
+            list.publish(&state);
+        }
+        let mut is_listed = list.has_fresh_row_of(&state);
+        if !is_listed {
+            list.after = write_own_row(&state).await;
+            is_listed = list.after.is_some();
         }
+        n_reads += 1;
+        let interval = match n_reads {
+            ..=N_EARLY_READS => EARLY_READ_INTERVAL,
+            _ => {
+                let interval = read_interval(n_reads, is_listed);
+                spread::lengthen(&state.settings.instance, interval, MAX_SPREAD_SHARE)
+            }
+        };
+        follow_as_holder(&state, &mut list, Instant::now() + interval).await;
+    }
+}
+
+/// Wait after the early reads.
+fn read_interval(n_reads: u32, is_listed: bool) -> Duration {
+    if is_listed {
+        return REFRESH_INTERVAL;
     }
+    let n_doublings = n_reads.min(u32::BITS - 1) - N_EARLY_READS;
+    EARLY_READ_INTERVAL.saturating_mul(1 << n_doublings).min(MAX_WRITE_RETRY_INTERVAL)
 }
 
 /// The rows that this instance knows, by their keys within the table.
 #[derive(Debug, Default)]
 struct MemberList {
     members: BTreeMap<String, model::InstanceRow>,
-    /// Version of the store up to which the holder has followed the rows.
-    after: ids::RowVersion,
+    /// Version of the store up to which the holder has followed the rows; `None` before it has begun to.
+    after: Option<ids::RowVersion>,
 }
 
 impl MemberList {
@@ -89,66 +109,76 @@
         };
     }
 
-    fn publish<S: state::PoolAdapters>(&self, state: &state::PoolState<S>, own_key: &str) {
+    fn has_fresh_row_of<S: state::PoolAdapters>(&self, state: &state::PoolState<S>) -> bool {
+        let own_key = own_key(state);
+        let own = self.members.get(within_table(&own_key));
+        own.is_some_and(|it| age(state, it) < RENEW_AFTER)
+    }
+
+    fn publish<S: state::PoolAdapters>(&self, state: &state::PoolState<S>) {
+        let own_key = own_key(state);
+        let own_key = within_table(&own_key);
         let n_stronger = self.members.keys().filter(|it| it.as_str() < own_key).count();
         state.set_candidate(n_stronger < N_CANDIDATES);
         state.set_members(self.members.values().cloned().collect());
     }
 }
 
-/// Writes the own row and reads the others anew.
-async fn refresh<S: state::PoolAdapters>(state: &state::PoolState<S>, list: &mut MemberList) {
-    let own_key = own_key(state);
-    loop {
-        if let Some(after) = write_own_row(state, &own_key).await
-            && let Some(members) = read_rows(state, &own_key).await
-        {
-            *list = MemberList { members, after };
-            list.publish(state, within_table(&own_key));
-            return;
+/// Waits until `deadline`; follows the rows of the instances meanwhile where this instance holds the tenure.
+async fn follow_as_holder<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    list: &mut MemberList,
+    deadline: Instant,
+) {
+    while Instant::now() < deadline {
+        time::sleep_until(deadline.min(Instant::now() + HOLDER_READ_INTERVAL)).await;
+        if state.leader().is_some() {
+            follow(state, list).await;
         }
-        time::sleep(RETRY_DELAY).await;
     }
 }
 
-/// Reads the rows that have changed. Returns false if the list has to be read anew.
-async fn follow<S: state::PoolAdapters>(
-    state: &state::PoolState<S>,
-    list: &mut MemberList,
-) -> bool {
-    match store_call::follow(state, keys::INSTANCES, list.after, Duration::ZERO).await {
+/// Reads the rows that have changed. Where it is not known since when, the strongest are read anew.
+async fn follow<S: state::PoolAdapters>(state: &state::PoolState<S>, list: &mut MemberList) {
+    let Some(after) = list.after else {
+        // The feed is followed from a version that is older than the read.
+        let Some(after) = write_own_row(state).await else { return };
+        if let Some(read) = read_rows(state).await {
+            *list = MemberList { after: Some(after), ..read };
+            list.publish(state);
+        }
+        return;
+    };
+    match store_call::follow(state, keys::INSTANCES, after, Duration::ZERO).await {
         Ok(rows) => {
-            list.after = list.after.max(rows.version);
+            list.after = Some(rows.version.max(after));
             rows.rows.into_iter().for_each(|it| list.apply(it));
-            list.publish(state, within_table(&own_key(state)));
-            true
+            list.publish(state);
         }
-        Err(row_feed::FeedFault::HistoryGone) => false,
+        Err(row_feed::FeedFault::HistoryGone) => list.after = None,
         Err(row_feed::FeedFault::Call(error)) => {
             tracing::debug!(%error, "changes of the instances cannot be read");
-            true
         }
     }
 }
 
-/// Reads the rows of the strongest instances and of the neighbours of this one.
-async fn read_rows<S: state::PoolAdapters>(
-    state: &state::PoolState<S>,
-    own_key: &str,
-) -> Option<BTreeMap<String, model::InstanceRow>> {
+/// Reads the rows of the strongest instances, and the own row with those behind it.
+async fn read_rows<S: state::PoolAdapters>(state: &state::PoolState<S>) -> Option<MemberList> {
+    let mut before_own = own_key(state);
+    before_own.pop();
     let strongest = scan(state, None, N_STRONGEST).await?;
-    let neighbours = scan(state, Some(own_key.to_owned()), N_NEIGHBOURS).await?;
-    let mut members = BTreeMap::new();
+    let neighbours = scan(state, Some(before_own), 1 + N_NEIGHBOURS).await?;
+    let mut list = MemberList::default();
     for row in strongest.into_iter().chain(neighbours) {
         let member = row.value.as_ref().and_then(|it| codec::decode(it).ok());
         let Some(member): Option<model::InstanceRow> = member else { continue };
-        if is_obsolete(state, &member) {
+        if age(state, &member) > OBSOLETE_AFTER {
             remove_obsolete(state, row).await;
             continue;
         }
-        members.insert(within_table(&row.key).to_owned(), member);
+        list.members.insert(within_table(&row.key).to_owned(), member);
     }
-    Some(members)
+    Some(list)
 }
 
 async fn scan<S: state::PoolAdapters>(
@@ -164,12 +194,12 @@
         .map(|it| it.rows)
 }
 
-fn is_obsolete<S: state::PoolAdapters>(
+/// Time since a row was last written.
+fn age<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     member: &model::InstanceRow,
-) -> bool {
-    let renewed_at = Duration::from_millis(member.renewed_ms);
-    state.adapters.clock().wall() > renewed_at + OBSOLETE_AFTER
+) -> Duration {
+    state.adapters.clock().wall().saturating_sub(Duration::from_millis(member.renewed_ms))
 }
 
 /// Removes a row unless it was renewed meanwhile. A machine that is there after all writes its row again.
@@ -188,7 +218,6 @@
 /// Writes the own row; returns its version.
 async fn write_own_row<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
-    own_key: &str,
 ) -> Option<ids::RowVersion> {
     let settings = &state.settings;
     // One row per address, so that a restarted process replaces its former row.
@@ -198,7 +227,7 @@
         strength_milli: settings.strength_milli,
         renewed_ms: state.adapters.clock().wall().as_millis() as u64,
     };
-    let write = writer::encode_write(own_key.to_owned(), &row);
+    let write = writer::encode_write(own_key(state), &row);
     let transaction = model::TableTransaction { conditions: Vec::new(), writes: vec![write] };
     match store_call::transact(state, transaction).await {
         Ok(model::TableOutcome::Committed { versions }) => versions.first().copied(),
--- a/crates/pool/tests/pool/store_limits.rs
+++ b/crates/pool/tests/pool/store_limits.rs
@@ -19,6 +19,7 @@
         transaction_bytes: 700_000,
         entries: 100,
         page_rows: 500,
+        transactions_per_second: usize::MAX,
         feed_rows: 500,
         read_only_rows: BTreeSet::new(),
     }
