Learn the speed of workers, and place urgent work on fast ones

Cause: nothing told a worker of 0.65 times the usual speed from one of 1.6 times; a gang ends with its slowest member, and urgent work was late beside mostly empty workers.

Change: the pace of each run is compared once with those of its siblings, each corrected by what is known of its worker, and counts for the speed of the worker's incarnation: bounded, shrunk towards the usual speed, older runs forgotten. Urgent units prefer fast workers to a tight fit, and for a gang the rack whose slowest needed worker is the fastest; other tasks take slow ones where the fit is equal.

--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -6,6 +6,7 @@
 
 use crate::resources;
 use crate::task_key;
+use crate::worker_speed;
 
 /// Properties of a worker that do not change within a round.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -39,6 +40,8 @@
     pub n_runs: usize,
     /// Whether tasks failed on the worker lately; such workers are used last.
     pub failed_lately: bool,
+    /// Class of the worker's speed.
+    pub speed: worker_speed::SpeedClass,
     /// Whether a task that may crash the worker runs on it in isolation; nothing else starts there.
     pub is_exclusive: bool,
     /// Resources being freed for units by preemption.
@@ -95,6 +98,8 @@
     pub n_present: Vec<u32>,
     /// Workers to avoid, because tasks of the unit failed or were lost there.
     pub avoids: Vec<&'a str>,
+    /// Whether the unit goes to fast workers first, as it has little time. Others leave these free.
+    pub prefers_fast: bool,
     /// Number of workers that the unit has to leave empty.
     pub keeps_empty: usize,
     /// Whether the unit may run where it takes longer: off the rack of its data, or across racks.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -181,6 +181,7 @@
             free: it.free(),
             n_runs: it.runs.len() + it.unwanted_runs.len(),
             failed_lately: it.health.has_recent_failures(),
+            speed: it.speed.class(),
             is_exclusive: !it.isolated_runs.is_empty(),
             claims: it.claims.iter().map(|it| (it.unit, it.resources)).collect(),
             reserved: Vec::new(),
@@ -289,6 +290,7 @@
             percent: 0,
             percent_changed_at: now,
             pace: pace::RunPace::not_started(),
+            is_speed_sampled: false,
             first_confirmed_clock: None,
         });
         record.runs.insert(key);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -144,6 +144,8 @@
     pub percent_changed_at: Duration,
     /// Rate of progress, from the progress reports.
     pub pace: pace::RunPace,
+    /// Whether the run has counted for the speed of its worker.
+    pub is_speed_sampled: bool,
     /// Reading of the worker's clock when the worker was first known to have the run.
     pub first_confirmed_clock: Option<Duration>,
 }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod wait_timer;
 pub mod waiting;
 pub mod worker;
+pub mod worker_speed;
 
 mod answers;
 mod avoidance;
@@ -49,6 +50,7 @@
 mod pool_usage;
 mod preemption;
 mod slow_workers;
+mod speed_samples;
 mod stalled;
 mod takeover;
 mod task_ends;
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -39,6 +39,17 @@
     base: Option<PaceReading>,
     best: f64,
     latest: Option<f64>,
+    /// Lower bound of the pace of a run that had completed its work at the first reading.
+    completed: Option<f64>,
+}
+
+/// What is known of the pace of a run, in percent per second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum MeasuredPace {
+    /// The latest pace.
+    Exact(f64),
+    /// The run completed its work at least this fast.
+    AtLeast(f64),
 }
 
 /// The reading from which the next gain is counted.
@@ -80,7 +91,12 @@
         };
         let elapsed = at.saturating_sub(base.at);
         // A member of a gang that has completed its work waits for the others at 100 percent.
-        if elapsed < MIN_READING_INTERVAL || percent >= 100 {
+        if elapsed < MIN_READING_INTERVAL {
+            return;
+        }
+        if percent >= 100 {
+            let gained = f64::from(percent.saturating_sub(base.percent));
+            self.completed.get_or_insert(gained / elapsed.as_secs_f64());
             return;
         }
         let gained = f64::from(percent.saturating_sub(base.percent));
@@ -103,6 +119,12 @@
         self.latest
     }
 
+    /// What is known of the pace; `None` before the first gain.
+    pub fn measured(&self) -> Option<MeasuredPace> {
+        let exact = self.latest.map(MeasuredPace::Exact);
+        exact.or(self.completed.map(MeasuredPace::AtLeast))
+    }
+
     /// Compares the latest reading with the usual pace of such runs.
     pub fn verdict(&self, usual: UsualPace) -> PaceVerdict {
         let Some(latest) = self.latest else { return PaceVerdict::Unknown };
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -3,9 +3,11 @@
 //! Tasks are placed where the least is left over, so that whole workers and racks stay free for tasks that
 //! need all accelerators of a worker and for gangs that need a rack.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::candidate;
+use crate::worker_speed;
 
 /// Chooses a candidate for each task of the unit and takes the resources there, or changes nothing. The
 /// result has one index into `candidates` per task.
@@ -72,11 +74,22 @@
         let rack = free_by_rack[it.rack];
         // A task that may crash its worker goes where the fewest other tasks are at risk.
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
-        (is_remote, n_at_risk, it.failed_lately, left.accelerators, rack, left.cpu_milli)
+        let (speed_first, speed_last) = speed_order(it, request);
+        let health = (is_remote, n_at_risk, it.failed_lately);
+        (health, speed_first, left.accelerators, speed_last, rack, left.cpu_milli)
     });
     best.map(|(index, _)| index)
 }
 
+/// Where the speed of a candidate counts: before the fit for a unit that prefers fast workers, behind it for
+/// others. Lower is better.
+fn speed_order(
+    candidate: &candidate::WorkerCandidate,
+    request: &candidate::PlacementRequest,
+) -> (worker_speed::SpeedClass, worker_speed::SpeedClass) {
+    if request.prefers_fast { (-candidate.speed, 0) } else { (0, candidate.speed) }
+}
+
 /// Whether as many workers stay empty as the unit has to leave empty.
 fn leaves_enough_empty(
     candidates: &[candidate::WorkerCandidate],
@@ -127,8 +140,9 @@
     Some(distribute(candidates, request, &counts, |_| true))
 }
 
-/// Chooses, of the racks that hold the whole gang, one with the fewest workers that failed lately, and among
-/// these the one with the fewest free accelerators.
+/// Chooses, of the racks that hold the whole gang, one with the fewest workers that failed lately, among these one
+/// whose slowest needed worker is the fastest, as a gang is as slow as its slowest member, and among these the
+/// one with the fewest free accelerators.
 fn choose_rack(
     candidates: &[candidate::WorkerCandidate],
     request: &candidate::PlacementRequest,
@@ -140,20 +154,42 @@
         rack.count += count;
         rack.accelerators += it.free.accelerators;
         rack.n_failed_lately += u32::from(it.failed_lately && *count > 0);
+        if *count > 0 && request.prefers_fast {
+            *rack.count_by_speed.entry(it.speed).or_default() += count;
+        }
     }
     let large_enough = racks.iter().enumerate().filter(|(number, it)| {
         it.count >= request.n_tasks && request.rack_number.is_none_or(|rack| rack == *number)
     });
     large_enough
-        .min_by_key(|(_, it)| (it.n_failed_lately, it.accelerators))
+        .min_by_key(|(_, it)| {
+            let slowest = it.slowest_needed(request.n_tasks);
+            (it.n_failed_lately, Reverse(slowest), it.accelerators)
+        })
         .map(|(number, _)| number)
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct RackCapacity {
     count: u32,
     accelerators: u32,
     n_failed_lately: u32,
+    /// Tasks that fit, by the speed of the workers; empty if the speed does not matter.
+    count_by_speed: BTreeMap<worker_speed::SpeedClass, u32>,
+}
+
+impl RackCapacity {
+    /// Speed of the slowest worker that is needed if the fastest are taken first.
+    fn slowest_needed(&self, n_tasks: u32) -> worker_speed::SpeedClass {
+        let mut missing = n_tasks;
+        for (speed, count) in self.count_by_speed.iter().rev() {
+            missing = missing.saturating_sub(*count);
+            if missing == 0 {
+                return *speed;
+            }
+        }
+        0
+    }
 }
 
 /// Distributes the tasks over the allowed candidates, those with the fewest free accelerators first.
@@ -168,7 +204,8 @@
     order.sort_by_key(|index| {
         let it = &candidates[*index];
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
-        (n_at_risk, it.failed_lately, it.free.accelerators, *index)
+        let speed = if request.prefers_fast { -it.speed } else { 0 };
+        (n_at_risk, it.failed_lately, speed, it.free.accelerators, *index)
     });
     let mut chosen = Vec::with_capacity(request.n_tasks as usize);
     for index in order {
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -222,6 +222,7 @@
         }
         let first_confirmed_clock = *run.first_confirmed_clock.get_or_insert(clock);
         run.pace.observe(clock, listed.percent, expected_pace);
+        let has_unsampled_pace = !run.is_speed_sampled && run.pace.measured().is_some();
         if run.percent != listed.percent {
             run.percent = listed.percent;
             run.percent_changed_at = now;
@@ -238,6 +239,9 @@
         if self.withdraw_loss(key, attempt) {
             self.mark_task_changed(key);
         }
+        if has_unsampled_pace {
+            self.sample_speeds(key);
+        }
     }
 
     /// Continues a run that an earlier scheduler ordered.
@@ -267,6 +271,7 @@
             percent: listed.percent,
             percent_changed_at: now,
             pace: pace::RunPace::new(clock, listed.percent),
+            is_speed_sampled: false,
             first_confirmed_clock: Some(clock),
         });
         if task.suspicion.inherited_attempt == Some(listed.attempt) {
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -15,6 +15,7 @@
 use crate::save_queue;
 use crate::task_key;
 use crate::timing;
+use crate::worker_speed;
 
 /// Allowance for the time in which a start reaches the worker. A start is ordered only if the
 /// worker's entry stays fresh for that long.
@@ -128,6 +129,8 @@
     pub stops_in_transit: BTreeSet<(task_key::TaskKey, u32)>,
     /// Recent failures of tasks on the worker.
     pub health: health::WorkerHealth,
+    /// How fast the worker is, as far as its runs have shown.
+    pub speed: worker_speed::WorkerSpeed,
     /// Nothing starts on the worker before this time, as its tasks are far slower than expected.
     pub slow_until: Duration,
     /// Nothing starts on the worker before this time, as it refused a start for lack of resources
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -11,6 +11,7 @@
 mod rosters;
 mod schedules;
 mod slowness;
+mod speeds;
 mod start_windows;
 mod stops;
 mod stuck_states;
