Read answers of workers through a small buffer

Cause: each of the 7,700 connections of the holder to 6,000 workers had a read buffer of 8 KB, 289 MB in all at the busiest instance.

--- a/crates/peer/src/http_client.rs
+++ b/crates/peer/src/http_client.rs
@@ -31,6 +31,9 @@
     pub max_idle_per_peer: usize,
     /// Largest body of an answer.
     pub max_body_bytes: usize,
+    /// Bytes of a connection's read buffer, which has to hold the head of an answer; `None` for a buffer that
+    /// grows with what is read.
+    pub read_buffer_bytes: Option<usize>,
     /// Label `side` of the byte counters of these connections, such as `workers`.
     pub side: &'static str,
 }
@@ -42,6 +45,7 @@
             idle_timeout: Duration::from_secs(15),
             max_idle_per_peer: 8,
             max_body_bytes: 8 << 20,
+            read_buffer_bytes: None,
             side: "client",
         }
     }
@@ -65,6 +69,7 @@
     pool: pool::ConnectionPool,
     connect_timeout: Duration,
     max_body_bytes: usize,
+    read_buffer_bytes: Option<usize>,
     side: &'static str,
 }
 
@@ -75,6 +80,7 @@
             pool: pool::ConnectionPool::new(config.idle_timeout, config.max_idle_per_peer),
             connect_timeout: config.connect_timeout,
             max_body_bytes: config.max_body_bytes,
+            read_buffer_bytes: config.read_buffer_bytes,
             side: config.side,
         }
     }
@@ -129,7 +135,7 @@
             return Ok(connection);
         }
         let limit = expires_at.min(Instant::now() + self.connect_timeout);
-        match time::timeout_at(limit, connect(peer, self.side)).await {
+        match time::timeout_at(limit, self.connect(peer)).await {
             Ok(sender) => Ok(self.pool.register_in_use(peer, sender?)),
             Err(_) => {
                 self.pool.discard_connections(peer);
@@ -138,6 +144,21 @@
         }
     }
 
+    async fn connect(&self, peer: &ids::PeerAddress) -> Result<pool::PeerSender, error::CallFault> {
+        let address = peer.parse::<SocketAddr>();
+        let address = address.map_err(|_| not_sent(format!("the address {peer:?}")))?;
+        let stream = TcpStream::connect(address).await.map_err(not_sent)?;
+        stream.set_nodelay(true).map_err(not_sent)?;
+        let stream = TokioIo::new(meter::MeteredStream::new(stream, self.side));
+        let mut builder = http1::Builder::new();
+        builder.read_buf_exact_size(self.read_buffer_bytes);
+        let (sender, connection) = builder.handshake(stream).await.map_err(not_sent)?;
+        // Drives the connection until its sender is dropped or the peer closes it. The sender reports
+        // errors of the connection to the call, so the result of this task is ignored.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
     /// Waits for a part of the answer until `expires_at`. The request may have been sent by now, so a
     /// timeout here means that the peer may have acted on the request.
     async fn await_answer<T>(
@@ -187,22 +208,6 @@
     }
 }
 
-async fn connect(
-    peer: &ids::PeerAddress,
-    side: &'static str,
-) -> Result<pool::PeerSender, error::CallFault> {
-    let address = peer.parse::<SocketAddr>();
-    let address = address.map_err(|_| not_sent(format!("the address {peer:?}")))?;
-    let stream = TcpStream::connect(address).await.map_err(not_sent)?;
-    stream.set_nodelay(true).map_err(not_sent)?;
-    let stream = TokioIo::new(meter::MeteredStream::new(stream, side));
-    let (sender, connection) = http1::handshake(stream).await.map_err(not_sent)?;
-    // Drives the connection until its sender is dropped or the peer closes it. The sender reports
-    // errors of the connection to the call, so the result of this task is ignored.
-    tokio::spawn(connection);
-    Ok(sender)
-}
-
 fn not_sent(reason: impl fmt::Display) -> error::CallFault {
     error::CallFault::NotSent(reason.to_string())
 }
