Poll idle workers of a large pool rarely

Change: above 500 workers an idle worker is polled at an interval that grows with their number, up to 25 s, while its entry in the platform's list is written and read as usual; an order wakes its session. The entry also counts as a sign of life for placing. Smaller pools are polled as before.

--- a/crates/pool/src/sessions.rs
+++ b/crates/pool/src/sessions.rs
@@ -5,7 +5,7 @@
 
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::ids;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::{self, JoinSet};
 
 use crate::leader;
@@ -33,7 +33,7 @@
                 Err(error) => self.replace_failed(state, leader, &error),
             }
         }
-        for worker in leader.workers_without_sender() {
+        for worker in leader.workers_without_queue() {
             self.start(state, leader, worker);
         }
     }
@@ -47,9 +47,11 @@
         worker: ids::WorkerId,
     ) {
         let (sender, orders) = mpsc::unbounded_channel();
-        leader.add_sender(&worker, sender);
+        let ordered = Arc::new(Notify::new());
+        let queue = leader::OrderQueue { sender, ordered: Arc::clone(&ordered) };
+        leader.add_queue(&worker, queue);
         let sending = order_sender::run(Arc::clone(state), Arc::clone(leader), orders);
-        let polling = session::run(Arc::clone(state), Arc::clone(leader), worker.clone());
+        let polling = session::run(Arc::clone(state), Arc::clone(leader), worker.clone(), ordered);
         let started = self.tasks.spawn(async move {
             tokio::join!(polling, sending);
         });
@@ -67,7 +69,7 @@
         metrics::counter!("almondpass_pool_sessions_failed_total").increment(1);
         // Another session may have started while this one sent its last orders.
         if !self.workers.values().any(|it| *it == worker) {
-            leader.remove_sender(&worker);
+            leader.remove_queue(&worker);
         }
         leader.core().session_failed(&worker, state.adapters.clock().now());
     }
--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -112,6 +112,13 @@
     run_storms(FaultSet::Losses, [52_400_104, 52_400_138]);
 }
 
+/// Guards against an accepted job that stands still although one of its tasks could run and most of the
+/// pool is free.
+#[test]
+fn storms_with_jobs_beside_free_capacity() {
+    run_storms(FaultSet::Losses, [882_037, 882_071, 882_168]);
+}
+
 fn run_storms(kind: FaultSet, seeds: impl IntoIterator<Item = u64>) {
     for seed in seeds {
         println!("storm {seed}, accepted work, {kind:?}");
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -269,6 +269,13 @@
     );
 }
 
+/// Guards against a task that is started on a worker without room for it, because the worker offers less than
+/// its entry says.
+#[test]
+fn storms_with_a_task_too_many() {
+    run_storms(StormKind::ResourceChanges, [881_022]);
+}
+
 fn run_storms(kind: StormKind, seeds: impl IntoIterator<Item = u64>) {
     for seed in seeds {
         println!("storm {seed}, {kind:?}");
