--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -26,7 +26,7 @@
 
 /// Allowance for a worker to write its entry and for the scheduler to read it; the list is polled for changes
 /// every 0.6 s.
-pub(crate) const ENTRY_SLACK: Duration = Duration::from_millis(1_200);
+const ENTRY_SLACK: Duration = Duration::from_millis(1_200);
 
 /// Scheduling state of a pool. Methods apply events; the orders that result are collected until
 /// [`PoolCore::take_orders`] returns them.
--- a/crates/graph/src/exclusion_reason.rs
+++ b/crates/graph/src/exclusion_reason.rs
@@ -65,9 +65,7 @@
         if !worker.listed {
             return Some(ExclusionReason::Unlisted);
         }
-        // An idle worker of a large pool is polled rarely, and its entry shows that it is up.
-        let seen_at = worker.last_contact_at.max(worker.entry_read_at.unwrap_or_default());
-        if !worker.is_responsive() || now >= seen_at + MAX_SILENCE {
+        if !worker.is_responsive() || now >= worker.last_contact_at + MAX_SILENCE {
             return Some(ExclusionReason::Silent);
         }
         if now < worker.paused_until {
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -32,17 +32,6 @@
 /// take 8 ms of a core.
 const FULL_RATE_WORKERS: u32 = 100;
 
-/// Up to this many workers are polled all the time, also idle ones. With more, idle workers are polled at intervals
-/// that grow in proportion, and have no connection in between.
-const CONTINUOUS_IDLE_POLL_WORKERS: u32 = 500;
-
-/// Longest interval between two polls of an idle worker. Its clock may run 2% slower than known, and the deadline
-/// of a start, 2.5 s ahead, is given by that clock.
-const MAX_IDLE_POLL_INTERVAL: Duration = Duration::from_secs(25);
-
-/// Heartbeats that a worker may miss before its entry does not show any more that it is up.
-const MAX_MISSED_HEARTBEATS: u32 = 1;
-
 /// A start counts as refused for its deadline only this long after the deadline: the worker's list
 /// of runs and its clock reading may not be taken at quite the same moment.
 pub(crate) const START_DEADLINE_SLACK: Duration = Duration::from_millis(100);
@@ -63,7 +52,6 @@
         let n_workers = self.workers.len() as u32;
         let busy_wait =
             (busy_wait * n_workers.max(FULL_RATE_WORKERS) / FULL_RATE_WORKERS).min(IDLE_POLL_WAIT);
-        let pauses_after = !self.idle_poll_delay(worker, now).is_zero();
         let record = self.workers.get_mut(worker)?;
         // A worker that does not answer gets no new deadline: it would postpone the time at which
         // its tasks have surely lapsed.
@@ -76,7 +64,6 @@
             _ if !record.unsaved_ends.is_empty() => Duration::ZERO,
             _ if ack == ack_window::EndAck::VerifyFirst => Duration::ZERO,
             (false, _) => Duration::ZERO,
-            (true, false) if pauses_after => Duration::ZERO,
             (true, true) => busy_wait,
             (true, false) => IDLE_POLL_WAIT,
         };
@@ -90,29 +77,6 @@
         })
     }
 
-    /// How long to wait before the next poll of a worker. It is zero for all but the idle workers of a large pool
-    /// whose entries show that they are up.
-    pub fn idle_poll_delay(&self, worker: &ids::WorkerId, now: Duration) -> Duration {
-        let n_workers = self.workers.len() as u32;
-        let Some(record) = self.workers.get(worker) else { return Duration::ZERO };
-        if n_workers <= CONTINUOUS_IDLE_POLL_WORKERS
-            || !record.is_idle(now)
-            || !self.shows_life(record, now)
-        {
-            return Duration::ZERO;
-        }
-        let interval = IDLE_POLL_WAIT * n_workers / CONTINUOUS_IDLE_POLL_WORKERS;
-        interval.min(MAX_IDLE_POLL_INTERVAL)
-    }
-
-    /// Whether the worker's entry in the platform's list is written and read as usual.
-    fn shows_life(&self, record: &worker::WorkerRecord, now: Duration) -> bool {
-        let max_gap = (1 + MAX_MISSED_HEARTBEATS) * self.timing.heartbeat + core::ENTRY_SLACK;
-        record.listed
-            && record.is_listed_incarnation()
-            && record.entry_read_at.is_some_and(|it| now < it + max_gap)
-    }
-
     fn has_urgent_task(&self, worker: &ids::WorkerId) -> bool {
         let runs = self.workers.get(worker).map(|it| &it.runs);
         let mut jobs = runs.into_iter().flatten().filter_map(|it| self.jobs.get(&it.graph));
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -223,15 +223,6 @@
         }
     }
 
-    /// Whether the worker answers, and nothing is on it or left to acknowledge.
-    pub fn is_idle(&self, now: Duration) -> bool {
-        self.is_responsive()
-            && self.runs.is_empty()
-            && self.unwanted_runs.is_empty()
-            && self.unsaved_ends.is_empty()
-            && self.next_ack(now) == ack_window::EndAck::Nothing
-    }
-
     /// Whether the worker is leaving and nothing is on it. Nothing starts on a worker that is
     /// leaving.
     pub fn has_left(&self) -> bool {
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -3,7 +3,6 @@
 mod evacuations;
 mod failures;
 mod full_pool;
-mod idle_polls;
 mod load_simulation;
 mod objectives;
 mod random_events;
--- a/crates/pool/src/leader.rs
+++ b/crates/pool/src/leader.rs
@@ -40,7 +40,7 @@
     predecessors: Mutex<predecessor_list::PredecessorList>,
     applied_graph_version: AtomicU64,
     missed_jobs: Mutex<BTreeSet<ids::GraphId>>,
-    queues: Mutex<BTreeMap<ids::WorkerId, OrderQueue>>,
+    senders: Mutex<BTreeMap<ids::WorkerId, mpsc::UnboundedSender<order::PoolOrder>>>,
     /// Notified when a scheduling round is due.
     pub(crate) round_due: Notify,
     /// Notified when the core has changes to save.
@@ -53,14 +53,6 @@
     pub(crate) ended: CancellationToken,
 }
 
-/// Queue of the orders to one worker.
-#[derive(Clone, Debug)]
-pub(crate) struct OrderQueue {
-    pub(crate) sender: mpsc::UnboundedSender<order::PoolOrder>,
-    /// Notified of each order, so that a session that pauses polls the worker again.
-    pub(crate) ordered: Arc<Notify>,
-}
-
 /// A tenure that was just acquired.
 #[derive(Clone, Debug)]
 pub(crate) struct AcquiredTenure {
@@ -91,7 +83,7 @@
             predecessors: Mutex::new(acquired.predecessors.clone()),
             applied_graph_version: AtomicU64::new(0),
             missed_jobs: Mutex::default(),
-            queues: Mutex::default(),
+            senders: Mutex::default(),
             round_due: Notify::new(),
             save_due: Notify::new(),
             saved: Notify::new(),
@@ -159,32 +151,35 @@
         self.ended.cancel();
     }
 
-    /// Queues an order for the sender of its worker. Returns the order if the worker has no queue.
+    /// Queues an order for the sender of its worker. Returns the order if the worker has no sender.
     pub(crate) fn send_order(&self, order: order::PoolOrder) -> Option<order::PoolOrder> {
         let worker = match &order {
             order::PoolOrder::Start(it) => &it.worker,
             order::PoolOrder::Stop(it) => &it.worker,
             order::PoolOrder::Poll { worker } => worker,
         };
-        let queues = state::lock(&self.queues);
-        let Some(queue) = queues.get(worker) else { return Some(order) };
-        queue.ordered.notify_one();
-        queue.sender.send(order).err().map(|it| it.0)
+        let senders = state::lock(&self.senders);
+        let Some(sender) = senders.get(worker) else { return Some(order) };
+        sender.send(order).err().map(|it| it.0)
     }
 
-    /// Workers that the core knows and that have no queue yet.
-    pub(crate) fn workers_without_queue(&self) -> Vec<ids::WorkerId> {
+    /// Workers that the core knows and that have no sender yet.
+    pub(crate) fn workers_without_sender(&self) -> Vec<ids::WorkerId> {
         let core = self.core();
-        let queues = state::lock(&self.queues);
-        core.worker_ids().filter(|it| !queues.contains_key(*it)).cloned().collect()
+        let senders = state::lock(&self.senders);
+        core.worker_ids().filter(|it| !senders.contains_key(*it)).cloned().collect()
     }
 
-    pub(crate) fn add_queue(&self, worker: &ids::WorkerId, queue: OrderQueue) {
-        state::lock(&self.queues).insert(worker.clone(), queue);
+    pub(crate) fn add_sender(
+        &self,
+        worker: &ids::WorkerId,
+        sender: mpsc::UnboundedSender<order::PoolOrder>,
+    ) {
+        state::lock(&self.senders).insert(worker.clone(), sender);
     }
 
-    pub(crate) fn remove_queue(&self, worker: &ids::WorkerId) {
-        state::lock(&self.queues).remove(worker);
+    pub(crate) fn remove_sender(&self, worker: &ids::WorkerId) {
+        state::lock(&self.senders).remove(worker);
     }
 }
 
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -6,8 +6,7 @@
 use almondpass_graph::order;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::ids;
-use tokio::sync::Notify;
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use crate::control::{self, TaskControl};
 use crate::fencing;
@@ -21,9 +20,6 @@
 /// Wait after a poll that got no answer.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Interval at which a session that pauses checks whether its worker still needs no poll.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Wait while the tenure allows no orders.
 const NO_ORDER_DELAY: Duration = Duration::from_millis(100);
 
@@ -32,7 +28,6 @@
     state: Arc<state::PoolState<S>>,
     leader: Arc<leader::LeaderState>,
     worker: ids::WorkerId,
-    ordered: Arc<Notify>,
 ) {
     loop {
         if !leader.permit_order(state.adapters.clock()) {
@@ -40,36 +35,12 @@
             continue;
         }
         match poll(&state, &leader, &worker).await {
-            PollOutcome::Answered => {
-                await_save(&leader, &worker).await;
-                pause_if_idle(&state, &leader, &worker, &ordered).await;
-            }
+            PollOutcome::Answered => await_save(&leader, &worker).await,
             PollOutcome::Failed => time::sleep(POLL_RETRY_DELAY).await,
             PollOutcome::Unlisted => break,
         }
     }
-    leader.remove_queue(&worker);
-}
-
-/// Waits while an idle worker needs no poll: until an order is queued for it, its poll is due, or its entry
-/// does not show any more that it is up.
-async fn pause_if_idle<S: state::PoolAdapters>(
-    state: &state::PoolState<S>,
-    leader: &leader::LeaderState,
-    worker: &ids::WorkerId,
-    ordered: &Notify,
-) {
-    let clock = state.adapters.clock();
-    let due_at = Instant::now() + leader.core().idle_poll_delay(worker, clock.now());
-    while Instant::now() < due_at {
-        tokio::select! {
-            () = ordered.notified() => return,
-            () = time::sleep_until(due_at.min(Instant::now() + IDLE_CHECK_INTERVAL)) => {}
-        }
-        if leader.core().idle_poll_delay(worker, clock.now()).is_zero() {
-            return;
-        }
-    }
+    leader.remove_sender(&worker);
 }
 
 /// Outcome of a poll of a worker.
--- a/crates/pool/src/sessions.rs
+++ b/crates/pool/src/sessions.rs
@@ -5,7 +5,7 @@
 
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::ids;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 use tokio::task::{self, JoinSet};
 
 use crate::leader;
@@ -33,7 +33,7 @@
                 Err(error) => self.replace_failed(state, leader, &error),
             }
         }
-        for worker in leader.workers_without_queue() {
+        for worker in leader.workers_without_sender() {
             self.start(state, leader, worker);
         }
     }
@@ -47,11 +47,9 @@
         worker: ids::WorkerId,
     ) {
         let (sender, orders) = mpsc::unbounded_channel();
-        let ordered = Arc::new(Notify::new());
-        let queue = leader::OrderQueue { sender, ordered: Arc::clone(&ordered) };
-        leader.add_queue(&worker, queue);
+        leader.add_sender(&worker, sender);
         let sending = order_sender::run(Arc::clone(state), Arc::clone(leader), orders);
-        let polling = session::run(Arc::clone(state), Arc::clone(leader), worker.clone(), ordered);
+        let polling = session::run(Arc::clone(state), Arc::clone(leader), worker.clone());
         let started = self.tasks.spawn(async move {
             tokio::join!(polling, sending);
         });
@@ -69,7 +67,7 @@
         metrics::counter!("almondpass_pool_sessions_failed_total").increment(1);
         // Another session may have started while this one sent its last orders.
         if !self.workers.values().any(|it| *it == worker) {
-            leader.remove_queue(&worker);
+            leader.remove_sender(&worker);
         }
         leader.core().session_failed(&worker, state.adapters.clock().now());
     }
--- a/crates/pool/tests/pool/many_instances.rs
+++ b/crates/pool/tests/pool/many_instances.rs
@@ -1,10 +1,9 @@
-//! Many instances and many workers: what they cost the store and the holder, and what still holds.
+//! What each instance costs the store and its peers, by the number of instances.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use almondpass_ports::keys;
-use almondpass_schema::model;
 use almondpass_standin::table;
 use tokio::time;
 
@@ -93,19 +92,3 @@
         assert!(bench.latest_holder().is_some(), "no instance holds the tenure");
     });
 }
-
-/// Guards against tasks on workers of a large pool that start late, or whose lease lapses, because idle
-/// workers are polled rarely.
-#[test]
-fn a_job_runs_on_workers_that_were_idle_for_long() {
-    support::run(async {
-        let bench = support::PoolBench::start(2, 700).await;
-        bench.start_heartbeats();
-        time::sleep(Duration::from_secs(60)).await;
-        bench.submit(0, 1, support::job(40, 9_000)).await;
-        time::sleep(Duration::from_millis(500)).await;
-        assert_eq!(bench.fleet.n_running(), 40);
-        bench.await_state(0, 1, model::GraphState::Completed, Duration::from_secs(12)).await;
-        assert_eq!(bench.fleet.records().len(), 40, "a task ran twice");
-    });
-}
