--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -62,7 +62,7 @@
             () = state.shutdown.cancelled() => {}
             () = wait_for_first_document(&state.document), if state.document.version() == 0 => {}
             () = time::sleep(wait) => {}
-            // A doubt makes a watcher that reads rarely read as often as a candidate, and no one more often.
+            // A doubt makes a watcher that reads rarely read as often as an early one, and no one more often.
             () = doubted_after(&state, interval) => {}
         }
     }
@@ -75,8 +75,8 @@
 
 /// Wait before the tenure's row is read again.
 ///
-/// If all instances read the row often, the calls to the store would grow with their number. So only
-/// candidates do, and the others once the row has not changed since their last read.
+/// If all instances read the row often, the calls to the store would grow with their number. So only early
+/// contenders do, and the others once the row has not changed since their last read.
 fn time_until_read<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
@@ -87,7 +87,7 @@
     let now = state.adapters.clock().now();
     let is_held = seen.row.as_ref().is_some_and(|it| !it.released);
     let is_renewed = now < seen.unchanged_since + interval;
-    if is_held && is_renewed && !state.is_candidate() {
+    if is_held && is_renewed && !state.is_early_contender() {
         return rare_interval;
     }
     // Reads the row as soon as the tenure may be acquired, if that is before the next regular read.
@@ -252,7 +252,7 @@
     let strongest_of_holder = seen.row.as_ref().map_or(0, |it| it.strongest_milli);
     let strongest = state.strongest_milli().max(strongest_of_holder);
     let is_weaker = state.settings.strength_milli < strongest;
-    let stronger_delay = match (is_weaker, state.is_candidate()) {
+    let stronger_delay = match (is_weaker, state.is_early_contender()) {
         (false, _) => Duration::ZERO,
         (true, true) => timing.weaker_delay,
         // The stronger instances may all be gone but for those that read the row as rarely as this one.
--- a/crates/pool/src/member_list.rs
+++ b/crates/pool/src/member_list.rs
@@ -24,7 +24,7 @@
 const N_STRONGEST: u32 = 16;
 
 /// Number of the strongest instances that are the first to take over the tenure.
-const N_CANDIDATES: usize = 8;
+const N_EARLY_CONTENDERS: usize = 8;
 
 /// Number of rows behind the own one that each instance reads.
 const N_NEIGHBOURS: u32 = 8;
@@ -119,7 +119,7 @@
         let own_key = own_key(state);
         let own_key = within_table(&own_key);
         let n_stronger = self.members.keys().filter(|it| it.as_str() < own_key).count();
-        state.set_candidate(n_stronger < N_CANDIDATES);
+        state.set_early_contender(n_stronger < N_EARLY_CONTENDERS);
         state.set_members(self.members.values().cloned().collect());
     }
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -81,7 +81,7 @@
     /// Rows of the known instances, which may include this one.
     members: Mutex<Vec<model::InstanceRow>>,
     /// Whether this instance is one of the first to take over the tenure.
-    is_candidate: AtomicBool,
+    is_early_contender: AtomicBool,
     /// Notified when the holder of the tenure may be another than the known one.
     pub(crate) holder_doubted: Notify,
     /// Stronger instances to which this one has offered the tenure.
@@ -119,7 +119,7 @@
             relays: Mutex::default(),
             nudges: Mutex::default(),
             members: Mutex::default(),
-            is_candidate: AtomicBool::new(true),
+            is_early_contender: AtomicBool::new(true),
             holder_doubted: Notify::new(),
             offered_instances: Mutex::default(),
             faulty_entries: Mutex::default(),
@@ -221,12 +221,12 @@
     }
 
     /// Whether this instance is one of the first to take over the tenure; true until the others are known.
-    pub(crate) fn is_candidate(&self) -> bool {
-        self.is_candidate.load(Ordering::Relaxed)
+    pub(crate) fn is_early_contender(&self) -> bool {
+        self.is_early_contender.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn set_candidate(&self, is_candidate: bool) {
-        self.is_candidate.store(is_candidate, Ordering::Relaxed);
+    pub(crate) fn set_early_contender(&self, is_early_contender: bool) {
+        self.is_early_contender.store(is_early_contender, Ordering::Relaxed);
     }
 
     pub(crate) fn set_members(&self, members: Vec<model::InstanceRow>) {
--- a/crates/pool/tests/pool/many_instances.rs
+++ b/crates/pool/tests/pool/many_instances.rs
@@ -22,7 +22,7 @@
 const LISTED_WITHIN: Duration = Duration::from_secs(6);
 
 /// Instances that are the first to take the tenure over.
-const N_CANDIDATES: usize = 8;
+const N_EARLY_CONTENDERS: usize = 8;
 
 /// Guards against reads that grow with the square of the number of instances: each start of an instance
 /// read the rows of all.
@@ -77,14 +77,14 @@
 
 /// Guards against a tenure that stays free because the instances that watch it most often are all gone.
 #[test]
-fn the_tenure_is_taken_when_all_candidates_are_gone() {
+fn the_tenure_is_taken_when_all_early_contenders_are_gone() {
     support::run(async {
         let mut bench = support::PoolBench::start(40, 1).await;
         let mut by_rank = bench.store.peek(&keys::instances());
-        by_rank.truncate(N_CANDIDATES);
-        let candidates = by_rank.iter().map(support::address_of_member).collect::<BTreeSet<_>>();
-        assert_eq!(candidates.len(), N_CANDIDATES);
-        for address in candidates {
+        by_rank.truncate(N_EARLY_CONTENDERS);
+        let contenders = by_rank.iter().map(support::address_of_member).collect::<BTreeSet<_>>();
+        assert_eq!(contenders.len(), N_EARLY_CONTENDERS);
+        for address in contenders {
             let index = bench.instances.iter().position(|it| it.address == address);
             bench.kill(index.expect("an instance")).await;
         }
