Say once what the reading found twice

Cause: the last reading of the change found the same thing written again: the place of a worker's speed in the order of placement, the decoding of an instance's row, the gain between two readings of a run; the logarithm of a speed was taken of its own exponential; the intervals between reads of instances were chosen in two places; a function named stop_not_sent was also called for stops that were answered; and steps with too few tasks to compare workers by were gone through at each poll.

Change: one piece each; stop_settled; steps of fewer than four tasks are left out at once. Behaviour, bounds and assertions stay.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -60,7 +60,7 @@
         if !self.is_current_generation(&stop.worker, stop.generation) {
             return;
         }
-        self.stop_not_sent(stop);
+        self.stop_settled(stop);
         if !acked {
             self.note_missed_exchange(&stop.worker);
             return;
@@ -76,9 +76,9 @@
         }
     }
 
-    /// Records that a stop has left the queue of its worker without an answer from the intended
-    /// incarnation. It is ordered again while the run is still there.
-    pub fn stop_not_sent(&mut self, stop: &order::StopOrder) {
+    /// Records that a stop is not in transit any more, whatever its outcome. It is ordered again while the run
+    /// is still there.
+    pub fn stop_settled(&mut self, stop: &order::StopOrder) {
         if !self.is_current_generation(&stop.worker, stop.generation) {
             return;
         }
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -90,16 +90,15 @@
             return;
         };
         let elapsed = at.saturating_sub(base.at);
-        // A member of a gang that has completed its work waits for the others at 100 percent.
         if elapsed < MIN_READING_INTERVAL {
             return;
         }
+        let gained = f64::from(percent.saturating_sub(base.percent));
+        // A member of a gang that has completed its work waits for the others at 100 percent.
         if percent >= 100 {
-            let gained = f64::from(percent.saturating_sub(base.percent));
             self.completed.get_or_insert(gained / elapsed.as_secs_f64());
             return;
         }
-        let gained = f64::from(percent.saturating_sub(base.percent));
         let expected = usual.unwrap_or_default().max(self.best) * elapsed.as_secs_f64();
         if gained.max(expected) < MIN_GAIN {
             return;
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -204,8 +204,8 @@
     order.sort_by_key(|index| {
         let it = &candidates[*index];
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
-        let speed = if request.prefers_fast { -it.speed } else { 0 };
-        (n_at_risk, it.failed_lately, speed, it.free.accelerators, *index)
+        let (speed_first, _) = speed_order(it, request);
+        (n_at_risk, it.failed_lately, speed_first, it.free.accelerators, *index)
     });
     let mut chosen = Vec::with_capacity(request.n_tasks as usize);
     for index in order {
--- a/crates/graph/src/speed_samples.rs
+++ b/crates/graph/src/speed_samples.rs
@@ -13,6 +13,9 @@
     /// what is known of its worker: otherwise fast workers that are used together would count as usual.
     pub(crate) fn sample_speeds(&mut self, key: task_key::TaskKey) {
         let Some(step) = self.jobs.get(&key.graph).and_then(|it| it.step(key)) else { return };
+        if step.tasks.len() < MIN_RUNS {
+            return;
+        }
         let runs = step.tasks.iter().filter_map(|it| it.run.as_ref());
         let mut usual = runs.filter_map(|it| self.corrected_pace(it)).collect::<Vec<_>>();
         if usual.len() < MIN_RUNS {
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -40,11 +40,15 @@
 
     /// Estimated speed, as a factor of the usual one.
     pub fn factor(&self) -> f64 {
-        (self.sum / (self.n_runs + N_ASSUMED_RUNS)).exp()
+        self.log_factor().exp()
     }
 
     /// Class of the estimated speed.
     pub fn class(&self) -> SpeedClass {
-        (self.factor().ln() / CLASS_FACTOR.ln()).round() as SpeedClass
+        (self.log_factor() / CLASS_FACTOR.ln()).round() as SpeedClass
+    }
+
+    fn log_factor(&self) -> f64 {
+        self.sum / (self.n_runs + N_ASSUMED_RUNS)
     }
 }
--- a/crates/graph/tests/pool/stops.rs
+++ b/crates/graph/tests/pool/stops.rs
@@ -100,7 +100,7 @@
         assert_eq!(support::stops(&bench.run_round()), []);
     }
 
-    bench.core.stop_not_sent(&stop);
+    bench.core.stop_settled(&stop);
     bench.advance(50);
     assert_eq!(support::stops(&bench.run_round()), std::slice::from_ref(&stop));
     bench.core.stop_answered(&stop, false, bench.now);
--- a/crates/pool/src/member_list.rs
+++ b/crates/pool/src/member_list.rs
@@ -11,7 +11,7 @@
 use almondpass_peer::codec;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::{keys, row_feed};
-use almondpass_schema::{ids, model};
+use almondpass_schema::{blob, ids, model};
 use tokio::time::{self, Instant};
 use xxhash_rust::xxh3;
 
@@ -72,24 +72,23 @@
             is_listed = list.after.is_some();
         }
         n_reads += 1;
-        let interval = match n_reads {
-            ..=N_EARLY_READS => EARLY_READ_INTERVAL,
-            _ => {
-                let interval = read_interval(n_reads, is_listed);
-                spread::lengthen(&state.settings.instance, interval, MAX_SPREAD_SHARE)
-            }
-        };
+        let interval = read_interval(&state.settings.instance, n_reads, is_listed);
         follow_as_holder(&state, &mut list, Instant::now() + interval).await;
     }
 }
 
-/// Wait after the early reads.
-fn read_interval(n_reads: u32, is_listed: bool) -> Duration {
-    if is_listed {
-        return REFRESH_INTERVAL;
+/// Wait after the first `n_reads` reads.
+fn read_interval(instance: &str, n_reads: u32, is_listed: bool) -> Duration {
+    if n_reads <= N_EARLY_READS {
+        return EARLY_READ_INTERVAL;
     }
-    let n_doublings = n_reads.min(u32::BITS - 1) - N_EARLY_READS;
-    EARLY_READ_INTERVAL.saturating_mul(1 << n_doublings).min(MAX_WRITE_RETRY_INTERVAL)
+    let interval = if is_listed {
+        REFRESH_INTERVAL
+    } else {
+        let n_doublings = n_reads.min(u32::BITS - 1) - N_EARLY_READS;
+        EARLY_READ_INTERVAL.saturating_mul(1 << n_doublings).min(MAX_WRITE_RETRY_INTERVAL)
+    };
+    spread::lengthen(instance, interval, MAX_SPREAD_SHARE)
 }
 
 /// The rows that this instance knows, by their keys within the table.
@@ -102,8 +101,7 @@
 
 impl MemberList {
     fn apply(&mut self, row: row_feed::FeedRow) {
-        let member = row.value.as_ref().and_then(|it| codec::decode(it).ok());
-        match member {
+        match decode_member(row.value.as_ref()) {
             Some(member) => self.members.insert(row.key, member),
             None => self.members.remove(&row.key),
         };
@@ -170,8 +168,7 @@
     let neighbours = scan(state, Some(before_own), 1 + N_NEIGHBOURS).await?;
     let mut list = MemberList::default();
     for row in strongest.into_iter().chain(neighbours) {
-        let member = row.value.as_ref().and_then(|it| codec::decode(it).ok());
-        let Some(member): Option<model::InstanceRow> = member else { continue };
+        let Some(member) = decode_member(row.value.as_ref()) else { continue };
         if age(state, &member) > OBSOLETE_AFTER {
             remove_obsolete(state, row).await;
             continue;
@@ -194,6 +191,11 @@
         .map(|it| it.rows)
 }
 
+/// The instance that a row describes; `None` for a removed row, or one that can't be read.
+fn decode_member(value: Option<&blob::Blob>) -> Option<model::InstanceRow> {
+    value.and_then(|it| codec::decode(it).ok())
+}
+
 /// Time since a row was last written.
 fn age<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
--- a/crates/pool/src/order_sender.rs
+++ b/crates/pool/src/order_sender.rs
@@ -57,11 +57,11 @@
             match answer {
                 Ok(()) => core.stop_answered(&stop, true, now),
                 Err(control::ControlFault::Replaced(_)) => {
-                    core.stop_not_sent(&stop);
+                    core.stop_settled(&stop);
                     core.worker_replaced(&stop.worker, &stop.address, now);
                 }
                 Err(control::ControlFault::Fenced) => {
-                    core.stop_not_sent(&stop);
+                    core.stop_settled(&stop);
                     core.note_fenced_off(&stop.worker, stop.generation);
                 }
                 Err(control::ControlFault::Call(error)) => {
@@ -88,7 +88,7 @@
             let now = state.adapters.clock().now();
             leader.core().start_answered(start, order::StartAnswer::NotSent, now);
         }
-        order::PoolOrder::Stop(stop) => leader.core().stop_not_sent(stop),
+        order::PoolOrder::Stop(stop) => leader.core().stop_settled(stop),
         order::PoolOrder::Poll { .. } => {}
     }
 }
