Give the reasons of four thresholds without the deployments at hand

Cause: comments in preemption, health and pace explained thresholds by what deployments showed. Change: the reason alone; values stay.

--- a/crates/graph/src/health.rs
+++ b/crates/graph/src/health.rs
@@ -9,8 +9,8 @@
 /// are rare at the declared failure shares of 2 to 5%.
 const FAILURES_TO_PAUSE: u32 = 2;
 
-/// First pause of a worker on which tasks fail or stall; it doubles with each further pause. About as
-/// long as such faults last on the users' days.
+/// First pause of a worker on which tasks fail or stall; it doubles with each further pause, as a fault
+/// may be short or last.
 const FIRST_PAUSE: Duration = Duration::from_secs(4);
 
 /// Longest pause.
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -13,13 +13,12 @@
 /// Minimum time between two readings for a pace.
 const MIN_READING_INTERVAL: Duration = Duration::from_millis(400);
 
-/// A task that resumes from a checkpoint makes no progress for up to 0.6 s on the users' sites; within
-/// this time no progress is not counted as a pace of zero.
+/// A task that resumes from a checkpoint makes no progress at first; within this time no progress is not
+/// counted as a pace of zero.
 const MAX_RESTORE_TIME: Duration = Duration::from_millis(900);
 
-/// A run is slow below this share of its own best pace, or of the pace of its siblings. Slow workers
-/// take 4.5 to 6.5 times as long on the users' sites. Tasks of one step differ by 30%, and the slower of
-/// two types of healthy workers takes 1.3 times as long.
+/// A run is slow below this share of its own best pace, or of the pace of its siblings. The tasks
+/// of one step and the types of healthy workers differ by less.
 const SLOW_SHARE: f64 = 0.4;
 
 /// From this share of the pace of its siblings on, a run shows that its worker is not slow.
--- a/crates/graph/src/preemption.rs
+++ b/crates/graph/src/preemption.rs
@@ -29,8 +29,8 @@
 const CLAIM_MARGIN: Duration = Duration::from_millis(800);
 
 /// Cost of the restart of a stopped task, in milliseconds, which count for each core that it uses. It is
-/// added to the work that the task loses, and covers a new placement, the restore of the checkpoint (0.1
-/// to 0.6 s as measured on the users' sites) and a poll.
+/// added to the work that the task loses, and covers a new placement, the restore of the checkpoint and a
+/// poll.
 const RESTART_COST_MS: u64 = 1_000;
 
 /// Factor on the cost of stopping urgent work of accounts above their guarantee, so that it is stopped
