--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -48,6 +48,7 @@
 fn pool_of(n_workers: usize) -> core::PoolCore {
     let mut core = core::PoolCore::new(core::PoolStart {
         timing: timing::PoolTiming::default(),
+        scheduling: model::SchedulingSettings::default(),
         catalog: Arc::default(),
         settles_at: Duration::ZERO,
     });
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub struct PoolCore {
     pub(crate) timing: timing::PoolTiming,
+    /// Which optional decisions are on.
+    pub(crate) scheduling: model::SchedulingSettings,
     pub(crate) catalog: Arc<catalog::PoolCatalog>,
     pub(crate) jobs: BTreeMap<ids::GraphId, job::JobRecord>,
     /// Jobs that have not ended. Ended jobs stay in `jobs` so that callers can still query them, and would be
@@ -99,6 +101,8 @@
 pub struct PoolStart {
     /// Leases and time bounds of the platform.
     pub timing: timing::PoolTiming,
+    /// Which optional decisions are on.
+    pub scheduling: model::SchedulingSettings,
     /// Job classes and accounts.
     pub catalog: Arc<catalog::PoolCatalog>,
     /// Time by which everything that an earlier scheduler may have ordered has certainly ended on workers
@@ -111,6 +115,7 @@
     pub fn new(start: PoolStart) -> PoolCore {
         PoolCore {
             timing: start.timing,
+            scheduling: start.scheduling,
             catalog: start.catalog,
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
@@ -144,6 +149,11 @@
         }
     }
 
+    /// Which optional decisions are on.
+    pub fn scheduling(&self) -> &model::SchedulingSettings {
+        &self.scheduling
+    }
+
     /// Returns for how much longer orders of earlier schedulers may still run on workers that do not answer.
     pub fn settles_in(&self, now: Duration) -> Duration {
         self.settles_at.saturating_sub(now)
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -39,6 +39,7 @@
     pub(crate) fn with_unanswered_workers(n_workers: usize, settles_at: Duration) -> PoolBench {
         let start = core::PoolStart {
             timing: timing::PoolTiming::default(),
+            scheduling: model::SchedulingSettings::default(),
             catalog: Arc::default(),
             settles_at,
         };
--- a/crates/pool/src/leader.rs
+++ b/crates/pool/src/leader.rs
@@ -195,6 +195,7 @@
     state.set_acquired_epoch(Some(epoch));
     let mut core = core::PoolCore::new(core::PoolStart {
         timing: state.settings.timing,
+        scheduling: state.settings.scheduling.clone(),
         catalog: Arc::default(),
         settles_at: acquired.settles_at,
     });
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use almondpass_graph::timing;
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 
 /// Settings of an instance; they don't change while the process runs.
 #[derive(Clone, Debug)]
@@ -18,6 +18,8 @@
     pub seeds: Vec<ids::PeerAddress>,
     /// Leases and time bounds of the platform.
     pub timing: timing::PoolTiming,
+    /// Which optional decisions are on.
+    pub scheduling: model::SchedulingSettings,
     /// Timing of the tenure.
     pub tenure: TenureTiming,
 }
--- a/crates/pool/src/tenure_loader.rs
+++ b/crates/pool/src/tenure_loader.rs
@@ -72,6 +72,7 @@
     let catalog = state.document.current().map(|it| Arc::clone(&it.catalog));
     let mut core = core::PoolCore::new(core::PoolStart {
         timing: state.settings.timing,
+        scheduling: state.settings.scheduling.clone(),
         catalog: catalog.unwrap_or_default(),
         settles_at: acquired.settles_at,
     });
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -310,6 +310,7 @@
             seeds: Vec::new(),
             strength_milli,
             timing: almondpass_graph::timing::PoolTiming::default(),
+            scheduling: model::SchedulingSettings::default(),
             tenure: settings::TenureTiming::default(),
         };
         let state = Arc::new(state::PoolState::new(site, settings));
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -17,6 +17,7 @@
 fn empty_core() -> core::PoolCore {
     core::PoolCore::new(core::PoolStart {
         timing: timing::PoolTiming::default(),
+        scheduling: model::SchedulingSettings::default(),
         catalog: Arc::default(),
         settles_at: Duration::ZERO,
     })
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2205,6 +2205,29 @@
     ///Lapses unless renewed within this.
     pub term: crate::time::TimeSpan,
 }
+///Optional decisions of the scheduler of job graphs; each is off unless it is set.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SchedulingSettings {
+    ///Whether the time to come back is estimated from the outages of the store that were seen.
+    #[serde(default)]
+    pub adaptive_retry: bool,
+    ///Whether short tasks may use reserved capacity that is not needed before they end.
+    #[serde(default)]
+    pub backfill: bool,
+    ///Whether waiting jobs of a class are ordered by how much of the pool their accounts use.
+    #[serde(default)]
+    pub fair_share: bool,
+    ///Whether urgent runs that are forecast to end late are moved to faster workers.
+    #[serde(default)]
+    pub move_late_runs: bool,
+    ///Whether a submission is refused if its job could only end when it is of no more use to its caller.
+    #[serde(default)]
+    pub refuse_hopeless: bool,
+    ///Whether the learned speeds of workers are stored for the next holder of the tenure.
+    #[serde(default)]
+    pub remember_speeds: bool,
+}
 ///A slot on a worker, held for one request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SlotGrant {
