--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -83,6 +83,10 @@
     deadline: Instant,
 ) -> model::SubmitOutcome {
     let started = Instant::now();
+    if started >= deadline {
+        // Nothing has been sent, so the outcome is known.
+        return model::SubmitOutcome::NotRun;
+    }
     let condition = model::TableCondition { key: keys::graph(graph), version: 0 };
     let write = writer::encode_write(keys::graph(graph), row);
     let transaction = model::TableTransaction { conditions: vec![condition], writes: vec![write] };
