Tell a successor which workers were silent, and when nothing runs there

Cause: a successor waited for a worker that does not answer for a lease counted from the former holder's last order. The former holder knew since when the worker was silent, what ran there and when its lease lapses, and was asked only when it had stopped. The roster's silence notes say part of it, and none is written while the store is away.

Change: the answer to a tenure query names the workers that do not answer the former holder (at most 256), each with the time after which nothing started up to then runs there, and whether all starts there are known. A worker without runs delays nothing. Of the others, only jobs with a start there wait, and no longer than the lease. A start that the worker's known incarnation has not confirmed counts for the longest lease. The successor uses only the answer of the holder right before it. Nothing is stored.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -16,6 +16,7 @@
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
+use crate::silent_workers;
 use crate::start_window;
 use crate::takeover;
 use crate::task_key;
@@ -55,6 +56,8 @@
     pub(crate) within_guarantee: BTreeSet<ids::AccountId>,
     /// Until this time, tasks of inherited jobs may run on workers that have not answered yet.
     pub(crate) settles_at: Duration,
+    /// What earlier schedulers have reported of workers that do not answer.
+    pub(crate) silence_reports: silent_workers::SilenceReports,
     /// Whether a worker has refused an order because it had seen a higher fencing token than that of this
     /// scheduler.
     pub(crate) is_fenced_off: bool,
@@ -128,6 +131,7 @@
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
+            silence_reports: silent_workers::SilenceReports::default(),
             is_fenced_off: false,
             finished: Vec::new(),
             newest_generation: 0,
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod run_times;
 pub mod save_queue;
 pub mod saving;
+pub mod silent_workers;
 pub mod start_window;
 pub mod suspicion;
 pub mod task_key;
--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -5,7 +5,8 @@
 //! had saved all starts on the worker, and ordered no more there. The roster notes this for each
 //! silent worker. With the note only tasks with saved starts have to wait. Without it one dead
 //! worker would keep all jobs that were accepted before the takeover from starting, for twice as
-//! long as the platform lets a job be idle.
+//! long as the platform lets a job be idle. An earlier scheduler that still answers reports the
+//! same, and when nothing runs on the worker any more (see [`crate::silent_workers`]).
 
 use std::time::Duration;
 
@@ -39,12 +40,17 @@
         if now >= core.settles_at {
             return SettledJobs::All;
         }
-        let is_unanswered = |it: &worker::WorkerRecord| it.inherited && !it.fenced;
-        let mut unanswered = core.workers.iter().filter(|(_, it)| is_unanswered(it)).peekable();
+        let may_hide_runs = |id: &ids::WorkerId, it: &worker::WorkerRecord| {
+            it.inherited && now < core.earlier_runs_end_at(id, it)
+        };
+        let unanswered = core.workers.iter().filter(|(id, it)| may_hide_runs(id, it));
+        let mut unanswered = unanswered.peekable();
         if unanswered.peek().is_none() {
             return SettledJobs::All;
         }
-        let has_only_saved_starts = unanswered.all(|(id, _)| core.roster.are_starts_saved(id));
+        let has_only_saved_starts = unanswered.all(|(id, _)| {
+            core.roster.are_starts_saved(id) || core.silence_reports.are_starts_known(id)
+        });
         if has_only_saved_starts {
             SettledJobs::AllButSavedStarts
         } else {
@@ -134,7 +140,7 @@
             && worker.runs.iter().all(|it| self.is_start_durable(*it))
     }
 
-    fn is_start_durable(&self, key: task_key::TaskKey) -> bool {
+    pub(crate) fn is_start_durable(&self, key: task_key::TaskKey) -> bool {
         let Some(job) = self.jobs.get(&key.graph) else { return false };
         let Some(task) = job.task(key) else { return false };
         let Some(chunk) = progress::chunk_of(job, key) else { return false };
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -17,7 +17,7 @@
 use crate::task_key;
 
 /// Limit of the chunks that are handed over. Each is a few hundred bytes.
-const MAX_REPORTED_CHUNKS: usize = 256;
+pub(crate) const MAX_REPORTED_CHUNKS: usize = 256;
 
 impl core::PoolCore {
     /// The losses and saved starts in progress rows that the store lacks, for the successor.
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -391,7 +391,10 @@
     }
 
     fn takeover_reason(&self, job: &job::JobRecord, now: Duration) -> WaitReason {
-        let unanswered = self.workers.iter().filter(|(_, it)| it.inherited && !it.fenced);
+        let unanswered = self
+            .workers
+            .iter()
+            .filter(|(id, it)| it.inherited && now < self.earlier_runs_end_at(id, it));
         let unanswered = unanswered.map(|(id, _)| id.as_str()).collect::<Vec<_>>();
         let named = unanswered.iter().take(MAX_NAMED).copied().collect::<Vec<_>>().join(", ");
         let settles_in = self.settles_at.saturating_sub(now);
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -10,6 +10,7 @@
 mod restarts;
 mod rosters;
 mod schedules;
+mod silence_reports;
 mod slowness;
 mod speeds;
 mod start_windows;
--- a/crates/pool/src/leader.rs
+++ b/crates/pool/src/leader.rs
@@ -20,6 +20,7 @@
 use crate::scheduling_loop;
 use crate::settings;
 use crate::state;
+use crate::tenure_legacy;
 use crate::tenure_loader;
 use crate::tenure_status;
 use crate::worker_follower;
@@ -227,8 +228,9 @@
 impl<S: state::PoolAdapters> Drop for TenureGuard<'_, S> {
     fn drop(&mut self) {
         self.leader.end();
-        let unsaved = self.leader.core().unsaved_suspicions();
-        self.state.record_tenure_end(self.leader.ordered_at(), unsaved);
+        let now = self.state.adapters.clock().now();
+        let legacy = tenure_legacy::TenureLegacy::of(self.leader, now);
+        self.state.record_tenure_end(self.leader.ordered_at(), legacy);
         self.state.set_leader(None);
         self.state.set_acquired_epoch(None);
         metrics::gauge!("almondpass_pool_held").set(0.0);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -36,6 +36,7 @@
 mod sessions;
 mod spread;
 mod supervisor;
+mod tenure_legacy;
 mod tenure_loader;
 mod worker_follower;
 mod writer;
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -18,6 +18,7 @@
 use crate::leader;
 use crate::predecessor_list;
 use crate::state;
+use crate::tenure_legacy;
 
 /// Longest time between the check that lets an order be sent and the calculation of its deadline. An order
 /// that was in progress when the former holder stopped extends no lease beyond this: the deadline is a time
@@ -60,6 +61,11 @@
             record_end(&state, &leader, former, stopped_at);
             let mut core = leader.core();
             answer.unsaved.into_iter().for_each(|it| core.merge_suspicions(it, now));
+            // The report covers all tenures up to that of the holder that gives it, but none after it.
+            if former.epoch + 1 == leader.epoch {
+                core.merge_silent_workers(answer.silent, now);
+            }
+            leader.round_due.notify_one();
         }
         time::sleep(QUERY_INTERVAL).await;
     }
@@ -101,16 +107,19 @@
     query: &model::TenureQuery,
 ) -> model::TenureAnswer {
     let clock = state.adapters.clock();
-    let over_for = |since, unsaved| {
-        let over_for = clock.now().saturating_sub(since).as_millis() as u64;
-        model::TenureAnswer { over_for_ms: Some(over_for), unsaved }
+    let over_for = |since, legacy: tenure_legacy::TenureLegacy| {
+        let now = clock.now();
+        let over_for = now.saturating_sub(since).as_millis() as u64;
+        let silent = legacy.silent_workers(query.epoch, now);
+        model::TenureAnswer { over_for_ms: Some(over_for), unsaved: legacy.unsaved, silent }
     };
+    let no_legacy = tenure_legacy::TenureLegacy::default;
     if query.holder != state.settings.instance {
         // No two processes listen at one address, so the queried process ended before this one started.
-        return over_for(state.started_at, Vec::new());
+        return over_for(state.started_at, no_legacy());
     }
     if state.acquired_epoch().is_some_and(|it| it > query.epoch) {
-        return over_for(clock.now(), Vec::new());
+        return over_for(clock.now(), no_legacy());
     }
     let leader = state.leader();
     if let Some(leader) = leader.as_ref().filter(|it| !it.has_ended()) {
@@ -120,13 +129,13 @@
         let ends_now = leader.permit_order(clock);
         leader.end();
         if ends_now {
-            return over_for(clock.now(), leader.core().unsaved_suspicions());
+            return over_for(clock.now(), tenure_legacy::TenureLegacy::of(leader, clock.now()));
         }
     } else if leader.is_none() && state.acquired_epoch().is_some() {
         return model::TenureAnswer::default();
     }
     let ordered_at = leader.as_ref().and_then(|it| it.ordered_at()).max(state.last_order_at());
-    let unsaved = leader.map(|it| it.core().unsaved_suspicions());
-    let unsaved = unsaved.unwrap_or_else(|| state.unsaved_suspicions());
-    over_for(ordered_at.unwrap_or(state.started_at), unsaved)
+    let legacy = leader.map(|it| tenure_legacy::TenureLegacy::of(&it, clock.now()));
+    let legacy = legacy.unwrap_or_else(|| state.legacy());
+    over_for(ordered_at.unwrap_or(state.started_at), legacy)
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -20,6 +20,7 @@
 use crate::nudge;
 use crate::relay;
 use crate::settings;
+use crate::tenure_legacy;
 use crate::worker_entry;
 
 /// Access to everything outside the instance: the store, the workers, the peers and the clock.
@@ -70,8 +71,8 @@
     acquired_epoch: Mutex<Option<ids::Epoch>>,
     /// Latest time at which an order of an ended tenure of this instance may have been sent.
     last_order_at: Mutex<Option<Duration>>,
-    /// Suspicions against tasks that the last ended tenure of this instance had not saved.
-    unsaved: Mutex<Vec<model::UnsavedSuspicions>>,
+    /// What the last ended tenure of this instance leaves to its successor.
+    legacy: Mutex<tenure_legacy::TenureLegacy>,
     /// Whether the store does not answer this instance, according to the last read of the document's feed.
     store_unavailable: AtomicBool,
     /// Which peer relays the next call, and whether relaying is paused.
@@ -114,7 +115,7 @@
             leader: Mutex::default(),
             acquired_epoch: Mutex::default(),
             last_order_at: Mutex::default(),
-            unsaved: Mutex::default(),
+            legacy: Mutex::default(),
             store_unavailable: AtomicBool::new(false),
             relays: Mutex::default(),
             nudges: Mutex::default(),
@@ -150,9 +151,9 @@
         *lock(&self.last_order_at)
     }
 
-    /// Returns the suspicions against tasks that the last ended tenure of this instance had not saved.
-    pub(crate) fn unsaved_suspicions(&self) -> Vec<model::UnsavedSuspicions> {
-        lock(&self.unsaved).clone()
+    /// Returns what the last ended tenure of this instance leaves to its successor.
+    pub(crate) fn legacy(&self) -> tenure_legacy::TenureLegacy {
+        lock(&self.legacy).clone()
     }
 
     /// Records that a tenure of this instance has ended. Its last order may have been sent at
@@ -160,11 +161,11 @@
     pub(crate) fn record_tenure_end(
         &self,
         last_order_at: Option<Duration>,
-        unsaved: Vec<model::UnsavedSuspicions>,
+        legacy: tenure_legacy::TenureLegacy,
     ) {
         let mut latest = lock(&self.last_order_at);
         *latest = (*latest).max(last_order_at);
-        *lock(&self.unsaved) = unsaved;
+        *lock(&self.legacy) = legacy;
     }
 
     /// Returns the holder of the tenure according to the last read; `None` where this instance or nobody
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2228,6 +2228,16 @@
     #[serde(default)]
     pub remember_speeds: bool,
 }
+///A worker that did not answer the holder of a tenure.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SilentWorker {
+    ///Whether each start that may run there is in the store or among what is told as unsaved.
+    pub are_starts_known: bool,
+    ///Time after which nothing runs there that was started up to the end of the tenure.
+    pub clear_in_ms: u64,
+    ///The worker.
+    pub worker: crate::ids::WorkerId,
+}
 ///A slot on a worker, held for one request.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SlotGrant {
@@ -2593,6 +2603,9 @@
     ///For how long it has been over at least; absent where it may go on.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub over_for_ms: ::std::option::Option<u64>,
+    ///Workers that did not answer when it ended.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub silent: ::std::vec::Vec<SilentWorker>,
     ///What it held against tasks and has not saved.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub unsaved: ::std::vec::Vec<UnsavedSuspicions>,
