Charge the first loss of a gang with the chance of all its workers

Cause: a gang of 16 tasks on two workers lost one of them twice by faults of the storm and was given up as crashing its workers. Each loss was charged as if the gang had run on one worker, 0.01 and 0.0106, and the product lay below the bound for two losses. The check reads the job rightly: it had been accepted, was innocent and had not completed.

Change: the first loss of a task of a gang counts with the chance times the number of workers on which the gang ran. Later losses have to strike the same task and count as before, so three losses are proof as before. What makes a task a suspect that runs apart does not change.

--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -93,6 +93,8 @@
     pub is_suspect: bool,
     /// Number of workers lost under the task before.
     pub n_losses: usize,
+    /// Number of workers on which the unit ran.
+    pub n_unit_workers: usize,
     /// Probability that other losses explain this one, at any time of the run, estimated when the worker
     /// was lost.
     pub background_probability: f64,
@@ -253,6 +255,7 @@
                 is_confirmed: run.is_confirmed,
                 is_suspect: task.suspicion.is_suspect(),
                 n_losses: task.suspicion.losses().len(),
+                n_unit_workers: self.n_unit_workers(*key),
                 background_probability: self.background_probability(
                     &concurrent,
                     *key,
@@ -272,6 +275,14 @@
         lost.collect()
     }
 
+    /// Number of workers on which the unit of a task runs.
+    fn n_unit_workers(&self, key: task_key::TaskKey) -> usize {
+        let unit = self.jobs.get(&key.graph).and_then(|it| it.unit_of(key));
+        let tasks = unit.map(|it| self.unit_tasks(it)).unwrap_or_default();
+        let workers = tasks.iter().filter_map(|it| Some(&self.task_run(*it)?.worker));
+        workers.collect::<BTreeSet<_>>().len()
+    }
+
     /// Collects the other workers that fell silent at about the same time, except those whose loss is
     /// explained by a suspect.
     fn concurrent_losses(&self, worker: &ids::WorkerId, now: Duration) -> ConcurrentLosses<'_> {
@@ -489,11 +500,14 @@
     let next_to_suspect = if is_next_to_suspect { NEXT_TO_SUSPECT_PROBABILITY } else { 0.0 };
     let cut_off = if evidence == LossEvidence::CutOff { CUT_OFF_ALIVE_PROBABILITY } else { 0.0 };
     let by_evidence = evidence.survival_probability() * run.run_share_at_loss;
-    let probabilities =
-        [run.early_background_probability, by_others, by_evidence, unstarted, next_to_suspect];
+    // A gang on several workers loses one of them by chance that much more often, and any of its tasks would
+    // be charged. Only the first loss is that likely: later ones have to strike the same task.
+    let n_chances = if run.n_losses == 0 { run.n_unit_workers.max(1) as f64 } else { 1.0 };
+    let by_chance = run.early_background_probability.max(suspicion::MIN_PROBABILITY) * n_chances;
+    let probabilities = [by_others, by_evidence, unstarted, next_to_suspect];
     suspicion::TaskLoss {
         attempt: run.attempt,
-        early_probability: probabilities.into_iter().fold(suspicion::MIN_PROBABILITY, f64::max),
+        early_probability: probabilities.into_iter().fold(by_chance.min(1.0), f64::max),
         anytime_probability: run.background_probability.max(next_to_suspect).max(cut_off),
         latest_loss_offset: run.latest_loss_offset,
     }
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -66,6 +66,44 @@
     assert_eq!(bench.core.take_loss_counts().n_given_up, 1);
 }
 
+/// Loses the worker of the last task of job 1, a gang on two workers, up to `n_losses` times, and returns the
+/// state of the job.
+fn state_after_losses_of_a_gang(n_losses: usize) -> Option<model::GraphState> {
+    let mut bench = support::PoolBench::new(24);
+    bench.admit(1, support::job(1, support::gang(support::tasks(16))));
+    for n_lost in 0..n_losses as u64 {
+        let starts = run_rounds_with_save(&mut bench);
+        answer_with_runs(&mut bench, &starts, 24);
+        bench.advance(1_300);
+        let last = starts.last().expect("a start of the gang");
+        let lost = support::index_of(&last.worker);
+        replace_worker(&mut bench, lost);
+        bench.run_round();
+        let others = starts.iter().filter(|it| it.worker != last.worker);
+        let other = support::index_of(&others.clone().next().expect("a second worker").worker);
+        let how = order::EndKind::Stopped;
+        let first_number = 100 * n_lost + 1;
+        let ended = (first_number..).zip(others);
+        let ended = ended.map(|(number, it)| support::listed_end(number, it, how));
+        bench.answer_poll(other, &[], &ended.collect::<Vec<_>>());
+        bench.save();
+    }
+    bench.core.state_of(1).map(|it| it.state)
+}
+
+/// Failure: a gang on two workers was given up after two losses of one of them by chance, as if it had run on
+/// one worker.
+#[test]
+fn a_gang_on_several_workers_is_not_given_up_after_two_losses() {
+    assert_eq!(state_after_losses_of_a_gang(2), Some(model::GraphState::Running));
+}
+
+/// Failure: a gang that crashes its workers is started without end.
+#[test]
+fn a_gang_on_several_workers_is_given_up_after_three_losses() {
+    assert_eq!(state_after_losses_of_a_gang(3), Some(model::GraphState::Failed));
+}
+
 /// Failure: a job was given up for early losses of its task, although a run of the task was seen to last
 /// far longer.
 #[test]
--- a/crates/pool/tests/pool/accepted_work.rs
+++ b/crates/pool/tests/pool/accepted_work.rs
@@ -78,6 +78,12 @@
     run_storms(FaultSet::Faults, [314]);
 }
 
+/// Guards against a gang that is given up as crashing its workers after it has lost two of them by chance.
+#[test]
+fn storms_with_a_gang_that_loses_two_workers() {
+    run_storms(FaultSet::Faults, [883_028]);
+}
+
 /// Guards against a storm that differs from run to run with the same seed, so that no failure can be
 /// reproduced.
 #[test]
