Hold no workers for suspects that may not run apart

Cause: a suspect beyond the number that may have workers of their own does not start. For an urgent one room was cleared all the same: empty workers were claimed whole, and in one case two tasks were stopped, for units that could not use them. The second step of another job stood still beside six empty workers until the claims ran out.

Change: nothing is cleared, claimed or reserved for a suspect while it may not run apart.

The new test of graph fails with the former decision (1 of 2 tasks starts) and passes. A trial that left empty workers to suspects of idle jobs did not change the failure and was dropped.

--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -119,12 +119,18 @@
 impl PlacementRequest<'_> {
     /// Number of tasks of the unit that fit on the candidate now; 0 if the unit may not use it.
     pub fn count_now(&self, index: usize, candidate: &WorkerCandidate) -> u32 {
-        if self.is_isolated && !(self.may_be_isolated && candidate.is_empty()) {
+        if self.awaits_isolation() || (self.is_isolated && !candidate.is_empty()) {
             return 0;
         }
         self.count_on(index, candidate, candidate.free)
     }
 
+    /// Whether the unit needs workers of its own and may not have them now. Capacity kept for it would be
+    /// used by nobody.
+    pub fn awaits_isolation(&self) -> bool {
+        self.is_isolated && !self.may_be_isolated
+    }
+
     /// Resources to keep on a candidate for one task of the unit: the whole worker for an isolated run.
     pub fn kept_resources(&self, candidate: &WorkerCandidate) -> resources::Resources {
         if self.is_isolated { candidate.profile.capacity } else { self.per_task }
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -123,6 +123,9 @@
             return;
         }
         let Some(request) = self.placement_request(unit, candidates, now) else { return };
+        if request.awaits_isolation() {
+            return;
+        }
         let Some(chosen) = reservation::reserve(candidates, &request) else { return };
         for index in chosen {
             let kept = request.kept_resources(&candidates[index]);
--- a/crates/graph/src/preemption.rs
+++ b/crates/graph/src/preemption.rs
@@ -105,6 +105,9 @@
         let victim_set =
             victim_set.get_or_insert_with(|| self.victim_set(is_guaranteed, candidates, now));
         let Some(request) = self.placement_request(unit, candidates, now) else { return };
+        if request.awaits_isolation() {
+            return;
+        }
         let Some(plan) = preemption_plan::cheapest_plan(candidates, victim_set, &request) else {
             return;
         };
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -98,6 +98,24 @@
     assert_eq!(state_after_losses_of_a_gang(2), Some(model::GraphState::Running));
 }
 
+/// Failure: urgent suspects beyond the number that may have workers of their own held all empty workers, and
+/// other work waited beside them.
+#[test]
+fn suspects_that_may_not_run_apart_hold_no_workers() {
+    let mut bench = support::PoolBench::new(8);
+    bench.admit(1, support::job(0, support::tasks(8)));
+    let starts = run_rounds_with_save(&mut bench);
+    bench.advance(1_000);
+    replace_worker(&mut bench, support::index_of(&starts[0].worker));
+    assert_eq!(n_suspects(&bench), 8);
+    let n_isolated = run_rounds_with_save(&mut bench).len();
+    assert!(n_isolated < 4, "{n_isolated}");
+    // The suspects avoid the worker that replaced the lost one, so one task could start in any case.
+    bench.admit(2, support::job(0, support::whole_workers(2)));
+    let started = bench.run_round_and_start();
+    assert_eq!(started.iter().filter(|it| it.task.graph == 2).count(), 2);
+}
+
 /// Failure: a gang that crashes its workers is started without end.
 #[test]
 fn a_gang_on_several_workers_is_given_up_after_three_losses() {
