Sample the speeds of workers in steps of any size, weighted by exactness

Cause: a run counted once, by its first pace, and only in steps with four or more known paces; workers of small gangs stayed unknown. Change: with remember_speeds on, each worker of a step is compared with the other workers of the step, corrected by what is known of them. A sample weighs less the fewer runs it is from, the less is known of the others and the smaller the gain that the pace was measured over; a later and more exact reading of a run replaces its sample. Runs that are remote from their data or of a gang in several racks give none. Off, sampling is as before.

--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -291,6 +291,7 @@
             percent_changed_at: now,
             pace: pace::RunPace::not_started(),
             is_speed_sampled: false,
+            speed_sample: None,
             first_confirmed_clock: None,
         });
         record.runs.insert(key);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -12,6 +12,7 @@
 use crate::suspicion;
 use crate::task_key;
 use crate::wait_timer;
+use crate::worker_speed;
 
 /// An accepted job graph and its progress.
 #[derive(Clone, Debug)]
@@ -146,6 +147,8 @@
     pub pace: pace::RunPace,
     /// Whether the run has counted for the speed of its worker.
     pub is_speed_sampled: bool,
+    /// What the run has contributed to the speed of its worker so far, if speeds are remembered.
+    pub speed_sample: Option<worker_speed::SpeedSample>,
     /// Reading of the worker's clock when the worker was first known to have the run.
     pub first_confirmed_clock: Option<Duration>,
 }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -52,6 +52,7 @@
 mod slow_workers;
 mod speed_samples;
 mod stalled;
+mod step_speeds;
 mod takeover;
 mod task_ends;
 mod unsaved_suspicions;
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -35,6 +35,7 @@
 /// scheduler is busy, so by the scheduler's clock a run would seem slow.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunPace {
+    first: Option<PaceReading>,
     base: Option<PaceReading>,
     best: f64,
     latest: Option<f64>,
@@ -51,6 +52,15 @@
     AtLeast(f64),
 }
 
+/// Mean pace of a run over all its readings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeanPace {
+    /// The pace, in percent per second.
+    pub pace: f64,
+    /// Progress between the first reading and the last one, in percent.
+    pub gained: f64,
+}
+
 /// The reading from which the next gain is counted.
 #[derive(Clone, Copy, Debug)]
 struct PaceReading {
@@ -72,7 +82,8 @@
 impl RunPace {
     /// A run that was at `percent` at time `at` of the worker's clock.
     pub fn new(at: Duration, percent: u32) -> RunPace {
-        RunPace { base: Some(PaceReading { at, percent }), ..RunPace::default() }
+        let first = Some(PaceReading { at, percent });
+        RunPace { first, base: first, ..RunPace::default() }
     }
 
     /// A run that has not started to work yet: the members of a gang work only once all have started.
@@ -86,6 +97,7 @@
         let Some(base) = self.base else {
             // The run has started to work since the last reading.
             self.base = (percent > 0).then_some(reading);
+            self.first = self.base;
             return;
         };
         let elapsed = at.saturating_sub(base.at);
@@ -123,6 +135,14 @@
         exact.or(self.completed.map(MeasuredPace::AtLeast))
     }
 
+    /// Mean pace over all readings; `None` before the first gain.
+    pub fn mean(&self) -> Option<MeanPace> {
+        let (first, base) = (self.first?, self.base?);
+        let gained = f64::from(base.percent.saturating_sub(first.percent));
+        let elapsed = base.at.saturating_sub(first.at).as_secs_f64();
+        (gained > 0.0 && elapsed > 0.0).then(|| MeanPace { pace: gained / elapsed, gained })
+    }
+
     /// Compares the latest reading with the usual pace of such runs.
     pub fn verdict(&self, usual: UsualPace) -> PaceVerdict {
         let Some(latest) = self.latest else { return PaceVerdict::Unknown };
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -12,6 +12,7 @@
 use crate::order;
 use crate::pace;
 use crate::preemption;
+use crate::step_speeds;
 use crate::task_key;
 use crate::worker;
 use crate::worker_restarts;
@@ -222,7 +223,11 @@
         }
         let first_confirmed_clock = *run.first_confirmed_clock.get_or_insert(clock);
         run.pace.observe(clock, listed.percent, expected_pace);
-        let has_unsampled_pace = !run.is_speed_sampled && run.pace.measured().is_some();
+        let has_unsampled_pace = if self.scheduling.remember_speeds {
+            step_speeds::has_new_sample(run)
+        } else {
+            !run.is_speed_sampled && run.pace.measured().is_some()
+        };
         if run.percent != listed.percent {
             run.percent = listed.percent;
             run.percent_changed_at = now;
@@ -272,6 +277,7 @@
             percent_changed_at: now,
             pace: pace::RunPace::new(clock, listed.percent),
             is_speed_sampled: false,
+            speed_sample: None,
             first_confirmed_clock: Some(clock),
         });
         if task.suspicion.inherited_attempt == Some(listed.attempt) {
--- a/crates/graph/src/speed_samples.rs
+++ b/crates/graph/src/speed_samples.rs
@@ -12,6 +12,10 @@
     /// Compares the runs of a step whose pace is known, each once. The pace of each sibling is corrected by
     /// what is known of its worker: otherwise fast workers that are used together would count as usual.
     pub(crate) fn sample_speeds(&mut self, key: task_key::TaskKey) {
+        if self.scheduling.remember_speeds {
+            self.sample_step_speeds(key);
+            return;
+        }
         let Some(step) = self.jobs.get(&key.graph).and_then(|it| it.step(key)) else { return };
         if step.tasks.len() < MIN_RUNS {
             return;
--- /dev/null
+++ b/crates/graph/src/step_speeds.rs
@@ -0,0 +1,187 @@
+//! Weighted samples of the speeds of workers, from steps of any size.
+//!
+//! Each worker of a step is compared with the other workers of the step, as far as their speeds are known. The
+//! weight of a sample follows the number of its runs, the exactness of their paces and that of the comparison.
+
+use std::collections::BTreeMap;
+
+use almondpass_schema::ids;
+
+use crate::core;
+use crate::job;
+use crate::pace;
+use crate::task_key;
+use crate::worker_speed;
+
+/// Usual relative variation of the work of tasks of one step, against which the error of a pace is weighed.
+const TASK_VARIATION: f64 = 0.2;
+
+/// Error of a gain, in percent: progress is listed in whole percent at both readings.
+const GAIN_ERROR: f64 = 0.41;
+
+/// Gain that is assumed of a pace that is not measured from the beginning, in percent.
+const LEAST_GAIN: f64 = 4.0;
+
+/// A later reading replaces the sample of a run if the exactness of its pace rises by this much.
+const MIN_EXACTNESS_RISE: f64 = 0.1;
+
+/// Exactness of a pace of which only a lower bound is known.
+const BOUND_EXACTNESS: f64 = 0.5;
+
+/// Whether the pace of a run is known more exactly than when it was last sampled.
+pub(crate) fn has_new_sample(run: &job::TaskRun) -> bool {
+    let Some(reading) = SpeedReading::of(run) else { return false };
+    run.speed_sample.is_none_or(|it| reading.exactness >= it.exactness + MIN_EXACTNESS_RISE)
+}
+
+/// The pace of a run as a logarithm, and its exactness from 0 to 1.
+#[derive(Clone, Copy, Debug)]
+struct SpeedReading {
+    log_pace: f64,
+    exactness: f64,
+    is_bound: bool,
+}
+
+impl SpeedReading {
+    fn of(run: &job::TaskRun) -> Option<SpeedReading> {
+        let measured = run.pace.measured()?;
+        let (pace, exactness, is_bound) = match measured {
+            pace::MeasuredPace::AtLeast(pace) => (pace, BOUND_EXACTNESS, true),
+            // A run that restores a checkpoint stands still at first.
+            pace::MeasuredPace::Exact(latest) => match run.pace.mean() {
+                Some(mean) if run.is_from_scratch => (mean.pace, exactness_of(mean.gained), false),
+                _ => (latest, exactness_of(LEAST_GAIN), false),
+            },
+        };
+        (pace > 0.0).then(|| SpeedReading { log_pace: pace.ln(), exactness, is_bound })
+    }
+}
+
+fn exactness_of(gained: f64) -> f64 {
+    let error = GAIN_ERROR / gained / TASK_VARIATION;
+    1.0 / (1.0 + error * error)
+}
+
+/// Runs of a step on one worker.
+#[derive(Clone, Debug, Default)]
+struct WorkerRuns {
+    /// Tasks and the readings of their runs.
+    readings: Vec<(usize, SpeedReading)>,
+    log_factor: f64,
+    variance: f64,
+}
+
+impl WorkerRuns {
+    /// Mean logarithm of the pace that the runs would have on a worker of the usual speed.
+    fn corrected(&self) -> f64 {
+        let sum = self.readings.iter().map(|(_, it)| it.log_pace).sum::<f64>();
+        sum / self.readings.len() as f64 - self.log_factor
+    }
+
+    /// Variance of the mean pace of the runs, as a multiple of that of one run.
+    fn own_variance(&self) -> f64 {
+        1.0 / self.readings.iter().map(|(_, it)| it.exactness).sum::<f64>()
+    }
+}
+
+/// The usual pace by the other workers of a step.
+#[derive(Clone, Copy, Debug)]
+struct UsualPace {
+    log_pace: f64,
+    variance: f64,
+}
+
+impl core::PoolCore {
+    /// Samples the runs of a step whose paces have become known, or known more exactly.
+    pub(crate) fn sample_step_speeds(&mut self, key: task_key::TaskKey) {
+        let by_worker = self.comparable_runs(key);
+        if by_worker.len() < 2 {
+            return;
+        }
+        for (worker, runs) in &by_worker {
+            let others = by_worker.iter().filter(|(it, _)| *it != worker).map(|(_, it)| it);
+            let Some(usual) = usual_pace(&others.collect::<Vec<_>>()) else { continue };
+            self.sample_worker(key, worker, runs, usual);
+        }
+    }
+
+    fn sample_worker(
+        &mut self,
+        key: task_key::TaskKey,
+        worker: &ids::WorkerId,
+        runs: &WorkerRuns,
+        usual: UsualPace,
+    ) {
+        let Some(step) = self.jobs.get_mut(&key.graph).and_then(|it| it.step_mut(key)) else {
+            return;
+        };
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        let n_runs = runs.readings.len() as f64;
+        // All runs on the worker share the error of the comparison.
+        let weight = 1.0 / (1.0 + n_runs * usual.variance);
+        for (task, reading) in &runs.readings {
+            let Some(run) = step.tasks.get_mut(*task).and_then(|it| it.run.as_mut()) else {
+                continue;
+            };
+            let limit = worker_speed::MAX_FACTOR.ln();
+            let log_factor = (reading.log_pace - usual.log_pace).clamp(-limit, limit);
+            if reading.is_bound && log_factor <= runs.log_factor {
+                continue;
+            }
+            let exactness = reading.exactness;
+            let weight = weight * exactness;
+            let sample = worker_speed::SpeedSample { log_factor, weight, exactness };
+            if run.speed_sample.is_some_and(|it| it.weight >= sample.weight) {
+                continue;
+            }
+            record.speed.replace(run.speed_sample.replace(sample), sample);
+        }
+    }
+
+    /// The runs of a step with known paces, by worker; none if distance may have slowed them.
+    fn comparable_runs(&self, key: task_key::TaskKey) -> BTreeMap<ids::WorkerId, WorkerRuns> {
+        let mut by_worker = BTreeMap::<ids::WorkerId, WorkerRuns>::new();
+        let Some(step) = self.jobs.get(&key.graph).and_then(|it| it.step(key)) else {
+            return by_worker;
+        };
+        if step.tasks.len() < 2 || self.spans_racks(step) {
+            return by_worker;
+        }
+        for (task, record) in step.tasks.iter().enumerate() {
+            let Some(run) = record.run.as_ref().filter(|it| !it.is_remote) else { continue };
+            let Some(worker) = self.workers.get(&run.worker) else { continue };
+            let is_near = step.spec.rack.as_ref().is_none_or(|it| *it == worker.place.rack);
+            let Some(reading) = SpeedReading::of(run).filter(|_| is_near) else { continue };
+            let runs = by_worker.entry(run.worker.clone()).or_insert_with(|| WorkerRuns {
+                readings: Vec::new(),
+                log_factor: worker.speed.log_factor(),
+                variance: worker.speed.variance(),
+            });
+            runs.readings.push((task, reading));
+        }
+        by_worker
+    }
+
+    /// Whether a step is a gang with members in more than one rack.
+    fn spans_racks(&self, step: &job::StepRecord) -> bool {
+        let runs = step.tasks.iter().filter_map(|it| it.run.as_ref());
+        let mut racks = runs.filter_map(|it| self.workers.get(&it.worker)).map(|it| &it.place.rack);
+        let Some(first) = racks.next() else { return false };
+        step.spec.gang && racks.any(|it| it != first)
+    }
+}
+
+/// Weighted mean of the corrected paces of workers. Each counts within `MAX_FACTOR` of the median only, as a
+/// few runs take several times as long for reasons of their own.
+fn usual_pace(others: &[&WorkerRuns]) -> Option<UsualPace> {
+    let exact = others.iter().filter(|it| it.readings.iter().all(|(_, it)| !it.is_bound));
+    let exact = exact.map(|it| (it.corrected(), 1.0 / (it.own_variance() + it.variance)));
+    let mut exact = exact.collect::<Vec<_>>();
+    exact.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let (median, _) = *exact.get(exact.len() / 2)?;
+    let limit = worker_speed::MAX_FACTOR.ln();
+    let weight = exact.iter().map(|(_, weight)| weight).sum::<f64>();
+    let clamped =
+        exact.iter().map(|(it, weight)| weight * it.clamp(median - limit, median + limit));
+    Some(UsualPace { log_pace: clamped.sum::<f64>() / weight, variance: 1.0 / weight })
+}
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -2,7 +2,7 @@
 
 /// Factor by which one run at most counts a worker as faster or slower: a few runs take several times as long for
 /// reasons of their own.
-const MAX_FACTOR: f64 = 2.0;
+pub(crate) const MAX_FACTOR: f64 = 2.0;
 
 /// Number of runs at the usual pace that a worker is assumed to have had before the first one. Tasks of one step
 /// differ by a third, so that one run alone says little.
@@ -18,24 +18,66 @@
 /// `CLASS_FACTOR` times as fast as the one below.
 pub type SpeedClass = i32;
 
+/// What one run shows about the speed of its worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedSample {
+    /// Logarithm of the run's pace as a factor of that of its siblings.
+    pub log_factor: f64,
+    /// Weight of the sample; 1 for a run whose pace and usual pace are known exactly.
+    pub weight: f64,
+    /// How exactly the pace of the run was known, from 0 to 1.
+    pub exactness: f64,
+}
+
 /// Learned speed of one incarnation of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkerSpeed {
     sum: f64,
+    /// Sum of the squares, for the variation between the runs of the worker.
+    squares: f64,
+    /// Weight of the runs.
     n_runs: f64,
 }
 
 impl WorkerSpeed {
     /// Records a run that progressed at `factor` times the pace of its siblings.
     pub fn observe(&mut self, factor: f64) {
-        let sample = factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
-        if self.n_runs >= MAX_RUNS {
-            let kept = (MAX_RUNS - 1.0) / self.n_runs;
+        let log_factor = factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
+        self.record(SpeedSample { log_factor, weight: 1.0, exactness: 1.0 });
+    }
+
+    /// Records a sample in place of an earlier and less exact one of the same run.
+    pub fn replace(&mut self, earlier: Option<SpeedSample>, sample: SpeedSample) {
+        if let Some(earlier) = earlier.filter(|it| it.weight <= self.n_runs) {
+            self.add(SpeedSample { weight: -earlier.weight, ..earlier });
+        }
+        self.record(sample);
+    }
+
+    /// Weight of the runs that the estimate is from.
+    pub fn n_runs(&self) -> f64 {
+        self.n_runs
+    }
+
+    fn record(&mut self, sample: SpeedSample) {
+        if self.n_runs + sample.weight > MAX_RUNS {
+            let kept = (MAX_RUNS - sample.weight) / self.n_runs;
             self.sum *= kept;
+            self.squares *= kept;
             self.n_runs *= kept;
         }
-        self.sum += sample;
-        self.n_runs += 1.0;
+        self.add(sample);
+    }
+
+    fn add(&mut self, sample: SpeedSample) {
+        self.sum += sample.weight * sample.log_factor;
+        self.squares += sample.weight * sample.log_factor * sample.log_factor;
+        self.n_runs += sample.weight;
+    }
+
+    /// Variance of the estimate, as a multiple of the variance of one run.
+    pub(crate) fn variance(&self) -> f64 {
+        1.0 / (self.n_runs + N_ASSUMED_RUNS)
     }
 
     /// Estimated speed, as a factor of the usual one.
@@ -48,7 +90,7 @@
         (self.log_factor() / CLASS_FACTOR.ln()).round() as SpeedClass
     }
 
-    fn log_factor(&self) -> f64 {
+    pub(crate) fn log_factor(&self) -> f64 {
         self.sum / (self.n_runs + N_ASSUMED_RUNS)
     }
 }
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -6,6 +6,7 @@
 mod load_simulation;
 mod objectives;
 mod random_events;
+mod remembered_speeds;
 mod reservations;
 mod restarts;
 mod rosters;
--- /dev/null
+++ b/crates/graph/tests/pool/remembered_speeds.rs
@@ -0,0 +1,164 @@
+//! Workers of different speeds, with `remember_speeds`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use almondpass_graph::order;
+use almondpass_schema::model;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::support;
+
+/// Workers of a pool.
+const N_WORKERS: usize = 48;
+
+/// Time that a task takes on a worker of the usual speed.
+const RUN_TIME: Duration = Duration::from_millis(2_500);
+
+/// Interval between two polls of all workers.
+const POLL_MS: u64 = 500;
+
+/// Pools over which a share is taken.
+const SEEDS: std::ops::Range<u64> = 0..8;
+
+/// Workers of a pool and the work of its tasks.
+#[derive(Clone, Copy, Debug)]
+struct SpeedLoad {
+    /// Speeds of the workers, mixed at random.
+    speeds: &'static [f64],
+    /// Greatest relative difference of a task's work from the usual.
+    noise: f64,
+    /// Whether `remember_speeds` is on.
+    remembers: bool,
+}
+
+/// Workers of three speeds, and tasks that differ by a third.
+const MIXED: SpeedLoad = SpeedLoad { speeds: &[0.6, 1.0, 1.6], noise: 0.3, remembers: true };
+
+/// Runs steps one after the other on workers of fixed speeds.
+struct SpeedPlay {
+    bench: support::PoolBench,
+    rng: ChaCha8Rng,
+    speeds: Vec<f64>,
+    n_ends: Vec<u64>,
+    noise: f64,
+    n_jobs: u64,
+}
+
+/// A step that has ended.
+#[derive(Clone, Debug, PartialEq)]
+struct PlayedStep {
+    workers: Vec<usize>,
+    took: Duration,
+}
+
+/// A run in progress.
+struct PlayedRun {
+    start: order::StartOrder,
+    worker: usize,
+    takes: Duration,
+}
+
+impl SpeedPlay {
+    fn new(load: SpeedLoad, seed: u64) -> SpeedPlay {
+        let scheduling = model::SchedulingSettings {
+            remember_speeds: load.remembers,
+            ..model::SchedulingSettings::default()
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let speed = |_| load.speeds[rng.random_range(0..load.speeds.len())];
+        let speeds = (0..N_WORKERS).map(speed).collect();
+        let bench = support::PoolBench::with_scheduling(N_WORKERS, scheduling);
+        let n_ends = vec![0; N_WORKERS];
+        SpeedPlay { bench, rng, speeds, n_ends, noise: load.noise, n_jobs: 0 }
+    }
+
+    fn play(&mut self, row: model::GraphRow) -> PlayedStep {
+        self.n_jobs += 1;
+        self.bench.admit(self.n_jobs, row);
+        let starts = self.bench.run_round_and_start();
+        let runs = starts.into_iter().map(|it| self.played_run(it)).collect::<Vec<_>>();
+        let took = runs.iter().map(|it| it.takes).max().expect("a start");
+        let began = self.bench.now;
+        while self.bench.now < began + took {
+            self.bench.advance(POLL_MS);
+            let worked = self.bench.now - began;
+            self.answer_polls(&runs, worked);
+        }
+        self.end(&runs);
+        PlayedStep { workers: runs.iter().map(|it| it.worker).collect(), took }
+    }
+
+    fn played_run(&mut self, start: order::StartOrder) -> PlayedRun {
+        let worker = support::index_of(&start.worker);
+        let work = 1.0 + self.noise * self.rng.random_range(-1.0..1.0);
+        PlayedRun { start, worker, takes: RUN_TIME.mul_f64(work / self.speeds[worker]) }
+    }
+
+    fn answer_polls(&mut self, runs: &[PlayedRun], worked: Duration) {
+        let mut by_worker = BTreeMap::<usize, Vec<order::ListedRun>>::new();
+        for it in runs {
+            let percent = (100.0 * worked.as_secs_f64() / it.takes.as_secs_f64()).min(100.0);
+            let listed = support::listed_run(&it.start, percent as u32);
+            by_worker.entry(it.worker).or_default().push(listed);
+        }
+        for (worker, listed) in by_worker {
+            self.bench.answer_poll(worker, &listed, &[]);
+        }
+    }
+
+    fn end(&mut self, runs: &[PlayedRun]) {
+        let mut ends = vec![Vec::new(); N_WORKERS];
+        for it in runs {
+            self.n_ends[it.worker] += 1;
+            let number = self.n_ends[it.worker];
+            ends[it.worker].push(support::listed_end(number, &it.start, order::EndKind::Done));
+        }
+        for (worker, ended) in ends.into_iter().enumerate() {
+            self.bench.answer_poll(worker, &[], &ended);
+        }
+        self.bench.save();
+    }
+
+    /// Whether a step had a task on a slow worker.
+    fn used_slow(&self, step: &PlayedStep) -> bool {
+        step.workers.iter().any(|it| self.speeds[*it] < 1.0)
+    }
+}
+
+/// An urgent gang of whole workers of one rack.
+fn urgent_gang(n_tasks: u32) -> model::GraphRow {
+    let step = support::gang(support::whole_workers(n_tasks));
+    support::job(0, model::GraphStep { same_rack: true, ..step })
+}
+
+/// Share of urgent gangs with a slow member, of the last third of 60 in each pool.
+fn share_with_slow_member(load: SpeedLoad, n_tasks: u32) -> f64 {
+    let mut n_slow = 0;
+    for seed in SEEDS {
+        let mut play = SpeedPlay::new(load, seed);
+        let steps = (0..60).map(|_| play.play(urgent_gang(n_tasks))).collect::<Vec<_>>();
+        n_slow += steps[40..].iter().filter(|it| play.used_slow(it)).count();
+    }
+    n_slow as f64 / (20 * SEEDS.count()) as f64
+}
+
+fn check_slow_members(n_tasks: u32, most: f64) {
+    let off = share_with_slow_member(SpeedLoad { remembers: false, ..MIXED }, n_tasks);
+    let on = share_with_slow_member(MIXED, n_tasks);
+    println!("gangs of {n_tasks} with a slow member: {off:.2} off, {on:.2} on");
+    assert!(on <= most && on < off, "{on:.2} of the gangs with a slow member, {off:.2} when off");
+}
+
+macro_rules! slow_members {
+    ($($(#[$doc:meta])* $name:ident: $n_tasks:expr => $most:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { check_slow_members($n_tasks, $most); })*
+    };
+}
+
+slow_members! {
+    /// Guards against small gangs that teach nothing: their workers stay unknown for good.
+    gangs_of_two_come_to_avoid_slow_workers: 2 => 0.3;
+    gangs_of_three_come_to_avoid_slow_workers: 3 => 0.3;
+}
