Rank workers by a cautious estimate of their speeds, and try workers of unknown speed

Cause: a worker of unknown speed counted as usual, so urgent gangs took fast workers together with unknown ones, and ended with the slowest of these; bulk tasks were packed on few workers, so that the others stayed unknown. Change: with remember_speeds on, an analysis of variance checks once a second whether the workers of an upstream differ by more than the work of tasks does. If so, urgent units rank workers by the mean less its standard error, racks with a slow or unknown member come last, and single tasks of less urgent classes first go to empty workers of unknown speed, on at most an eighth of the workers at a time. If not, placement is by the class of the mean as before. A log line tells when workers are found to differ, a counter tells what was known of the workers of urgent starts.

--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -5,8 +5,8 @@
 use almondpass_schema::ids;
 
 use crate::resources;
+use crate::speed_spread;
 use crate::task_key;
-use crate::worker_speed;
 
 /// Properties of a worker that do not change within a round.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,8 +40,8 @@
     pub n_runs: usize,
     /// Whether tasks failed on the worker lately; such workers are used last.
     pub failed_lately: bool,
-    /// Class of the worker's speed.
-    pub speed: worker_speed::SpeedClass,
+    /// Rank of the worker's speed.
+    pub speed: speed_spread::SpeedRank,
     /// Whether a task that may crash the worker runs on it in isolation; nothing else starts there.
     pub is_exclusive: bool,
     /// Resources being freed for units by preemption.
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -13,6 +13,7 @@
 use crate::loss_history;
 use crate::losses;
 use crate::order;
+use crate::pool_speeds;
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
@@ -49,6 +50,8 @@
     /// Starts in transit, and the limit of their number.
     pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
+    /// How much the speeds of the workers differ.
+    pub(crate) speeds: pool_speeds::PoolSpeeds,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -125,6 +128,7 @@
             orders: Vec::new(),
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
+            speeds: pool_speeds::PoolSpeeds::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -42,6 +42,7 @@
             return;
         }
         self.expire_claims(now);
+        self.update_pool_speeds(now);
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             self.uninterrupted_since = now;
@@ -181,7 +182,7 @@
             free: it.free(),
             n_runs: it.runs.len() + it.unwanted_runs.len(),
             failed_lately: it.health.has_recent_failures(),
-            speed: it.speed.class(),
+            speed: self.speeds.rank(it),
             is_exclusive: !it.isolated_runs.is_empty(),
             claims: it.claims.iter().map(|it| (it.unit, it.resources)).collect(),
             reserved: Vec::new(),
@@ -255,6 +256,7 @@
             worker.claims.retain(|it| it.unit != unit);
         }
         for (key, worker) in keys.into_iter().zip(workers) {
+            self.count_urgent_start(unit.graph, &worker);
             self.start_task(key, worker, StartProperties { attempt, is_isolated, is_remote }, now);
         }
     }
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -9,6 +9,9 @@
 use crate::candidate;
 use crate::worker_speed;
 
+/// Workers of unknown speed are tried on at most this part of the workers at a time.
+const EXPLORED_SHARE: usize = 8;
+
 /// Chooses a candidate for each task of the unit and takes the resources there, or changes nothing. The
 /// result has one index into `candidates` per task.
 pub fn place(
@@ -61,6 +64,7 @@
 ) -> Option<usize> {
     let free_by_rack = free_by_rack(candidates);
     let may_use_empty = n_empty(candidates, request) > request.keeps_empty;
+    let may_explore = may_explore(candidates, request);
     let fitting = candidates.iter().enumerate().filter(|(index, it)| {
         let is_near = request.rack_number.is_none_or(|rack| it.rack == rack);
         let is_usable = may_use_empty || !it.is_empty();
@@ -76,7 +80,16 @@
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
         let (speed_first, speed_last) = speed_order(it, request);
         let health = (is_remote, n_at_risk, it.failed_lately);
-        (health, speed_first, left.accelerators, speed_last, rack, left.cpu_milli)
+        let explores = may_explore && it.speed.is_unknown && it.is_empty();
+        (
+            health,
+            Reverse(explores),
+            speed_first,
+            left.accelerators,
+            speed_last,
+            rack,
+            left.cpu_milli,
+        )
     });
     best.map(|(index, _)| index)
 }
@@ -86,8 +99,24 @@
 fn speed_order(
     candidate: &candidate::WorkerCandidate,
     request: &candidate::PlacementRequest,
-) -> (worker_speed::SpeedClass, worker_speed::SpeedClass) {
-    if request.prefers_fast { (-candidate.speed, 0) } else { (0, candidate.speed) }
+) -> ((worker_speed::SpeedClass, bool), worker_speed::SpeedClass) {
+    let speed = candidate.speed;
+    if request.prefers_fast {
+        ((-speed.cautious, speed.is_unknown), 0)
+    } else {
+        ((0, false), speed.usual)
+    }
+}
+
+/// Whether a task that prefers no fast workers may go to an empty worker only because its speed is unknown. Few
+/// are tried at a time, as each breaks up a whole worker.
+fn may_explore(
+    candidates: &[candidate::WorkerCandidate],
+    request: &candidate::PlacementRequest,
+) -> bool {
+    let same = || candidates.iter().filter(|it| it.upstream == request.upstream);
+    let n_explored = same().filter(|it| it.speed.is_unknown && !it.is_empty()).count();
+    !request.prefers_fast && n_explored * EXPLORED_SHARE < same().count()
 }
 
 /// Whether as many workers stay empty as the unit has to leave empty.
@@ -141,8 +170,8 @@
 }
 
 /// Chooses, of the racks that hold the whole gang, one with the fewest workers that failed lately, among these one
-/// whose slowest needed worker is the fastest, as a gang is as slow as its slowest member, and among these the
-/// one with the fewest free accelerators.
+/// whose slowest needed worker is the fastest, as a gang is as slow as its slowest member, among these one with
+/// the fewest needed workers of unknown speed, and among these the one with the fewest free accelerators.
 fn choose_rack(
     candidates: &[candidate::WorkerCandidate],
     request: &candidate::PlacementRequest,
@@ -155,7 +184,8 @@
         rack.accelerators += it.free.accelerators;
         rack.n_failed_lately += u32::from(it.failed_lately && *count > 0);
         if *count > 0 && request.prefers_fast {
-            *rack.count_by_speed.entry(it.speed).or_default() += count;
+            let speed = (it.speed.cautious, !it.speed.is_unknown);
+            *rack.count_by_speed.entry(speed).or_default() += count;
         }
     }
     let large_enough = racks.iter().enumerate().filter(|(number, it)| {
@@ -163,8 +193,8 @@
     });
     large_enough
         .min_by_key(|(_, it)| {
-            let slowest = it.slowest_needed(request.n_tasks);
-            (it.n_failed_lately, Reverse(slowest), it.accelerators)
+            let needed = it.needed_speeds(request.n_tasks);
+            (it.n_failed_lately, Reverse(needed.slowest), needed.n_unknown, it.accelerators)
         })
         .map(|(number, _)| number)
 }
@@ -174,21 +204,30 @@
     count: u32,
     accelerators: u32,
     n_failed_lately: u32,
-    /// Tasks that fit, by the speed of the workers; empty if the speed does not matter.
-    count_by_speed: BTreeMap<worker_speed::SpeedClass, u32>,
+    /// Tasks that fit, by the speed of the workers and whether it is known; empty if the speed does not matter.
+    count_by_speed: BTreeMap<(worker_speed::SpeedClass, bool), u32>,
+}
+
+/// Speeds of the workers that a gang needs in a rack.
+#[derive(Clone, Copy, Debug, Default)]
+struct NeededSpeeds {
+    slowest: worker_speed::SpeedClass,
+    n_unknown: u32,
 }
 
 impl RackCapacity {
-    /// Speed of the slowest worker that is needed if the fastest are taken first.
-    fn slowest_needed(&self, n_tasks: u32) -> worker_speed::SpeedClass {
+    /// Speeds that are needed if the fastest workers are taken first.
+    fn needed_speeds(&self, n_tasks: u32) -> NeededSpeeds {
         let mut missing = n_tasks;
-        for (speed, count) in self.count_by_speed.iter().rev() {
+        let mut n_unknown = 0;
+        for ((speed, is_known), count) in self.count_by_speed.iter().rev() {
+            n_unknown += if *is_known { 0 } else { missing.min(*count) };
             missing = missing.saturating_sub(*count);
             if missing == 0 {
-                return *speed;
+                return NeededSpeeds { slowest: *speed, n_unknown };
             }
         }
-        0
+        NeededSpeeds::default()
     }
 }
 
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -12,7 +12,7 @@
 const MAX_RUNS: f64 = 8.0;
 
 /// Width of a speed class, as a factor. Within a class workers count as equally fast.
-const CLASS_FACTOR: f64 = 1.25;
+pub(crate) const CLASS_FACTOR: f64 = 1.25;
 
 /// Class of a worker's speed: 0 for the usual or an unknown speed, positive for faster workers. A class is
 /// `CLASS_FACTOR` times as fast as the one below.
@@ -37,6 +37,8 @@
     squares: f64,
     /// Weight of the runs.
     n_runs: f64,
+    /// Number of the runs.
+    n_samples: f64,
 }
 
 impl WorkerSpeed {
@@ -50,6 +52,7 @@
     pub fn replace(&mut self, earlier: Option<SpeedSample>, sample: SpeedSample) {
         if let Some(earlier) = earlier.filter(|it| it.weight <= self.n_runs) {
             self.add(SpeedSample { weight: -earlier.weight, ..earlier });
+            self.n_samples -= 1.0;
         }
         self.record(sample);
     }
@@ -65,8 +68,10 @@
             self.sum *= kept;
             self.squares *= kept;
             self.n_runs *= kept;
+            self.n_samples *= kept;
         }
         self.add(sample);
+        self.n_samples += 1.0;
     }
 
     fn add(&mut self, sample: SpeedSample) {
@@ -75,6 +80,21 @@
         self.n_runs += sample.weight;
     }
 
+    /// Number of the runs, those that count less included as far as they count.
+    pub fn n_samples(&self) -> f64 {
+        self.n_samples
+    }
+
+    /// Mean logarithm of the samples; 0 without any.
+    pub fn mean(&self) -> f64 {
+        if self.n_runs > 0.0 { self.sum / self.n_runs } else { 0.0 }
+    }
+
+    /// Weighted sum of the squared differences of the samples from their mean.
+    pub fn deviation(&self) -> f64 {
+        (self.squares - self.mean() * self.sum).max(0.0)
+    }
+
     /// Variance of the estimate, as a multiple of the variance of one run.
     pub(crate) fn variance(&self) -> f64 {
         1.0 / (self.n_runs + N_ASSUMED_RUNS)
@@ -87,10 +107,15 @@
 
     /// Class of the estimated speed.
     pub fn class(&self) -> SpeedClass {
-        (self.log_factor() / CLASS_FACTOR.ln()).round() as SpeedClass
+        class_of(self.log_factor())
     }
 
     pub(crate) fn log_factor(&self) -> f64 {
         self.sum / (self.n_runs + N_ASSUMED_RUNS)
     }
 }
+
+/// Class of a speed, given as the logarithm of its factor.
+pub(crate) fn class_of(log_factor: f64) -> SpeedClass {
+    (log_factor / CLASS_FACTOR.ln()).round() as SpeedClass
+}
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -12,6 +12,8 @@
 mod rosters;
 mod schedules;
 mod slowness;
+mod speed_load;
+mod speed_ranks;
 mod speeds;
 mod start_windows;
 mod stops;
--- a/crates/graph/tests/pool/remembered_speeds.rs
+++ b/crates/graph/tests/pool/remembered_speeds.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::speed_load;
 use crate::support;
 
 /// Workers of a pool.
@@ -162,3 +163,60 @@
     gangs_of_two_come_to_avoid_slow_workers: 2 => 0.3;
     gangs_of_three_come_to_avoid_slow_workers: 3 => 0.3;
 }
+
+/// Workers of three speeds under load, and tasks that differ by a third.
+const MIXED_LOAD: speed_load::SpeedLoad = speed_load::SpeedLoad {
+    speeds: &[0.6, 1.0, 1.6],
+    noise: 0.3,
+    urgent_per_second: 1.0,
+    remembers: true,
+};
+
+/// The urgent gangs of several pools that ended from `from` to `to` seconds after the start.
+fn gangs_between(load: speed_load::SpeedLoad, from: u64, to: u64) -> Vec<speed_load::PlayedGang> {
+    let of_pool = |seed| {
+        let mut pool = speed_load::SpeedPool::new(load, seed);
+        pool.run(from);
+        pool.run(to - from)
+    };
+    (0..4).flat_map(of_pool).collect()
+}
+
+/// Guards against urgent gangs that are late because a member is on a worker of unknown speed, which turns out
+/// to be slow, while enough workers are known.
+#[test]
+fn urgent_gangs_are_in_time_on_mixed_workers() {
+    let off = gangs_between(MIXED_LOAD.off(), 20, 40);
+    let on = gangs_between(MIXED_LOAD, 20, 40);
+    let in_time = |gangs: &[_]| speed_load::share(gangs, |it| it.in_time);
+    let has_slow = |gangs: &[_]| speed_load::share(gangs, |it| it.has_slow);
+    println!("in time: {:.2} off, {:.2} on", in_time(&off), in_time(&on));
+    println!("with a slow member: {:.2} off, {:.2} on", has_slow(&off), has_slow(&on));
+    assert!(in_time(&on) >= 0.93, "{:.2} of the gangs in time", in_time(&on));
+    assert!(in_time(&on) >= in_time(&off) + 0.05, "{:.2} when off", in_time(&off));
+    assert!(has_slow(&on) <= has_slow(&off) / 2.0, "{:.2} with a slow member", has_slow(&on));
+}
+
+/// The starts of urgent tasks that were counted by speed, as they are once workers were seen to differ.
+fn counted_starts(noise: f64) -> u64 {
+    let load = speed_load::SpeedLoad { speeds: &[1.0], noise, ..MIXED_LOAD };
+    let of_pool = |seed| {
+        let mut pool = speed_load::SpeedPool::new(load, seed);
+        pool.run(40);
+        let counts = pool.bench.core.take_start_counts();
+        counts.n_unknown + counts.n_slow + counts.n_usual
+    };
+    (0..4).map(of_pool).sum()
+}
+
+macro_rules! alike_workers {
+    ($($(#[$doc:meta])* $name:ident: $noise:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { assert_eq!(counted_starts($noise), 0); })*
+    };
+}
+
+alike_workers! {
+    /// Guards against alike workers that count as different, as the work of their tasks differs.
+    alike_workers_show_no_spread_at_15_percent: 0.15;
+    alike_workers_show_no_spread_at_30_percent: 0.3;
+}
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, job, losses, waiting};
+use almondpass_graph::{core, job, losses, pool_speeds, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::time::{self, Instant};
 
@@ -114,6 +114,16 @@
     metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
 }
 
+/// Counts starts of urgent tasks by what was known of the speeds of their workers.
+fn record_urgent_starts(counts: pool_speeds::StartCounts) {
+    let by_speed =
+        [("unknown", counts.n_unknown), ("slow", counts.n_slow), ("usual", counts.n_usual)];
+    for (speed, count) in by_speed.into_iter().filter(|(_, it)| *it > 0) {
+        metrics::counter!("almondpass_pool_urgent_starts_by_speed_total", "speed" => speed)
+            .increment(count);
+    }
+}
+
 fn record_overdue(phases: &[job::RunPhase]) {
     for phase in phases {
         metrics::counter!("almondpass_pool_overdue_starts_total", "belief" => phase.name())
@@ -132,6 +142,7 @@
     core.take_finished().iter().for_each(record_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     record_losses(&core.take_loss_counts());
+    record_urgent_starts(core.take_start_counts());
     record_overdue(&core.take_overdue_phases());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_rows_to_save());
     drop(core);
