Keep the learned speeds of workers in a row for the next holder

Change: with remember_speeds on, the holder writes the workers that differ most from the usual speed and are known best in one row, at most every 10 s, if an estimate changed by more than 3 hundredths, and only while workers were seen to differ. The row goes with a write of the tenure, has at most 1,000 entries and 32 KB, and is in the table of the roster, so that a takeover reads no more tables and earlier releases ignore it. A successor takes entries of the listed incarnations, with half of their samples; an entry is dropped if the worker turns out to be in another incarnation.

--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -13,6 +13,7 @@
 use crate::save_queue;
 use crate::wait_timer;
 use crate::worker;
+use crate::worker_speed;
 
 /// Number of attempts skipped after the highest saved one, for inherited tasks: an earlier scheduler may have
 /// restarted them without saving the attempt, and a worker refuses an attempt number that has ended there.
@@ -160,6 +161,10 @@
             labels: entry.labels.clone(),
             capacity: entry.capacity,
         });
+        if is_other_incarnation && !record.fenced {
+            // The speed was inherited for the incarnation of the earlier entry.
+            record.speed = worker_speed::WorkerSpeed::default();
+        }
         record.entry_incarnation = entry.incarnation.or(record.entry_incarnation);
         record.entry = entry;
         if is_other_incarnation && !record.is_listed_incarnation() {
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod run_times;
 pub mod save_queue;
 pub mod saving;
+pub mod speed_row;
 pub mod speed_spread;
 pub mod start_window;
 pub mod suspicion;
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -125,6 +125,9 @@
         record.lowest_listed_end = listed.ended.first().map(|it| it.number);
         let is_first = !record.fenced;
         record.fenced = true;
+        if is_first {
+            record.drop_speed_of_other_incarnation();
+        }
         self.withdraw_silence_note(worker);
         self.note_contact(worker, listed.clock_ms, now);
         if is_first {
--- a/crates/graph/src/pool_speeds.rs
+++ b/crates/graph/src/pool_speeds.rs
@@ -7,6 +7,7 @@
 
 use crate::core;
 use crate::preemption;
+use crate::speed_row;
 use crate::speed_spread;
 use crate::worker;
 use crate::worker_speed;
@@ -20,6 +21,7 @@
     spreads: BTreeMap<ids::UpstreamName, speed_spread::SpeedSpread>,
     checked_at: Option<Duration>,
     counts: StartCounts,
+    pub(crate) row: speed_row::SpeedRowState,
 }
 
 /// Starts of urgent tasks in pools whose workers differ in speed.
@@ -34,6 +36,16 @@
 }
 
 impl PoolSpeeds {
+    /// Spread of the speeds of an upstream's workers, if these differ.
+    pub(crate) fn spread(&self, upstream: &str) -> Option<&speed_spread::SpeedSpread> {
+        self.spreads.get(upstream)
+    }
+
+    /// Greatest variance of the samples of one worker, of all upstreams whose workers differ.
+    pub(crate) fn noise(&self) -> Option<f64> {
+        self.spreads.values().map(|it| it.within).max_by(f64::total_cmp)
+    }
+
     /// Rank of a worker for placement.
     pub(crate) fn rank(&self, worker: &worker::WorkerRecord) -> speed_spread::SpeedRank {
         let spread = self.spreads.get(&worker.place.upstream);
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -26,6 +26,8 @@
         /// Number of the page, from 0.
         page: u32,
     },
+    /// Learned speeds of workers.
+    Speeds,
 }
 
 /// Identifies one change of a row, so that its durability can be asked for later.
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -33,6 +33,8 @@
     Progress(model::ProgressRow),
     /// A page of the roster.
     Roster(model::RosterRow),
+    /// Learned speeds of workers.
+    Speeds(model::SpeedRow),
     /// The row is to be removed.
     Removed,
 }
@@ -49,6 +51,7 @@
     ) -> Option<SaveBatch> {
         self.update_roster();
         self.note_silent_workers(now);
+        self.mark_speeds_changed(now);
         let refused = self.unsaved.take_refused_due(now);
         let is_retry = refused.is_some();
         let mut batch = SaveBatch::default();
@@ -100,6 +103,7 @@
                 row.map_or(SaveContent::Removed, SaveContent::Progress)
             }
             save_queue::SaveRowKey::Roster { page } => self.roster_page(page),
+            save_queue::SaveRowKey::Speeds => SaveContent::Speeds(self.speed_row_to_save()),
         };
         SaveRow { key, content }
     }
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -24,7 +24,7 @@
     pub fn unsaved_suspicions(&self) -> Vec<model::UnsavedSuspicions> {
         let chunks = self.unsaved.unsaved_rows().filter_map(|it| match it {
             save_queue::SaveRowKey::Progress { graph, chunk } => Some((graph, chunk)),
-            save_queue::SaveRowKey::Roster { .. } => None,
+            save_queue::SaveRowKey::Roster { .. } | save_queue::SaveRowKey::Speeds => None,
         });
         let chunks = chunks.collect::<BTreeSet<_>>().into_iter();
         let reported = chunks.filter_map(|(graph, chunk)| {
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -42,6 +42,15 @@
 }
 
 impl WorkerSpeed {
+    /// The speed with this mean logarithm of `n_runs` runs that vary by `noise`.
+    pub fn inherited(mean: f64, n_runs: f64, noise: f64) -> WorkerSpeed {
+        let mean = mean.clamp(-MAX_FACTOR.ln(), MAX_FACTOR.ln());
+        let n_runs = n_runs.min(MAX_RUNS);
+        let n_samples = n_runs.max(1.0);
+        let squares = n_runs * mean * mean + noise * noise * (n_samples - 1.0);
+        WorkerSpeed { sum: mean * n_runs, squares, n_runs, n_samples }
+    }
+
     /// Records a run that progressed at `factor` times the pace of its siblings.
     pub fn observe(&mut self, factor: f64) {
         let log_factor = factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -14,6 +14,7 @@
 mod slowness;
 mod speed_load;
 mod speed_ranks;
+mod speed_rows;
 mod speeds;
 mod start_windows;
 mod stops;
--- a/crates/graph/tests/pool/remembered_speeds.rs
+++ b/crates/graph/tests/pool/remembered_speeds.rs
@@ -164,13 +164,37 @@
     gangs_of_three_come_to_avoid_slow_workers: 3 => 0.3;
 }
 
-/// Workers of three speeds under load, and tasks that differ by a third.
-const MIXED_LOAD: speed_load::SpeedLoad = speed_load::SpeedLoad {
-    speeds: &[0.6, 1.0, 1.6],
-    noise: 0.3,
-    urgent_per_second: 1.0,
-    remembers: true,
-};
+/// Whether workers are found to differ after 30 such steps.
+fn is_spread_seen(step: &model::GraphStep) -> bool {
+    let mut play = SpeedPlay::new(MIXED, 2);
+    (0..30).for_each(|_| drop(play.play(support::job(0, step.clone()))));
+    play.bench.core.speed_row().is_some()
+}
+
+macro_rules! comparable_steps {
+    ($($(#[$doc:meta])* $name:ident: $step:expr => $is_seen:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { assert_eq!(is_spread_seen(&$step), $is_seen); })*
+    };
+}
+
+/// A gang of whole workers.
+fn gang_of(n_tasks: u32, same_rack: bool) -> model::GraphStep {
+    model::GraphStep { same_rack, ..support::gang(support::whole_workers(n_tasks)) }
+}
+
+/// Single tasks on one worker each, with data in `rack`.
+fn tasks_near(rack: &str) -> model::GraphStep {
+    model::GraphStep { rack: Some(rack.to_owned()), ..support::whole_workers(8) }
+}
+
+comparable_steps! {
+    a_gang_in_one_rack_shows_speeds: gang_of(8, true) => true;
+    /// Guards against workers that count as slow because their gang was slowed by the distance between racks.
+    a_gang_across_racks_shows_no_speeds: gang_of(12, false) => false;
+    tasks_near_their_data_show_speeds: tasks_near("r2") => true;
+    /// Guards against workers that count as slow because they were remote from the data.
+    tasks_remote_from_their_data_show_no_speeds: tasks_near("absent") => false;
+}
 
 /// The urgent gangs of several pools that ended from `from` to `to` seconds after the start.
 fn gangs_between(load: speed_load::SpeedLoad, from: u64, to: u64) -> Vec<speed_load::PlayedGang> {
@@ -186,8 +210,8 @@
 /// to be slow, while enough workers are known.
 #[test]
 fn urgent_gangs_are_in_time_on_mixed_workers() {
-    let off = gangs_between(MIXED_LOAD.off(), 20, 40);
-    let on = gangs_between(MIXED_LOAD, 20, 40);
+    let off = gangs_between(speed_load::MIXED.off(), 20, 40);
+    let on = gangs_between(speed_load::MIXED, 20, 40);
     let in_time = |gangs: &[_]| speed_load::share(gangs, |it| it.in_time);
     let has_slow = |gangs: &[_]| speed_load::share(gangs, |it| it.has_slow);
     println!("in time: {:.2} off, {:.2} on", in_time(&off), in_time(&on));
@@ -199,7 +223,7 @@
 
 /// The starts of urgent tasks that were counted by speed, as they are once workers were seen to differ.
 fn counted_starts(noise: f64) -> u64 {
-    let load = speed_load::SpeedLoad { speeds: &[1.0], noise, ..MIXED_LOAD };
+    let load = speed_load::SpeedLoad { speeds: &[1.0], noise, ..speed_load::MIXED };
     let of_pool = |seed| {
         let mut pool = speed_load::SpeedPool::new(load, seed);
         pool.run(40);
--- a/crates/graph/tests/pool/speed_load.rs
+++ b/crates/graph/tests/pool/speed_load.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use almondpass_graph::{order, task_key};
+use almondpass_graph::{order, save_queue, saving, task_key};
 use almondpass_schema::{ids, model};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +39,10 @@
     pub(crate) remembers: bool,
 }
 
+/// Workers of three speeds, and tasks that differ by a third.
+pub(crate) const MIXED: SpeedLoad =
+    SpeedLoad { speeds: &[0.6, 1.0, 1.6], noise: 0.3, urgent_per_second: 1.0, remembers: true };
+
 impl SpeedLoad {
     /// The same load with `remember_speeds` off.
     pub(crate) fn off(self) -> SpeedLoad {
@@ -75,6 +79,8 @@
     polled_at: Vec<Duration>,
     /// The urgent gangs that have ended.
     pub(crate) gangs: Vec<PlayedGang>,
+    /// Writes of the row of speeds.
+    pub(crate) n_speed_rows: usize,
 }
 
 struct LoadJob {
@@ -112,6 +118,7 @@
             n_ends: vec![0; N_WORKERS],
             polled_at: vec![Duration::ZERO; N_WORKERS],
             gangs: Vec::new(),
+            n_speed_rows: 0,
         }
     }
 
@@ -137,10 +144,18 @@
             self.stop(&stop);
         }
         self.start_all(support::starts(&orders));
-        self.bench.save();
+        self.save();
         self.count_ended();
     }
 
+    fn save(&mut self) {
+        while let Some(batch) = self.bench.take_save_batch() {
+            let is_speeds = |it: &&saving::SaveRow| it.key == save_queue::SaveRowKey::Speeds;
+            self.n_speed_rows += batch.rows.iter().filter(is_speeds).count();
+            self.bench.core.batch_saved(batch);
+        }
+    }
+
     fn submit_some(&mut self) {
         if self.arrives(self.load.urgent_per_second) {
             let n_tasks = self.rng.random_range(3..=7);
--- a/crates/pool/src/tenure_loader.rs
+++ b/crates/pool/src/tenure_loader.rs
@@ -86,6 +86,11 @@
     for row in &roster.rows {
         inherit_roster_page(&mut core, row);
     }
+    if let Some(row) = roster.rows.iter().find(|it| keys::is_speeds(&it.key))
+        && let Some(speeds) = decode::<model::SpeedRow>(row)
+    {
+        core.inherit_speeds(speeds, now);
+    }
     core.inherit_silence_notes(acquired.notes_silence);
     let mut progress = progress_by_graph(progress);
     let accepted = graphs.rows.iter().filter_map(|it| task_key::parse_graph(&it.key));
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -280,10 +280,12 @@
     let key = match row.key {
         save_queue::SaveRowKey::Progress { graph, chunk } => keys::progress(graph, chunk),
         save_queue::SaveRowKey::Roster { page } => keys::roster(page),
+        save_queue::SaveRowKey::Speeds => keys::speeds(),
     };
     match &row.content {
         saving::SaveContent::Progress(content) => encode_write(key, content),
         saving::SaveContent::Roster(content) => encode_write(key, content),
+        saving::SaveContent::Speeds(content) => encode_write(key, content),
         saving::SaveContent::Removed => removal_write(key),
     }
 }
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -15,6 +15,7 @@
 mod resource_changes;
 mod restarts;
 mod sessions;
+mod speeds;
 mod starvation_oracle;
 mod store_limits;
 mod storms;
--- a/crates/pool/tests/pool/store_limits.rs
+++ b/crates/pool/tests/pool/store_limits.rs
@@ -12,19 +12,6 @@
 
 const SETTLING_TIME: Duration = Duration::from_secs(30);
 
-/// Limits of the platform's store.
-fn platform_limits() -> table::TableLimits {
-    table::TableLimits {
-        row_bytes: 65_536,
-        transaction_bytes: 700_000,
-        entries: 100,
-        page_rows: 500,
-        transactions_per_second: usize::MAX,
-        feed_rows: 500,
-        read_only_rows: BTreeSet::new(),
-    }
-}
-
 fn tenure_epoch(bench: &support::PoolBench) -> ids::Epoch {
     let leader = bench.instances[bench.holder()].state.leader();
     leader.expect("a tenure").epoch
@@ -37,7 +24,9 @@
 fn more_workers_than_fit_in_a_row_get_tasks() {
     support::run(async {
         let mut bench = support::PoolBench::start(2, 0).await;
-        bench.store.set_limits(table::TableLimits { row_bytes: 4_096, ..platform_limits() });
+        bench
+            .store
+            .set_limits(table::TableLimits { row_bytes: 4_096, ..support::platform_limits() });
         for index in 0..200 {
             bench.add_worker(index).await;
         }
@@ -63,7 +52,7 @@
         let bench = support::PoolBench::start(2, 4).await;
         let epoch = tenure_epoch(&bench);
         let read_only_rows = BTreeSet::from([keys::progress(1, 0)]);
-        bench.store.set_limits(table::TableLimits { read_only_rows, ..platform_limits() });
+        bench.store.set_limits(table::TableLimits { read_only_rows, ..support::platform_limits() });
         for graph in 1..=6 {
             bench.submit(0, graph, support::job(4, 1_000)).await;
         }
@@ -78,7 +67,7 @@
             "an end is shown only once it is durable"
         );
         assert_eq!(tenure_epoch(&bench), epoch);
-        bench.store.set_limits(platform_limits());
+        bench.store.set_limits(support::platform_limits());
         bench.await_state(0, 1, model::GraphState::Completed, SETTLING_TIME).await;
         assert_eq!(tenure_epoch(&bench), epoch);
         bench.assert_nothing_ran_twice();
@@ -91,12 +80,12 @@
     support::run(async {
         let mut bench = support::PoolBench::start(2, 2).await;
         let read_only_rows = BTreeSet::from([keys::progress(1, 0)]);
-        bench.store.set_limits(table::TableLimits { read_only_rows, ..platform_limits() });
+        bench.store.set_limits(table::TableLimits { read_only_rows, ..support::platform_limits() });
         bench.submit(0, 1, support::job(4, 1_000)).await;
         time::sleep(Duration::from_secs(4)).await;
         let holder = bench.holder();
         bench.kill(holder).await;
-        bench.store.set_limits(platform_limits());
+        bench.store.set_limits(support::platform_limits());
         bench.await_state(0, 1, model::GraphState::Completed, SETTLING_TIME).await;
         assert_eq!(bench.fleet.records().len(), 4);
     });
@@ -107,7 +96,7 @@
 fn a_job_that_can_never_be_stored_is_refused_at_once() {
     support::run(async {
         let bench = support::PoolBench::start(1, 1).await;
-        bench.store.set_limits(platform_limits());
+        bench.store.set_limits(support::platform_limits());
         let mut row = support::job(1, 100);
         row.graph.body = "x".repeat(70_000);
         let sent_at = time::Instant::now();
@@ -124,7 +113,7 @@
 fn a_list_that_changes_faster_than_one_read_returns_is_followed() {
     support::run(async {
         let bench = support::PoolBench::start(1, 40).await;
-        bench.store.set_limits(table::TableLimits { feed_rows: 5, ..platform_limits() });
+        bench.store.set_limits(table::TableLimits { feed_rows: 5, ..support::platform_limits() });
         for _ in 0..10 {
             for index in 0..40 {
                 bench.write_entry(index).await;
@@ -148,7 +137,7 @@
 fn a_long_table_is_read_from_a_slow_store() {
     support::run(async {
         let mut bench = support::PoolBench::start(2, 60).await;
-        bench.store.set_limits(table::TableLimits { page_rows: 3, ..platform_limits() });
+        bench.store.set_limits(table::TableLimits { page_rows: 3, ..support::platform_limits() });
         bench.submit(0, 1, support::job(4, 20_000)).await;
         time::sleep(Duration::from_secs(1)).await;
         let (holder, epoch) = (bench.holder(), tenure_epoch(&bench));
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -1,6 +1,6 @@
 //! Test bench: instances, workers, a store and a network in one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -244,6 +244,7 @@
     pub(crate) clock: boot_clock::RuntimeClock,
     pub(crate) started: Instant,
     n_started: usize,
+    scheduling: model::SchedulingSettings,
 }
 
 /// An instance, with the faults that are injected into its calls.
@@ -259,6 +260,16 @@
 impl PoolBench {
     /// Starts `n_instances` instances and `n_workers` workers, and waits until the tenure has settled.
     pub(crate) async fn start(n_instances: usize, n_workers: usize) -> PoolBench {
+        let scheduling = model::SchedulingSettings::default();
+        PoolBench::start_with_scheduling(n_instances, n_workers, scheduling).await
+    }
+
+    /// The same with optional decisions.
+    pub(crate) async fn start_with_scheduling(
+        n_instances: usize,
+        n_workers: usize,
+        scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
         let mut bench = PoolBench {
             store: table::TableFake::shared_numbering(),
             fleet: pool_fleet::PoolFleet::new(TASK),
@@ -267,6 +278,7 @@
             clock: boot_clock::RuntimeClock::new(),
             started: Instant::now(),
             n_started: 0,
+            scheduling,
         };
         bench.net.set_latency(Duration::from_millis(1));
         bench.set_document(1).await;
@@ -310,7 +322,7 @@
             seeds: Vec::new(),
             strength_milli,
             timing: almondpass_graph::timing::PoolTiming::default(),
-            scheduling: model::SchedulingSettings::default(),
+            scheduling: self.scheduling.clone(),
             tenure: settings::TenureTiming::default(),
         };
         let state = Arc::new(state::PoolState::new(site, settings));
@@ -497,7 +509,7 @@
         self.put(key, None).await;
     }
 
-    async fn write(&self, key: &str, value: &[u8]) {
+    pub(crate) async fn write(&self, key: &str, value: &[u8]) {
         self.put(key, Some(blob::Blob::from(value.to_vec()))).await;
     }
 
@@ -698,6 +710,19 @@
     format!("w{index:02}")
 }
 
+/// Limits of the platform's store.
+pub(crate) fn platform_limits() -> table::TableLimits {
+    table::TableLimits {
+        row_bytes: 65_536,
+        transaction_bytes: 700_000,
+        entries: 100,
+        page_rows: 500,
+        transactions_per_second: usize::MAX,
+        feed_rows: 500,
+        read_only_rows: BTreeSet::new(),
+    }
+}
+
 /// A job of one step with `n` tasks that each run for `millis` ms.
 pub(crate) fn job(n: u32, millis: u64) -> model::GraphRow {
     model::GraphRow {
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, intake, progress, save_queue, saving, timing, worker};
+use almondpass_graph::{core, intake, progress, save_queue, saving, speed_row, timing, worker};
 use almondpass_peer::codec;
 use almondpass_schema::{ids, model};
 
@@ -43,6 +43,7 @@
     let encoded = match content {
         saving::SaveContent::Progress(row) => codec::encode(row),
         saving::SaveContent::Roster(row) => codec::encode(row),
+        saving::SaveContent::Speeds(row) => codec::encode(row),
         saving::SaveContent::Removed => return 0,
     };
     encoded.expect("a message").len()
@@ -278,3 +279,67 @@
     let shown = core.state_of(1).map(|it| (it.state, it.account));
     assert_eq!(shown, Some((model::GraphState::Cancelled, None)));
 }
+
+/// Content of the row of speeds of workers with ids of that length, half of them fast and half slow.
+fn speed_row_of(n_workers: usize, id_bytes: usize) -> model::SpeedRow {
+    let mut core = core::PoolCore::new(core::PoolStart {
+        timing: timing::PoolTiming::default(),
+        scheduling: model::SchedulingSettings {
+            remember_speeds: true,
+            ..model::SchedulingSettings::default()
+        },
+        catalog: Arc::default(),
+        settles_at: Duration::ZERO,
+    });
+    let id = |index: usize| format!("{index:0id_bytes$}");
+    let incarnation = Some(u64::MAX);
+    let mut entries = Vec::new();
+    for index in 0..n_workers {
+        let entry = worker::WorkerEntry { incarnation, ..worker::WorkerEntry::default() };
+        core.update_worker(id(index), entry, Duration::ZERO);
+        let percent = if index.is_multiple_of(2) { 60 } else { 160 };
+        entries.push(model::SpeedEntry { worker: id(index), incarnation, percent, samples: 8 });
+    }
+    // A row has a bounded number of entries, so that several are read.
+    for workers in entries.chunks(speed_row::MAX_ENTRIES) {
+        let row = model::SpeedRow { noise_percent: 20, workers: workers.to_vec() };
+        core.inherit_speeds(row, Duration::ZERO);
+    }
+    core.admit(waiting_job(), Duration::ZERO);
+    core.run_round(Duration::from_secs(1));
+    core.speed_row().expect("speeds that differ")
+}
+
+fn waiting_job() -> intake::AdmittedJob {
+    intake::AdmittedJob {
+        graph: 1,
+        row: job_with_steps(vec![step_of(1, false)]),
+        version: 1,
+        origin: intake::JobOrigin::Feed,
+        progress: progress::SavedChunks::default(),
+        inherited: false,
+    }
+}
+
+fn check_speed_row(n_workers: usize, id_bytes: usize) {
+    let row = speed_row_of(n_workers, id_bytes);
+    let n_entries = row.workers.len();
+    let n_bytes = codec::encode(&row).expect("a message").len();
+    println!("{n_workers} workers, ids of {id_bytes} bytes: {n_entries} entries, {n_bytes} bytes");
+    assert!(n_bytes <= speed_row::MAX_BYTES, "{n_bytes} bytes");
+    assert!(n_entries <= speed_row::MAX_ENTRIES, "{n_entries} entries");
+    assert!(n_entries >= n_workers.min(100), "{n_entries} entries");
+}
+
+macro_rules! speed_rows {
+    ($($(#[$doc:meta])* $name:ident: $n_workers:expr, $id_bytes:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { check_speed_row($n_workers, $id_bytes); })*
+    };
+}
+
+speed_rows! {
+    speeds_of_350_workers_fit: 350, 12;
+    speeds_of_6_000_workers_fit: 6_000, 12;
+    /// Guards against a row of speeds that grows with the number of workers and the length of their ids.
+    speeds_of_6_000_workers_of_the_longest_names_fit: 6_000, MAX_KEY_BYTES;
+}
--- a/crates/ports/src/keys.rs
+++ b/crates/ports/src/keys.rs
@@ -113,6 +113,20 @@
     (name == ROSTER_NAME).then_some(page)
 }
 
+/// Row of the learned speeds of workers. It is in the table of the roster, so that a new holder reads both
+/// together; earlier releases ignore it there.
+pub fn speeds() -> ids::RowKey {
+    format!("{ROSTER}/pool/{SPEEDS_NAME}")
+}
+
+/// Whether a key within the table of the roster is that of the learned speeds.
+pub fn is_speeds(key: &str) -> bool {
+    key == SPEEDS_NAME
+}
+
+/// Name of the row of learned speeds.
+const SPEEDS_NAME: &str = "speeds";
+
 /// Name that all pages of the roster share.
 const ROSTER_NAME: &str = "workers";
 
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2254,6 +2254,27 @@
     ///The worker.
     pub worker: crate::ids::WorkerId,
 }
+///Learned speed of a worker.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SpeedEntry {
+    ///Its incarnation; absent on a platform that does not number incarnations.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub incarnation: ::std::option::Option<u64>,
+    ///Hundredths of the usual speed.
+    pub percent: u32,
+    ///Number of runs that show it.
+    pub samples: u32,
+    ///The worker.
+    pub worker: crate::ids::WorkerId,
+}
+///Row of the workers whose speeds differ most from the usual one, for the next scheduler.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SpeedRow {
+    ///Hundredths by which runs on one worker vary.
+    pub noise_percent: u32,
+    ///The workers.
+    pub workers: ::std::vec::Vec<SpeedEntry>,
+}
 ///What is durable of one step.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StepProgress {
