Log urgent starts on workers of slow or unknown speed; look for explored workers only if needed

Cause: the counter of urgent starts by speed did not tell which job went where, and each placement of a single task went over all workers twice more, also with remember_speeds off. Change: a log line for each urgent start on a worker not known to be usual, in upstreams whose workers differ; one pass, only while an empty worker of unknown speed could be chosen. The description of the setting names all that it switches.

--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -3,6 +3,7 @@
 //! Tasks are placed where the least is left over, so that whole workers and racks stay free for tasks that
 //! need all accelerators of a worker and for gangs that need a rack.
 
+use std::cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -64,7 +65,7 @@
 ) -> Option<usize> {
     let free_by_rack = free_by_rack(candidates);
     let may_use_empty = n_empty(candidates, request) > request.keeps_empty;
-    let may_explore = may_explore(candidates, request);
+    let may_explore = cell::LazyCell::new(|| may_explore(candidates, request));
     let fitting = candidates.iter().enumerate().filter(|(index, it)| {
         let is_near = request.rack_number.is_none_or(|rack| it.rack == rack);
         let is_usable = may_use_empty || !it.is_empty();
@@ -80,7 +81,7 @@
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
         let (speed_first, speed_last) = speed_order(it, request);
         let health = (is_remote, n_at_risk, it.failed_lately);
-        let explores = may_explore && it.speed.is_unknown && it.is_empty();
+        let explores = it.speed.is_unknown && it.is_empty() && *may_explore;
         (
             health,
             Reverse(explores),
@@ -114,9 +115,16 @@
     candidates: &[candidate::WorkerCandidate],
     request: &candidate::PlacementRequest,
 ) -> bool {
-    let same = || candidates.iter().filter(|it| it.upstream == request.upstream);
-    let n_explored = same().filter(|it| it.speed.is_unknown && !it.is_empty()).count();
-    !request.prefers_fast && n_explored * EXPLORED_SHARE < same().count()
+    if request.prefers_fast {
+        return false;
+    }
+    let mut n_workers = 0;
+    let mut n_explored = 0;
+    for it in candidates.iter().filter(|it| it.upstream == request.upstream) {
+        n_workers += 1;
+        n_explored += usize::from(it.speed.is_unknown && !it.is_empty());
+    }
+    n_explored * EXPLORED_SHARE < n_workers
 }
 
 /// Whether as many workers stay empty as the unit has to leave empty.
--- a/crates/graph/src/pool_speeds.rs
+++ b/crates/graph/src/pool_speeds.rs
@@ -53,11 +53,20 @@
     }
 
     /// Counts the start of an urgent task on a worker.
-    pub(crate) fn count_start(&mut self, worker: &worker::WorkerRecord) {
+    fn count_start(&mut self, graph: ids::GraphId, worker: &worker::WorkerRecord) {
         if !self.spreads.contains_key(&worker.place.upstream) {
             return;
         }
         let rank = self.rank(worker);
+        if rank.is_unknown || rank.usual < 0 {
+            tracing::info!(
+                job = format_args!("{graph:016x}"),
+                worker = worker.place.worker,
+                speed_percent = (100.0 * worker.speed.factor()).round(),
+                n_runs = worker.speed.n_runs(),
+                "urgent task goes to a worker of slow or unknown speed"
+            );
+        }
         let count = match rank.usual {
             _ if rank.is_unknown => &mut self.counts.n_unknown,
             worker_speed::SpeedClass::MIN..0 => &mut self.counts.n_slow,
@@ -98,7 +107,7 @@
         let is_urgent =
             self.jobs.get(&graph).is_some_and(|it| it.priority == preemption::URGENT_PRIORITY);
         if let Some(record) = self.workers.get(worker).filter(|_| is_urgent) {
-            self.speeds.count_start(record);
+            self.speeds.count_start(graph, record);
         }
     }
 }
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2224,7 +2224,7 @@
     ///Whether a submission is refused if its job could only end when it is of no more use to its caller.
     #[serde(default)]
     pub refuse_hopeless: bool,
-    ///Whether the learned speeds of workers are stored for the next holder of the tenure.
+    ///Whether the speeds of workers are learned from runs of steps of any size, told from unknown ones in placement, and stored for the next holder of the tenure.
     #[serde(default)]
     pub remember_speeds: bool,
 }
