Forecast when a run ends and how much work it is

Moves of late runs and the use of reserved capacity need to know when a run ends. The only estimate was the latest pace of one run, whatever its gang and its worker.

There is no forecast while the pace of any member is unknown or zero. Nothing uses it yet.

--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod core;
 pub mod failed_placement;
+pub mod forecast;
 pub mod graph_check;
 pub mod headroom;
 pub mod health;
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -31,6 +31,9 @@
 /// From this share of the mean pace of its class on, a run shows that its worker is not slow.
 const NORMAL_CLASS_SHARE: f64 = 0.5;
 
+/// Usual error of a gain, in percent, as both readings are rounded down to whole percent.
+const READING_ERROR: f64 = 0.5;
+
 /// Progress readings of one run, timed by the worker's clock. Answers wait in a queue while the
 /// scheduler is busy, so by the scheduler's clock a run would seem slow.
 #[derive(Clone, Copy, Debug, Default)]
@@ -38,6 +41,10 @@
     base: Option<PaceReading>,
     best: f64,
     latest: Option<f64>,
+    /// Percent gained between the readings of `latest`.
+    latest_gain: f64,
+    /// Number of paces measured so far.
+    n_paces: u32,
     /// Lower bound of the pace of a run that had completed its work at the first reading.
     completed: Option<f64>,
 }
@@ -51,6 +58,19 @@
     AtLeast(f64),
 }
 
+/// Measured pace of a run, in percent per second, and how exact it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceGauge {
+    /// The latest pace.
+    pub latest: f64,
+    /// The pace of the run on its worker before the worker slowed down, if it has.
+    pub undisturbed: f64,
+    /// Relative error of the latest pace.
+    pub error: f64,
+    /// Number of paces measured so far.
+    pub n_paces: u32,
+}
+
 /// The reading from which the next gain is counted.
 #[derive(Clone, Copy, Debug)]
 struct PaceReading {
@@ -109,6 +129,8 @@
         let pace = gained / elapsed.as_secs_f64();
         self.best = self.best.max(pace);
         self.latest = Some(pace);
+        self.latest_gain = gained;
+        self.n_paces += 1;
         self.base = Some(reading);
     }
 
@@ -123,6 +145,19 @@
         exact.or(self.completed.map(MeasuredPace::AtLeast))
     }
 
+    /// What the readings say about the rest of the run; `None` before the first pace, and while the run
+    /// stands still.
+    pub fn gauge(&self) -> Option<PaceGauge> {
+        let latest = self.latest.filter(|it| *it > 0.0)?;
+        let has_slowed = latest < NORMAL_SHARE * self.best;
+        Some(PaceGauge {
+            latest,
+            undisturbed: if has_slowed { self.best } else { latest },
+            error: READING_ERROR / self.latest_gain.max(READING_ERROR),
+            n_paces: self.n_paces,
+        })
+    }
+
     /// Compares the latest reading with the usual pace of such runs.
     pub fn verdict(&self, usual: UsualPace) -> PaceVerdict {
         let Some(latest) = self.latest else { return PaceVerdict::Unknown };
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod failures;
 mod full_pool;
+mod late_runs;
 mod load_simulation;
 mod objectives;
 mod random_events;
