Move units that are forecast to be late to faster workers

Urgent gangs end late if a member is on a slow worker. The rule that moved them compared the pace of a run with the mean of its class, mistook long jobs for slow workers, and mostly had its first reading when the run was nearly over.

With move_late_runs on, a unit is stopped if its forecast end is after what the objective allows its own work, by more than the error, and if it would be in time on free places for the whole unit, including the stop and the transit. Work that would be thrown away counts against the caller's gain. A unit moves at most twice and keeps an attempt; one unit in four moves at a time, and nothing moves where most workers with known runs are slow. The places found are kept for the unit, and its slow members avoid their workers. A run that is long by its own work no longer marks its worker slow. Workers of young urgent runs are polled once early, 25 times a second at most. With the switch off nothing changes.

On workers of one speed nothing moves.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -8,8 +8,10 @@
 
 use crate::avoidance;
 use crate::catalog;
+use crate::early_polls;
 use crate::headroom;
 use crate::job;
+use crate::late_runs;
 use crate::loss_history;
 use crate::losses;
 use crate::order;
@@ -49,6 +51,9 @@
     /// Starts in transit, and the limit of their number.
     pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
+    /// Moves of late units.
+    pub(crate) moves: late_runs::MoveState,
+    pub(crate) poll_budget: early_polls::PollBudget,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -125,6 +130,8 @@
             orders: Vec::new(),
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
+            moves: late_runs::MoveState::default(),
+            poll_budget: early_polls::PollBudget::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -217,10 +217,7 @@
             }
             return StartOutcome::NoCapacity;
         };
-        let racks = chosen.iter().map(|it| candidates[*it].rack).collect::<BTreeSet<_>>();
-        let is_off_rack =
-            request.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
-        let is_remote = is_off_rack || (request.same_rack && racks.len() > 1);
+        let is_remote = is_remote(&request, candidates, &chosen);
         let workers =
             chosen.iter().map(|it| candidates[*it].profile.worker.clone()).collect::<Vec<_>>();
         let places = UnitPlaces { workers, is_isolated: request.is_isolated, is_remote };
@@ -290,6 +287,8 @@
             percent: 0,
             percent_changed_at: now,
             pace: pace::RunPace::not_started(),
+            is_polled_early: false,
+            move_tried_at: None,
             is_speed_sampled: false,
             first_confirmed_clock: None,
         });
@@ -323,6 +322,17 @@
     }
 }
 
+/// Whether a unit takes longer on the chosen candidates: off the rack of its data, or across racks.
+pub(crate) fn is_remote(
+    request: &candidate::PlacementRequest,
+    candidates: &[candidate::WorkerCandidate],
+    chosen: &[usize],
+) -> bool {
+    let racks = chosen.iter().map(|it| candidates[*it].rack).collect::<BTreeSet<_>>();
+    let is_off_rack = request.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
+    is_off_rack || (request.same_rack && racks.len() > 1)
+}
+
 /// Result of trying a unit in a round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StartOutcome {
--- a/crates/graph/src/forecast.rs
+++ b/crates/graph/src/forecast.rs
@@ -34,7 +34,8 @@
     pub(crate) ends_in: Duration,
     /// Age of the reading on which the forecast is based.
     pub(crate) reading_age: Duration,
-    work: Duration,
+    /// Time that its whole work takes on a worker of the usual speed.
+    pub(crate) work: Duration,
     error: f64,
 }
 
@@ -92,6 +93,7 @@
     let work = lower_median(members.iter().map(|it| it.work).collect());
     let spread = lower_median(members.iter().map(|it| it.work.abs_diff(work)).collect());
     let spread = spread.as_secs_f64() / work.as_secs_f64().max(0.001);
+    let spread = spread / (members.len() as f64).sqrt();
     Some(RunForecast { ends_in: last.ends_in, work, error: last.error.max(spread).min(1.0) })
 }
 
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -81,6 +81,8 @@
     pub failures: FailedAttempts,
     /// Newest checkpoint, from which the next attempt resumes.
     pub checkpoint: Option<Arc<str>>,
+    /// How often the task was stopped because it was forecast to be late.
+    pub n_moves: u32,
     /// How often the task was stopped because its progress stalled.
     pub n_stalls: u32,
     /// Worker on which the task failed last and which it avoids until `avoids_until`.
@@ -144,6 +146,10 @@
     pub percent_changed_at: Duration,
     /// Rate of progress, from the progress reports.
     pub pace: pace::RunPace,
+    /// Whether the worker was polled for the first reading of this run.
+    pub is_polled_early: bool,
+    /// When a move of the run, or of its gang, was last considered.
+    pub move_tried_at: Option<Duration>,
     /// Whether the run has counted for the speed of its worker.
     pub is_speed_sampled: bool,
     /// Reading of the worker's clock when the worker was first known to have the run.
@@ -199,6 +205,14 @@
         }
     }
 
+    /// When a stop of the run was last sent; `None` if none was ordered.
+    pub fn stop_sent_at(self) -> Option<Duration> {
+        match self {
+            RunPhase::Stopping { stop_sent_at, .. } => Some(stop_sent_at),
+            _ => None,
+        }
+    }
+
     /// Whether a stop of the run was ordered.
     pub fn is_stopping(self) -> bool {
         matches!(self, RunPhase::Stopping { .. })
--- a/crates/graph/src/maintenance.rs
+++ b/crates/graph/src/maintenance.rs
@@ -41,7 +41,12 @@
         self.settle_overdue(now);
         self.repeat_stops(now);
         self.stop_stalled(now);
-        self.move_urgent_off_slow_workers(now);
+        if self.scheduling.move_late_runs {
+            self.move_late_runs(now);
+            self.poll_young_runs(now);
+        } else {
+            self.move_urgent_off_slow_workers(now);
+        }
         self.stop_runs_before_leaving(now);
         self.stop_broken_gangs(now);
     }
--- a/crates/graph/src/objective.rs
+++ b/crates/graph/src/objective.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Steps in the longest chain of steps that depend on the step `index`, without that step.
+pub fn steps_after(steps: &[job::StepRecord], index: usize) -> u32 {
+    let mut distances = vec![None; steps.len()];
+    for (at, step) in steps.iter().enumerate().skip(index) {
+        let before = step.spec.after.iter().filter(|it| (**it as usize) < at);
+        let farthest = before.filter_map(|it| distances[*it as usize]).max();
+        distances[at] = if at == index { Some(0) } else { farthest.map(|it: u32| it + 1) };
+    }
+    distances.into_iter().flatten().max().unwrap_or_default()
+}
+
 /// Time from submission to the end within which a job is in time, if each step takes `step`.
 pub fn objective(class: &catalog::ClassSpec, chain: StepChain, step: Duration) -> Duration {
     (step * chain.n_steps).mul_f64(class.stretch) + class.target_latency
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -11,11 +11,11 @@
 const MIN_GAIN: f64 = 4.0;
 
 /// Minimum time between two readings for a pace.
-const MIN_READING_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const MIN_READING_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A task that resumes from a checkpoint makes no progress at first; within this time no progress is not
 /// counted as a pace of zero.
-const MAX_RESTORE_TIME: Duration = Duration::from_millis(900);
+pub(crate) const MAX_RESTORE_TIME: Duration = Duration::from_millis(900);
 
 /// A run is slow below this share of its own best pace, or of the pace of its siblings. The tasks
 /// of one step and the types of healthy workers differ by less.
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -52,7 +52,9 @@
             per_worker: step.spec.per_worker,
             n_present: n_present(step, candidates),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
-            prefers_fast: job.priority == preemption::URGENT_PRIORITY,
+            // A unit that was moved off slow workers must not return to such.
+            prefers_fast: job.priority == preemption::URGENT_PRIORITY
+                || tasks.iter().any(|it| it.n_moves > 0),
             // A task that may crash its worker may take an empty one, rather than endanger other tasks.
             keeps_empty: if may_crash_worker || takes_any_place {
                 0
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -271,6 +271,8 @@
             percent: listed.percent,
             percent_changed_at: now,
             pace: pace::RunPace::new(clock, listed.percent),
+            is_polled_early: false,
+            move_tried_at: None,
             is_speed_sampled: false,
             first_confirmed_clock: Some(clock),
         });
--- a/crates/graph/src/slow_workers.rs
+++ b/crates/graph/src/slow_workers.rs
@@ -93,6 +93,10 @@
                 Some(siblings) => {
                     run.pace.verdict(pace::UsualPace { siblings: Some(siblings), ..by_class })
                 }
+                // A run may be long by its own work, which says nothing about its worker.
+                None if self.scheduling.move_late_runs => {
+                    run.pace.verdict(pace::UsualPace::default())
+                }
                 None => verdict,
             },
         }
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -25,6 +25,8 @@
         let known_run = task.run.as_ref();
         let known_run = known_run.filter(|it| it.worker == *worker && it.attempt == end.attempt);
         let tracked_since = known_run.map(|it| it.tracked_since);
+        let stop_sent_at = known_run.and_then(|it| it.phase.stop_sent_at());
+        let stop_sent_at = stop_sent_at.filter(|_| end.how != order::EndKind::Lapsed);
         let is_run_time_sample = known_run.is_some_and(|it| it.is_from_scratch && !it.is_remote);
         task.attempt = task.attempt.max(end.attempt);
         task.ended_attempt = task.ended_attempt.max(end.attempt);
@@ -58,6 +60,9 @@
             | order::EndKind::Lapsed
             | order::EndKind::Broken
             | order::EndKind::Alone => {
+                if let Some(stop_sent_at) = stop_sent_at {
+                    self.moves.stop_times.observe(&class, now.saturating_sub(stop_sent_at));
+                }
                 self.share_checkpoint(key);
                 // The change has to be durable before the end is acknowledged. A successor would
                 // otherwise find the saved start without an end, and count the attempt as lost.
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the pool core: the orders that it issues, given events and the answers of workers.
 
+mod early_polls;
 mod evacuations;
 mod failures;
+mod forecasts;
 mod full_pool;
 mod late_runs;
 mod load_simulation;
@@ -18,6 +20,7 @@
 mod stuck_states;
 mod support;
 mod suspicions;
+mod uneven_workers;
 mod urgent;
 mod waits;
 mod worker_entries;
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, job, losses, waiting};
+use almondpass_graph::{core, job, late_runs, losses, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::time::{self, Instant};
 
@@ -114,6 +114,14 @@
     metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
 }
 
+fn record_moves(counts: &late_runs::MoveCounts) {
+    for decision in &counts.decisions {
+        metrics::counter!("almondpass_pool_late_units_total", "decision" => decision.name())
+            .increment(1);
+    }
+    metrics::counter!("almondpass_pool_early_polls_total").increment(counts.n_early_polls);
+}
+
 fn record_overdue(phases: &[job::RunPhase]) {
     for phase in phases {
         metrics::counter!("almondpass_pool_overdue_starts_total", "belief" => phase.name())
@@ -132,6 +140,7 @@
     core.take_finished().iter().for_each(record_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     record_losses(&core.take_loss_counts());
+    record_moves(&core.take_move_counts());
     record_overdue(&core.take_overdue_phases());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_rows_to_save());
     drop(core);
