Count a worker as slow only if it makes a member late

Members of jobs that had waited for long were late wherever they ran. Their workers counted as slow, so that a pool with a backlog counted as slow as a whole, and nothing moved.

A member now counts as slow if the rest of its work also takes far longer than on a worker of the usual speed. Only such members avoid their workers. Eight jobs that waited 2 s on a pool of usual speed: decisions "pool slow" before, "still late" after. All 170 tests of the pool core pass.

--- a/crates/graph/src/better_places.rs
+++ b/crates/graph/src/better_places.rs
@@ -24,7 +24,7 @@
 }
 
 impl core::PoolCore {
-    /// Finds the best free places for a whole late unit, with the workers avoided on which members are late.
+    /// Finds the best free places for a whole late unit, with the workers avoided that make members late.
     pub(crate) fn better_places(
         &self,
         late: &lateness::LateUnit,
@@ -32,8 +32,8 @@
         now: Duration,
     ) -> Option<BetterPlaces> {
         let mut request = self.placement_request(late.unit, candidates, now)?;
-        let late_runs = late.late_members.iter().filter_map(|it| self.task_run(*it));
-        request.avoids.extend(late_runs.map(|it| it.worker.as_str()));
+        let slow_runs = late.slow_members.iter().filter_map(|it| self.task_run(*it));
+        request.avoids.extend(slow_runs.map(|it| it.worker.as_str()));
         request.prefers_fast = true;
         // The unit would begin to wait anew, so that its former wait gives it no right to such places.
         request.takes_reserved = false;
--- a/crates/graph/src/forecast.rs
+++ b/crates/graph/src/forecast.rs
@@ -34,11 +34,21 @@
     pub(crate) ends_in: Duration,
     /// Age of the reading on which the forecast is based.
     pub(crate) reading_age: Duration,
+    /// Share of its work that was left at that reading.
+    left: f64,
     /// Time that its whole work takes on a worker of the usual speed.
     pub(crate) work: Duration,
     error: f64,
 }
 
+impl MemberForecast {
+    /// Whether the member takes far longer for the rest than it would on a worker of the usual speed, if its
+    /// whole work is `work`.
+    pub(crate) fn is_slow(&self, work: Duration) -> bool {
+        (self.ends_in + self.reading_age).mul_f64(pace::NORMAL_SHARE) > work.mul_f64(self.left)
+    }
+}
+
 impl core::PoolCore {
     /// Forecasts the end of a run; of a gang's member, the end of the whole gang. `None` while the pace of the
     /// run, or of any member, is unknown or zero, or the run is being stopped.
@@ -67,7 +77,8 @@
             let worked = run.percent_changed_at.saturating_sub(confirmed_at);
             let (work, error) = completed_work(&run.pace, worked);
             let work = work.mul_f64(factor);
-            return Some(MemberForecast { key, ends_in: Duration::ZERO, reading_age, work, error });
+            let ends_in = Duration::ZERO;
+            return Some(MemberForecast { key, ends_in, reading_age, left: 0.0, work, error });
         }
         let gauge = run.pace.gauge()?;
         if !run.is_from_scratch && gauge.n_paces < MIN_RESUMED_PACES {
@@ -80,6 +91,7 @@
             key,
             ends_in: Duration::from_secs_f64(left).saturating_sub(reading_age),
             reading_age,
+            left: f64::from(100 - run.percent) / 100.0,
             work: Duration::from_secs_f64(100.0 / own).mul_f64(factor),
             error: gauge.error,
         })
--- a/crates/graph/src/late_runs.rs
+++ b/crates/graph/src/late_runs.rs
@@ -96,7 +96,7 @@
     n_moving: usize,
     /// Workers with a member of a unit that has a forecast.
     workers: BTreeSet<ids::WorkerId>,
-    /// Those on which a member is late.
+    /// Those because of which a member is late.
     slow_workers: BTreeSet<ids::WorkerId>,
 }
 
@@ -163,7 +163,7 @@
         let worker_of = |key| self.task_run(key).map(|it| it.worker.clone());
         survey.workers.extend(members.iter().filter_map(|it| worker_of(it.key)));
         let Some(late) = self.late_unit(unit, &members, now) else { return };
-        survey.slow_workers.extend(late.late_members.iter().filter_map(|it| worker_of(*it)));
+        survey.slow_workers.extend(late.slow_members.iter().filter_map(|it| worker_of(*it)));
         survey.late.push(late);
     }
 
@@ -207,8 +207,8 @@
         Ok(places)
     }
 
-    /// Stops all members of a unit and keeps the places for it. Members that are late by themselves avoid
-    /// their workers.
+    /// Stops all members of a unit and keeps the places for it. Members that are late because of
+    /// their workers avoid these.
     fn move_unit(
         &mut self,
         late: &lateness::LateUnit,
@@ -222,7 +222,7 @@
                 record.claims.push(claim);
             }
         }
-        for key in &late.late_members {
+        for key in &late.slow_members {
             if let Some(worker) = self.task_run(*key).map(|it| it.worker.clone()) {
                 self.avoid_failed_worker(*key, &worker, now);
             }
@@ -255,7 +255,7 @@
             job = format_args!("{:016x}", late.unit.graph),
             step = late.unit.step,
             n_members = late.n_members,
-            n_late_members = late.late_members.len(),
+            n_slow_members = late.slow_members.len(),
             ends_in_ms = late.forecast.ends_in.as_millis() as u64,
             due_in_ms = millis_to(late.due_at),
             work_ms = late.forecast.work.as_millis() as u64,
--- a/crates/graph/src/lateness.rs
+++ b/crates/graph/src/lateness.rs
@@ -27,8 +27,8 @@
     pub(crate) n_members: usize,
     /// Work of the longest member.
     pub(crate) longest: Duration,
-    /// Members that would be late also without the others.
-    pub(crate) late_members: Vec<task_key::TaskKey>,
+    /// Members that are late because of their workers. There may be none, if the unit waited for long.
+    pub(crate) slow_members: Vec<task_key::TaskKey>,
     /// Age of the oldest reading in the forecast.
     pub(crate) reading_age: Duration,
     /// When the first member began to run.
@@ -79,10 +79,11 @@
         let tasks = keys.filter_map(|it| job.task(it)).collect::<Vec<_>>();
         let first = tasks.first()?;
         let failures = if step.spec.gang { &step.gang_failures } else { &first.failures };
-        let is_late = |it: &&forecast::MemberForecast| now + it.ends_in > due_at;
-        let late_members = members.iter().filter(is_late);
+        let is_slow =
+            |it: &&forecast::MemberForecast| now + it.ends_in > due_at && it.is_slow(forecast.work);
+        let slow_members = members.iter().filter(is_slow);
         // A member on a worker that is slower than known seems to have more work.
-        let longest = members.iter().filter(|it| !is_late(it)).map(|it| it.work).max();
+        let longest = members.iter().filter(|it| !is_slow(it)).map(|it| it.work).max();
         Some(LateUnit {
             unit,
             priority: job.priority,
@@ -93,7 +94,7 @@
             n_steps: chain.n_steps,
             n_members: members.len(),
             longest: longest.unwrap_or_default().max(forecast.work),
-            late_members: late_members.map(|it| it.key).collect(),
+            slow_members: slow_members.map(|it| it.key).collect(),
             reading_age: members.iter().map(|it| it.reading_age).max().unwrap_or_default(),
             began_at: tasks.iter().filter_map(|it| confirmed_at(it)).min().unwrap_or(now),
             saved: saved_share(step, &tasks),
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -22,7 +22,7 @@
 const SLOW_SHARE: f64 = 0.4;
 
 /// From this share of the pace of its siblings on, a run shows that its worker is not slow.
-const NORMAL_SHARE: f64 = 0.7;
+pub(crate) const NORMAL_SHARE: f64 = 0.7;
 
 /// A run is slow below this share of the mean pace of its class, if no better measure is known. The
 /// longest urgent task takes 3.2 times the mean.
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod full_pool;
 mod late_runs;
 mod load_simulation;
+mod move_limits;
 mod objectives;
 mod random_events;
 mod reservations;
