--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -8,8 +8,10 @@
 
 use crate::avoidance;
 use crate::catalog;
+use crate::early_polls;
 use crate::headroom;
 use crate::job;
+use crate::late_runs;
 use crate::loss_history;
 use crate::losses;
 use crate::order;
@@ -52,6 +54,9 @@
     pub(crate) run_times: run_times::RunTimes,
     /// How much the speeds of the workers differ.
     pub(crate) speeds: pool_speeds::PoolSpeeds,
+    /// Moves of late units.
+    pub(crate) moves: late_runs::MoveState,
+    pub(crate) poll_budget: early_polls::PollBudget,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -129,6 +134,8 @@
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
             speeds: pool_speeds::PoolSpeeds::default(),
+            moves: late_runs::MoveState::default(),
+            poll_budget: early_polls::PollBudget::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, job, losses, pool_speeds, waiting};
+use almondpass_graph::{core, job, late_runs, losses, pool_speeds, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::time::{self, Instant};
 
@@ -124,6 +124,14 @@
     }
 }
 
+fn record_moves(counts: &late_runs::MoveCounts) {
+    for decision in &counts.decisions {
+        metrics::counter!("almondpass_pool_late_units_total", "decision" => decision.name())
+            .increment(1);
+    }
+    metrics::counter!("almondpass_pool_early_polls_total").increment(counts.n_early_polls);
+}
+
 fn record_overdue(phases: &[job::RunPhase]) {
     for phase in phases {
         metrics::counter!("almondpass_pool_overdue_starts_total", "belief" => phase.name())
@@ -143,6 +151,7 @@
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     record_losses(&core.take_loss_counts());
     record_urgent_starts(core.take_start_counts());
+    record_moves(&core.take_move_counts());
     record_overdue(&core.take_overdue_phases());
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_rows_to_save());
     drop(core);
