Weigh comparisons of speeds by how much the work of a class varies

Cause: each comparison of two runs counted as one of work that differs by a fifth, so that many were needed to tell a slow worker from a usual one; the members of a gang have equal work on the deployment with uneven workers (paces of 113 gangs over several workers differ by 1.66 or 2.69 in the middle, the ratios of its speeds), and one comparison tells all. The first estimates of a pool whose workers differ widely were also drawn to the usual speed. Change: the variance of the work of a class is learned from runs of a step on the same worker; the weight of a sample follows from it and from what is known of the others; fewer runs are assumed where weights are used.

--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -64,4 +64,5 @@
 mod takeover;
 mod task_ends;
 mod unsaved_suspicions;
+mod work_variation;
 mod worker_restarts;
--- a/crates/graph/src/pool_speeds.rs
+++ b/crates/graph/src/pool_speeds.rs
@@ -9,6 +9,7 @@
 use crate::preemption;
 use crate::speed_row;
 use crate::speed_spread;
+use crate::work_variation;
 use crate::worker;
 use crate::worker_speed;
 
@@ -22,6 +23,8 @@
     checked_at: Option<Duration>,
     counts: StartCounts,
     pub(crate) row: speed_row::SpeedRowState,
+    /// How much the work of tasks of one step differs.
+    pub(crate) variations: work_variation::WorkVariations,
 }
 
 /// Starts of urgent tasks in pools whose workers differ in speed.
--- a/crates/graph/src/step_speeds.rs
+++ b/crates/graph/src/step_speeds.rs
@@ -11,11 +11,9 @@
 use crate::job;
 use crate::pace;
 use crate::task_key;
+use crate::work_variation;
 use crate::worker_speed;
 
-/// Usual relative variation of the work of tasks of one step, against which the error of a pace is weighed.
-const TASK_VARIATION: f64 = 0.2;
-
 /// Error of a gain, in percent: progress is listed in whole percent at both readings.
 const GAIN_ERROR: f64 = 0.41;
 
@@ -43,6 +41,11 @@
 }
 
 impl SpeedReading {
+    /// Variance of the pace by the error of the reading, in units of the usual variance of the work.
+    fn error_variance(&self) -> f64 {
+        1.0 / self.exactness - 1.0
+    }
+
     fn of(run: &job::TaskRun) -> Option<SpeedReading> {
         let measured = run.pace.measured()?;
         let (pace, exactness, is_bound) = match measured {
@@ -58,7 +61,7 @@
 }
 
 fn exactness_of(gained: f64) -> f64 {
-    let error = GAIN_ERROR / gained / TASK_VARIATION;
+    let error = GAIN_ERROR / gained / work_variation::USUAL_VARIATION;
     1.0 / (1.0 + error * error)
 }
 
@@ -78,9 +81,27 @@
         sum / self.readings.len() as f64 - self.log_factor
     }
 
-    /// Variance of the mean pace of the runs, as a multiple of that of one run.
-    fn own_variance(&self) -> f64 {
-        1.0 / self.readings.iter().map(|(_, it)| it.exactness).sum::<f64>()
+    /// Variance of the mean pace of the runs, whose work varies by `work_variance`.
+    fn own_variance(&self, work_variance: f64) -> f64 {
+        let precision = |it: &SpeedReading| 1.0 / (work_variance + it.error_variance());
+        1.0 / self.readings.iter().map(|(_, it)| precision(it)).sum::<f64>()
+    }
+
+    /// Variance of the work that a run shows beside the other runs on the worker, if there are any.
+    fn variance_beside_others(&self, task: usize) -> Option<f64> {
+        let own = self.readings.iter().find(|(it, _)| *it == task).map(|(_, it)| it)?;
+        let others = self.readings.iter().filter(|(it, _)| *it != task).map(|(_, it)| it);
+        let others = others.collect::<Vec<_>>();
+        if others.is_empty() || own.is_bound || others.iter().any(|it| it.is_bound) {
+            return None;
+        }
+        let n_others = others.len() as f64;
+        let mean = others.iter().map(|it| it.log_pace).sum::<f64>() / n_others;
+        let limit = worker_speed::MAX_FACTOR.ln();
+        let difference = (own.log_pace - mean).clamp(-limit, limit);
+        let share = difference / work_variation::USUAL_VARIATION;
+        let variance = share * share / (1.0 + 1.0 / n_others);
+        Some((variance - own.error_variance()).max(0.0))
     }
 }
 
@@ -88,6 +109,7 @@
 #[derive(Clone, Copy, Debug)]
 struct UsualPace {
     log_pace: f64,
+    /// Variance of the comparison with it, in units of the usual variance of the work.
     variance: f64,
 }
 
@@ -95,13 +117,40 @@
     /// Samples the runs of a step whose paces have become known, or known more exactly.
     pub(crate) fn sample_step_speeds(&mut self, key: task_key::TaskKey) {
         let by_worker = self.comparable_runs(key);
+        let Some(class) = self.jobs.get(&key.graph).map(|it| it.class.clone()) else { return };
+        self.observe_work_variation(key, &class, &by_worker);
         if by_worker.len() < 2 {
             return;
         }
+        let work_variance = self.speeds.variations.variance(&class);
         for (worker, runs) in &by_worker {
             let others = by_worker.iter().filter(|(it, _)| *it != worker).map(|(_, it)| it);
-            let Some(usual) = usual_pace(&others.collect::<Vec<_>>()) else { continue };
-            self.sample_worker(key, worker, runs, usual);
+            let others = others.collect::<Vec<_>>();
+            let Some(usual) = usual_pace(&others, work_variance) else { continue };
+            let variance = runs.own_variance(work_variance) + usual.variance;
+            self.sample_worker(key, worker, runs, UsualPace { variance, ..usual });
+        }
+    }
+
+    /// Compares a run with the other runs of its step on the same worker, once.
+    fn observe_work_variation(
+        &mut self,
+        key: task_key::TaskKey,
+        class: &ids::ClassName,
+        by_worker: &BTreeMap<ids::WorkerId, WorkerRuns>,
+    ) {
+        let Some(run) = self.task_run(key) else { return };
+        if run.is_speed_sampled {
+            return;
+        }
+        let runs = by_worker.get(&run.worker);
+        let Some(variance) = runs.and_then(|it| it.variance_beside_others(key.task as usize))
+        else {
+            return;
+        };
+        self.speeds.variations.observe(class, variance);
+        if let Some(run) = self.task_record_mut(key).and_then(|it| it.run.as_mut()) {
+            run.is_speed_sampled = true;
         }
     }
 
@@ -116,9 +165,8 @@
             return;
         };
         let Some(record) = self.workers.get_mut(worker) else { return };
-        let n_runs = runs.readings.len() as f64;
-        // All runs on the worker share the error of the comparison.
-        let weight = 1.0 / (1.0 + n_runs * usual.variance);
+        // All runs on the worker share the comparison and its weight.
+        let weight = 1.0 / (usual.variance * runs.readings.len() as f64);
         for (task, reading) in &runs.readings {
             let Some(run) = step.tasks.get_mut(*task).and_then(|it| it.run.as_mut()) else {
                 continue;
@@ -129,7 +177,6 @@
                 continue;
             }
             let exactness = reading.exactness;
-            let weight = weight * exactness;
             let sample = worker_speed::SpeedSample { log_factor, weight, exactness };
             if run.speed_sample.is_some_and(|it| it.weight >= sample.weight) {
                 continue;
@@ -173,9 +220,10 @@
 
 /// Weighted mean of the corrected paces of workers. Each counts within `MAX_FACTOR` of the median only, as a
 /// few runs take several times as long for reasons of their own.
-fn usual_pace(others: &[&WorkerRuns]) -> Option<UsualPace> {
+fn usual_pace(others: &[&WorkerRuns], work_variance: f64) -> Option<UsualPace> {
     let exact = others.iter().filter(|it| it.readings.iter().all(|(_, it)| !it.is_bound));
-    let exact = exact.map(|it| (it.corrected(), 1.0 / (it.own_variance() + it.variance)));
+    let precision = |it: &WorkerRuns| 1.0 / (it.own_variance(work_variance) + it.variance);
+    let exact = exact.map(|it| (it.corrected(), precision(it)));
     let mut exact = exact.collect::<Vec<_>>();
     exact.sort_by(|one, other| one.0.total_cmp(&other.0));
     let (median, _) = *exact.get(exact.len() / 2)?;
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -8,9 +8,18 @@
 /// differ by a third, so that one run alone says little.
 const N_ASSUMED_RUNS: f64 = 2.0;
 
+/// The same for the comparison of workers that may differ widely.
+const N_ASSUMED_RUNS_IF_UNKNOWN: f64 = 0.25;
+
 /// Older runs count less from this number of runs on, as a worker may become slow for a while.
 const MAX_RUNS: f64 = 8.0;
 
+/// The same where runs are weighted; one run of exactly known work counts as many.
+const MAX_WEIGHT: f64 = 100.0;
+
+/// Greatest weight of one sample.
+const MAX_SAMPLE_WEIGHT: f64 = 50.0;
+
 /// Width of a speed class, as a factor. Within a class workers count as equally fast.
 pub(crate) const CLASS_FACTOR: f64 = 1.25;
 
@@ -45,7 +54,7 @@
     /// The speed with this mean logarithm of `n_runs` runs that vary by `noise`.
     pub fn inherited(mean: f64, n_runs: f64, noise: f64) -> WorkerSpeed {
         let mean = mean.clamp(-MAX_FACTOR.ln(), MAX_FACTOR.ln());
-        let n_runs = n_runs.min(MAX_RUNS);
+        let n_runs = n_runs.min(MAX_WEIGHT);
         let n_samples = n_runs.max(1.0);
         let squares = n_runs * mean * mean + noise * noise * (n_samples - 1.0);
         WorkerSpeed { sum: mean * n_runs, squares, n_runs, n_samples }
@@ -54,7 +63,7 @@
     /// Records a run that progressed at `factor` times the pace of its siblings.
     pub fn observe(&mut self, factor: f64) {
         let log_factor = factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
-        self.record(SpeedSample { log_factor, weight: 1.0, exactness: 1.0 });
+        self.record(SpeedSample { log_factor, weight: 1.0, exactness: 1.0 }, MAX_RUNS);
     }
 
     /// Records a sample in place of an earlier and less exact one of the same run.
@@ -63,7 +72,8 @@
             self.add(SpeedSample { weight: -earlier.weight, ..earlier });
             self.n_samples -= 1.0;
         }
-        self.record(sample);
+        let weight = sample.weight.min(MAX_SAMPLE_WEIGHT);
+        self.record(SpeedSample { weight, ..sample }, MAX_WEIGHT);
     }
 
     /// Weight of the runs that the estimate is from.
@@ -71,9 +81,9 @@
         self.n_runs
     }
 
-    fn record(&mut self, sample: SpeedSample) {
-        if self.n_runs + sample.weight > MAX_RUNS {
-            let kept = (MAX_RUNS - sample.weight) / self.n_runs;
+    fn record(&mut self, sample: SpeedSample, max_weight: f64) {
+        if self.n_runs + sample.weight > max_weight {
+            let kept = (max_weight - sample.weight) / self.n_runs;
             self.sum *= kept;
             self.squares *= kept;
             self.n_runs *= kept;
@@ -106,7 +116,7 @@
 
     /// Variance of the estimate, as a multiple of the variance of one run.
     pub(crate) fn variance(&self) -> f64 {
-        1.0 / (self.n_runs + N_ASSUMED_RUNS)
+        1.0 / (self.n_runs + N_ASSUMED_RUNS_IF_UNKNOWN)
     }
 
     /// Estimated speed, as a factor of the usual one.
