Place work that has time on slow workers first, where workers differ in speed

Change: a unit of a class that is not urgent goes to slow workers before a tight fit, if its job would be in time two standard deviations below the usual speed.

--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -100,6 +100,9 @@
     pub avoids: Vec<&'a str>,
     /// Whether the unit goes to fast workers first, as it has little time. Others leave these free.
     pub prefers_fast: bool,
+    /// Whether the unit goes to slow workers before a tight fit, as it would be in time there. Fast workers then
+    /// stay free for units that have little time.
+    pub prefers_slow: bool,
     /// Number of workers that the unit has to leave empty.
     pub keeps_empty: usize,
     /// Whether the unit may run where it takes longer: off the rack of its data, or across racks.
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -104,6 +104,8 @@
     let speed = candidate.speed;
     if request.prefers_fast {
         ((-speed.cautious, speed.is_unknown), 0)
+    } else if request.prefers_slow {
+        ((speed.usual, false), 0)
     } else {
         ((0, false), speed.usual)
     }
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -6,6 +6,7 @@
 use crate::core;
 use crate::isolation;
 use crate::job;
+use crate::objective;
 use crate::placement;
 use crate::preemption;
 use crate::resources;
@@ -56,6 +57,7 @@
             prefers_fast: job.priority == preemption::URGENT_PRIORITY
                 || tasks.iter().any(|it| it.n_moves > 0),
             // A task that may crash its worker may take an empty one, rather than endanger other tasks.
+            prefers_slow: self.has_time_on_slow_worker(job, now),
             keeps_empty: if may_crash_worker || takes_any_place {
                 0
             } else {
@@ -89,6 +91,20 @@
             && self.is_underused(&job.upstream)
     }
 
+    /// Whether a job that is not urgent would be in time on slow workers, where workers differ in speed.
+    fn has_time_on_slow_worker(&self, job: &job::JobRecord, now: Duration) -> bool {
+        let Some(spread) = self.speeds.spread(&job.upstream) else { return false };
+        let Some(class) = self.class_with_objective(job) else { return false };
+        if job.priority == preemption::URGENT_PRIORITY || job.schedule.is_some() {
+            return false;
+        }
+        let chain = objective::StepChain::of(&job.steps);
+        let step = self.run_times.mean(&job.class);
+        let slow_chain = (step * chain.n_unfinished).div_f64(spread.slow_factor());
+        let age = now.saturating_sub(job.admitted_at);
+        age + slow_chain <= objective::objective(class, chain, step)
+    }
+
     /// Number of workers that a unit of `job` leaves empty for more urgent work. The class directly below the
     /// urgent one leaves half of what urgent work is likely to need: its tasks are large, are stopped for
     /// urgent work at a loss anyway, and are late if they wait. Lower classes leave twice the likely need, so
--- a/crates/graph/src/speed_spread.rs
+++ b/crates/graph/src/speed_spread.rs
@@ -18,6 +18,9 @@
 /// Workers that were seen to differ do so until the ratio falls below this many standard deviations.
 const FORGOTTEN_DEVIATIONS: f64 = 3.0;
 
+/// Slow workers are this many standard deviations below the usual speed.
+const SLOW_DEVIATIONS: f64 = 2.0;
+
 /// Weight of samples from which a worker's speed counts as known.
 const MIN_KNOWN_RUNS: f64 = 0.5;
 
@@ -91,6 +94,11 @@
         (is_wide && is_seen).then_some(SpeedSpread { between, within, n_sampled })
     }
 
+    /// Speed of slow workers, as a factor of the usual one.
+    pub fn slow_factor(&self) -> f64 {
+        (-SLOW_DEVIATIONS * self.between.sqrt()).exp()
+    }
+
     /// Class of a worker by the lower bound of its speed: the mean less its standard error, both by the
     /// spread of the pool.
     pub fn cautious_class(&self, speed: &worker_speed::WorkerSpeed) -> worker_speed::SpeedClass {
--- a/crates/graph/tests/pool/speed_ranks.rs
+++ b/crates/graph/tests/pool/speed_ranks.rs
@@ -64,6 +64,7 @@
         n_present: Vec::new(),
         avoids: Vec::new(),
         prefers_fast: is_urgent,
+        prefers_slow: false,
         keeps_empty: 0,
         allows_remote: false,
         takes_reserved: false,
