--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -5,8 +5,8 @@
 use almondpass_schema::ids;
 
 use crate::resources;
+use crate::speed_spread;
 use crate::task_key;
-use crate::worker_speed;
 
 /// Properties of a worker that do not change within a round.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,8 +40,8 @@
     pub n_runs: usize,
     /// Whether tasks failed on the worker lately; such workers are used last.
     pub failed_lately: bool,
-    /// Class of the worker's speed.
-    pub speed: worker_speed::SpeedClass,
+    /// Rank of the worker's speed.
+    pub speed: speed_spread::SpeedRank,
     /// Whether a task that may crash the worker runs on it in isolation; nothing else starts there.
     pub is_exclusive: bool,
     /// Resources being freed for units by preemption.
@@ -100,6 +100,9 @@
     pub avoids: Vec<&'a str>,
     /// Whether the unit goes to fast workers first, as it has little time. Others leave these free.
     pub prefers_fast: bool,
+    /// Whether the unit goes to slow workers before a tight fit, as it would be in time there. Fast workers then
+    /// stay free for units that have little time.
+    pub prefers_slow: bool,
     /// Number of workers that the unit has to leave empty.
     pub keeps_empty: usize,
     /// Whether the unit may run where it takes longer: off the rack of its data, or across racks.
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -8,11 +8,14 @@
 
 use crate::avoidance;
 use crate::catalog;
+use crate::early_polls;
 use crate::headroom;
 use crate::job;
+use crate::late_runs;
 use crate::loss_history;
 use crate::losses;
 use crate::order;
+use crate::pool_speeds;
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
@@ -50,6 +53,11 @@
     /// Starts in transit, and the limit of their number.
     pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
+    /// How much the speeds of the workers differ.
+    pub(crate) speeds: pool_speeds::PoolSpeeds,
+    /// Moves of late units.
+    pub(crate) moves: late_runs::MoveState,
+    pub(crate) poll_budget: early_polls::PollBudget,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -128,6 +136,9 @@
             orders: Vec::new(),
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
+            speeds: pool_speeds::PoolSpeeds::default(),
+            moves: late_runs::MoveState::default(),
+            poll_budget: early_polls::PollBudget::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -42,6 +42,7 @@
             return;
         }
         self.expire_claims(now);
+        self.update_pool_speeds(now);
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             self.uninterrupted_since = now;
@@ -184,7 +185,7 @@
             free: it.free(),
             n_runs: it.runs.len() + it.unwanted_runs.len(),
             failed_lately: it.health.has_recent_failures(),
-            speed: it.speed.class(),
+            speed: self.speeds.rank(it),
             is_exclusive: !it.isolated_runs.is_empty(),
             claims: it.claims.iter().map(|it| (it.unit, it.resources)).collect(),
             reserved: Vec::new(),
@@ -220,10 +221,7 @@
             }
             return StartOutcome::NoCapacity;
         };
-        let racks = chosen.iter().map(|it| candidates[*it].rack).collect::<BTreeSet<_>>();
-        let is_off_rack =
-            request.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
-        let is_remote = is_off_rack || (request.same_rack && racks.len() > 1);
+        let is_remote = is_remote(&request, candidates, &chosen);
         let workers =
             chosen.iter().map(|it| candidates[*it].profile.worker.clone()).collect::<Vec<_>>();
         let places = UnitPlaces { workers, is_isolated: request.is_isolated, is_remote };
@@ -258,6 +256,7 @@
             worker.claims.retain(|it| it.unit != unit);
         }
         for (key, worker) in keys.into_iter().zip(workers) {
+            self.count_urgent_start(unit.graph, &worker);
             self.start_task(key, worker, StartProperties { attempt, is_isolated, is_remote }, now);
         }
     }
@@ -293,7 +292,10 @@
             percent: 0,
             percent_changed_at: now,
             pace: pace::RunPace::not_started(),
+            is_polled_early: false,
+            move_tried_at: None,
             is_speed_sampled: false,
+            speed_sample: None,
             first_confirmed_clock: None,
         });
         record.runs.insert(key);
@@ -326,6 +328,17 @@
     }
 }
 
+/// Whether a unit takes longer on the chosen candidates: off the rack of its data, or across racks.
+pub(crate) fn is_remote(
+    request: &candidate::PlacementRequest,
+    candidates: &[candidate::WorkerCandidate],
+    chosen: &[usize],
+) -> bool {
+    let racks = chosen.iter().map(|it| candidates[*it].rack).collect::<BTreeSet<_>>();
+    let is_off_rack = request.rack_number.is_some_and(|rack| racks.iter().any(|it| *it != rack));
+    is_off_rack || (request.same_rack && racks.len() > 1)
+}
+
 /// Result of trying a unit in a round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StartOutcome {
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -11,18 +11,18 @@
 const MIN_GAIN: f64 = 4.0;
 
 /// Minimum time between two readings for a pace.
-const MIN_READING_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const MIN_READING_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A task that resumes from a checkpoint makes no progress at first; within this time no progress is not
 /// counted as a pace of zero.
-const MAX_RESTORE_TIME: Duration = Duration::from_millis(900);
+pub(crate) const MAX_RESTORE_TIME: Duration = Duration::from_millis(900);
 
 /// A run is slow below this share of its own best pace, or of the pace of its siblings. The tasks
 /// of one step and the types of healthy workers differ by less.
 const SLOW_SHARE: f64 = 0.4;
 
 /// From this share of the pace of its siblings on, a run shows that its worker is not slow.
-const NORMAL_SHARE: f64 = 0.7;
+pub(crate) const NORMAL_SHARE: f64 = 0.7;
 
 /// A run is slow below this share of the mean pace of its class, if no better measure is known. The
 /// longest urgent task takes 3.2 times the mean.
@@ -31,13 +31,21 @@
 /// From this share of the mean pace of its class on, a run shows that its worker is not slow.
 const NORMAL_CLASS_SHARE: f64 = 0.5;
 
+/// Usual error of a gain, in percent, as both readings are rounded down to whole percent.
+const READING_ERROR: f64 = 0.5;
+
 /// Progress readings of one run, timed by the worker's clock. Answers wait in a queue while the
 /// scheduler is busy, so by the scheduler's clock a run would seem slow.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunPace {
+    first: Option<PaceReading>,
     base: Option<PaceReading>,
     best: f64,
     latest: Option<f64>,
+    /// Percent gained between the readings of `latest`.
+    latest_gain: f64,
+    /// Number of paces measured so far.
+    n_paces: u32,
     /// Lower bound of the pace of a run that had completed its work at the first reading.
     completed: Option<f64>,
 }
@@ -51,6 +59,28 @@
     AtLeast(f64),
 }
 
+/// Mean pace of a run over all its readings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeanPace {
+    /// The pace, in percent per second.
+    pub pace: f64,
+    /// Progress between the first reading and the last one, in percent.
+    pub gained: f64,
+}
+
+/// Measured pace of a run, in percent per second, and how exact it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceGauge {
+    /// The latest pace.
+    pub latest: f64,
+    /// The pace of the run on its worker before the worker slowed down, if it has.
+    pub undisturbed: f64,
+    /// Relative error of the latest pace.
+    pub error: f64,
+    /// Number of paces measured so far.
+    pub n_paces: u32,
+}
+
 /// The reading from which the next gain is counted.
 #[derive(Clone, Copy, Debug)]
 struct PaceReading {
@@ -72,7 +102,8 @@
 impl RunPace {
     /// A run that was at `percent` at time `at` of the worker's clock.
     pub fn new(at: Duration, percent: u32) -> RunPace {
-        RunPace { base: Some(PaceReading { at, percent }), ..RunPace::default() }
+        let first = Some(PaceReading { at, percent });
+        RunPace { first, base: first, ..RunPace::default() }
     }
 
     /// A run that has not started to work yet: the members of a gang work only once all have started.
@@ -80,12 +111,22 @@
         RunPace::default()
     }
 
+    /// Records that the run began to work at `at` of the worker's clock, unless there was a reading before.
+    pub fn note_beginning(&mut self, at: Duration) {
+        if self.base.is_none() {
+            let reading = PaceReading { at, percent: 0 };
+            self.first = Some(reading);
+            self.base = Some(reading);
+        }
+    }
+
     /// Records a reading. `usual` is the pace of such runs in percent per second, if known.
     pub fn observe(&mut self, at: Duration, percent: u32, usual: Option<f64>) {
         let reading = PaceReading { at, percent };
         let Some(base) = self.base else {
             // The run has started to work since the last reading.
             self.base = (percent > 0).then_some(reading);
+            self.first = self.base;
             return;
         };
         let elapsed = at.saturating_sub(base.at);
@@ -109,6 +150,8 @@
         let pace = gained / elapsed.as_secs_f64();
         self.best = self.best.max(pace);
         self.latest = Some(pace);
+        self.latest_gain = gained;
+        self.n_paces += 1;
         self.base = Some(reading);
     }
 
@@ -123,6 +166,27 @@
         exact.or(self.completed.map(MeasuredPace::AtLeast))
     }
 
+    /// Mean pace over all readings; `None` before the first gain.
+    pub fn mean(&self) -> Option<MeanPace> {
+        let (first, base) = (self.first?, self.base?);
+        let gained = f64::from(base.percent.saturating_sub(first.percent));
+        let elapsed = base.at.saturating_sub(first.at).as_secs_f64();
+        (gained > 0.0 && elapsed > 0.0).then(|| MeanPace { pace: gained / elapsed, gained })
+    }
+
+    /// What the readings say about the rest of the run; `None` before the first pace, and while the run
+    /// stands still.
+    pub fn gauge(&self) -> Option<PaceGauge> {
+        let latest = self.latest.filter(|it| *it > 0.0)?;
+        let has_slowed = latest < NORMAL_SHARE * self.best;
+        Some(PaceGauge {
+            latest,
+            undisturbed: if has_slowed { self.best } else { latest },
+            error: READING_ERROR / self.latest_gain.max(READING_ERROR),
+            n_paces: self.n_paces,
+        })
+    }
+
     /// Compares the latest reading with the usual pace of such runs.
     pub fn verdict(&self, usual: UsualPace) -> PaceVerdict {
         let Some(latest) = self.latest else { return PaceVerdict::Unknown };
