Estimate the time to return from the outages of the store that were seen

While the store is away, calls were refused after 0.4 to 0.95 s with a constant Retry-After of 2 s, and against a silent store nearly all of them ended with an unknown outcome, since each wrote until its deadline.

With `adaptive_retry`, an instance records the lengths of the last 16 outages and estimates the rest of the present one. A call waits, without writing, for a store that is expected back in its caller's time, and is refused at once otherwise. One probe every 150 ms notices the return. Waiting calls are limited to 256 and 4 MB of rows. A peer whose store is away declines relayed calls at once. Retry-After is the estimate with jitter, urgent classes first.

--- a/crates/graph/src/preemption.rs
+++ b/crates/graph/src/preemption.rs
@@ -15,7 +15,7 @@
 use crate::worker;
 
 /// Priority of the jobs that may preempt others.
-pub(crate) const URGENT_PRIORITY: u32 = 0;
+pub const URGENT_PRIORITY: u32 = 0;
 
 /// Maximum number of units per round for which preemption is tried, as each try goes over all workers
 /// and their runs. The next round follows within milliseconds.
--- a/crates/pool/src/instance.rs
+++ b/crates/pool/src/instance.rs
@@ -8,6 +8,7 @@
 use crate::document_follower;
 use crate::member_list;
 use crate::state;
+use crate::store_probe;
 use crate::supervisor;
 
 /// Follows the configuration and the peers, and schedules while this instance holds the tenure. Returns once
@@ -22,6 +23,12 @@
     parts.spawn(supervisor::restart_on_panic("members", move || {
         member_list::run(Arc::clone(&shared))
     }));
+    if state.settings.scheduling.adaptive_retry {
+        let shared = Arc::clone(&state);
+        parts.spawn(supervisor::restart_on_panic("store probe", move || {
+            store_probe::run(Arc::clone(&shared))
+        }));
+    }
     supervisor::restart_on_panic("tenure", || contender::run(Arc::clone(&state))).await;
     parts.shutdown().await;
 }
--- a/crates/pool/src/job_query.rs
+++ b/crates/pool/src/job_query.rs
@@ -10,11 +10,14 @@
 use almondpass_schema::{ids, model};
 use tokio::time::{self, Instant};
 
+use crate::call_times;
 use crate::leader;
 use crate::nudge;
 use crate::relay;
+use crate::retry_time;
 use crate::state;
 use crate::store_call;
+use crate::store_outage;
 
 /// Time allowed for the tenure holder to answer before the store is read.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -31,18 +34,27 @@
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     account: Option<&str>,
-    deadline: Instant,
+    times: call_times::CallTimes,
 ) -> model::GraphLooked {
-    let direct_timeout = if state.is_store_unavailable() { Duration::ZERO } else { DIRECT_TIMEOUT };
+    let deadline = times.deadline;
+    let direct_timeout = if state.is_store_away() { Duration::ZERO } else { DIRECT_TIMEOUT };
     let direct_deadline = deadline.min(Instant::now() + direct_timeout);
     let answer = direct_job_state(state, graph, account, direct_deadline).await;
     if answer.outcome != model::LookOutcome::Unavailable {
         return answer;
     }
-    match relay::job_state(state, graph, account, deadline).await {
-        relay::RelayOutcome::Served(answer) => answer,
-        _ => direct_job_state(state, graph, account, deadline).await,
+    if let relay::RelayOutcome::Served(answer) =
+        relay::job_state(state, graph, account, deadline).await
+    {
+        return answer;
     }
+    // A query is seldom urgent and is easily repeated, so it comes back after the submissions.
+    let caller = retry_time::RefusedCaller { graph, is_urgent: false };
+    let wait = store_outage::StoreWait { caller, n_bytes: 0, times };
+    if state.await_store(wait).await == store_outage::WaitOutcome::Refused {
+        return answer;
+    }
+    direct_job_state(state, graph, account, deadline).await
 }
 
 /// Returns the state of a job from the tenure holder or from direct reads of the store.
@@ -62,6 +74,9 @@
             plain_answer(model::LookOutcome::Absent)
         };
     }
+    if state.refuses_store_calls() {
+        return plain_answer(model::LookOutcome::Unavailable);
+    }
     loop {
         if let Some(stored) = stored_job(state, graph, account).await {
             if let Some(nudge) = stored.unfinished.filter(|_| holder_schedules) {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -1,6 +1,7 @@
 //! One instance on the platform: accepts job graphs from callers, and schedules them while it holds the
 //! tenure of the pools. All durable state is in the platform's store.
 
+pub mod call_times;
 pub mod cancel;
 pub mod control;
 pub mod document;
@@ -12,6 +13,7 @@
 pub mod peer_handler;
 mod predecessor;
 mod predecessor_list;
+pub mod retry_time;
 pub mod settings;
 pub mod state;
 pub mod store_call;
@@ -35,7 +37,10 @@
 mod session;
 mod sessions;
 mod spread;
+mod store_outage;
+mod store_probe;
 mod supervisor;
 mod tenure_loader;
+mod waiting_calls;
 mod worker_follower;
 mod writer;
--- a/crates/pool/src/peer_handler.rs
+++ b/crates/pool/src/peer_handler.rs
@@ -52,6 +52,10 @@
     }
 
     async fn submit(&self, call: model::GraphSubmit) -> model::GraphSubmitted {
+        // Proof that the job has not run: nothing of the call is written here.
+        if self.state.refuses_store_calls() {
+            return model::GraphSubmitted { outcome: model::SubmitOutcome::NotRun };
+        }
         let deadline = deadline_after(call.patience_ms);
         let outcome = submit::submit_directly(&self.state, call.graph, &call.row, deadline).await;
         model::GraphSubmitted { outcome }
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -31,6 +31,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RelayState {
     paused_until: Option<Instant>,
+    last_served_at: Option<Instant>,
     next_peer: usize,
 }
 
@@ -108,6 +109,7 @@
         match reply.map(&outcome_of) {
             Ok(served @ RelayOutcome::Served(_)) => {
                 metrics::counter!("almondpass_pool_detours_total").increment(1);
+                state.relays().last_served_at = Some(Instant::now());
                 return served;
             }
             Ok(RelayOutcome::NotServed) => {}
@@ -124,6 +126,17 @@
     outcome
 }
 
+/// Remaining pause of the relay; `None` if no peer has served a call since `since`.
+pub(crate) fn resumes_in<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    since: Instant,
+) -> Option<Duration> {
+    let relays = *state.relays();
+    relays.last_served_at.filter(|it| *it >= since)?;
+    let paused_until = relays.paused_until?;
+    Some(paused_until.saturating_duration_since(Instant::now()))
+}
+
 fn log_failure(error: &error::CallError) {
     tracing::debug!(%error, "peer did not answer a relayed call");
 }
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -20,6 +20,7 @@
 use crate::nudge;
 use crate::relay;
 use crate::settings;
+use crate::store_outage;
 use crate::worker_entry;
 
 /// Access to everything outside the instance: the store, the workers, the peers and the clock.
@@ -74,6 +75,8 @@
     unsaved: Mutex<Vec<model::UnsavedSuspicions>>,
     /// Whether the store does not answer this instance, according to the last read of the document's feed.
     store_unavailable: AtomicBool,
+    /// Outages of the store that this instance has seen; recorded while `adaptive_retry` is on.
+    pub(crate) outages: store_outage::StoreOutages,
     /// Which peer relays the next call, and whether relaying is paused.
     relays: Mutex<relay::RelayState>,
     /// Nudges that the tenure holder has not acknowledged yet.
@@ -116,6 +119,7 @@
             last_order_at: Mutex::default(),
             unsaved: Mutex::default(),
             store_unavailable: AtomicBool::new(false),
+            outages: store_outage::StoreOutages::default(),
             relays: Mutex::default(),
             nudges: Mutex::default(),
             members: Mutex::default(),
--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -46,10 +46,43 @@
     transaction: model::TableTransaction,
 ) -> Result<model::TableOutcome, error::CallError> {
     let step = model::TableTransaction::PATH;
-    if state.is_store_unavailable() {
-        return within(step, WRITE_DEADLINE, transact_with_resends(state, transaction)).await;
+    let sent_at = Instant::now();
+    let answer = if state.is_store_unavailable() {
+        within(step, WRITE_DEADLINE, transact_with_resends(state, transaction)).await
+    } else {
+        within(step, WRITE_DEADLINE, state.adapters.store().transact(transaction)).await
+    };
+    observe(state, sent_at, &answer);
+    answer
+}
+
+/// Records that a call sent at `sent_at` was cut short by its caller and had no answer by then. A call that
+/// was cut short too early says nothing about the store.
+pub(crate) fn observe_silence<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    sent_at: Instant,
+) {
+    let waited = sent_at.elapsed();
+    if waited >= READ_DEADLINE {
+        let silence = timed_out(model::TableTransaction::PATH, waited);
+        observe::<_, ()>(state, sent_at, &Err(silence));
+    }
+}
+
+/// Records the answer or the failure of a call in the outages that this instance sees. An outage that the
+/// call reveals began at `since`.
+fn observe<S: state::PoolAdapters, T>(
+    state: &state::PoolState<S>,
+    since: Instant,
+    answer: &Result<T, error::CallError>,
+) {
+    if !state.settings.scheduling.adaptive_retry {
+        return;
+    }
+    match answer {
+        Ok(_) => state.outages.record_answer(),
+        Err(error) => state.outages.record_failure(since, &error.fault),
     }
-    within(step, WRITE_DEADLINE, state.adapters.store().transact(transaction)).await
 }
 
 /// Sends a transaction repeatedly and returns the first answer. A store that does not answer has lost the
@@ -93,7 +126,11 @@
     key: ids::RowKey,
 ) -> Result<model::TableRows, error::CallError> {
     let get = model::TableGet { keys: vec![key] };
-    within(model::TableGet::PATH, READ_DEADLINE, state.adapters.store().get(get)).await
+    let sent_at = Instant::now();
+    let answer =
+        within(model::TableGet::PATH, READ_DEADLINE, state.adapters.store().get(get)).await;
+    observe(state, sent_at, &answer);
+    answer
 }
 
 /// Reads the rows behind a prefix within `READ_DEADLINE`.
@@ -101,7 +138,11 @@
     state: &state::PoolState<S>,
     scan: model::TableScan,
 ) -> Result<model::TableRows, error::CallError> {
-    within(model::TableScan::PATH, READ_DEADLINE, state.adapters.store().scan(scan)).await
+    let sent_at = Instant::now();
+    let answer =
+        within(model::TableScan::PATH, READ_DEADLINE, state.adapters.store().scan(scan)).await;
+    observe(state, sent_at, &answer);
+    answer
 }
 
 pub(crate) async fn snapshot<S: state::PoolAdapters>(
@@ -109,7 +150,9 @@
     table: &str,
 ) -> Result<row_feed::FeedRows, error::CallError> {
     let reading = state.adapters.store().snapshot(table, PAGE_DEADLINE);
-    within(model::TableScan::PATH, TABLE_DEADLINE, reading).await
+    let answer = within(model::TableScan::PATH, TABLE_DEADLINE, reading).await;
+    observe(state, Instant::now(), &answer);
+    answer
 }
 
 pub(crate) async fn follow<S: state::PoolAdapters>(
@@ -120,9 +163,16 @@
 ) -> Result<row_feed::FeedRows, row_feed::FeedFault> {
     let deadline = wait + FEED_SLACK;
     let following = state.adapters.store().follow(table, after, wait);
-    time::timeout(deadline, following)
+    let answer = time::timeout(deadline, following)
         .await
-        .unwrap_or_else(|_| Err(timed_out(model::TableScan::PATH, deadline).into()))
+        .unwrap_or_else(|_| Err(timed_out(model::TableScan::PATH, deadline).into()));
+    match &answer {
+        Err(row_feed::FeedFault::Call(error)) => {
+            observe::<_, ()>(state, Instant::now(), &Err(error.clone()));
+        }
+        _ => observe(state, Instant::now(), &Ok(())),
+    }
+    answer
 }
 
 async fn within<T>(
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -3,16 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use almondpass_graph::preemption;
 use almondpass_peer::codec;
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
 use metrics::Label;
 use tokio::time::{self, Instant};
 
+use crate::call_times;
 use crate::nudge;
 use crate::relay;
+use crate::retry_time;
 use crate::state;
 use crate::store_call;
+use crate::store_outage;
 use crate::writer;
 
 /// A store that rejects a write without effect is tried again for this long, so that a single rejection does
@@ -32,12 +36,12 @@
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     row: model::GraphRow,
-    deadline: Instant,
+    times: call_times::CallTimes,
 ) -> model::SubmitOutcome {
     let account = row.account.clone().unwrap_or_default();
     let labels =
         [("account", account), ("class", row.class.clone())].map(|(key, it)| Label::new(key, it));
-    let outcome = submit_with_relay(state, graph, row, deadline).await;
+    let outcome = submit_with_relay(state, graph, row, times).await;
     let outcome_label = Label::new("outcome", outcome.to_string());
     let labels = labels.into_iter().chain([outcome_label]).collect::<Vec<_>>();
     metrics::counter!("almondpass_pool_submissions_total", labels).increment(1);
@@ -48,10 +52,11 @@
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
     row: model::GraphRow,
-    deadline: Instant,
+    times: call_times::CallTimes,
 ) -> model::SubmitOutcome {
+    let deadline = times.deadline;
     let mut may_be_stored = false;
-    if !state.is_store_unavailable() {
+    if !state.is_store_away() {
         match submit_directly(state, graph, &row, deadline.min(Instant::now() + DIRECT_TIMEOUT))
             .await
         {
@@ -60,10 +65,22 @@
             certain => return certain,
         }
     }
-    match relay::submit(state, graph, &row, deadline).await {
-        relay::RelayOutcome::Served(outcome) => return outcome,
-        relay::RelayOutcome::NotServed => {}
-        relay::RelayOutcome::Unclear => may_be_stored = true,
+    loop {
+        match relay::submit(state, graph, &row, deadline).await {
+            relay::RelayOutcome::Served(outcome) => return outcome,
+            relay::RelayOutcome::NotServed => {}
+            relay::RelayOutcome::Unclear => may_be_stored = true,
+        }
+        if may_be_stored {
+            break;
+        }
+        match state.await_store(store_wait(graph, &row, times)).await {
+            store_outage::WaitOutcome::Returned => break,
+            store_outage::WaitOutcome::RelayDue => {}
+            // Proof that the job has not run: no write of this call is in progress, since every write of it
+            // was rejected without effect.
+            store_outage::WaitOutcome::Refused => return model::SubmitOutcome::NotRun,
+        }
     }
     // The store may be back, or slow rather than unavailable; `submit_directly` gives up early on a store
     // that rejects writes. While a write may still take effect, its outcome is worth the rest of the caller's
@@ -74,6 +91,17 @@
     }
 }
 
+fn store_wait(
+    graph: ids::GraphId,
+    row: &model::GraphRow,
+    times: call_times::CallTimes,
+) -> store_outage::StoreWait {
+    let is_urgent = row.priority == preemption::URGENT_PRIORITY;
+    let caller = retry_time::RefusedCaller { graph, is_urgent };
+    let n_bytes = writer::encoded_size(&writer::encode_write(keys::graph(graph), row));
+    store_outage::StoreWait { caller, n_bytes, times }
+}
+
 /// Stores a job graph directly in the store, and retries until `deadline` or until the store has rejected
 /// writes for `REJECTION_TIMEOUT`.
 pub(crate) async fn submit_directly<S: state::PoolAdapters>(
@@ -89,8 +117,10 @@
     let mut may_be_stored = false;
     let mut n_failed = 0;
     loop {
+        let sent_at = Instant::now();
         let writing = store_call::transact(state, transaction.clone());
         let Ok(written) = time::timeout_at(deadline, writing).await else {
+            store_call::observe_silence(state, sent_at);
             return model::SubmitOutcome::Unknown;
         };
         match written {
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -8,8 +8,8 @@
 use almondpass_graph::{catalog, order, resources, task_key, worker};
 use almondpass_peer::codec;
 use almondpass_pool::{
-    cancel, control, document, instance, job_query, peer_handler, settings, state, submit,
-    worker_entry,
+    call_times, cancel, control, document, instance, job_query, peer_handler, settings, state,
+    submit, worker_entry,
 };
 use almondpass_ports::boot_clock;
 use almondpass_ports::table::TableService;
@@ -243,6 +243,7 @@
     pub(crate) instances: Vec<BenchInstance>,
     pub(crate) clock: boot_clock::RuntimeClock,
     pub(crate) started: Instant,
+    scheduling: model::SchedulingSettings,
     n_started: usize,
 }
 
@@ -259,6 +260,16 @@
 impl PoolBench {
     /// Starts `n_instances` instances and `n_workers` workers, and waits until the tenure has settled.
     pub(crate) async fn start(n_instances: usize, n_workers: usize) -> PoolBench {
+        let scheduling = model::SchedulingSettings::default();
+        PoolBench::start_with_scheduling(scheduling, n_instances, n_workers).await
+    }
+
+    /// The same with optional decisions of the scheduler.
+    pub(crate) async fn start_with_scheduling(
+        scheduling: model::SchedulingSettings,
+        n_instances: usize,
+        n_workers: usize,
+    ) -> PoolBench {
         let mut bench = PoolBench {
             store: table::TableFake::shared_numbering(),
             fleet: pool_fleet::PoolFleet::new(TASK),
@@ -266,6 +277,7 @@
             instances: Vec::new(),
             clock: boot_clock::RuntimeClock::new(),
             started: Instant::now(),
+            scheduling,
             n_started: 0,
         };
         bench.net.set_latency(Duration::from_millis(1));
@@ -310,7 +322,7 @@
             seeds: Vec::new(),
             strength_milli,
             timing: almondpass_graph::timing::PoolTiming::default(),
-            scheduling: model::SchedulingSettings::default(),
+            scheduling: self.scheduling.clone(),
             tenure: settings::TenureTiming::default(),
         };
         let state = Arc::new(state::PoolState::new(site, settings));
@@ -519,7 +531,8 @@
         row: model::GraphRow,
     ) -> model::SubmitOutcome {
         let deadline = Instant::now() + Duration::from_secs(2);
-        submit::submit(&self.instances[index].state, graph, row, deadline).await
+        let times = call_times::CallTimes::until(deadline);
+        submit::submit(&self.instances[index].state, graph, row, times).await
     }
 
     pub(crate) async fn cancel(&self, index: usize, graph: ids::GraphId) -> model::CancelOutcome {
@@ -548,7 +561,8 @@
         graph: ids::GraphId,
         deadline: Instant,
     ) -> model::GraphLooked {
-        job_query::job_state(&self.instances[index].state, graph, Some("lab"), deadline).await
+        let times = call_times::CallTimes::until(deadline);
+        job_query::job_state(&self.instances[index].state, graph, Some("lab"), times).await
     }
 
     /// Waits until a job is shown in state `wanted`, for at most `limit`.
