Refuse submissions whose job could only end when it is worth nothing

At four times the load of a full pool, no job was refused, and most jobs of the least urgent class were accepted and served too late to be of use.

With `refuse_hopeless`, the holder of the tenure measures once a second, for each class that waits, the work placed before a new job and the rate at which the class starts, over 8 s and over 30 s. The summary travels in the answers to nudges, job queries and queue counts, and is left out while nothing waits. An instance with a summary of the present holder that is younger than 2 s answers 429 with Retry-After if the low end of the forecast lies beyond three times the objective, and if under one in six of the jobs in time start within their slack. The row of an earlier try is looked up first.

A try of unknown outcome whose write is still under way is not found by the lookup.

--- /dev/null
+++ b/crates/graph/src/admission.rs
@@ -0,0 +1,98 @@
+//! Decides whether a submission is refused for load: if its job could only end when it is worth nothing to its
+//! caller.
+
+use std::time::Duration;
+
+use almondpass_schema::model;
+
+use crate::catalog;
+use crate::objective;
+use crate::preemption;
+use crate::prospect;
+
+/// A new job is placed before the late jobs of its class until its slack is over. It has no use only if the share
+/// of the jobs in time that start within their slack is below one in this many.
+const MIN_SERVED_RATIO: u32 = 6;
+
+/// A submission, and what is known of the configuration and the load.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRequest<'a> {
+    /// The job as it would be stored.
+    pub row: &'a model::GraphRow,
+    /// Classes and guarantees in force.
+    pub catalog: &'a catalog::PoolCatalog,
+    /// A fresh summary of the load.
+    pub load: &'a model::LoadSummary,
+}
+
+/// Why a submission is refused for load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadRefusal {
+    /// Low end of the time until the job would end.
+    pub ends_in: Duration,
+    /// Time after which the job is worth nothing.
+    pub worth_until: Duration,
+    /// Time after which such a job would be of use again.
+    pub returns_in: Duration,
+}
+
+/// Refuses a job whose end lies beyond its worth even by a careful forecast. `None` admits the job.
+pub fn refusal(request: AdmissionRequest<'_>) -> Option<LoadRefusal> {
+    let AdmissionRequest { row, catalog, load } = request;
+    let class = catalog.classes.get(&row.class).filter(|it| it.stretch > 0.0)?;
+    if row.graph.schedule.is_some() || may_be_guaranteed(request) {
+        return None;
+    }
+    let class_load = load.classes.iter().find(|it| it.class == row.class)?;
+    let run = Duration::from_millis(class_load.run_ms);
+    let n_steps = longest_chain(&row.graph.steps);
+    let chain = objective::StepChain { n_steps, n_unfinished: n_steps };
+    let work = run * n_steps;
+    let worth_until = objective::objective(class, chain, run) * prospect::EXPIRED_AFTER;
+    let slack = objective::slack(class, chain, run);
+    let (low_wait, wait) = waits(class_load, slack);
+    let ends_in = low_wait + work;
+    let in_time_wait = Duration::from_millis(class_load.wait_ms);
+    let served_wait = slack * MIN_SERVED_RATIO;
+    if ends_in <= worth_until || in_time_wait <= served_wait {
+        return None;
+    }
+    let admitted_in = (wait + work).saturating_sub(worth_until).min(in_time_wait - served_wait);
+    // Others are submitted in the meantime, so the job comes back with its slack to spare.
+    let returns_in = admitted_in + slack;
+    Some(LoadRefusal { ends_in, worth_until, returns_in })
+}
+
+/// Low end and expected value of the wait. A job that waits for longer than its slack is late, and is then
+/// placed behind the older late jobs too.
+fn waits(load: &model::ClassLoad, slack: Duration) -> (Duration, Duration) {
+    let by_slack = |in_time_ms: u64, late_ms: u64| {
+        let in_time = Duration::from_millis(in_time_ms);
+        if in_time <= slack { in_time } else { Duration::from_millis(late_ms) }
+    };
+    (by_slack(load.low_wait_ms, load.low_late_wait_ms), by_slack(load.wait_ms, load.late_wait_ms))
+}
+
+/// Whether the job is urgent work that its account's guarantee may cover. An account whose need is unknown
+/// counts as covered.
+fn may_be_guaranteed(request: AdmissionRequest<'_>) -> bool {
+    let row = request.row;
+    let Some(account) = row.account.as_ref() else { return false };
+    let Some(guaranteed) = request.catalog.guaranteed.get(account) else { return false };
+    if row.priority != preemption::URGENT_PRIORITY {
+        return false;
+    }
+    let known = request.load.accounts.iter().find(|it| it.account == *account);
+    let needed = row.graph.steps.iter().map(|it| it.tasks * it.accelerators).sum::<u32>();
+    known.is_none_or(|it| it.urgent_accelerators.saturating_add(needed) <= *guaranteed)
+}
+
+/// Steps in the longest chain of dependent steps.
+fn longest_chain(steps: &[model::GraphStep]) -> u32 {
+    let mut chains = Vec::<u32>::with_capacity(steps.len());
+    for step in steps {
+        let before = step.after.iter().filter_map(|it| chains.get(*it as usize)).max();
+        chains.push(before.copied().unwrap_or_default() + 1);
+    }
+    chains.into_iter().max().unwrap_or_default()
+}
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -10,6 +10,7 @@
 use crate::catalog;
 use crate::headroom;
 use crate::job;
+use crate::load_summary;
 use crate::loss_history;
 use crate::losses;
 use crate::order;
@@ -49,6 +50,7 @@
     /// Starts in transit, and the limit of their number.
     pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
+    pub(crate) load: load_summary::LoadMeter,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -125,6 +127,7 @@
             orders: Vec::new(),
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
+            load: load_summary::LoadMeter::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
@@ -202,7 +205,9 @@
 
     /// Returns the orders since the last call; they have to be sent in this order.
     pub fn take_orders(&mut self) -> Vec<order::PoolOrder> {
-        std::mem::take(&mut self.orders)
+        let orders = std::mem::take(&mut self.orders);
+        self.meter_starts(&orders);
+        orders
     }
 
     /// Returns the jobs that ended since the last call.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -2,6 +2,7 @@
 //! an argument. The holder of the pool's tenure owns one [`core::PoolCore`] and executes its orders.
 
 pub mod ack_window;
+pub mod admission;
 pub mod candidate;
 pub mod catalog;
 pub mod core;
@@ -12,6 +13,7 @@
 pub mod intake;
 pub mod job;
 pub mod lease_clock;
+pub mod load_summary;
 pub mod loss_history;
 pub mod losses;
 pub mod objective;
--- a/crates/graph/src/prospect.rs
+++ b/crates/graph/src/prospect.rs
@@ -15,7 +15,7 @@
 use crate::preemption;
 
 /// By the platform's rules, a job that ends after this many times its objective is worth nothing.
-const EXPIRED_AFTER: u32 = 3;
+pub const EXPIRED_AFTER: u32 = 3;
 
 /// What a job earns if it starts now, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/graph/tests/pool/load_simulation.rs
+++ b/crates/graph/tests/pool/load_simulation.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::admission_gate;
 use crate::support;
 
 /// Time between two steps of the simulation.
@@ -57,6 +58,8 @@
     pub(crate) n_counted: u32,
     /// Counted jobs that were in time.
     pub(crate) in_time: u32,
+    /// Counted jobs that ended within three times their objective.
+    pub(crate) n_useful: u32,
     /// Core-seconds of work thrown away by stops; an accelerator counts as 8 cores.
     pub(crate) discarded: u64,
     /// Core-seconds of counted jobs that were not in time.
@@ -85,6 +88,45 @@
     simulation.tallies
 }
 
+/// A burst of load, with the submissions that are refused for load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadBurst<'a> {
+    pub(crate) n_workers: usize,
+    /// Classes at the load before and after the burst.
+    pub(crate) classes: &'a [LoadClass],
+    /// Factor of the load during the burst.
+    pub(crate) factor: f64,
+    /// Length of the burst, and of the time after it.
+    pub(crate) seconds: (u64, u64),
+    pub(crate) seed: u64,
+    /// Whether submissions are refused.
+    pub(crate) refuses: bool,
+}
+
+/// Simulates a burst of load after a time at the usual load. Returns a tally for each class, and what became of
+/// the refused submissions.
+pub(crate) fn simulate_burst(
+    burst: LoadBurst<'_>,
+) -> (Vec<ClassTally>, admission_gate::RefusalTally) {
+    const CALM: Duration = Duration::from_secs(20);
+    let scheduling = model::SchedulingSettings {
+        refuse_hopeless: burst.refuses,
+        ..model::SchedulingSettings::default()
+    };
+    let bench = support::PoolBench::with_scheduling(burst.n_workers, scheduling);
+    let mut simulation = LoadSimulation::with_bench(bench, burst.classes, burst.seed);
+    let begin = simulation.bench.now + CALM;
+    let burst_end = begin + Duration::from_secs(burst.seconds.0);
+    let end = burst_end + Duration::from_secs(burst.seconds.1);
+    while simulation.bench.now < end {
+        let now = simulation.bench.now;
+        let is_burst = now >= begin && now < burst_end;
+        simulation.factor = if is_burst { burst.factor } else { 1.0 };
+        simulation.step(end);
+    }
+    (simulation.tallies, simulation.gate.tally)
+}
+
 struct LoadSimulation<'a> {
     bench: support::PoolBench,
     classes: &'a [LoadClass],
@@ -94,9 +136,14 @@
     n_ends: Vec<u64>,
     polled_at: Vec<Duration>,
     tallies: Vec<ClassTally>,
+    catalog: Arc<catalog::PoolCatalog>,
+    gate: admission_gate::AdmissionGate,
+    /// Factor of the load at present.
+    factor: f64,
 }
 
-struct LoadJob {
+#[derive(Clone, Debug)]
+pub(crate) struct LoadJob {
     class: usize,
     submitted_at: Duration,
     run_time: Duration,
@@ -104,6 +151,8 @@
     weight: u64,
     n_tasks: u64,
     is_counted: bool,
+    /// Whether the job was admitted only to see whether its refusal would have been right.
+    pub(crate) is_probe: bool,
 }
 
 impl LoadJob {
@@ -121,10 +170,22 @@
 
 impl<'a> LoadSimulation<'a> {
     fn new(n_workers: usize, classes: &'a [LoadClass], seed: u64) -> LoadSimulation<'a> {
-        let mut bench = support::PoolBench::new(n_workers);
-        bench.core.set_catalog(Arc::new(catalog_of(classes)));
+        LoadSimulation::with_bench(support::PoolBench::new(n_workers), classes, seed)
+    }
+
+    fn with_bench(
+        mut bench: support::PoolBench,
+        classes: &'a [LoadClass],
+        seed: u64,
+    ) -> LoadSimulation<'a> {
+        let catalog = Arc::new(catalog_of(classes));
+        bench.core.set_catalog(Arc::clone(&catalog));
+        let n_workers = bench.core.worker_ids().count();
         LoadSimulation {
             bench,
+            catalog,
+            gate: admission_gate::AdmissionGate::default(),
+            factor: 1.0,
             classes,
             rng: ChaCha8Rng::seed_from_u64(seed),
             jobs: BTreeMap::new(),
@@ -139,7 +200,7 @@
         self.bench.now += TICK;
         self.bench.core.set_wall_time(self.bench.now);
         for class in 0..self.classes.len() {
-            let chance = self.classes[class].per_second * TICK.as_secs_f64();
+            let chance = self.factor * self.classes[class].per_second * TICK.as_secs_f64();
             if self.rng.random_bool(chance) {
                 self.submit(class, self.bench.now + UNCOUNTED_TAIL < end);
             }
@@ -147,6 +208,9 @@
         for worker in 0..self.n_ends.len() {
             self.answer_poll_of(worker);
         }
+        for returned in self.gate.take_returning(self.bench.now) {
+            self.offer(returned);
+        }
         let orders = self.bench.run_round();
         for stop in support::stops(&orders) {
             self.stop(&stop);
@@ -173,15 +237,31 @@
             ..support::tasks(n_tasks)
         };
         let weight = resources::Resources::of_step(&step).weight() / 1_000;
-        let graph = self.jobs.len() as ids::GraphId + 1;
-        self.bench.admit(graph, support::job(spec.priority, step));
-        let submitted_at = self.bench.now;
-        let job =
-            LoadJob { class, submitted_at, run_time, weight, n_tasks: n_tasks.into(), is_counted };
+        let job = LoadJob {
+            class,
+            submitted_at: self.bench.now,
+            run_time,
+            weight,
+            n_tasks: n_tasks.into(),
+            is_counted,
+            is_probe: false,
+        };
         if is_counted {
             self.tallies[class].n_counted += 1;
             self.tallies[class].late += job.work();
         }
+        let row = support::job(self.classes[class].priority, step);
+        self.offer(admission_gate::LoadOffer { job, row, is_return: false });
+    }
+
+    /// Submits a job, which may be refused for load.
+    fn offer(&mut self, offer: admission_gate::LoadOffer) {
+        let load = self.bench.core.load_summary(self.bench.now);
+        let admitted = self.gate.decide(offer, &self.catalog, load.as_ref(), self.bench.now);
+        let Some(admission_gate::LoadOffer { mut job, row, .. }) = admitted else { return };
+        let graph = self.jobs.len() as ids::GraphId + 1;
+        job.submitted_at = self.bench.now;
+        self.bench.admit(graph, row);
         self.jobs.insert(graph, job);
     }
 
@@ -253,6 +333,10 @@
             job.is_counted = false;
             let class = &self.classes[job.class];
             let objective = job.run_time.mul_f64(class.stretch) + class.target;
+            if now <= job.submitted_at + 3 * objective {
+                self.tallies[job.class].n_useful += 1;
+                self.gate.tally.n_useful_probes += u32::from(job.is_probe);
+            }
             if now <= job.submitted_at + objective {
                 self.tallies[job.class].in_time += 1;
                 self.tallies[job.class].late -= job.work();
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the pool core: the orders that it issues, given events and the answers of workers.
 
+mod admission;
+mod admission_gate;
 mod evacuations;
 mod failures;
 mod full_pool;
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -37,9 +37,29 @@
     /// Workers that have not answered yet. All runs that an earlier scheduler ordered end by
     /// `settles_at`.
     pub(crate) fn with_unanswered_workers(n_workers: usize, settles_at: Duration) -> PoolBench {
+        PoolBench::start(n_workers, settles_at, model::SchedulingSettings::default())
+    }
+
+    /// Workers of which each has answered a poll, and optional decisions of the scheduler.
+    pub(crate) fn with_scheduling(
+        n_workers: usize,
+        scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
+        let mut bench = PoolBench::start(n_workers, Duration::ZERO, scheduling);
+        for index in 0..n_workers {
+            bench.answer_poll(index, &[], &[]);
+        }
+        bench
+    }
+
+    fn start(
+        n_workers: usize,
+        settles_at: Duration,
+        scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
         let start = core::PoolStart {
             timing: timing::PoolTiming::default(),
-            scheduling: model::SchedulingSettings::default(),
+            scheduling,
             catalog: Arc::default(),
             settles_at,
         };
--- a/crates/pool/src/job_query.rs
+++ b/crates/pool/src/job_query.rs
@@ -102,8 +102,9 @@
     }
     let holder = state.remote_holder()?;
     let query = model::BacklogQuery { class: class.clone() };
-    let answer = state.adapters.peers().call(&holder.address, query, HOLDER_TIMEOUT).await;
-    answer.ok()?.waiting
+    let answer = state.adapters.peers().call(&holder.address, query, HOLDER_TIMEOUT).await.ok()?;
+    state.load.receive(holder.instance, answer.load);
+    answer.waiting
 }
 
 /// Answers a job query from the scheduler's state in memory. Called on the tenure holder only.
@@ -121,6 +122,7 @@
         state: Some(shown.state),
         failure: shown.failure,
         schedules,
+        load: None,
     }
 }
 
@@ -150,6 +152,7 @@
             tracing::debug!(%error, "tenure holder did not answer a job query");
             state.holder_doubted.notify_one();
         })
+        .inspect(|it| state.load.receive(holder.instance, it.load.clone()))
         .ok()
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,6 +27,7 @@
 mod graph_follower;
 mod hand_over;
 mod leader;
+mod load_view;
 mod member_list;
 mod missed_job;
 mod nudge;
--- a/crates/pool/src/nudge.rs
+++ b/crates/pool/src/nudge.rs
@@ -147,6 +147,7 @@
     }
     let holder = state.remote_holder().ok_or(NudgeFault::NoHolder)?;
     let taken = state.adapters.peers().call(&holder.address, nudge.clone(), HOLDER_TIMEOUT).await?;
+    state.load.receive(holder.instance, taken.load);
     // An earlier release does not send `known`; its answer counts as an acknowledgement.
     if taken.known.unwrap_or(true) { Ok(()) } else { Err(NudgeFault::NotKnown) }
 }
--- a/crates/pool/src/peer_handler.rs
+++ b/crates/pool/src/peer_handler.rs
@@ -43,12 +43,13 @@
     fn nudge(&self, nudge: &model::GraphNudge) -> model::NudgeTaken {
         let leader = self.state.leader();
         let known = leader.is_some_and(|it| graph_follower::accept_nudge(&self.state, &it, nudge));
-        model::NudgeTaken { known: Some(known) }
+        model::NudgeTaken { known: Some(known), load: self.state.own_load() }
     }
 
     fn answer_job_query(&self, query: &model::GraphQuery) -> model::GraphAnswer {
         let leader = self.state.leader();
-        leader.map(|it| job_query::answer_as_holder(&it, query.graph)).unwrap_or_default()
+        let answer = leader.map(|it| job_query::answer_as_holder(&it, query.graph));
+        model::GraphAnswer { load: self.state.own_load(), ..answer.unwrap_or_default() }
     }
 
     async fn submit(&self, call: model::GraphSubmit) -> model::GraphSubmitted {
@@ -80,7 +81,8 @@
 
     fn backlog(&self, query: &model::BacklogQuery) -> model::BacklogAnswer {
         let leader = self.state.leader();
-        model::BacklogAnswer { waiting: leader.map(|it| it.core().backlog(&query.class)) }
+        let waiting = leader.map(|it| it.core().backlog(&query.class));
+        model::BacklogAnswer { waiting, load: self.state.own_load() }
     }
 }
 
--- a/crates/pool/src/retry_time.rs
+++ b/crates/pool/src/retry_time.rs
@@ -66,12 +66,15 @@
     /// Value of `Retry-After`, in whole seconds, if the cause of the refusal is expected to end after
     /// `time_left`. Callers are spread over an interval that begins then; urgent ones come first.
     pub fn retry_after(self, time_left: Duration) -> Duration {
-        let time_left = time_left.min(MAX_RETRY_AFTER);
-        let spread = (time_left / 2).clamp(MIN_SPREAD, MAX_SPREAD);
-        let begin = time_left.min(MAX_RETRY_AFTER - spread);
-        let told = begin + spread.mul_f64(self.position());
+        let latest_begin = MAX_RETRY_AFTER - spread_of(time_left);
+        self.retry_after_load(time_left.min(latest_begin))
+    }
+
+    /// The same for a refusal for load, which may take longer than an outage.
+    pub fn retry_after_load(self, time_left: Duration) -> Duration {
+        let told = time_left + spread_of(time_left).mul_f64(self.position());
         let whole = Duration::from_secs(told.as_millis().div_ceil(1_000) as u64);
-        whole.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        whole.max(MIN_RETRY_AFTER)
     }
 
     /// Position of the caller within a spread, from 0 to 1.
@@ -81,3 +84,8 @@
         if self.is_urgent { URGENT_PART * share } else { URGENT_PART + (1.0 - URGENT_PART) * share }
     }
 }
+
+/// Interval over which callers are spread that come back after `time_left`.
+fn spread_of(time_left: Duration) -> Duration {
+    (time_left / 2).clamp(MIN_SPREAD, MAX_SPREAD)
+}
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -17,6 +17,7 @@
 use crate::evacuation;
 use crate::hand_over;
 use crate::leader;
+use crate::load_view;
 use crate::nudge;
 use crate::relay;
 use crate::settings;
@@ -77,6 +78,8 @@
     store_unavailable: AtomicBool,
     /// Outages of the store that this instance has seen; recorded while `adaptive_retry` is on.
     pub(crate) outages: store_outage::StoreOutages,
+    /// Load of the pool as the tenure holder reported it; used while `refuse_hopeless` is on.
+    pub(crate) load: load_view::LoadView,
     /// Which peer relays the next call, and whether relaying is paused.
     relays: Mutex<relay::RelayState>,
     /// Nudges that the tenure holder has not acknowledged yet.
@@ -120,6 +123,7 @@
             unsaved: Mutex::default(),
             store_unavailable: AtomicBool::new(false),
             outages: store_outage::StoreOutages::default(),
+            load: load_view::LoadView::default(),
             relays: Mutex::default(),
             nudges: Mutex::default(),
             members: Mutex::default(),
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -30,6 +30,18 @@
 /// Wait before a failed write of the row is repeated.
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Answer to a submission. Peers exchange only the outcome; the load decides before a submission is relayed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitAnswer {
+    /// The job was stored, or not.
+    Outcome(model::SubmitOutcome),
+    /// The job could only end when it is worth nothing to its caller; nothing was stored.
+    Overloaded {
+        /// Time after which such a job would be of use again.
+        retry_after: Duration,
+    },
+}
+
 /// Stores a job graph under its id, unless it is stored already: directly in the store, or through a peer
 /// where the store does not answer this instance. Returns `Unknown` where the row may have been stored.
 pub async fn submit<S: state::PoolAdapters>(
@@ -37,7 +49,11 @@
     graph: ids::GraphId,
     row: model::GraphRow,
     times: call_times::CallTimes,
-) -> model::SubmitOutcome {
+) -> SubmitAnswer {
+    // Proof that the job has not run: this call has written nothing, and no earlier one has stored a row.
+    if let Some(retry_after) = state.refuse_for_load(graph, &row, times).await {
+        return SubmitAnswer::Overloaded { retry_after };
+    }
     let account = row.account.clone().unwrap_or_default();
     let labels =
         [("account", account), ("class", row.class.clone())].map(|(key, it)| Label::new(key, it));
@@ -45,7 +61,7 @@
     let outcome_label = Label::new("outcome", outcome.to_string());
     let labels = labels.into_iter().chain([outcome_label]).collect::<Vec<_>>();
     metrics::counter!("almondpass_pool_submissions_total", labels).increment(1);
-    outcome
+    SubmitAnswer::Outcome(outcome)
 }
 
 async fn submit_with_relay<S: state::PoolAdapters>(
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -6,6 +6,7 @@
 mod entries;
 mod evacuations;
 mod feeds;
+mod load_refusals;
 mod logs;
 mod many_instances;
 mod normal_operation;
--- a/crates/pool/tests/pool/store_outages.rs
+++ b/crates/pool/tests/pool/store_outages.rs
@@ -154,8 +154,9 @@
         let now = Instant::now();
         let deadline = now + time_left.min(HANDLING_TIME);
         let times = call_times::CallTimes { deadline, caller_gives_up: now + time_left };
-        let outcome = submit::submit(state, self.graph, support::job(1, 100), times).await;
+        let answer = submit::submit(state, self.graph, support::job(1, 100), times).await;
         assert!(Instant::now() <= deadline + AT_ONCE, "an answer after the deadline");
+        let submit::SubmitAnswer::Outcome(outcome) = answer else { panic!("{answer:?}") };
         outcome
     }
 
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -530,6 +530,19 @@
         graph: ids::GraphId,
         row: model::GraphRow,
     ) -> model::SubmitOutcome {
+        match self.submit_under_load(index, graph, row).await {
+            submit::SubmitAnswer::Outcome(outcome) => outcome,
+            overloaded => panic!("job {graph} is refused for load: {overloaded:?}"),
+        }
+    }
+
+    /// Submits a job at an instance that may refuse it for load.
+    pub(crate) async fn submit_under_load(
+        &self,
+        index: usize,
+        graph: ids::GraphId,
+        row: model::GraphRow,
+    ) -> submit::SubmitAnswer {
         let deadline = Instant::now() + Duration::from_secs(2);
         let times = call_times::CallTimes::until(deadline);
         submit::submit(&self.instances[index].state, graph, row, times).await
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -96,6 +96,14 @@
     ///Requests at a time.
     pub running_requests: u32,
 }
+///What the urgent work of an account with a guarantee needs.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AccountLoad {
+    ///The account.
+    pub account: crate::ids::AccountId,
+    ///Accelerators of its urgent jobs that have not ended.
+    pub urgent_accelerators: u32,
+}
 ///An answer without content.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -166,6 +174,9 @@
 ///How many jobs wait; nothing where the peer does not schedule.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct BacklogAnswer {
+    ///Load of the pool as the scheduler measured it; absent while nothing waits, and where an earlier release answers.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<LoadSummary>,
     ///Accepted jobs without a started task.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub waiting: ::std::option::Option<u64>,
@@ -290,6 +301,22 @@
         value.parse()
     }
 }
+///How long a job of a class waits that is submitted now.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClassLoad {
+    ///The class.
+    pub class: crate::ids::ClassName,
+    ///Expected wait behind the late jobs too, in milliseconds.
+    pub late_wait_ms: u64,
+    ///Low end of it, in milliseconds.
+    pub low_late_wait_ms: u64,
+    ///Low end of it, in milliseconds.
+    pub low_wait_ms: u64,
+    ///Mean run time of a task, in milliseconds.
+    pub run_ms: u64,
+    ///Expected wait behind the jobs that are in time, in milliseconds.
+    pub wait_ms: u64,
+}
 ///A client account.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -723,6 +750,9 @@
     ///Why it has failed; absent where it has not.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub failure: ::std::option::Option<FailureCause>,
+    ///Load of the pool as the scheduler measured it; absent while nothing waits, and where an earlier release answers.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<LoadSummary>,
     ///Whether the answerer schedules; absent where an earlier release answers.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub schedules: ::std::option::Option<bool>,
@@ -1768,6 +1798,16 @@
     ///Other instances.
     pub peers: crate::ids::PeerAddress,
 }
+///Load of the pool: the classes that wait, 16 at most, and accounts with a guarantee, 64 at most.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LoadSummary {
+    ///Accounts whose urgent work is guaranteed capacity.
+    pub accounts: ::std::vec::Vec<AccountLoad>,
+    ///How long ago it was measured, in milliseconds.
+    pub age_ms: u64,
+    ///Classes that wait.
+    pub classes: ::std::vec::Vec<ClassLoad>,
+}
 ///What is known of a job graph; `absent` where there is no such job of that account.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum LookOutcome {
@@ -1789,6 +1829,9 @@
     ///Whether the scheduler knows of the row, or a later one; absent where an earlier release answers, which takes what it can.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub known: ::std::option::Option<bool>,
+    ///Load of the pool as the scheduler measured it; absent while nothing waits, and where an earlier release answers.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<LoadSummary>,
 }
 ///Answer to a read.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
