Merge the refusals and the time to return

Conflicts: lists of modules and fields, two test constructors of one name, and the time kept for an answer.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -12,6 +12,7 @@
 use crate::headroom;
 use crate::job;
 use crate::late_runs;
+use crate::load_summary;
 use crate::loss_history;
 use crate::losses;
 use crate::order;
@@ -58,6 +59,7 @@
     /// Moves of late units.
     pub(crate) moves: late_runs::MoveState,
     pub(crate) poll_budget: early_polls::PollBudget,
+    pub(crate) load: load_summary::LoadMeter,
     pub(crate) headroom: headroom::UrgentHeadroom,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
@@ -139,6 +141,7 @@
             speeds: pool_speeds::PoolSpeeds::default(),
             moves: late_runs::MoveState::default(),
             poll_budget: early_polls::PollBudget::default(),
+            load: load_summary::LoadMeter::default(),
             headroom: headroom::UrgentHeadroom::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
@@ -217,7 +220,9 @@
 
     /// Returns the orders since the last call; they have to be sent in this order.
     pub fn take_orders(&mut self) -> Vec<order::PoolOrder> {
-        std::mem::take(&mut self.orders)
+        let orders = std::mem::take(&mut self.orders);
+        self.meter_starts(&orders);
+        orders
     }
 
     /// Returns the jobs that ended since the last call.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -2,6 +2,7 @@
 //! an argument. The holder of the pool's tenure owns one [`core::PoolCore`] and executes its orders.
 
 pub mod ack_window;
+pub mod admission;
 pub mod candidate;
 pub mod catalog;
 pub mod core;
@@ -14,6 +15,7 @@
 pub mod job;
 pub mod late_runs;
 pub mod lease_clock;
+pub mod load_summary;
 pub mod loss_history;
 pub mod losses;
 pub mod objective;
@@ -21,6 +23,7 @@
 pub mod pace;
 pub mod placement;
 pub mod pool_speeds;
+pub mod preemption;
 pub mod preemption_plan;
 pub mod progress;
 pub mod prospect;
@@ -57,7 +60,6 @@
 mod placement_request;
 mod poll_answers;
 mod pool_usage;
-mod preemption;
 mod slow_workers;
 mod speed_samples;
 mod stalled;
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -17,9 +17,11 @@
 use crate::evacuation;
 use crate::hand_over;
 use crate::leader;
+use crate::load_view;
 use crate::nudge;
 use crate::relay;
 use crate::settings;
+use crate::store_outage;
 use crate::tenure_legacy;
 use crate::worker_entry;
 
@@ -75,6 +77,10 @@
     legacy: Mutex<tenure_legacy::TenureLegacy>,
     /// Whether the store does not answer this instance, according to the last read of the document's feed.
     store_unavailable: AtomicBool,
+    /// Outages of the store that this instance has seen; recorded while `adaptive_retry` is on.
+    pub(crate) outages: store_outage::StoreOutages,
+    /// Load of the pool as the tenure holder reported it; used while `refuse_hopeless` is on.
+    pub(crate) load: load_view::LoadView,
     /// Which peer relays the next call, and whether relaying is paused.
     relays: Mutex<relay::RelayState>,
     /// Nudges that the tenure holder has not acknowledged yet.
@@ -117,6 +123,8 @@
             last_order_at: Mutex::default(),
             legacy: Mutex::default(),
             store_unavailable: AtomicBool::new(false),
+            outages: store_outage::StoreOutages::default(),
+            load: load_view::LoadView::default(),
             relays: Mutex::default(),
             nudges: Mutex::default(),
             members: Mutex::default(),
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -8,8 +8,8 @@
 use almondpass_graph::{catalog, order, resources, task_key, worker};
 use almondpass_peer::codec;
 use almondpass_pool::{
-    cancel, control, document, instance, job_query, peer_handler, settings, state, submit,
-    worker_entry,
+    call_times, cancel, control, document, instance, job_query, peer_handler, settings, state,
+    submit, worker_entry,
 };
 use almondpass_ports::boot_clock;
 use almondpass_ports::table::TableService;
@@ -243,8 +243,8 @@
     pub(crate) instances: Vec<BenchInstance>,
     pub(crate) clock: boot_clock::RuntimeClock,
     pub(crate) started: Instant,
-    n_started: usize,
     scheduling: model::SchedulingSettings,
+    n_started: usize,
 }
 
 /// An instance, with the faults that are injected into its calls.
@@ -277,8 +277,8 @@
             instances: Vec::new(),
             clock: boot_clock::RuntimeClock::new(),
             started: Instant::now(),
-            n_started: 0,
             scheduling,
+            n_started: 0,
         };
         bench.net.set_latency(Duration::from_millis(1));
         bench.set_document(1).await;
@@ -530,8 +530,22 @@
         graph: ids::GraphId,
         row: model::GraphRow,
     ) -> model::SubmitOutcome {
+        match self.submit_under_load(index, graph, row).await {
+            submit::SubmitAnswer::Outcome(outcome) => outcome,
+            overloaded => panic!("job {graph} is refused for load: {overloaded:?}"),
+        }
+    }
+
+    /// Submits a job at an instance that may refuse it for load.
+    pub(crate) async fn submit_under_load(
+        &self,
+        index: usize,
+        graph: ids::GraphId,
+        row: model::GraphRow,
+    ) -> submit::SubmitAnswer {
         let deadline = Instant::now() + Duration::from_secs(2);
-        submit::submit(&self.instances[index].state, graph, row, deadline).await
+        let times = call_times::CallTimes::until(deadline);
+        submit::submit(&self.instances[index].state, graph, row, times).await
     }
 
     pub(crate) async fn cancel(&self, index: usize, graph: ids::GraphId) -> model::CancelOutcome {
@@ -560,7 +574,8 @@
         graph: ids::GraphId,
         deadline: Instant,
     ) -> model::GraphLooked {
-        job_query::job_state(&self.instances[index].state, graph, Some("lab"), deadline).await
+        let times = call_times::CallTimes::until(deadline);
+        job_query::job_state(&self.instances[index].state, graph, Some("lab"), times).await
     }
 
     /// Waits until a job is shown in state `wanted`, for at most `limit`.
