Order waiting jobs of a short class by the use of their accounts (fair_share)

Cause: within a class and prospect, jobs were ordered by age alone, so the account that sends most got most, and all others waited behind its backlog. Change: with fair_share on, while units of a class find no capacity, its places in the order of a round are given out by the use of the accounts: dominant share held now (weight 3/4) and recent use (decay 8 s), in levels of a quarter of an equal share, with age between equals. Owed urgent work comes first, then jobs that waited three times their slack, then jobs of which tasks run or are done, then accounts within their guarantee. Nothing is stopped for it. The state is derived from the runs; idle accounts are forgotten. The load simulation takes accounts for each class; measure_turn takes `fair` and `full`.

--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -1,5 +1,6 @@
 //! Measures the duration of scheduling rounds under a burst of urgent work: `cargo run --release -p
-//! almondpass-graph --example measure_turn -- 1100`.
+//! almondpass-graph --example measure_turn -- 1100`. With the argument `fair`, the fair order is on; with `full`,
+//! the pool is filled before the measurement, which takes minutes with thousands of workers.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,12 +14,19 @@
 /// Number of measured rounds.
 const N_ROUNDS: u32 = 20;
 
+/// Accounts that submit jobs.
+const N_ACCOUNTS: u64 = 24;
+
 /// Accelerators of each worker.
 const ACCELERATORS: u32 = 8;
 
 fn main() {
     let n_workers = std::env::args().nth(1).and_then(|it| it.parse().ok()).unwrap_or(1_100);
-    let mut core = pool_of(n_workers);
+    let has_argument = |name: &str| std::env::args().any(|it| it == name);
+    let fair_share = has_argument("fair");
+    let scheduling =
+        model::SchedulingSettings { fair_share, ..model::SchedulingSettings::default() };
+    let mut core = pool_of(n_workers, scheduling);
     let mut now = Duration::from_secs(1_000);
     // Least urgent work fills nine tenths of the pool, and as much again waits.
     let n_jobs = n_workers as u64 * 2 * 9 / 10 * u64::from(ACCELERATORS) / 40;
@@ -27,6 +35,10 @@
     }
     now += Duration::from_secs(20);
     run_answered_round(&mut core, now);
+    while has_argument("full") && core.summary().accelerators_used < core.summary().accelerators {
+        now += Duration::from_millis(20);
+        run_answered_round(&mut core, now);
+    }
     println!("{n_workers} workers, {} tasks run", core.summary().n_running);
     for graph in 0..n_workers as u64 / 18 {
         let accelerators = [1, 2, 4, 8][graph as usize % 4];
@@ -45,10 +57,10 @@
     println!("turn: mean {:?}, longest {longest:?}", sum / N_ROUNDS);
 }
 
-fn pool_of(n_workers: usize) -> core::PoolCore {
+fn pool_of(n_workers: usize, scheduling: model::SchedulingSettings) -> core::PoolCore {
     let mut core = core::PoolCore::new(core::PoolStart {
         timing: timing::PoolTiming::default(),
-        scheduling: model::SchedulingSettings::default(),
+        scheduling,
         catalog: Arc::default(),
         settles_at: Duration::ZERO,
     });
@@ -106,7 +118,7 @@
     now: Duration,
 ) {
     let row = model::GraphRow {
-        account: Some("lab".to_owned()),
+        account: Some(format!("lab-{}", graph % N_ACCOUNTS)),
         cancelled: false,
         class: format!("class-{priority}"),
         graph: model::JobGraph { body: "sample".to_owned(), schedule: None, steps: vec![step] },
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -8,6 +8,7 @@
 
 use crate::avoidance;
 use crate::catalog;
+use crate::fair_share;
 use crate::headroom;
 use crate::job;
 use crate::loss_history;
@@ -50,6 +51,8 @@
     pub(crate) start_window: start_window::StartWindow,
     pub(crate) run_times: run_times::RunTimes,
     pub(crate) headroom: headroom::UrgentHeadroom,
+    /// Use of the pool by accounts, and classes with too little capacity.
+    pub(crate) fair_share: fair_share::FairShare,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
     pub(crate) within_guarantee: BTreeSet<ids::AccountId>,
@@ -126,6 +129,7 @@
             start_window: start_window::StartWindow::default(),
             run_times: run_times::RunTimes::default(),
             headroom: headroom::UrgentHeadroom::default(),
+            fair_share: fair_share::FairShare::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
             is_fenced_off: false,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::reservation;
 use crate::resources;
 use crate::task_key;
+use crate::unit_order;
 
 /// Longest gap between rounds without interruption. While anything waits, rounds come at least twice as
 /// often; during a longer pause nothing could be ordered.
@@ -31,6 +32,7 @@
         let urgent = self.urgent_accelerators();
         self.headroom.observe(&urgent, all, now);
         self.within_guarantee = self.accounts_within_guarantee();
+        self.observe_uses(now);
         let units = self.waiting_units(now);
         let is_wait_report_due = self.is_wait_report_due(now);
         // The search covers all workers, so it is not repeated in each round; a result is checked again
@@ -61,7 +63,7 @@
 
     fn start_units(
         &mut self,
-        units: Vec<task_key::UnitKey>,
+        mut units: unit_order::UnitOrder,
         candidates: &mut [candidate::WorkerCandidate],
         now: Duration,
     ) {
@@ -70,7 +72,7 @@
         let mut failed = Vec::<failed_placement::FailedPlacement>::new();
         let mut round = self.preemption_round();
         self.start_window.drop_older(self.timing.start_timeout, now);
-        for unit in units {
+        while let Some(unit) = units.next_unit(self.account_state()) {
             if !self.start_window.admits(1) {
                 break;
             }
@@ -82,7 +84,12 @@
             if is_tried && !self.cannot_fit(unit, &exhausted) {
                 let outcome = self.try_start(unit, candidates, &mut failed, now);
                 match outcome {
-                    StartOutcome::Started => continue,
+                    StartOutcome::Started => {
+                        if let Some(passed) = units.passed() {
+                            self.note_fair_start(unit, passed, now);
+                        }
+                        continue;
+                    }
                     // The units behind this one may not overtake it, or a large gang would never start.
                     StartOutcome::TooManyInTransit => break,
                     StartOutcome::NoCapacity | StartOutcome::Covered => {}
@@ -99,6 +106,7 @@
                     }
                 }
             }
+            self.note_unplaced(unit, now);
             // Preemption for an urgent unit comes before less urgent units are tried. They would otherwise
             // start on the capacity about to be freed, and be stopped again at once.
             if self.is_urgent(unit) {
@@ -154,17 +162,45 @@
     }
 
     /// Units that may start now, in the order in which they are tried: by class priority, within a class by
-    /// prospect, and then by age.
-    fn waiting_units(&self, now: Duration) -> Vec<task_key::UnitKey> {
+    /// prospect, and then by age. In a class that has too little capacity, the use of the accounts comes
+    /// before age if the fair order is on.
+    fn waiting_units(&self, now: Duration) -> unit_order::UnitOrder {
         let settled = self.settled(now);
         let jobs = self.active_jobs().filter(|(_, it)| settled.covers(it));
+        let jobs = jobs
+            .map(|(graph, it)| ((it.priority, self.prospect(it, now), it.admitted_at, graph), it));
         let mut jobs = jobs.collect::<Vec<_>>();
-        jobs.sort_by_cached_key(|(graph, it)| {
-            (it.priority, self.prospect(it, now), it.admitted_at, *graph)
-        });
-        jobs.into_iter()
-            .flat_map(|(graph, it)| waiting_units_of(graph, it, self.wall_time))
-            .collect()
+        jobs.sort_unstable_by_key(|(rank, _)| *rank);
+        let mut order = unit_order::UnitOrder::default();
+        for ((_, prospect, _, graph), job) in jobs {
+            let units = waiting_units_of(graph, job, self.wall_time);
+            let first_step = units.first().map(|it| it.step);
+            let Some(step) = first_step.filter(|_| self.is_fairly_ordered(job)) else {
+                order.push(units);
+                continue;
+            };
+            let key = unit_order::ContestKey {
+                class: job.class.clone(),
+                upstream: job.upstream.clone(),
+                prospect,
+            };
+            let waiting = unit_order::WaitingJob {
+                graph,
+                account: job.account.clone(),
+                admitted_at: job.admitted_at,
+                standing: self.standing(job, step, now),
+                units,
+            };
+            order.push_contested(key, waiting, self.account_state());
+        }
+        order
+    }
+
+    fn account_state(&self) -> unit_order::AccountState<'_> {
+        unit_order::AccountState {
+            uses: &self.fair_share.uses,
+            guaranteed: &self.catalog.guaranteed,
+        }
     }
 
     /// Workers that may get tasks now.
@@ -320,6 +356,7 @@
             deadline_ms,
             checkpoint: task.checkpoint.clone(),
         }));
+        self.charge_start(key);
     }
 }
 
--- a/crates/graph/src/pool_usage.rs
+++ b/crates/graph/src/pool_usage.rs
@@ -56,6 +56,7 @@
     }
 }
 
-fn by_resource(resources: resources::Resources) -> [u64; 3] {
+/// Thousandths of a core, megabytes and accelerators.
+pub(crate) fn by_resource(resources: resources::Resources) -> [u64; 3] {
     [resources.cpu_milli, resources.memory_mb, resources.accelerators].map(u64::from)
 }
--- a/crates/graph/src/prospect.rs
+++ b/crates/graph/src/prospect.rs
@@ -15,7 +15,7 @@
 use crate::preemption;
 
 /// By the platform's rules, a job that ends after this many times its objective is worth nothing.
-const EXPIRED_AFTER: u32 = 3;
+pub(crate) const EXPIRED_AFTER: u32 = 3;
 
 /// What a job earns if it starts now, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,11 +50,8 @@
     /// Prospect of a job if it starts now. Urgent work within its account's guarantee always counts as in
     /// time, because its capacity is owed to it at any time.
     pub(crate) fn prospect(&self, job: &job::JobRecord, now: Duration) -> JobProspect {
-        let is_guaranteed =
-            job.account.as_ref().is_some_and(|it| self.within_guarantee.contains(it));
-        let is_owed = job.priority == preemption::URGENT_PRIORITY && is_guaranteed;
         // A timed job spreads its runs over time, so its age says nothing about lateness.
-        if is_owed || job.schedule.is_some() {
+        if self.is_owed(job) || job.schedule.is_some() {
             return JobProspect::InTime;
         }
         let Some(class) = self.class_with_objective(job) else { return JobProspect::InTime };
@@ -62,4 +59,11 @@
         let age = now.saturating_sub(job.admitted_at);
         prospect_of(class, chain, self.run_times.mean(&job.class), age)
     }
+
+    /// Whether a job is urgent work within its account's guarantee.
+    pub(crate) fn is_owed(&self, job: &job::JobRecord) -> bool {
+        let is_guaranteed =
+            job.account.as_ref().is_some_and(|it| self.within_guarantee.contains(it));
+        job.priority == preemption::URGENT_PRIORITY && is_guaranteed
+    }
 }
--- a/crates/graph/tests/pool/load_simulation.rs
+++ b/crates/graph/tests/pool/load_simulation.rs
@@ -50,6 +50,27 @@
     pub(crate) target: Duration,
 }
 
+/// An account that submits jobs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadAccount {
+    pub(crate) name: &'static str,
+    /// Weight of the account among those that submit jobs of the class.
+    pub(crate) weight: f64,
+}
+
+/// Accounts of a load, and the optional decisions of the scheduler.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AccountLoad {
+    /// Accounts that submit the jobs of each class. All jobs are of the same account if it is empty.
+    pub(crate) accounts: Vec<Vec<LoadAccount>>,
+    /// Accelerators guaranteed to the urgent work of accounts.
+    pub(crate) guaranteed: BTreeMap<ids::AccountId, u32>,
+    pub(crate) scheduling: model::SchedulingSettings,
+}
+
+/// Tallies by class and account.
+pub(crate) type AccountTallies = BTreeMap<(usize, &'static str), ClassTally>;
+
 /// Outcome of the jobs of a class.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ClassTally {
@@ -61,6 +82,9 @@
     pub(crate) discarded: u64,
     /// Core-seconds of counted jobs that were not in time.
     pub(crate) late: u64,
+    /// Longest time from the submission of a counted job to the start of its last task, over the jobs of which
+    /// all tasks started.
+    pub(crate) longest_wait: Duration,
 }
 
 impl ClassTally {
@@ -77,14 +101,25 @@
     seconds: u64,
     seed: u64,
 ) -> Vec<ClassTally> {
-    let mut simulation = LoadSimulation::new(n_workers, classes, seed);
-    let end = simulation.bench.now + Duration::from_secs(seconds);
-    while simulation.bench.now < end {
-        simulation.step(end);
-    }
+    let mut simulation = LoadSimulation::new(n_workers, classes, AccountLoad::default(), seed);
+    simulation.run_for(seconds);
     simulation.tallies
 }
 
+/// Simulates the load of `classes`, whose jobs are submitted by several accounts, for `seconds` on `n_workers`
+/// workers. Returns a tally for each class and account.
+pub(crate) fn simulate_accounts(
+    n_workers: usize,
+    classes: &[LoadClass],
+    load: AccountLoad,
+    seconds: u64,
+    seed: u64,
+) -> AccountTallies {
+    let mut simulation = LoadSimulation::new(n_workers, classes, load, seed);
+    simulation.run_for(seconds);
+    simulation.account_tallies
+}
+
 struct LoadSimulation<'a> {
     bench: support::PoolBench,
     classes: &'a [LoadClass],
@@ -94,10 +129,15 @@
     n_ends: Vec<u64>,
     polled_at: Vec<Duration>,
     tallies: Vec<ClassTally>,
+    accounts: Vec<Vec<LoadAccount>>,
+    account_tallies: AccountTallies,
 }
 
 struct LoadJob {
     class: usize,
+    account: &'static str,
+    /// Tasks that have not started yet.
+    n_unstarted: u64,
     submitted_at: Duration,
     run_time: Duration,
     /// Weight of one task, in cores.
@@ -120,9 +160,15 @@
 }
 
 impl<'a> LoadSimulation<'a> {
-    fn new(n_workers: usize, classes: &'a [LoadClass], seed: u64) -> LoadSimulation<'a> {
-        let mut bench = support::PoolBench::new(n_workers);
-        bench.core.set_catalog(Arc::new(catalog_of(classes)));
+    fn new(
+        n_workers: usize,
+        classes: &'a [LoadClass],
+        load: AccountLoad,
+        seed: u64,
+    ) -> LoadSimulation<'a> {
+        let mut bench = support::PoolBench::with_scheduling(n_workers, load.scheduling);
+        let catalog = catalog::PoolCatalog { guaranteed: load.guaranteed, ..catalog_of(classes) };
+        bench.core.set_catalog(Arc::new(catalog));
         LoadSimulation {
             bench,
             classes,
@@ -132,9 +178,44 @@
             n_ends: vec![0; n_workers],
             polled_at: vec![Duration::ZERO; n_workers],
             tallies: vec![ClassTally::default(); classes.len()],
+            accounts: load.accounts,
+            account_tallies: AccountTallies::new(),
+        }
+    }
+
+    fn run_for(&mut self, seconds: u64) {
+        let end = self.bench.now + Duration::from_secs(seconds);
+        while self.bench.now < end {
+            self.step(end);
         }
     }
 
+    /// Draws the account of a new job; nothing is drawn if the class has none or one.
+    fn draw_account(&mut self, class: usize) -> &'static str {
+        let accounts = self.accounts.get(class).map(Vec::as_slice).unwrap_or_default();
+        let (last, others) = match accounts {
+            [] => return "lab",
+            [only] => return only.name,
+            [others @ .., last] => (last, others),
+        };
+        let sum = accounts.iter().map(|it| it.weight).sum::<f64>();
+        let mut drawn = self.rng.random_range(0.0..sum);
+        for account in others {
+            if drawn < account.weight {
+                return account.name;
+            }
+            drawn -= account.weight;
+        }
+        last.name
+    }
+
+    /// Changes the tallies of the job's class and account.
+    fn tally(&mut self, graph: ids::GraphId, change: impl Fn(&mut ClassTally, &LoadJob)) {
+        let job = &self.jobs[&graph];
+        change(&mut self.tallies[job.class], job);
+        change(self.account_tallies.entry((job.class, job.account)).or_default(), job);
+    }
+
     fn step(&mut self, end: Duration) {
         self.bench.now += TICK;
         self.bench.core.set_wall_time(self.bench.now);
@@ -174,26 +255,49 @@
         };
         let weight = resources::Resources::of_step(&step).weight() / 1_000;
         let graph = self.jobs.len() as ids::GraphId + 1;
-        self.bench.admit(graph, support::job(spec.priority, step));
-        let submitted_at = self.bench.now;
-        let job =
-            LoadJob { class, submitted_at, run_time, weight, n_tasks: n_tasks.into(), is_counted };
+        let row = support::job(spec.priority, step);
+        let account = self.draw_account(class);
+        self.bench.admit(graph, model::GraphRow { account: Some(account.to_owned()), ..row });
+        let n_tasks = u64::from(n_tasks);
+        let job = LoadJob {
+            class,
+            account,
+            n_unstarted: n_tasks,
+            submitted_at: self.bench.now,
+            run_time,
+            weight,
+            n_tasks,
+            is_counted,
+        };
+        self.jobs.insert(graph, job);
         if is_counted {
-            self.tallies[class].n_counted += 1;
-            self.tallies[class].late += job.work();
+            self.tally(graph, |tally, job| {
+                tally.n_counted += 1;
+                tally.late += job.work();
+            });
         }
-        self.jobs.insert(graph, job);
     }
 
     fn start(&mut self, start: order::StartOrder) {
         self.bench.confirm_start(&start);
         let now = self.bench.now;
         let ends_at = now + self.jobs[&start.task.graph].run_time;
+        self.count_start(start.task.graph);
         let key = (support::index_of(&start.worker), start.task);
         self.runs
             .insert(key, LoadRun { start, since: now, ends_at, end_kind: order::EndKind::Done });
     }
 
+    fn count_start(&mut self, graph: ids::GraphId) {
+        let now = self.bench.now;
+        let Some(job) = self.jobs.get_mut(&graph).filter(|it| it.n_unstarted > 0) else { return };
+        job.n_unstarted -= 1;
+        if job.n_unstarted == 0 && job.is_counted {
+            let waited = now.saturating_sub(job.submitted_at);
+            self.tally(graph, |tally, _| tally.longest_wait = tally.longest_wait.max(waited));
+        }
+    }
+
     fn stop(&mut self, stop: &order::StopOrder) {
         let now = self.bench.now;
         self.bench.core.stop_answered(stop, true, now);
@@ -203,9 +307,8 @@
             return;
         }
         (run.ends_at, run.end_kind) = (now + STOP_DURATION, order::EndKind::Stopped);
-        let job = &self.jobs[&stop.task.graph];
         let ran = now.saturating_sub(run.since).as_secs();
-        self.tallies[job.class].discarded += ran * job.weight;
+        self.tally(stop.task.graph, |tally, job| tally.discarded += ran * job.weight);
     }
 
     fn answer_poll_of(&mut self, worker: usize) {
@@ -247,15 +350,18 @@
         let is_done = |it: &ids::GraphId| {
             core.state_of(*it).is_some_and(|it| it.state == model::GraphState::Completed)
         };
-        let done = self.jobs.iter_mut().filter(|(id, it)| it.is_counted && is_done(id));
-        for (_, job) in done {
+        let done = self.jobs.iter().filter(|(id, it)| it.is_counted && is_done(id));
+        for graph in done.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&graph) else { continue };
             // Each job is counted once.
             job.is_counted = false;
             let class = &self.classes[job.class];
             let objective = job.run_time.mul_f64(class.stretch) + class.target;
             if now <= job.submitted_at + objective {
-                self.tallies[job.class].in_time += 1;
-                self.tallies[job.class].late -= job.work();
+                self.tally(graph, |tally, job| {
+                    tally.in_time += 1;
+                    tally.late -= job.work();
+                });
             }
         }
     }
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuations;
 mod failures;
+mod fair_share;
 mod full_pool;
 mod load_simulation;
 mod objectives;
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -27,7 +27,15 @@
 impl PoolBench {
     /// `n_workers` workers in racks of eight, each of which has answered a poll.
     pub(crate) fn new(n_workers: usize) -> PoolBench {
-        let mut bench = PoolBench::with_unanswered_workers(n_workers, Duration::ZERO);
+        PoolBench::with_scheduling(n_workers, model::SchedulingSettings::default())
+    }
+
+    /// The same with optional decisions.
+    pub(crate) fn with_scheduling(
+        n_workers: usize,
+        scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
+        let mut bench = PoolBench::unanswered(n_workers, Duration::ZERO, scheduling);
         for index in 0..n_workers {
             bench.answer_poll(index, &[], &[]);
         }
@@ -37,9 +45,18 @@
     /// Workers that have not answered yet. All runs that an earlier scheduler ordered end by
     /// `settles_at`.
     pub(crate) fn with_unanswered_workers(n_workers: usize, settles_at: Duration) -> PoolBench {
+        PoolBench::unanswered(n_workers, settles_at, model::SchedulingSettings::default())
+    }
+
+    /// The same with optional decisions.
+    pub(crate) fn unanswered(
+        n_workers: usize,
+        settles_at: Duration,
+        scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
         let start = core::PoolStart {
             timing: timing::PoolTiming::default(),
-            scheduling: model::SchedulingSettings::default(),
+            scheduling,
             catalog: Arc::default(),
             settles_at,
         };
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, job, losses, waiting};
+use almondpass_graph::{core, fair_share, job, losses, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::time::{self, Instant};
 
@@ -121,6 +121,19 @@
     }
 }
 
+fn record_fair_order(counts: fair_share::FairCounts) {
+    let starts = [
+        ("owed", counts.n_owed),
+        ("overdue", counts.n_overdue),
+        ("begun", counts.n_begun),
+        ("use", counts.n_preferred),
+    ];
+    for (reason, n) in starts {
+        metrics::counter!("almondpass_pool_fair_starts_total", "reason" => reason).increment(n);
+    }
+    metrics::gauge!("almondpass_pool_short_classes").set(counts.n_short_classes as f64);
+}
+
 fn run_round<S: state::PoolAdapters>(state: &state::PoolState<S>, leader: &leader::LeaderState) {
     if !leader.permit_order(state.adapters.clock()) {
         return;
@@ -133,6 +146,9 @@
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     record_losses(&core.take_loss_counts());
     record_overdue(&core.take_overdue_phases());
+    if let Some(counts) = core.take_fair_counts() {
+        record_fair_order(counts);
+    }
     let (is_fenced_off, has_changes) = (core.is_fenced_off(), core.has_rows_to_save());
     drop(core);
     if is_fenced_off {
