--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -9,6 +9,7 @@
 use crate::avoidance;
 use crate::catalog;
 use crate::early_polls;
+use crate::fair_share;
 use crate::headroom;
 use crate::job;
 use crate::late_runs;
@@ -61,6 +62,8 @@
     pub(crate) poll_budget: early_polls::PollBudget,
     pub(crate) load: load_summary::LoadMeter,
     pub(crate) headroom: headroom::UrgentHeadroom,
+    /// Use of the pool by accounts, and classes with too little capacity.
+    pub(crate) fair_share: fair_share::FairShare,
     /// Accounts whose urgent work needs no more accelerators than are guaranteed to them, as of the last
     /// round.
     pub(crate) within_guarantee: BTreeSet<ids::AccountId>,
@@ -143,6 +146,7 @@
             poll_budget: early_polls::PollBudget::default(),
             load: load_summary::LoadMeter::default(),
             headroom: headroom::UrgentHeadroom::default(),
+            fair_share: fair_share::FairShare::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
             silence_reports: silent_workers::SilenceReports::default(),
--- a/crates/graph/tests/pool/load_simulation.rs
+++ b/crates/graph/tests/pool/load_simulation.rs
@@ -51,6 +51,27 @@
     pub(crate) target: Duration,
 }
 
+/// An account that submits jobs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadAccount {
+    pub(crate) name: &'static str,
+    /// Weight of the account among those that submit jobs of the class.
+    pub(crate) weight: f64,
+}
+
+/// Accounts of a load, and the optional decisions of the scheduler.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AccountLoad {
+    /// Accounts that submit the jobs of each class. All jobs are of the same account if it is empty.
+    pub(crate) accounts: Vec<Vec<LoadAccount>>,
+    /// Accelerators guaranteed to the urgent work of accounts.
+    pub(crate) guaranteed: BTreeMap<ids::AccountId, u32>,
+    pub(crate) scheduling: model::SchedulingSettings,
+}
+
+/// Tallies by class and account.
+pub(crate) type AccountTallies = BTreeMap<(usize, &'static str), ClassTally>;
+
 /// Outcome of the jobs of a class.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ClassTally {
@@ -64,6 +85,9 @@
     pub(crate) discarded: u64,
     /// Core-seconds of counted jobs that were not in time.
     pub(crate) late: u64,
+    /// Longest time from the submission of a counted job to the start of its last task, over the jobs of which
+    /// all tasks started.
+    pub(crate) longest_wait: Duration,
 }
 
 impl ClassTally {
@@ -80,11 +104,8 @@
     seconds: u64,
     seed: u64,
 ) -> Vec<ClassTally> {
-    let mut simulation = LoadSimulation::new(n_workers, classes, seed);
-    let end = simulation.bench.now + Duration::from_secs(seconds);
-    while simulation.bench.now < end {
-        simulation.step(end);
-    }
+    let mut simulation = LoadSimulation::new(n_workers, classes, AccountLoad::default(), seed);
+    simulation.run_for(seconds);
     simulation.tallies
 }
 
@@ -113,8 +134,8 @@
         refuse_hopeless: burst.refuses,
         ..model::SchedulingSettings::default()
     };
-    let bench = support::PoolBench::with_scheduling(burst.n_workers, scheduling);
-    let mut simulation = LoadSimulation::with_bench(bench, burst.classes, burst.seed);
+    let load = AccountLoad { scheduling, ..AccountLoad::default() };
+    let mut simulation = LoadSimulation::new(burst.n_workers, burst.classes, load, burst.seed);
     let begin = simulation.bench.now + CALM;
     let burst_end = begin + Duration::from_secs(burst.seconds.0);
     let end = burst_end + Duration::from_secs(burst.seconds.1);
@@ -127,6 +148,20 @@
     (simulation.tallies, simulation.gate.tally)
 }
 
+/// Simulates the load of `classes`, whose jobs are submitted by several accounts, for `seconds` on `n_workers`
+/// workers. Returns a tally for each class and account.
+pub(crate) fn simulate_accounts(
+    n_workers: usize,
+    classes: &[LoadClass],
+    load: AccountLoad,
+    seconds: u64,
+    seed: u64,
+) -> AccountTallies {
+    let mut simulation = LoadSimulation::new(n_workers, classes, load, seed);
+    simulation.run_for(seconds);
+    simulation.account_tallies
+}
+
 struct LoadSimulation<'a> {
     bench: support::PoolBench,
     classes: &'a [LoadClass],
@@ -140,11 +175,16 @@
     gate: admission_gate::AdmissionGate,
     /// Factor of the load at present.
     factor: f64,
+    accounts: Vec<Vec<LoadAccount>>,
+    account_tallies: AccountTallies,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct LoadJob {
     class: usize,
+    account: &'static str,
+    /// Tasks that have not started yet.
+    n_unstarted: u64,
     submitted_at: Duration,
     run_time: Duration,
     /// Weight of one task, in cores.
@@ -169,18 +209,16 @@
 }
 
 impl<'a> LoadSimulation<'a> {
-    fn new(n_workers: usize, classes: &'a [LoadClass], seed: u64) -> LoadSimulation<'a> {
-        LoadSimulation::with_bench(support::PoolBench::new(n_workers), classes, seed)
-    }
-
-    fn with_bench(
-        mut bench: support::PoolBench,
+    fn new(
+        n_workers: usize,
         classes: &'a [LoadClass],
+        load: AccountLoad,
         seed: u64,
     ) -> LoadSimulation<'a> {
-        let catalog = Arc::new(catalog_of(classes));
+        let mut bench = support::PoolBench::with_scheduling(n_workers, load.scheduling);
+        let catalog = catalog::PoolCatalog { guaranteed: load.guaranteed, ..catalog_of(classes) };
+        let catalog = Arc::new(catalog);
         bench.core.set_catalog(Arc::clone(&catalog));
-        let n_workers = bench.core.worker_ids().count();
         LoadSimulation {
             bench,
             catalog,
@@ -193,9 +231,48 @@
             n_ends: vec![0; n_workers],
             polled_at: vec![Duration::ZERO; n_workers],
             tallies: vec![ClassTally::default(); classes.len()],
+            accounts: load.accounts,
+            account_tallies: AccountTallies::new(),
         }
     }
 
+    fn run_for(&mut self, seconds: u64) {
+        let end = self.bench.now + Duration::from_secs(seconds);
+        while self.bench.now < end {
+            self.step(end);
+        }
+    }
+
+    /// Draws the account of a new job; nothing is drawn if the class has none or one.
+    fn draw_account(&mut self, class: usize) -> &'static str {
+        let accounts = self.accounts.get(class).map(Vec::as_slice).unwrap_or_default();
+        let (last, others) = match accounts {
+            [] => return "lab",
+            [only] => return only.name,
+            [others @ .., last] => (last, others),
+        };
+        let sum = accounts.iter().map(|it| it.weight).sum::<f64>();
+        let mut drawn = self.rng.random_range(0.0..sum);
+        for account in others {
+            if drawn < account.weight {
+                return account.name;
+            }
+            drawn -= account.weight;
+        }
+        last.name
+    }
+
+    /// Changes the tallies of the job's class and account.
+    fn tally(&mut self, graph: ids::GraphId, change: impl Fn(&mut ClassTally, &LoadJob)) {
+        let job = self.jobs[&graph].clone();
+        self.tally_job(&job, change);
+    }
+
+    fn tally_job(&mut self, job: &LoadJob, change: impl Fn(&mut ClassTally, &LoadJob)) {
+        change(&mut self.tallies[job.class], job);
+        change(self.account_tallies.entry((job.class, job.account)).or_default(), job);
+    }
+
     fn step(&mut self, end: Duration) {
         self.bench.now += TICK;
         self.bench.core.set_wall_time(self.bench.now);
@@ -237,20 +314,27 @@
             ..support::tasks(n_tasks)
         };
         let weight = resources::Resources::of_step(&step).weight() / 1_000;
+        let account = self.draw_account(class);
+        let n_tasks = u64::from(n_tasks);
         let job = LoadJob {
             class,
+            account,
+            n_unstarted: n_tasks,
             submitted_at: self.bench.now,
             run_time,
             weight,
-            n_tasks: n_tasks.into(),
+            n_tasks,
             is_counted,
             is_probe: false,
         };
         if is_counted {
-            self.tallies[class].n_counted += 1;
-            self.tallies[class].late += job.work();
+            self.tally_job(&job, |tally, job| {
+                tally.n_counted += 1;
+                tally.late += job.work();
+            });
         }
         let row = support::job(self.classes[class].priority, step);
+        let row = model::GraphRow { account: Some(account.to_owned()), ..row };
         self.offer(admission_gate::LoadOffer { job, row, is_return: false });
     }
 
@@ -269,11 +353,22 @@
         self.bench.confirm_start(&start);
         let now = self.bench.now;
         let ends_at = now + self.jobs[&start.task.graph].run_time;
+        self.count_start(start.task.graph);
         let key = (support::index_of(&start.worker), start.task);
         self.runs
             .insert(key, LoadRun { start, since: now, ends_at, end_kind: order::EndKind::Done });
     }
 
+    fn count_start(&mut self, graph: ids::GraphId) {
+        let now = self.bench.now;
+        let Some(job) = self.jobs.get_mut(&graph).filter(|it| it.n_unstarted > 0) else { return };
+        job.n_unstarted -= 1;
+        if job.n_unstarted == 0 && job.is_counted {
+            let waited = now.saturating_sub(job.submitted_at);
+            self.tally(graph, |tally, _| tally.longest_wait = tally.longest_wait.max(waited));
+        }
+    }
+
     fn stop(&mut self, stop: &order::StopOrder) {
         let now = self.bench.now;
         self.bench.core.stop_answered(stop, true, now);
@@ -283,9 +378,8 @@
             return;
         }
         (run.ends_at, run.end_kind) = (now + STOP_DURATION, order::EndKind::Stopped);
-        let job = &self.jobs[&stop.task.graph];
         let ran = now.saturating_sub(run.since).as_secs();
-        self.tallies[job.class].discarded += ran * job.weight;
+        self.tally(stop.task.graph, |tally, job| tally.discarded += ran * job.weight);
     }
 
     fn answer_poll_of(&mut self, worker: usize) {
@@ -327,8 +421,9 @@
         let is_done = |it: &ids::GraphId| {
             core.state_of(*it).is_some_and(|it| it.state == model::GraphState::Completed)
         };
-        let done = self.jobs.iter_mut().filter(|(id, it)| it.is_counted && is_done(id));
-        for (_, job) in done {
+        let done = self.jobs.iter().filter(|(id, it)| it.is_counted && is_done(id));
+        for graph in done.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&graph) else { continue };
             // Each job is counted once.
             job.is_counted = false;
             let class = &self.classes[job.class];
@@ -338,8 +433,10 @@
                 self.gate.tally.n_useful_probes += u32::from(job.is_probe);
             }
             if now <= job.submitted_at + objective {
-                self.tallies[job.class].in_time += 1;
-                self.tallies[job.class].late -= job.work();
+                self.tally(graph, |tally, job| {
+                    tally.in_time += 1;
+                    tally.late -= job.work();
+                });
             }
         }
     }
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod early_polls;
 mod evacuations;
 mod failures;
+mod fair_share;
 mod forecasts;
 mod full_pool;
 mod late_runs;
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -35,7 +35,7 @@
         n_workers: usize,
         scheduling: model::SchedulingSettings,
     ) -> PoolBench {
-        let mut bench = PoolBench::with_start(n_workers, Duration::ZERO, scheduling);
+        let mut bench = PoolBench::unanswered(n_workers, Duration::ZERO, scheduling);
         for index in 0..n_workers {
             bench.answer_poll(index, &[], &[]);
         }
@@ -45,10 +45,11 @@
     /// Workers that have not answered yet. All runs that an earlier scheduler ordered end by
     /// `settles_at`.
     pub(crate) fn with_unanswered_workers(n_workers: usize, settles_at: Duration) -> PoolBench {
-        PoolBench::with_start(n_workers, settles_at, model::SchedulingSettings::default())
+        PoolBench::unanswered(n_workers, settles_at, model::SchedulingSettings::default())
     }
 
-    fn with_start(
+    /// The same with optional decisions.
+    pub(crate) fn unanswered(
         n_workers: usize,
         settles_at: Duration,
         scheduling: model::SchedulingSettings,
