--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2255,9 +2255,6 @@
     ///Whether the time to come back is estimated from the outages of the store that were seen.
     #[serde(default)]
     pub adaptive_retry: bool,
-    ///Whether short tasks may use reserved capacity that is not needed before they end.
-    #[serde(default)]
-    pub backfill: bool,
     ///Whether waiting jobs of a class are ordered by how much of the pool their accounts use.
     #[serde(default)]
     pub fair_share: bool,
