Test what equal work tells about speeds, and the preference of work with time for slow workers

Cause: two changes came in without tests of their own; and the first reading of a run told its pace before already, so that code for it did nothing new. Change: tests of both; the code for the first reading is taken out.

--- a/crates/graph/src/early_polls.rs
+++ b/crates/graph/src/early_polls.rs
@@ -95,7 +95,7 @@
 }
 
 /// When a run began to work: a gang works once all its members run. `None` before that.
-pub(crate) fn work_began_at(step: &job::StepRecord, run: &job::TaskRun) -> Option<Duration> {
+fn work_began_at(step: &job::StepRecord, run: &job::TaskRun) -> Option<Duration> {
     let confirmed_at = |it: &job::TaskRun| match it.phase {
         job::RunPhase::Running { confirmed_at } => Some(confirmed_at),
         _ => None,
--- a/crates/graph/src/pace.rs
+++ b/crates/graph/src/pace.rs
@@ -111,15 +111,6 @@
         RunPace::default()
     }
 
-    /// Records that the run began to work at `at` of the worker's clock, unless there was a reading before.
-    pub fn note_beginning(&mut self, at: Duration) {
-        if self.base.is_none() {
-            let reading = PaceReading { at, percent: 0 };
-            self.first = Some(reading);
-            self.base = Some(reading);
-        }
-    }
-
     /// Records a reading. `usual` is the pace of such runs in percent per second, if known.
     pub fn observe(&mut self, at: Duration, percent: u32, usual: Option<f64>) {
         let reading = PaceReading { at, percent };
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -8,7 +8,6 @@
 
 use crate::ack_window;
 use crate::core;
-use crate::early_polls;
 use crate::job;
 use crate::order;
 use crate::pace;
@@ -212,7 +211,6 @@
         let AnswerTimes { clock, now, .. } = at;
         let expected_pace = self.class_pace(listed.task).or_else(|| self.sibling_pace(listed.task));
         let key = listed.task;
-        let began_at = self.known_beginning(key);
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
         let has_comparable_run_time = job.has_comparable_run_time(key);
         let Some(task) = job.task_mut(listed.task) else { return };
@@ -227,9 +225,6 @@
             has_begun = true;
         }
         let first_confirmed_clock = *run.first_confirmed_clock.get_or_insert(clock);
-        if let Some(began_at) = began_at {
-            run.pace.note_beginning(clock.saturating_sub(now.saturating_sub(began_at)));
-        }
         run.pace.observe(clock, listed.percent, expected_pace);
         let has_unsampled_pace = if self.scheduling.remember_speeds {
             step_speeds::has_new_sample(run)
@@ -257,17 +252,6 @@
         }
     }
 
-    /// When a run began to work, if it began from scratch under this scheduler and the moves of late runs need
-    /// its pace early: its first reading then tells a pace.
-    fn known_beginning(&self, key: task_key::TaskKey) -> Option<Duration> {
-        if !self.scheduling.move_late_runs {
-            return None;
-        }
-        let step = self.jobs.get(&key.graph)?.step(key)?;
-        let run = self.task_run(key).filter(|it| it.is_from_scratch)?;
-        early_polls::work_began_at(step, run)
-    }
-
     /// Continues a run that an earlier scheduler ordered.
     fn adopt_run(&mut self, worker: &ids::WorkerId, listed: order::ListedRun, at: AnswerTimes) {
         let AnswerTimes { clock, now, .. } = at;
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -32,4 +32,5 @@
 mod uneven_workers;
 mod urgent;
 mod waits;
+mod work_variations;
 mod worker_entries;
--- a/crates/graph/tests/pool/speed_ranks.rs
+++ b/crates/graph/tests/pool/speed_ranks.rs
@@ -123,3 +123,14 @@
     assert_eq!(chosen(&racks, &request(1, false)), [Known::Unknown]);
     assert_eq!(chosen(&racks, &request(1, true)), [Known::Fast]);
 }
+
+/// Guards against fast workers that are taken by work that would be in time on slow ones.
+#[test]
+fn a_unit_with_time_goes_to_slow_workers_before_a_tight_fit() {
+    let racks: [&[_]; 1] = [&[(Known::Slow, 2), (Known::Usual, 2), (Known::Fast, 2)]];
+    let with_time = candidate::PlacementRequest { prefers_slow: true, ..request(1, false) };
+    assert_eq!(chosen(&racks, &with_time), [Known::Slow]);
+    let gang = candidate::PlacementRequest { prefers_slow: true, ..request(3, false) };
+    let chosen = chosen(&racks, &gang);
+    assert_eq!(chosen.iter().filter(|it| **it == Known::Slow).count(), 2, "{chosen:?}");
+}
