Mend what the review of the parts found

Cause: readers who had not written the parts found, among others: a class whose starts paused had a rate of zero and was refused for an hour; the check for an earlier try could outlast the call; guaranteed urgent work could be refused by a need two seconds old; calls that are not urgent could take all waiting places in an outage; a call that tried no peer extended the pause of the relay for ever; a call was held although the store was expected back after its own end; a summary outlived the load; a poll could extend a lease after a successor had been told of it; a late unit took capacity before what waited in the round, was judged by its former wait, and counted as moving for ever; comparisons of speeds were quadratic in the width of a step; tasks that tell no speed were used to explore; work without accelerators had a claim by a guarantee of accelerators. Change: each of these; one log line a task is now at debug level; comments and a name reworded.

--- a/crates/graph/src/admission.rs
+++ b/crates/graph/src/admission.rs
@@ -10,9 +10,9 @@
 use crate::preemption;
 use crate::prospect;
 
-/// A new job is placed before the late jobs of its class until its slack is over. It has no use only if the share
-/// of the jobs in time that start within their slack is below one in this many.
-const MIN_SERVED_RATIO: u32 = 6;
+/// A new job is placed before the late jobs of its class until its slack is over. It is refused only if the expected
+/// wait behind the jobs in time is more than this many times its slack.
+const MAX_WAIT_IN_SLACKS: u32 = 6;
 
 /// A submission, and what is known of the configuration and the load.
 #[derive(Clone, Copy, Debug)]
@@ -53,7 +53,7 @@
     let (low_wait, wait) = waits(class_load, slack);
     let ends_in = low_wait + work;
     let in_time_wait = Duration::from_millis(class_load.wait_ms);
-    let served_wait = slack * MIN_SERVED_RATIO;
+    let served_wait = slack * MAX_WAIT_IN_SLACKS;
     if ends_in <= worth_until || in_time_wait <= served_wait {
         return None;
     }
@@ -73,8 +73,9 @@
     (by_slack(load.low_wait_ms, load.low_late_wait_ms), by_slack(load.wait_ms, load.late_wait_ms))
 }
 
-/// Whether the job is urgent work that its account's guarantee may cover. An account whose need is unknown
-/// counts as covered.
+/// Whether the job is urgent work that its account's guarantee may cover: it fits the guarantee by itself, or the
+/// need of the account is unknown. The present need does not count against it, since urgent jobs end within the
+/// age that a summary may have.
 fn may_be_guaranteed(request: AdmissionRequest<'_>) -> bool {
     let row = request.row;
     let Some(account) = row.account.as_ref() else { return false };
@@ -82,9 +83,9 @@
     if row.priority != preemption::URGENT_PRIORITY {
         return false;
     }
-    let known = request.load.accounts.iter().find(|it| it.account == *account);
-    let needed = row.graph.steps.iter().map(|it| it.tasks * it.accelerators).sum::<u32>();
-    known.is_none_or(|it| it.urgent_accelerators.saturating_add(needed) <= *guaranteed)
+    let known = request.load.accounts.iter().any(|it| it.account == *account);
+    let needed = row.graph.steps.iter().map(|it| it.tasks.saturating_mul(it.accelerators));
+    !known || needed.fold(0_u32, u32::saturating_add) <= *guaranteed
 }
 
 /// Steps in the longest chain of dependent steps.
--- a/crates/graph/src/better_places.rs
+++ b/crates/graph/src/better_places.rs
@@ -37,6 +37,10 @@
         request.prefers_fast = true;
         // The unit would begin to wait anew, so that its former wait gives it no right to such places.
         request.takes_reserved = false;
+        if !request.may_crash_worker {
+            let job = self.jobs.get(&late.unit.graph)?;
+            request.keeps_empty = self.kept_empty(job, candidates, Duration::ZERO);
+        }
         request.allows_remote = !placement::could_be_local(candidates, &request);
         let chosen = placement::place(candidates, &request)?;
         let workers =
--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -103,6 +103,8 @@
     /// Whether the unit goes to slow workers before a tight fit, as it would be in time there. Fast workers then
     /// stay free for units that have little time.
     pub prefers_slow: bool,
+    /// Whether a run of the unit would tell the speed of its worker.
+    pub tells_speed: bool,
     /// Number of workers that the unit has to leave empty.
     pub keeps_empty: usize,
     /// Whether the unit may run where it takes longer: off the rack of its data, or across racks.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -41,6 +41,7 @@
             self.underused = self.find_underused();
         }
         if units.is_empty() && !is_wait_report_due {
+            self.move_late_runs(None, now);
             return;
         }
         self.expire_claims(now);
@@ -53,6 +54,7 @@
         if is_wait_report_due {
             self.report_waits(&candidates, now);
         }
+        self.move_late_runs(Some(candidates), now);
     }
 
     fn note_round(&mut self, now: Duration) {
@@ -193,6 +195,7 @@
                 account: job.account.clone(),
                 admitted_at: job.admitted_at,
                 standing: self.standing(job, step, now),
+                needs_accelerators: job.steps.iter().any(|it| it.spec.accelerators > 0),
                 units,
             };
             order.push_contested(key, waiting, self.account_state());
--- a/crates/graph/src/fair_share.rs
+++ b/crates/graph/src/fair_share.rs
@@ -35,8 +35,8 @@
 /// waits, rounds come at least twice as often.
 const SHORTAGE_MEMORY: Duration = Duration::from_secs(1);
 
-/// A job that has waited for this many times its slack is no longer put behind younger jobs. It equals the
-/// number of objectives after which a job is worth nothing, so that the job can still be of use.
+/// A job that has waited for this many times its slack is no longer put behind younger jobs; it can still be of
+/// use then.
 const OVERDUE_AFTER: u32 = prospect::EXPIRED_AFTER;
 
 /// Shortest time between two log lines about the fair order.
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -84,6 +84,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// How often the task was stopped because it was forecast to be late.
     pub n_moves: u32,
+    /// Until then the task counts as being moved, unless it runs again.
+    pub move_ends_at: Duration,
     /// How often the task was stopped because its progress stalled.
     pub n_stalls: u32,
     /// Worker on which the task failed last and which it avoids until `avoids_until`.
--- a/crates/graph/src/late_runs.rs
+++ b/crates/graph/src/late_runs.rs
@@ -39,7 +39,7 @@
 pub enum MoveDecision {
     /// The unit is stopped, to start on faster workers.
     Moved,
-    /// Most workers are slow, so that no move would help.
+    /// Members are late because of more than half of the workers considered, so that no move would help.
     PoolSlow,
     /// As many units are being moved as may be at a time.
     TooManyMoves,
@@ -118,9 +118,14 @@
         std::mem::take(&mut self.moves.counts)
     }
 
-    /// Stops the units that are forecast to be late and would be in time elsewhere.
-    pub(crate) fn move_late_runs(&mut self, now: Duration) {
-        if now < self.moves.checked_at + CHECK_INTERVAL {
+    /// Stops the units that are forecast to be late and would be in time elsewhere. It comes at the end of a
+    /// round and takes the `candidates` that the round has left: what waits goes first.
+    pub(crate) fn move_late_runs(
+        &mut self,
+        candidates: Option<Vec<candidate::WorkerCandidate>>,
+        now: Duration,
+    ) {
+        if !self.scheduling.move_late_runs || now < self.moves.checked_at + CHECK_INTERVAL {
             return;
         }
         self.moves.checked_at = now;
@@ -130,7 +135,7 @@
         }
         // Those come first that were not tried yet, or not for the longest time.
         survey.late.sort_by_key(|it| (it.priority, it.tried_at, it.due_at));
-        let mut candidates = self.candidates(now);
+        let mut candidates = candidates.unwrap_or_else(|| self.candidates(now));
         for late in survey.late.iter().take(MAX_SEARCHES_PER_CHECK) {
             let places = self.places_for(late, &survey, &mut candidates, now);
             let decision = places.as_ref().map_or_else(|it| *it, |_| MoveDecision::Moved);
@@ -153,7 +158,7 @@
     }
 
     fn add_to_survey(&self, survey: &mut UnitSurvey, unit: task_key::UnitKey, now: Duration) {
-        if self.is_moving(unit) {
+        if self.is_moving(unit, now) {
             survey.n_units += 1;
             survey.n_moving += 1;
             return;
@@ -168,10 +173,10 @@
     }
 
     /// Whether a unit was stopped for a move and does not run again yet.
-    fn is_moving(&self, unit: task_key::UnitKey) -> bool {
+    fn is_moving(&self, unit: task_key::UnitKey, now: Duration) -> bool {
         let is_moving = |it: &job::TaskRecord| {
             let is_running = it.run.as_ref().is_some_and(|it| it.phase.is_running());
-            it.n_moves > 0 && !it.done && !is_running
+            now < it.move_ends_at && !it.done && !is_running
         };
         let keys = self.unit_tasks(unit);
         let Some(job) = self.jobs.get(&unit.graph) else { return false };
@@ -230,6 +235,7 @@
         for key in self.unit_tasks(late.unit) {
             if let Some(task) = self.task_record_mut(key) {
                 task.n_moves += 1;
+                task.move_ends_at = until;
             }
             self.stop_run(key, now);
         }
--- a/crates/graph/src/load_summary.rs
+++ b/crates/graph/src/load_summary.rs
@@ -32,6 +32,9 @@
 /// A rate is known once the class has waited for this long within the averaging time.
 const MIN_WAITED: Duration = Duration::from_secs(5);
 
+/// Starts within the averaging time from which on a rate is known; older ones count less.
+const MIN_STARTS: f64 = 1.0;
+
 /// A job of the class must have waited for this long, or the class counts as served at once.
 const MIN_WAIT: Duration = Duration::from_millis(500);
 
@@ -85,7 +88,9 @@
 
     /// Time in which `weight` starts: as expected, and the low end of it.
     fn waits(&self, weight: f64) -> Option<(Duration, Duration)> {
-        if self.waited_s < MIN_WAITED.as_secs_f64() {
+        // Behind a pause of its starts a class has no known rate: capacity may come free at once.
+        let n_starts = self.started * self.started / self.squares.max(f64::MIN_POSITIVE);
+        if self.waited_s < MIN_WAITED.as_secs_f64() || n_starts < MIN_STARTS {
             return None;
         }
         // Starts come one by one, so the rate is uncertain by the root of the sum of their squares.
--- a/crates/graph/src/maintenance.rs
+++ b/crates/graph/src/maintenance.rs
@@ -42,7 +42,6 @@
         self.repeat_stops(now);
         self.stop_stalled(now);
         if self.scheduling.move_late_runs {
-            self.move_late_runs(now);
             self.poll_young_runs(now);
         } else {
             self.move_urgent_off_slow_workers(now);
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -117,7 +117,7 @@
     candidates: &[candidate::WorkerCandidate],
     request: &candidate::PlacementRequest,
 ) -> bool {
-    if request.prefers_fast {
+    if request.prefers_fast || !request.tells_speed {
         return false;
     }
     let mut n_workers = 0;
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -56,8 +56,9 @@
             // A unit that was moved off slow workers must not return to such.
             prefers_fast: job.priority == preemption::URGENT_PRIORITY
                 || tasks.iter().any(|it| it.n_moves > 0),
-            // A task that may crash its worker may take an empty one, rather than endanger other tasks.
+            tells_speed: step.tasks.len() > 1,
             prefers_slow: self.has_time_on_slow_worker(job, now),
+            // A task that may crash its worker may take an empty one, rather than endanger other tasks.
             keeps_empty: if may_crash_worker || takes_any_place {
                 0
             } else {
@@ -113,7 +114,7 @@
     ///
     /// A unit that has waited for all of its slack leaves no workers empty, or it would starve. Bounds of 4
     /// and 10 s instead of the slack served 0.010 and 0.013 less, a bound of 60 s as much.
-    fn kept_empty(
+    pub(crate) fn kept_empty(
         &self,
         job: &job::JobRecord,
         candidates: &[candidate::WorkerCandidate],
--- a/crates/graph/src/pool_speeds.rs
+++ b/crates/graph/src/pool_speeds.rs
@@ -62,11 +62,11 @@
         }
         let rank = self.rank(worker);
         if rank.is_unknown || rank.usual < 0 {
-            tracing::info!(
+            tracing::debug!(
                 job = format_args!("{graph:016x}"),
                 worker = worker.place.worker,
                 speed_percent = (100.0 * worker.speed.factor()).round(),
-                n_runs = worker.speed.n_runs(),
+                sample_weight = worker.speed.n_runs(),
                 "urgent task goes to a worker of slow or unknown speed"
             );
         }
--- a/crates/graph/src/speed_row.rs
+++ b/crates/graph/src/speed_row.rs
@@ -92,7 +92,8 @@
         let known = self.workers.iter().filter(|(_, it)| self.has_lasting_speed(it));
         let mut known = known.collect::<Vec<_>>();
         known.sort_by_cached_key(|(_, it)| {
-            // Of the estimate towards the usual speed, more is left the better it is known.
+            // The estimate is drawn towards the usual speed, less so the more samples there are. Its distance
+            // therefore ranks workers by difference and by certainty.
             Reverse((it.speed.log_factor().abs() * 1e6) as u64)
         });
         let mut n_bytes = HEAD_BYTES;
--- a/crates/graph/src/step_speeds.rs
+++ b/crates/graph/src/step_speeds.rs
@@ -23,6 +23,9 @@
 /// A later reading replaces the sample of a run if the exactness of its pace rises by this much.
 const MIN_EXACTNESS_RISE: f64 = 0.1;
 
+/// Up to this many workers of a step, each is compared anew with each new reading.
+const MAX_COMPARED_WORKERS: usize = 16;
+
 /// Exactness of a pace of which only a lower bound is known.
 const BOUND_EXACTNESS: f64 = 0.5;
 
@@ -123,7 +126,12 @@
             return;
         }
         let work_variance = self.speeds.variations.variance(&class);
-        for (worker, runs) in &by_worker {
+        // Each comparison goes over all workers of the step, so that in a wide step only that of the run is made.
+        let own_worker = self.task_run(key).map(|it| it.worker.clone());
+        let is_wide = by_worker.len() > MAX_COMPARED_WORKERS;
+        for (worker, runs) in
+            by_worker.iter().filter(|(it, _)| !is_wide || own_worker.as_ref() == Some(*it))
+        {
             let others = by_worker.iter().filter(|(it, _)| *it != worker).map(|(_, it)| it);
             let others = others.collect::<Vec<_>>();
             let Some(usual) = usual_pace(&others, work_variance) else { continue };
--- a/crates/graph/src/unit_order.rs
+++ b/crates/graph/src/unit_order.rs
@@ -51,6 +51,8 @@
     pub admitted_at: Duration,
     /// Standing among the jobs of its class and prospect.
     pub standing: JobStanding,
+    /// Whether its tasks need accelerators.
+    pub needs_accelerators: bool,
     /// The waiting units, in the order in which they are tried.
     pub units: Vec<task_key::UnitKey>,
 }
@@ -84,10 +86,12 @@
         let is_by_use = job.standing == JobStanding::ByUse;
         let level = self.uses.level(upstream, &job.account);
         let guaranteed = job.account.as_ref().and_then(|it| self.guaranteed.get(it)).copied();
+        // A guarantee is of accelerators, so work without them has no claim by it.
+        let guaranteed = guaranteed.filter(|_| job.needs_accelerators).map_or(0, u64::from);
         let held = self.uses.accelerators(upstream, &job.account);
         JobRank {
             standing: job.standing,
-            is_above_guarantee: is_by_use && held >= u64::from(guaranteed.unwrap_or_default()),
+            is_above_guarantee: is_by_use && held >= guaranteed,
             level: if is_by_use { level } else { 0 },
             age_key: job.age_key(),
         }
--- a/crates/graph/src/work_variation.rs
+++ b/crates/graph/src/work_variation.rs
@@ -7,7 +7,8 @@
 
 use almondpass_schema::ids;
 
-/// Usual relative variation of the work of tasks of one step, in units of which the others are told.
+/// Usual relative variation of the work of tasks of one step. Variances in this module and in `step_speeds` are
+/// multiples of its square.
 pub(crate) const USUAL_VARIATION: f64 = 0.2;
 
 /// Least variance, in units of the usual one.
@@ -19,6 +20,7 @@
 /// Older comparisons count less from this number on.
 const MAX_COMPARISONS: f64 = 50.0;
 
+/// Sum of the variances observed, and their number.
 #[derive(Clone, Copy, Debug, Default)]
 struct VariationSum {
     sum: f64,
--- a/crates/graph/src/worker_speed.rs
+++ b/crates/graph/src/worker_speed.rs
@@ -106,7 +106,8 @@
 
     /// Mean logarithm of the samples; 0 without any.
     pub fn mean(&self) -> f64 {
-        if self.n_runs > 0.0 { self.sum / self.n_runs } else { 0.0 }
+        let limit = MAX_FACTOR.ln();
+        if self.n_runs > 0.0 { (self.sum / self.n_runs).clamp(-limit, limit) } else { 0.0 }
     }
 
     /// Weighted sum of the squared differences of the samples from their mean.
--- a/crates/graph/tests/pool/speed_ranks.rs
+++ b/crates/graph/tests/pool/speed_ranks.rs
@@ -65,6 +65,7 @@
         avoids: Vec::new(),
         prefers_fast: is_urgent,
         prefers_slow: false,
+        tells_speed: true,
         keeps_empty: 0,
         allows_remote: false,
         takes_reserved: false,
--- a/crates/pool/src/load_view.rs
+++ b/crates/pool/src/load_view.rs
@@ -7,7 +7,7 @@
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::call_times;
 use crate::job_query;
@@ -60,10 +60,18 @@
 impl LoadView {
     /// Keeps a summary that `holder` sent with the answer to a call.
     pub(crate) fn receive(&self, holder: ids::InstanceId, summary: Option<model::LoadSummary>) {
-        let Some(summary) = summary else { return };
+        let mut received = state::lock(&self.received);
+        let Some(summary) = summary else {
+            // Nothing waits at that instance any more, or it does not hold the tenure.
+            received.take_if(|it| it.holder == holder);
+            return;
+        };
         let age = Duration::from_millis(summary.age_ms);
         let Some(measured_at) = Instant::now().checked_sub(age) else { return };
-        *state::lock(&self.received) = Some(ReceivedLoad { holder, measured_at, summary });
+        let is_newer = |it: &ReceivedLoad| it.holder != holder || it.measured_at <= measured_at;
+        if received.as_ref().is_none_or(is_newer) {
+            *received = Some(ReceivedLoad { holder, measured_at, summary });
+        }
     }
 
     /// The summary and its age, if it is fresh and `holder` still holds the tenure.
@@ -108,7 +116,9 @@
         let catalog = &document.catalog;
         let request = admission::AdmissionRequest { row, catalog, load: &load };
         let refusal = admission::refusal(request)?;
-        if Instant::now() + MIN_CHECK_TIME > times.deadline || self.is_stored(graph).await {
+        if Instant::now() + MIN_CHECK_TIME > times.deadline
+            || self.may_be_stored(graph, times.deadline).await
+        {
             count(row, "stored_before");
             return None;
         }
@@ -119,13 +129,15 @@
         Some(caller.retry_after_load(refusal.returns_in))
     }
 
-    /// Whether a job may be stored by an earlier try; true also where the store can't tell.
-    async fn is_stored(&self, graph: ids::GraphId) -> bool {
-        if self.is_store_away() {
+    /// Whether a job may be stored by an earlier try; true also where the store does not tell at once. A write
+    /// of an earlier try that is still in progress at another instance is not seen.
+    async fn may_be_stored(&self, graph: ids::GraphId, deadline: Instant) -> bool {
+        if self.outages.is_failing() || self.is_store_away() {
             return true;
         }
-        let read = job_query::read_row::<S, model::GraphRow>(self, keys::graph(graph)).await;
-        !matches!(read, Ok(None))
+        let read = job_query::read_row::<S, model::GraphRow>(self, keys::graph(graph));
+        let read = time::timeout_at(deadline.min(Instant::now() + MIN_CHECK_TIME), read).await;
+        !matches!(read, Ok(Ok(None)))
     }
 
     fn log_refusal(
--- a/crates/pool/src/relay.rs
+++ b/crates/pool/src/relay.rs
@@ -101,9 +101,11 @@
     outcome_of: impl Fn(C::Reply) -> RelayOutcome<R>,
 ) -> RelayOutcome<R> {
     let mut outcome = RelayOutcome::NotServed;
+    let mut n_tried = 0;
     for peer in next_peers(state) {
         let time_left = deadline.saturating_duration_since(Instant::now()).min(PEER_TIMEOUT);
         let Some(peer_time) = time_left.checked_sub(ANSWER_MARGIN) else { break };
+        n_tried += 1;
         let reply =
             state.adapters.peers().call(&peer, call(peer_time.as_millis() as u64), time_left).await;
         match reply.map(&outcome_of) {
@@ -122,7 +124,10 @@
             }
         }
     }
-    state.relays().paused_until = Some(Instant::now() + PAUSE_AFTER_FAILURE);
+    // A call that tried no peer says nothing about them; it would extend the pause for ever.
+    if n_tried > 0 {
+        state.relays().paused_until = Some(Instant::now() + PAUSE_AFTER_FAILURE);
+    }
     outcome
 }
 
--- a/crates/pool/src/session.rs
+++ b/crates/pool/src/session.rs
@@ -61,9 +61,10 @@
     leader: &leader::LeaderState,
     worker: &ids::WorkerId,
 ) -> PollOutcome {
-    let now = state.adapters.clock().now();
-    let Some(request) = leader.core().next_poll(worker, now) else { return PollOutcome::Unlisted };
-    poll_with(state, leader, worker, request).await
+    match next_poll(state, leader, worker) {
+        Ok(request) => poll_with(state, leader, worker, request).await,
+        Err(outcome) => outcome,
+    }
 }
 
 /// Polls a worker that has to answer at once.
@@ -72,12 +73,27 @@
     leader: &leader::LeaderState,
     worker: &ids::WorkerId,
 ) -> PollOutcome {
-    let now = state.adapters.clock().now();
-    let Some(mut request) = leader.core().next_poll(worker, now) else {
-        return PollOutcome::Unlisted;
-    };
-    request.wait = Duration::ZERO;
-    poll_with(state, leader, worker, request).await
+    match next_poll(state, leader, worker) {
+        Ok(request) => {
+            let request = order::PollRequest { wait: Duration::ZERO, ..request };
+            poll_with(state, leader, worker, request).await
+        }
+        Err(outcome) => outcome,
+    }
+}
+
+/// The next poll of a worker. Permission is checked under the lock of the core: a successor may be told in between
+/// which workers are silent and until when their leases last, and a later poll would extend these leases.
+fn next_poll<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    leader: &leader::LeaderState,
+    worker: &ids::WorkerId,
+) -> Result<order::PollRequest, PollOutcome> {
+    let mut core = leader.core();
+    if !leader.permit_order(state.adapters.clock()) {
+        return Err(PollOutcome::Failed);
+    }
+    core.next_poll(worker, state.adapters.clock().now()).ok_or(PollOutcome::Unlisted)
 }
 
 async fn poll_with<S: state::PoolAdapters>(
--- a/crates/pool/src/store_outage.rs
+++ b/crates/pool/src/store_outage.rs
@@ -20,8 +20,7 @@
 /// time, and its callers are better off if their writes are sent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// A call also waits for a store that is expected back this long after its caller gives up. The begin of an
-/// outage is noticed by the next call to the store, so estimates are no more exact than that.
+/// Tolerance of the estimate: a call also waits if the store is expected back this long after the call's end.
 const RETURN_MARGIN: Duration = Duration::from_millis(500);
 
 /// A call that has waited until less than this is left is refused: a write usually takes 9 ms, and one that is
@@ -149,6 +148,11 @@
         self.is_failing.subscribe()
     }
 
+    /// Whether the last call to the store failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        *self.is_failing.borrow()
+    }
+
     fn log_refusal(&self, wait: &StoreWait, time_left: Duration, cause: &'static str) {
         metrics::counter!("almondpass_pool_store_waits_total", "outcome" => cause).increment(1);
         let mut record = state::lock(&self.record);
@@ -215,12 +219,11 @@
         }
         let (time_left, now) = (self.service_returns_in(), Instant::now());
         let latest = wait.times.deadline - WRITE_TIME;
-        // A call whose caller still has time for another one waits too: the other one is then served.
-        if now + time_left > wait.times.caller_gives_up + RETURN_MARGIN || now >= latest {
+        if now + time_left > latest + RETURN_MARGIN || now >= latest {
             self.outages.log_refusal(&wait, time_left, "refused");
             return WaitOutcome::Refused;
         }
-        let Some(_place) = self.outages.waiting.admit(wait.n_bytes) else {
+        let Some(_place) = self.outages.waiting.admit(wait.n_bytes, wait.caller.is_urgent) else {
             self.outages.log_refusal(&wait, time_left, "too_many");
             return WaitOutcome::Refused;
         };
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -50,7 +50,7 @@
     row: model::GraphRow,
     times: call_times::CallTimes,
 ) -> SubmitAnswer {
-    // Proof that the job has not run: this call has written nothing, and no earlier one has stored a row.
+    // Proof that the job has not run: this call has written nothing, and the store has no row of an earlier one.
     if let Some(retry_after) = state.refuse_for_load(graph, &row, times).await {
         return SubmitAnswer::Overloaded { retry_after };
     }
