Keep a class refusable whose starts pause for seconds, and calls that wait by the caller's time

Cause: the mend before took the rate of a class for unknown as soon as nothing of it had started for some seconds, so that a class held up by more urgent work was never refused; and it refused calls whose caller still has time for another try, which is then served (three tests of impatient callers failed). Change: the rate over the long time counts while starts pause, and is unknown once that has decayed to less than one start; a call waits as before if the store is expected within the caller's time.

--- a/crates/graph/src/load_summary.rs
+++ b/crates/graph/src/load_summary.rs
@@ -32,7 +32,7 @@
 /// A rate is known once the class has waited for this long within the averaging time.
 const MIN_WAITED: Duration = Duration::from_secs(5);
 
-/// Starts within the averaging time from which on a rate is known; older ones count less.
+/// Starts from which on a rate is known; older ones count less.
 const MIN_STARTS: f64 = 1.0;
 
 /// A job of the class must have waited for this long, or the class counts as served at once.
@@ -69,6 +69,7 @@
     waited_s: f64,
     /// Weight of all starts over a long time, whether or not the class waited.
     long_started: f64,
+    long_squares: f64,
     /// Seconds of that time.
     long_s: f64,
 }
@@ -78,6 +79,7 @@
         let decay = (-elapsed.as_secs_f64() / AVERAGING_TIME.as_secs_f64()).exp();
         let long_decay = (-elapsed.as_secs_f64() / LONG_AVERAGING_TIME.as_secs_f64()).exp();
         self.long_started = self.long_started * long_decay + self.unsampled;
+        self.long_squares = self.long_squares * long_decay + self.unsampled_squares;
         self.long_s = self.long_s * long_decay + elapsed.as_secs_f64();
         let share = f64::from(waited);
         self.started = self.started * decay + share * self.unsampled;
@@ -88,16 +90,18 @@
 
     /// Time in which `weight` starts: as expected, and the low end of it.
     fn waits(&self, weight: f64) -> Option<(Duration, Duration)> {
-        // Behind a pause of its starts a class has no known rate: capacity may come free at once.
-        let n_starts = self.started * self.started / self.squares.max(f64::MIN_POSITIVE);
+        // A class of which nothing started for long has no known rate: capacity may come free at once.
+        let n_starts = n_equal(self.long_started, self.long_squares);
         if self.waited_s < MIN_WAITED.as_secs_f64() || n_starts < MIN_STARTS {
             return None;
         }
         // Starts come one by one, so the rate is uncertain by the root of the sum of their squares.
-        let likely = self.started.max(f64::MIN_POSITIVE) / self.waited_s;
-        let short = (self.started + self.squares.sqrt()).max(f64::MIN_POSITIVE) / self.waited_s;
+        let short = (self.started + self.squares.sqrt()) / self.waited_s;
         // A class that gets nothing for some seconds may soon get as much as it usually does.
-        let high = short.max(self.long_started / self.long_s);
+        let long = self.long_started / self.long_s;
+        let has_started = n_equal(self.started, self.squares) >= MIN_STARTS;
+        let likely = if has_started { self.started / self.waited_s } else { long };
+        let high = short.max(long);
         let time = |rate: f64| {
             Duration::try_from_secs_f64(weight / rate).unwrap_or(MAX_WAIT).min(MAX_WAIT)
         };
@@ -105,6 +109,11 @@
     }
 }
 
+/// Number of equal starts that have this sum of weights and of their squares.
+fn n_equal(sum: f64, squares: f64) -> f64 {
+    sum * sum / squares.max(f64::MIN_POSITIVE)
+}
+
 /// Work that the order of the scheduler places before a new job of a class.
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkAhead {
--- a/crates/pool/src/store_outage.rs
+++ b/crates/pool/src/store_outage.rs
@@ -20,7 +20,7 @@
 /// time, and its callers are better off if their writes are sent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Tolerance of the estimate: a call also waits if the store is expected back this long after the call's end.
+/// Tolerance of the estimate: a call also waits if the store is expected back this long after its caller gives up.
 const RETURN_MARGIN: Duration = Duration::from_millis(500);
 
 /// A call that has waited until less than this is left is refused: a write usually takes 9 ms, and one that is
@@ -219,7 +219,8 @@
         }
         let (time_left, now) = (self.service_returns_in(), Instant::now());
         let latest = wait.times.deadline - WRITE_TIME;
-        if now + time_left > latest + RETURN_MARGIN || now >= latest {
+        // A call whose caller still has time for another one waits too: the other one is then served.
+        if now + time_left > wait.times.caller_gives_up + RETURN_MARGIN || now >= latest {
             self.outages.log_refusal(&wait, time_left, "refused");
             return WaitOutcome::Refused;
         }
--- a/crates/pool/tests/pool/store_outages.rs
+++ b/crates/pool/tests/pool/store_outages.rs
@@ -338,7 +338,8 @@
     });
 }
 
-/// Guards against memory that grows with the calls of an outage.
+/// Guards against memory that grows with the calls of an outage, and against urgent calls that find all places
+/// taken by others.
 #[test]
 fn a_bounded_number_of_calls_waits() {
     support::run(async {
@@ -353,7 +354,9 @@
         let mut calls = JoinSet::new();
         for graph in 1..=400 {
             let bench = Arc::clone(&bench);
-            calls.spawn(async move { bench.submit(0, graph, support::job(1, 100)).await });
+            let priority = u32::from(graph <= 300);
+            let row = model::GraphRow { priority, ..support::job(1, 100) };
+            calls.spawn(async move { bench.submit(0, graph, row).await });
         }
         time::sleep(Duration::from_millis(1_000)).await;
         bench.store.faults().set(fault::Condition::Up);
