--- a/crates/graph/src/fair_share.rs
+++ b/crates/graph/src/fair_share.rs
@@ -304,7 +304,7 @@
             passed_use_percent = percent(other),
             passed_waited_ms = now.saturating_sub(other.admitted_at).as_millis() as u64,
             short_ms_ago = unplaced_at.map(|it| now.saturating_sub(it).as_millis() as u64),
-            "a job starts ahead of its turn by age, by the use of the accounts"
+            "job starts ahead of an older job of its class"
         );
     }
 }
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -11,9 +11,9 @@
 
 /// A job is given up once the product of the probabilities of all losses of a task, at any time of its
 /// runs, is lower than this: first after two losses, then after more. Two losses are proof only if the
-/// task ran alone, not in a gang on several workers, and hardly any other worker was lost. After more losses weaker evidence will do: the
-/// platform allows two more starts of a task after three workers have crashed under it, and little or
-/// nothing may be known of the first losses if they fell into an outage.
+/// task ran alone, not in a gang on several workers, and hardly any other worker was lost. After more
+/// losses weaker evidence will do: the platform allows two more starts of a task after three workers have
+/// crashed under it, and little or nothing may be known of the first losses if they fell into an outage.
 const PROOF_PROBABILITY: [f64; 2] = [2.0 * MIN_PROBABILITY * MIN_PROBABILITY, 0.001];
 
 /// The same bounds for the probability that all losses came as early in the runs, first after four
