--- a/crates/graph/src/admission.rs
+++ b/crates/graph/src/admission.rs
@@ -45,9 +45,8 @@
     }
     let class_load = load.classes.iter().find(|it| it.class == row.class)?;
     let run = Duration::from_millis(class_load.run_ms);
-    let n_steps = longest_chain(&row.graph.steps);
-    let chain = objective::StepChain { n_steps, n_unfinished: n_steps };
-    let work = run * n_steps;
+    let chain = objective::StepChain::of_graph(&row.graph.steps);
+    let work = run * chain.n_steps;
     let worth_until = objective::objective(class, chain, run) * prospect::EXPIRED_AFTER;
     let slack = objective::slack(class, chain, run);
     let (low_wait, wait) = waits(class_load, slack);
@@ -87,13 +86,3 @@
     let needed = row.graph.steps.iter().map(|it| it.tasks.saturating_mul(it.accelerators));
     !known || needed.fold(0_u32, u32::saturating_add) <= *guaranteed
 }
-
-/// Steps in the longest chain of dependent steps.
-fn longest_chain(steps: &[model::GraphStep]) -> u32 {
-    let mut chains = Vec::<u32>::with_capacity(steps.len());
-    for step in steps {
-        let before = step.after.iter().filter_map(|it| chains.get(*it as usize)).max();
-        chains.push(before.copied().unwrap_or_default() + 1);
-    }
-    chains.into_iter().max().unwrap_or_default()
-}
--- a/crates/graph/src/better_places.rs
+++ b/crates/graph/src/better_places.rs
@@ -7,7 +7,6 @@
 use crate::candidate;
 use crate::core;
 use crate::dispatch;
-use crate::job;
 use crate::lateness;
 use crate::pace;
 use crate::placement;
@@ -79,12 +78,9 @@
     /// Longest time in which the present runs of a unit were confirmed after their start was ordered.
     fn start_transit(&self, unit: task_key::UnitKey) -> Duration {
         let keys = self.unit_tasks(unit);
-        let transits = keys.iter().filter_map(|it| self.task_run(*it)).map(|it| match it.phase {
-            job::RunPhase::Running { confirmed_at } => {
-                confirmed_at.saturating_sub(it.tracked_since)
-            }
-            _ => Duration::ZERO,
-        });
+        let runs = keys.iter().filter_map(|it| self.task_run(*it));
+        let transits =
+            runs.filter_map(|it| Some(it.phase.confirmed_at()?.saturating_sub(it.tracked_since)));
         transits.max().unwrap_or_default()
     }
 }
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -171,11 +171,6 @@
         }
     }
 
-    /// Which optional decisions are on.
-    pub fn scheduling(&self) -> &model::SchedulingSettings {
-        &self.scheduling
-    }
-
     /// Returns for how much longer orders of earlier schedulers may still run on workers that do not answer.
     pub fn settles_in(&self, now: Duration) -> Duration {
         self.settles_at.saturating_sub(now)
--- a/crates/graph/src/early_polls.rs
+++ b/crates/graph/src/early_polls.rs
@@ -96,13 +96,9 @@
 
 /// When a run began to work: a gang works once all its members run. `None` before that.
 fn work_began_at(step: &job::StepRecord, run: &job::TaskRun) -> Option<Duration> {
-    let confirmed_at = |it: &job::TaskRun| match it.phase {
-        job::RunPhase::Running { confirmed_at } => Some(confirmed_at),
-        _ => None,
-    };
     if !step.spec.gang {
-        return confirmed_at(run);
+        return run.phase.confirmed_at();
     }
-    let members = step.tasks.iter().map(|it| it.run.as_ref().and_then(confirmed_at));
+    let members = step.tasks.iter().map(|it| it.run.as_ref()?.phase.confirmed_at());
     members.collect::<Option<Vec<_>>>()?.into_iter().max()
 }
--- a/crates/graph/src/forecast.rs
+++ b/crates/graph/src/forecast.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::core;
-use crate::job;
 use crate::pace;
 use crate::task_key;
 
@@ -69,7 +68,7 @@
 
     fn member_forecast(&self, key: task_key::TaskKey, now: Duration) -> Option<MemberForecast> {
         let run = self.task_run(key)?;
-        let job::RunPhase::Running { confirmed_at } = run.phase else { return None };
+        let confirmed_at = run.phase.confirmed_at()?;
         let worker = self.workers.get(&run.worker).filter(|it| it.is_responsive())?;
         let factor = worker.speed.factor() / self.remote_run_time_factor(key);
         let reading_age = now.saturating_sub(run.percent_changed_at);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -153,7 +153,8 @@
     pub is_polled_early: bool,
     /// When a move of the run, or of its gang, was last considered.
     pub move_tried_at: Option<Duration>,
-    /// Whether the run has counted for the speed of its worker.
+    /// Whether the run has counted for the speed of its worker; if speeds are remembered, whether it has counted
+    /// for the variation of the work of its class.
     pub is_speed_sampled: bool,
     /// What the run has contributed to the speed of its worker so far, if speeds are remembered.
     pub speed_sample: Option<worker_speed::SpeedSample>,
@@ -210,6 +211,14 @@
         }
     }
 
+    /// When the worker first confirmed the run; `None` unless it is running.
+    pub fn confirmed_at(self) -> Option<Duration> {
+        match self {
+            RunPhase::Running { confirmed_at } => Some(confirmed_at),
+            _ => None,
+        }
+    }
+
     /// When a stop of the run was last sent; `None` if none was ordered.
     pub fn stop_sent_at(self) -> Option<Duration> {
         match self {
--- a/crates/graph/src/late_runs.rs
+++ b/crates/graph/src/late_runs.rs
@@ -30,10 +30,6 @@
 /// Number of slow workers from which on the whole pool may be slow.
 const MIN_SLOW_WORKERS: usize = 4;
 
-/// The places found for a unit are kept for it this much longer than a stop takes: until the end of the last
-/// member is listed.
-const CLAIM_MARGIN: Duration = Duration::from_millis(800);
-
 /// What was decided on a late unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MoveDecision {
@@ -220,12 +216,10 @@
         places: &better_places::BetterPlaces,
         now: Duration,
     ) {
-        let until = now + self.timing.stop_timeout + CLAIM_MARGIN;
+        let until = self.claim_end(now);
         for (worker, resources) in &places.workers {
             let claim = worker::ResourceClaim { unit: late.unit, resources: *resources, until };
-            if let Some(record) = self.workers.get_mut(worker) {
-                record.claims.push(claim);
-            }
+            self.add_claim(worker, claim);
         }
         for key in &late.slow_members {
             if let Some(worker) = self.task_run(*key).map(|it| it.worker.clone()) {
--- a/crates/graph/src/lateness.rs
+++ b/crates/graph/src/lateness.rs
@@ -107,10 +107,7 @@
 
 /// When a worker confirmed the run of a task.
 fn confirmed_at(task: &job::TaskRecord) -> Option<Duration> {
-    match task.run.as_ref()?.phase {
-        job::RunPhase::Running { confirmed_at } => Some(confirmed_at),
-        _ => None,
-    }
+    task.run.as_ref()?.phase.confirmed_at()
 }
 
 /// Share of the work of the tasks that is certainly saved in a checkpoint. The members of a gang all resume from
--- a/crates/graph/src/objective.rs
+++ b/crates/graph/src/objective.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use almondpass_schema::model;
+
 use crate::catalog;
 use crate::core;
 use crate::job;
@@ -22,13 +24,23 @@
 impl StepChain {
     /// Finds the longest chain in `steps`; dependencies on later steps are ignored.
     pub fn of(steps: &[job::StepRecord]) -> StepChain {
-        let mut chains = Vec::<StepChain>::with_capacity(steps.len());
-        for step in steps {
-            let before = step.spec.after.iter().filter_map(|it| chains.get(*it as usize));
+        StepChain::of_steps(steps.iter().map(|it| (&it.spec, it.is_done())))
+    }
+
+    /// The same for a job that has not started.
+    pub fn of_graph(steps: &[model::GraphStep]) -> StepChain {
+        StepChain::of_steps(steps.iter().map(|it| (it, false)))
+    }
+
+    /// Finds the longest chain in steps, each with whether it is done.
+    fn of_steps<'a>(steps: impl Iterator<Item = (&'a model::GraphStep, bool)>) -> StepChain {
+        let mut chains = Vec::<StepChain>::new();
+        for (step, is_done) in steps {
+            let before = step.after.iter().filter_map(|it| chains.get(*it as usize));
             let longest = before.copied().fold(StepChain::default(), StepChain::longest);
             chains.push(StepChain {
                 n_steps: longest.n_steps + 1,
-                n_unfinished: longest.n_unfinished + u32::from(!step.is_done()),
+                n_unfinished: longest.n_unfinished + u32::from(!is_done),
             });
         }
         chains.into_iter().fold(StepChain::default(), StepChain::longest)
--- a/crates/graph/src/preemption.rs
+++ b/crates/graph/src/preemption.rs
@@ -25,7 +25,7 @@
 /// a stop: making the plan, delivering the stops and the starts, and one restart of a gang member.
 const RECLAIM_MARGIN: Duration = Duration::from_millis(700);
 
-/// Freed resources are kept for a unit this much longer than a stop takes.
+/// Freed resources are kept for a unit this much longer than a stop takes: until the last end is listed.
 const CLAIM_MARGIN: Duration = Duration::from_millis(800);
 
 /// Cost of the restart of a stopped task, in milliseconds, which count for each core that it uses. It is
@@ -136,12 +136,23 @@
         // The victims that are now stopping have to be left out of the other set as well.
         let other = if is_guaranteed { &mut round.for_others } else { &mut round.for_guaranteed };
         *other = None;
-        let until = now + self.timing.stop_timeout + CLAIM_MARGIN;
+        let until = self.claim_end(now);
         for (index, kept) in plan.candidates.into_iter().zip(kept_resources) {
             candidates[index].claims.push((unit, kept));
-            if let Some(record) = self.workers.get_mut(&candidates[index].profile.worker) {
-                record.claims.push(worker::ResourceClaim { unit, resources: kept, until });
-            }
+            let claim = worker::ResourceClaim { unit, resources: kept, until };
+            self.add_claim(&candidates[index].profile.worker, claim);
+        }
+    }
+
+    /// When a claim expires that is made together with stops at `now`.
+    pub(crate) fn claim_end(&self, now: Duration) -> Duration {
+        now + self.timing.stop_timeout + CLAIM_MARGIN
+    }
+
+    /// Keeps resources of a worker for a unit.
+    pub(crate) fn add_claim(&mut self, worker: &ids::WorkerId, claim: worker::ResourceClaim) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.claims.push(claim);
         }
     }
 
--- a/crates/graph/src/step_speeds.rs
+++ b/crates/graph/src/step_speeds.rs
@@ -112,7 +112,15 @@
 #[derive(Clone, Copy, Debug)]
 struct UsualPace {
     log_pace: f64,
-    /// Variance of the comparison with it, in units of the usual variance of the work.
+    variance: f64,
+}
+
+/// Comparison of the runs on a worker with the usual pace.
+#[derive(Clone, Copy, Debug)]
+struct PaceComparison {
+    /// Logarithm of the usual pace.
+    usual: f64,
+    /// Variance of both paces together, in units of the usual variance of the work.
     variance: f64,
 }
 
@@ -136,7 +144,12 @@
             let others = others.collect::<Vec<_>>();
             let Some(usual) = usual_pace(&others, work_variance) else { continue };
             let variance = runs.own_variance(work_variance) + usual.variance;
-            self.sample_worker(key, worker, runs, UsualPace { variance, ..usual });
+            self.sample_worker(
+                key,
+                worker,
+                runs,
+                PaceComparison { usual: usual.log_pace, variance },
+            );
         }
     }
 
@@ -167,20 +180,20 @@
         key: task_key::TaskKey,
         worker: &ids::WorkerId,
         runs: &WorkerRuns,
-        usual: UsualPace,
+        comparison: PaceComparison,
     ) {
         let Some(step) = self.jobs.get_mut(&key.graph).and_then(|it| it.step_mut(key)) else {
             return;
         };
         let Some(record) = self.workers.get_mut(worker) else { return };
         // All runs on the worker share the comparison and its weight.
-        let weight = 1.0 / (usual.variance * runs.readings.len() as f64);
+        let weight = 1.0 / (comparison.variance * runs.readings.len() as f64);
         for (task, reading) in &runs.readings {
             let Some(run) = step.tasks.get_mut(*task).and_then(|it| it.run.as_mut()) else {
                 continue;
             };
             let limit = worker_speed::MAX_FACTOR.ln();
-            let log_factor = (reading.log_pace - usual.log_pace).clamp(-limit, limit);
+            let log_factor = (reading.log_pace - comparison.usual).clamp(-limit, limit);
             if reading.is_bound && log_factor <= runs.log_factor {
                 continue;
             }
--- a/crates/pool/src/load_view.rs
+++ b/crates/pool/src/load_view.rs
@@ -11,6 +11,7 @@
 
 use crate::call_times;
 use crate::job_query;
+use crate::log_limit;
 use crate::retry_time;
 use crate::state;
 
@@ -20,14 +21,11 @@
 /// A call with less time than this is not checked: the check reads one row of the store.
 const MIN_CHECK_TIME: Duration = Duration::from_millis(100);
 
-/// Shortest interval between two log lines about refused submissions.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The last summary of the load that this instance has received.
 #[derive(Debug, Default)]
 pub(crate) struct LoadView {
     received: Mutex<Option<ReceivedLoad>>,
-    log: Mutex<RefusalLog>,
+    log: Mutex<log_limit::LogLimit>,
 }
 
 #[derive(Clone, Debug)]
@@ -38,25 +36,6 @@
     summary: model::LoadSummary,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct RefusalLog {
-    logged_at: Option<Instant>,
-    n_unlogged: u64,
-}
-
-impl RefusalLog {
-    /// Counts a refusal. Returns the number since the last line if a line is due.
-    fn count(&mut self) -> Option<u64> {
-        self.n_unlogged += 1;
-        let now = Instant::now();
-        if self.logged_at.is_some_and(|it| now < it + LOG_INTERVAL) {
-            return None;
-        }
-        self.logged_at = Some(now);
-        Some(std::mem::take(&mut self.n_unlogged))
-    }
-}
-
 impl LoadView {
     /// Keeps a summary that `holder` sent with the answer to a call.
     pub(crate) fn receive(&self, holder: ids::InstanceId, summary: Option<model::LoadSummary>) {
@@ -124,8 +103,7 @@
         }
         count(row, "refused");
         self.log_refusal(graph, row, &refusal, age);
-        let is_urgent = row.priority == almondpass_graph::preemption::URGENT_PRIORITY;
-        let caller = retry_time::RefusedCaller { graph, is_urgent };
+        let caller = retry_time::RefusedCaller::of_row(graph, row);
         Some(caller.retry_after_load(refusal.returns_in))
     }
 
--- a/crates/pool/src/retry_time.rs
+++ b/crates/pool/src/retry_time.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use almondpass_schema::ids;
+use almondpass_graph::preemption;
+use almondpass_schema::{ids, model};
 use xxhash_rust::xxh3;
 
 /// Most outages whose lengths are kept.
@@ -63,6 +64,11 @@
 }
 
 impl RefusedCaller {
+    /// The caller that submits `row`.
+    pub fn of_row(graph: ids::GraphId, row: &model::GraphRow) -> RefusedCaller {
+        RefusedCaller { graph, is_urgent: row.priority == preemption::URGENT_PRIORITY }
+    }
+
     /// Value of `Retry-After`, in whole seconds, if the cause of the refusal is expected to end after
     /// `time_left`. Callers are spread over an interval that begins then; urgent ones come first.
     pub fn retry_after(self, time_left: Duration) -> Duration {
--- a/crates/pool/src/store_outage.rs
+++ b/crates/pool/src/store_outage.rs
@@ -8,6 +8,7 @@
 use tokio::time::{self, Instant};
 
 use crate::call_times;
+use crate::log_limit;
 use crate::relay;
 use crate::retry_time;
 use crate::state;
@@ -30,9 +31,6 @@
 /// Writes of calls that have waited are spread over this interval after the return of the store.
 const RELEASE_SPREAD: Duration = Duration::from_millis(150);
 
-/// Shortest interval between two log lines about refused calls.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Outages of the store, and the calls that wait for the end of the present one.
 #[derive(Debug)]
 pub(crate) struct StoreOutages {
@@ -45,8 +43,7 @@
 struct OutageRecord {
     present: Option<PresentOutage>,
     history: retry_time::OutageHistory,
-    logged_at: Option<Instant>,
-    n_unlogged: u64,
+    log: log_limit::LogLimit,
 }
 
 /// Calls have failed since the last answer of the store.
@@ -156,21 +153,17 @@
     fn log_refusal(&self, wait: &StoreWait, time_left: Duration, cause: &'static str) {
         metrics::counter!("almondpass_pool_store_waits_total", "outcome" => cause).increment(1);
         let mut record = state::lock(&self.record);
-        record.n_unlogged += 1;
-        let now = Instant::now();
-        if record.logged_at.is_some_and(|it| now < it + LOG_INTERVAL) {
-            return;
-        }
-        record.logged_at = Some(now);
+        let Some(n_calls) = record.log.count() else { return };
         let age = record.present.map_or(Duration::ZERO, |it| it.since.elapsed());
-        let n_calls = std::mem::take(&mut record.n_unlogged);
         tracing::info!(
             job = format_args!("{:016x}", wait.caller.graph),
             cause,
             n_calls,
             outage_age_ms = age.as_millis() as u64,
             expected_ms = time_left.as_millis() as u64,
-            call_ms = wait.times.caller_gives_up.saturating_duration_since(now).as_millis() as u64,
+            call_ms =
+                wait.times.caller_gives_up.saturating_duration_since(Instant::now()).as_millis()
+                    as u64,
             "calls are refused until the store is back"
         );
     }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::preemption;
 use almondpass_peer::codec;
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
@@ -112,8 +111,7 @@
     row: &model::GraphRow,
     times: call_times::CallTimes,
 ) -> store_outage::StoreWait {
-    let is_urgent = row.priority == preemption::URGENT_PRIORITY;
-    let caller = retry_time::RefusedCaller { graph, is_urgent };
+    let caller = retry_time::RefusedCaller::of_row(graph, row);
     let n_bytes = writer::encoded_size(&writer::encode_write(keys::graph(graph), row));
     store_outage::StoreWait { caller, n_bytes, times }
 }
