--- /dev/null
+++ b/review/standins/src/worker.rs
@@ -0,0 +1,364 @@
+//! Stand-in for a worker of the platform: starts, stops, lists, one lease for all that runs, and its entry in the
+//! store. Room is checked (`admission-check` is true). After a crash it comes back with a new id and knows nothing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{self, Instant};
+
+use crate::http;
+use crate::record;
+use crate::store;
+
+/// Interval at which a worker writes its entry, as `heartbeat-ms` in the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Silence after which the store removes an entry.
+const ENTRY_RETENTION: Duration = Duration::from_millis(4_500);
+
+/// Longest lease, as `max-hold-ms` in the settings.
+const MAX_HOLD_MS: u64 = 10_000;
+
+/// Time that a stop takes; `stop-timeout-ms` in the settings is 400.
+const STOP_TIME: Duration = Duration::from_millis(200);
+
+/// Interval at which a call that waits for an end looks again.
+const WAIT_STEP: Duration = Duration::from_millis(10);
+
+pub const GPUS: u32 = 8;
+
+/// What a work unit of a job needs and how long it works.
+#[derive(Clone, Copy, Debug)]
+pub struct UnitSpec {
+    pub gpus: u32,
+    pub work: Duration,
+}
+
+/// What the work units of each job are, by job id; the platform knows it from the clients.
+pub type JobSpecs = Arc<Mutex<BTreeMap<String, UnitSpec>>>;
+
+/// A run that a worker began.
+#[derive(Clone, Debug)]
+pub struct RunEvent {
+    pub task: String,
+    pub attempt: u64,
+    pub started_at: Instant,
+    /// How and when the run ended; `crashed` if its worker did.
+    pub end: Option<(&'static str, Instant)>,
+}
+
+/// All runs that any worker began; clones share them.
+pub type RunLog = Arc<Mutex<Vec<RunEvent>>>;
+
+#[derive(Debug)]
+struct Run {
+    attempt: u64,
+    unit: UnitSpec,
+    ends_at: Instant,
+    stops_at: Option<Instant>,
+    log_index: usize,
+}
+
+/// One life of a worker.
+#[derive(Debug, Default)]
+struct Life {
+    id: String,
+    began: Option<Instant>,
+    token: u64,
+    deadline_ms: u64,
+    runs: BTreeMap<String, Run>,
+    closed: BTreeMap<String, u64>,
+    ends: Vec<(u64, String, u64, &'static str)>,
+    n_ends: u64,
+    sequence: u64,
+}
+
+#[derive(Debug, Default)]
+struct HostState {
+    n_lives: u32,
+    life: Option<Life>,
+    n_holds: u64,
+}
+
+/// The machine of a worker, which keeps its address over all lives.
+#[derive(Debug)]
+pub struct Host {
+    pub number: u32,
+    rack: u32,
+    store: store::Store,
+    specs: JobSpecs,
+    log: RunLog,
+    record: record::Record,
+    address: SocketAddr,
+    state: Mutex<HostState>,
+    server: Mutex<Option<http::Server>>,
+}
+
+impl Host {
+    /// Starts the first life of a worker.
+    pub async fn start(
+        number: u32,
+        ip: &str,
+        store: &store::Store,
+        specs: &JobSpecs,
+        log: &RunLog,
+        record: &record::Record,
+    ) -> std::io::Result<Arc<Host>> {
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let host = Arc::new(Host {
+            number,
+            rack: number / 4,
+            store: store.clone(),
+            specs: Arc::clone(specs),
+            log: Arc::clone(log),
+            record: record.clone(),
+            address: listener.local_addr()?,
+            state: Mutex::default(),
+            server: Mutex::default(),
+        });
+        host.begin_life(listener);
+        let writer = Arc::clone(&host);
+        tokio::spawn(async move {
+            loop {
+                time::sleep(HEARTBEAT).await;
+                writer.write_entry();
+            }
+        });
+        Ok(host)
+    }
+
+    fn begin_life(self: &Arc<Host>, listener: TcpListener) {
+        let mut state = self.state.lock().unwrap();
+        state.n_lives += 1;
+        let id = format!("i-{:03}{:02}", self.number, state.n_lives);
+        state.life = Some(Life { id, began: Some(Instant::now()), ..Life::default() });
+        drop(state);
+        let host = Arc::clone(self);
+        let server = http::serve(listener, move |request| {
+            let host = Arc::clone(&host);
+            async move { host.handle(request).await }
+        });
+        *self.server.lock().unwrap() = Some(server);
+        self.write_entry();
+    }
+
+    /// Crashes the worker: its connections end, what runs there is gone, and it says nothing to the store.
+    pub fn crash(self: &Arc<Host>) {
+        *self.server.lock().unwrap() = None;
+        let Some(life) = self.state.lock().unwrap().life.take() else { return };
+        let names = life.runs.iter().map(|(task, run)| format!("{task} attempt {}", run.attempt));
+        let names = names.collect::<Vec<_>>().join(", ");
+        self.record.line(format!("worker {}: crashes; ran: {names}", life.id));
+        for run in life.runs.values() {
+            self.log.lock().unwrap()[run.log_index].end = Some(("crashed", Instant::now()));
+        }
+        let host = Arc::clone(self);
+        tokio::spawn(async move {
+            time::sleep(ENTRY_RETENTION).await;
+            host.store.remove("servers", &life.id);
+        });
+    }
+
+    /// Starts the next life at the same address.
+    pub async fn come_back(self: &Arc<Host>) -> std::io::Result<()> {
+        let listener = loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                Err(_) => time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        self.begin_life(listener);
+        let id = self.state.lock().unwrap().life.as_ref().map(|it| it.id.clone());
+        self.record
+            .line(format!("worker {}: up at the address of its machine", id.unwrap_or_default()));
+        Ok(())
+    }
+
+    /// Number of `/hold` calls that the worker has answered.
+    pub fn n_holds(&self) -> u64 {
+        self.state.lock().unwrap().n_holds
+    }
+
+    /// Work units that run here now.
+    pub fn running(&self) -> Vec<String> {
+        let mut state = self.state.lock().unwrap();
+        let Some(life) = &mut state.life else { return Vec::new() };
+        self.settle(life);
+        life.runs.keys().cloned().collect()
+    }
+
+    fn write_entry(&self) {
+        let mut state = self.state.lock().unwrap();
+        let Some(life) = &mut state.life else { return };
+        life.sequence += 1;
+        let entry = json!({
+            "service": "oil-analysis",
+            "address": self.address.to_string(),
+            "zone": "hall-1",
+            "version": "1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": life.sequence,
+            "capacity": {"cpu": 32_000, "mem-mb": 65_536, "gpu": GPUS},
+            "labels": ["a", format!("r1-{}", self.rack)],
+        });
+        self.store.put("servers", &life.id, &entry);
+    }
+
+    async fn handle(&self, request: http::Request) -> http::Reply {
+        let body = request.json();
+        let expected = request.headers.get("x-almondpass-expected-instance").cloned();
+        let is_other = |life: &Life| expected.as_ref().is_some_and(|it| *it != life.id);
+        let wait = body["wait-ms"].as_u64().unwrap_or(0).min(2_000);
+        let deadline = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let reply = {
+                let mut state = self.state.lock().unwrap();
+                let Some(life) = &mut state.life else { return http::Reply::Silence };
+                if is_other(life) {
+                    return http::Reply::json(421, &json!({"clock-ms": clock_ms(life)}));
+                }
+                self.settle(life);
+                match request.path.as_str() {
+                    "/run-start" => return self.start_run(life, &body),
+                    "/run-stop" => return stop_run(life, &body),
+                    "/hold" => {
+                        let reply = hold(life, &body);
+                        let is_due = Instant::now() >= deadline || !life.ends.is_empty();
+                        state.n_holds += u64::from(is_due);
+                        if is_due || !matches!(reply, http::Reply::Answer(200, _)) {
+                            return reply;
+                        }
+                        reply
+                    }
+                    _ => return http::Reply::empty(404),
+                }
+            };
+            drop(reply);
+            time::sleep(WAIT_STEP).await;
+        }
+    }
+
+    fn start_run(&self, life: &mut Life, body: &Value) -> http::Reply {
+        if !accept_token(life, body) {
+            return refusal(life, "fence");
+        }
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        let deadline_ms = body["deadline-ms"].as_u64().unwrap_or(0);
+        if deadline_ms <= clock_ms(life) {
+            return refusal(life, "late");
+        }
+        extend_lease(life, deadline_ms);
+        if life.runs.get(&task).is_some_and(|it| it.attempt == attempt) {
+            return http::Reply::json(200, &json!({"clock-ms": clock_ms(life)}));
+        }
+        if attempt <= life.closed.get(&task).copied().unwrap_or(0) || life.runs.contains_key(&task)
+        {
+            return refusal(life, "old");
+        }
+        let job = task.split('.').next().unwrap_or_default();
+        let Some(unit) = self.specs.lock().unwrap().get(job).copied() else {
+            self.record
+                .line(format!("worker {}: told to start {task}, which no client sent", life.id));
+            return http::Reply::empty(400);
+        };
+        let used = life.runs.values().map(|it| it.unit.gpus).sum::<u32>();
+        if used + unit.gpus > GPUS {
+            return refusal(life, "room");
+        }
+        let now = Instant::now();
+        let mut log = self.log.lock().unwrap();
+        log.push(RunEvent { task: task.clone(), attempt, started_at: now, end: None });
+        let log_index = log.len() - 1;
+        drop(log);
+        self.record.line(format!("worker {}: starts {task} attempt {attempt}", life.id));
+        let run = Run { attempt, unit, ends_at: now + unit.work, stops_at: None, log_index };
+        life.runs.insert(task, run);
+        http::Reply::json(200, &json!({"clock-ms": clock_ms(life)}))
+    }
+
+    /// Ends what is due: work that is done, stops, and everything when the lease has expired.
+    fn settle(&self, life: &mut Life) {
+        let now = Instant::now();
+        let lapses_at = life.began.unwrap_or(now) + Duration::from_millis(life.deadline_ms);
+        let mut due = Vec::new();
+        for (task, run) in &life.runs {
+            let stops_at = run.stops_at.map(|it| ("stopped", it));
+            let ends = [Some(("done", run.ends_at)), stops_at, Some(("lapsed", lapses_at))];
+            let first = ends.into_iter().flatten().min_by_key(|(_, at)| *at);
+            due.extend(first.filter(|(_, at)| *at <= now).map(|it| (task.clone(), it)));
+        }
+        for (task, (how, at)) in due {
+            let Some(run) = life.runs.remove(&task) else { continue };
+            let closed = life.closed.entry(task.clone()).or_default();
+            *closed = (*closed).max(run.attempt);
+            life.n_ends += 1;
+            self.log.lock().unwrap()[run.log_index].end = Some((how, at));
+            self.record
+                .line(format!("worker {}: {task} attempt {} ends {how}", life.id, run.attempt));
+            life.ends.push((life.n_ends, task, run.attempt, how));
+        }
+    }
+}
+
+fn stop_run(life: &mut Life, body: &Value) -> http::Reply {
+    if !accept_token(life, body) {
+        return refusal(life, "fence");
+    }
+    let task = body["task"].as_str().unwrap_or_default().to_owned();
+    let attempt = body["attempt"].as_u64().unwrap_or(0);
+    if let Some(run) = life.runs.get_mut(&task).filter(|it| it.attempt <= attempt) {
+        run.stops_at.get_or_insert(Instant::now() + STOP_TIME);
+    }
+    let closed = life.closed.entry(task).or_default();
+    *closed = (*closed).max(attempt);
+    http::Reply::json(200, &json!({"clock-ms": clock_ms(life)}))
+}
+
+fn hold(life: &mut Life, body: &Value) -> http::Reply {
+    if !accept_token(life, body) {
+        return refusal(life, "fence");
+    }
+    extend_lease(life, body["deadline-ms"].as_u64().unwrap_or(0));
+    let last_seen = body["last-seen"].as_u64().unwrap_or(0);
+    life.ends.retain(|it| it.0 > last_seen);
+    let now = Instant::now();
+    let running = life.runs.iter().map(|(task, run)| {
+        let left = run.ends_at.saturating_duration_since(now).as_secs_f64();
+        let percent = 100.0 * (1.0 - left / run.unit.work.as_secs_f64());
+        json!([task, run.attempt, "", percent as u32, 0])
+    });
+    let ended = life.ends.iter().take(500).map(|it| json!([it.0, it.1, it.2, it.3, ""]));
+    let body = json!({
+        "clock-ms": clock_ms(life),
+        "running": running.collect::<Vec<_>>(),
+        "ended": ended.collect::<Vec<_>>(),
+    });
+    http::Reply::json(200, &body)
+}
+
+fn accept_token(life: &mut Life, body: &Value) -> bool {
+    let token = body["fencing-token"].as_u64().unwrap_or(0);
+    let is_accepted = token >= life.token;
+    life.token = life.token.max(token);
+    is_accepted
+}
+
+fn extend_lease(life: &mut Life, deadline_ms: u64) {
+    let longest = clock_ms(life) + MAX_HOLD_MS;
+    life.deadline_ms = life.deadline_ms.max(deadline_ms.min(longest));
+}
+
+fn refusal(life: &Life, reason: &str) -> http::Reply {
+    http::Reply::json(409, &json!({"clock-ms": clock_ms(life), "reason": reason}))
+}
+
+fn clock_ms(life: &Life) -> u64 {
+    life.began.map_or(0, |it| it.elapsed().as_millis() as u64)
+}
