Review, case 2: work units run again whose ends were acknowledged unsaved

Cause: ends of a job that has failed in memory only are acknowledged to their workers at once and not saved. A successor that finds neither the failure nor these ends starts the work units again.

Change: the script that shows the case, its claim, and what the stand-ins need for it (cuts from the store and of workers, failing and early work units, ends that are taken note of, a memory limit).

--- a/review/standins/src/cancelled_job.rs
+++ b/review/standins/src/cancelled_job.rs
@@ -36,7 +36,7 @@
         Err(error) => return Verdict::NotRun(error),
     };
     time::sleep(Duration::from_secs(5)).await;
-    let unit = worker::UnitSpec { gpus: 2, work: WORK };
+    let unit = worker::UnitSpec::new(2, WORK);
     cluster.specs.lock().unwrap().insert(JOB.to_owned(), unit);
     let body = json!({
         "spec": "gas diagnosis",
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{self, Instant};
 
 use crate::http;
@@ -29,9 +31,20 @@
 pub const HOST: &str = "pool.example";
 pub const API_KEY: &str = "k-review-1";
 
+/// `max-attempts` of the queue.
+pub const MAX_ATTEMPTS: usize = 2;
+
 /// Time that a client waits for an answer, sent with each call.
 pub const CLIENT_PATIENCE: Duration = Duration::from_secs(3);
 
+/// `memory-mb` of the settings, read as mebibytes: a process that has more is killed.
+const MEMORY_LIMIT_KIB: u64 = 260 << 10;
+
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Delay after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+
 /// Size of a deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -43,13 +56,51 @@
 #[derive(Debug)]
 struct Machine {
     ip: String,
-    child: Child,
+    root: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Mutex<Option<Child>>,
+    /// How often the process was killed because it had exceeded its memory.
+    n_exceeded: AtomicU32,
+}
+
+impl Machine {
+    /// Starts the program by the command of the deploy file.
+    fn start(&self) -> Result<(), String> {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(self.root.join(PROGRAM))
+            .args(ARGUMENTS)
+            .current_dir(&self.root)
+            .env_clear()
+            .env("ALMONDPASS_BOOT", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.map_err(|it| it.to_string())?)
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|it| format!("{PROGRAM}: {it}"))?;
+        *self.child.lock().unwrap() = Some(child);
+        Ok(())
+    }
+
+    fn kill(&self) {
+        if let Some(mut child) = self.child.lock().unwrap().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Resident memory of the process, in kibibytes; `None` while there is none.
+    fn resident_kib(&self) -> Option<u64> {
+        let id = self.child.lock().unwrap().as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
 }
 
 impl Drop for Machine {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -60,14 +111,18 @@
     pub specs: worker::JobSpecs,
     pub runs: worker::RunLog,
     pub record: record::Record,
-    machines: Vec<Machine>,
+    machines: Vec<Arc<Machine>>,
+    watch: Option<JoinHandle<()>>,
     directory: PathBuf,
-    _store_server: http::Server,
+    _store_servers: Vec<http::Server>,
 }
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        self.machines.clear();
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+        self.machines.iter().for_each(|it| it.kill());
         let _ = fs::remove_dir_all(&self.directory);
     }
 }
@@ -82,8 +137,11 @@
         let fault = |it: std::io::Error| it.to_string();
         let network = free_network(size.n_machines).await?;
         let store = store::Store::new(record.clone());
-        let (store_server, store_address) =
-            store.serve(&format!("{network}.200")).await.map_err(fault)?;
+        let mut store_servers = Vec::new();
+        for machine in 0..size.n_machines {
+            let served = store.serve(&format!("{network}.200"), machine).await;
+            store_servers.push(served.map_err(fault)?);
+        }
         store.put("op", "config", &config_document());
         let (specs, runs) = (worker::JobSpecs::default(), worker::RunLog::default());
         let mut workers = Vec::new();
@@ -101,12 +159,14 @@
             runs,
             record: record.clone(),
             machines: Vec::new(),
+            watch: None,
             directory,
-            _store_server: store_server,
+            _store_servers: Vec::new(),
         };
         let ips = (1..=size.n_machines).map(|it| format!("{network}.{it}")).collect::<Vec<_>>();
-        for ip in &ips {
-            let machine = cluster.start_process(root, ip, &ips, store_address)?;
+        for (ip, (server, address)) in ips.iter().zip(store_servers) {
+            cluster._store_servers.push(server);
+            let machine = cluster.start_process(root, ip, &ips, address)?;
             cluster.machines.push(machine);
         }
         cluster.await_start().await?;
@@ -119,21 +179,64 @@
         ip: &str,
         ips: &[String],
         store: SocketAddr,
-    ) -> Result<Machine, String> {
+    ) -> Result<Arc<Machine>, String> {
         let settings = self.directory.join(format!("{ip}.toml"));
         fs::write(&settings, settings_file(ip, ips, store)).map_err(|it| it.to_string())?;
-        let log = File::create(self.log_path(ip)).map_err(|it| it.to_string())?;
-        let child = Command::new(root.join(PROGRAM))
-            .args(ARGUMENTS)
-            .current_dir(root)
-            .env_clear()
-            .env("ALMONDPASS_BOOT", settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .map_err(|it| format!("{PROGRAM}: {it}"))?;
-        Ok(Machine { ip: ip.to_owned(), child })
+        let machine = Machine {
+            ip: ip.to_owned(),
+            root: root.to_owned(),
+            settings,
+            log: self.log_path(ip),
+            child: Mutex::default(),
+            n_exceeded: AtomicU32::new(0),
+        };
+        machine.start()?;
+        Ok(Arc::new(machine))
+    }
+
+    /// Does what the platform does with a process that exceeds `memory-mb`: kills it, and starts it again after
+    /// a short delay.
+    pub fn watch_memory(&mut self) {
+        let machines = self.machines.clone();
+        let record = self.record.clone();
+        self.watch = Some(tokio::spawn(async move {
+            let mut restarts = JoinSet::new();
+            loop {
+                time::sleep(MEMORY_CHECK_INTERVAL).await;
+                for machine in &machines {
+                    let Some(resident_kib) = machine.resident_kib() else { continue };
+                    if resident_kib <= MEMORY_LIMIT_KIB {
+                        continue;
+                    }
+                    machine.kill();
+                    machine.n_exceeded.fetch_add(1, Ordering::Relaxed);
+                    record.line(format!(
+                        "platform: process on {} has {} MiB, more than memory-mb, and is killed",
+                        machine.ip,
+                        resident_kib >> 10
+                    ));
+                    let (machine, record) = (Arc::clone(machine), record.clone());
+                    restarts.spawn(async move {
+                        time::sleep(RESTART_DELAY).await;
+                        let started = machine.start();
+                        record.line(format!(
+                            "platform: process on {} starts: {started:?}",
+                            machine.ip
+                        ));
+                    });
+                }
+            }
+        }));
+    }
+
+    /// How often the process of each machine was killed because it had exceeded its memory.
+    pub fn n_exceeded(&self) -> Vec<u32> {
+        self.machines.iter().map(|it| it.n_exceeded.load(Ordering::Relaxed)).collect()
+    }
+
+    /// Resident memory of each process, in mebibytes.
+    pub fn resident_mib(&self) -> Vec<u64> {
+        self.machines.iter().map(|it| it.resident_kib().unwrap_or(0) >> 10).collect()
     }
 
     async fn await_start(&self) -> Result<(), String> {
@@ -197,6 +300,12 @@
         answer
     }
 
+    /// How many runs of a job any worker has begun.
+    pub fn n_starts(&self, job: &str) -> usize {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().filter(|it| it.task.starts_with(job)).count()
+    }
+
     /// Work units that run now, on all workers.
     pub fn running(&self) -> Vec<String> {
         self.workers.iter().flat_map(|it| it.running()).collect()
@@ -232,7 +341,7 @@
             "path-prefix": "/batch/",
             "service": "oil-analysis",
             "priority": 1,
-            "max-attempts": 3,
+            "max-attempts": MAX_ATTEMPTS,
             "stretch": 2.0,
             "target-latency-ms": 10_000,
         }],
--- a/review/standins/src/crashed_worker.rs
+++ b/review/standins/src/crashed_worker.rs
@@ -32,9 +32,6 @@
 /// Time from the first start to the first crash.
 const FIRST_CRASH: Duration = Duration::from_secs(1);
 
-/// `max-attempts` of the queue.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Time within which the job has to end.
 const END_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -44,7 +41,7 @@
         Err(error) => return Verdict::NotRun(error),
     };
     time::sleep(CALM).await;
-    let unit = worker::UnitSpec { gpus: worker::GPUS, work: WORK };
+    let unit = worker::UnitSpec::new(worker::GPUS, WORK);
     cluster.specs.lock().unwrap().insert(JOB.to_owned(), unit);
     let body = json!({
         "spec": "ageing trend",
@@ -105,7 +102,7 @@
         );
         match shown["state"].as_str() {
             Some("completed") => return Verdict::Held(format!("the job is completed; {counts}")),
-            Some("failed") if n_failed < MAX_ATTEMPTS => {
+            Some("failed") if n_failed < cluster::MAX_ATTEMPTS => {
                 return Verdict::Broken(format!("the job is shown as {text}; {counts}"));
             }
             Some("cancelled") => return Verdict::Broken(format!("shown as cancelled; {counts}")),
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,8 +5,11 @@
 mod cluster;
 mod crashed_worker;
 mod http;
+mod noted_end;
 mod record;
 mod store;
+mod timed_jobs;
+mod unreached_worker;
 mod worker;
 
 use std::path::PathBuf;
@@ -45,6 +48,9 @@
         match case.as_str() {
             "crashed-worker" => crashed_worker::run(&root, &record, has_trouble).await,
             "cancelled-job" => cancelled_job::run(&root, &record, has_trouble).await,
+            "noted-end" => noted_end::run(&root, &record, has_trouble).await,
+            "unreached-worker" => unreached_worker::run(&root, &record, has_trouble).await,
+            "timed-jobs" => timed_jobs::run(&root, &record, has_trouble).await,
             other => Verdict::NotRun(format!("no case {other}")),
         }
     };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's store: rows in tables and parts, conditional transactions, and a feed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -49,6 +49,10 @@
     silence: Option<Silence>,
     /// The transaction that is done late, and when.
     late: Option<(Instant, Value)>,
+    /// Machines that are cut off from the store.
+    cut_off: BTreeSet<usize>,
+    /// The machine that last wrote to the table `tenure`.
+    last_holder: Option<usize>,
 }
 
 /// The store; clones share the rows.
@@ -70,18 +74,56 @@
         }
     }
 
-    /// Serves the store on a free port of `ip`.
-    pub async fn serve(&self, ip: &str) -> std::io::Result<(http::Server, SocketAddr)> {
+    /// Serves the store on a free port of `ip`, for one machine.
+    pub async fn serve(
+        &self,
+        ip: &str,
+        machine: usize,
+    ) -> std::io::Result<(http::Server, SocketAddr)> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let store = self.clone();
         let server = http::serve(listener, move |request| {
             let store = store.clone();
-            async move { store.handle(request).await }
+            async move {
+                let is_reachable = || !store.state.lock().unwrap().cut_off.contains(&machine);
+                if !is_reachable() {
+                    return http::Reply::Silence;
+                }
+                store.note_holder(machine, &request);
+                let reply = store.handle(request).await;
+                // An answer that is on its way when the cut begins does not arrive.
+                if is_reachable() { reply } else { http::Reply::Silence }
+            }
         });
         Ok((server, address))
     }
 
+    /// Cuts a machine off from the store, or ends the cut: nothing passes either way.
+    pub fn set_cut_off(&self, machine: usize, is_cut_off: bool) {
+        let mut state = self.state.lock().unwrap();
+        if is_cut_off {
+            state.cut_off.insert(machine);
+        } else {
+            state.cut_off.remove(&machine);
+        }
+    }
+
+    /// The machine that last wrote to the table `tenure`.
+    pub fn last_holder(&self) -> Option<usize> {
+        self.state.lock().unwrap().last_holder
+    }
+
+    fn note_holder(&self, machine: usize, request: &http::Request) {
+        if request.path != "/rows-tx" {
+            return;
+        }
+        let is_tenure = |it: &Value| it["table"] == "tenure";
+        if request.json()["puts"].as_array().is_some_and(|it| it.iter().any(is_tenure)) {
+            self.state.lock().unwrap().last_holder = Some(machine);
+        }
+    }
+
     /// Writes a row of a table that the system may not write to.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let value = Some(STANDARD.encode(value.to_string()));
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -24,18 +24,40 @@
 const MAX_HOLD_MS: u64 = 10_000;
 
 /// Time that a stop takes; `stop-timeout-ms` in the settings is 400.
-const STOP_TIME: Duration = Duration::from_millis(200);
+const STOP_TIME: Duration = Duration::from_millis(350);
 
 /// Interval at which a call that waits for an end looks again.
 const WAIT_STEP: Duration = Duration::from_millis(10);
 
 pub const GPUS: u32 = 8;
 
-/// What a work unit of a job needs and how long it works.
+/// What the work units of a job need, how long they work, and which of them fails at its end.
 #[derive(Clone, Copy, Debug)]
 pub struct UnitSpec {
     pub gpus: u32,
     pub work: Duration,
+    /// A work unit that ends `failed`, and after which time.
+    pub failing: Option<(u32, Duration)>,
+    /// A work unit that is done earlier than the others, and after which time.
+    pub early: Option<(u32, Duration)>,
+    /// How much longer each work unit works than the one before it.
+    pub spread: Duration,
+}
+
+impl UnitSpec {
+    pub fn new(gpus: u32, work: Duration) -> UnitSpec {
+        UnitSpec { gpus, work, failing: None, early: None, spread: Duration::ZERO }
+    }
+
+    /// How long a work unit works, and how it ends.
+    fn work_of(&self, task: &str) -> (Duration, &'static str) {
+        let index = task.rsplit('.').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        match (self.failing, self.early) {
+            (Some((failing, after)), _) if failing == index => (after, "failed"),
+            (_, Some((early, after))) if early == index => (after, "done"),
+            _ => (self.work + self.spread * index, "done"),
+        }
+    }
 }
 
 /// What the work units of each job are, by job id; the platform knows it from the clients.
@@ -46,9 +68,13 @@
 pub struct RunEvent {
     pub task: String,
     pub attempt: u64,
+    /// Number of the machine of the worker.
+    pub worker: u32,
     pub started_at: Instant,
     /// How and when the run ended; `crashed` if its worker did.
     pub end: Option<(&'static str, Instant)>,
+    /// When the end was taken note of: `last-seen` reached it.
+    pub noted_at: Option<Instant>,
 }
 
 /// All runs that any worker began; clones share them.
@@ -57,12 +83,24 @@
 #[derive(Debug)]
 struct Run {
     attempt: u64,
-    unit: UnitSpec,
+    gpus: u32,
+    work: Duration,
+    end: &'static str,
     ends_at: Instant,
     stops_at: Option<Instant>,
     log_index: usize,
 }
 
+/// An end that the worker lists until it is taken note of.
+#[derive(Debug)]
+struct ListedEnd {
+    number: u64,
+    task: String,
+    attempt: u64,
+    how: &'static str,
+    log_index: usize,
+}
+
 /// One life of a worker.
 #[derive(Debug, Default)]
 struct Life {
@@ -72,7 +110,7 @@
     deadline_ms: u64,
     runs: BTreeMap<String, Run>,
     closed: BTreeMap<String, u64>,
-    ends: Vec<(u64, String, u64, &'static str)>,
+    ends: Vec<ListedEnd>,
     n_ends: u64,
     sequence: u64,
 }
@@ -82,6 +120,8 @@
     n_lives: u32,
     life: Option<Life>,
     n_holds: u64,
+    /// Whether the worker is cut off from all machines: nothing passes either way, and it runs on.
+    is_cut_off: bool,
 }
 
 /// The machine of a worker, which keeps its address over all lives.
@@ -178,6 +218,16 @@
         Ok(())
     }
 
+    /// Cuts the worker off from all machines and from the store, or ends the cut.
+    pub fn set_cut_off(&self, is_cut_off: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.is_cut_off = is_cut_off;
+        let id = state.life.as_ref().map(|it| it.id.clone()).unwrap_or_default();
+        drop(state);
+        let text = if is_cut_off { "is cut off, and runs on" } else { "is reached again" };
+        self.record.line(format!("worker {id}: {text}"));
+    }
+
     /// Number of `/hold` calls that the worker has answered.
     pub fn n_holds(&self) -> u64 {
         self.state.lock().unwrap().n_holds
@@ -193,6 +243,9 @@
 
     fn write_entry(&self) {
         let mut state = self.state.lock().unwrap();
+        if state.is_cut_off {
+            return;
+        }
         let Some(life) = &mut state.life else { return };
         life.sequence += 1;
         let entry = json!({
@@ -219,6 +272,9 @@
         loop {
             let reply = {
                 let mut state = self.state.lock().unwrap();
+                if state.is_cut_off {
+                    return http::Reply::Silence;
+                }
                 let Some(life) = &mut state.life else { return http::Reply::Silence };
                 if is_other(life) {
                     return http::Reply::json(421, &json!({"clock-ms": clock_ms(life)}));
@@ -228,7 +284,7 @@
                     "/run-start" => return self.start_run(life, &body),
                     "/run-stop" => return stop_run(life, &body),
                     "/hold" => {
-                        let reply = hold(life, &body);
+                        let reply = self.hold(life, &body);
                         let is_due = Instant::now() >= deadline || !life.ends.is_empty();
                         state.n_holds += u64::from(is_due);
                         if is_due || !matches!(reply, http::Reply::Answer(200, _)) {
@@ -268,21 +324,75 @@
                 .line(format!("worker {}: told to start {task}, which no client sent", life.id));
             return http::Reply::empty(400);
         };
-        let used = life.runs.values().map(|it| it.unit.gpus).sum::<u32>();
+        let used = life.runs.values().map(|it| it.gpus).sum::<u32>();
         if used + unit.gpus > GPUS {
             return refusal(life, "room");
         }
         let now = Instant::now();
         let mut log = self.log.lock().unwrap();
-        log.push(RunEvent { task: task.clone(), attempt, started_at: now, end: None });
+        log.push(RunEvent {
+            task: task.clone(),
+            attempt,
+            worker: self.number,
+            started_at: now,
+            end: None,
+            noted_at: None,
+        });
         let log_index = log.len() - 1;
         drop(log);
         self.record.line(format!("worker {}: starts {task} attempt {attempt}", life.id));
-        let run = Run { attempt, unit, ends_at: now + unit.work, stops_at: None, log_index };
+        let (work, end) = unit.work_of(&task);
+        let run = Run {
+            attempt,
+            gpus: unit.gpus,
+            work,
+            end,
+            ends_at: now + work,
+            stops_at: None,
+            log_index,
+        };
         life.runs.insert(task, run);
         http::Reply::json(200, &json!({"clock-ms": clock_ms(life)}))
     }
 
+    fn hold(&self, life: &mut Life, body: &Value) -> http::Reply {
+        if !accept_token(life, body) {
+            return refusal(life, "fence");
+        }
+        extend_lease(life, body["deadline-ms"].as_u64().unwrap_or(0));
+        self.take_note(life, body["last-seen"].as_u64().unwrap_or(0));
+        let now = Instant::now();
+        let running = life.runs.iter().map(|(task, run)| {
+            let left = run.ends_at.saturating_duration_since(now).as_secs_f64();
+            let percent = 100.0 * (1.0 - left / run.work.as_secs_f64());
+            json!([task, run.attempt, "", percent as u32, 0])
+        });
+        let ended = life.ends.iter().take(500);
+        let ended = ended.map(|it| json!([it.number, it.task, it.attempt, it.how, ""]));
+        let body = json!({
+            "clock-ms": clock_ms(life),
+            "running": running.collect::<Vec<_>>(),
+            "ended": ended.collect::<Vec<_>>(),
+        });
+        http::Reply::json(200, &body)
+    }
+
+    /// Forgets the ends up to `last_seen`.
+    fn take_note(&self, life: &mut Life, last_seen: u64) {
+        let id = life.id.clone();
+        life.ends.retain(|it| {
+            if it.number > last_seen {
+                return true;
+            }
+            self.log.lock().unwrap()[it.log_index].noted_at = Some(Instant::now());
+            self.record.line(format!(
+                "worker {id}: the end {} of {} attempt {} is taken note of",
+                it.how, it.task, it.attempt
+            ));
+            false
+        });
+    }
+
     /// Ends what is due: work that is done, stops, and everything when the lease has expired.
     fn settle(&self, life: &mut Life) {
         let now = Instant::now();
@@ -290,7 +400,7 @@
         let mut due = Vec::new();
         for (task, run) in &life.runs {
             let stops_at = run.stops_at.map(|it| ("stopped", it));
-            let ends = [Some(("done", run.ends_at)), stops_at, Some(("lapsed", lapses_at))];
+            let ends = [Some((run.end, run.ends_at)), stops_at, Some(("lapsed", lapses_at))];
             let first = ends.into_iter().flatten().min_by_key(|(_, at)| *at);
             due.extend(first.filter(|(_, at)| *at <= now).map(|it| (task.clone(), it)));
         }
@@ -302,7 +412,13 @@
             self.log.lock().unwrap()[run.log_index].end = Some((how, at));
             self.record
                 .line(format!("worker {}: {task} attempt {} ends {how}", life.id, run.attempt));
-            life.ends.push((life.n_ends, task, run.attempt, how));
+            life.ends.push(ListedEnd {
+                number: life.n_ends,
+                task,
+                attempt: run.attempt,
+                how,
+                log_index: run.log_index,
+            });
         }
     }
 }
@@ -321,28 +437,6 @@
     http::Reply::json(200, &json!({"clock-ms": clock_ms(life)}))
 }
 
-fn hold(life: &mut Life, body: &Value) -> http::Reply {
-    if !accept_token(life, body) {
-        return refusal(life, "fence");
-    }
-    extend_lease(life, body["deadline-ms"].as_u64().unwrap_or(0));
-    let last_seen = body["last-seen"].as_u64().unwrap_or(0);
-    life.ends.retain(|it| it.0 > last_seen);
-    let now = Instant::now();
-    let running = life.runs.iter().map(|(task, run)| {
-        let left = run.ends_at.saturating_duration_since(now).as_secs_f64();
-        let percent = 100.0 * (1.0 - left / run.unit.work.as_secs_f64());
-        json!([task, run.attempt, "", percent as u32, 0])
-    });
-    let ended = life.ends.iter().take(500).map(|it| json!([it.0, it.1, it.2, it.3, ""]));
-    let body = json!({
-        "clock-ms": clock_ms(life),
-        "running": running.collect::<Vec<_>>(),
-        "ended": ended.collect::<Vec<_>>(),
-    });
-    http::Reply::json(200, &body)
-}
-
 fn accept_token(life: &mut Life, body: &Value) -> bool {
     let token = body["fencing-token"].as_u64().unwrap_or(0);
     let is_accepted = token >= life.token;
