Review, case 1: a work unit that is done runs again

Cause: the report of a former scheduler says of a worker that does not answer that nothing runs there any more, also where the worker alone still has an end that is not saved. The successor does not wait for that worker.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review-standins
 [[ -x $program && -x target/release/almondpass-instance ]] || { echo "build first: review/build.sh"; exit 2; }
-exec "$program" crashed-worker "$PWD" review/1
+exec "$program" unreached-worker "$PWD" review/1
