Review, case 3: one crash instead of two

The former script crashed a worker twice.

Change: the script crashes one worker once and kills the scheduling instance three times while the work unit waits for room; starts on record that were never sent count as losses. The former script is removed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review-standins
 [[ -x $program && -x target/release/almondpass-instance ]] || { echo "build first: review/build.sh"; exit 2; }
-exec "$program" crashed-worker "$PWD" review/3
+exec "$program" waiting-start "$PWD" review/3
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -194,6 +194,16 @@
         Ok(Arc::new(machine))
     }
 
+    /// Kills the process of a machine, and starts it again after a short delay, as the platform does.
+    pub async fn kill_and_restart(&self, machine: usize) {
+        let machine = &self.machines[machine];
+        machine.kill();
+        self.record.line(format!("process on {}: killed", machine.ip));
+        time::sleep(RESTART_DELAY).await;
+        let started = machine.start();
+        self.record.line(format!("process on {} starts: {started:?}", machine.ip));
+    }
+
     /// Does what the platform does with a process that exceeds `memory-mb`: kills it, and starts it again after
     /// a short delay.
     pub fn watch_memory(&mut self) {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,13 +3,13 @@
 
 mod cancelled_job;
 mod cluster;
-mod crashed_worker;
 mod http;
 mod noted_end;
 mod record;
 mod store;
 mod timed_jobs;
 mod unreached_worker;
+mod waiting_start;
 mod worker;
 
 use std::path::PathBuf;
@@ -46,7 +46,7 @@
     let root = PathBuf::from(root);
     let running = async {
         match case.as_str() {
-            "crashed-worker" => crashed_worker::run(&root, &record, has_trouble).await,
+            "waiting-start" => waiting_start::run(&root, &record, has_trouble).await,
             "cancelled-job" => cancelled_job::run(&root, &record, has_trouble).await,
             "noted-end" => noted_end::run(&root, &record, has_trouble).await,
             "unreached-worker" => unreached_worker::run(&root, &record, has_trouble).await,
