Log why runs are stopped, and ends that come beside another run

The logs of an incident could not tell why a run was stopped, whether an end was acknowledged without a save, nor that a done end came for a task that was running elsewhere. stop_run takes a reason and logs it with the worker; 'task ended' says whether the end awaits a save; a done end beside another run of its task, tracked or started last by this scheduler, is logged with both workers and counted (almondpass_pool_done_beside_other_runs_total). No decision changes. The line 'stopping a task on a worker that is leaving' gives way to 'run is stopped' with its reason.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -23,7 +23,9 @@
 use crate::save_queue;
 use crate::silent_workers;
 use crate::start_window;
+use crate::stop_reason;
 use crate::takeover;
+use crate::task_ends;
 use crate::task_key;
 use crate::timing;
 use crate::wait_timer;
@@ -89,6 +91,8 @@
     pub(crate) overdue_phases: Vec<job::RunPhase>,
     /// Counts of losses since they were last taken.
     pub(crate) loss_counts: losses::LossCounts,
+    /// Counts of ends since they were last taken.
+    pub(crate) end_counts: task_ends::EndCounts,
     /// All changes of the worker list up to this time are applied.
     pub(crate) list_read_at: Duration,
     /// Upstreams with less than half of each resource of their workers in use, as of the last check of
@@ -158,6 +162,7 @@
             avoidance_ends: VecDeque::new(),
             overdue_phases: Vec::new(),
             loss_counts: losses::LossCounts::default(),
+            end_counts: task_ends::EndCounts::default(),
             list_read_at: Duration::ZERO,
             underused: BTreeSet::new(),
             last_round_at: Duration::ZERO,
@@ -363,7 +368,12 @@
     }
 
     /// Orders the stop of a task's run, unless it is being stopped already.
-    pub(crate) fn stop_run(&mut self, key: task_key::TaskKey, now: Duration) {
+    pub(crate) fn stop_run(
+        &mut self,
+        key: task_key::TaskKey,
+        reason: stop_reason::StopReason,
+        now: Duration,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
         let Some(run) = job.task_mut(key).and_then(|it| it.run.as_mut()) else { return };
         if run.phase.is_stopping() {
@@ -371,6 +381,14 @@
         }
         run.phase = job::RunPhase::Stopping { stop_sent_at: now, stop_acked_at: None };
         let (worker, attempt) = (run.worker.clone(), run.attempt);
+        tracing::info!(
+            job = format_args!("{:016x}", key.graph),
+            task = %key,
+            attempt,
+            worker,
+            reason = reason.name(),
+            "run is stopped"
+        );
         self.order_stop(worker, key, attempt);
     }
 
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -317,6 +317,7 @@
         let resources = step.task_resources();
         let Some(task) = step.tasks.get_mut(key.task as usize) else { return };
         task.attempt = attempt;
+        task.last_start = Some(Box::new(job::TaskStart { worker: worker.clone(), attempt }));
         task.run = Some(job::TaskRun {
             worker: worker.clone(),
             attempt,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -11,6 +11,7 @@
 use crate::losses;
 use crate::progress;
 use crate::save_queue;
+use crate::stop_reason;
 use crate::wait_timer;
 use crate::worker;
 use crate::worker_speed;
@@ -111,7 +112,7 @@
             running.extend(with_run.map(|(task, _)| job.task_key(graph, step as u32, task as u32)));
         }
         for key in running {
-            self.stop_run(key, now);
+            self.stop_run(key, stop_reason::StopReason::EndedJob, now);
         }
     }
 
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -76,6 +76,8 @@
     pub done: bool,
     /// Highest attempt that may have been ordered.
     pub attempt: u32,
+    /// The last start that this scheduler ordered. Boxed, as most tasks of a large job have none yet.
+    pub last_start: Option<Box<TaskStart>>,
     /// Highest attempt that is known to have ended.
     pub ended_attempt: u32,
     /// Failed attempts of the task; unused for a member of a gang.
@@ -117,6 +119,15 @@
     attempts: Vec<u32>,
 }
 
+/// A start that was ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskStart {
+    /// Worker that was to run the attempt.
+    pub worker: ids::WorkerId,
+    /// Number of the attempt.
+    pub attempt: u32,
+}
+
 /// One attempt of a task on a worker.
 #[derive(Clone, Debug)]
 pub struct TaskRun {
--- a/crates/graph/src/late_runs.rs
+++ b/crates/graph/src/late_runs.rs
@@ -12,6 +12,7 @@
 use crate::lateness;
 use crate::preemption;
 use crate::run_times;
+use crate::stop_reason;
 use crate::task_key;
 use crate::worker;
 
@@ -231,7 +232,7 @@
                 task.n_moves += 1;
                 task.move_ends_at = until;
             }
-            self.stop_run(key, now);
+            self.stop_run(key, stop_reason::StopReason::Moved, now);
         }
     }
 
--- a/crates/graph/src/maintenance.rs
+++ b/crates/graph/src/maintenance.rs
@@ -10,6 +10,7 @@
 use crate::job;
 use crate::lease_clock;
 use crate::losses;
+use crate::stop_reason;
 use crate::task_key;
 
 /// Minimum interval between two maintenance passes. A pass goes over all runs, and a round follows
@@ -154,19 +155,13 @@
 
     /// Stops tasks that would not end before their worker leaves.
     fn stop_runs_before_leaving(&mut self, now: Duration) {
-        let leaving = self.workers.iter().filter(|(_, it)| it.leaves_at.is_some());
-        let leaving = leaving.map(|(id, it)| (id.clone(), it.leaves_at, it.runs.clone()));
-        for (worker, leaves_at, runs) in leaving.collect::<Vec<_>>() {
+        let leaving = self.workers.values().filter(|it| it.leaves_at.is_some());
+        let leaving = leaving.map(|it| (it.leaves_at, it.runs.clone()));
+        for (leaves_at, runs) in leaving.collect::<Vec<_>>() {
             let Some(leaves_at) = leaves_at else { continue };
             for key in runs {
                 if self.outlasts(key, leaves_at, now) {
-                    tracing::info!(
-                        job = format_args!("{:016x}", key.graph),
-                        task = %key,
-                        worker,
-                        "stopping a task on a worker that is leaving"
-                    );
-                    self.stop_run(key, now);
+                    self.stop_run(key, stop_reason::StopReason::LeavingWorker, now);
                 }
             }
         }
@@ -201,7 +196,7 @@
         for (graph, step) in broken {
             let unit = task_key::UnitKey { graph, step: step as u32, task: None };
             for key in self.unit_tasks(unit) {
-                self.stop_run(key, now);
+                self.stop_run(key, stop_reason::StopReason::BrokenGang, now);
             }
         }
     }
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -13,6 +13,7 @@
 use crate::pace;
 use crate::preemption;
 use crate::step_speeds;
+use crate::stop_reason;
 use crate::task_key;
 use crate::worker;
 use crate::worker_restarts;
@@ -378,7 +379,9 @@
                 self.release_run(key, now);
             }
             // The start may still arrive after this answer: a stop makes the worker refuse it.
-            job::RunPhase::Unclear { since } if sent_at > since => self.stop_run(key, now),
+            job::RunPhase::Unclear { since } if sent_at > since => {
+                self.stop_run(key, stop_reason::StopReason::UnclearStart, now);
+            }
             _ => {}
         }
     }
--- a/crates/graph/src/preemption.rs
+++ b/crates/graph/src/preemption.rs
@@ -11,6 +11,7 @@
 use crate::job;
 use crate::preemption_plan;
 use crate::resources;
+use crate::stop_reason;
 use crate::task_key;
 use crate::worker;
 
@@ -129,7 +130,7 @@
         );
         for victim in &plan.victims {
             for key in self.unit_tasks(victim_set.unit(*victim)) {
-                self.stop_run(key, now);
+                self.stop_run(key, stop_reason::StopReason::ClearedForUrgent, now);
             }
             victim_set.mark_stopping(*victim);
         }
--- a/crates/graph/src/slow_workers.rs
+++ b/crates/graph/src/slow_workers.rs
@@ -9,6 +9,7 @@
 use crate::job;
 use crate::pace;
 use crate::preemption;
+use crate::stop_reason;
 use crate::task_key;
 
 /// A slow worker gets no new tasks for this long after the last slow reading; the next tasks then show
@@ -59,7 +60,7 @@
             if let Some(record) = worker.and_then(|it| self.workers.get_mut(&it)) {
                 record.slow_until = record.slow_until.max(now + SLOW_PAUSE);
             }
-            self.stop_run(key, now);
+            self.stop_run(key, stop_reason::StopReason::Moved, now);
         }
     }
 
--- a/crates/graph/src/stalled.rs
+++ b/crates/graph/src/stalled.rs
@@ -4,6 +4,7 @@
 
 use crate::core;
 use crate::job;
+use crate::stop_reason;
 use crate::task_key;
 
 /// A task without progress for this long is stalled. One percent of the longest task seen (11 s) takes 0.7 s
@@ -58,7 +59,7 @@
             if let Some(task) = self.jobs.get_mut(&key.graph).and_then(|it| it.task_mut(key)) {
                 task.n_stalls += 1;
             }
-            self.stop_run(key, now);
+            self.stop_run(key, stop_reason::StopReason::Stalled, now);
         }
     }
 
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -7,8 +7,16 @@
 use crate::core;
 use crate::order;
 use crate::save_queue;
+use crate::stop_reason;
 use crate::task_key;
 
+/// Counts for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndCounts {
+    /// Successful ends of tasks that had another run, tracked or started last by this scheduler.
+    pub n_done_beside_others: u64,
+}
+
 impl core::PoolCore {
     /// Applies an end to the records of its task and job. Returns the change that has to be durable
     /// before the end may be acknowledged; `None` if a successor does not need to know of the end.
@@ -35,20 +43,13 @@
         }
         let is_loss_withdrawn = self.withdraw_loss(key, end.attempt);
         let is_suspicion_changed = self.clear_saved_start(key, end.attempt) || is_loss_withdrawn;
-        tracing::info!(
-            job = format_args!("{:016x}", key.graph),
-            task = %key,
-            attempt = end.attempt,
-            worker,
-            how = ?end.how,
-            ran_ms = tracked_since.map(|it| now.saturating_sub(it).as_millis() as u64),
-            expected = tracked_since.is_some(),
-            "task ended"
-        );
+        if end.how == order::EndKind::Done {
+            self.report_other_run(worker, &end);
+        }
         if tracked_since.is_some() {
             self.release_run(key, now);
         }
-        match end.how {
+        let change = match end.how {
             order::EndKind::Done => {
                 if let Some(tracked_since) = tracked_since.filter(|_| is_run_time_sample) {
                     self.run_times.observe(&class, now.saturating_sub(tracked_since));
@@ -68,7 +69,48 @@
                 // otherwise find the saved start without an end, and count the attempt as lost.
                 if is_suspicion_changed { self.mark_task_changed(key) } else { None }
             }
+        };
+        tracing::info!(
+            job = format_args!("{:016x}", key.graph),
+            task = %key,
+            attempt = end.attempt,
+            worker,
+            how = ?end.how,
+            ran_ms = tracked_since.map(|it| now.saturating_sub(it).as_millis() as u64),
+            expected = tracked_since.is_some(),
+            awaits_save = change.is_some(),
+            "task ended"
+        );
+        change
+    }
+
+    /// Logs and counts the successful end of a run beside another run of the task: one that is tracked,
+    /// or that this scheduler started last.
+    fn report_other_run(&mut self, worker: &ids::WorkerId, end: &order::ListedEnd) {
+        let key = end.task;
+        let Some(task) = self.jobs.get(&key.graph).and_then(|it| it.task(key)) else { return };
+        let tracked = task.run.as_ref().map(|it| (&it.worker, it.attempt));
+        let started = task.last_start.as_deref().map(|it| (&it.worker, it.attempt));
+        let Some((other_worker, other_attempt)) = tracked.or(started) else { return };
+        if (other_worker, other_attempt) == (worker, end.attempt) {
+            return;
         }
+        tracing::warn!(
+            job = format_args!("{:016x}", key.graph),
+            task = %key,
+            attempt = end.attempt,
+            worker,
+            other_attempt,
+            other_worker,
+            is_other_tracked = tracked.is_some(),
+            "task is done beside another run of it"
+        );
+        self.end_counts.n_done_beside_others += 1;
+    }
+
+    /// Returns the counts since the last call.
+    pub fn take_end_counts(&mut self) -> EndCounts {
+        std::mem::take(&mut self.end_counts)
     }
 
     fn task_done(
@@ -104,7 +146,7 @@
         // needed.
         let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
         if task.is_some_and(|it| it.run.is_some()) {
-            self.stop_run(key, now);
+            self.stop_run(key, stop_reason::StopReason::OtherRunDone, now);
         }
         self.mark_task_changed(key)
     }
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod admission_gate;
 mod early_polls;
+mod end_records;
 mod evacuations;
 mod failures;
 mod fair_share;
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{core, fair_share, job, late_runs, losses, pool_speeds, waiting};
+use almondpass_graph::{core, fair_share, job, late_runs, losses, pool_speeds, task_ends, waiting};
 use almondpass_ports::boot_clock::BootClock;
 use tokio::time::{self, Instant};
 
@@ -114,6 +114,11 @@
     metrics::counter!("almondpass_pool_jobs_given_up_total").increment(counts.n_given_up);
 }
 
+fn record_ends(counts: task_ends::EndCounts) {
+    metrics::counter!("almondpass_pool_done_beside_other_runs_total")
+        .increment(counts.n_done_beside_others);
+}
+
 /// Counts starts of urgent tasks by what was known of the speeds of their workers.
 fn record_urgent_starts(counts: pool_speeds::StartCounts) {
     let by_speed =
@@ -163,6 +168,7 @@
     core.take_finished().iter().for_each(record_finished);
     metrics::counter!("almondpass_pool_worker_restarts_total").increment(core.take_n_restarts());
     record_losses(&core.take_loss_counts());
+    record_ends(core.take_end_counts());
     record_urgent_starts(core.take_start_counts());
     record_moves(&core.take_move_counts());
     record_overdue(&core.take_overdue_phases());
