Wait after a takeover until each worker has listed all its ends

What callers would see: a task that has ended as done runs again after a takeover. One answer of a worker lists a limited number of ends (500 on the platform). A successor took a worker for fully known with its first answer, so a done end beyond that number counted as no end, and the task was started again.

The silence note of the roster had the same fault.

Change: a worker counts as known once an answer under this tenure has listed all its ends.

--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -126,6 +126,7 @@
         record.lowest_listed_end = listed.ended.first().map(|it| it.number);
         let is_first = !record.fenced;
         record.fenced = true;
+        record.has_listed_all |= listed.complete;
         if is_first {
             record.drop_speed_of_other_incarnation();
         }
--- a/crates/graph/src/silent_workers.rs
+++ b/crates/graph/src/silent_workers.rs
@@ -101,7 +101,7 @@
         id: &ids::WorkerId,
         worker: &worker::WorkerRecord,
     ) -> Duration {
-        if worker.fenced {
+        if worker.has_listed_all {
             return Duration::ZERO;
         }
         let reported = self.silence_reports.clear_at(id);
--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -132,9 +132,9 @@
 
     /// Whether the store has the start of each task that may run on a worker.
     fn has_only_saved_starts(&self, worker: &worker::WorkerRecord, now: Duration) -> bool {
-        // Starts from before this tenure are known once the worker has answered; at `settles_at`
+        // Starts from before this tenure are known once the worker has listed all ends; at `settles_at`
         // they have all ended.
-        let is_known = worker.fenced || now >= self.settles_at;
+        let is_known = worker.has_listed_all || now >= self.settles_at;
         is_known
             && worker.unwanted_runs.is_empty()
             && worker.runs.iter().all(|it| self.is_start_durable(*it))
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -83,6 +83,9 @@
     pub leaves_at: Option<Duration>,
     /// Whether the worker has answered under this tenure and so refuses orders of earlier tenures.
     pub fenced: bool,
+    /// Whether the worker has listed all its unacknowledged ends under this tenure. An answer holds a limited
+    /// number of them.
+    pub has_listed_all: bool,
     /// Whether tasks that an earlier tenure started may be on the worker.
     pub inherited: bool,
     /// The known incarnation of the worker; `None` on a platform that doesn't number incarnations.
--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::saving;
+use almondpass_graph::{order, saving, task_key};
 use almondpass_schema::{ids, model};
 
 use crate::support;
@@ -159,3 +159,40 @@
     bench.save();
     assert_eq!(run_round_and_count_starts(&mut bench), 8);
 }
+
+/// Failure: a task ran twice. Its end was not among the first ends that a worker lists in one answer, and
+/// the successor took the worker for fully known.
+#[test]
+fn a_successor_waits_for_the_rest_of_a_worker_s_ends() {
+    let mut bench = support::PoolBench::with_unanswered_workers(2, SETTLES_AT);
+    for index in 0..2 {
+        bench.core.inherit_worker(roster_entry(index), 0);
+    }
+    bench.core.inherit_silence_notes(true);
+    bench.inherit(1, support::job(1, support::tasks(1)), None);
+    bench.answer_poll(0, &[], &[]);
+    bench.answer_poll_incompletely(1, &[]);
+    bench.save();
+    assert_eq!(run_round_and_count_starts(&mut bench), 0);
+    let task = task_key::TaskKey { graph: 1, occurrence: 0, step: 0, task: 0 };
+    let end = order::ListedEnd {
+        number: 501,
+        task,
+        attempt: 1,
+        how: order::EndKind::Done,
+        checkpoint: None,
+    };
+    bench.answer_poll(1, &[], &[end]);
+    bench.save();
+    assert_eq!(run_round_and_count_starts(&mut bench), 0);
+}
+
+fn roster_entry(index: usize) -> model::RosterEntry {
+    let listing = support::worker_entry(index);
+    model::RosterEntry {
+        worker: support::worker_id(index),
+        address: listing.address,
+        upstream: listing.upstream,
+        on_record: false,
+    }
+}
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -177,6 +177,16 @@
         self.core.poll_answered(&worker_id(worker), listed, sent_at, self.now);
     }
 
+    /// A worker answers a poll that was sent just now, and has more ends than one answer holds.
+    pub(crate) fn answer_poll_incompletely(&mut self, worker: usize, ended: &[order::ListedEnd]) {
+        let listed = order::PollReply {
+            clock_ms: self.clock_ms(),
+            ended: ended.to_vec(),
+            ..order::PollReply::default()
+        };
+        self.core.poll_answered(&worker_id(worker), listed, self.now, self.now);
+    }
+
     fn clock_ms(&self) -> u64 {
         self.now.as_millis() as u64
     }
