Keep a run whose repeated start a later incarnation refuses

What callers would see: two runs of a task at the same time. A start had no answer and was sent again; a worker that had started again under its id meanwhile had taken the first transmission, was polled with a higher token, and refused the second by that token. The scheduler took the refusal for proof that nothing runs, and started the task again.

Change: such a start counts as unclear, so that a poll decides. A run that a poll has confirmed goes on.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -184,8 +184,10 @@
         self.log_start(start, "refused");
         let pause = match refusal {
             order::StartRefusal::Fenced => {
+                // An earlier transmission of the start may have reached the later incarnation that refuses this
+                // one.
                 if !self.note_fenced_off(&start.worker, start.generation) {
-                    self.undo_start(start, now);
+                    self.mark_start_unclear(start, now);
                 }
                 return;
             }
--- a/crates/graph/tests/pool/restarts.rs
+++ b/crates/graph/tests/pool/restarts.rs
@@ -582,3 +582,21 @@
     bench.core.worker_replaced(&support::worker_id(0), &earlier_address, bench.now);
     assert!(bench.core.worker_ids().any(|it| *it == support::worker_id(0)));
 }
+
+/// Failure: a task ran twice. A later incarnation had taken its start and refused the repetition of it, by the
+/// token of the poll between the two; the run was taken not to exist.
+#[test]
+fn a_run_of_a_later_incarnation_outlives_the_refusal_of_its_repeated_start() {
+    let mut bench = bench_with_one_worker();
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = support::starts(&bench.run_round()).remove(0);
+    let began = bench.now;
+    bench.advance(100);
+    bench.core.update_worker(support::worker_id(0), entry_of(0, SECOND_INCARNATION), bench.now);
+    let run = support::listed_run(&start, 0);
+    answer_poll(&mut bench, Some(SECOND_INCARNATION), began, &[run], &[]);
+    let refused = order::StartAnswer::Refused(order::StartRefusal::Fenced);
+    bench.core.start_answered(&start, refused, bench.now);
+    bench.save();
+    assert_eq!(bench.run_round_and_start(), []);
+}
