Save done ends of jobs that have failed in memory only before they are acknowledged

Cause: task_done returned no change to wait for once a job had ended otherwise, although the end of the job was only in memory (task_failed, give_up). Each branch decided for itself what had to be durable.

Change: end_record states the invariant and decides once per end, after the records were changed. Only an end of the job that is durable makes its tasks' ends irrelevant. A done end of any other job is recorded and waits for the task's row, without changing the state of a job that has failed. A failed end that was recorded before (second member of a gang) waits for the row that records it, one of a task that is done in memory for the row that says done; both were acknowledged at once. The rows of a job whose end is durable are not rewritten for an end any more: after an inferred end they are all that shows it.

The stand-in worker takes fail=N for a first task that fails after N ms.

--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -277,6 +277,11 @@
         !matches!(self.state, model::GraphState::Pending | model::GraphState::Running)
     }
 
+    /// Whether the store shows that the job has ended.
+    pub fn is_end_durable(&self) -> bool {
+        !matches!(self.durable_state, model::GraphState::Pending | model::GraphState::Running)
+    }
+
     /// Whether all steps that `step` depends on are done, within the same run of the schedule.
     pub fn is_ready(&self, step: usize) -> bool {
         let first = step - step % self.steps_per_run.max(1) as usize;
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -55,6 +55,7 @@
 mod better_places;
 mod dispatch;
 mod early_polls;
+mod end_record;
 mod exclusion_limit;
 mod exclusion_reason;
 mod isolation;
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -113,9 +113,14 @@
             && !is_missing(refused_change)
     }
 
+    /// The latest change of a row, which is durable once the store has the row's present content.
+    pub fn latest_change(&self, row: SaveRowKey) -> RowChange {
+        RowChange { row, number: self.last_change }
+    }
+
     /// Whether the store has the present content of the row.
     pub fn is_saved(&self, row: SaveRowKey) -> bool {
-        self.is_durable(RowChange { row, number: u64::MAX })
+        self.is_durable(self.latest_change(row))
     }
 
     /// Whether the store lacks a change of any row that matches.
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -5,6 +5,7 @@
 use almondpass_schema::{ids, model};
 
 use crate::core;
+use crate::end_record;
 use crate::order;
 use crate::save_queue;
 use crate::stop_reason;
@@ -42,19 +43,20 @@
             task.checkpoint = end.checkpoint.clone();
         }
         let is_loss_withdrawn = self.withdraw_loss(key, end.attempt);
-        let is_suspicion_changed = self.clear_saved_start(key, end.attempt) || is_loss_withdrawn;
+        let is_evidence_withdrawn = self.clear_saved_start(key, end.attempt) || is_loss_withdrawn;
         if end.how == order::EndKind::Done {
             self.report_other_run(worker, &end);
         }
         if tracked_since.is_some() {
             self.release_run(key, now);
         }
-        let change = match end.how {
+        self.note_end_for_health(worker, &end, now);
+        match end.how {
             order::EndKind::Done => {
                 if let Some(tracked_since) = tracked_since.filter(|_| is_run_time_sample) {
                     self.run_times.observe(&class, now.saturating_sub(tracked_since));
                 }
-                self.task_done(worker, key, now)
+                self.task_done(key, now);
             }
             order::EndKind::Failed => self.task_failed(worker, key, end.attempt, now),
             order::EndKind::Stopped
@@ -65,11 +67,15 @@
                     self.moves.stop_times.observe(&class, now.saturating_sub(stop_sent_at));
                 }
                 self.share_checkpoint(key);
-                // The change has to be durable before the end is acknowledged. A successor would
-                // otherwise find the saved start without an end, and count the attempt as lost.
-                if is_suspicion_changed { self.mark_task_changed(key) } else { None }
             }
-        };
+        }
+        // The rows of a job whose end is durable stay as they are: they may be what shows its end.
+        let is_end_durable = self.jobs.get(&key.graph).is_some_and(|it| it.is_end_durable());
+        if is_evidence_withdrawn && !is_end_durable {
+            self.mark_task_changed(key);
+        }
+        let applied = end_record::AppliedEnd { task: key, how: end.how, is_evidence_withdrawn };
+        let change = self.change_to_await(applied);
         tracing::info!(
             job = format_args!("{:016x}", key.graph),
             task = %key,
@@ -113,20 +119,44 @@
         std::mem::take(&mut self.end_counts)
     }
 
-    fn task_done(
+    /// Records an end for the health of its worker.
+    fn note_end_for_health(
         &mut self,
         worker: &ids::WorkerId,
-        key: task_key::TaskKey,
+        end: &order::ListedEnd,
         now: Duration,
-    ) -> Option<save_queue::RowChange> {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.health.task_succeeded();
+    ) {
+        match end.how {
+            order::EndKind::Done => {
+                if let Some(record) = self.workers.get_mut(worker) {
+                    record.health.task_succeeded();
+                }
+            }
+            order::EndKind::Failed => {
+                let can_be_excluded = self.can_exclude(worker, |it| it.health.is_paused(now));
+                if let Some(record) = self.workers.get_mut(worker)
+                    && record.health.task_failed(end.task.graph, can_be_excluded, now)
+                {
+                    tracing::warn!(worker, "worker fails tasks of several jobs and is paused");
+                }
+            }
+            _ => {}
         }
-        let job = self.jobs.get_mut(&key.graph)?;
-        if job.has_ended() && job.state != model::GraphState::Completed {
-            return None;
+    }
+
+    /// Records the success of a task, also in a job whose failure is not durable: a successor may find the
+    /// job running.
+    fn task_done(&mut self, key: task_key::TaskKey, now: Duration) {
+        // Another attempt can be in progress only because of a wrong record; its result is not
+        // needed.
+        self.stop_run(key, stop_reason::StopReason::OtherRunDone, now);
+        let Some(job) = self.jobs.get_mut(&key.graph).filter(|it| !it.is_end_durable()) else {
+            return;
+        };
+        let Some(step) = job.step_mut(key) else { return };
+        if step.tasks.get(key.task as usize).is_none_or(|it| it.done) {
+            return;
         }
-        let step = job.step_mut(key)?;
         if step.spec.gang {
             // The successful end of one member represents all members of its gang.
             for task in &mut step.tasks {
@@ -136,19 +166,15 @@
             task.done = true;
         }
         job.started = true;
-        let is_complete = job.steps.iter().all(|it| it.is_done());
-        job.state =
-            if is_complete { model::GraphState::Completed } else { model::GraphState::Running };
-        if is_complete && self.active.contains(&key.graph) {
-            self.finish(key.graph, now);
-        }
-        // Another attempt can be in progress only because of a wrong record; its result is not
-        // needed.
-        let task = self.jobs.get(&key.graph).and_then(|it| it.task(key));
-        if task.is_some_and(|it| it.run.is_some()) {
-            self.stop_run(key, stop_reason::StopReason::OtherRunDone, now);
+        if !job.has_ended() {
+            let is_complete = job.steps.iter().all(|it| it.is_done());
+            job.state =
+                if is_complete { model::GraphState::Completed } else { model::GraphState::Running };
+            if is_complete && self.active.contains(&key.graph) {
+                self.finish(key.graph, now);
+            }
         }
-        self.mark_task_changed(key)
+        self.mark_task_changed(key);
     }
 
     fn task_failed(
@@ -157,39 +183,34 @@
         key: task_key::TaskKey,
         attempt: u32,
         now: Duration,
-    ) -> Option<save_queue::RowChange> {
-        let can_be_excluded = self.can_exclude(worker, |it| it.health.is_paused(now));
-        if let Some(record) = self.workers.get_mut(worker)
-            && record.health.task_failed(key.graph, can_be_excluded, now)
-        {
-            tracing::warn!(worker, "worker fails tasks of several jobs and is paused");
-        }
-        let job = self.jobs.get_mut(&key.graph)?;
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.graph).filter(|it| !it.is_end_durable()) else {
+            return;
+        };
         let max_attempts = job.max_attempts;
-        let step = job.step_mut(key)?;
+        let Some(step) = job.step_mut(key) else { return };
         let is_gang = step.spec.gang;
-        let task = step.tasks.get_mut(key.task as usize)?;
+        let Some(task) = step.tasks.get_mut(key.task as usize) else { return };
         if task.done {
-            return None;
+            return;
         }
         let failures = if is_gang { &mut step.gang_failures } else { &mut task.failures };
         let is_new = failures.record(attempt);
         let is_last = failures.count() >= max_attempts;
         self.avoid_failed_worker(key, worker, now);
         if !is_new {
-            return None;
+            return;
         }
         self.share_checkpoint(key);
-        let job = self.jobs.get_mut(&key.graph)?;
+        let Some(job) = self.jobs.get_mut(&key.graph) else { return };
         if is_last && !job.has_ended() {
             job.state = model::GraphState::Failed;
             job.failure = Some(model::FailureCause::Attempts);
             self.finish(key.graph, now);
             self.stop_all(key.graph, now);
         }
-        // The failures of a gang are saved with its first task.
-        let saved_with = if is_gang { task_key::TaskKey { task: 0, ..key } } else { key };
-        self.mark_task_changed(saved_with)
+        let saved_with = if is_gang { task_key::gang_failures_key(key) } else { key };
+        self.mark_task_changed(saved_with);
     }
 
     /// Copies the checkpoint of a gang's member to all members. They all resume from the same
--- a/crates/graph/src/task_key.rs
+++ b/crates/graph/src/task_key.rs
@@ -55,6 +55,11 @@
     }
 }
 
+/// The task with whose row the failures of a gang are saved: its first one.
+pub fn gang_failures_key(member: TaskKey) -> TaskKey {
+    TaskKey { task: 0, ..member }
+}
+
 /// Parses a job graph's id, written as 16 lower-case hexadecimal digits; `None` for any other text.
 pub fn parse_graph(text: &str) -> Option<ids::GraphId> {
     let is_digit = |it: u8| it.is_ascii_digit() || (b'a'..=b'f').contains(&it);
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -26,3 +26,4 @@
 mod successors;
 mod support;
 mod takeovers;
+mod unsaved_ends;
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -355,15 +355,18 @@
 }
 
 /// Reads the behavior of a task from the words of its body, which are separated by spaces and come in any
-/// order: `ms=2500` (run time), `fail`, `crash=10` (milliseconds after the start). Only the first task of a
-/// step crashes its worker.
+/// order: `ms=2500` (run time), `fail`, `fail=1000` and `crash=10` (milliseconds after the start). Only the
+/// first task of a step fails early or crashes its worker.
 pub fn parse_behavior(start: &order::StartOrder, resources: resources::Resources) -> TaskBehavior {
     let words = || start.body.split(' ');
     let value_of = |name| words().find_map(|it| it.strip_prefix(name)?.parse().ok());
-    let crash_after_ms = value_of("crash=").filter(|_| start.task.task == 0);
+    let value_of_first = |name| value_of(name).filter(|_| start.task.task == 0);
+    let crash_after_ms = value_of_first("crash=");
+    let fail_after_ms = value_of_first("fail=");
+    let run_time_ms = fail_after_ms.or(value_of("ms=")).unwrap_or(1_000);
     TaskBehavior {
-        run_time: Duration::from_millis(value_of("ms=").unwrap_or(1_000)),
-        fails: words().any(|it| it == "fail"),
+        run_time: Duration::from_millis(run_time_ms),
+        fails: fail_after_ms.is_some() || words().any(|it| it == "fail"),
         crashes_after: crash_after_ms.map(Duration::from_millis),
         resources,
     }
