Report the unsaved ends of silent workers to a successor

Cause: the report left out what only the former holder and the worker knew: ends that were listed and are not durable.

Change: the report tells these ends with each silent worker, and says that it does. The successor applies them by the code of listed ends, without counting them for the worker's health and without acknowledging anything; they are saved by it, and it tells them on to its own successor until they are durable. A worker counts as not reported, so that its lease is waited for, if its ends are not told (an earlier release, more than the report's limit) or belong to a job that the successor does not know. Told ends count whichever former holder tells them; the rest of the report stays bound to the holder right before. The parts of a report are one type (TenureReport), so that the suspicions and the silent workers of different moments can't be mixed. The silence note of the roster is not written, and a leaving worker not taken off the roster, while an end of that worker is not durable.

Tests: on the code before, the three new tests of the whole path on the paused clock failed (task 0 ran again, its first end acknowledged; the job of the ended work ran on; a further run after the second takeover), and pass now. Measured: graph pool tests by module 86 of 86, pool tests by module 92 of 92 (takeovers, successors, store_limits, store_outages, crashes, sessions, outages, restarts, unsaved_ends, nudges).

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -28,6 +28,7 @@
 use crate::task_ends;
 use crate::task_key;
 use crate::timing;
+use crate::told_ends;
 use crate::wait_timer;
 use crate::waiting;
 use crate::worker;
@@ -73,6 +74,8 @@
     pub(crate) settles_at: Duration,
     /// What earlier schedulers have reported of workers that do not answer.
     pub(crate) silence_reports: silent_workers::SilenceReports,
+    /// Ends that earlier schedulers have told and that are not durable yet.
+    pub(crate) told_ends: told_ends::ToldEnds,
     /// Whether a worker has refused an order because it had seen a higher fencing token than that of this
     /// scheduler.
     pub(crate) is_fenced_off: bool,
@@ -154,6 +157,7 @@
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
             silence_reports: silent_workers::SilenceReports::default(),
+            told_ends: told_ends::ToldEnds::default(),
             is_fenced_off: false,
             finished: Vec::new(),
             newest_generation: 0,
--- a/crates/graph/src/order.rs
+++ b/crates/graph/src/order.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_schema::ids;
+use almondpass_schema::{ids, model};
 
 use crate::task_key;
 
@@ -117,22 +117,10 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
-/// How an attempt of a task ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndKind {
-    /// The task completed its work.
-    Done,
-    /// The task failed, through its own fault or the worker's.
-    Failed,
-    /// The task was stopped on request.
-    Stopped,
-    /// The worker's lease expired.
-    Lapsed,
-    /// Another member of the gang ended.
-    Broken,
-    /// The other members of the gang did not start in time.
-    Alone,
-}
+/// How an attempt of a task ended: it completed its work; it failed, through its own fault or the worker's;
+/// it was stopped on request; the worker's lease expired; another member of the gang ended; the other members
+/// of the gang did not start in time.
+pub type EndKind = model::EndKind;
 
 /// Result of sending a start order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -14,6 +14,7 @@
 use crate::preemption;
 use crate::step_speeds;
 use crate::stop_reason;
+use crate::task_ends;
 use crate::task_key;
 use crate::worker;
 use crate::worker_restarts;
@@ -174,10 +175,9 @@
             return;
         }
         record.highest_seen_end = end.number;
-        let number = end.number;
-        let row_change = self.apply_end(worker, end, now);
+        let change = self.apply_end(worker, &end, task_ends::EndSource::Worker, now);
         if let Some(record) = self.workers.get_mut(worker) {
-            record.unsaved_ends.push_back(worker::UnsavedEnd { number, change: row_change });
+            record.unsaved_ends.push_back(worker::UnsavedEnd { end, change });
             record.advance_acknowledged(&self.unsaved);
         }
     }
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -31,6 +31,11 @@
 /// The chunk whose row holds the state and the failure of the whole job.
 pub const HEAD_CHUNK: u32 = 0;
 
+/// Whether a checkpoint's name is short enough to be handed to a successor.
+pub(crate) fn is_checkpoint_saved(checkpoint: &str) -> bool {
+    checkpoint.len() <= MAX_CHECKPOINT_BYTES
+}
+
 /// Number of chunks of a job; at least 1.
 pub fn n_chunks(job: &job::JobRecord) -> u32 {
     let n_tasks = job.steps.iter().map(|it| it.tasks.len() as u32).sum::<u32>();
@@ -208,8 +213,7 @@
         checkpoints: saved
             .filter_map(|(task, it)| {
                 let checkpoint = it.checkpoint.as_deref()?;
-                let is_short_enough = checkpoint.len() <= MAX_CHECKPOINT_BYTES;
-                is_short_enough
+                is_checkpoint_saved(checkpoint)
                     .then(|| model::TaskCheckpoint { task, checkpoint: checkpoint.to_owned() })
             })
             .collect(),
--- a/crates/graph/src/silent_workers.rs
+++ b/crates/graph/src/silent_workers.rs
@@ -4,7 +4,7 @@
 //! scheduler gave orders there until it ended. The silence notes in the roster say less, and none is
 //! written while the store is unavailable.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use almondpass_schema::{ids, model};
@@ -19,6 +19,9 @@
 /// Limit of the workers that are reported, silent for longest first. Each is about a hundred bytes.
 const MAX_REPORTED_WORKERS: usize = 256;
 
+/// Limit of the ends that are reported of all workers together. Each is about a hundred bytes.
+const MAX_REPORTED_ENDS: usize = 1_024;
+
 /// What earlier schedulers have reported of workers that do not answer.
 #[derive(Clone, Debug, Default)]
 pub struct SilenceReports {
@@ -54,7 +57,12 @@
         silent.sort_by_key(|(_, it)| it.last_contact_at);
         let are_all_chunks_reported =
             self.n_unsaved_chunks() <= unsaved_suspicions::MAX_REPORTED_CHUNKS;
+        let mut n_ends_left = MAX_REPORTED_ENDS;
         let report = |(id, it): (&ids::WorkerId, &worker::WorkerRecord)| {
+            let mut ends = self.ends_to_tell(id, it);
+            let are_ends_told = ends.len() <= n_ends_left;
+            ends.truncate(n_ends_left);
+            n_ends_left -= ends.len();
             let earlier_clear_at = self.earlier_runs_end_at(id, it);
             let clear_at = earlier_clear_at.max(self.own_runs_end_at(it));
             let is_known = now >= earlier_clear_at && it.unwanted_runs.is_empty();
@@ -65,13 +73,18 @@
                 are_starts_known: is_known
                     && are_all_chunks_reported
                     && runs.all(|key| self.is_start_reported(*key)),
+                are_ends_told,
+                ends,
             }
         };
         silent.into_iter().take(MAX_REPORTED_WORKERS).map(report).collect()
     }
 
-    /// Merges the report of the scheduler right before this one.
-    pub fn merge_silent_workers(&mut self, reported: Vec<model::SilentWorker>, now: Duration) {
+    /// Merges the report of the scheduler right before this one. Of a worker that may have listed ends
+    /// which are neither in the store nor known here, nothing is known.
+    pub fn merge_silent_workers(&mut self, mut reported: Vec<model::SilentWorker>, now: Duration) {
+        let with_known_ends = self.merge_told_ends(&reported, now);
+        reported.retain(|it| with_known_ends.contains(&it.worker));
         if reported.is_empty() {
             return;
         }
@@ -95,6 +108,31 @@
         }
     }
 
+    /// Applies the ends that a former scheduler tells of silent workers. Returns the workers of which all
+    /// ends are known now.
+    pub(crate) fn merge_told_ends(
+        &mut self,
+        reported: &[model::SilentWorker],
+        now: Duration,
+    ) -> BTreeSet<ids::WorkerId> {
+        let mut with_known_ends = BTreeSet::new();
+        for it in reported {
+            if !it.ends.is_empty() || !it.are_ends_told {
+                tracing::info!(
+                    worker = it.worker,
+                    n_ends = it.ends.len(),
+                    are_ends_told = it.are_ends_told,
+                    clear_in_ms = it.clear_in_ms,
+                    "a former scheduler reports unsaved ends of a worker that did not answer it"
+                );
+            }
+            if self.apply_told_ends(&it.worker, &it.ends, now) && it.are_ends_told {
+                with_known_ends.insert(it.worker.clone());
+            }
+        }
+        with_known_ends
+    }
+
     /// Time from which nothing that earlier schedulers started runs unseen on a worker.
     pub(crate) fn earlier_runs_end_at(
         &self,
--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -130,13 +130,15 @@
         }
     }
 
-    /// Whether the store has the start of each task that may run on a worker.
+    /// Whether the store has the start of each task that may run on a worker, and each end that the worker
+    /// has listed.
     fn has_only_saved_starts(&self, worker: &worker::WorkerRecord, now: Duration) -> bool {
         // Starts from before this tenure are known once the worker has listed all ends; at `settles_at`
         // they have all ended.
         let is_known = worker.has_listed_all || now >= self.settles_at;
         is_known
             && worker.unwanted_runs.is_empty()
+            && worker.unsaved_ends.is_empty()
             && worker.runs.iter().all(|it| self.is_start_durable(*it))
     }
 
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -11,6 +11,25 @@
 use crate::stop_reason;
 use crate::task_key;
 
+/// Who has told the scheduler of an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndSource {
+    /// The worker lists it.
+    Worker,
+    /// A former scheduler could not save it.
+    FormerScheduler,
+}
+
+impl EndSource {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndSource::Worker => "worker",
+            EndSource::FormerScheduler => "former scheduler",
+        }
+    }
+}
+
 /// Counts for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndCounts {
@@ -24,7 +43,8 @@
     pub(crate) fn apply_end(
         &mut self,
         worker: &ids::WorkerId,
-        end: order::ListedEnd,
+        end: &order::ListedEnd,
+        source: EndSource,
         now: Duration,
     ) -> Option<save_queue::RowChange> {
         let key = end.task;
@@ -45,12 +65,14 @@
         let is_loss_withdrawn = self.withdraw_loss(key, end.attempt);
         let is_evidence_withdrawn = self.clear_saved_start(key, end.attempt) || is_loss_withdrawn;
         if end.how == order::EndKind::Done {
-            self.report_other_run(worker, &end);
+            self.report_other_run(worker, end);
         }
         if tracked_since.is_some() {
             self.release_run(key, now);
         }
-        self.note_end_for_health(worker, &end, now);
+        if source == EndSource::Worker {
+            self.note_end_for_health(worker, end, now);
+        }
         match end.how {
             order::EndKind::Done => {
                 if let Some(tracked_since) = tracked_since.filter(|_| is_run_time_sample) {
@@ -85,6 +107,7 @@
             ran_ms = tracked_since.map(|it| now.saturating_sub(it).as_millis() as u64),
             expected = tracked_since.is_some(),
             awaits_save = change.is_some(),
+            source = source.name(),
             "task ended"
         );
         change
--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::health;
 use crate::lease_clock;
 use crate::losses;
+use crate::order;
 use crate::resources;
 use crate::save_queue;
 use crate::task_key;
@@ -158,10 +159,10 @@
 }
 
 /// An end that a worker has listed and whose change may not be durable yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct UnsavedEnd {
-    /// Number that the worker gave the end; rises with each end.
-    pub number: u64,
+    /// The end as the worker listed it.
+    pub end: order::ListedEnd,
     /// The change that has to be durable before the end is acknowledged; `None` if a successor does
     /// not need to know of the end.
     pub change: Option<save_queue::RowChange>,
@@ -178,6 +179,13 @@
     pub stop_sent_at: Option<Duration>,
 }
 
+impl UnsavedEnd {
+    /// Whether the store has all that a successor needs to know of the end.
+    pub fn is_durable(&self, unsaved: &save_queue::SaveQueue) -> bool {
+        self.change.is_none_or(|it| unsaved.is_durable(it))
+    }
+}
+
 impl WorkerRecord {
     /// A record without an entry, runs or contact, for a new incarnation with that number.
     pub fn with_generation(generation: u32) -> WorkerRecord {
@@ -233,20 +241,17 @@
         self.leaves_at.is_some() && self.fenced && is_empty
     }
 
-    /// Whether a successor has to expect tasks on the worker.
+    /// Whether a successor has to expect tasks on the worker, or ends of which the store does not know.
     pub fn belongs_in_roster(&self) -> bool {
-        !self.has_left() && !self.has_lapsed
+        let has_left = self.has_left() && self.unsaved_ends.is_empty();
+        !has_left && !self.has_lapsed
     }
 
     /// Raises `acknowledged` over all processed ends up to the first one whose change is not
     /// durable yet.
     pub fn advance_acknowledged(&mut self, unsaved: &save_queue::SaveQueue) {
-        while let Some(end) = self.unsaved_ends.front().copied() {
-            if end.change.is_some_and(|it| !unsaved.is_durable(it)) {
-                break;
-            }
-            self.acknowledged = end.number;
-            self.unsaved_ends.pop_front();
+        while let Some(saved) = self.unsaved_ends.pop_front_if(|it| it.is_durable(unsaved)) {
+            self.acknowledged = saved.end.number;
         }
     }
 }
--- a/crates/graph/tests/pool/silence_reports.rs
+++ b/crates/graph/tests/pool/silence_reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use almondpass_graph::{order, save_queue, saving, task_key, worker};
 use almondpass_schema::{ids, model};
 
 use crate::support;
@@ -49,11 +50,8 @@
 
 /// Hands over what the earlier scheduler could not save.
 fn hand_over(earlier: &support::PoolBench, successor: &mut support::PoolBench) {
-    let silent = earlier.core.silent_workers(earlier.now);
-    for it in earlier.core.unsaved_suspicions() {
-        successor.core.merge_suspicions(it, successor.now);
-    }
-    successor.core.merge_silent_workers(silent, successor.now);
+    let report = earlier.core.tenure_report(earlier.now);
+    successor.core.merge_last_report(report, successor.now);
 }
 
 fn started_jobs(bench: &mut support::PoolBench) -> Vec<ids::GraphId> {
@@ -123,3 +121,180 @@
     hand_over(&earlier, &mut successor);
     assert!(started_jobs(&mut successor).is_empty());
 }
+
+/// A scheduler whose second worker has listed ends of its tasks of job 1, and fell silent before they were
+/// saved.
+fn scheduler_with_unsaved_ends(step: model::GraphStep, how: order::EndKind) -> support::PoolBench {
+    let mut earlier = support::PoolBench::new(2);
+    earlier.admit(1, support::job(1, step));
+    let starts = earlier.run_round_and_start();
+    let on_silent = starts.iter().filter(|it| it.worker == support::worker_id(1));
+    let ends = (1..).zip(on_silent).map(|(number, it)| support::listed_end(number, it, how));
+    let ends = ends.collect::<Vec<_>>();
+    assert!(!ends.is_empty());
+    earlier.answer_poll(1, &[], &ends);
+    earlier.core.poll_missed(&support::worker_id(1));
+    earlier.advance(100);
+    earlier
+}
+
+/// Tasks of all jobs that have not ended done.
+fn n_unfinished(bench: &support::PoolBench) -> usize {
+    let summary = bench.core.summary();
+    summary.n_waiting + summary.n_running
+}
+
+/// Guards against done work that starts again: the report said that nothing ran on a silent worker, but not
+/// that a task had ended done there, unsaved.
+#[test]
+fn a_successor_learns_of_an_unsaved_done_end() {
+    let earlier = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Done);
+    let mut successor = successor();
+    assert_eq!(n_unfinished(&successor), 3);
+    hand_over(&earlier, &mut successor);
+    assert_eq!(n_unfinished(&successor), 2);
+    assert!(successor.core.is_settled(successor.now));
+    successor.save();
+    let saved = successor.saved.remove(&1).expect("a row that shows the end");
+    let mut next = support::PoolBench::with_unanswered_workers(2, Duration::ZERO);
+    next.inherit(1, support::job(1, support::whole_workers(2)), Some(saved));
+    assert_eq!(n_unfinished(&next), 1);
+}
+
+/// Guards against a second successor that starts done work again: the first one had learned of the end from
+/// its predecessor, and could not save it either.
+#[test]
+fn an_unsaved_end_is_told_on_to_the_next_successor() {
+    let earlier = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Done);
+    let mut first = successor();
+    hand_over(&earlier, &mut first);
+    first.advance(100);
+    let mut second = successor();
+    hand_over(&first, &mut second);
+    assert_eq!(n_unfinished(&second), 2);
+}
+
+/// Guards against an end that is told, and forgotten because its teller is not the last former scheduler.
+#[test]
+fn an_end_told_by_an_earlier_scheduler_counts_but_not_that_its_worker_is_clear() {
+    let earlier = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Done);
+    let mut successor = successor();
+    let report = earlier.core.tenure_report(earlier.now);
+    successor.core.merge_earlier_report(report, successor.now);
+    assert_eq!(n_unfinished(&successor), 2);
+    assert!(started_jobs(&mut successor).is_empty());
+    assert!(!successor.core.is_settled(successor.now));
+}
+
+/// Guards against a failure that counts twice or not at all: it is told, and the worker lists it later.
+#[test]
+fn a_told_failure_counts_once() {
+    let earlier = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Failed);
+    let mut successor = successor();
+    hand_over(&earlier, &mut successor);
+    let batch = successor.take_save_batch().expect("a row that shows the failure");
+    let rows = batch.rows.iter().filter_map(|it| match &it.content {
+        saving::SaveContent::Progress(row) => Some(row),
+        _ => None,
+    });
+    let failures = rows.flat_map(|it| &it.steps).flat_map(|it| &it.failures).collect::<Vec<_>>();
+    let told = model::TaskFailures { task: 1, attempts: vec![1] };
+    assert_eq!(failures, [&told]);
+    successor.core.batch_saved(batch);
+    let listed = order::ListedEnd {
+        number: 1,
+        task: task_key::TaskKey { graph: 1, occurrence: 0, step: 0, task: 1 },
+        attempt: 1,
+        how: order::EndKind::Failed,
+        checkpoint: None,
+    };
+    successor.answer_poll(1, &[], &[listed]);
+    let poll = successor.core.next_poll(&support::worker_id(1), successor.now);
+    assert_eq!(poll.map(|it| it.last_seen), Some(1));
+    assert!(!successor.core.has_job(1, true), "the job has ended");
+}
+
+/// Guards against work that starts again because an earlier release reports a silent worker without its ends:
+/// the worker's lease has to be waited for.
+#[test]
+fn a_worker_whose_ends_are_not_told_counts_as_not_reported() {
+    let earlier = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Done);
+    let mut successor = successor();
+    let mut report = earlier.core.tenure_report(earlier.now);
+    for it in &mut report.silent {
+        it.are_ends_told = false;
+        it.ends.clear();
+    }
+    successor.core.merge_last_report(report, successor.now);
+    assert!(started_jobs(&mut successor).is_empty());
+    assert!(!successor.core.is_settled(successor.now));
+}
+
+/// Guards against ends that are left out of a report for its size without a word.
+#[test]
+fn a_worker_with_too_many_unsaved_ends_is_not_reported_as_known() {
+    let mut earlier = support::PoolBench::new(1);
+    earlier.admit(1, support::job(1, support::tasks(1_200)));
+    let task = |task| task_key::TaskKey { graph: 1, occurrence: 0, step: 0, task };
+    let ends = (0..1_200).map(|it| order::ListedEnd {
+        number: u64::from(it) + 1,
+        task: task(it),
+        attempt: 1,
+        how: order::EndKind::Done,
+        checkpoint: None,
+    });
+    earlier.answer_poll(0, &[], &ends.collect::<Vec<_>>());
+    earlier.core.poll_missed(&support::worker_id(0));
+    let silent = earlier.core.tenure_report(earlier.now).silent;
+    assert_eq!(silent.iter().map(|it| it.are_ends_told).collect::<Vec<_>>(), [false]);
+    assert!(silent[0].ends.len() < 1_200);
+}
+
+/// Guards against done work that starts again: a silence note told that all starts on a worker were saved,
+/// while an end that it had listed was not.
+#[test]
+fn no_silence_note_is_written_beside_an_unsaved_end() {
+    let mut bench = scheduler_with_unsaved_ends(support::whole_workers(2), order::EndKind::Done);
+    refuse_progress_rows(&mut bench);
+    bench.advance(1_000);
+    assert!(refuse_progress_rows(&mut bench).iter().all(|it| !it.on_record));
+}
+
+/// Guards against done work that starts again: a leaving worker was taken off the roster while the store
+/// refused the row that shows its end, and no successor asked it.
+#[test]
+fn a_leaving_worker_with_an_unsaved_end_stays_in_the_roster() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::whole_workers(2)));
+    let starts = bench.run_round_and_start();
+    let start = starts.iter().find(|it| it.worker == support::worker_id(1)).expect("a start");
+    let leaving = worker::WorkerEntry {
+        leaves_in: Some(Duration::from_secs(10)),
+        ..support::worker_entry(1)
+    };
+    bench.core.update_worker(support::worker_id(1), leaving, bench.now);
+    bench.answer_poll(1, &[], &[support::listed_end(1, start, order::EndKind::Done)]);
+    assert_eq!(refuse_progress_rows(&mut bench), []);
+    bench.advance(11_000);
+    let retried = bench.take_save_batch().expect("the refused row");
+    bench.core.batch_saved(retried);
+    let left = refuse_progress_rows(&mut bench);
+    assert_eq!(left.iter().map(|it| &it.worker).collect::<Vec<_>>(), [&support::worker_id(0)]);
+}
+
+/// The store refuses all progress rows that are due, and accepts the pages of the roster. Returns the entries
+/// of these.
+fn refuse_progress_rows(bench: &mut support::PoolBench) -> Vec<model::RosterEntry> {
+    let mut entries = Vec::new();
+    for row in bench.take_save_batch().map(|it| it.rows).unwrap_or_default() {
+        if matches!(row.key, save_queue::SaveRowKey::Progress { .. }) {
+            bench.core.row_refused(row.key, bench.now);
+            continue;
+        }
+        if let saving::SaveContent::Roster(page) = &row.content {
+            entries.extend(page.workers.clone());
+        }
+        bench.core.batch_saved(saving::SaveBatch { rows: vec![row] });
+    }
+    entries
+}
--- a/crates/pool/src/predecessor.rs
+++ b/crates/pool/src/predecessor.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_graph::{lease_clock, timing};
+use almondpass_graph::{lease_clock, tenure_report, timing};
 use almondpass_peer::link::PeerLink;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_schema::model;
@@ -59,13 +59,16 @@
             let now = state.adapters.clock().now();
             let stopped_at = now.saturating_sub(Duration::from_millis(over_for_ms));
             record_end(&state, &leader, former, stopped_at);
-            let mut core = leader.core();
-            answer.unsaved.into_iter().for_each(|it| core.merge_suspicions(it, now));
+            let report =
+                tenure_report::TenureReport { suspicions: answer.unsaved, silent: answer.silent };
             // The report covers all tenures up to that of the holder that gives it, but none after it.
             if former.epoch + 1 == leader.epoch {
-                core.merge_silent_workers(answer.silent, now);
+                leader.core().merge_last_report(report, now);
+            } else {
+                leader.core().merge_earlier_report(report, now);
             }
             leader.round_due.notify_one();
+            leader.save_due.notify_one();
         }
         time::sleep(QUERY_INTERVAL).await;
     }
@@ -110,8 +113,9 @@
     let over_for = |since, legacy: tenure_legacy::TenureLegacy| {
         let now = clock.now();
         let over_for = now.saturating_sub(since).as_millis() as u64;
-        let silent = legacy.silent_workers(query.epoch, now);
-        model::TenureAnswer { over_for_ms: Some(over_for), unsaved: legacy.unsaved, silent }
+        let tenure_report::TenureReport { suspicions, silent } =
+            legacy.into_report(query.epoch, now);
+        model::TenureAnswer { over_for_ms: Some(over_for), unsaved: suspicions, silent }
     };
     let no_legacy = tenure_legacy::TenureLegacy::default;
     if query.holder != state.settings.instance {
--- a/crates/pool/tests/pool/unsaved_ends.rs
+++ b/crates/pool/tests/pool/unsaved_ends.rs
@@ -32,6 +32,102 @@
     }
 }
 
+/// The instance that holds the tenure once another than `former` does.
+async fn await_successor(bench: &support::PoolBench, former: usize) -> usize {
+    loop {
+        if let Some(holder) = bench.latest_holder().filter(|it| *it != former) {
+            return holder;
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A pool of four workers on which job 1 runs two tasks for 4 s. Both end done while their holder is cut off
+/// from the store, and then the worker of the first one is cut off from all instances.
+struct CutOffEnd {
+    bench: support::PoolBench,
+    holder: usize,
+    worker: ids::WorkerId,
+}
+
+impl CutOffEnd {
+    async fn start(n_instances: usize) -> CutOffEnd {
+        let bench = support::PoolBench::start(n_instances, 4).await;
+        bench.start_heartbeats();
+        bench.submit(0, 1, job_of_whole_workers(2, "ms=4000")).await;
+        await_runs(&bench, 2).await;
+        let worker = worker_of(&bench, 0);
+        time::sleep(Duration::from_millis(3_500)).await;
+        let holder = bench.holder();
+        bench.instances[holder].store_faults.set(fault::Condition::Dropping);
+        time::sleep(Duration::from_millis(800)).await;
+        bench.fleet.faults(&worker).set(fault::Condition::Dropping);
+        assert_eq!(bench.fleet.n_running(), 0);
+        CutOffEnd { bench, holder, worker }
+    }
+
+    /// Checks that job 1 is completed by `index` within `limit`, without a further run.
+    async fn assert_completed(&self, index: usize, limit: Duration) {
+        self.bench.await_state(index, 1, model::GraphState::Completed, limit).await;
+        time::sleep(Duration::from_secs(10)).await;
+        self.bench.assert_nothing_ran_twice();
+        assert_eq!(self.bench.fleet.records().len(), 2);
+    }
+}
+
+/// Guards against done work that starts again on the strength of a former holder's report: nothing runs on the
+/// silent worker, but it alone has the end that the store lacks, and lists it when it is reached again.
+#[test]
+fn an_end_that_a_former_holder_could_not_save_is_not_run_again() {
+    support::run(async {
+        let case = CutOffEnd::start(2).await;
+        let successor = await_successor(&case.bench, case.holder).await;
+        time::sleep(Duration::from_millis(1_500)).await;
+        case.bench.fleet.faults(&case.worker).set(fault::Condition::Up);
+        case.assert_completed(successor, Duration::from_secs(2)).await;
+    });
+}
+
+/// Guards against a job that waits for the lease of a silent worker, although the former holder knows that its
+/// task is done.
+#[test]
+fn an_end_that_a_former_holder_reports_completes_its_job() {
+    support::run(async {
+        let case = CutOffEnd::start(2).await;
+        let successor = await_successor(&case.bench, case.holder).await;
+        case.assert_completed(successor, Duration::from_secs(1)).await;
+    });
+}
+
+/// Guards against done work that starts again after two takeovers: the first successor learns of the end from
+/// the former holder, can't save it, and is followed by another.
+#[test]
+fn an_end_that_two_holders_could_not_save_is_not_run_again() {
+    support::run(async {
+        let mut case = CutOffEnd::start(3).await;
+        let former = case.bench.instances[case.holder].address.clone();
+        let addresses = case.bench.instances.iter().map(|it| it.address.clone());
+        let addresses = addresses.collect::<Vec<_>>();
+        case.bench.cut_from_peers(case.holder, addresses.iter().map(String::as_str));
+        let first = await_successor(&case.bench, case.holder).await;
+        case.bench.instances[first].store_faults.set(fault::Condition::Dropping);
+        let others = addresses.iter().map(String::as_str).filter(|it| *it != former);
+        let others = others.collect::<Vec<_>>();
+        case.bench.net.partition(&[&former], &others, fault::Condition::Up);
+        time::sleep(Duration::from_secs(1)).await;
+        let second = await_second_successor(&mut case, first).await;
+        case.assert_completed(second, Duration::from_secs(3)).await;
+    });
+}
+
+/// Kills the holder before the first successor, and waits until another instance follows that.
+async fn await_second_successor(case: &mut CutOffEnd, first: usize) -> usize {
+    let first = case.bench.instances[first].address.clone();
+    case.bench.kill(case.holder).await;
+    let first = case.bench.instances.iter().position(|it| it.address == first);
+    await_successor(&case.bench, first.expect("the first successor")).await
+}
+
 /// Guards against done work that starts again: a job fails while its holder is cut off from the store, the
 /// ends of its other tasks are acknowledged unsaved, the worker that has listed the failure is lost, and a
 /// successor finds neither the failure nor the done ends.
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -564,6 +564,77 @@
     ///Milliseconds from this write until all that it may have ordered has ended on workers that do not answer.
     pub settles_in_ms: u64,
 }
+///How an attempt of a task ended.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum EndKind {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "stopped")]
+    Stopped,
+    #[serde(rename = "lapsed")]
+    Lapsed,
+    #[serde(rename = "broken")]
+    Broken,
+    #[serde(rename = "alone")]
+    Alone,
+}
+impl ::std::fmt::Display for EndKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Done => f.write_str("done"),
+            Self::Failed => f.write_str("failed"),
+            Self::Stopped => f.write_str("stopped"),
+            Self::Lapsed => f.write_str("lapsed"),
+            Self::Broken => f.write_str("broken"),
+            Self::Alone => f.write_str("alone"),
+        }
+    }
+}
+impl ::std::str::FromStr for EndKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "done" => Ok(Self::Done),
+            "failed" => Ok(Self::Failed),
+            "stopped" => Ok(Self::Stopped),
+            "lapsed" => Ok(Self::Lapsed),
+            "broken" => Ok(Self::Broken),
+            "alone" => Ok(Self::Alone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for EndKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for EndKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///The data centres in which nothing may start, as of one version of the store.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EvacuationView {
@@ -2271,10 +2342,16 @@
 ///A worker that did not answer the holder of a tenure.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SilentWorker {
+    ///Whether each end that the worker has listed is in the store or among the ends told here; an earlier release does not tell them.
+    #[serde(default)]
+    pub are_ends_told: bool,
     ///Whether each start that may run there is in the store or among what is told as unsaved.
     pub are_starts_known: bool,
     ///Time after which nothing runs there that was started up to the end of the tenure.
     pub clear_in_ms: u64,
+    ///Ends that the worker has listed and that are not in the store.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub ends: ::std::vec::Vec<UnsavedEnd>,
     ///The worker.
     pub worker: crate::ids::WorkerId,
 }
@@ -2747,6 +2824,25 @@
     ///PEM key, not readable by others.
     pub key_file: ::std::string::String,
 }
+///An end of a task that a worker has listed and that is not in the store.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct UnsavedEnd {
+    ///The attempt that ended.
+    pub attempt: u32,
+    ///Newest checkpoint; absent for none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub checkpoint: ::std::option::Option<crate::ids::CheckpointId>,
+    ///The job.
+    pub graph: crate::ids::GraphId,
+    ///How it ended.
+    pub how: EndKind,
+    ///Number of the scheduled run.
+    pub occurrence: u32,
+    ///Index of the step within the run.
+    pub step: u32,
+    ///Index of the task.
+    pub task: u32,
+}
 ///What was held against tasks of a job, or of a chunk of its tasks, and was not saved.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct UnsavedSuspicions {
