Save the start of a suspect only once it has a place

Callers saw an accepted job as failed (crashes-workers) after one crash of a worker and three takeovers. The start of a task under suspicion was saved in the first round in which the task waited, before it was known whether there was room. Each successor counts a saved start that no worker lists as the loss of a worker, with a probability of 0.2 of being none, so that three takeovers during the wait gave the job up.

The start is now saved when the unit has a place in the round. The place stays taken in that round's candidates, and the start is sent in the first round in which the save is durable. If the unit has no place in a later round, the saved start is withdrawn by another write, so a waiting suspect costs a write when it gets or loses a place, and none in other rounds. Time in which a save is pending does not count as waiting for an empty worker; otherwise suspects would run next to other tasks after an outage of the store.

What remains: a holder that ends between a durable save and the send, or before a withdrawal is durable, still leaves a start that counts; and a holder that is cut off from the store still tells its successor of a start that it has planned and not sent.

--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -79,7 +79,7 @@
             if !self.start_window.admits(1) {
                 break;
             }
-            if !self.ensure_start_saved(unit, now) {
+            if !self.is_evidence_complete(unit, now) {
                 continue;
             }
             self.start_isolation_wait(unit, now);
@@ -93,6 +93,7 @@
                         }
                         continue;
                     }
+                    StartOutcome::AwaitsSave => continue,
                     // The units behind this one may not overtake it, or a large gang would never start.
                     StartOutcome::TooManyInTransit => break,
                     StartOutcome::NoCapacity | StartOutcome::Covered => {}
@@ -109,6 +110,7 @@
                     }
                 }
             }
+            self.withdraw_planned_start(unit, now);
             self.note_unplaced(unit, now);
             // Preemption for an urgent unit comes before less urgent units are tried. They would otherwise
             // start on the capacity about to be freed, and be stopped again at once.
@@ -267,6 +269,10 @@
         if !self.start_window.admits(places.workers.len()) {
             return StartOutcome::TooManyInTransit;
         }
+        // The place stays taken among the candidates of this round until the start may be sent.
+        if !self.ensure_start_saved(unit, now) {
+            return StartOutcome::AwaitsSave;
+        }
         self.start_unit(unit, places, now);
         StartOutcome::Started
     }
@@ -318,6 +324,7 @@
         let Some(task) = step.tasks.get_mut(key.task as usize) else { return };
         task.attempt = attempt;
         task.last_start = Some(Box::new(job::TaskStart { worker: worker.clone(), attempt }));
+        task.planned_start = None;
         task.run = Some(job::TaskRun {
             worker: worker.clone(),
             attempt,
@@ -385,6 +392,8 @@
 enum StartOutcome {
     /// The unit started, or has nothing to start.
     Started,
+    /// The unit has a place, and starts once its start is saved.
+    AwaitsSave,
     /// The unit does not fit on the candidates.
     NoCapacity,
     /// The unit fits, but more starts are in transit than are answered in time.
--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -2,8 +2,9 @@
 //!
 //! A task that crashes its worker takes all other tasks there with it, so these appear to crash workers
 //! as well. Also, if the scheduler failed while that worker is down, no trace of the loss would remain,
-//! and its successor would count from zero. So the start is saved first, and the successor counts it as
-//! a loss unless a worker lists its end.
+//! and its successor would count from zero. So the start is saved before it is sent, and the successor
+//! counts it as a loss unless a worker lists its end. It is saved only once the unit has a place, and
+//! withdrawn if the place is gone before it was sent: a start that waits is no evidence.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -73,9 +74,9 @@
 }
 
 impl core::PoolCore {
-    /// Saves the next start of a unit if one of its tasks needs isolation, and first records losses
-    /// for starts that an earlier scheduler had saved. Returns whether the unit may be started.
-    pub(crate) fn ensure_start_saved(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
+    /// Whether the evidence of earlier losses of a unit is complete, so that it may be started. Records
+    /// losses for starts that an earlier scheduler had saved.
+    pub(crate) fn is_evidence_complete(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
         // Fast path: nearly all of the many waiting units have no recorded loss.
         let has_losses = |it: &job::TaskRecord| {
             it.suspicion.needs_isolation() || it.suspicion.inherited_attempt.is_some()
@@ -87,19 +88,40 @@
             return false;
         }
         let tasks = self.unit_tasks(unit);
-        if self.record_inherited_losses(&tasks, now) {
-            return false;
+        !self.record_inherited_losses(&tasks, now)
+    }
+
+    /// Saves the start of a unit that has a place now, if one of its tasks needs isolation. Returns
+    /// whether the start may be sent.
+    pub(crate) fn ensure_start_saved(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
+        if !self.unit_needs_isolation(unit) {
+            return true;
         }
         let Some(attempt) = self.next_attempt(unit) else { return false };
+        let mut tasks = self.unit_tasks(unit);
+        tasks.retain(|it| self.needs_isolation(*it));
         let mut is_durable = true;
-        for key in tasks.into_iter().filter(|it| self.needs_isolation(*it)).collect::<Vec<_>>() {
+        for key in tasks {
             // A task that is no suspect does not wait for its start to be saved: work that lost its
             // workers twice by chance would stay idle while the store is unavailable.
-            is_durable &= self.save_start(key, attempt) || !self.is_suspect(key);
+            is_durable &= self.save_start(key, attempt, now) || !self.is_suspect(key);
         }
         is_durable
     }
 
+    /// Withdraws the saved start of a unit that has lost its place before the start was sent: a
+    /// successor would count it as the loss of a worker.
+    pub(crate) fn withdraw_planned_start(&mut self, unit: task_key::UnitKey, now: Duration) {
+        if self.task_records(unit).iter().all(|it| it.planned_start.is_none()) {
+            return;
+        }
+        for key in self.unit_tasks(unit) {
+            if self.task_record_mut(key).is_some_and(|it| it.withdraw_planned_start(now)) {
+                self.mark_task_changed(key);
+            }
+        }
+    }
+
     /// Records when a unit first could run isolated, with only free capacity missing.
     pub(crate) fn start_isolation_wait(&mut self, unit: task_key::UnitKey, now: Duration) {
         if !self.unit_needs_isolation(unit) {
@@ -115,13 +137,14 @@
     }
 
     /// How long a task has waited for an empty worker. Time in which nothing could start, as before a
-    /// takeover has settled, does not count: else suspects would run next to other tasks right after an
-    /// outage, when a loss is the least evidence.
+    /// takeover has settled or while its start is being saved, does not count: else suspects would run
+    /// next to other tasks right after an outage, when a loss is the least evidence.
     pub(crate) fn isolation_wait(&self, task: &job::TaskRecord, now: Duration) -> Duration {
         if task.isolatable_since < task.waiting_since {
             return Duration::ZERO;
         }
-        now.saturating_sub(task.isolatable_since.max(self.uninterrupted_since))
+        let until = task.planned_start.map_or(now, |it| it.planned_at);
+        until.saturating_sub(task.isolatable_since.max(self.uninterrupted_since))
     }
 
     /// Whether a task of a unit is held back until better evidence of the loss of its worker is due.
@@ -132,8 +155,8 @@
     /// Whether a unit can't start because its start is not saved yet.
     pub(crate) fn awaits_saved_start(&self, unit: task_key::UnitKey) -> bool {
         self.task_records(unit).iter().any(|it| {
-            let is_durable = it.start_change.is_some_and(|mark| self.unsaved.is_durable(mark));
-            it.suspicion.inherited_attempt.is_some() || (it.suspicion.is_suspect() && !is_durable)
+            let is_unsaved = it.planned_start.is_some_and(|it| !self.unsaved.is_durable(it.change));
+            it.suspicion.inherited_attempt.is_some() || is_unsaved
         })
     }
 
@@ -211,18 +234,21 @@
         }
     }
 
-    /// Saves a start, and returns whether it is durable.
-    fn save_start(&mut self, key: task_key::TaskKey, attempt: u32) -> bool {
+    /// Saves a start that has a place, and returns whether it is durable.
+    fn save_start(&mut self, key: task_key::TaskKey, attempt: u32, now: Duration) -> bool {
         let Some(task) = self.task_record_mut(key) else { return false };
-        if task.suspicion.saved_attempt != Some(attempt) {
-            task.suspicion.saved_attempt = Some(attempt);
-            let mark = self.mark_task_changed(key);
-            if let Some(task) = self.task_record_mut(key) {
-                task.start_change = mark;
-            }
+        if let Some(planned) = task.planned_start
+            && task.suspicion.saved_attempt == Some(attempt)
+        {
+            return self.unsaved.is_durable(planned.change);
+        }
+        task.suspicion.saved_attempt = Some(attempt);
+        let change = self.mark_task_changed(key);
+        if let Some(task) = self.task_record_mut(key) {
+            let plan = |change| job::PlannedStart { change, planned_at: now };
+            task.planned_start = change.map(plan);
         }
-        let mark = self.task_record_mut(key).and_then(|it| it.start_change);
-        mark.is_some_and(|it| self.unsaved.is_durable(it))
+        false
     }
 
     /// Holds a strong suspect back after the loss of a worker that may be alive, as better evidence is
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -107,8 +107,17 @@
     /// When the task last became ready for an isolated run, with nothing missing but free
     /// resources. Earlier than `waiting_since` if it has not become ready during the current wait.
     pub isolatable_since: Duration,
-    /// The row change that saves the next start of the task.
-    pub start_change: Option<save_queue::RowChange>,
+    /// The next start of the task, while it has a place and waits until it is saved.
+    pub planned_start: Option<PlannedStart>,
+}
+
+/// A start that has a place and is sent once it is saved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedStart {
+    /// The row change that saves the start.
+    pub change: save_queue::RowChange,
+    /// When the start was planned.
+    pub planned_at: Duration,
 }
 
 /// The attempts that failed. Each attempt counts once, although a worker may list its end to two
@@ -361,6 +370,17 @@
     }
 }
 
+impl TaskRecord {
+    /// Drops a start that was planned and not sent. Returns whether there was one, so that its row
+    /// has to be written again.
+    pub fn withdraw_planned_start(&mut self, now: Duration) -> bool {
+        let Some(planned) = self.planned_start.take() else { return false };
+        self.suspicion.saved_attempt = None;
+        self.isolatable_since += now.saturating_sub(planned.planned_at);
+        true
+    }
+}
+
 impl StepRecord {
     /// A step none of whose tasks has started; they wait from `now` on.
     pub fn new(spec: model::GraphStep, now: Duration) -> StepRecord {
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -264,6 +264,7 @@
         let resources = step.task_resources();
         let Some(task) = step.tasks.get_mut(listed.task.task as usize) else { return };
         task.attempt = task.attempt.max(listed.attempt);
+        let is_start_withdrawn = task.withdraw_planned_start(now);
         if listed.checkpoint.is_some() {
             task.checkpoint = listed.checkpoint;
         }
@@ -299,6 +300,9 @@
                 record.isolated_runs.insert(listed.task);
             }
         }
+        if is_start_withdrawn {
+            self.mark_task_changed(listed.task);
+        }
     }
 
     fn stop_unwanted_run(&mut self, worker: &ids::WorkerId, run: &order::ListedRun, now: Duration) {
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::{order, task_key, worker};
+use almondpass_graph::{order, resources, task_key, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -421,3 +421,95 @@
     next.answer_poll(index, &[], &[end]);
     assert_eq!(n_losses(&mut next), 1);
 }
+
+/// Four workers, each with a task of job 1 that takes all of it; the first worker is then replaced by a
+/// smaller one, so that its task is a suspect without a place.
+fn bench_with_waiting_suspect() -> (support::PoolBench, Vec<order::StartOrder>) {
+    let mut bench = support::PoolBench::new(4);
+    bench.admit(1, support::job(1, support::whole_workers(4)));
+    let mut starts = bench.run_round_and_start();
+    assert_eq!(starts.len(), 4);
+    bench.advance(1_000);
+    let lost = support::index_of(&starts[0].worker);
+    replace_worker(&mut bench, lost);
+    shrink_worker(&mut bench, lost);
+    starts.remove(0);
+    (bench, starts)
+}
+
+/// A worker has half of its accelerators from now on.
+fn shrink_worker(bench: &mut support::PoolBench, index: usize) {
+    let capacity = resources::Resources { accelerators: 4, ..support::CAPACITY };
+    let entry = worker::WorkerEntry { capacity, ..support::worker_entry(index) };
+    bench.core.update_worker(support::worker_id(index), entry, bench.now);
+}
+
+/// The successor of a scheduler whose four workers run `starts`; its first worker to be lost is small.
+fn successor_of(bench: &support::PoolBench, starts: &[order::StartOrder]) -> support::PoolBench {
+    let mut next = support::PoolBench::with_unanswered_workers(4, Duration::from_secs(2_000));
+    let row = support::job(1, support::whole_workers(4));
+    next.saved = bench.saved.clone();
+    next.inherit(1, row, next.saved.get(&1).cloned());
+    for index in 0..4 {
+        let here = starts.iter().filter(|it| support::index_of(&it.worker) == index);
+        let running = here.map(|it| support::listed_run(it, 1)).collect::<Vec<_>>();
+        if running.is_empty() {
+            shrink_worker(&mut next, index);
+        }
+        next.answer_poll(index, &running, &[]);
+    }
+    next
+}
+
+/// Number of losses on record, and of saved starts, in the rows of job 1.
+fn n_saved(bench: &support::PoolBench) -> (usize, usize) {
+    let chunks = bench.saved.get(&1).map(|it| format!("{it:?}")).unwrap_or_default();
+    let n_losses = chunks.matches("odds_ppm").count();
+    let n_starts = chunks.matches("trials: [TaskAttempt").count();
+    (n_losses, n_starts)
+}
+
+/// Failure: the start of a suspect that waited for room was saved although it was never sent, and each
+/// successor counted it as another loss, until the job was given up.
+#[test]
+fn a_suspect_that_waits_through_takeovers_is_not_given_up() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    for _ in 0..4 {
+        assert!(run_rounds_with_save(&mut bench).is_empty());
+        bench.save();
+        assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
+        assert_eq!(n_suspects(&bench), 1);
+        bench = successor_of(&bench, &starts);
+    }
+}
+
+/// Failure: the place of a suspect was taken before its saved start was sent, and the start stayed in the
+/// store, where a successor counted it as a loss.
+#[test]
+fn a_saved_start_is_withdrawn_when_its_place_is_taken() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    let ended = support::index_of(&starts[0].worker);
+    bench.answer_poll(ended, &[], &[support::listed_end(1, &starts[0], order::EndKind::Done)]);
+    assert!(bench.run_round_and_start().is_empty());
+    bench.save();
+    assert_eq!(n_saved(&bench), (1, 1));
+    bench.admit(2, support::job(0, support::whole_workers(1)));
+    let urgent = bench.run_round_and_start();
+    assert_eq!(urgent.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [2]);
+    bench.save();
+    assert_eq!(n_saved(&bench), (1, 0));
+}
+
+/// Failure: a suspect without a place was written to the store in each round in which it waited.
+#[test]
+fn a_waiting_suspect_is_not_written_in_each_round() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    run_rounds_with_save(&mut bench);
+    bench.save();
+    for _ in 0..20 {
+        answer_with_runs(&mut bench, &starts, 4);
+        bench.run_round();
+        let batch = bench.take_save_batch();
+        assert!(batch.is_none(), "{batch:?}");
+    }
+}
--- a/crates/pool/tests/pool/crashes.rs
+++ b/crates/pool/tests/pool/crashes.rs
@@ -96,3 +96,34 @@
         assert_eq!(n_starts(&bench, 1), 3);
     });
 }
+
+/// Guards against a job that is given up after a single crash of a worker: its task waits for room, and each
+/// successor of a killed holder counted the start of the waiting task as a further loss.
+#[test]
+fn a_task_that_waits_for_room_through_takeovers_is_not_given_up() {
+    support::run(async {
+        let mut bench = support::PoolBench::start(3, 24).await;
+        bench.start_heartbeats();
+        let mut row = support::job(24, 40_000);
+        row.graph.steps[0].accelerators = 8;
+        (row.class, row.priority) = ("urgent".to_owned(), 0);
+        bench.submit(0, 1, row).await;
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(bench.fleet.n_running(), 24);
+        // The replacement is too small for the task.
+        bench.set_accelerators(&support::worker_id(0), 4);
+        bench.crash_worker(0, support::RestartMode::SameAddress, Duration::from_secs(1));
+        time::sleep(Duration::from_secs(4)).await;
+        for _ in 0..3 {
+            let holder = bench.holder();
+            let address = bench.kill(holder).await;
+            time::sleep(Duration::from_secs(1)).await;
+            bench.start_instance(&address);
+            time::sleep(Duration::from_secs(5)).await;
+        }
+        assert_eq!(bench.failure(0, 1).await, None);
+        assert_eq!(n_starts(&bench, 1), 1);
+        bench.await_state(0, 1, model::GraphState::Completed, Duration::from_secs(90)).await;
+        bench.assert_nothing_ran_twice();
+    });
+}
