Don't report planned starts that were never sent

Callers see an accepted job as failed (crashes-workers) after takeovers: a holder that is cut off from the store plans the start of a suspect, can't save it, and so never sends it; its report told the start to the successor, which counted it as the loss of a worker.

Change: the report leaves out starts that were planned and not sent. It ends the tenure, so that they never will be. Evidence: the new test counts one reported start on the code before, none now; graph tests suspicions, silence reports, restarts, end records, rosters, failures, stuck states and waits: 104 passed.

--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -99,9 +99,17 @@
     chunk: u32,
 ) -> Option<model::UnsavedSuspicions> {
     let row = progress::chunk_row(job, chunk)?;
-    let steps = row.steps.into_iter();
-    let steps = steps.map(|it| model::StepSuspicions { losses: it.losses, trials: it.trials });
+    let steps = job.steps.iter().skip(row.first_step as usize).zip(row.steps);
+    let steps = steps.map(|(step, it)| model::StepSuspicions {
+        losses: it.losses,
+        trials: it.trials.into_iter().filter(|it| !is_planned(step, it.task)).collect(),
+    });
     let steps = steps.collect::<Vec<_>>();
     let has_any = steps.iter().any(|it| !it.losses.is_empty() || !it.trials.is_empty());
     has_any.then_some(model::UnsavedSuspicions { graph, first_step: row.first_step, steps })
 }
+
+/// Whether the start of a task was planned and not sent. It never will be, as a report ends the tenure.
+fn is_planned(step: &job::StepRecord, task: u32) -> bool {
+    step.tasks.get(task as usize).is_some_and(|it| it.planned_start.is_some())
+}
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -513,3 +513,17 @@
         assert!(batch.is_none(), "{batch:?}");
     }
 }
+
+/// Failure: a scheduler that could not save the start of a suspect, and so never sent it, reported it to its
+/// successor, which counted it as a loss.
+#[test]
+fn a_start_that_was_planned_and_not_sent_is_not_reported() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    bench.save();
+    let ended = support::index_of(&starts[0].worker);
+    bench.answer_poll(ended, &[], &[support::listed_end(1, &starts[0], order::EndKind::Done)]);
+    assert!(bench.run_round_and_start().is_empty());
+    let report = bench.core.tenure_report(bench.now);
+    let told = report.suspicions.iter().flat_map(|it| &it.steps);
+    assert_eq!(told.flat_map(|it| &it.trials).count(), 0);
+}
