Log and count ends of jobs that the scheduler does not know

An end of an unknown job is acknowledged at once and left no line: 'task ended' is written for known jobs only, so that no log could show whether this had happened to an accepted job. Such an end is logged with its worker and counted (almondpass_pool_ends_of_unknown_jobs_total). Retention uses JobRecord::is_end_durable in place of its own copy. No decision changes.

--- a/crates/graph/src/retention.rs
+++ b/crates/graph/src/retention.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use almondpass_schema::{ids, model};
+use almondpass_schema::ids;
 
 use crate::core;
 use crate::job;
@@ -49,8 +49,6 @@
 
 /// Whether the end of the job is durable and none of its tasks is on a worker any more.
 fn has_durable_end_and_no_runs(job: &job::JobRecord) -> bool {
-    let is_durable =
-        !matches!(job.durable_state, model::GraphState::Pending | model::GraphState::Running);
     let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
-    is_durable && tasks.all(|it| it.run.is_none())
+    job.is_end_durable() && tasks.all(|it| it.run.is_none())
 }
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -35,6 +35,8 @@
 pub struct EndCounts {
     /// Successful ends of tasks that had another run, tracked or started last by this scheduler.
     pub n_done_beside_others: u64,
+    /// Ends of jobs that the scheduler does not know.
+    pub n_of_unknown_jobs: u64,
 }
 
 impl core::PoolCore {
@@ -48,6 +50,9 @@
         now: Duration,
     ) -> Option<save_queue::RowChange> {
         let key = end.task;
+        if !self.jobs.contains_key(&key.graph) {
+            self.report_unknown_job(worker, end, source);
+        }
         let job = self.jobs.get_mut(&key.graph)?;
         let class = job.class.clone();
         let task = job.task_mut(key)?;
@@ -137,6 +142,26 @@
         self.end_counts.n_done_beside_others += 1;
     }
 
+    /// Logs and counts an end of a job that is not known: one that was forgotten after its end, or whose
+    /// row could not be read.
+    fn report_unknown_job(
+        &mut self,
+        worker: &ids::WorkerId,
+        end: &order::ListedEnd,
+        source: EndSource,
+    ) {
+        tracing::warn!(
+            job = format_args!("{:016x}", end.task.graph),
+            task = %end.task,
+            attempt = end.attempt,
+            worker,
+            how = ?end.how,
+            source = source.name(),
+            "task of an unknown job ended"
+        );
+        self.end_counts.n_of_unknown_jobs += 1;
+    }
+
     /// Returns the counts since the last call.
     pub fn take_end_counts(&mut self) -> EndCounts {
         std::mem::take(&mut self.end_counts)
--- a/crates/graph/tests/pool/end_records.rs
+++ b/crates/graph/tests/pool/end_records.rs
@@ -79,6 +79,17 @@
     assert_eq!(bench.core.take_end_counts().n_done_beside_others, 1);
 }
 
+/// Guards against ends of unknown jobs that pass without a trace, as their tasks may run again.
+#[test]
+fn an_end_of_an_unknown_job_is_counted() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.run_round_and_start().remove(0);
+    bench.core.forget_job(1);
+    list_end(&mut bench, &start, 1, order::EndKind::Done);
+    assert_eq!(bench.core.take_end_counts().n_of_unknown_jobs, 1);
+}
+
 /// Guards against done work that starts again: the job had failed in memory only, the done end of another
 /// task was acknowledged unsaved, and a successor found neither.
 #[test]
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -117,6 +117,8 @@
 fn record_ends(counts: task_ends::EndCounts) {
     metrics::counter!("almondpass_pool_done_beside_other_runs_total")
         .increment(counts.n_done_beside_others);
+    metrics::counter!("almondpass_pool_ends_of_unknown_jobs_total")
+        .increment(counts.n_of_unknown_jobs);
 }
 
 /// Counts starts of urgent tasks by what was known of the speeds of their workers.
