Bar late writes of a submission before a cancellation is answered absent

Callers saw a job run seconds after its DELETE had been answered 410. The store was silent while the job was submitted; the caller got 504 and cancelled the job. The cancellation found no row, answered Absent and left nothing behind. The store then performed the write of the submission, whose condition (version 0) still held.

The cancellation now writes a cancel marker in place of the missing row, under the condition that there is none: a row that is cancelled, has the account and no steps. The condition of any late write of the submission then fails. Absent is answered only once the store has confirmed the marker; where it does not, the outcome is Unknown, and where the submission was first, the job is cancelled as usual. A GET of the id and a repeated DELETE are answered 410; a later submission is answered Taken (409), which was used for ids of other accounts before. The holder starts and counts nothing for a marker and removes it like the row of an ended job. An id of another account is answered as before, without a write. An older release reads a marker as a cancelled job without steps, so it runs nothing, shows it as cancelled, and answers a submission of the id as accepted.

The cost is a write for each DELETE of an id that the store does not have, and a row until the retention time.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -245,7 +245,7 @@
 
     /// Returns the state of a job that callers may see. An end is visible only once it is saved.
     pub fn state_of(&self, graph: ids::GraphId) -> Option<JobStatus<'_>> {
-        let job = self.jobs.get(&graph)?;
+        let job = self.jobs.get(&graph).filter(|it| !it.is_cancel_marker())?;
         let state = match job.durable_state {
             model::GraphState::Pending | model::GraphState::Running if job.started => {
                 model::GraphState::Running
@@ -335,6 +335,9 @@
     pub(crate) fn finish(&mut self, graph: ids::GraphId, now: Duration) {
         let Some(job) = self.jobs.get_mut(&graph) else { return };
         job.ended_at = Some(now);
+        if job.is_cancel_marker() {
+            return;
+        }
         let took = now.saturating_sub(job.admitted_at);
         tracing::info!(
             job = format_args!("{graph:016x}"),
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -291,6 +291,11 @@
         !matches!(self.durable_state, model::GraphState::Pending | model::GraphState::Running)
     }
 
+    /// Whether this is no job, but marks an id that was cancelled before its job was stored.
+    pub fn is_cancel_marker(&self) -> bool {
+        self.steps_per_run == 0
+    }
+
     /// Whether all steps that `step` depends on are done, within the same run of the schedule.
     pub fn is_ready(&self, step: usize) -> bool {
         let first = step - step % self.steps_per_run.max(1) as usize;
--- a/crates/pool/src/cancel.rs
+++ b/crates/pool/src/cancel.rs
@@ -7,6 +7,7 @@
 use almondpass_schema::{ids, model};
 use tokio::time::{self, Instant};
 
+use crate::cancel_marker;
 use crate::job_query;
 use crate::nudge;
 use crate::relay;
@@ -65,9 +66,12 @@
     account: Option<&str>,
 ) -> Option<model::CancelOutcome> {
     let read = job_query::read_row::<S, model::GraphRow>(state, keys::graph(graph)).await.ok()?;
-    let Some((mut row, version)) = read.filter(|(it, _)| it.account.as_deref() == account) else {
-        return Some(model::CancelOutcome::Absent);
+    let Some((mut row, version)) = read else {
+        return write_marker(state, graph, account).await;
     };
+    if row.account.as_deref() != account || cancel_marker::is_marker(&row) {
+        return Some(model::CancelOutcome::Absent);
+    }
     if row.cancelled {
         // An earlier call has cancelled the job, or a write of this call whose answer was lost.
         nudge::send(state, model::GraphNudge { graph, version, row });
@@ -86,3 +90,23 @@
     nudge::send(state, model::GraphNudge { graph, version, row });
     Some(model::CancelOutcome::Cancelled)
 }
+
+/// Bars the id of a job that is not stored: a write of its submission may still be in progress. Returns
+/// `None` where the marker is not known to be stored.
+async fn write_marker<S: state::PoolAdapters>(
+    state: &Arc<state::PoolState<S>>,
+    graph: ids::GraphId,
+    account: Option<&str>,
+) -> Option<model::CancelOutcome> {
+    let row = cancel_marker::marker_row(account);
+    let transaction = model::TableTransaction {
+        conditions: vec![model::TableCondition { key: keys::graph(graph), version: 0 }],
+        writes: vec![writer::encode_write(keys::graph(graph), &row)],
+    };
+    let outcome = store_call::transact(state, transaction).await;
+    if !matches!(outcome, Ok(model::TableOutcome::Committed { .. })) {
+        return None;
+    }
+    tracing::info!(job = format_args!("{graph:016x}"), account, "id is cancelled before its job");
+    Some(model::CancelOutcome::Absent)
+}
--- a/crates/pool/src/job_query.rs
+++ b/crates/pool/src/job_query.rs
@@ -11,6 +11,7 @@
 use tokio::time::{self, Instant};
 
 use crate::call_times;
+use crate::cancel_marker;
 use crate::leader;
 use crate::nudge;
 use crate::relay;
@@ -174,7 +175,9 @@
         read_row::<S, model::ProgressRow>(state, keys::progress(graph, progress::HEAD_CHUNK)),
     )
     .ok()?;
-    let Some((row, version)) = row.filter(|(it, _)| it.account.as_deref() == account) else {
+    let is_own_job =
+        |it: &model::GraphRow| it.account.as_deref() == account && !cancel_marker::is_marker(it);
+    let Some((row, version)) = row.filter(|(it, _)| is_own_job(it)) else {
         return Some(StoredJob {
             answer: plain_answer(model::LookOutcome::Absent),
             unfinished: None,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod tenure_watch;
 pub mod worker_entry;
 
+mod cancel_marker;
 mod contender;
 mod document_follower;
 mod graph_follower;
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -10,6 +10,7 @@
 use tokio::time::{self, Instant};
 
 use crate::call_times;
+use crate::cancel_marker;
 use crate::nudge;
 use crate::relay;
 use crate::retry_time;
@@ -201,8 +202,9 @@
     if may_be_stored { model::SubmitOutcome::Unknown } else { outcome }
 }
 
-/// Derives the outcome from the row found in place of `wanted`: `Taken` where it belongs to another account.
-/// The tenure holder may not know the row yet, so it is nudged.
+/// Derives the outcome from the row found in place of `wanted`: `Taken` where it belongs to another account,
+/// or where the job was cancelled before it was stored. The tenure holder may not know the row yet, so it is
+/// nudged.
 fn outcome_of_existing<S: state::PoolAdapters>(
     state: &Arc<state::PoolState<S>>,
     graph: ids::GraphId,
@@ -213,7 +215,7 @@
     let stored = found.and_then(|(version, it)| Some((version, codec::decode(it).ok()?)));
     let Some((version, row)) = stored else { return model::SubmitOutcome::Unknown };
     let row: model::GraphRow = row;
-    if row.account != wanted.account {
+    if row.account != wanted.account || cancel_marker::is_marker(&row) {
         return model::SubmitOutcome::Taken;
     }
     nudge::send(state, model::GraphNudge { graph, version, row });
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -2,6 +2,7 @@
 //! checks the whole path of job graphs under faults.
 
 mod accepted_work;
+mod cancels;
 mod crashes;
 mod entries;
 mod evacuations;
