Timed jobs: records only for runs that have begun and are not yet saved as done

Callers saw: jobs that were accepted do not run. 24 accepted timed jobs of 17,280 runs put the holder over its memory (260 MiB); it was killed, and killed again each time it read the jobs (review-timed-jobs). Cause: the scheduler made a record for each task of each run when a job was admitted, so that a job's memory followed from `max-runs` and not from its work. Change: the steps of a run get their records when it is due, and lose them once all their tasks are done, no run of them is tracked and their rows are saved. Other runs follow from the schedule. An end, a run or a loss that another process tells of a run without records begins it first, as the run may not be due by this instance's clock. Of one job no further run begins while 4,000 due tasks are not done, as all its runs may be overdue at once. The numbers of chunks and the rows stay as they were; a row leaves out the steps of runs that have not begun, which the present release reads as steps without progress. No bound on the sum is checked at the acceptance: nothing is refused.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -292,6 +292,8 @@
             summary.n_waiting += tasks().filter(|it| it.run.is_none()).count();
             summary.n_suspects += tasks().filter(|it| it.suspicion.is_suspect()).count();
         }
+        let steps = self.jobs.values().flat_map(|it| &it.steps);
+        summary.n_task_records = steps.map(|it| it.tasks.len()).sum();
         for worker in self.workers.values() {
             summary.n_running += worker.runs.len();
             summary.accelerators_used += worker.used.accelerators;
@@ -473,6 +475,8 @@
     pub n_running: usize,
     /// Tasks suspected of crashing their workers.
     pub n_suspects: usize,
+    /// Tasks with a record in memory, also of jobs that have ended.
+    pub n_task_records: usize,
     /// Known workers, listed or not.
     pub n_workers: usize,
     /// Accelerators in use.
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -27,6 +27,7 @@
     /// Runs periodic maintenance, starts the units that can start, and preempts other work for urgent units.
     pub fn run_round(&mut self, now: Duration) {
         self.note_round(now);
+        self.begin_due_runs();
         self.run_maintenance(now);
         let all = self.startable_accelerators();
         let urgent = self.urgent_accelerators();
@@ -197,7 +198,7 @@
                 account: job.account.clone(),
                 admitted_at: job.admitted_at,
                 standing: self.standing(job, step, now),
-                needs_accelerators: job.steps.iter().any(|it| it.spec.accelerators > 0),
+                needs_accelerators: job.graph_steps.iter().any(|it| it.accelerators > 0),
                 units,
             };
             order.push_contested(key, waiting, self.account_state());
--- a/crates/graph/src/fair_share.rs
+++ b/crates/graph/src/fair_share.rs
@@ -261,8 +261,10 @@
         if waited >= self.slack(job) * OVERDUE_AFTER {
             return unit_order::JobStanding::Overdue;
         }
-        let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
-        if tasks.any(|it| it.done || it.run.is_some()) {
+        let has_begun = |it: &job::StepRecord| {
+            it.is_done() || it.tasks.iter().any(|it| it.done || it.run.is_some())
+        };
+        if job.steps.iter().any(has_begun) {
             return unit_order::JobStanding::Begun;
         }
         unit_order::JobStanding::ByUse
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -233,10 +233,6 @@
 
 fn job_record(admitted: AdmittedJob, now: Duration) -> job::JobRecord {
     let row = admitted.row;
-    let runs = row.graph.schedule.as_ref().map_or(1, |it| it.runs.get());
-    let steps_per_run = row.graph.steps.len() as u32;
-    let steps = (0..runs).flat_map(|_| row.graph.steps.iter().cloned());
-    let steps = steps.map(|it| job::StepRecord::new(it, now));
     let mut job = job::JobRecord {
         class: row.class,
         account: row.account,
@@ -244,8 +240,10 @@
         priority: row.priority,
         max_attempts: row.max_attempts.max(1),
         body: Arc::from(row.graph.body),
-        steps: steps.collect(),
-        steps_per_run,
+        graph_steps: row.graph.steps.into_iter().map(Arc::from).collect(),
+        n_runs: row.graph.schedule.as_ref().map_or(1, |it| it.runs.get()),
+        steps: Vec::new(),
+        skipped_attempts: 0,
         schedule: row.graph.schedule,
         inherited: admitted.inherited,
         admitted_at: now,
@@ -256,6 +254,9 @@
         failure: None,
         durable_state: model::GraphState::Pending,
     };
+    if job.schedule.is_none() {
+        job.begin_run();
+    }
     let has_progress = !admitted.progress.is_empty();
     admitted.progress.restore_into(&mut job);
     if has_progress && !row.cancelled {
@@ -263,6 +264,7 @@
     }
     job.ended_at = job.has_ended().then_some(now);
     if job.inherited {
+        job.skipped_attempts = ATTEMPT_GAP;
         for task in job.steps.iter_mut().flat_map(|it| &mut it.tasks) {
             task.attempt += ATTEMPT_GAP;
         }
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -29,10 +29,15 @@
     pub max_attempts: u32,
     /// Body that is sent with the start of each task.
     pub body: Arc<str>,
-    /// All steps: those of the first run of the schedule, then those of the second, and so on.
+    /// Steps of one run of the schedule, as submitted.
+    pub graph_steps: Vec<Arc<model::GraphStep>>,
+    /// Number of runs of the schedule; 1 for a job that runs once.
+    pub n_runs: u32,
+    /// Steps of the runs that have begun: those of the first run, then those of the second, and so on. The
+    /// other runs follow from `graph_steps` and the schedule.
     pub steps: Vec<StepRecord>,
-    /// Number of steps in one run of the schedule.
-    pub steps_per_run: u32,
+    /// Attempt number after which the tasks of a run that begins are counted.
+    pub skipped_attempts: u32,
     /// When the runs are due; `None` for a job that runs once, at once.
     pub schedule: Option<model::RunSchedule>,
     /// Whether the job was accepted before this tenure: some of its tasks may run without this
@@ -60,8 +65,9 @@
 #[derive(Clone, Debug)]
 pub struct StepRecord {
     /// The step as submitted.
-    pub spec: model::GraphStep,
-    /// The tasks of the step, by task number.
+    pub spec: Arc<model::GraphStep>,
+    /// The tasks of the step, by task number; none once their records were dropped because all of them are
+    /// done.
     pub tasks: Vec<TaskRecord>,
     /// Failed attempts of the gang as a whole; unused for a step that is no gang.
     pub gang_failures: FailedAttempts,
@@ -293,12 +299,12 @@
 
     /// Whether this is no job, but marks an id that was cancelled before its job was stored.
     pub fn is_cancel_marker(&self) -> bool {
-        self.steps_per_run == 0
+        self.graph_steps.is_empty()
     }
 
     /// Whether all steps that `step` depends on are done, within the same run of the schedule.
     pub fn is_ready(&self, step: usize) -> bool {
-        let first = step - step % self.steps_per_run.max(1) as usize;
+        let first = step - step % self.graph_steps.len().max(1);
         let after = &self.steps[step].spec.after;
         let mut dependencies = after.iter().map(|it| self.steps.get(first + *it as usize));
         dependencies.all(|it| it.is_some_and(StepRecord::is_done))
@@ -308,21 +314,22 @@
     /// schedule.
     pub fn due_at(&self, step: usize) -> Duration {
         let Some(schedule) = &self.schedule else { return Duration::ZERO };
-        let run = step as u64 / u64::from(self.steps_per_run.max(1));
+        let run = (step / self.graph_steps.len().max(1)) as u64;
         let interval_ms = schedule.interval_ms.saturating_mul(run);
         Duration::from_millis(schedule.first_ms.saturating_add(interval_ms))
     }
 
     /// Index of a task's step in `steps`, over all runs of the schedule; `None` if the job has no
-    /// such step.
+    /// such step, or its run has not begun.
     pub fn step_index(&self, key: task_key::TaskKey) -> Option<u32> {
-        let index = key.occurrence.checked_mul(self.steps_per_run)?.checked_add(key.step)?;
-        (key.step < self.steps_per_run && (index as usize) < self.steps.len()).then_some(index)
+        let per_run = self.graph_steps.len() as u32;
+        let index = key.occurrence.checked_mul(per_run)?.checked_add(key.step)?;
+        (key.step < per_run && (index as usize) < self.steps.len()).then_some(index)
     }
 
     /// Key of a task in the step with that index in `steps`.
     pub fn task_key(&self, graph: ids::GraphId, index: u32, task: u32) -> task_key::TaskKey {
-        let per_run = self.steps_per_run.max(1);
+        let per_run = (self.graph_steps.len() as u32).max(1);
         task_key::TaskKey { graph, occurrence: index / per_run, step: index % per_run, task }
     }
 
@@ -370,8 +377,7 @@
 
     /// Accelerators needed to run all tasks of one run of the schedule at the same time.
     pub fn accelerators(&self) -> u32 {
-        let steps_of_run = self.steps.iter().take(self.steps_per_run as usize);
-        steps_of_run.map(|it| it.spec.tasks * it.spec.accelerators).sum()
+        self.graph_steps.iter().map(|it| it.tasks * it.accelerators).sum()
     }
 }
 
@@ -388,7 +394,8 @@
 
 impl StepRecord {
     /// A step none of whose tasks has started; they wait from `now` on.
-    pub fn new(spec: model::GraphStep, now: Duration) -> StepRecord {
+    pub fn new(spec: impl Into<Arc<model::GraphStep>>, now: Duration) -> StepRecord {
+        let spec = spec.into();
         let task = TaskRecord { waiting_since: now, ..TaskRecord::default() };
         let tasks = vec![task; spec.tasks as usize];
         StepRecord { spec, tasks, gang_failures: FailedAttempts::default() }
--- a/crates/graph/src/lateness.rs
+++ b/crates/graph/src/lateness.rs
@@ -68,7 +68,7 @@
         let class = self.class_with_objective(job)?;
         let step = job.steps.get(unit.step as usize)?;
         let forecast = forecast::unit_forecast(members)?;
-        let chain = objective::StepChain::of(&job.steps);
+        let chain = objective::StepChain::of_job(job);
         let objective = objective::objective(class, chain, forecast.work);
         let rest = forecast.work * objective::steps_after(&job.steps, unit.step as usize);
         let due_at = (job.admitted_at + objective).saturating_sub(rest);
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -72,6 +72,7 @@
 mod stalled;
 mod step_speeds;
 mod takeover;
+mod timed_runs;
 mod unsaved_suspicions;
 mod work_variation;
 mod worker_restarts;
--- a/crates/graph/src/objective.rs
+++ b/crates/graph/src/objective.rs
@@ -24,7 +24,15 @@
 impl StepChain {
     /// Finds the longest chain in `steps`; dependencies on later steps are ignored.
     pub fn of(steps: &[job::StepRecord]) -> StepChain {
-        StepChain::of_steps(steps.iter().map(|it| (&it.spec, it.is_done())))
+        StepChain::of_steps(steps.iter().map(|it| (it.spec.as_ref(), it.is_done())))
+    }
+
+    /// The same for a job. A timed job has the chain of one run.
+    pub fn of_job(job: &job::JobRecord) -> StepChain {
+        if job.schedule.is_none() {
+            return StepChain::of(&job.steps);
+        }
+        StepChain::of_steps(job.graph_steps.iter().map(|it| (it.as_ref(), false)))
     }
 
     /// The same for a job that has not started.
@@ -84,7 +92,7 @@
     /// Longest total wait with which a job is still in time, by the learned run time of its class.
     pub(crate) fn slack(&self, job: &job::JobRecord) -> Duration {
         let Some(class) = self.class_with_objective(job) else { return UNKNOWN_SLACK };
-        slack(class, StepChain::of(&job.steps), self.run_times.mean(&job.class))
+        slack(class, StepChain::of_job(job), self.run_times.mean(&job.class))
     }
 
     /// How long a unit waits for a place near its data and gang. Elsewhere it takes `remote_factor` times as
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -99,7 +99,7 @@
         if job.priority == preemption::URGENT_PRIORITY || job.schedule.is_some() {
             return false;
         }
-        let chain = objective::StepChain::of(&job.steps);
+        let chain = objective::StepChain::of_job(job);
         let step = self.run_times.mean(&job.class);
         let slow_chain = (step * chain.n_unfinished).div_f64(spread.slow_factor());
         let age = now.saturating_sub(job.admitted_at);
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -188,6 +188,7 @@
         run: order::ListedRun,
         at: AnswerTimes,
     ) {
+        self.begin_run_of(run.task);
         match self.classify(worker, &run) {
             RunClass::Expected => self.update_run(run, at),
             RunClass::Unknown => self.adopt_run(worker, run, at),
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -38,15 +38,18 @@
 
 /// Number of chunks of a job; at least 1.
 pub fn n_chunks(job: &job::JobRecord) -> u32 {
-    let n_tasks = job.steps.iter().map(|it| it.tasks.len() as u32).sum::<u32>();
-    n_tasks.div_ceil(TASKS_PER_CHUNK).max(1)
+    n_chunks_of_runs(job.graph_steps.iter().map(|it| it.tasks), job.n_runs)
 }
 
 /// Number of chunks of a job, computed from its acceptance row; at least 1.
 pub fn n_chunks_of_row(row: &model::GraphRow) -> u32 {
-    let runs = row.graph.schedule.as_ref().map_or(1, |it| it.runs.get());
-    let n_tasks = row.graph.steps.iter().map(|it| it.tasks).sum::<u32>();
-    n_tasks.saturating_mul(runs).div_ceil(TASKS_PER_CHUNK).max(1)
+    let n_runs = row.graph.schedule.as_ref().map_or(1, |it| it.runs.get());
+    n_chunks_of_runs(row.graph.steps.iter().map(|it| it.tasks), n_runs)
+}
+
+fn n_chunks_of_runs(tasks_of_steps: impl Iterator<Item = u32>, n_runs: u32) -> u32 {
+    let n_tasks = tasks_of_steps.sum::<u32>();
+    n_tasks.saturating_mul(n_runs).div_ceil(TASKS_PER_CHUNK).max(1)
 }
 
 /// Chunk that contains a task; `None` if the job has no step with that number.
@@ -57,30 +60,42 @@
 
 /// Chunks that contain the tasks of a task's step.
 pub fn chunks_of_step(job: &job::JobRecord, key: task_key::TaskKey) -> Option<RangeInclusive<u32>> {
-    let index = job.step_index(key)? as usize;
+    chunks_of_index(job, job.step_index(key)? as usize)
+}
+
+/// Chunks that contain the tasks of the step with that index over all runs.
+pub fn chunks_of_index(job: &job::JobRecord, index: usize) -> Option<RangeInclusive<u32>> {
     let first = first_task_of(job, index);
-    let n_tasks = job.steps.get(index)?.tasks.len() as u32;
+    let n_tasks = job.steps.get(index)?.spec.tasks;
     let last = first + n_tasks.saturating_sub(1);
     Some(first / TASKS_PER_CHUNK..=last / TASKS_PER_CHUNK)
 }
 
+/// Steps with records that have tasks in a chunk, by their index over all runs.
+pub fn steps_of_chunk(job: &job::JobRecord, chunk: u32) -> Range<usize> {
+    let tasks = chunk_tasks(chunk);
+    let n_steps = job.steps.len();
+    let last = step_of_task(job, tasks.end - 1);
+    step_of_task(job, tasks.start).min(n_steps)..(last + 1).min(n_steps)
+}
+
 /// Content of the row for a chunk of a job, as it should be in the store; `None` if the job has no
-/// such chunk.
+/// such chunk. Runs that have not begun have nothing to save.
 pub fn chunk_row(job: &job::JobRecord, chunk: u32) -> Option<model::ProgressRow> {
     if chunk >= n_chunks(job) {
         return None;
     }
-    let chunk_tasks = chunk * TASKS_PER_CHUNK..(chunk + 1) * TASKS_PER_CHUNK;
+    let chunk_tasks = chunk_tasks(chunk);
     let mut row = model::ProgressRow {
         state: job.state,
         failure: job.failure,
         first_step: 0,
         steps: Vec::new(),
     };
-    let mut first = 0;
-    for (index, step) in job.steps.iter().enumerate() {
-        let tasks = first..first + step.tasks.len() as u32;
-        first = tasks.end;
+    for index in steps_of_chunk(job, chunk) {
+        let Some(step) = job.steps.get(index) else { continue };
+        let first = first_task_of(job, index);
+        let tasks = first..first + step.spec.tasks;
         let in_chunk = tasks.start.max(chunk_tasks.start)..tasks.end.min(chunk_tasks.end);
         if in_chunk.is_empty() {
             continue;
@@ -137,10 +152,13 @@
         let saved_state = head.map(|it| it.state);
         job.failure = head.and_then(|it| it.failure);
         for row in self.chunks.into_values() {
-            let steps = job.steps.iter_mut().skip(row.first_step as usize);
-            for (step, saved) in steps.zip(row.steps) {
+            job.begin_runs_of(&row);
+            let first = row.first_step as usize;
+            let n_saved = row.steps.len();
+            for (step, saved) in job.steps.iter_mut().skip(first).zip(row.steps) {
                 restore_step(step, saved);
             }
+            job.drop_ended_records(first..first + n_saved);
         }
         // Any row without a head row means running: a row is first written after the end of a task.
         job.state = saved_state.unwrap_or(model::GraphState::Running);
@@ -156,7 +174,7 @@
     if job.has_ended() {
         return;
     }
-    let is_complete = job.steps.iter().all(job::StepRecord::is_done);
+    let is_complete = job.is_complete();
     let failure = if is_complete { None } else { inferred_failure(job) };
     if is_complete || failure.is_some() {
         let end_state =
@@ -183,11 +201,40 @@
     tasks.any(crashes_workers).then_some(model::FailureCause::CrashesWorkers)
 }
 
+fn chunk_tasks(chunk: u32) -> Range<u32> {
+    chunk * TASKS_PER_CHUNK..(chunk + 1) * TASKS_PER_CHUNK
+}
+
+fn tasks_per_run(job: &job::JobRecord) -> u32 {
+    job.graph_steps.iter().map(|it| it.tasks).sum()
+}
+
+/// Index over all runs of the step that contains a task, which is numbered over all runs.
+fn step_of_task(job: &job::JobRecord, task: u32) -> usize {
+    let per_run = tasks_per_run(job).max(1);
+    let mut rest = task % per_run;
+    let mut step = (task / per_run) as usize * job.graph_steps.len();
+    for spec in &job.graph_steps {
+        if rest < spec.tasks {
+            break;
+        }
+        rest -= spec.tasks;
+        step += 1;
+    }
+    step
+}
+
+/// Number of the first task of a step, over all runs.
 fn first_task_of(job: &job::JobRecord, step: usize) -> u32 {
-    job.steps.iter().take(step).map(|it| it.tasks.len() as u32).sum()
+    let per_run = job.graph_steps.len().max(1);
+    let before = job.graph_steps.iter().take(step % per_run).map(|it| it.tasks).sum::<u32>();
+    (step / per_run) as u32 * tasks_per_run(job) + before
 }
 
 fn step_progress(step: &job::StepRecord, within: Range<u32>) -> model::StepProgress {
+    if step.tasks.is_empty() {
+        return model::StepProgress { done: within.collect(), ..empty_progress() };
+    }
     let tasks =
         || within.clone().filter_map(|index| Some((index, step.tasks.get(index as usize)?)));
     let failures = |task: u32, it: &job::FailedAttempts| model::TaskFailures {
@@ -220,6 +267,17 @@
     }
 }
 
+fn empty_progress() -> model::StepProgress {
+    model::StepProgress {
+        done: Vec::new(),
+        failures: Vec::new(),
+        attempts: Vec::new(),
+        checkpoints: Vec::new(),
+        losses: Vec::new(),
+        trials: Vec::new(),
+    }
+}
+
 /// The losses that are recorded against a task, with probabilities in parts per million.
 fn task_losses(task: u32, suspicion: &suspicion::TaskSuspicion) -> model::TaskLosses {
     let losses = suspicion.losses().iter().map(|it| model::WorkerLoss {
--- a/crates/graph/src/prospect.rs
+++ b/crates/graph/src/prospect.rs
@@ -55,7 +55,7 @@
             return JobProspect::InTime;
         }
         let Some(class) = self.class_with_objective(job) else { return JobProspect::InTime };
-        let chain = objective::StepChain::of(&job.steps);
+        let chain = objective::StepChain::of_job(job);
         let age = now.saturating_sub(job.admitted_at);
         prospect_of(class, chain, self.run_times.mean(&job.class), age)
     }
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -79,8 +79,10 @@
     /// them, and workers' ends are acknowledged.
     pub fn batch_saved(&mut self, batch: SaveBatch) {
         for row in batch.rows {
-            self.unsaved.row_saved(row.key);
+            let key = row.key;
+            self.unsaved.row_saved(key);
             self.row_saved(row);
+            self.drop_saved_records(key);
         }
         self.note_roster_saved();
         for worker in self.workers.values_mut() {
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -53,6 +53,7 @@
         if !self.jobs.contains_key(&key.graph) {
             self.report_unknown_job(worker, end, source);
         }
+        self.begin_run_of(key);
         let job = self.jobs.get_mut(&key.graph)?;
         let class = job.class.clone();
         let task = job.task_mut(key)?;
@@ -215,7 +216,7 @@
         }
         job.started = true;
         if !job.has_ended() {
-            let is_complete = job.steps.iter().all(|it| it.is_done());
+            let is_complete = job.is_complete();
             job.state =
                 if is_complete { model::GraphState::Completed } else { model::GraphState::Running };
             if is_complete && self.active.contains(&key.graph) {
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -64,6 +64,7 @@
         reported: &model::TaskLosses,
         now: Duration,
     ) {
+        self.begin_run_of(key);
         let Some(task) = self.task_record_mut(key).filter(|it| !it.done) else { return };
         let restored = progress::restore_suspicion(reported);
         task.suspicion.record_survival(restored.longest_survived_run());
@@ -76,6 +77,7 @@
     }
 
     fn merge_saved_start(&mut self, key: task_key::TaskKey, attempt: u32) {
+        self.begin_run_of(key);
         let Some(task) = self.task_record_mut(key).filter(|it| !it.done) else { return };
         if attempt <= task.ended_attempt {
             return;
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -80,6 +80,7 @@
         ("waiting_tasks", summary.n_waiting),
         ("running_tasks", summary.n_running),
         ("suspected_tasks", summary.n_suspects),
+        ("task_records", summary.n_task_records),
         ("workers", summary.n_workers),
         ("accelerators", summary.accelerators as usize),
         ("accelerators_used", summary.accelerators_used as usize),
