Timed jobs: tests of the rows of done runs, of earlier releases, and of steps across chunks

Cause: records of done runs are dropped and those of later runs are not made, and no test showed what the rows then hold. Change: three tests: rows list done runs without records, rows of an earlier release that list runs that are not due are read, and a job whose steps lie across two chunks is complete for its successor. The loop that completes a job is shared with the test of overdue runs.

--- a/crates/graph/tests/pool/schedules.rs
+++ b/crates/graph/tests/pool/schedules.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use almondpass_graph::order;
+use almondpass_graph::{order, progress};
 use almondpass_schema::model;
 
 use crate::support;
@@ -173,19 +173,15 @@
     assert_eq!(n_task_records(&successor), 1);
 }
 
-/// Guards against the same where all runs are due at once, as their times have passed.
-#[test]
-fn overdue_runs_have_a_bounded_number_of_records() {
-    const N_RUNS: u32 = 5_000;
-    let mut bench = support::PoolBench::new(8);
-    set_wall_at_run(&mut bench, N_RUNS);
-    bench.admit(1, timed_job_with_runs(N_RUNS, vec![support::tasks(1)]));
+/// Starts and completes all tasks of job 1 on eight workers, with at most `max_records` task records at a time.
+/// Returns the number of starts.
+fn complete_job(bench: &mut support::PoolBench, max_records: usize) -> usize {
     let mut n_started = 0;
     let mut numbers = [0; 8];
     while bench.core.state_of(1).map(|it| it.state) != Some(model::GraphState::Completed) {
         let starts = bench.run_round_and_start();
         assert!(!starts.is_empty(), "stands still after {n_started} starts");
-        assert!(n_task_records(&bench) <= 4_096);
+        assert!(n_task_records(bench) <= max_records);
         n_started += starts.len();
         for (worker, number) in numbers.iter_mut().enumerate() {
             let of_worker = starts.iter().filter(|it| it.worker == support::worker_id(worker));
@@ -198,6 +194,17 @@
         }
         bench.save();
     }
+    n_started
+}
+
+/// Guards against the same where all runs are due at once, as their times have passed.
+#[test]
+fn overdue_runs_have_a_bounded_number_of_records() {
+    const N_RUNS: u32 = 5_000;
+    let mut bench = support::PoolBench::new(8);
+    set_wall_at_run(&mut bench, N_RUNS);
+    bench.admit(1, timed_job_with_runs(N_RUNS, vec![support::tasks(1)]));
+    let n_started = complete_job(&mut bench, 4_096);
     assert_eq!(n_started, N_RUNS as usize);
 }
 
@@ -261,3 +268,67 @@
     let state = successor.core.state_of(1).map(|it| it.state);
     assert_eq!(state, Some(model::GraphState::Running));
 }
+
+/// Progress of a step of one task.
+fn step_progress(is_done: bool) -> model::StepProgress {
+    model::StepProgress {
+        done: is_done.then_some(0).into_iter().collect(),
+        failures: Vec::new(),
+        attempts: Vec::new(),
+        checkpoints: Vec::new(),
+        losses: Vec::new(),
+        trials: Vec::new(),
+    }
+}
+
+fn running_row(first_step: u32, steps: Vec<model::StepProgress>) -> model::ProgressRow {
+    let state = model::GraphState::Running;
+    model::ProgressRow { state, failure: None, first_step, steps }
+}
+
+/// Guards against done runs that a successor starts again: their records were dropped before the row was written
+/// for a later run.
+#[test]
+fn rows_list_done_runs_without_records() {
+    let mut bench = support::PoolBench::new(1);
+    bench.admit(1, timed_job_with_runs(N_MANY_RUNS, vec![support::tasks(1)]));
+    complete_runs(&mut bench, 0..70);
+    let mut expected = progress::SavedChunks::default();
+    expected.insert(0, running_row(0, vec![step_progress(true); 64]));
+    expected.insert(1, running_row(64, vec![step_progress(true); 6]));
+    assert_eq!(bench.saved.get(&1), Some(&expected));
+}
+
+/// Guards against runs that start again, or never, after a takeover from an earlier release, whose rows list the
+/// steps of all runs of a chunk.
+#[test]
+fn rows_that_list_runs_that_are_not_due_are_read() {
+    let mut steps = vec![step_progress(true); 10];
+    steps.resize(64, step_progress(false));
+    let mut saved = progress::SavedChunks::default();
+    saved.insert(0, running_row(0, steps));
+    let mut bench = support::PoolBench::new(1);
+    bench.inherit(1, timed_job_with_runs(N_MANY_RUNS, vec![support::tasks(1)]), Some(saved));
+    assert_eq!(n_task_records(&bench), 0);
+    complete_runs(&mut bench, 10..80);
+    assert_eq!(n_task_records(&bench), 0);
+}
+
+/// Guards against tasks that are missing in the rows, or keep their records: steps lie across two chunks.
+#[test]
+fn steps_across_chunks_are_saved_and_keep_no_records() {
+    let row = || {
+        let second = model::GraphStep { after: vec![0], ..support::tasks(30) };
+        timed_job(vec![support::tasks(40), second])
+    };
+    let mut bench = support::PoolBench::new(8);
+    set_wall_at_run(&mut bench, 3);
+    bench.admit(1, row());
+    assert_eq!(complete_job(&mut bench, 210), 210);
+    assert_eq!(n_task_records(&bench), 0);
+    let progress = bench.saved.remove(&1);
+    let mut successor = support::PoolBench::new(1);
+    successor.inherit(1, row(), progress);
+    assert_eq!(n_task_records(&successor), 0);
+    assert_eq!(successor.core.state_of(1).map(|it| it.state), Some(model::GraphState::Completed));
+}
