Stand-in workers: one failing task, run times and sizes by task, and the times of sent starts

In a storm either all tasks of a job failed or none, all tasks of a step ran for the same time, and all used the same resources. So no storm had a job of which one task fails for good while others of it end, nor a pool that is full of tasks that each take a whole worker. The body of a job may now say `fail=K`, `fail-ms=`, `spread=` and `size=`. Bodies without these words behave as before.

The stand-in also records when a start order was sent. A start may take effect seconds after it was sent, and rules with a time bound are about the sender.

--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -60,6 +60,7 @@
     capacity_check_disabled: bool,
     /// Oversubscribed starts on workers that have crashed since.
     oversubscribed_starts: Vec<task_key::TaskKey>,
+    sent_starts: Vec<SentStart>,
 }
 
 /// Which worker a call has reached, with the answer of the intended one.
@@ -72,6 +73,19 @@
     None,
 }
 
+/// A start order that an instance has sent, whether or not it reached its worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SentStart {
+    /// The task to start.
+    pub task: task_key::TaskKey,
+    /// Attempt number of the task.
+    pub attempt: u32,
+    /// The worker that was to run the task.
+    pub worker: ids::WorkerId,
+    /// When the order was sent; its effect may come later.
+    pub sent_at: Instant,
+}
+
 /// A worker that was crashed by one of its tasks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CrashedWorker {
@@ -221,6 +235,11 @@
         records
     }
 
+    /// All start orders sent so far, in the order in which they were sent.
+    pub fn sent_starts(&self) -> Vec<SentStart> {
+        state::lock(&self.state).sent_starts.clone()
+    }
+
     /// Running tasks, each with its worker.
     pub fn running(&self) -> Vec<(ids::WorkerId, task_key::TaskKey)> {
         let mut state = state::lock(&self.state);
@@ -372,6 +391,12 @@
         let order = start.clone();
         let target =
             control::WorkerTarget { worker: start.worker.clone(), address: start.address.clone() };
+        state::lock(&self.state).sent_starts.push(SentStart {
+            task: start.task,
+            attempt: start.attempt,
+            worker: start.worker.clone(),
+            sent_at: Instant::now(),
+        });
         let start_task = move |worker: &mut pool_worker::PoolWorker, resources| {
             let behavior = pool_worker::parse_behavior(&order, resources);
             worker.start(token, &order, behavior)
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -355,16 +355,31 @@
 }
 
 /// Reads the behavior of a task from the words of its body, which are separated by spaces and come in any
-/// order: `ms=2500` (run time), `fail`, `crash=10` (milliseconds after the start). Only the first task of a
-/// step crashes its worker.
+/// order: `ms=2500` (run time), `spread=20` (milliseconds that each further task of a step runs longer),
+/// `fail` (all tasks fail), `fail=3` (only that task of each step fails), `fail-ms=900` (run time of the task
+/// that alone fails), `size=8` (multiple of the usual resources), `crash=10` (milliseconds after the start).
+/// Only the first task of a step crashes its worker.
 pub fn parse_behavior(start: &order::StartOrder, resources: resources::Resources) -> TaskBehavior {
     let words = || start.body.split(' ');
-    let value_of = |name| words().find_map(|it| it.strip_prefix(name)?.parse().ok());
-    let crash_after_ms = value_of("crash=").filter(|_| start.task.task == 0);
+    let value_of = |name| words().find_map(|it| it.strip_prefix(name)?.parse::<u64>().ok());
+    let index = u64::from(start.task.task);
+    let fails_alone = value_of("fail=") == Some(index);
+    let own_run_ms = value_of("fail-ms=").filter(|_| fails_alone);
+    let run_ms = value_of("ms=").unwrap_or(1_000) + index * value_of("spread=").unwrap_or(0);
+    let crash_after_ms = value_of("crash=").filter(|_| index == 0);
     TaskBehavior {
-        run_time: Duration::from_millis(value_of("ms=").unwrap_or(1_000)),
-        fails: words().any(|it| it == "fail"),
+        run_time: Duration::from_millis(own_run_ms.unwrap_or(run_ms)),
+        fails: fails_alone || words().any(|it| it == "fail"),
         crashes_after: crash_after_ms.map(Duration::from_millis),
-        resources,
+        resources: multiply(resources, value_of("size=").unwrap_or(1)),
+    }
+}
+
+fn multiply(resources: resources::Resources, n: u64) -> resources::Resources {
+    let n = u32::try_from(n).unwrap_or(u32::MAX);
+    resources::Resources {
+        cpu_milli: resources.cpu_milli.saturating_mul(n),
+        memory_mb: resources.memory_mb.saturating_mul(n),
+        accelerators: resources.accelerators.saturating_mul(n),
     }
 }
