Stand-in workers: the times at which ends were acknowledged

A task that is started again after it had succeeded is one fault if the end was acknowledged before the second start, as the scheduler then forgot it, and another if only later, as the scheduler had not heard of it. The records of runs tell only that an end was acknowledged at some time.

--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -61,6 +61,7 @@
     /// Oversubscribed starts on workers that have crashed since.
     oversubscribed_starts: Vec<task_key::TaskKey>,
     sent_starts: Vec<SentStart>,
+    acknowledgements_at_crashed: Vec<pool_worker::EndAcknowledgement>,
 }
 
 /// Which worker a call has reached, with the answer of the intended one.
@@ -235,6 +236,13 @@
         records
     }
 
+    /// The acknowledgements of all ends that are final, including those on crashed workers.
+    pub fn acknowledgements(&self) -> Vec<pool_worker::EndAcknowledgement> {
+        let state = state::lock(&self.state);
+        let at_workers_up = state.workers.values().flat_map(|it| &it.acknowledgements);
+        state.acknowledgements_at_crashed.iter().chain(at_workers_up).cloned().collect()
+    }
+
     /// All start orders sent so far, in the order in which they were sent.
     pub fn sent_starts(&self) -> Vec<SentStart> {
         state::lock(&self.state).sent_starts.clone()
@@ -341,6 +349,7 @@
         self.records_of_crashed.extend(cut_off);
         let capacity = crashed_worker.capacity();
         self.oversubscribed_starts.append(&mut crashed_worker.oversubscribed_starts);
+        self.acknowledgements_at_crashed.extend(crashed_worker.acknowledgements);
         self.records_of_crashed.extend(crashed_worker.records);
         Some(capacity)
     }
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -67,6 +67,19 @@
     pub is_acknowledged: bool,
 }
 
+/// The first acknowledgement of an end that makes it final.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndAcknowledgement {
+    /// The task whose end was acknowledged.
+    pub task: task_key::TaskKey,
+    /// Attempt number of the task.
+    pub attempt: u32,
+    /// The worker that ran the task.
+    pub worker: ids::WorkerId,
+    /// When the acknowledgement reached the worker.
+    pub at: Instant,
+}
+
 /// One incarnation of a fake worker.
 #[derive(Clone, Debug)]
 pub struct PoolWorker {
@@ -93,6 +106,8 @@
     n_ends_before_lapse: u64,
     /// Ended runs of this incarnation, in order of their ends.
     pub records: Vec<RunRecord>,
+    /// Acknowledgements of ends of this incarnation, in order of their arrival.
+    pub acknowledgements: Vec<EndAcknowledgement>,
 }
 
 impl PoolWorker {
@@ -118,6 +133,7 @@
             n_ends: 0,
             n_ends_before_lapse: 0,
             records: Vec::new(),
+            acknowledgements: Vec::new(),
         }
     }
 
@@ -285,7 +301,16 @@
             if has_lapsed {
                 continue;
             }
-            record.is_acknowledged |= record.number <= last_seen;
+            if record.is_acknowledged || record.number > last_seen {
+                continue;
+            }
+            record.is_acknowledged = true;
+            self.acknowledgements.push(EndAcknowledgement {
+                task: record.task,
+                attempt: record.attempt,
+                worker: self.id.clone(),
+                at: Instant::now(),
+            });
         }
         self.n_ends_before_lapse = if has_lapsed { self.n_ends } else { self.n_ends_before_lapse };
     }
