--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -24,6 +24,7 @@
 mod store_limits;
 mod store_outages;
 mod storm_oracle;
+mod storm_plan;
 mod storms;
 mod strengths;
 mod successors;
