--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -2,6 +2,7 @@
 //! checks the whole path of job graphs under faults.
 
 mod accepted_work;
+mod call_history;
 mod cancels;
 mod crashes;
 mod entries;
@@ -13,6 +14,7 @@
 mod normal_operation;
 mod nudges;
 mod outages;
+mod paired_faults;
 mod panics;
 mod resource_changes;
 mod restarts;
@@ -22,6 +24,8 @@
 mod starvation_oracle;
 mod store_limits;
 mod store_outages;
+mod storm_oracle;
+mod storm_plan;
 mod storms;
 mod strengths;
 mod successors;
--- a/crates/pool/tests/pool/unsaved_ends.rs
+++ b/crates/pool/tests/pool/unsaved_ends.rs
@@ -136,7 +136,7 @@
     support::run(async {
         let bench = support::PoolBench::start(2, 8).await;
         bench.start_heartbeats();
-        bench.submit(0, 1, job_of_whole_workers(6, "ms=6250 fail=3000")).await;
+        bench.submit(0, 1, job_of_whole_workers(6, "ms=6250 fail=0 fail-ms=3000")).await;
         await_runs(&bench, 6).await;
         time::sleep(Duration::from_millis(4_500)).await;
         let holder = bench.holder();
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -60,6 +60,8 @@
     capacity_check_disabled: bool,
     /// Oversubscribed starts on workers that have crashed since.
     oversubscribed_starts: Vec<task_key::TaskKey>,
+    sent_starts: Vec<SentStart>,
+    acknowledgements_at_crashed: Vec<pool_worker::EndAcknowledgement>,
 }
 
 /// Which worker a call has reached, with the answer of the intended one.
@@ -72,6 +74,19 @@
     None,
 }
 
+/// A start order that an instance has sent, whether or not it reached its worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SentStart {
+    /// The task to start.
+    pub task: task_key::TaskKey,
+    /// Attempt number of the task.
+    pub attempt: u32,
+    /// The worker that was to run the task.
+    pub worker: ids::WorkerId,
+    /// When the order was sent; its effect may come later.
+    pub sent_at: Instant,
+}
+
 /// A worker that was crashed by one of its tasks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CrashedWorker {
@@ -221,6 +236,18 @@
         records
     }
 
+    /// The acknowledgements of all ends that are final, including those on crashed workers.
+    pub fn acknowledgements(&self) -> Vec<pool_worker::EndAcknowledgement> {
+        let state = state::lock(&self.state);
+        let at_workers_up = state.workers.values().flat_map(|it| &it.acknowledgements);
+        state.acknowledgements_at_crashed.iter().chain(at_workers_up).cloned().collect()
+    }
+
+    /// All start orders sent so far, in the order in which they were sent.
+    pub fn sent_starts(&self) -> Vec<SentStart> {
+        state::lock(&self.state).sent_starts.clone()
+    }
+
     /// Running tasks, each with its worker.
     pub fn running(&self) -> Vec<(ids::WorkerId, task_key::TaskKey)> {
         let mut state = state::lock(&self.state);
@@ -322,6 +349,7 @@
         self.records_of_crashed.extend(cut_off);
         let capacity = crashed_worker.capacity();
         self.oversubscribed_starts.append(&mut crashed_worker.oversubscribed_starts);
+        self.acknowledgements_at_crashed.extend(crashed_worker.acknowledgements);
         self.records_of_crashed.extend(crashed_worker.records);
         Some(capacity)
     }
@@ -372,6 +400,12 @@
         let order = start.clone();
         let target =
             control::WorkerTarget { worker: start.worker.clone(), address: start.address.clone() };
+        state::lock(&self.state).sent_starts.push(SentStart {
+            task: start.task,
+            attempt: start.attempt,
+            worker: start.worker.clone(),
+            sent_at: Instant::now(),
+        });
         let start_task = move |worker: &mut pool_worker::PoolWorker, resources| {
             let behavior = pool_worker::parse_behavior(&order, resources);
             worker.start(token, &order, behavior)
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -67,6 +67,19 @@
     pub is_acknowledged: bool,
 }
 
+/// The first acknowledgement of an end that makes it final.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndAcknowledgement {
+    /// The task whose end was acknowledged.
+    pub task: task_key::TaskKey,
+    /// Attempt number of the task.
+    pub attempt: u32,
+    /// The worker that ran the task.
+    pub worker: ids::WorkerId,
+    /// When the acknowledgement reached the worker.
+    pub at: Instant,
+}
+
 /// One incarnation of a fake worker.
 #[derive(Clone, Debug)]
 pub struct PoolWorker {
@@ -93,6 +106,8 @@
     n_ends_before_lapse: u64,
     /// Ended runs of this incarnation, in order of their ends.
     pub records: Vec<RunRecord>,
+    /// Acknowledgements of ends of this incarnation, in order of their arrival.
+    pub acknowledgements: Vec<EndAcknowledgement>,
 }
 
 impl PoolWorker {
@@ -118,6 +133,7 @@
             n_ends: 0,
             n_ends_before_lapse: 0,
             records: Vec::new(),
+            acknowledgements: Vec::new(),
         }
     }
 
@@ -285,7 +301,16 @@
             if has_lapsed {
                 continue;
             }
-            record.is_acknowledged |= record.number <= last_seen;
+            if record.is_acknowledged || record.number > last_seen {
+                continue;
+            }
+            record.is_acknowledged = true;
+            self.acknowledgements.push(EndAcknowledgement {
+                task: record.task,
+                attempt: record.attempt,
+                worker: self.id.clone(),
+                at: Instant::now(),
+            });
         }
         self.n_ends_before_lapse = if has_lapsed { self.n_ends } else { self.n_ends_before_lapse };
     }
@@ -355,19 +380,31 @@
 }
 
 /// Reads the behavior of a task from the words of its body, which are separated by spaces and come in any
-/// order: `ms=2500` (run time), `fail`, `fail=1000` and `crash=10` (milliseconds after the start). Only the
-/// first task of a step fails early or crashes its worker.
+/// order: `ms=2500` (run time), `spread=20` (milliseconds that each further task of a step runs longer),
+/// `fail` (all tasks fail), `fail=3` (only that task of each step fails), `fail-ms=900` (run time of the task
+/// that alone fails), `size=8` (multiple of the usual resources), `crash=10` (milliseconds after the start).
+/// Only the first task of a step crashes its worker.
 pub fn parse_behavior(start: &order::StartOrder, resources: resources::Resources) -> TaskBehavior {
     let words = || start.body.split(' ');
-    let value_of = |name| words().find_map(|it| it.strip_prefix(name)?.parse().ok());
-    let value_of_first = |name| value_of(name).filter(|_| start.task.task == 0);
-    let crash_after_ms = value_of_first("crash=");
-    let fail_after_ms = value_of_first("fail=");
-    let run_time_ms = fail_after_ms.or(value_of("ms=")).unwrap_or(1_000);
+    let value_of = |name| words().find_map(|it| it.strip_prefix(name)?.parse::<u64>().ok());
+    let index = u64::from(start.task.task);
+    let fails_alone = value_of("fail=") == Some(index);
+    let own_run_ms = value_of("fail-ms=").filter(|_| fails_alone);
+    let run_ms = value_of("ms=").unwrap_or(1_000) + index * value_of("spread=").unwrap_or(0);
+    let crash_after_ms = value_of("crash=").filter(|_| index == 0);
     TaskBehavior {
-        run_time: Duration::from_millis(run_time_ms),
-        fails: fail_after_ms.is_some() || words().any(|it| it == "fail"),
+        run_time: Duration::from_millis(own_run_ms.unwrap_or(run_ms)),
+        fails: fails_alone || words().any(|it| it == "fail"),
         crashes_after: crash_after_ms.map(Duration::from_millis),
-        resources,
+        resources: multiply(resources, value_of("size=").unwrap_or(1)),
+    }
+}
+
+fn multiply(resources: resources::Resources, n: u64) -> resources::Resources {
+    let n = u32::try_from(n).unwrap_or(u32::MAX);
+    resources::Resources {
+        cpu_milli: resources.cpu_milli.saturating_mul(n),
+        memory_mb: resources.memory_mb.saturating_mul(n),
+        accelerators: resources.accelerators.saturating_mul(n),
     }
 }
