Keep the attempt numbers of inherited tasks apart for each tenure

What callers would see: two runs of a task at the same time. Two holders that inherited the same rows counted a task's attempts from the same number. A worker that returned listed the end of the first holder's run, and that end withdrew the saved start of the second holder's run of the same number, so that a third holder started the task while it ran on a silent worker. Failures of two runs with one number also counted once.

Change: the attempts of inherited tasks are counted from a number that follows from the tenure's epoch.

--- a/crates/graph/examples/measure_turn.rs
+++ b/crates/graph/examples/measure_turn.rs
@@ -59,6 +59,7 @@
 
 fn pool_of(n_workers: usize, scheduling: model::SchedulingSettings) -> core::PoolCore {
     let mut core = core::PoolCore::new(core::PoolStart {
+        epoch: 0,
         timing: timing::PoolTiming::default(),
         scheduling,
         catalog: Arc::default(),
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -41,6 +41,8 @@
 /// [`PoolCore::take_orders`] returns them.
 #[derive(Debug)]
 pub struct PoolCore {
+    /// Epoch of the tenure; the attempt numbers of inherited tasks follow from it.
+    pub(crate) epoch: ids::Epoch,
     pub(crate) timing: timing::PoolTiming,
     /// Which optional decisions are on.
     pub(crate) scheduling: model::SchedulingSettings,
@@ -122,6 +124,8 @@
 /// Initial state of a scheduler.
 #[derive(Clone, Debug)]
 pub struct PoolStart {
+    /// Epoch of the tenure.
+    pub epoch: ids::Epoch,
     /// Leases and time bounds of the platform.
     pub timing: timing::PoolTiming,
     /// Which optional decisions are on.
@@ -137,6 +141,7 @@
     /// Creates a pool without workers or jobs.
     pub fn new(start: PoolStart) -> PoolCore {
         PoolCore {
+            epoch: start.epoch,
             timing: start.timing,
             scheduling: start.scheduling,
             catalog: start.catalog,
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -20,6 +20,13 @@
 /// restarted them without saving the attempt, and a worker refuses an attempt number that has ended there.
 const ATTEMPT_GAP: u32 = 8;
 
+/// Attempt numbers of inherited tasks that are kept apart for each tenure. Two schedulers that inherit the same
+/// rows would otherwise use the same numbers, and the end of a run of one would count for that of the other.
+const ATTEMPTS_PER_TENURE: u32 = 1_024;
+
+/// Largest number after which the attempts of a tenure are counted.
+const MAX_FIRST_ATTEMPT: u32 = u32::MAX / 2;
+
 /// An accepted job graph as stored.
 #[derive(Clone, Debug)]
 pub struct AdmittedJob {
@@ -68,6 +75,7 @@
         let graph = admitted.graph;
         let cancelled = admitted.row.cancelled;
         let is_unchunked = admitted.progress.is_unchunked();
+        let epoch = self.epoch;
         self.jobs.entry(graph).or_insert_with(|| {
             tracing::info!(
                 job = format_args!("{graph:016x}"),
@@ -78,7 +86,7 @@
                 version = admitted.version,
                 "job admitted"
             );
-            job_record(admitted, now)
+            job_record(admitted, epoch, now)
         });
         self.update_active(graph);
         if is_unchunked {
@@ -231,7 +239,7 @@
     }
 }
 
-fn job_record(admitted: AdmittedJob, now: Duration) -> job::JobRecord {
+fn job_record(admitted: AdmittedJob, epoch: ids::Epoch, now: Duration) -> job::JobRecord {
     let row = admitted.row;
     let mut job = job::JobRecord {
         class: row.class,
@@ -264,10 +272,17 @@
     }
     job.ended_at = job.has_ended().then_some(now);
     if job.inherited {
-        job.skipped_attempts = ATTEMPT_GAP;
+        let of_tenure = last_attempt_before(epoch);
+        job.skipped_attempts = of_tenure.max(ATTEMPT_GAP);
         for task in job.steps.iter_mut().flat_map(|it| &mut it.tasks) {
-            task.attempt += ATTEMPT_GAP;
+            task.attempt = of_tenure.max(task.attempt + ATTEMPT_GAP);
         }
     }
     job
 }
+
+/// The attempt number after which inherited tasks are counted in a tenure.
+fn last_attempt_before(epoch: ids::Epoch) -> u32 {
+    let epoch = u32::try_from(epoch).unwrap_or(u32::MAX);
+    epoch.saturating_mul(ATTEMPTS_PER_TENURE).min(MAX_FIRST_ATTEMPT)
+}
--- a/crates/graph/tests/pool/late_runs.rs
+++ b/crates/graph/tests/pool/late_runs.rs
@@ -44,6 +44,7 @@
     };
     let classes = (0..2).map(|it| (format!("class-{it}"), class(it))).collect();
     let start = core::PoolStart {
+        epoch: 0,
         timing: timing::PoolTiming::default(),
         scheduling: model::SchedulingSettings {
             move_late_runs,
--- a/crates/graph/tests/pool/silence_reports.rs
+++ b/crates/graph/tests/pool/silence_reports.rs
@@ -1,5 +1,6 @@
 //! Reports of silent workers that an earlier scheduler gives its successor.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use almondpass_graph::{order, save_queue, saving, task_key, worker};
@@ -298,3 +299,133 @@
     }
     entries
 }
+
+/// Failure: a task ran twice at the same time. Two schedulers that inherited it gave its runs the same attempt
+/// number, so that the end of the first run withdrew the saved start of the second; a third scheduler relied on
+/// the note that all starts on the silent worker of the second run were saved.
+#[test]
+fn the_end_of_an_earlier_run_does_not_hide_a_run_on_a_silent_worker() {
+    let job = || support::job(1, support::whole_workers(1));
+    let mut first = support::PoolBench::new(1);
+    first.inherit(1, job(), None);
+    let first_start = first.run_round_and_start().remove(0);
+    first.core.poll_missed(&support::worker_id(0));
+    let report = first.core.tenure_report(first.now);
+
+    let mut second = inheritor(2, SETTLES_AT);
+    second.answer_poll(1, &[], &[]);
+    second.core.poll_missed(&support::worker_id(0));
+    second.core.merge_last_report(report, second.now);
+    let began = second.now;
+    let mut starts = Vec::new();
+    while starts.is_empty() {
+        second.advance(500);
+        assert!(second.now < SETTLES_AT);
+        second.answer_poll(1, &[], &[]);
+        starts = second.run_round_and_start();
+        second.save();
+    }
+    assert!(second.now >= began + Duration::from_millis(LEASE_MS), "the first run has lapsed");
+    let second_start = starts.remove(0);
+    assert_eq!(second_start.worker, support::worker_id(1));
+    second.answer_poll(1, &[support::listed_run(&second_start, 1)], &[]);
+    second.run_round();
+    second.core.poll_missed(&support::worker_id(1));
+    second.advance(1_000);
+    let mut roster = save_with_roster(&mut second);
+    let lapsed = support::listed_end(1, &first_start, order::EndKind::Lapsed);
+    second.answer_poll(0, &[], &[lapsed]);
+    roster.extend(save_with_roster(&mut second));
+
+    let mut third = support::PoolBench::with_unanswered_workers(0, SETTLES_AT);
+    for (page, entries) in roster {
+        entries.into_iter().for_each(|it| third.core.inherit_worker(it, page));
+    }
+    for index in 0..2 {
+        let entry = support::worker_entry(index);
+        third.core.update_worker(support::worker_id(index), entry, third.now);
+    }
+    third.core.inherit_silence_notes(second.core.keeps_silence_notes());
+    third.inherit(1, job(), second.saved.remove(&1));
+    third.core.poll_missed(&support::worker_id(1));
+    third.answer_poll(0, &[], &[]);
+    for _ in 0..4 {
+        third.save();
+        third.advance(100);
+        third.answer_poll(0, &[], &[]);
+        let started = started_jobs(&mut third);
+        assert!(started.is_empty(), "attempt {} may run", second_start.attempt);
+    }
+}
+
+/// Failure: the same without a note and without a store. A report tells the start on a silent worker, and the
+/// successor takes it for the run of the same number whose end another worker has listed.
+#[test]
+fn the_end_of_an_earlier_run_does_not_hide_a_reported_start() {
+    let job = || support::job(1, support::whole_workers(1));
+    let mut first = support::PoolBench::new(1);
+    first.inherit(1, job(), None);
+    let first_start = first.run_round_and_start().remove(0);
+
+    let settled = Duration::from_secs(1_010);
+    let mut second = inheritor(2, settled);
+    second.answer_poll(1, &[], &[]);
+    second.save();
+    second.core.poll_missed(&support::worker_id(0));
+    while second.now < settled {
+        second.answer_poll(1, &[], &[]);
+        assert!(second.run_round_and_start().is_empty());
+        second.advance(500);
+    }
+    second.answer_poll(1, &[], &[]);
+    let second_start = second.run_round_and_start().remove(0);
+    assert_eq!(second_start.worker, support::worker_id(1));
+    second.answer_poll(1, &[support::listed_run(&second_start, 1)], &[]);
+    second.core.poll_missed(&support::worker_id(1));
+    second.advance(100);
+
+    let mut third = inheritor(3, SETTLES_AT);
+    third.core.poll_missed(&support::worker_id(1));
+    let lapsed = support::listed_end(1, &first_start, order::EndKind::Lapsed);
+    third.answer_poll(0, &[], &[lapsed]);
+    hand_over(&second, &mut third);
+    third.save();
+    let started = started_jobs(&mut third);
+    assert!(started.is_empty(), "attempt {} may run", second_start.attempt);
+}
+
+/// A scheduler that has read a roster of two workers, neither of which has answered yet, and a job of one task
+/// of which nothing was saved.
+fn inheritor(epoch: ids::Epoch, settles_at: Duration) -> support::PoolBench {
+    let scheduling = model::SchedulingSettings::default();
+    let mut bench = support::PoolBench::of_tenure(epoch, 0, settles_at, scheduling);
+    for index in 0..2 {
+        let listing = support::worker_entry(index);
+        let entry = model::RosterEntry {
+            worker: support::worker_id(index),
+            address: listing.address.clone(),
+            upstream: listing.upstream.clone(),
+            on_record: false,
+        };
+        bench.core.inherit_worker(entry, 0);
+        bench.core.update_worker(support::worker_id(index), listing, bench.now);
+    }
+    bench.core.inherit_silence_notes(true);
+    bench.inherit(1, support::job(1, support::whole_workers(1)), None);
+    bench
+}
+
+/// Saves all changed rows. Returns the entries of the roster pages among them, by page.
+fn save_with_roster(bench: &mut support::PoolBench) -> BTreeMap<u32, Vec<model::RosterEntry>> {
+    let mut roster = BTreeMap::new();
+    while let Some(batch) = bench.take_save_batch() {
+        for row in &batch.rows {
+            let save_queue::SaveRowKey::Roster { page } = row.key else { continue };
+            let saving::SaveContent::Roster(content) = &row.content else { continue };
+            roster.insert(page, content.workers.clone());
+        }
+        bench.record_progress(&batch);
+        bench.core.batch_saved(batch);
+    }
+    roster
+}
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -53,8 +53,19 @@
         n_workers: usize,
         settles_at: Duration,
         scheduling: model::SchedulingSettings,
+    ) -> PoolBench {
+        PoolBench::of_tenure(0, n_workers, settles_at, scheduling)
+    }
+
+    /// The same in the tenure of an epoch.
+    pub(crate) fn of_tenure(
+        epoch: ids::Epoch,
+        n_workers: usize,
+        settles_at: Duration,
+        scheduling: model::SchedulingSettings,
     ) -> PoolBench {
         let start = core::PoolStart {
+            epoch,
             timing: timing::PoolTiming::default(),
             scheduling,
             catalog: Arc::default(),
--- a/crates/pool/src/leader.rs
+++ b/crates/pool/src/leader.rs
@@ -217,6 +217,7 @@
     let (epoch, version) = (acquired.epoch, acquired.version);
     state.set_acquired_epoch(Some(epoch));
     let mut core = core::PoolCore::new(core::PoolStart {
+        epoch: acquired.epoch,
         timing: state.settings.timing,
         scheduling: state.settings.scheduling.clone(),
         catalog: Arc::default(),
--- a/crates/pool/src/tenure_loader.rs
+++ b/crates/pool/src/tenure_loader.rs
@@ -71,6 +71,7 @@
     let now = state.adapters.clock().now();
     let catalog = state.document.current().map(|it| Arc::clone(&it.catalog));
     let mut core = core::PoolCore::new(core::PoolStart {
+        epoch: acquired.epoch,
         timing: state.settings.timing,
         scheduling: state.settings.scheduling.clone(),
         catalog: catalog.unwrap_or_default(),
--- a/crates/pool/tests/row_sizes.rs
+++ b/crates/pool/tests/row_sizes.rs
@@ -16,6 +16,7 @@
 
 fn empty_core() -> core::PoolCore {
     core::PoolCore::new(core::PoolStart {
+        epoch: 0,
         timing: timing::PoolTiming::default(),
         scheduling: model::SchedulingSettings::default(),
         catalog: Arc::default(),
@@ -283,6 +284,7 @@
 /// Content of the row of speeds of workers with ids of that length, half of them fast and half slow.
 fn speed_row_of(n_workers: usize, id_bytes: usize) -> model::SpeedRow {
     let mut core = core::PoolCore::new(core::PoolStart {
+        epoch: 0,
         timing: timing::PoolTiming::default(),
         scheduling: model::SchedulingSettings {
             remember_speeds: true,
