Give the place of a suspect free while its start can't be saved

What callers saw: nothing; while the store was silent a free worker stayed empty although other work waited for it. Since the start of a suspect is saved only once it has a place, the place stayed taken until the save was durable.

Change: a unit keeps its place for 400 ms while its start is being saved, and none after that until the save is durable. Evidence: a_suspect_that_awaits_a_save_keeps_no_place_from_others_in_an_outage starts nothing on the code before and the other job now.

--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -248,6 +248,9 @@
         failed: &mut Vec<failed_placement::FailedPlacement>,
         now: Duration,
     ) -> StartOutcome {
+        if self.awaits_slow_save(unit, now) {
+            return StartOutcome::AwaitsSave;
+        }
         let Some(request) = self.placement_request(unit, candidates, now) else {
             return StartOutcome::Started;
         };
--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -29,6 +29,10 @@
 /// many suspects as tasks ran on the lost worker.
 const WORKERS_PER_WEAK_SUSPECT: usize = 4;
 
+/// A unit keeps its place for this long while its start is being saved. A save takes less than that, unless the
+/// store does not answer.
+const PLACE_KEPT_FOR: Duration = Duration::from_millis(400);
+
 /// The entry of a worker that is down is removed within this time after its lease has lapsed.
 const UNLISTED_AFTER_LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -109,6 +113,14 @@
         is_durable
     }
 
+    /// Whether the save of a unit's planned start takes so long that the unit keeps no place meanwhile.
+    pub(crate) fn awaits_slow_save(&self, unit: task_key::UnitKey, now: Duration) -> bool {
+        self.task_records(unit)
+            .iter()
+            .filter_map(|it| it.planned_start)
+            .any(|it| !self.unsaved.is_durable(it.change) && now > it.planned_at + PLACE_KEPT_FOR)
+    }
+
     /// Withdraws the saved start of a unit that has lost its place before the start was sent: a
     /// successor would count it as the loss of a worker.
     pub(crate) fn withdraw_planned_start(&mut self, unit: task_key::UnitKey, now: Duration) {
