Keep a leaving worker on the roster until it has listed all its ends

A worker that leaves with more ends than one answer holds dropped off the roster with its first answer, so that a successor would not wait for the rest.

--- a/crates/graph/src/worker.rs
+++ b/crates/graph/src/worker.rs
@@ -238,7 +238,7 @@
     /// leaving.
     pub fn has_left(&self) -> bool {
         let is_empty = self.runs.is_empty() && self.unwanted_runs.is_empty();
-        self.leaves_at.is_some() && self.fenced && is_empty
+        self.leaves_at.is_some() && self.has_listed_all && is_empty
     }
 
     /// Whether a successor has to expect tasks on the worker, or ends of which the store does not know.
