Report to a successor which starts on record count no more

Callers saw: an accepted job shown as failed after one crash of a worker and three takeovers (LOST). In each of them the store had carried out the save of a planned start without an answer, so the start was not sent. Change: the report tells for each task of an unsaved row, or with a planned start, the highest start on record that counts no more (`settled`). The successor drops it, or withdraws the loss that it has counted for it, and tells it on. Merged before the losses and starts of the same report, so that what the former holder did record stands. Why it works: only the former holder knows that a start was not sent, and attempts are numbered by tenure, so its word on an attempt can't be about another one.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -367,7 +367,7 @@
         task.ended_attempt = task.ended_attempt.max(run.attempt);
         task.waiting_since = now;
         // The outcome of the run is known, so a successor must not count its saved start as lost.
-        let was_saved = task.suspicion.saved_attempt.take().is_some();
+        let was_saved = task.suspicion.drop_saved_start();
         if run.is_confirmed && job.runs().next().is_none() {
             job.wait = wait_timer::WaitTimer::new(now);
         }
--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -214,7 +214,7 @@
         let mut has_recorded = false;
         for key in tasks {
             let Some(attempt) =
-                self.task_record_mut(*key).and_then(|it| it.suspicion.inherited_attempt.take())
+                self.task_record_mut(*key).and_then(|it| it.suspicion.take_inherited_start())
             else {
                 continue;
             };
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -386,7 +386,7 @@
     /// has to be written again.
     pub fn withdraw_planned_start(&mut self, now: Duration) -> bool {
         let Some(planned) = self.planned_start.take() else { return false };
-        self.suspicion.saved_attempt = None;
+        self.suspicion.drop_saved_start();
         self.isolatable_since += now.saturating_sub(planned.planned_at);
         true
     }
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -85,30 +85,39 @@
     if chunk >= n_chunks(job) {
         return None;
     }
-    let chunk_tasks = chunk_tasks(chunk);
     let mut row = model::ProgressRow {
         state: job.state,
         failure: job.failure,
         first_step: 0,
         steps: Vec::new(),
     };
-    for index in steps_of_chunk(job, chunk) {
+    for (index, within) in parts_of_chunk(job, chunk) {
         let Some(step) = job.steps.get(index) else { continue };
-        let first = first_task_of(job, index);
-        let tasks = first..first + step.spec.tasks;
-        let in_chunk = tasks.start.max(chunk_tasks.start)..tasks.end.min(chunk_tasks.end);
-        if in_chunk.is_empty() {
-            continue;
-        }
         if row.steps.is_empty() {
             row.first_step = index as u32;
         }
-        let within = in_chunk.start - tasks.start..in_chunk.end - tasks.start;
         row.steps.push(step_progress(step, within));
     }
     Some(row)
 }
 
+/// The steps with records that have tasks in a chunk, by their index over all runs, each with the numbers of
+/// these tasks within the step.
+pub(crate) fn parts_of_chunk(
+    job: &job::JobRecord,
+    chunk: u32,
+) -> impl Iterator<Item = (usize, Range<u32>)> {
+    let chunk_tasks = chunk_tasks(chunk);
+    let parts = steps_of_chunk(job, chunk).filter_map(move |index| {
+        let step = job.steps.get(index)?;
+        let first = first_task_of(job, index);
+        let start = first.max(chunk_tasks.start);
+        let end = (first + step.spec.tasks).min(chunk_tasks.end);
+        Some((index, start.checked_sub(first)?..end.checked_sub(first)?))
+    });
+    parts.filter(|(_, it)| !it.is_empty())
+}
+
 /// The progress rows of one job as read from the store, by chunk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SavedChunks {
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -67,6 +67,9 @@
     pub saved_attempt: Option<u32>,
     /// The attempt whose start an earlier scheduler had saved.
     pub inherited_attempt: Option<u32>,
+    /// The highest attempt whose start may still be in the store although it counts no more, as it was not
+    /// sent, has ended or is recorded as a loss; 0 for none.
+    settled_attempt: u32,
 }
 
 impl TaskSuspicion {
@@ -181,6 +184,44 @@
         let before = (self.saved_attempt, self.inherited_attempt);
         self.saved_attempt = self.saved_attempt.filter(|it| *it != attempt);
         self.inherited_attempt = self.inherited_attempt.filter(|it| *it != attempt);
-        before != (self.saved_attempt, self.inherited_attempt)
+        let was_saved = before != (self.saved_attempt, self.inherited_attempt);
+        if was_saved {
+            self.note_settled(attempt);
+        }
+        was_saved
+    }
+
+    /// Removes the saved start of the current or planned run, whose outcome is known. Returns whether there
+    /// was one.
+    pub fn drop_saved_start(&mut self) -> bool {
+        let Some(attempt) = self.saved_attempt.take() else { return false };
+        self.note_settled(attempt);
+        true
+    }
+
+    /// Takes the start that an earlier scheduler had saved, to record it as a loss.
+    pub fn take_inherited_start(&mut self) -> Option<u32> {
+        let attempt = self.inherited_attempt.take()?;
+        self.note_settled(attempt);
+        Some(attempt)
+    }
+
+    /// Removes inherited starts up to `attempt`, and the loss that was recorded for that attempt, as an earlier
+    /// scheduler knows better. Returns whether there were any.
+    pub fn settle_inherited(&mut self, attempt: u32) -> bool {
+        self.note_settled(attempt);
+        let is_removed = self.inherited_attempt.take_if(|it| *it <= attempt).is_some();
+        self.withdraw_loss(attempt) || is_removed
+    }
+
+    /// The highest attempt whose start may still be in the store although it counts no more; `None` if there
+    /// is none, or if a later one counts.
+    pub fn settled_attempt(&self) -> Option<u32> {
+        let counted = self.saved_attempt.max(self.inherited_attempt).unwrap_or_default();
+        Some(self.settled_attempt).filter(|it| *it > counted)
+    }
+
+    fn note_settled(&mut self, attempt: u32) {
+        self.settled_attempt = self.settled_attempt.max(attempt);
     }
 }
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -20,22 +20,39 @@
 pub(crate) const MAX_REPORTED_CHUNKS: usize = 256;
 
 impl core::PoolCore {
-    /// The losses and saved starts in progress rows that the store lacks, for the successor.
+    /// The losses and saved starts in progress rows that the store lacks, and the starts that were planned and
+    /// not sent, for the successor.
     pub fn unsaved_suspicions(&self) -> Vec<model::UnsavedSuspicions> {
-        let chunks = self.unsaved.unsaved_rows().filter_map(|it| match it {
+        let unsaved = self.unsaved.unsaved_rows().filter_map(|it| match it {
             save_queue::SaveRowKey::Progress { graph, chunk } => Some((graph, chunk)),
             save_queue::SaveRowKey::Roster { .. } | save_queue::SaveRowKey::Speeds => None,
         });
-        let chunks = chunks.collect::<BTreeSet<_>>().into_iter();
+        let unsaved = unsaved.collect::<BTreeSet<_>>();
+        // A silent worker's starts count as reported only if all unsaved chunks are, so these come first.
+        let planned = self.chunks_with_planned_starts();
+        let chunks = unsaved.iter().chain(planned.difference(&unsaved));
         let reported = chunks.filter_map(|(graph, chunk)| {
-            let job = self.jobs.get(&graph)?;
+            let job = self.jobs.get(graph)?;
             let is_failed_for_crashes = job.failure == Some(model::FailureCause::CrashesWorkers);
             let is_reported = is_failed_for_crashes || !job.has_ended();
-            if is_reported { suspicions_of(graph, job, chunk) } else { None }
+            if is_reported { suspicions_of(*graph, job, *chunk) } else { None }
         });
         reported.take(MAX_REPORTED_CHUNKS).collect()
     }
 
+    /// Chunks with a task whose start is planned and not sent. Their rows may be durable.
+    fn chunks_with_planned_starts(&self) -> BTreeSet<(ids::GraphId, u32)> {
+        let mut chunks = BTreeSet::new();
+        for (graph, job) in self.active_jobs() {
+            for (index, step) in (0..).zip(&job.steps) {
+                let planned = (0..).zip(&step.tasks).filter(|(_, it)| it.planned_start.is_some());
+                let keys = planned.map(|(task, _)| job.task_key(graph, index, task));
+                chunks.extend(keys.filter_map(|it| Some((graph, progress::chunk_of(job, it)?))));
+            }
+        }
+        chunks
+    }
+
     /// Merges the losses and starts that an earlier scheduler could not save. Skips attempts that
     /// are known to have ended: the worker may have listed how they ended.
     pub fn merge_suspicions(&mut self, reported: model::UnsavedSuspicions, now: Duration) {
@@ -47,8 +64,16 @@
             let saved_starts = step.trials.iter();
             let saved_starts =
                 saved_starts.map(|it| (job.task_key(graph, index, it.task), it.attempt));
-            let (losses, saved_starts) =
-                (losses.collect::<Vec<_>>(), saved_starts.collect::<Vec<_>>());
+            let settled = step.settled.iter();
+            let settled = settled.map(|it| (job.task_key(graph, index, it.task), it.attempt));
+            let (losses, saved_starts, settled) = (
+                losses.collect::<Vec<_>>(),
+                saved_starts.collect::<Vec<_>>(),
+                settled.collect::<Vec<_>>(),
+            );
+            for (key, attempt) in settled {
+                self.merge_settled_start(key, attempt);
+            }
             for (key, reported) in losses {
                 self.merge_losses(key, &reported, now);
             }
@@ -76,6 +101,16 @@
         }
     }
 
+    /// Drops the evidence that a task's starts up to `attempt` give by being in the store.
+    fn merge_settled_start(&mut self, key: task_key::TaskKey, attempt: u32) {
+        self.begin_run_of(key);
+        let Some(task) = self.task_record_mut(key).filter(|it| !it.done) else { return };
+        if task.suspicion.settle_inherited(attempt) {
+            tracing::info!(task = %key, attempt, "start on record is settled by a former scheduler");
+            self.mark_task_changed(key);
+        }
+    }
+
     fn merge_saved_start(&mut self, key: task_key::TaskKey, attempt: u32) {
         self.begin_run_of(key);
         let Some(task) = self.task_record_mut(key).filter(|it| !it.done) else { return };
@@ -101,17 +136,42 @@
     chunk: u32,
 ) -> Option<model::UnsavedSuspicions> {
     let row = progress::chunk_row(job, chunk)?;
-    let steps = job.steps.iter().skip(row.first_step as usize).zip(row.steps);
-    let steps = steps.map(|(step, it)| model::StepSuspicions {
-        losses: it.losses,
-        trials: it.trials.into_iter().filter(|it| !is_planned(step, it.task)).collect(),
+    let mut parts = progress::parts_of_chunk(job, chunk);
+    let (first_step, _) = parts.next()?;
+    let parts = progress::parts_of_chunk(job, chunk).zip(row.steps);
+    let steps = parts.filter_map(|((index, within), saved)| {
+        let tasks = &job.steps.get(index)?.tasks;
+        let reported = within.filter_map(|task| Some((task, tasks.get(task as usize)?)));
+        let reported = reported.filter(|(_, it)| !it.done).collect::<Vec<_>>();
+        let attempts = |attempt_of: fn(&job::TaskRecord) -> Option<u32>| {
+            let known = reported.iter().filter_map(|(task, it)| Some((*task, attempt_of(it)?)));
+            known.map(|(task, attempt)| model::TaskAttempt { task, attempt }).collect::<Vec<_>>()
+        };
+        Some(model::StepSuspicions {
+            losses: saved.losses,
+            trials: attempts(counted_start),
+            settled: attempts(settled_start),
+        })
     });
     let steps = steps.collect::<Vec<_>>();
-    let has_any = steps.iter().any(|it| !it.losses.is_empty() || !it.trials.is_empty());
-    has_any.then_some(model::UnsavedSuspicions { graph, first_step: row.first_step, steps })
+    let is_empty = |it: &model::StepSuspicions| {
+        it.losses.is_empty() && it.trials.is_empty() && it.settled.is_empty()
+    };
+    let has_any = !steps.iter().all(is_empty);
+    has_any.then_some(model::UnsavedSuspicions { graph, first_step: first_step as u32, steps })
+}
+
+/// The saved start of a task of which nothing was heard since. A planned start was not sent, and never will
+/// be, as a report ends the tenure.
+fn counted_start(task: &job::TaskRecord) -> Option<u32> {
+    let suspicion = &task.suspicion;
+    let sent = suspicion.saved_attempt.filter(|_| task.planned_start.is_none());
+    sent.or(suspicion.inherited_attempt)
 }
 
-/// Whether the start of a task was planned and not sent. It never will be, as a report ends the tenure.
-fn is_planned(step: &job::StepRecord, task: u32) -> bool {
-    step.tasks.get(task as usize).is_some_and(|it| it.planned_start.is_some())
+/// The highest start of a task that may be in the store and counts no more.
+fn settled_start(task: &job::TaskRecord) -> Option<u32> {
+    let suspicion = &task.suspicion;
+    let planned = suspicion.saved_attempt.filter(|_| task.planned_start.is_some());
+    planned.or_else(|| suspicion.settled_attempt())
 }
--- a/crates/graph/tests/pool/schedules.rs
+++ b/crates/graph/tests/pool/schedules.rs
@@ -247,7 +247,7 @@
     let told = model::UnsavedSuspicions {
         graph: 1,
         first_step: 1,
-        steps: vec![model::StepSuspicions { losses, trials: Vec::new() }],
+        steps: vec![model::StepSuspicions { losses, trials: Vec::new(), settled: Vec::new() }],
     };
     bench.core.merge_suspicions(told, bench.now);
     assert_eq!(bench.core.summary().n_suspects, 1);
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::{order, resources, task_key, worker};
+use almondpass_graph::{order, resources, task_key, tenure_report, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -568,6 +568,83 @@
     assert_eq!(n_saved(&bench).0, 1, "the one worker that was lost");
 }
 
+/// Failure: a holder ended between the durable save of a planned start and its order. It reported only rows that the
+/// store lacked, and its successor counted the start as a loss.
+#[test]
+fn a_durable_planned_start_that_was_not_sent_is_no_loss() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    bench.save();
+    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
+    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
+    assert!(bench.run_round_and_start().is_empty());
+    bench.save();
+    let report = bench.core.tenure_report(bench.now);
+    assert_eq!(losses_after(&bench, &starts, report), 1);
+}
+
+/// Failure: a worker refused the start of a suspect, so that nothing ran, and the store was unavailable. The
+/// successor found the start there, was not told of the refusal, and counted a loss.
+#[test]
+fn a_refused_start_whose_withdrawal_is_not_saved_is_no_loss() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    bench.save();
+    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
+    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
+    bench.run_round();
+    bench.save();
+    let start = support::starts(&bench.run_round()).remove(0);
+    bench.save();
+    let refusal = order::StartAnswer::Refused(order::StartRefusal::Room);
+    bench.core.start_answered(&start, refusal, bench.now);
+    let report = bench.core.tenure_report(bench.now);
+    assert_eq!(losses_after(&bench, &starts, report), 1);
+}
+
+/// Failure: the report of a former holder that is slow to answer came after its successor had counted a start that
+/// was not sent, and the loss stood.
+#[test]
+fn a_late_report_withdraws_the_loss_of_a_start_that_was_not_sent() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    bench.save();
+    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
+    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
+    bench.run_round();
+    bench.save();
+    let report = bench.core.tenure_report(bench.now);
+    let mut next = successor_of(&bench, &starts);
+    next.run_round();
+    next.save();
+    assert_eq!(n_saved(&next).0, 2);
+    next.core.merge_last_report(report, next.now);
+    next.save();
+    assert_eq!(n_saved(&next).0, 1);
+}
+
+/// Failure: a successor that is told of a start that counts no more forgets the loss that the former holder has
+/// recorded for it.
+#[test]
+fn a_recorded_loss_stands_beside_the_report_of_its_settled_start() {
+    let (mut bench, starts) = bench_with_waiting_suspect();
+    let report = bench.core.tenure_report(bench.now);
+    assert_eq!(losses_after(&bench, &starts, report), 1);
+    bench.save();
+    let report = bench.core.tenure_report(bench.now);
+    assert_eq!(losses_after(&bench, &starts, report), 1);
+}
+
+/// Losses that the successor of a scheduler has on record after a round and a save, having merged the report.
+fn losses_after(
+    bench: &support::PoolBench,
+    starts: &[order::StartOrder],
+    report: tenure_report::TenureReport,
+) -> usize {
+    let mut next = successor_of(bench, starts);
+    next.core.merge_last_report(report, next.now);
+    next.run_round();
+    next.save();
+    n_saved(&next).0
+}
+
 /// Failure: while the store gives no answers, the start of a suspect is not sent, and the place that it is
 /// planned for stays empty although another job waits for it.
 #[test]
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2428,6 +2428,9 @@
 pub struct StepSuspicions {
     ///Workers lost under a task.
     pub losses: ::std::vec::Vec<TaskLosses>,
+    ///Highest start of a task that may be on record and counts no more: it was not sent, has ended, or is among the losses.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub settled: ::std::vec::Vec<TaskAttempt>,
     ///Starts that were to be on record, of which nothing was heard since.
     pub trials: ::std::vec::Vec<TaskAttempt>,
 }
