Tenure: leave it to others after any unserved tenure of the row, not the last alone

Callers saw: nothing runs any more. Two strong instances died each time they read the tables, and a weaker one that could schedule never acquired the tenure (LOST). Cause: an instance leaves an unserved tenure to others only if the row names its own address. Two of them are each named in turn, so neither waits, and both are faster than a weaker instance, which yields to them for 0.9 s. Change: it waits if any of the unserved tenures in a row was held at its address, as the row's earlier holders tell. Four cases of tests/tenure.rs are new. Why it works: the wait doubles with each unserved tenure, for both, until it is longer than a weaker instance's.

--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -299,15 +299,15 @@
     (!wait.is_zero()).then_some(wait)
 }
 
-/// How long a free tenure is left to others because the last tenures, the latest of them at this instance's
-/// address, were not served. It doubles with each of them: weaker instances, and those that read the row rarely,
-/// acquire the tenure later than others.
+/// How long a free tenure is left to others because the last tenures, one of them at this instance's address, were
+/// not served. It doubles with each of them: weaker instances, and those that read the row rarely, acquire the
+/// tenure later than others. Two instances that leave it only to each other would keep it from all the rest.
 fn unserved_delay<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
 ) -> Duration {
     let settings = &state.settings;
-    let n_unserved = seen.n_unserved_at(&settings.peer_address, &settings.instance);
+    let n_unserved = seen.n_unserved_beside(&settings.peer_address, &settings.instance);
     let Some(n_doublings) = n_unserved.checked_sub(1) else { return Duration::ZERO };
     two_watch_intervals(state) * (1 << n_doublings.min(MAX_UNSERVED_DOUBLINGS))
 }
--- a/crates/pool/src/tenure_watch.rs
+++ b/crates/pool/src/tenure_watch.rs
@@ -85,6 +85,19 @@
         ended.map_or(0, |it| it.n_unserved)
     }
 
+    /// Number of tenures in a row whose holders have not scheduled, if any of these was held at `address`. Of the
+    /// earlier ones the row names those whose orders may not have ended, which are the latest.
+    pub fn n_unserved_beside(&self, address: &str, instance: &str) -> u32 {
+        let Some(row) = &self.row else { return 0 };
+        let is_unserved =
+            |it: &model::EarlierHolder| it.epoch + u64::from(row.n_unserved) > row.epoch;
+        let mut earlier = row.earlier.iter().filter(|it| is_unserved(it));
+        if earlier.any(|it| it.address == address) {
+            return row.n_unserved;
+        }
+        self.n_unserved_at(address, instance)
+    }
+
     /// Time from which on no instance holds the tenure: it was released, not renewed for a `term`, or held by
     /// an earlier process at `address`, the address of this process. That process has ended, as no two
     /// processes can listen at one address; waiting for its term would cost seconds after a restart of all
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -96,6 +96,39 @@
     another_instance_was_killed: "10.0.0.1:1", "b-1", false => 0;
 }
 
+/// Number of unserved tenures for which an instance at `address` leaves a tenure to others, where the row at
+/// `10.0.0.2:1` names the holder of an earlier tenure at `10.0.0.3:1`.
+fn check_unserved_beside(address: &str, epoch: u64, n_unserved: u32) {
+    let mut watch = tenure_watch::TenureWatch::default();
+    let earlier = model::EarlierHolder {
+        holder: "a-0".to_owned(),
+        address: "10.0.0.3:1".to_owned(),
+        epoch,
+        settles_in_ms: 5_000,
+    };
+    let row =
+        model::PoolTenure { n_unserved: 2, earlier: vec![earlier], ..row("10.0.0.2:1", true) };
+    watch.record_read(5, Some(row), Duration::from_secs(100));
+    assert_eq!(watch.seen().expect("a row").n_unserved_beside(address, "b-1"), n_unserved);
+}
+
+macro_rules! unserved_beside_tests {
+    ($($(#[$doc:meta])* $name:ident: $address:literal, $epoch:literal => $n_unserved:literal;)*) => {
+        $($(#[$doc])* #[test]
+        fn $name() {
+            check_unserved_beside($address, $epoch, $n_unserved);
+        })*
+    };
+}
+
+unserved_beside_tests! {
+    /// Guards against two instances that leave unserved tenures only to each other.
+    the_last_tenure_but_one_was_unserved: "10.0.0.3:1", 6 => 2;
+    an_earlier_tenure_was_served: "10.0.0.3:1", 5 => 0;
+    the_last_tenure_was_unserved: "10.0.0.2:1", 5 => 2;
+    none_of_the_tenures_was_held_here: "10.0.0.4:1", 6 => 0;
+}
+
 fn state() -> tenure_status::TenureState {
     let times = settings::TenureTiming { term: TERM, ..settings::TenureTiming::default() };
     tenure_status::TenureState::new(times, Duration::from_secs(100))
