Hand-over: wait while a standing job awaits an empty worker

Callers saw: an accepted job of the most urgent class with nothing running for over 3 s in calm, 73 of 192 accelerators in use. Cause: a suspect waits 2 s for an empty worker. The tenure was handed over to a stronger instance 1.99 s into that wait, and the successor, which can't know of it, let it wait from the beginning. Change: a hand-over is postponed while a job with nothing running awaits an empty worker, 30 s at most. Why it works: the change of the holder is our own choice here, and the wait that it would repeat ends by itself.

--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -159,6 +159,18 @@
         until.saturating_sub(task.isolatable_since.max(self.uninterrupted_since))
     }
 
+    /// Whether a job with nothing running waits for an empty worker. With a successor that wait begins anew.
+    pub fn has_standing_suspect(&self) -> bool {
+        let awaits_isolation = |it: &job::TaskRecord| {
+            let has_begun = it.isolatable_since >= it.waiting_since;
+            has_begun && it.run.is_none() && !it.done && it.suspicion.needs_isolation()
+        };
+        self.active_jobs().any(|(_, job)| {
+            let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
+            job.runs().next().is_none() && tasks.any(awaits_isolation)
+        })
+    }
+
     /// Whether a task of a unit is held back until better evidence of the loss of its worker is due.
     pub(crate) fn is_held_back(&self, unit: task_key::UnitKey, now: Duration) -> bool {
         self.task_records(unit).iter().any(|it| now < it.held_until)
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -354,3 +354,28 @@
     }
     assert!(bench.core.take_wait_counts().n_lines > 0, "no wait is logged in 5 s");
 }
+
+/// Failure: the tenure was handed over to a stronger instance while a suspect waited for an empty worker, and its job
+/// stood still for that wait a second time.
+#[test]
+fn a_suspect_that_waits_for_an_empty_worker_is_told_until_it_starts() {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let lost = support::index_of(&bench.run_round_and_start()[0].worker);
+    bench.admit(2, support::job(1, support::whole_workers(1)));
+    let other = bench.run_round_and_start().remove(0);
+    bench.advance(3_000);
+    bench.core.worker_replaced(
+        &support::worker_id(lost),
+        &support::worker_entry(lost).address,
+        bench.now,
+    );
+    bench.run_round();
+    assert!(bench.core.has_standing_suspect());
+    let end = support::listed_end(1, &other, order::EndKind::Done);
+    bench.answer_poll(support::index_of(&other.worker), &[], &[end]);
+    bench.run_round();
+    bench.save();
+    assert_eq!(bench.run_round_and_start().len(), 1);
+    assert!(!bench.core.has_standing_suspect());
+}
--- a/crates/pool/src/hand_over.rs
+++ b/crates/pool/src/hand_over.rs
@@ -19,9 +19,8 @@
 /// settling are about to start.
 const MIN_HOLD_TIME: Duration = Duration::from_secs(3);
 
-/// A hand-over is postponed for at most this long because of a worker that does not answer: a successor, and
-/// accepted jobs with it, would have to wait for that worker's lease again.
-const MAX_SILENT_WORKER_WAIT: Duration = Duration::from_secs(30);
+/// A hand-over is postponed for at most this long because of a wait that a successor would begin anew.
+const MAX_POSTPONEMENT: Duration = Duration::from_secs(30);
 
 /// Interval between two checks for stronger instances.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,7 +49,7 @@
         if may_write && has_unoffered_stronger(&state) {
             let now = state.adapters.clock().now();
             let since = *wanted_since.get_or_insert(now);
-            if now >= since + MAX_SILENT_WORKER_WAIT || leader.core().all_answer() {
+            if now >= since + MAX_POSTPONEMENT || !has_wait_to_finish(&leader) {
                 tracing::info!(
                     epoch = leader.epoch,
                     "tenure is handed over to a stronger instance"
@@ -64,6 +63,13 @@
     }
 }
 
+/// Whether accepted jobs wait for the lease of a worker that does not answer, or would under a successor, or for
+/// an empty worker for a suspect.
+fn has_wait_to_finish(leader: &leader::LeaderState) -> bool {
+    let core = leader.core();
+    !core.all_answer() || core.has_standing_suspect()
+}
+
 /// Whether there is a stronger instance to which the tenure was not offered yet.
 fn has_unoffered_stronger<S: state::PoolAdapters>(state: &state::PoolState<S>) -> bool {
     let stronger = state.stronger_instances();
