Suspects: an empty worker for each standing job before a second one for any

Callers saw: an accepted job with nothing running for over 3 s in calm, 70 of 160 accelerators in use. Cause: behind a takeover all tasks left of seven jobs were suspects. A suspect of a job with nothing running may have an empty worker beyond the share for suspects; a start that waits to be saved did not count, so five tasks of one job had that right at once, and the empty workers were gone before the last job's turn. Change: planned starts count; and a further suspect of a job leaves as many empty workers of the share as other jobs with nothing running wait for. Ruled out by the trace: a break in the chain of epochs of the reports (epoch 6 follows 5, the former holder has died). Evidence: storms_that_still_wait_behind_losses fails on the code before (release) and the new each_standing_job_gets_an_empty_worker_for_one_of_its_suspects too (only job 1 starts). Why it works: no suspect is isolated less. A task that needs an empty worker most gets it first.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -103,6 +103,8 @@
     /// Upstreams with less than half of each resource of their workers in use, as of the last check of
     /// waiting jobs.
     pub(crate) underused: BTreeSet<ids::UpstreamName>,
+    /// Jobs with nothing running of which a suspect waited for an empty worker at the beginning of the last round.
+    pub(crate) standing_suspects: BTreeSet<ids::GraphId>,
     /// Time of the last scheduling round.
     pub(crate) last_round_at: Duration,
     /// Start of the current period in which rounds ran without a long pause and some worker could get tasks.
@@ -174,6 +176,7 @@
             end_counts: task_ends::EndCounts::default(),
             list_read_at: Duration::ZERO,
             underused: BTreeSet::new(),
+            standing_suspects: BTreeSet::new(),
             last_round_at: Duration::ZERO,
             uninterrupted_since: Duration::ZERO,
             last_maintenance_at: Duration::ZERO,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -75,6 +75,7 @@
         let mut exhausted = Vec::<resources::Resources>::new();
         let mut failed = Vec::<failed_placement::FailedPlacement>::new();
         let mut round = self.preemption_round();
+        self.standing_suspects = self.find_standing_suspects();
         self.start_window.drop_older(self.timing.start_timeout, now);
         while let Some(unit) = units.next_unit(self.account_state()) {
             if !self.start_window.admits(1) {
--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -40,15 +40,16 @@
 /// unseen.
 const INHERITED_START_PROBABILITY: f64 = 0.2;
 
-/// Whether these tasks of a unit may have workers of their own now. Tasks that are close to proven to
-/// crash their workers always may.
+/// Whether these tasks of a unit may have workers of their own now, if `n_standing` other jobs with nothing
+/// running wait for such workers. Tasks that are close to proven to crash their workers always may.
 pub(crate) fn may_run_isolated(
     tasks: &[job::TaskRecord],
     candidates: &[candidate::WorkerCandidate],
+    n_standing: usize,
 ) -> bool {
     let n_exclusive = candidates.iter().filter(|it| it.is_exclusive).count();
-    let has_spare_worker = n_exclusive < (candidates.len() / WORKERS_PER_WEAK_SUSPECT).max(1);
-    has_spare_worker || tasks.iter().any(|it| it.suspicion.is_strong_suspect())
+    let n_spare = (candidates.len() / WORKERS_PER_WEAK_SUSPECT).max(1);
+    n_exclusive + n_standing < n_spare || tasks.iter().any(|it| it.suspicion.is_strong_suspect())
 }
 
 /// Asks for empty workers if there are enough now. A unit that needs isolation but is no suspect has
@@ -77,6 +78,18 @@
     if has_others { lost_workers } else { BTreeSet::new() }
 }
 
+/// Whether nothing of a job runs, and one of its suspects waits for an empty worker.
+fn is_standing_suspect(job: &job::JobRecord) -> bool {
+    let awaits_isolation =
+        |it: &job::TaskRecord| it.run.is_none() && !it.done && it.suspicion.needs_isolation();
+    let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
+    job.runs().next().is_none() && tasks.any(awaits_isolation)
+}
+
+fn has_planned_start(job: &job::JobRecord) -> bool {
+    job.steps.iter().flat_map(|it| &it.tasks).any(|it| it.planned_start.is_some())
+}
+
 impl core::PoolCore {
     /// Whether the evidence of earlier losses of a unit is complete, so that it may be started. Records
     /// losses for starts that an earlier scheduler had saved.
@@ -161,14 +174,30 @@
 
     /// Whether a job with nothing running waits for an empty worker. With a successor that wait begins anew.
     pub fn has_standing_suspect(&self) -> bool {
-        let awaits_isolation = |it: &job::TaskRecord| {
-            let has_begun = it.isolatable_since >= it.waiting_since;
-            has_begun && it.run.is_none() && !it.done && it.suspicion.needs_isolation()
-        };
-        self.active_jobs().any(|(_, job)| {
-            let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
-            job.runs().next().is_none() && tasks.any(awaits_isolation)
-        })
+        self.active_jobs().any(|(_, job)| is_standing_suspect(job))
+    }
+
+    /// The jobs with nothing running in underused pools of which a suspect waits for an empty worker.
+    pub(crate) fn find_standing_suspects(&self) -> BTreeSet<ids::GraphId> {
+        if self.underused.is_empty() {
+            return BTreeSet::new();
+        }
+        let jobs = self.active_jobs().filter(|(_, it)| self.underused.contains(&it.upstream));
+        jobs.filter(|(_, it)| is_standing_suspect(it)).map(|(graph, _)| graph).collect()
+    }
+
+    /// Number of other jobs than that of a unit that stood at the beginning of the round, and still have neither
+    /// a run nor a place.
+    pub(crate) fn n_other_standing(&self, unit: task_key::UnitKey) -> usize {
+        let others = self.standing_suspects.iter().filter(|it| **it != unit.graph);
+        let jobs = others.filter_map(|it| self.jobs.get(it));
+        jobs.filter(|it| it.runs().next().is_none() && !has_planned_start(it)).count()
+    }
+
+    /// Whether another task of the unit's job has a place and waits for its start to be saved.
+    pub(crate) fn has_planned_start_beside(&self, unit: task_key::UnitKey) -> bool {
+        let is_planned = self.task_records(unit).iter().any(|it| it.planned_start.is_some());
+        !is_planned && self.jobs.get(&unit.graph).is_some_and(has_planned_start)
     }
 
     /// Whether a task of a unit is held back until better evidence of the loss of its worker is due.
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -39,8 +39,9 @@
             && tasks.iter().all(|it| self.isolation_wait(it, now) < isolation::ISOLATION_TIMEOUT);
         let checks_idle = may_crash_worker || waited >= IDLE_TIMEOUT;
         let is_idle = checks_idle && self.is_idle_in_underused_pool(job);
-        let may_be_isolated =
-            may_crash_worker && (is_idle || isolation::may_run_isolated(tasks, candidates));
+        let may_be_isolated = may_crash_worker
+            && ((is_idle && !self.has_planned_start_beside(unit))
+                || isolation::may_run_isolated(tasks, candidates, self.n_other_standing(unit)));
         let takes_any_place = waited >= IDLE_TIMEOUT && is_idle;
         let mut request = candidate::PlacementRequest {
             unit,
--- a/crates/graph/tests/pool/waits.rs
+++ b/crates/graph/tests/pool/waits.rs
@@ -379,3 +379,24 @@
     assert_eq!(bench.run_round_and_start().len(), 1);
     assert!(!bench.core.has_standing_suspect());
 }
+
+/// Failure: the suspects of one job with nothing running took all empty workers, and another such job stood still
+/// beside free capacity.
+#[test]
+fn each_standing_job_gets_an_empty_worker_for_one_of_its_suspects() {
+    let mut bench = support::PoolBench::new(8);
+    bench.admit(1, support::job(1, support::tasks(4)));
+    bench.admit(2, support::job(1, support::tasks(1)));
+    let starts = bench.run_round_and_start();
+    let lost = support::index_of(&starts[0].worker);
+    assert!(starts.iter().all(|it| it.worker == starts[0].worker));
+    bench.advance(3_000);
+    let address = support::worker_entry(lost).address;
+    bench.core.worker_replaced(&support::worker_id(lost), &address, bench.now);
+    let spread = model::GraphStep { per_worker: 1, ..support::tasks(4) };
+    bench.admit(3, support::job(0, spread));
+    assert_eq!(bench.run_round_and_start().len(), 4);
+    bench.save();
+    let started = bench.run_round_and_start().into_iter().map(|it| it.task.graph);
+    assert_eq!(started.collect::<BTreeSet<_>>(), BTreeSet::from([1, 2]));
+}
