--- a/crates/graph/tests/pool/rosters.rs
+++ b/crates/graph/tests/pool/rosters.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::{order, saving, task_key};
+use almondpass_graph::{order, saving, task_key, worker};
 use almondpass_schema::{ids, model};
 
 use crate::support;
@@ -196,3 +196,22 @@
         on_record: false,
     }
 }
+
+/// Failure: a worker that leaves dropped off the roster with its first answer, which did not hold all its ends, and
+/// a successor did not wait for the rest.
+#[test]
+fn leaving_worker_stays_on_the_roster_until_it_has_listed_all_its_ends() {
+    let mut bench = support::PoolBench::with_unanswered_workers(2, SETTLES_AT);
+    let leaves_in = Some(Duration::from_millis(4_500));
+    let leaving = worker::WorkerEntry { leaves_in, ..support::worker_entry(1) };
+    bench.core.update_worker(support::worker_id(1), leaving, bench.now);
+    bench.answer_poll(0, &[], &[]);
+    bench.answer_poll_incompletely(1, &[]);
+    assert_eq!(bench.take_save_batch(), None, "the roster that names both");
+    bench.answer_poll(1, &[], &[]);
+    let batch = bench.take_save_batch().expect("a roster without the worker");
+    let content = batch.rows.into_iter().map(|it| it.content).next();
+    let Some(saving::SaveContent::Roster(row)) = content else { panic!("{content:?}") };
+    let workers = row.workers.into_iter().map(|it| it.worker);
+    assert_eq!(workers.collect::<Vec<_>>(), [support::worker_id(0)]);
+}
--- a/crates/pool/tests/pool/storms.rs
+++ b/crates/pool/tests/pool/storms.rs
@@ -196,6 +196,12 @@
     storms_of_evacuations: Evacuations;
 }
 
+/// Guards against starts beyond the room of a worker whose entry was old already when a new holder first read it.
+#[test]
+fn storms_with_an_old_entry_at_a_takeover() {
+    run_storms(StormKind::ResourceChanges, [97_200_003]);
+}
+
 #[test]
 fn storms_that_found_restart_faults() {
     for kind in [StormKind::Restarts, StormKind::UnreportedRestarts] {
