Take an undecodable row for no proof of anything

Callers would see: done tasks run again, or tasks run twice at a time (TWICE). Found by reading. Cause: a new holder read a progress row, a page of the roster or the tenure's row that it could not decode as absent: nothing done, no worker with orders, no tenure held. Change: nothing of a job with an undecodable progress row starts, and the row is not written; inherited jobs wait until all earlier orders have ended where a roster page is undecodable; an undecodable row of the tenure counts as a failed read. Evidence: the three tests of unreadable_rows.rs fail on the code before (two on tasks that ran twice, one on a tenure of a lower epoch). Measured: they pass, with the 35 tests matched by takeovers, unsaved_ends and unreadable_rows, and 109 of the graph crate. Why it works: each of the three absences was a statement; now only a row that was read, or surely isn't there, makes one.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -119,6 +119,8 @@
     pub(crate) wall_time: Duration,
     /// Whether a successor may rely on the roster's notes about silent workers.
     pub(crate) keeps_silence_notes: bool,
+    /// Whether a page of the roster can't be decoded.
+    pub(crate) has_unreadable_roster: bool,
     /// Data centres under evacuation. Nothing starts on their workers.
     pub(crate) evacuated: Arc<[ids::DataCenter]>,
 }
@@ -184,6 +186,7 @@
             wait_counts: waiting::WaitCounts::default(),
             wall_time: Duration::ZERO,
             keeps_silence_notes: false,
+            has_unreadable_roster: false,
             evacuated: Arc::default(),
         }
     }
--- a/crates/graph/src/end_record.rs
+++ b/crates/graph/src/end_record.rs
@@ -50,10 +50,11 @@
         }
     }
 
-    /// The latest change of the row with a task.
+    /// The latest change of the row with a task; `None` if the row must not be written. A worker that kept such an
+    /// end for good would keep all later ones too.
     fn latest_change(&self, key: task_key::TaskKey) -> Option<save_queue::RowChange> {
         let chunk = progress::chunk_of(self.jobs.get(&key.graph)?, key)?;
         let row = save_queue::SaveRowKey::Progress { graph: key.graph, chunk };
-        Some(self.unsaved.latest_change(row))
+        (!self.unsaved.is_withheld(row)).then(|| self.unsaved.latest_change(row))
     }
 }
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -75,6 +75,9 @@
         let graph = admitted.graph;
         let cancelled = admitted.row.cancelled;
         let is_unchunked = admitted.progress.is_unchunked();
+        for chunk in admitted.progress.unreadable() {
+            self.unsaved.withhold(save_queue::SaveRowKey::Progress { graph, chunk });
+        }
         let epoch = self.epoch;
         self.jobs.entry(graph).or_insert_with(|| {
             tracing::info!(
@@ -254,6 +257,7 @@
         skipped_attempts: 0,
         schedule: row.graph.schedule,
         inherited: admitted.inherited,
+        has_unreadable_rows: !admitted.progress.unreadable().is_empty(),
         admitted_at: now,
         ended_at: None,
         wait: wait_timer::WaitTimer::new(now),
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -43,6 +43,9 @@
     /// Whether the job was accepted before this tenure: some of its tasks may run without this
     /// scheduler knowing of them yet.
     pub inherited: bool,
+    /// Whether the store has a progress row of the job that can't be decoded. Nothing starts, as any task may be
+    /// done.
+    pub has_unreadable_rows: bool,
     /// When this scheduler admitted the job.
     pub admitted_at: Duration,
     /// When this scheduler found that the job has ended.
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -4,7 +4,7 @@
 //! a row of its own. So neither the size of a row nor the amount written for the end of one task
 //! grows with the job.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Range, RangeInclusive};
 use std::sync::Arc;
 use std::time::Duration;
@@ -122,6 +122,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SavedChunks {
     chunks: BTreeMap<u32, model::ProgressRow>,
+    unreadable: BTreeSet<u32>,
 }
 
 impl SavedChunks {
@@ -130,14 +131,24 @@
         self.chunks.insert(chunk, row);
     }
 
-    /// Numbers of the chunks with a row, in ascending order.
+    /// Records that a chunk has a row that can't be decoded.
+    pub fn insert_unreadable(&mut self, chunk: u32) {
+        self.unreadable.insert(chunk);
+    }
+
+    /// Numbers of the chunks with a row.
     pub fn numbers(&self) -> impl Iterator<Item = u32> {
-        self.chunks.keys().copied()
+        self.chunks.keys().chain(&self.unreadable).copied()
+    }
+
+    /// Numbers of the chunks with a row that can't be decoded.
+    pub(crate) fn unreadable(&self) -> BTreeSet<u32> {
+        self.unreadable.clone()
     }
 
     /// Whether the store has no progress row of the job.
     pub fn is_empty(&self) -> bool {
-        self.chunks.is_empty()
+        self.chunks.is_empty() && self.unreadable.is_empty()
     }
 
     /// Whether the head row contains tasks of other chunks too, as written by a release without
--- a/crates/graph/src/save_queue.rs
+++ b/crates/graph/src/save_queue.rs
@@ -104,6 +104,20 @@
         self.refused.insert(row, RefusedRow { change, retry_at: now + REFUSED_RETRY_INTERVAL });
     }
 
+    /// Records that a row must not be written, as the store has content that can't be read. No change of it is
+    /// ever durable.
+    pub fn withhold(&mut self, row: SaveRowKey) {
+        if let Some(due_change) = self.due.remove(&row) {
+            self.by_first_change.remove(&(due_change, row));
+        }
+        self.refused.insert(row, RefusedRow { change: 0, retry_at: Duration::MAX });
+    }
+
+    /// Whether a row must not be written.
+    pub fn is_withheld(&self, row: SaveRowKey) -> bool {
+        self.refused.get(&row).is_some_and(|it| it.retry_at == Duration::MAX)
+    }
+
     /// Whether the store has a change.
     pub fn is_durable(&self, change: RowChange) -> bool {
         let is_missing = |first: Option<&u64>| first.is_some_and(|it| *it <= change.number);
--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -40,6 +40,9 @@
         if now >= core.settles_at {
             return SettledJobs::All;
         }
+        if core.has_unreadable_roster {
+            return SettledJobs::NoneInherited;
+        }
         let may_hide_runs = |id: &ids::WorkerId, it: &worker::WorkerRecord| {
             it.inherited && now < core.earlier_runs_end_at(id, it)
         };
@@ -58,9 +61,10 @@
         }
     }
 
-    /// Whether it is known where the tasks of a job run, so that its other tasks may start.
+    /// Whether it is known where the tasks of a job run and which are done, so that its other tasks may start.
     pub(crate) fn covers(self, job: &job::JobRecord) -> bool {
         match self {
+            _ if job.has_unreadable_rows => false,
             _ if !job.inherited => true,
             SettledJobs::NoneInherited => false,
             SettledJobs::AllButSavedStarts => !has_saved_start(job),
@@ -105,6 +109,12 @@
         }
     }
 
+    /// Records that a page of the roster can't be decoded: tasks of inherited jobs may run on workers that are not
+    /// known.
+    pub fn note_unreadable_roster(&mut self) {
+        self.has_unreadable_roster = true;
+    }
+
     /// Whether a successor may rely on the silence notes in the roster.
     pub fn keeps_silence_notes(&self) -> bool {
         self.keeps_silence_notes
--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -176,8 +176,14 @@
         Ok(rows) => {
             let row = rows.rows.into_iter().next();
             let version = row.as_ref().map_or(0, |it| it.version);
-            let tenure = row.and_then(|it| it.value).and_then(|it| codec::decode(&it).ok());
-            watch.record_read(version, tenure, now);
+            match row.and_then(|it| it.value).map(|it| codec::decode(&it)).transpose() {
+                Ok(tenure) => watch.record_read(version, tenure, now),
+                // Read as absent, the row would end another instance's tenure, with a lower epoch.
+                Err(error) => {
+                    tracing::error!(version, %error, "the tenure's row can't be decoded");
+                    watch.record_failure(now);
+                }
+            }
         }
         Err(error) => {
             tracing::debug!(%error, "the tenure can't be read");
--- a/crates/pool/src/tenure_loader.rs
+++ b/crates/pool/src/tenure_loader.rs
@@ -174,15 +174,23 @@
     for row in &rows.rows {
         let Some((name, chunk)) = keys::name_and_number(&row.key) else { continue };
         let Some(graph) = task_key::parse_graph(name) else { continue };
-        let Some(saved) = decode::<model::ProgressRow>(row) else { continue };
-        by_graph.entry(graph).or_default().insert(chunk, saved);
+        let chunks = by_graph.entry(graph).or_default();
+        match decode::<model::ProgressRow>(row) {
+            Some(saved) => chunks.insert(chunk, saved),
+            // Read as absent, the row would let done tasks run again.
+            None if row.value.is_some() => chunks.insert_unreadable(chunk),
+            None => {}
+        }
     }
     by_graph
 }
 
 fn inherit_roster_page(core: &mut core::PoolCore, row: &row_feed::FeedRow) {
     let Some(page) = keys::roster_page(&row.key) else { return };
-    let Some(roster) = decode::<model::RosterRow>(row) else { return };
+    let Some(roster) = decode::<model::RosterRow>(row) else {
+        core.note_unreadable_roster();
+        return;
+    };
     for entry in roster.workers {
         core.inherit_worker(entry, page);
     }
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -31,4 +31,5 @@
 mod successors;
 mod support;
 mod takeovers;
+mod unreadable_rows;
 mod unsaved_ends;
--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -527,7 +527,8 @@
         matches!(writing.await, Ok(Ok(model::TableOutcome::Committed { .. })))
     }
 
-    async fn put(&self, key: &str, value: Option<blob::Blob>) {
+    /// Writes a row unconditionally, or removes it.
+    pub(crate) async fn put(&self, key: &str, value: Option<blob::Blob>) {
         self.store.transact(put_transaction(key, value)).await.expect("a write");
     }
 
