Graph: what a former scheduler tells is reported, as the field says

Newcomers stopped at told ends and at what is told. The module, its type and its methods speak of reported ends now; names on the wire stay.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -18,6 +18,7 @@
 use crate::losses;
 use crate::order;
 use crate::pool_speeds;
+use crate::reported_ends;
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
@@ -28,7 +29,6 @@
 use crate::task_ends;
 use crate::task_key;
 use crate::timing;
-use crate::told_ends;
 use crate::wait_timer;
 use crate::waiting;
 use crate::worker;
@@ -76,8 +76,8 @@
     pub(crate) settles_at: Duration,
     /// What earlier schedulers have reported of workers that do not answer.
     pub(crate) silence_reports: silent_workers::SilenceReports,
-    /// Ends that earlier schedulers have told and that are not durable yet.
-    pub(crate) told_ends: told_ends::ToldEnds,
+    /// Ends that earlier schedulers have reported and that are not durable yet.
+    pub(crate) reported_ends: reported_ends::ReportedEnds,
     /// Whether a worker has refused an order because it had seen a higher fencing token than that of this
     /// scheduler.
     pub(crate) is_fenced_off: bool,
@@ -166,7 +166,7 @@
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
             silence_reports: silent_workers::SilenceReports::default(),
-            told_ends: told_ends::ToldEnds::default(),
+            reported_ends: reported_ends::ReportedEnds::default(),
             is_fenced_off: false,
             finished: Vec::new(),
             newest_generation: 0,
--- a/crates/graph/src/saving.rs
+++ b/crates/graph/src/saving.rs
@@ -88,7 +88,7 @@
         for worker in self.workers.values_mut() {
             worker.advance_acknowledged(&self.unsaved);
         }
-        self.told_ends.drop_durable(&self.unsaved);
+        self.reported_ends.drop_durable(&self.unsaved);
     }
 
     /// Records that the store refuses a row, and would refuse it however often it is written. It is
--- a/crates/graph/src/silent_workers.rs
+++ b/crates/graph/src/silent_workers.rs
@@ -59,7 +59,7 @@
             self.n_unsaved_chunks() <= unsaved_suspicions::MAX_REPORTED_CHUNKS;
         let mut n_ends_left = MAX_REPORTED_ENDS;
         let report = |(id, it): (&ids::WorkerId, &worker::WorkerRecord)| {
-            let mut ends = self.ends_to_tell(id, it);
+            let mut ends = self.ends_to_report(id, it);
             let are_ends_told = ends.len() <= n_ends_left;
             ends.truncate(n_ends_left);
             n_ends_left -= ends.len();
@@ -83,7 +83,7 @@
     /// Merges the report of the scheduler right before this one. Of a worker that may have listed ends
     /// which are neither in the store nor known here, nothing is known.
     pub fn merge_silent_workers(&mut self, mut reported: Vec<model::SilentWorker>, now: Duration) {
-        let with_known_ends = self.merge_told_ends(&reported, now);
+        let with_known_ends = self.merge_reported_ends(&reported, now);
         reported.retain(|it| with_known_ends.contains(&it.worker));
         if reported.is_empty() {
             return;
@@ -108,9 +108,9 @@
         }
     }
 
-    /// Applies the ends that a former scheduler tells of silent workers. Returns the workers of which all
+    /// Applies the ends that a former scheduler reports of silent workers. Returns the workers of which all
     /// ends are known now.
-    pub(crate) fn merge_told_ends(
+    pub(crate) fn merge_reported_ends(
         &mut self,
         reported: &[model::SilentWorker],
         now: Duration,
@@ -126,7 +126,7 @@
                     "a former scheduler reports unsaved ends of a worker that did not answer it"
                 );
             }
-            if self.apply_told_ends(&it.worker, &it.ends, now) && it.are_ends_told {
+            if self.apply_reported_ends(&it.worker, &it.ends, now) && it.are_ends_told {
                 with_known_ends.insert(it.worker.clone());
             }
         }
--- a/crates/graph/src/tenure_report.rs
+++ b/crates/graph/src/tenure_report.rs
@@ -31,7 +31,7 @@
     /// Merges the report of a scheduler that others have followed since. They may have given orders to
     /// workers that did not answer it, so that only its facts about tasks hold.
     pub fn merge_earlier_report(&mut self, report: TenureReport, now: Duration) {
-        self.merge_told_ends(&report.silent, now);
+        self.merge_reported_ends(&report.silent, now);
         report.suspicions.into_iter().for_each(|it| self.merge_suspicions(it, now));
     }
 }
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -96,7 +96,7 @@
         let ended = task.ended_attempt;
         let open = restored.losses().iter().filter(|it| it.attempt > ended);
         for loss in open.copied().collect::<Vec<_>>() {
-            tracing::info!(task = %key, attempt = loss.attempt, "loss is told by a former scheduler");
+            tracing::info!(task = %key, attempt = loss.attempt, "loss is reported by a former scheduler");
             self.record_loss(key, loss, now);
         }
     }
@@ -122,7 +122,7 @@
             _ => &mut task.suspicion.inherited_attempt,
         };
         if *saved_attempt < Some(attempt) {
-            tracing::info!(task = %key, attempt, "start is told by a former scheduler");
+            tracing::info!(task = %key, attempt, "start is reported by a former scheduler");
             *saved_attempt = Some(attempt);
             self.mark_task_changed(key);
         }
