Takeover: count the age of workers' entries from before the first read

Callers see: work on a worker that has less room than it takes (LIMIT), two starts in storm. Cause: a new version of an entry counts as current unless it comes after a gap, as the store may carry out an old write late. A new holder counted the gap from its own first read, though the entry was 5 s old by then. Change: the watcher of the tenure keeps the versions that it saw with their times (VersionHistory). An entry of a lower version was written before that, and the gap counts from there. Why it works: the store numbers all writes together, so a version seen at some time bounds each lower one.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Records that the content of a worker's entry was written before `at`: the next version may have been applied
+    /// late by the store from then on, not only since the entry was read.
+    pub fn note_entry_written_before(&mut self, worker: &ids::WorkerId, at: Duration) {
+        let Some(record) = self.workers.get_mut(worker) else { return };
+        record.entry_read_at = record.entry_read_at.map(|it| it.min(at));
+    }
+
     /// Sets the data centres under evacuation. Nothing starts on their workers until they are returned to
     /// service.
     pub fn set_evacuated(&mut self, data_centers: Arc<[ids::DataCenter]>) {
--- a/crates/graph/tests/pool/worker_entries.rs
+++ b/crates/graph/tests/pool/worker_entries.rs
@@ -49,6 +49,31 @@
     assert_eq!(admit_and_count_starts(&mut bench), 1);
 }
 
+/// Failure: tasks were started beyond the capacity of a worker that had shrunk before a takeover. The new holder counted the
+/// time without a write of its entry from its own first read.
+#[test]
+fn late_entry_after_a_takeover_allows_no_start() {
+    let mut bench = bench_without_admission_check();
+    let written_before = bench.now;
+    for _ in 0..3 {
+        bench.advance(HEARTBEAT_MS);
+    }
+    bench.core.note_list_read(bench.now);
+    bench.core.worker_replaced(
+        &support::worker_id(0),
+        &support::worker_entry(0).address,
+        bench.now,
+    );
+    bench.core.update_worker(support::worker_id(0), support::worker_entry(0), bench.now);
+    bench.core.note_entry_written_before(&support::worker_id(0), written_before);
+    bench.answer_poll(0, &[], &[]);
+    bench.save();
+    bench.core.note_entry_read(&support::worker_id(0));
+    assert_eq!(admit_and_count_starts(&mut bench), 0);
+    write_entry_after_heartbeats(&mut bench, 1);
+    assert_eq!(admit_and_count_starts(&mut bench), 1);
+}
+
 /// The store may carry out a write of an entry after a later write by the same worker.
 #[test]
 fn superseded_entry_is_ignored() {
--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -281,6 +281,7 @@
         predecessors,
         notes_silence,
         n_unserved,
+        versions: watch.versions().clone(),
     })
 }
 
--- a/crates/pool/src/leader.rs
+++ b/crates/pool/src/leader.rs
@@ -23,6 +23,7 @@
 use crate::tenure_legacy;
 use crate::tenure_loader;
 use crate::tenure_status;
+use crate::version_history;
 use crate::worker_follower;
 use crate::writer;
 
@@ -77,6 +78,8 @@
     pub(crate) notes_silence: bool,
     /// Number of tenures in a row, this one included, whose holders have not scheduled.
     pub(crate) n_unserved: u32,
+    /// Versions of the store that were seen before the tenure was acquired.
+    pub(crate) versions: version_history::VersionHistory,
 }
 
 impl LeaderState {
--- a/crates/pool/src/tenure_loader.rs
+++ b/crates/pool/src/tenure_loader.rs
@@ -82,6 +82,9 @@
     core.note_list_read(requested_at);
     for row in workers.rows {
         apply_worker_row(state, &mut core, &row, now);
+        if let Some(at) = acquired.versions.written_before(row.version) {
+            core.note_entry_written_before(&row.key, at);
+        }
     }
     core.restore_loss_history(acquired.losses.as_ref(), now);
     for row in &roster.rows {
--- a/crates/pool/src/tenure_watch.rs
+++ b/crates/pool/src/tenure_watch.rs
@@ -4,10 +4,13 @@
 
 use almondpass_schema::{ids, model};
 
+use crate::version_history;
+
 /// The tenure's row as a watcher has read it over time.
 #[derive(Clone, Debug, Default)]
 pub struct TenureWatch {
     seen: Option<SeenRow>,
+    versions: version_history::VersionHistory,
 }
 
 /// The tenure's row as last read.
@@ -35,6 +38,7 @@
         row: Option<model::PoolTenure>,
         now: Duration,
     ) {
+        self.versions.record(version, now);
         match &mut self.seen {
             Some(seen) if seen.version == version => {}
             seen => {
@@ -60,6 +64,11 @@
         }
     }
 
+    /// The versions of the row that were read.
+    pub fn versions(&self) -> &version_history::VersionHistory {
+        &self.versions
+    }
+
     /// The row as last read; `None` until a read has succeeded.
     pub fn seen(&self) -> Option<&SeenRow> {
         self.seen.as_ref()
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_pool::{settings, tenure_status, tenure_watch};
+use almondpass_pool::{settings, tenure_status, tenure_watch, version_history};
 use almondpass_schema::model;
 
 const TERM: Duration = Duration::from_secs(2);
@@ -173,3 +173,15 @@
     state.end();
     assert!(!state.may_order(at(1)));
 }
+
+/// The first later version that was seen bounds the time of a write; without one nothing is known.
+#[test]
+fn a_later_version_bounds_the_time_of_a_write() {
+    let mut history = version_history::VersionHistory::default();
+    for (version, second) in [(10, 1), (20, 2), (20, 3), (30, 4)] {
+        history.record(version, Duration::from_secs(second));
+    }
+    assert_eq!(history.written_before(9), Some(Duration::from_secs(1)));
+    assert_eq!(history.written_before(10), Some(Duration::from_secs(2)));
+    assert_eq!(history.written_before(30), None);
+}
