Hand-over: wait while any job stands in an underused pool

The job waited for room that is not kept for more urgent work, which takes 2 s; the hand-over came 1.7 s into that, and the successor began anew. Change: the hand-over waits, 30 s at most, while a job with nothing running could start a task in a pool of which less than half is in use. Why it works: such a wait ends by itself within 2 s, so the postponement is short.

--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -172,11 +172,6 @@
         until.saturating_sub(task.isolatable_since.max(self.uninterrupted_since))
     }
 
-    /// Whether a job with nothing running waits for an empty worker. With a successor that wait begins anew.
-    pub fn has_standing_suspect(&self) -> bool {
-        self.active_jobs().any(|(_, job)| is_standing_suspect(job))
-    }
-
     /// The jobs with nothing running in underused pools of which a suspect waits for an empty worker.
     pub(crate) fn find_standing_suspects(&self) -> BTreeSet<ids::GraphId> {
         if self.underused.is_empty() {
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -183,6 +183,15 @@
         now >= self.waits_reported_at + CHECK_INTERVAL
     }
 
+    /// Whether a job with nothing running could start a task, in a pool of which less than half was in use at the
+    /// last check. It waits for a better place, or for an empty worker; with a successor that wait begins anew.
+    pub fn has_standing_job(&self) -> bool {
+        let jobs = self.active_jobs().filter(|(_, it)| self.underused.contains(&it.upstream));
+        let mut standing = jobs.filter(|(_, it)| it.runs().next().is_none());
+        standing
+            .any(|(graph, it)| !dispatch::waiting_units_of(graph, it, self.wall_time).is_empty())
+    }
+
     /// Logs why jobs wait, and counts starved jobs.
     pub(crate) fn report_waits(
         &mut self,
--- a/crates/pool/src/hand_over.rs
+++ b/crates/pool/src/hand_over.rs
@@ -63,11 +63,11 @@
     }
 }
 
-/// Whether accepted jobs wait for the lease of a worker that does not answer, or would under a successor, or for
-/// an empty worker for a suspect.
+/// Whether accepted jobs wait for the lease of a worker that does not answer, or would under a successor, or with
+/// nothing running for a better place.
 fn has_wait_to_finish(leader: &leader::LeaderState) -> bool {
     let core = leader.core();
-    !core.all_answer() || core.has_standing_suspect()
+    !core.all_answer() || core.has_standing_job()
 }
 
 /// Whether there is a stronger instance to which the tenure was not offered yet.
