Suspects, hand-over: a job with an undecodable row stands for another reason

Nothing of such a job starts, so it would have postponed each hand-over for 30 s, and would have kept an empty worker from the suspects of other jobs. The 54 tests matched by waits and suspicions pass; none has such a job.

--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -83,7 +83,7 @@
     let awaits_isolation =
         |it: &job::TaskRecord| it.run.is_none() && !it.done && it.suspicion.needs_isolation();
     let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
-    job.runs().next().is_none() && tasks.any(awaits_isolation)
+    !job.has_unreadable_rows && job.runs().next().is_none() && tasks.any(awaits_isolation)
 }
 
 fn has_planned_start(job: &job::JobRecord) -> bool {
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -187,7 +187,8 @@
     /// last check. It waits for a better place, or for an empty worker; with a successor that wait begins anew.
     pub fn has_standing_job(&self) -> bool {
         let jobs = self.active_jobs().filter(|(_, it)| self.underused.contains(&it.upstream));
-        let mut standing = jobs.filter(|(_, it)| it.runs().next().is_none());
+        let can_start = |it: &job::JobRecord| !it.has_unreadable_rows && it.runs().next().is_none();
+        let mut standing = jobs.filter(|(_, it)| can_start(it));
         standing
             .any(|(graph, it)| !dispatch::waiting_units_of(graph, it, self.wall_time).is_empty())
     }
