--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod load_simulation;
 mod move_limits;
 mod objectives;
+mod planned_starts;
 mod random_events;
 mod remembered_speeds;
 mod reservations;
--- a/crates/graph/tests/pool/silence_reports.rs
+++ b/crates/graph/tests/pool/silence_reports.rs
@@ -26,9 +26,10 @@
     earlier
 }
 
-/// A successor that the second worker does not answer, with jobs 1 and 2 accepted before and nothing saved.
-fn successor() -> support::PoolBench {
-    let mut successor = support::PoolBench::with_unanswered_workers(0, SETTLES_AT);
+/// A scheduler in the tenure of `epoch` that has read two workers from the roster, none of which has answered.
+fn with_inherited_workers(epoch: ids::Epoch, settles_at: Duration) -> support::PoolBench {
+    let scheduling = model::SchedulingSettings::default();
+    let mut bench = support::PoolBench::of_tenure(epoch, 0, settles_at, scheduling);
     for index in 0..2 {
         let listing = support::worker_entry(index);
         let entry = model::RosterEntry {
@@ -37,10 +38,16 @@
             upstream: listing.upstream.clone(),
             on_record: false,
         };
-        successor.core.inherit_worker(entry, 0);
-        successor.core.update_worker(support::worker_id(index), listing, successor.now);
+        bench.core.inherit_worker(entry, 0);
+        bench.core.update_worker(support::worker_id(index), listing, bench.now);
     }
-    successor.core.inherit_silence_notes(true);
+    bench.core.inherit_silence_notes(true);
+    bench
+}
+
+/// A successor that the second worker does not answer, with jobs 1 and 2 accepted before and nothing saved.
+fn successor() -> support::PoolBench {
+    let mut successor = with_inherited_workers(0, SETTLES_AT);
     successor.inherit(1, support::job(1, support::whole_workers(2)), None);
     successor.inherit(2, support::job(1, support::tasks(1)), None);
     successor.core.poll_missed(&support::worker_id(1));
@@ -397,20 +404,7 @@
 /// A scheduler that has read a roster of two workers, neither of which has answered yet, and a job of one task
 /// of which nothing was saved.
 fn inheritor(epoch: ids::Epoch, settles_at: Duration) -> support::PoolBench {
-    let scheduling = model::SchedulingSettings::default();
-    let mut bench = support::PoolBench::of_tenure(epoch, 0, settles_at, scheduling);
-    for index in 0..2 {
-        let listing = support::worker_entry(index);
-        let entry = model::RosterEntry {
-            worker: support::worker_id(index),
-            address: listing.address.clone(),
-            upstream: listing.upstream.clone(),
-            on_record: false,
-        };
-        bench.core.inherit_worker(entry, 0);
-        bench.core.update_worker(support::worker_id(index), listing, bench.now);
-    }
-    bench.core.inherit_silence_notes(true);
+    let mut bench = with_inherited_workers(epoch, settles_at);
     bench.inherit(1, support::job(1, support::whole_workers(1)), None);
     bench
 }
--- a/crates/graph/tests/pool/support.rs
+++ b/crates/graph/tests/pool/support.rs
@@ -302,3 +302,35 @@
 ) -> order::ListedEnd {
     order::ListedEnd { number, task: start.task, attempt: start.attempt, how, checkpoint: None }
 }
+
+/// Replaces a worker: another worker answers at its address, and has an entry in the worker list.
+pub(crate) fn replace_worker(bench: &mut PoolBench, index: usize) {
+    let address = worker_entry(index).address;
+    bench.core.worker_replaced(&worker_id(index), &address, bench.now);
+    bench.core.update_worker(worker_id(index), worker_entry(index), bench.now);
+    bench.save();
+    bench.answer_poll(index, &[], &[]);
+}
+
+/// Runs a round, saves, and runs another round, as a suspect starts only once its start is saved. All
+/// starts succeed.
+pub(crate) fn run_rounds_with_save(bench: &mut PoolBench) -> Vec<order::StartOrder> {
+    let mut starts = bench.run_round_and_start();
+    bench.save();
+    starts.extend(bench.run_round_and_start());
+    starts
+}
+
+/// Advances the time by 100 ms, and lets all workers list the runs that were started on them.
+pub(crate) fn answer_with_runs(
+    bench: &mut PoolBench,
+    starts: &[order::StartOrder],
+    n_workers: usize,
+) {
+    bench.advance(100);
+    for index in 0..n_workers {
+        let here = starts.iter().filter(|it| index_of(&it.worker) == index);
+        let running = here.map(|it| listed_run(it, 1)).collect::<Vec<_>>();
+        bench.answer_poll(index, &running, &[]);
+    }
+}
--- a/crates/graph/tests/pool/suspicions.rs
+++ b/crates/graph/tests/pool/suspicions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_graph::{order, resources, task_key, tenure_report, worker};
+use almondpass_graph::{order, task_key, worker};
 use almondpass_schema::model;
 
 use crate::support;
@@ -12,42 +12,10 @@
     task_key::TaskKey { graph, occurrence: 0, step: 0, task: 0 }
 }
 
-/// Replaces a worker: another worker answers at its address, and has an entry in the worker list.
-fn replace_worker(bench: &mut support::PoolBench, index: usize) {
-    let address = support::worker_entry(index).address;
-    bench.core.worker_replaced(&support::worker_id(index), &address, bench.now);
-    bench.core.update_worker(support::worker_id(index), support::worker_entry(index), bench.now);
-    bench.save();
-    bench.answer_poll(index, &[], &[]);
-}
-
 fn n_suspects(bench: &support::PoolBench) -> usize {
     bench.core.summary().n_suspects
 }
 
-/// Runs a round, saves, and runs another round, as a suspect starts only once its start is saved. All
-/// starts succeed.
-fn run_rounds_with_save(bench: &mut support::PoolBench) -> Vec<order::StartOrder> {
-    let mut starts = bench.run_round_and_start();
-    bench.save();
-    starts.extend(bench.run_round_and_start());
-    starts
-}
-
-/// Advances the time by 100 ms, and lets all workers list the runs that were started on them.
-fn answer_with_runs(
-    bench: &mut support::PoolBench,
-    starts: &[order::StartOrder],
-    n_workers: usize,
-) {
-    bench.advance(100);
-    for index in 0..n_workers {
-        let here = starts.iter().filter(|it| support::index_of(&it.worker) == index);
-        let running = here.map(|it| support::listed_run(it, 1)).collect::<Vec<_>>();
-        bench.answer_poll(index, &running, &[]);
-    }
-}
-
 /// A job fails once two workers were lost under its task, which ran alone on each, and its state names
 /// the cause.
 #[test]
@@ -55,9 +23,9 @@
     let mut bench = support::PoolBench::new(16);
     bench.admit(1, support::job(1, support::tasks(1)));
     for _ in 0..2 {
-        let start = run_rounds_with_save(&mut bench).remove(0);
+        let start = support::run_rounds_with_save(&mut bench).remove(0);
         bench.advance(3_000);
-        replace_worker(&mut bench, support::index_of(&start.worker));
+        support::replace_worker(&mut bench, support::index_of(&start.worker));
     }
     bench.save();
     let shown = bench.core.state_of(1).map(|it| (it.state, it.failure));
@@ -72,12 +40,12 @@
     let mut bench = support::PoolBench::new(24);
     bench.admit(1, support::job(1, support::gang(support::tasks(16))));
     for n_lost in 0..n_losses as u64 {
-        let starts = run_rounds_with_save(&mut bench);
-        answer_with_runs(&mut bench, &starts, 24);
+        let starts = support::run_rounds_with_save(&mut bench);
+        support::answer_with_runs(&mut bench, &starts, 24);
         bench.advance(1_300);
         let last = starts.last().expect("a start of the gang");
         let lost = support::index_of(&last.worker);
-        replace_worker(&mut bench, lost);
+        support::replace_worker(&mut bench, lost);
         bench.run_round();
         let others = starts.iter().filter(|it| it.worker != last.worker);
         let other = support::index_of(&others.clone().next().expect("a second worker").worker);
@@ -104,11 +72,11 @@
 fn suspects_that_may_not_run_apart_hold_no_workers() {
     let mut bench = support::PoolBench::new(8);
     bench.admit(1, support::job(0, support::tasks(8)));
-    let starts = run_rounds_with_save(&mut bench);
+    let starts = support::run_rounds_with_save(&mut bench);
     bench.advance(1_000);
-    replace_worker(&mut bench, support::index_of(&starts[0].worker));
+    support::replace_worker(&mut bench, support::index_of(&starts[0].worker));
     assert_eq!(n_suspects(&bench), 8);
-    let n_isolated = run_rounds_with_save(&mut bench).len();
+    let n_isolated = support::run_rounds_with_save(&mut bench).len();
     assert!(n_isolated < 4, "{n_isolated}");
     // The suspects avoid the worker that replaced the lost one, so one task could start in any case.
     bench.admit(2, support::job(0, support::whole_workers(2)));
@@ -129,13 +97,13 @@
     let mut bench = support::PoolBench::new(16);
     bench.admit(1, support::job(1, support::tasks(1)));
     for ran_ms in [4_000, 300, 500, 200] {
-        let starts = run_rounds_with_save(&mut bench);
-        answer_with_runs(&mut bench, &starts, 16);
+        let starts = support::run_rounds_with_save(&mut bench);
+        support::answer_with_runs(&mut bench, &starts, 16);
         bench.advance(ran_ms);
         if ran_ms > 1_000 {
-            answer_with_runs(&mut bench, &starts, 16);
+            support::answer_with_runs(&mut bench, &starts, 16);
         }
-        replace_worker(&mut bench, support::index_of(&starts[0].worker));
+        support::replace_worker(&mut bench, support::index_of(&starts[0].worker));
     }
     bench.save();
     assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
@@ -146,7 +114,7 @@
     for other in 0..8 {
         bench.advance(2_600);
         (0..4).for_each(|it| bench.answer_poll(it, &[], &[]));
-        replace_worker(bench, other % 4);
+        support::replace_worker(bench, other % 4);
     }
     bench.advance(2_600);
     (0..4).for_each(|it| bench.answer_poll(it, &[], &[]));
@@ -160,9 +128,9 @@
     replace_idle_workers(&mut bench);
     bench.admit(1, support::job(1, support::tasks(1)));
     for _ in 0..5 {
-        let Some(start) = run_rounds_with_save(&mut bench).pop() else { break };
+        let Some(start) = support::run_rounds_with_save(&mut bench).pop() else { break };
         bench.advance(150);
-        replace_worker(&mut bench, support::index_of(&start.worker));
+        support::replace_worker(&mut bench, support::index_of(&start.worker));
         replace_idle_workers(&mut bench);
     }
     bench.save();
@@ -180,21 +148,21 @@
     let starts = bench.run_round_and_start();
     assert_eq!(starts[0].worker, starts[1].worker);
     bench.advance(3_000);
-    replace_worker(&mut bench, support::index_of(&starts[0].worker));
+    support::replace_worker(&mut bench, support::index_of(&starts[0].worker));
     assert_eq!(n_suspects(&bench), 2);
 
     for _ in 0..2 {
-        let starts = run_rounds_with_save(&mut bench);
+        let starts = support::run_rounds_with_save(&mut bench);
         let of = |graph| starts.iter().find(|it| it.task == first_task(graph)).cloned();
         let first = of(1).expect("a start");
         if let Some(second) = of(2) {
             assert_ne!(first.worker, second.worker);
-            answer_with_runs(&mut bench, &starts, 16);
+            support::answer_with_runs(&mut bench, &starts, 16);
             let end = support::listed_end(1, &second, order::EndKind::Done);
             bench.answer_poll(support::index_of(&second.worker), &[], &[end]);
         }
         bench.advance(3_000);
-        replace_worker(&mut bench, support::index_of(&first.worker));
+        support::replace_worker(&mut bench, support::index_of(&first.worker));
     }
     bench.save();
     let state = |graph| bench.core.state_of(graph).map(|it| it.state);
@@ -260,7 +228,7 @@
     let mut starts = bench.run_round_and_start();
     assert_eq!(starts.len(), 16);
     for _ in 0..8 {
-        answer_with_runs(&mut bench, &starts, 16);
+        support::answer_with_runs(&mut bench, &starts, 16);
         let lost_starts =
             starts.iter().filter(|it| it.task.graph <= 8).cloned().collect::<Vec<_>>();
         for start in &lost_starts {
@@ -268,11 +236,11 @@
         }
         bench.advance(600);
         for start in &lost_starts {
-            replace_worker(&mut bench, support::index_of(&start.worker));
+            support::replace_worker(&mut bench, support::index_of(&start.worker));
         }
         starts.retain(|it| it.task.graph > 8);
         bench.save();
-        let restarts = run_rounds_with_save(&mut bench);
+        let restarts = support::run_rounds_with_save(&mut bench);
         assert_eq!(restarts.len(), 8);
         starts.extend(restarts);
     }
@@ -290,8 +258,8 @@
     bench.admit(2, support::job(1, support::tasks(1)));
     let other = bench.run_round_and_start().remove(0);
     bench.advance(1_000);
-    replace_worker(&mut bench, support::index_of(&first.worker));
-    let starts = run_rounds_with_save(&mut bench);
+    support::replace_worker(&mut bench, support::index_of(&first.worker));
+    let starts = support::run_rounds_with_save(&mut bench);
     let suspect = starts.iter().find(|it| it.task == first_task(1)).expect("a start").clone();
     let on_same_worker = starts.iter().filter(|it| it.worker == suspect.worker);
     assert_eq!(on_same_worker.count(), 1);
@@ -312,15 +280,15 @@
     let starts = bench.run_round_and_start();
     bench.advance(500);
     let lost = support::index_of(&starts[0].worker);
-    replace_worker(&mut bench, lost);
+    support::replace_worker(&mut bench, lost);
     let running = starts.into_iter().filter(|it| support::index_of(&it.worker) != lost);
     let running = running.collect::<Vec<_>>();
     let mut restarts = Vec::new();
     for _ in 0..25 {
         let all = running.iter().chain(&restarts).cloned().collect::<Vec<_>>();
-        answer_with_runs(&mut bench, &all, 4);
+        support::answer_with_runs(&mut bench, &all, 4);
         bench.core.set_wall_time(bench.now);
-        restarts.extend(run_rounds_with_save(&mut bench));
+        restarts.extend(support::run_rounds_with_save(&mut bench));
     }
     assert_eq!(restarts.len() + running.len(), 24);
 }
@@ -334,11 +302,11 @@
     bench.admit(2, support::job(1, support::tasks(1)));
     let lost = support::index_of(&bench.run_round_and_start()[0].worker);
     bench.advance(1_000);
-    replace_worker(&mut bench, lost);
-    let mut starts = run_rounds_with_save(&mut bench);
+    support::replace_worker(&mut bench, lost);
+    let mut starts = support::run_rounds_with_save(&mut bench);
     for _ in 0..10 {
-        answer_with_runs(&mut bench, &starts, 8);
-        starts.extend(run_rounds_with_save(&mut bench));
+        support::answer_with_runs(&mut bench, &starts, 8);
+        starts.extend(support::run_rounds_with_save(&mut bench));
     }
     let of_idle_job = starts.iter().find(|it| it.task == first_task(2)).expect("a start");
     assert_eq!(starts.iter().filter(|it| it.worker == of_idle_job.worker).count(), 1);
@@ -355,12 +323,12 @@
     bench.admit(2, support::job(1, support::tasks(8)));
     let mut running = bench.run_round_and_start();
     running.retain(|it| support::index_of(&it.worker) != lost);
-    replace_worker(&mut bench, lost);
+    support::replace_worker(&mut bench, lost);
     let mut n_starts = Vec::new();
     for millis in [5_000, 500, 500, 500, 500, 500] {
         bench.advance(millis);
-        answer_with_runs(&mut bench, &running, 3);
-        let starts = run_rounds_with_save(&mut bench);
+        support::answer_with_runs(&mut bench, &running, 3);
+        let starts = support::run_rounds_with_save(&mut bench);
         n_starts.push(starts.iter().filter(|it| it.task.graph == 1).count());
         running.extend(starts);
     }
@@ -375,15 +343,15 @@
     bench.admit(1, support::job(1, support::tasks(1)));
     let start = bench.run_round_and_start().remove(0);
     bench.advance(3_000);
-    replace_worker(&mut bench, support::index_of(&start.worker));
+    support::replace_worker(&mut bench, support::index_of(&start.worker));
     bench.save();
 
     let mut next = support::PoolBench::new(16);
     next.inherit(1, support::job(1, support::tasks(1)), bench.saved.remove(&1));
     assert_eq!(n_suspects(&next), 1);
-    let start = run_rounds_with_save(&mut next).remove(0);
+    let start = support::run_rounds_with_save(&mut next).remove(0);
     next.advance(3_000);
-    replace_worker(&mut next, support::index_of(&start.worker));
+    support::replace_worker(&mut next, support::index_of(&start.worker));
     next.save();
     assert_eq!(next.core.state_of(1).map(|it| it.state), Some(model::GraphState::Failed));
 }
@@ -396,11 +364,11 @@
     bench.admit(1, support::job(1, support::tasks(1)));
     let start = bench.run_round_and_start().remove(0);
     bench.advance(3_000);
-    replace_worker(&mut bench, support::index_of(&start.worker));
-    let second = run_rounds_with_save(&mut bench).remove(0);
+    support::replace_worker(&mut bench, support::index_of(&start.worker));
+    let second = support::run_rounds_with_save(&mut bench).remove(0);
     let saved = bench.saved.remove(&1).expect("a saved start");
     let n_losses = |bench: &mut support::PoolBench| {
-        run_rounds_with_save(bench);
+        support::run_rounds_with_save(bench);
         let rows = bench.saved.remove(&1).map(|it| format!("{it:?}")).unwrap_or_default();
         rows.matches("odds_ppm").count()
     };
@@ -421,246 +389,3 @@
     next.answer_poll(index, &[], &[end]);
     assert_eq!(n_losses(&mut next), 1);
 }
-
-/// Four workers, each with a task of job 1 that takes all of it; the first worker is then replaced by a
-/// smaller one, so that its task is a suspect without a place.
-fn bench_with_waiting_suspect() -> (support::PoolBench, Vec<order::StartOrder>) {
-    let mut bench = support::PoolBench::new(4);
-    bench.admit(1, support::job(1, support::whole_workers(4)));
-    let mut starts = bench.run_round_and_start();
-    assert_eq!(starts.len(), 4);
-    bench.advance(1_000);
-    let lost = support::index_of(&starts[0].worker);
-    replace_worker(&mut bench, lost);
-    shrink_worker(&mut bench, lost);
-    starts.remove(0);
-    (bench, starts)
-}
-
-/// A worker has half of its accelerators from now on.
-fn shrink_worker(bench: &mut support::PoolBench, index: usize) {
-    let capacity = resources::Resources { accelerators: 4, ..support::CAPACITY };
-    let entry = worker::WorkerEntry { capacity, ..support::worker_entry(index) };
-    bench.core.update_worker(support::worker_id(index), entry, bench.now);
-}
-
-/// The successor of a scheduler whose four workers run `starts`; its first worker to be lost is small.
-fn successor_of(bench: &support::PoolBench, starts: &[order::StartOrder]) -> support::PoolBench {
-    let mut next = support::PoolBench::with_unanswered_workers(4, Duration::from_secs(2_000));
-    let row = support::job(1, support::whole_workers(4));
-    next.saved = bench.saved.clone();
-    next.inherit(1, row, next.saved.get(&1).cloned());
-    for index in 0..4 {
-        let here = starts.iter().filter(|it| support::index_of(&it.worker) == index);
-        let running = here.map(|it| support::listed_run(it, 1)).collect::<Vec<_>>();
-        if running.is_empty() {
-            shrink_worker(&mut next, index);
-        }
-        next.answer_poll(index, &running, &[]);
-    }
-    next
-}
-
-/// Number of losses on record, and of saved starts, in the rows of job 1.
-fn n_saved(bench: &support::PoolBench) -> (usize, usize) {
-    let chunks = bench.saved.get(&1).map(|it| format!("{it:?}")).unwrap_or_default();
-    let n_losses = chunks.matches("odds_ppm").count();
-    let n_starts = chunks.matches("trials: [TaskAttempt").count();
-    (n_losses, n_starts)
-}
-
-/// Failure: the start of a suspect that waited for room was saved although it was never sent, and each
-/// successor counted it as another loss, until the job was given up.
-#[test]
-fn a_suspect_that_waits_through_takeovers_is_not_given_up() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    for _ in 0..4 {
-        assert!(run_rounds_with_save(&mut bench).is_empty());
-        bench.save();
-        assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
-        assert_eq!(n_suspects(&bench), 1);
-        bench = successor_of(&bench, &starts);
-    }
-}
-
-/// Failure: the place of a suspect was taken before its saved start was sent, and the start stayed in the
-/// store, where a successor counted it as a loss.
-#[test]
-fn a_saved_start_is_withdrawn_when_its_place_is_taken() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    let ended = support::index_of(&starts[0].worker);
-    bench.answer_poll(ended, &[], &[support::listed_end(1, &starts[0], order::EndKind::Done)]);
-    assert!(bench.run_round_and_start().is_empty());
-    bench.save();
-    assert_eq!(n_saved(&bench), (1, 1));
-    bench.admit(2, support::job(0, support::whole_workers(1)));
-    let urgent = bench.run_round_and_start();
-    assert_eq!(urgent.iter().map(|it| it.task.graph).collect::<Vec<_>>(), [2]);
-    bench.save();
-    assert_eq!(n_saved(&bench), (1, 0));
-}
-
-/// Failure: a suspect without a place was written to the store in each round in which it waited.
-#[test]
-fn a_waiting_suspect_is_not_written_in_each_round() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    run_rounds_with_save(&mut bench);
-    bench.save();
-    for _ in 0..20 {
-        answer_with_runs(&mut bench, &starts, 4);
-        bench.run_round();
-        let batch = bench.take_save_batch();
-        assert!(batch.is_none(), "{batch:?}");
-    }
-}
-
-/// Failure: a scheduler that could not save the start of a suspect, and so never sent it, reported it to its
-/// successor, which counted it as a loss.
-#[test]
-fn a_start_that_was_planned_and_not_sent_is_not_reported() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    let ended = support::index_of(&starts[0].worker);
-    bench.answer_poll(ended, &[], &[support::listed_end(1, &starts[0], order::EndKind::Done)]);
-    assert!(bench.run_round_and_start().is_empty());
-    let report = bench.core.tenure_report(bench.now);
-    let told = report.suspicions.iter().flat_map(|it| &it.steps);
-    assert_eq!(told.flat_map(|it| &it.trials).count(), 0);
-}
-
-/// Failure: the store carried out the save of a planned start and its answer was lost, so the start was never
-/// sent. The successor read it from the store, was not told otherwise, and counted it as a loss; after three
-/// takeovers the job was given up.
-#[test]
-fn a_planned_start_whose_save_had_no_answer_is_no_loss() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
-    let free = support::index_of(&starts[0].worker);
-    bench.answer_poll(free, &[], std::slice::from_ref(&ended));
-    for _ in 0..3 {
-        assert!(bench.run_round_and_start().is_empty());
-        bench.run_round();
-        let batch = bench.take_save_batch().expect("the planned start");
-        bench.record_progress(&batch);
-        let report = bench.core.tenure_report(bench.now);
-        let mut next = support::PoolBench::with_unanswered_workers(4, Duration::from_secs(2_000));
-        next.saved = bench.saved.clone();
-        let row = support::job(1, support::whole_workers(4));
-        next.inherit(1, row, next.saved.get(&1).cloned());
-        next.core.merge_last_report(report, next.now);
-        for index in 0..4 {
-            let here = starts.iter().skip(1).find(|it| support::index_of(&it.worker) == index);
-            if let Some(start) = here {
-                next.answer_poll(index, &[support::listed_run(start, 1)], &[]);
-            } else if index == free {
-                next.answer_poll(index, &[], std::slice::from_ref(&ended));
-            } else {
-                shrink_worker(&mut next, index);
-                next.answer_poll(index, &[], &[]);
-            }
-        }
-        bench = next;
-    }
-    bench.run_round();
-    bench.save();
-    assert_eq!(bench.core.state_of(1).map(|it| it.state), Some(model::GraphState::Running));
-    assert_eq!(n_saved(&bench).0, 1, "the one worker that was lost");
-}
-
-/// Failure: a holder ended between the durable save of a planned start and its order. It reported only rows that the
-/// store lacked, and its successor counted the start as a loss.
-#[test]
-fn a_durable_planned_start_that_was_not_sent_is_no_loss() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
-    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
-    assert!(bench.run_round_and_start().is_empty());
-    bench.save();
-    let report = bench.core.tenure_report(bench.now);
-    assert_eq!(losses_after(&bench, &starts, report), 1);
-}
-
-/// Failure: a worker refused the start of a suspect, so that nothing ran, and the store was unavailable. The
-/// successor found the start there, was not told of the refusal, and counted a loss.
-#[test]
-fn a_refused_start_whose_withdrawal_is_not_saved_is_no_loss() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
-    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
-    bench.run_round();
-    bench.save();
-    let start = support::starts(&bench.run_round()).remove(0);
-    bench.save();
-    let refusal = order::StartAnswer::Refused(order::StartRefusal::Room);
-    bench.core.start_answered(&start, refusal, bench.now);
-    let report = bench.core.tenure_report(bench.now);
-    assert_eq!(losses_after(&bench, &starts, report), 1);
-}
-
-/// Failure: the report of a former holder that is slow to answer came after its successor had counted a start that
-/// was not sent, and the loss stood.
-#[test]
-fn a_late_report_withdraws_the_loss_of_a_start_that_was_not_sent() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    let ended = support::listed_end(1, &starts[0], order::EndKind::Done);
-    bench.answer_poll(support::index_of(&starts[0].worker), &[], &[ended]);
-    bench.run_round();
-    bench.save();
-    let report = bench.core.tenure_report(bench.now);
-    let mut next = successor_of(&bench, &starts);
-    next.run_round();
-    next.save();
-    assert_eq!(n_saved(&next).0, 2);
-    next.core.merge_last_report(report, next.now);
-    next.save();
-    assert_eq!(n_saved(&next).0, 1);
-}
-
-/// Failure: a successor that is told of a start that counts no more forgets the loss that the former holder has
-/// recorded for it.
-#[test]
-fn a_recorded_loss_stands_beside_the_report_of_its_settled_start() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    let report = bench.core.tenure_report(bench.now);
-    assert_eq!(losses_after(&bench, &starts, report), 1);
-    bench.save();
-    let report = bench.core.tenure_report(bench.now);
-    assert_eq!(losses_after(&bench, &starts, report), 1);
-}
-
-/// Losses that the successor of a scheduler has on record after a round and a save, having merged the report.
-fn losses_after(
-    bench: &support::PoolBench,
-    starts: &[order::StartOrder],
-    report: tenure_report::TenureReport,
-) -> usize {
-    let mut next = successor_of(bench, starts);
-    next.core.merge_last_report(report, next.now);
-    next.run_round();
-    next.save();
-    n_saved(&next).0
-}
-
-/// Failure: while the store gives no answers, the start of a suspect is not sent, and the place that it is
-/// planned for stays empty although another job waits for it.
-#[test]
-fn a_suspect_that_awaits_a_save_keeps_no_place_from_others_in_an_outage() {
-    let (mut bench, starts) = bench_with_waiting_suspect();
-    bench.save();
-    bench.admit(2, support::job(1, support::whole_workers(1)));
-    let free = support::index_of(&starts[0].worker);
-    bench.answer_poll(free, &[], &[support::listed_end(1, &starts[0], order::EndKind::Done)]);
-    let mut started = Vec::new();
-    for _ in 0..50 {
-        started.extend(bench.run_round_and_start().iter().map(|it| it.task.graph));
-        if !started.is_empty() {
-            break;
-        }
-        answer_with_runs(&mut bench, &starts[1..], 4);
-    }
-    assert_eq!(started, [2]);
-}
