Add review case 8: members of a gang resume from different checkpoints

Cause: each member of a gang is started with the checkpoint that its own worker listed last; these are made equal only when an end of a member is listed, and a crash lists none (rule UNASKED).

Change: case 8, in which the four workers of a gang crash at the same moment. The stand-in fleet can let several workers crash at once.

--- a/review/standin-2/src/cases/crashes.rs
+++ b/review/standin-2/src/cases/crashes.rs
@@ -32,9 +32,7 @@
         if !with_trouble || !site.wait(Duration::from_secs(20), is_at_work) {
             continue;
         }
-        for worker in site.fleet.workers_of(&job) {
-            site.fleet.crash(worker, DOWN);
-        }
+        site.fleet.crash(&site.fleet.workers_of(&job), DOWN);
         let is_released = || site.fleet.workers_of(&job).is_empty();
         site.wait(Duration::from_secs(1), is_released);
     }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -145,6 +145,7 @@
     pub id: String,
     pub task: String,
     pub attempt: u64,
+    pub checkpoint: String,
     pub ended: Option<(Instant, &'static str)>,
 }
 
@@ -237,33 +238,32 @@
         self.write_entry(number);
     }
 
-    /// Crashes a worker. A new life begins at the same address after `down`, under a new id.
-    pub fn crash(&self, number: usize, down: Duration) {
-        self.doors.lock().unwrap()[number].fall();
-        let now = Instant::now();
+    /// Crashes workers, all at the same moment. New lives begin at the same addresses after `down`, under new ids.
+    pub fn crash(&self, numbers: &[usize], down: Duration) {
         let mut state = self.lock();
+        let now = Instant::now();
         state.advance(now, &self.record);
-        let worker = &mut state.workers[number];
-        worker.is_up = false;
-        let id = worker.id.clone();
-        let lost = std::mem::take(&mut worker.runs);
-        let names = lost.iter().map(|(task, run)| format!("{task}#{}", run.attempt));
-        self.record.note(format!(
-            "worker {number} ({id}) crashes with {:?} on it",
-            names.collect::<Vec<_>>()
-        ));
-        for (task, run) in &lost {
-            state.note_end(&id, task, run.attempt, "lost", now);
+        for number in numbers {
+            self.doors.lock().unwrap()[*number].fall();
+            let worker = &mut state.workers[*number];
+            worker.is_up = false;
+            let id = worker.id.clone();
+            let lost = std::mem::take(&mut worker.runs);
+            let names = lost.iter().map(|(task, run)| format!("{task}#{}", run.attempt));
+            let names = names.collect::<Vec<_>>();
+            self.record.note(format!("worker {number} ({id}) crashes with {names:?} on it"));
+            for (task, run) in &lost {
+                state.note_end(&id, task, run.attempt, "lost", now);
+            }
+            let (own, number) = (self.clone(), *number);
+            thread::spawn(move || {
+                thread::sleep(down);
+                own.begin_life(number);
+                thread::sleep(ENTRY_LIFE.saturating_sub(down));
+                own.store.remove("servers", &id);
+            });
         }
         self.state.1.notify_all();
-        drop(state);
-        let (own, old) = (self.clone(), id);
-        thread::spawn(move || {
-            thread::sleep(down);
-            own.begin_life(number);
-            thread::sleep(ENTRY_LIFE.saturating_sub(down));
-            own.store.remove("servers", &old);
-        });
     }
 
     pub fn set_refuses_starts(&self, number: usize, refuses: bool) {
@@ -405,7 +405,7 @@
         self.record.note(format!(
             "worker {number} ({id}) starts {task}#{attempt} with the checkpoint {checkpoint:?}"
         ));
-        state.started.push(Started { worker: number, id, task, attempt, ended: None });
+        state.started.push(Started { worker: number, id, task, attempt, checkpoint, ended: None });
         state.advance(now, &self.record);
         self.state.1.notify_all();
         http::Answer::new(200, json!({ "clock-ms": clock_ms }))
