Name the worker of a saved start, so that a start that was never sent is no loss

Cause: a saved start said which attempt, not where. A report of the former holder would have told, but a dead one gives none. Ruled out: the bound of proof, which is right for three losses that did happen. Change: the row names the worker, its incarnation and what its clock shows at least. A successor that gets a whole answer of that worker in that incarnation settles the start. Without incarnation numbers the clock decides; rows without a place count as before. A loss counted for a worker that was only cut off is withdrawn when it is back. A planned start goes to the worker that its row names while it has room there, else its row is written anew before it is sent. The same elsewhere: starts on silent workers and those that a former holder reports carry the place; a report that comes after the worker's answer is held against it; members of gangs, each by its own worker. Why it works: a worker that has answered refuses lower fencing tokens, so what it doesn't list never runs there. Worse: a suspect whose planned worker has filled up waits for one more save.

--- a/crates/graph/src/candidate.rs
+++ b/crates/graph/src/candidate.rs
@@ -96,6 +96,8 @@
     pub per_worker: u32,
     /// Tasks of the step on each candidate already; empty if there is no limit.
     pub n_present: Vec<u32>,
+    /// Workers for which starts of the unit are planned already; the unit goes there first.
+    pub planned: Vec<&'a str>,
     /// Workers to avoid, because tasks of the unit failed or were lost there.
     pub avoids: Vec<&'a str>,
     /// Whether the unit goes to fast workers first, as it has little time. Others leave these free.
@@ -164,6 +166,11 @@
         fitting.min(self.per_worker.saturating_sub(present))
     }
 
+    /// Whether starts of the unit are planned, and none of them on the candidate.
+    pub fn is_planned_elsewhere(&self, candidate: &WorkerCandidate) -> bool {
+        !self.planned.is_empty() && !self.planned.contains(&candidate.profile.worker.as_str())
+    }
+
     fn allows(&self, candidate: &WorkerCandidate) -> bool {
         candidate.upstream == self.upstream
             && self.label.is_none_or(|it| candidate.profile.labels.iter().any(|label| label == it))
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -22,6 +22,7 @@
 use crate::roster;
 use crate::run_times;
 use crate::save_queue;
+use crate::saved_start;
 use crate::silent_workers;
 use crate::start_window;
 use crate::stop_reason;
@@ -78,6 +79,9 @@
     pub(crate) silence_reports: silent_workers::SilenceReports,
     /// Ends that earlier schedulers have reported and that are not durable yet.
     pub(crate) reported_ends: reported_ends::ReportedEnds,
+    /// Starts that earlier schedulers had saved, by the workers for which they were meant, until these answer.
+    pub(crate) inherited_starts:
+        BTreeMap<ids::WorkerId, Vec<(task_key::TaskKey, saved_start::SavedStart)>>,
     /// Whether a worker has refused an order because it had seen a higher fencing token than that of this
     /// scheduler.
     pub(crate) is_fenced_off: bool,
@@ -167,6 +171,7 @@
             settles_at: start.settles_at,
             silence_reports: silent_workers::SilenceReports::default(),
             reported_ends: reported_ends::ReportedEnds::default(),
+            inherited_starts: BTreeMap::new(),
             is_fenced_off: false,
             finished: Vec::new(),
             newest_generation: 0,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -268,14 +268,15 @@
             return StartOutcome::NoCapacity;
         };
         let is_remote = is_remote(&request, candidates, &chosen);
-        let workers =
+        let mut workers =
             chosen.iter().map(|it| candidates[*it].profile.worker.clone()).collect::<Vec<_>>();
+        self.keep_planned_workers(unit, &mut workers);
         let places = UnitPlaces { workers, is_isolated: request.is_isolated, is_remote };
         if !self.start_window.admits(places.workers.len()) {
             return StartOutcome::TooManyInTransit;
         }
         // The place stays taken among the candidates of this round until the start may be sent.
-        if !self.ensure_start_saved(unit, now) {
+        if !self.ensure_start_saved(unit, &places.workers, now) {
             return StartOutcome::AwaitsSave;
         }
         self.start_unit(unit, places, now);
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -92,6 +92,7 @@
             job_record(admitted, epoch, now)
         });
         self.update_active(graph);
+        self.index_inherited_starts(graph);
         if is_unchunked {
             let n_chunks = self.jobs.get(&graph).map_or(0, progress::n_chunks);
             self.mark_job_changed(graph, n_chunks);
--- a/crates/graph/src/isolation.rs
+++ b/crates/graph/src/isolation.rs
@@ -14,6 +14,7 @@
 use crate::candidate;
 use crate::core;
 use crate::job;
+use crate::saved_start;
 use crate::suspicion;
 use crate::task_key;
 
@@ -94,7 +95,7 @@
     pub(crate) fn is_evidence_complete(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
         // Fast path: nearly all of the many waiting units have no recorded loss.
         let has_losses = |it: &job::TaskRecord| {
-            it.suspicion.needs_isolation() || it.suspicion.inherited_attempt.is_some()
+            it.suspicion.needs_isolation() || it.suspicion.inherited_start.is_some()
         };
         if !self.task_records(unit).iter().any(has_losses) {
             return true;
@@ -106,24 +107,57 @@
         !self.record_inherited_losses(&tasks, now)
     }
 
-    /// Saves the start of a unit that has a place now, if one of its tasks needs isolation. Returns
-    /// whether the start may be sent.
-    pub(crate) fn ensure_start_saved(&mut self, unit: task_key::UnitKey, now: Duration) -> bool {
+    /// Saves the start of a unit whose tasks have these workers now, if one of the tasks needs isolation.
+    /// Returns whether the start may be sent.
+    pub(crate) fn ensure_start_saved(
+        &mut self,
+        unit: task_key::UnitKey,
+        workers: &[ids::WorkerId],
+        now: Duration,
+    ) -> bool {
         if !self.unit_needs_isolation(unit) {
             return true;
         }
         let Some(attempt) = self.next_attempt(unit) else { return false };
-        let mut tasks = self.unit_tasks(unit);
-        tasks.retain(|it| self.needs_isolation(*it));
         let mut is_durable = true;
-        for key in tasks {
+        for (key, worker) in self.unit_tasks(unit).into_iter().zip(workers) {
+            if !self.needs_isolation(key) {
+                continue;
+            }
+            let start = saved_start::SavedStart { attempt, place: self.start_place(worker, now) };
             // A task that is no suspect does not wait for its start to be saved: work that lost its
             // workers twice by chance would stay idle while the store is unavailable.
-            is_durable &= self.save_start(key, attempt, now) || !self.is_suspect(key);
+            is_durable &= self.save_start(key, start, now) || !self.is_suspect(key);
         }
         is_durable
     }
 
+    /// Assigns workers to the tasks of a unit so that each task whose start is planned gets the worker of
+    /// its plan, if the worker is among them. The tasks of a unit need the same.
+    pub(crate) fn keep_planned_workers(
+        &self,
+        unit: task_key::UnitKey,
+        workers: &mut [ids::WorkerId],
+    ) {
+        let tasks = self.task_records(unit);
+        let is_as_planned = |index: usize, worker: &ids::WorkerId| {
+            tasks.get(index).and_then(job::TaskRecord::planned_worker) == Some(worker)
+        };
+        for (index, task) in tasks.iter().enumerate() {
+            let Some(planned) = task.planned_worker() else { continue };
+            if workers.get(index).is_none_or(|it| it == planned) {
+                continue;
+            }
+            let free = workers
+                .iter()
+                .enumerate()
+                .position(|(other, it)| it == planned && !is_as_planned(other, it));
+            if let Some(other) = free {
+                workers.swap(index, other);
+            }
+        }
+    }
+
     /// Whether the save of a unit's planned start takes so long that the unit keeps no place meanwhile.
     pub(crate) fn awaits_slow_save(&self, unit: task_key::UnitKey, now: Duration) -> bool {
         self.task_records(unit)
@@ -199,7 +233,7 @@
     pub(crate) fn awaits_saved_start(&self, unit: task_key::UnitKey) -> bool {
         self.task_records(unit).iter().any(|it| {
             let is_unsaved = it.planned_start.is_some_and(|it| !self.unsaved.is_durable(it.change));
-            it.suspicion.inherited_attempt.is_some() || is_unsaved
+            it.suspicion.inherited_start.is_some() || is_unsaved
         })
     }
 
@@ -238,21 +272,25 @@
         }
     }
 
-    /// Records a loss for each start that an earlier scheduler had saved and no worker lists. It is
-    /// called once all workers have answered or their leases have lapsed. Returns whether there were
-    /// any.
+    /// Records a loss for each start that an earlier scheduler had saved and no worker lists, unless its
+    /// worker shows that it had no effect. It is called once all workers have answered or their leases have
+    /// lapsed. Returns whether there were any.
     fn record_inherited_losses(&mut self, tasks: &[task_key::TaskKey], now: Duration) -> bool {
         let mut has_recorded = false;
         for key in tasks {
-            let Some(attempt) =
+            let Some(start) =
                 self.task_record_mut(*key).and_then(|it| it.suspicion.take_inherited_start())
             else {
                 continue;
             };
+            if self.has_no_effect(&start) {
+                self.mark_task_changed(*key);
+                continue;
+            }
             let anytime_probability = self.background_probability_untimed(*key, now);
             let early_probability = anytime_probability.max(INHERITED_START_PROBABILITY);
             let loss = suspicion::TaskLoss {
-                attempt,
+                attempt: start.attempt,
                 early_probability,
                 anytime_probability,
                 latest_loss_offset: None,
@@ -267,25 +305,34 @@
     /// certain, its successor counts it.
     pub(crate) fn save_runs_on(&mut self, worker: &ids::WorkerId) {
         let Some(record) = self.workers.get(worker) else { return };
+        let place = self.start_place(worker, self.last_maintenance_at);
         for key in record.runs.clone() {
             let Some(task) = self.task_record_mut(key) else { continue };
-            let attempt = task.run.as_ref().map(|it| it.attempt);
-            if task.suspicion.saved_attempt != attempt {
-                task.suspicion.saved_attempt = attempt;
+            let Some(attempt) = task.run.as_ref().map(|it| it.attempt) else { continue };
+            if task.suspicion.saved_attempt() != Some(attempt) {
+                let start = saved_start::SavedStart { attempt, place: place.clone() };
+                task.suspicion.saved_start = Some(Box::new(start));
                 self.mark_task_changed(key);
             }
         }
     }
 
     /// Saves a start that has a place, and returns whether it is durable.
-    fn save_start(&mut self, key: task_key::TaskKey, attempt: u32, now: Duration) -> bool {
+    fn save_start(
+        &mut self,
+        key: task_key::TaskKey,
+        start: saved_start::SavedStart,
+        now: Duration,
+    ) -> bool {
         let Some(task) = self.task_record_mut(key) else { return false };
+        let saved = task.suspicion.saved_start.as_ref();
         if let Some(planned) = task.planned_start
-            && task.suspicion.saved_attempt == Some(attempt)
+            && saved.is_some_and(|it| it.is_same_as(&start))
         {
             return self.unsaved.is_durable(planned.change);
         }
-        task.suspicion.saved_attempt = Some(attempt);
+        task.withdraw_planned_start(now);
+        task.suspicion.saved_start = Some(Box::new(start));
         let change = self.mark_task_changed(key);
         if let Some(task) = self.task_record_mut(key) {
             let plan = |change| job::PlannedStart { change, planned_at: now };
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -385,6 +385,13 @@
 }
 
 impl TaskRecord {
+    /// The worker for which a start is planned, if one is.
+    pub fn planned_worker(&self) -> Option<&ids::WorkerId> {
+        self.planned_start?;
+        let place = self.suspicion.saved_start.as_ref()?.place.as_ref()?;
+        Some(&place.worker)
+    }
+
     /// Drops a start that was planned and not sent. Returns whether there was one, so that its row
     /// has to be written again.
     pub fn withdraw_planned_start(&mut self, now: Duration) -> bool {
--- a/crates/graph/src/lease_clock.rs
+++ b/crates/graph/src/lease_clock.rs
@@ -50,6 +50,19 @@
         clock_ms.saturating_add(ROUNDING_MS) < min_clock_ms
     }
 
+    /// Lower bound of the reading of the worker's clock at `now`, in milliseconds; `None` before the first
+    /// reading.
+    pub fn min_reading_ms(&self, now: Duration) -> Option<u64> {
+        let sample = self.sample?;
+        let elapsed = now.saturating_sub(sample.received_at).mul_f64(MIN_CLOCK_RATE);
+        Some(sample.clock_ms.saturating_add(millis(elapsed)).saturating_sub(ROUNDING_MS))
+    }
+
+    /// The latest reading that the worker has told, in milliseconds; `None` before the first one.
+    pub fn latest_reading_ms(&self) -> Option<u64> {
+        self.sample.map(|it| it.clock_ms)
+    }
+
     /// Estimated reading of the worker's clock at `now`; `None` before the first reading.
     pub fn reading(&self, now: Duration) -> Option<Duration> {
         let sample = self.sample?;
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod roster;
 pub mod run_times;
 pub mod save_queue;
+pub mod saved_start;
 pub mod saving;
 pub mod silent_workers;
 pub mod speed_row;
--- a/crates/graph/src/placement.rs
+++ b/crates/graph/src/placement.rs
@@ -83,6 +83,7 @@
         let health = (is_remote, n_at_risk, it.failed_lately);
         let explores = it.speed.is_unknown && it.is_empty() && *may_explore;
         (
+            request.is_planned_elsewhere(it),
             health,
             Reverse(explores),
             speed_first,
@@ -254,7 +255,8 @@
         let it = &candidates[*index];
         let n_at_risk = if request.may_crash_worker { it.n_runs } else { 0 };
         let (speed_first, _) = speed_order(it, request);
-        (n_at_risk, it.failed_lately, speed_first, it.free.accelerators, *index)
+        let is_elsewhere = request.is_planned_elsewhere(it);
+        (is_elsewhere, n_at_risk, it.failed_lately, speed_first, it.free.accelerators, *index)
     });
     let mut chosen = Vec::with_capacity(request.n_tasks as usize);
     for index in order {
--- a/crates/graph/src/placement_request.rs
+++ b/crates/graph/src/placement_request.rs
@@ -53,6 +53,11 @@
             label: step.spec.label.as_deref(),
             per_worker: step.spec.per_worker,
             n_present: n_present(step, candidates),
+            planned: tasks
+                .iter()
+                .filter_map(|it| it.planned_worker())
+                .map(String::as_str)
+                .collect(),
             avoids: tasks.iter().filter_map(|it| it.avoids.as_deref()).collect(),
             // A unit that was moved off slow workers must not return to such.
             prefers_fast: job.priority == preemption::URGENT_PRIORITY
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -148,6 +148,7 @@
         }
         if listed.complete {
             self.process_missing_runs(worker, &running, answer_times);
+            self.settle_starts_at(worker);
         }
         self.detect_slow_worker(worker, now);
     }
@@ -289,8 +290,8 @@
             speed_sample: None,
             first_confirmed_clock: Some(clock),
         });
-        if task.suspicion.inherited_attempt == Some(listed.attempt) {
-            task.suspicion.saved_attempt = task.suspicion.inherited_attempt.take();
+        if task.suspicion.inherited_attempt() == Some(listed.attempt) {
+            task.suspicion.saved_start = task.suspicion.inherited_start.take();
         }
         let needs_isolation = task.suspicion.needs_isolation();
         if let Some(record) = self.workers.get_mut(worker) {
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -12,12 +12,14 @@
 use almondpass_schema::model;
 
 use crate::job;
+use crate::saved_start;
 use crate::suspicion;
 use crate::task_key;
 
 /// Tasks per chunk. A task takes about 90 bytes, and 420 with the longest checkpoint name and 19
 /// failures, so that a row stays below 27 KB; the platform accepts 64 KB. A task that lost seven
-/// workers takes 370 bytes more; a row of 64 such tasks takes less than 52 KB.
+/// workers takes 370 bytes more, and one with a saved start 200; a row of 64 such tasks takes less than
+/// 64 KB.
 pub const TASKS_PER_CHUNK: u32 = 64;
 
 /// Longest checkpoint name that is saved, in bytes; the platform's names take 16. A successor
@@ -25,6 +27,10 @@
 /// whole row for its length.
 const MAX_CHECKPOINT_BYTES: usize = 256;
 
+/// Longest id of a worker that is saved with a start, in bytes. Of a start on another worker a successor
+/// knows only the attempt; otherwise the store would refuse the whole row for its length.
+const MAX_WORKER_BYTES: usize = 36;
+
 /// Probabilities are saved in parts per million.
 const PARTS_PER_MILLION: f64 = 1_000_000.0;
 
@@ -141,6 +147,11 @@
         self.chunks.keys().chain(&self.unreadable).copied()
     }
 
+    /// The rows that could be decoded, by chunk.
+    pub fn rows(&self) -> impl Iterator<Item = (u32, &model::ProgressRow)> {
+        self.chunks.iter().map(|(chunk, row)| (*chunk, row))
+    }
+
     /// Numbers of the chunks with a row that can't be decoded.
     pub(crate) fn unreadable(&self) -> impl Iterator<Item = u32> {
         self.unreadable.iter().copied()
@@ -312,9 +323,15 @@
 }
 
 /// The saved start of a task that is not done, by this scheduler or an earlier one.
-fn saved_start_of(task: u32, record: &job::TaskRecord) -> Option<model::TaskAttempt> {
-    let attempt = record.suspicion.saved_attempt.or(record.suspicion.inherited_attempt)?;
-    (!record.done).then_some(model::TaskAttempt { task, attempt })
+fn saved_start_of(task: u32, record: &job::TaskRecord) -> Option<model::SavedStart> {
+    let suspicion = &record.suspicion;
+    let start = suspicion.saved_start.as_ref().or(suspicion.inherited_start.as_ref())?;
+    if record.done {
+        return None;
+    }
+    let mut row = start.to_row(task);
+    row.place = row.place.filter(|it| it.worker.len() <= MAX_WORKER_BYTES);
+    Some(row)
 }
 
 fn whole_millis(span: Duration) -> u32 {
@@ -360,7 +377,8 @@
     }
     for it in saved.trials {
         if let Some(task) = step.tasks.get_mut(it.task as usize) {
-            task.suspicion.inherited_attempt = Some(it.attempt);
+            let start = saved_start::SavedStart::from_row(it);
+            task.suspicion.inherited_start = Some(Box::new(start));
         }
     }
     for it in saved.attempts {
--- a/crates/graph/src/silent_workers.rs
+++ b/crates/graph/src/silent_workers.rs
@@ -171,7 +171,7 @@
         let Some(job) = self.jobs.get(&key.graph) else { return false };
         let Some(task) = job.task(key) else { return false };
         let attempt = task.run.as_ref().map(|it| it.attempt);
-        let is_marked = attempt.is_some() && task.suspicion.saved_attempt == attempt;
+        let is_marked = attempt.is_some() && task.suspicion.saved_attempt() == attempt;
         self.is_start_durable(key) || (is_marked && !job.has_ended() && !task.done)
     }
 
--- a/crates/graph/src/suspicion.rs
+++ b/crates/graph/src/suspicion.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::saved_start;
+
 /// Lower bound of the probability of a loss: no single loss is proof.
 pub const MIN_PROBABILITY: f64 = 0.01;
 
@@ -62,11 +64,12 @@
     losses: Vec<TaskLoss>,
     /// The longest time that a run of the task was seen to last.
     longest_survived: Duration,
-    /// The attempt whose start is saved: if the scheduler fails, its successor counts the start as a
-    /// loss unless a worker reports the end of the run.
-    pub saved_attempt: Option<u32>,
-    /// The attempt whose start an earlier scheduler had saved.
-    pub inherited_attempt: Option<u32>,
+    /// The start that is saved: if the scheduler fails, its successor counts the start as a loss unless
+    /// a worker reports the end of the run, or shows that nothing of it runs there. Boxed, as few tasks
+    /// have one.
+    pub saved_start: Option<Box<saved_start::SavedStart>>,
+    /// The start that an earlier scheduler had saved.
+    pub inherited_start: Option<Box<saved_start::SavedStart>>,
     /// The highest attempt whose start may still be in the store although it counts no more, as it was not
     /// sent, has ended or is recorded as a loss; 0 for none.
     settled_attempt: u32,
@@ -179,12 +182,21 @@
         self.losses.len() < n_before
     }
 
+    /// The attempt whose start is saved.
+    pub fn saved_attempt(&self) -> Option<u32> {
+        self.saved_start.as_ref().map(|it| it.attempt)
+    }
+
+    /// The attempt whose start an earlier scheduler had saved.
+    pub fn inherited_attempt(&self) -> Option<u32> {
+        self.inherited_start.as_ref().map(|it| it.attempt)
+    }
+
     /// Removes the saved start of an attempt whose end is known. Returns whether it was saved.
     pub fn forget_attempt(&mut self, attempt: u32) -> bool {
-        let before = (self.saved_attempt, self.inherited_attempt);
-        self.saved_attempt = self.saved_attempt.filter(|it| *it != attempt);
-        self.inherited_attempt = self.inherited_attempt.filter(|it| *it != attempt);
-        let was_saved = before != (self.saved_attempt, self.inherited_attempt);
+        let saved = self.saved_start.take_if(|it| it.attempt == attempt);
+        let inherited = self.inherited_start.take_if(|it| it.attempt == attempt);
+        let was_saved = saved.or(inherited).is_some();
         if was_saved {
             self.note_settled(attempt);
         }
@@ -194,30 +206,30 @@
     /// Removes the saved start of the current or planned run, whose outcome is known. Returns whether there
     /// was one.
     pub fn drop_saved_start(&mut self) -> bool {
-        let Some(attempt) = self.saved_attempt.take() else { return false };
-        self.note_settled(attempt);
+        let Some(start) = self.saved_start.take() else { return false };
+        self.note_settled(start.attempt);
         true
     }
 
-    /// Takes the start that an earlier scheduler had saved, to record it as a loss.
-    pub fn take_inherited_start(&mut self) -> Option<u32> {
-        let attempt = self.inherited_attempt.take()?;
-        self.note_settled(attempt);
-        Some(attempt)
+    /// Takes the start that an earlier scheduler had saved, as it is known what became of it.
+    pub fn take_inherited_start(&mut self) -> Option<saved_start::SavedStart> {
+        let start = self.inherited_start.take()?;
+        self.note_settled(start.attempt);
+        Some(*start)
     }
 
     /// Removes inherited starts up to `attempt`, and the loss that was recorded for that attempt, as an earlier
     /// scheduler knows better. Returns whether there were any.
     pub fn settle_inherited(&mut self, attempt: u32) -> bool {
         self.note_settled(attempt);
-        let is_removed = self.inherited_attempt.take_if(|it| *it <= attempt).is_some();
+        let is_removed = self.inherited_start.take_if(|it| it.attempt <= attempt).is_some();
         self.withdraw_loss(attempt) || is_removed
     }
 
     /// The highest attempt whose start may still be in the store although it counts no more; `None` if there
     /// is none, or if a later one counts.
     pub fn settled_attempt(&self) -> Option<u32> {
-        let counted = self.saved_attempt.max(self.inherited_attempt).unwrap_or_default();
+        let counted = self.saved_attempt().max(self.inherited_attempt()).unwrap_or_default();
         Some(self.settled_attempt).filter(|it| *it > counted)
     }
 
--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -77,7 +77,7 @@
 /// since.
 fn has_saved_start(job: &job::JobRecord) -> bool {
     let mut tasks = job.steps.iter().flat_map(|it| &it.tasks);
-    tasks.any(|it| it.suspicion.inherited_attempt.is_some())
+    tasks.any(|it| it.suspicion.inherited_start.is_some())
 }
 
 impl core::PoolCore {
@@ -158,6 +158,6 @@
         let Some(chunk) = progress::chunk_of(job, key) else { return false };
         let row = save_queue::SaveRowKey::Progress { graph: key.graph, chunk };
         let attempt = task.run.as_ref().map(|it| it.attempt);
-        attempt.is_some() && task.suspicion.saved_attempt == attempt && self.unsaved.is_saved(row)
+        attempt.is_some() && task.suspicion.saved_attempt() == attempt && self.unsaved.is_saved(row)
     }
 }
--- a/crates/graph/src/unsaved_suspicions.rs
+++ b/crates/graph/src/unsaved_suspicions.rs
@@ -14,6 +14,7 @@
 use crate::job;
 use crate::progress;
 use crate::save_queue;
+use crate::saved_start;
 use crate::task_key;
 
 /// Limit of the chunks that are handed over. Each is a few hundred bytes.
@@ -61,22 +62,21 @@
             let Some(job) = self.jobs.get(&graph).filter(|it| !it.has_ended()) else { return };
             let losses = step.losses.into_iter();
             let losses = losses.map(|it| (job.task_key(graph, index, it.task), it));
-            let starts = |attempts: &[model::TaskAttempt]| {
-                let starts = attempts.iter();
-                starts
-                    .map(|it| (job.task_key(graph, index, it.task), it.attempt))
-                    .collect::<Vec<_>>()
-            };
-            let (saved_starts, settled) = (starts(&step.trials), starts(&step.settled));
-            let losses = losses.collect::<Vec<_>>();
+            let settled = step.settled.iter();
+            let settled = settled.map(|it| (job.task_key(graph, index, it.task), it.attempt));
+            let saved_starts = step.trials.into_iter().map(|it| {
+                (job.task_key(graph, index, it.task), saved_start::SavedStart::from_row(it))
+            });
+            let (losses, settled) = (losses.collect::<Vec<_>>(), settled.collect::<Vec<_>>());
+            let saved_starts = saved_starts.collect::<Vec<_>>();
             for (key, attempt) in settled {
                 self.merge_settled_start(key, attempt);
             }
             for (key, reported) in losses {
                 self.merge_losses(key, &reported, now);
             }
-            for (key, attempt) in saved_starts {
-                self.merge_saved_start(key, attempt);
+            for (key, start) in saved_starts {
+                self.merge_saved_start(key, start);
             }
         }
     }
@@ -109,19 +109,25 @@
         }
     }
 
-    fn merge_saved_start(&mut self, key: task_key::TaskKey, attempt: u32) {
+    fn merge_saved_start(&mut self, key: task_key::TaskKey, start: saved_start::SavedStart) {
         self.begin_run_of(key);
+        let has_no_effect = self.has_no_effect(&start);
         let Some(task) = self.task_record_mut(key).filter(|it| !it.done) else { return };
+        let attempt = start.attempt;
         if attempt <= task.ended_attempt {
             return;
         }
-        let saved_attempt = match &task.run {
-            Some(run) if run.attempt == attempt => &mut task.suspicion.saved_attempt,
-            _ => &mut task.suspicion.inherited_attempt,
-        };
-        if *saved_attempt < Some(attempt) {
+        let is_running = task.run.as_ref().is_some_and(|it| it.attempt == attempt);
+        if has_no_effect && !is_running {
+            return;
+        }
+        let suspicion = &mut task.suspicion;
+        let known =
+            if is_running { &mut suspicion.saved_start } else { &mut suspicion.inherited_start };
+        if known.as_ref().is_none_or(|it| it.attempt < attempt) {
             tracing::info!(task = %key, attempt, "start is reported by a former scheduler");
-            *saved_attempt = Some(attempt);
+            *known = Some(Box::new(start));
+            self.index_inherited_starts(key.graph);
             self.mark_task_changed(key);
         }
     }
@@ -139,14 +145,15 @@
         let tasks = &job.steps.get(index)?.tasks;
         let reported = within.filter_map(|task| Some((task, tasks.get(task as usize)?)));
         let reported = reported.filter(|(_, it)| !it.done).collect::<Vec<_>>();
-        let attempts = |attempt_of: fn(&job::TaskRecord) -> Option<u32>| {
-            let known = reported.iter().filter_map(|(task, it)| Some((*task, attempt_of(it)?)));
-            known.map(|(task, attempt)| model::TaskAttempt { task, attempt }).collect::<Vec<_>>()
-        };
+        let counted =
+            reported.iter().filter_map(|(task, it)| Some(counted_start(it)?.to_row(*task)));
+        let settled = reported.iter().filter_map(|(task, it)| {
+            Some(model::TaskAttempt { task: *task, attempt: settled_attempt(it)? })
+        });
         Some(model::StepSuspicions {
             losses: saved.losses,
-            trials: attempts(counted_start),
-            settled: attempts(settled_start),
+            trials: counted.collect(),
+            settled: settled.collect(),
         })
     });
     let steps = steps.collect::<Vec<_>>();
@@ -159,15 +166,15 @@
 
 /// The saved start of a task of which nothing was heard since. A planned start was not sent, and never will
 /// be, as a report ends the tenure.
-fn counted_start(task: &job::TaskRecord) -> Option<u32> {
+fn counted_start(task: &job::TaskRecord) -> Option<&saved_start::SavedStart> {
     let suspicion = &task.suspicion;
-    let sent = suspicion.saved_attempt.filter(|_| task.planned_start.is_none());
-    sent.or(suspicion.inherited_attempt)
+    let sent = suspicion.saved_start.as_deref().filter(|_| task.planned_start.is_none());
+    sent.or(suspicion.inherited_start.as_deref())
 }
 
 /// The highest start of a task that may be in the store and counts no more.
-fn settled_start(task: &job::TaskRecord) -> Option<u32> {
+fn settled_attempt(task: &job::TaskRecord) -> Option<u32> {
     let suspicion = &task.suspicion;
-    let planned = suspicion.saved_attempt.filter(|_| task.planned_start.is_some());
+    let planned = suspicion.saved_attempt().filter(|_| task.planned_start.is_some());
     planned.or_else(|| suspicion.settled_attempt())
 }
--- a/crates/graph/tests/pool/speed_ranks.rs
+++ b/crates/graph/tests/pool/speed_ranks.rs
@@ -63,6 +63,7 @@
         per_worker: 0,
         n_present: Vec::new(),
         avoids: Vec::new(),
+        planned: Vec::new(),
         prefers_fast: is_urgent,
         prefers_slow: false,
         tells_speed: true,
--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod evacuations;
 mod feeds;
+mod holder_kills;
 mod load_refusals;
 mod logs;
 mod many_instances;
--- a/crates/schema/src/model.rs
+++ b/crates/schema/src/model.rs
@@ -2304,6 +2304,17 @@
     ///How many times.
     pub runs: ::std::num::NonZeroU32,
 }
+///A start that is saved before it is known how it ended.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SavedStart {
+    ///The attempt.
+    pub attempt: u32,
+    ///Where it was to take effect; absent where that is not known. An earlier release does not tell.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub place: ::std::option::Option<StartPlace>,
+    ///Index of the task.
+    pub task: u32,
+}
 ///Row of the table by which one instance schedules a hall.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SchedulerRow {
@@ -2405,6 +2416,17 @@
     ///The workers.
     pub workers: ::std::vec::Vec<SpeedEntry>,
 }
+///An incarnation of a worker for which a start is meant.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StartPlace {
+    ///What the clock of that incarnation shows at least from the start on, in milliseconds.
+    pub clock_ms: u64,
+    ///Its incarnation; absent on a platform that does not number incarnations.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub incarnation: ::std::option::Option<u64>,
+    ///The worker.
+    pub worker: crate::ids::WorkerId,
+}
 ///What is durable of one step.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StepProgress {
@@ -2421,7 +2443,7 @@
     pub losses: ::std::vec::Vec<TaskLosses>,
     ///Starts of suspected tasks, on record before they are sent.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub trials: ::std::vec::Vec<TaskAttempt>,
+    pub trials: ::std::vec::Vec<SavedStart>,
 }
 ///What was held against tasks of a step.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -2432,7 +2454,7 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub settled: ::std::vec::Vec<TaskAttempt>,
     ///Starts that were to be on record, of which nothing was heard since.
-    pub trials: ::std::vec::Vec<TaskAttempt>,
+    pub trials: ::std::vec::Vec<SavedStart>,
 }
 ///What became of a submission: stored; not stored for now; perhaps stored; the id is taken; never to be stored, as the store would refuse it again.
 #[derive(
