Count a job as started once a worker has confirmed a run of it

The jobs are shown as running. Cause: a job counted as started when a start of it was ordered, and nothing took that back when the start was refused, was not sent, or had no effect. The flag fed the state that callers see and the saved state too, and a successor took any row without a head row for that of a running job. Ruled out: an instance that has not heard of the jobs; the holder itself gave 0. Change: a job has started by the answer of a worker to a start, by a run or an end that a worker lists. A successor goes by the state that each row tells (a row that can't be decoded counts as before). The state is saved when a job that has started has nothing running. The same elsewhere, each a case of job_starts.rs: starts not sent, late, without room, with a lost answer; gangs; a successor that reads only a saved start; a run that was stopped for other work, which a successor took for none. Why it works: what has run is told by those who run it. Worse: a job is shown as pending for one exchange longer, with a lost answer until the next poll; a row more is written when the only run of a job is stopped.

--- a/crates/graph/src/answers.rs
+++ b/crates/graph/src/answers.rs
@@ -108,6 +108,9 @@
         now: Duration,
     ) {
         let clock = self.workers.get(&start.worker).and_then(|it| it.clock.reading(now));
+        if let Some(job) = self.jobs.get_mut(&start.task.graph) {
+            job.note_started();
+        }
         let Some(run) = self.run_of(&start.worker, start.task, start.attempt) else { return };
         run.is_confirmed = true;
         run.is_confirmed_by_incarnation |= is_confirmed_by_incarnation;
--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -18,6 +18,7 @@
 use crate::losses;
 use crate::order;
 use crate::pool_speeds;
+use crate::progress;
 use crate::reported_ends;
 use crate::roster;
 use crate::run_times;
@@ -284,7 +285,7 @@
         self.jobs.get(&graph).is_some_and(|it| !cancelled || it.has_ended())
     }
 
-    /// Number of jobs of a class of which no task has started.
+    /// Number of jobs of a class of which no task has started, as far as workers have confirmed.
     pub fn backlog(&self, class: &str) -> u64 {
         let waiting = self.active_jobs().filter(|(_, it)| it.class == class && !it.started);
         waiting.count() as u64
@@ -397,6 +398,18 @@
         if was_saved {
             self.mark_task_changed(key);
         }
+        self.save_start_of_idle_job(key.graph);
+    }
+
+    /// Marks the state of a job for saving that has started and has nothing running: a successor would find nothing
+    /// on the workers that shows it.
+    fn save_start_of_idle_job(&mut self, graph: ids::GraphId) {
+        let Some(job) = self.jobs.get(&graph) else { return };
+        let is_saved = !job.started || job.durable_state != model::GraphState::Pending;
+        if !is_saved && job.runs().next().is_none() {
+            let chunk = progress::HEAD_CHUNK;
+            self.unsaved.mark_changed(save_queue::SaveRowKey::Progress { graph, chunk });
+        }
     }
 
     /// Orders the stop of a task's run, unless it is being stopped already.
@@ -466,7 +479,7 @@
 /// State of a job as callers may see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobStatus<'a> {
-    /// Saved state, except that a job counts as running from its first start.
+    /// Saved state, except that a job counts as running once a worker has confirmed its first start.
     pub state: model::GraphState,
     /// Account that owns the job, if any.
     pub account: Option<&'a str>,
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use almondpass_schema::{ids, model};
+use almondpass_schema::ids;
 
 use crate::candidate;
 use crate::core;
@@ -297,11 +297,6 @@
     fn start_unit(&mut self, unit: task_key::UnitKey, places: UnitPlaces, now: Duration) {
         let UnitPlaces { workers, is_isolated, is_remote } = places;
         let keys = self.unit_tasks(unit);
-        let Some(job) = self.jobs.get_mut(&unit.graph) else { return };
-        job.started = true;
-        if job.state == model::GraphState::Pending {
-            job.state = model::GraphState::Running;
-        }
         let Some(attempt) = self.next_attempt(unit) else { return };
         for worker in self.workers.values_mut() {
             worker.claims.retain(|it| it.unit != unit);
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -53,7 +53,7 @@
     /// Time for which the job has waited since a run of it last began or ended, and when this wait
     /// is logged next.
     pub wait: wait_timer::WaitTimer,
-    /// Whether any task of the job has ever been started.
+    /// Whether a worker has confirmed a run of any task of the job, or its end.
     pub started: bool,
     /// Current state of the job; a change of it may not be saved yet.
     pub state: model::GraphState,
@@ -289,6 +289,15 @@
 }
 
 impl JobRecord {
+    /// Records that a task of the job has started, as its worker has confirmed. A start that was only ordered may
+    /// have no effect.
+    pub fn note_started(&mut self) {
+        self.started = true;
+        if self.state == model::GraphState::Pending {
+            self.state = model::GraphState::Running;
+        }
+    }
+
     /// Whether the job is completed, failed or cancelled, so that none of its tasks starts any
     /// more.
     pub fn has_ended(&self) -> bool {
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -216,6 +216,7 @@
         let expected_pace = self.class_pace(listed.task).or_else(|| self.sibling_pace(listed.task));
         let key = listed.task;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
+        job.note_started();
         let has_comparable_run_time = job.has_comparable_run_time(key);
         let Some(task) = job.task_mut(listed.task) else { return };
         let Some(run) = task.run.as_mut() else { return };
@@ -260,8 +261,7 @@
     fn adopt_run(&mut self, worker: &ids::WorkerId, listed: order::ListedRun, at: AnswerTimes) {
         let AnswerTimes { clock, now, .. } = at;
         let Some(job) = self.jobs.get_mut(&listed.task.graph) else { return };
-        job.started = true;
-        job.state = almondpass_schema::model::GraphState::Running;
+        job.note_started();
         let Some(step) = job.step_mut(listed.task) else { return };
         let resources = step.task_resources();
         let Some(task) = step.tasks.get_mut(listed.task.task as usize) else { return };
--- a/crates/graph/src/progress.rs
+++ b/crates/graph/src/progress.rs
@@ -180,7 +180,10 @@
             return;
         }
         let head = self.chunks.get(&HEAD_CHUNK);
-        let saved_state = head.map(|it| it.state);
+        let saved_state = head.map_or(model::GraphState::Pending, |it| it.state);
+        // Each row tells the state of the job as of its write; the head row may not have been written since.
+        let has_started = !self.unreadable.is_empty()
+            || self.chunks.values().any(|it| it.state != model::GraphState::Pending);
         job.failure = head.and_then(|it| it.failure);
         for row in self.chunks.into_values() {
             job.begin_runs_of(&row);
@@ -191,10 +194,11 @@
             }
             job.drop_ended_records(first..first + n_saved);
         }
-        // Any row without a head row means running: a row is first written after the end of a task.
-        job.state = saved_state.unwrap_or(model::GraphState::Running);
-        job.durable_state = job.state;
-        job.started = job.state != model::GraphState::Pending;
+        job.state = saved_state;
+        job.durable_state = saved_state;
+        if has_started {
+            job.note_started();
+        }
     }
 }
 
--- a/crates/graph/src/task_ends.rs
+++ b/crates/graph/src/task_ends.rs
@@ -56,6 +56,7 @@
         self.begin_run_of(key);
         let job = self.jobs.get_mut(&key.graph)?;
         let class = job.class.clone();
+        job.note_started();
         let task = job.task_mut(key)?;
         let known_run = task.run.as_ref();
         let known_run = known_run.filter(|it| it.worker == *worker && it.attempt == end.attempt);
@@ -214,12 +215,9 @@
         } else if let Some(task) = step.tasks.get_mut(key.task as usize) {
             task.done = true;
         }
-        job.started = true;
-        if !job.has_ended() {
-            let is_complete = job.is_complete();
-            job.state =
-                if is_complete { model::GraphState::Completed } else { model::GraphState::Running };
-            if is_complete && self.active.contains(&key.graph) {
+        if !job.has_ended() && job.is_complete() {
+            job.state = model::GraphState::Completed;
+            if self.active.contains(&key.graph) {
                 self.finish(key.graph, now);
             }
         }
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -9,6 +9,7 @@
 mod fair_share;
 mod forecasts;
 mod full_pool;
+mod job_starts;
 mod late_runs;
 mod load_simulation;
 mod move_limits;
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Makes a worker refuse all starts, or accept them again; does nothing if the worker is down.
+    pub fn set_refuses_starts(&self, worker: &str, refuses_starts: bool) {
+        if let Some(worker) = state::lock(&self.state).workers.get_mut(worker) {
+            worker.set_refuses_starts(refuses_starts);
+        }
+    }
+
     /// Tasks whose start exceeded the capacity of their worker. A reduced capacity applies only once the time
     /// is over in which all parties learn of the reduction.
     pub fn oversubscribed_starts(&self) -> Vec<task_key::TaskKey> {
--- a/crates/standin/src/pool_worker.rs
+++ b/crates/standin/src/pool_worker.rs
@@ -91,6 +91,8 @@
     earlier_capacities: Vec<(Instant, resources::Resources)>,
     /// Whether the worker refuses a start that does not fit into its capacity.
     checks_capacity: bool,
+    /// Whether the worker refuses all starts, as an unhealthy one does.
+    refuses_starts: bool,
     /// Tasks whose accepted start exceeded the current capacity and those that were reduced only recently.
     pub oversubscribed_starts: Vec<task_key::TaskKey>,
     token: ids::FencingToken,
@@ -124,6 +126,7 @@
             capacity,
             earlier_capacities: Vec::new(),
             checks_capacity: true,
+            refuses_starts: false,
             oversubscribed_starts: Vec::new(),
             token: 0,
             deadline_ms: 0,
@@ -179,6 +182,11 @@
         self.runs.values().filter_map(crash_time).min()
     }
 
+    /// Makes the worker refuse all starts from now on, or accept them again.
+    pub fn set_refuses_starts(&mut self, refuses_starts: bool) {
+        self.refuses_starts = refuses_starts;
+    }
+
     /// Handles a start order. Its deadline also extends the lease.
     pub fn start(
         &mut self,
@@ -190,6 +198,9 @@
         if !self.accept_token(token) {
             return order::StartAnswer::Refused(order::StartRefusal::Fenced);
         }
+        if self.refuses_starts {
+            return order::StartAnswer::Refused(order::StartRefusal::Unwell);
+        }
         let clock_ms = self.clock_ms();
         if start.deadline_ms <= clock_ms {
             return order::StartAnswer::Refused(order::StartRefusal::Late);
