Leave an unserved tenure to others only while a better one is up

Cause: an instance that the row names among the holders of the last unserved tenures leaves the next one to others, doubling to 25 s. Ruled out: going back to the last holder alone, by which two strong instances that die at each read keep a weaker one out. Change: an instance waits only while another one is up that the row names less often; it asks up to eight of these for a sign of life, 0.3 s at most. The same elsewhere: an instance whose own acquisition had no answer waited with the tenure in its hands, if an earlier one was held at its address. Why it works: of the instances that are up, one is named least, and it never waits; if that one dies at each read, it is named more often each time, until it waits for the others. Worse: instances that all die at each read die again sooner, as none waits for the others; a better one that answers peers and can't reach the store is waited for, now 6.5 s where it was 25 s.

--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use almondpass_peer::codec;
+use almondpass_peer::link::PeerLink;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_schema::model;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time;
 
 use crate::document;
@@ -16,24 +19,25 @@
 use crate::state;
 use crate::store_call;
 use crate::tenure_watch;
+use crate::vacancy;
 use crate::writer;
 
 /// Wait before the tenure's row is read again after a write to it got no answer.
 const UNCLEAR_RETRY_DELAY: Duration = Duration::from_millis(120);
 
-/// Share of the watch interval over which the reads of different instances are spread.
-const MAX_SPREAD_SHARE: f64 = 0.3;
+/// Timeout of a call that shows whether an instance is up.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Most doublings of the time for which an instance leaves the tenure to others after tenures that were not
-/// served. An instance without others would otherwise wait for minutes once the cause is gone.
-const MAX_UNSERVED_DOUBLINGS: u32 = 4;
+/// Most instances that are asked at a time whether they are up.
+const MAX_ASKED: usize = 8;
 
 /// Watches the tenure, and schedules while this instance holds it, until the instance leaves.
 pub(crate) async fn run<S: state::PoolAdapters>(state: Arc<state::PoolState<S>>) {
     let mut watch = tenure_watch::TenureWatch::default();
     let mut unnamed_bound = UnnamedHolderBound::default();
     let settings = &state.settings;
-    let spread = |interval| spread::lengthen(&settings.instance, interval, MAX_SPREAD_SHARE);
+    let spread =
+        |interval| spread::lengthen(&settings.instance, interval, vacancy::MAX_SPREAD_SHARE);
     let interval = spread(settings.tenure.watch_interval);
     let rare_interval = spread(settings.tenure.rare_watch_interval);
     while !state.shutdown.is_cancelled() {
@@ -47,7 +51,8 @@
             instance: it.holder.clone(),
             address: it.address.clone(),
         }));
-        match acquire(&state, &watch, &mut unnamed_bound).await {
+        let left_to = find_better(&state, &watch).await;
+        match acquire(&state, &watch, left_to, &mut unnamed_bound).await {
             AcquireOutcome::Acquired(acquired) => {
                 let was_release_requested = leader::run(Arc::clone(&state), acquired).await;
                 watch = tenure_watch::TenureWatch::default();
@@ -63,7 +68,7 @@
             }
             AcquireOutcome::NotAcquired => {}
         }
-        let wait = time_until_read(&state, &watch, interval, rare_interval);
+        let wait = time_until_read(&state, &watch, left_to, interval, rare_interval);
         tokio::select! {
             biased;
             () = state.shutdown.cancelled() => {}
@@ -87,6 +92,7 @@
 fn time_until_read<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
+    left_to: BetterInstance,
     interval: Duration,
     rare_interval: Duration,
 ) -> Duration {
@@ -98,7 +104,7 @@
         return rare_interval;
     }
     // Reads the row as soon as the tenure may be acquired, if that is before the next regular read.
-    time_until_free(state, seen).map_or(interval, |it| it.min(interval))
+    time_until_free(state, seen, left_to).map_or(interval, |it| it.min(interval))
 }
 
 /// Waits until each other instance has read the tenure's row. An instance that can write but not read, or
@@ -106,16 +112,11 @@
 /// releasing it.
 async fn yield_to_others<S: state::PoolAdapters>(state: &state::PoolState<S>) {
     tokio::select! {
-        () = time::sleep(two_watch_intervals(state)) => {}
+        () = time::sleep(vacancy::two_watch_intervals(&state.settings.tenure)) => {}
         () = state.shutdown.cancelled() => {}
     }
 }
 
-/// Time within which each other early contender has read the tenure's row.
-fn two_watch_intervals<S: state::PoolAdapters>(state: &state::PoolState<S>) -> Duration {
-    state.settings.tenure.watch_interval.mul_f64(2.0 * (1.0 + MAX_SPREAD_SHARE))
-}
-
 /// Releases the tenure of an earlier process at this instance's address that ended before it scheduled. Returns
 /// whether the row was written.
 ///
@@ -229,6 +230,7 @@
 async fn acquire<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     watch: &tenure_watch::TenureWatch,
+    left_to: BetterInstance,
     unnamed_bound: &mut UnnamedHolderBound,
 ) -> AcquireOutcome {
     let settings = &state.settings;
@@ -237,7 +239,7 @@
         return AcquireOutcome::NotAcquired;
     }
     let now = state.adapters.clock().now();
-    let Some(seen) = watch.seen().filter(|it| time_until_free(state, it).is_none()) else {
+    let Some(seen) = watch.seen().filter(|it| time_until_free(state, it, left_to).is_none()) else {
         return AcquireOutcome::NotAcquired;
     };
     let losses = seen.row.as_ref().and_then(|it| it.losses.clone());
@@ -293,40 +295,69 @@
     if is_repetition { row.n_unserved.max(1) } else { row.n_unserved.saturating_add(1) }
 }
 
+/// Whether another instance is up that has failed to serve fewer of the last tenures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BetterInstance {
+    /// One is up, or it is not known yet which instances there are.
+    Up,
+    /// None is up, or this instance has served its tenures.
+    NoneUp,
+}
+
+/// Finds out whether there is a better instance, if the last tenures were not served and one of them was this
+/// instance's. Where all instances were killed one after the other, each would otherwise leave the tenure to the
+/// rest.
+async fn find_better<S: state::PoolAdapters>(
+    state: &state::PoolState<S>,
+    watch: &tenure_watch::TenureWatch,
+) -> BetterInstance {
+    let settings = &state.settings;
+    let Some(seen) = watch.seen() else { return BetterInstance::NoneUp };
+    if seen.n_unserved_beside(&settings.peer_address, &settings.instance) == 0 {
+        return BetterInstance::NoneUp;
+    }
+    let Some(members) = state.other_members() else { return BetterInstance::Up };
+    let n_own = seen.n_named_at(&settings.peer_address);
+    let better = members.into_iter().filter(|it| seen.n_named_at(it) < n_own);
+    let have = state.document.version();
+    let asked = better.take(MAX_ASKED).map(|it| async move {
+        let pull = model::DocumentPull { have };
+        state.adapters.peers().call(&it, pull, PRESENCE_TIMEOUT).await.is_ok()
+    });
+    let mut answers = asked.collect::<FuturesUnordered<_>>();
+    while let Some(is_up) = answers.next().await {
+        if is_up {
+            return BetterInstance::Up;
+        }
+    }
+    BetterInstance::NoneUp
+}
+
 /// How much longer this instance leaves the tenure to its holder and to other instances; `None` once it may
 /// acquire the tenure.
 fn time_until_free<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
+    left_to: BetterInstance,
 ) -> Option<Duration> {
     let settings = &state.settings;
     let free_at = seen.free_at(&settings.peer_address, settings.tenure.term);
-    let may_acquire_at = free_at + yield_delay(state, seen) + unserved_delay(state, seen);
+    let n_unserved = match left_to {
+        BetterInstance::Up => seen.n_unserved_beside(&settings.peer_address, &settings.instance),
+        BetterInstance::NoneUp => 0,
+    };
+    let unserved_delay = vacancy::unserved_delay(&settings.tenure, n_unserved);
+    let may_acquire_at = free_at + yield_delay(state, seen).max(unserved_delay);
     let wait = may_acquire_at.saturating_sub(state.adapters.clock().now());
     (!wait.is_zero()).then_some(wait)
 }
 
-/// How long a free tenure is left to others because the last tenures, one of them at this instance's address, were
-/// not served. It doubles with each of them: weaker instances, and those that read the row rarely, acquire the
-/// tenure later than others. Two instances that leave it only to each other would keep it from all the rest.
-fn unserved_delay<S: state::PoolAdapters>(
-    state: &state::PoolState<S>,
-    seen: &tenure_watch::SeenRow,
-) -> Duration {
-    let settings = &state.settings;
-    let n_unserved = seen.n_unserved_beside(&settings.peer_address, &settings.instance);
-    let Some(n_doublings) = n_unserved.checked_sub(1) else { return Duration::ZERO };
-    two_watch_intervals(state) * (1 << n_doublings.min(MAX_UNSERVED_DOUBLINGS))
-}
-
-/// How long a free tenure is left to stronger instances. The holder's work grows with the number of workers:
-/// at 350 workers it took nine tenths of the 0.12 cores of the weakest instances, and renewals and polls of
-/// workers came late.
+/// How long a free tenure is left to stronger instances.
 fn yield_delay<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     seen: &tenure_watch::SeenRow,
 ) -> Duration {
-    let timing = state.settings.tenure;
+    let timing = &state.settings.tenure;
     if seen.is_held_at(&state.settings.peer_address) {
         return Duration::ZERO;
     }
@@ -334,12 +365,8 @@
     let startup_delay = if seen.row.is_none() { timing.first_start_delay } else { Duration::ZERO };
     let strongest_of_holder = seen.row.as_ref().map_or(0, |it| it.strongest_milli);
     let strongest = state.strongest_milli().max(strongest_of_holder);
-    let is_weaker = state.settings.strength_milli < strongest;
-    let stronger_delay = match (is_weaker, state.is_early_contender()) {
-        (false, _) => Duration::ZERO,
-        (true, true) => timing.weaker_delay,
-        // The stronger instances may all be gone but for those that read the row as rarely as this one.
-        (true, false) => 2 * timing.weaker_delay,
-    };
-    startup_delay + stronger_delay
+    if state.settings.strength_milli >= strongest {
+        return startup_delay;
+    }
+    startup_delay + vacancy::weaker_delay(timing, state.is_early_contender())
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod submit;
 pub mod tenure_status;
 pub mod tenure_watch;
+pub mod vacancy;
 pub mod version_history;
 pub mod worker_entry;
 
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -242,6 +242,14 @@
         *lock(&self.members) = members;
     }
 
+    /// Addresses of the known instances other than this one, the strongest first; `None` until they are known.
+    pub(crate) fn other_members(&self) -> Option<Vec<ids::PeerAddress>> {
+        let members = lock(&self.members);
+        let others = members.iter().map(|it| &it.address);
+        let others = others.filter(|it| **it != self.settings.peer_address).cloned().collect();
+        (!members.is_empty()).then_some(others)
+    }
+
     /// Thousandths of a core of the strongest known instance, which may be this one.
     pub(crate) fn strongest_milli(&self) -> u32 {
         let members = lock(&self.members);
--- a/crates/pool/src/tenure_watch.rs
+++ b/crates/pool/src/tenure_watch.rs
@@ -95,18 +95,28 @@
     }
 
     /// Number of tenures in a row whose holders have not scheduled, if any of these was held at `address`. Of the
-    /// earlier ones the row names those whose orders may not have ended, which are the latest.
+    /// earlier ones the row names those whose orders may not have ended, which are the latest. It does not count
+    /// while `instance` itself is named as holder: the answer to its write was lost.
     pub fn n_unserved_beside(&self, address: &str, instance: &str) -> u32 {
         let Some(row) = &self.row else { return 0 };
-        let is_unserved =
-            |it: &model::EarlierHolder| it.epoch + u64::from(row.n_unserved) > row.epoch;
-        let mut earlier = row.earlier.iter().filter(|it| is_unserved(it));
+        if row.holder == instance && !row.released {
+            return 0;
+        }
+        let mut earlier = row.earlier.iter().filter(|it| is_unserved(row, it));
         if earlier.any(|it| it.address == address) {
             return row.n_unserved;
         }
         self.n_unserved_at(address, instance)
     }
 
+    /// Number of the unserved tenures in a row that the row names as held at `address`.
+    pub fn n_named_at(&self, address: &str) -> usize {
+        let Some(row) = &self.row else { return 0 };
+        let earlier = row.earlier.iter().filter(|it| is_unserved(row, it));
+        let n_earlier = earlier.filter(|it| it.address == address).count();
+        n_earlier + usize::from(row.n_unserved > 0 && row.address == address)
+    }
+
     /// Time from which on no instance holds the tenure: it was released, not renewed for a `term`, or held by
     /// an earlier process at `address`, the address of this process. That process has ended, as no two
     /// processes can listen at one address; waiting for its term would cost seconds after a restart of all
@@ -118,3 +128,8 @@
         }
     }
 }
+
+/// Whether the tenure of an earlier holder is one of those in a row that were not served.
+fn is_unserved(row: &model::PoolTenure, earlier: &model::EarlierHolder) -> bool {
+    earlier.epoch + u64::from(row.n_unserved) > row.epoch
+}
--- a/crates/pool/tests/pool/holder_kills.rs
+++ b/crates/pool/tests/pool/holder_kills.rs
@@ -28,6 +28,9 @@
 /// Interval between two looks at what is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time after the last kill, with all instances up, within which jobs accepted meanwhile begin.
+const BEGINS_WITHIN: Duration = Duration::from_secs(14);
+
 /// Time after the last kill in which all jobs end.
 const SETTLING_TIME: Duration = Duration::from_secs(60);
 
@@ -133,6 +136,16 @@
     }
 }
 
+/// Guards against a fleet that schedules no more because its holders were killed in quick succession: each instance
+/// leaves the tenure to the others.
+#[test]
+fn storms_of_holder_kills() {
+    for seed in support::storm_seeds() {
+        println!("storm {seed}, holder kills");
+        support::run(kill_holders(seed));
+    }
+}
+
 /// Guards against work that is given up although one worker was lost under it: its starts were saved by holders that
 /// were killed before they sent them.
 #[test]
@@ -158,6 +171,42 @@
     }
 }
 
+async fn kill_holders(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut machines = Machines::start(&mut rng).await;
+    let gap_ms = rng.random_range(300..1_000);
+    let longest_down_ms = if rng.random_bool(0.5) { 400 } else { 3_500 };
+    let mut accepted = BTreeSet::new();
+    let n_kills = rng.random_range(5..26);
+    for kill in 0..n_kills {
+        let graph = 1 + kill as u64;
+        let n_tasks = rng.random_range(1..4);
+        if rng.random_bool(0.5) && machines.submit(graph, support::job(n_tasks, 700)).await {
+            accepted.insert(graph);
+        }
+        let down = millis(&mut rng, 200..longest_down_ms);
+        machines.kill_holder(down).await;
+        let gap = millis(&mut rng, gap_ms / 2..gap_ms * 3 / 2);
+        machines.pass(gap).await;
+    }
+    let last_kill = Instant::now();
+    while !machines.down.is_empty() {
+        machines.pass(CHECK_INTERVAL).await;
+    }
+    if machines.submit(1_000, support::job(1, 700)).await {
+        accepted.insert(1_000);
+    }
+    while machines.bench.fleet.records().iter().all(|it| it.task.graph != 1_000) {
+        let waited = last_kill.elapsed();
+        assert!(waited < BEGINS_WITHIN, "storm {seed}: nothing has begun after {waited:?}");
+        machines.pass(CHECK_INTERVAL).await;
+    }
+    println!("storm {seed}: begun after {} ms", last_kill.elapsed().as_millis());
+    time::sleep(SETTLING_TIME).await;
+    assert_completed(&machines.bench, &accepted, seed).await;
+    storm_oracle::check(&machines.bench, seed);
+}
+
 /// Crashes a worker under a job, and kills holders while the job waits to run again.
 async fn kill_holders_beside(seed: u64, cause: CrashCause) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/pool/tests/tenure.rs
+++ b/crates/pool/tests/tenure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondpass_pool::{settings, tenure_status, tenure_watch, version_history};
+use almondpass_pool::{settings, tenure_status, tenure_watch, vacancy, version_history};
 use almondpass_schema::model;
 
 const TERM: Duration = Duration::from_secs(2);
@@ -129,6 +129,71 @@
     none_of_the_tenures_was_held_here: "10.0.0.4:1", 6 => 0;
 }
 
+/// Guards against an instance that leaves its own tenure to others, as an earlier one of its address was unserved and
+/// the answer to its acquisition was lost.
+#[test]
+fn an_earlier_tenure_at_the_address_does_not_count_against_the_holder() {
+    let earlier = vec![earlier_holder("10.0.0.2:1", 6)];
+    let row = model::PoolTenure { n_unserved: 2, earlier, ..row("10.0.0.2:1", false) };
+    let mut watch = tenure_watch::TenureWatch::default();
+    watch.record_read(5, Some(row), Duration::from_secs(100));
+    assert_eq!(watch.seen().expect("a row").n_unserved_beside("10.0.0.2:1", "a-1"), 0);
+}
+
+fn earlier_holder(address: &str, epoch: u64) -> model::EarlierHolder {
+    let address = address.to_owned();
+    model::EarlierHolder { holder: "a-0".to_owned(), address, epoch, settles_in_ms: 5_000 }
+}
+
+/// Number of unserved tenures that a row of epoch 7 at `10.0.0.2:1` names at `address`, with `n_unserved` in a row.
+fn check_named(earlier: &[(&str, u64)], n_unserved: u32, address: &str, n_named: usize) {
+    let earlier = earlier.iter().map(|(address, epoch)| earlier_holder(address, *epoch)).collect();
+    let row = model::PoolTenure { n_unserved, earlier, ..row("10.0.0.2:1", true) };
+    let mut watch = tenure_watch::TenureWatch::default();
+    watch.record_read(5, Some(row), Duration::from_secs(100));
+    assert_eq!(watch.seen().expect("a row").n_named_at(address), n_named);
+}
+
+macro_rules! named_tests {
+    ($($name:ident: $earlier:expr, $n_unserved:literal, $address:literal => $n_named:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            check_named(&$earlier, $n_unserved, $address, $n_named);
+        })*
+    };
+}
+
+named_tests! {
+    the_last_holder_is_named: [("10.0.0.3:1", 6)], 2, "10.0.0.2:1" => 1;
+    a_holder_of_several_unserved_tenures_is_named_for_each:
+        [("10.0.0.3:1", 6), ("10.0.0.2:1", 5)], 3, "10.0.0.2:1" => 2;
+    a_holder_of_a_served_tenure_is_not_named: [("10.0.0.3:1", 5)], 2, "10.0.0.3:1" => 0;
+    nobody_is_named_once_a_tenure_is_served: [("10.0.0.3:1", 6)], 0, "10.0.0.2:1" => 0;
+}
+
+/// Time from the loss of a holder within which accepted work has to go on, by the platform.
+const WORK_GOES_ON_WITHIN: Duration = Duration::from_secs(14);
+
+/// Time in which an instance reads the tables of a slow store, and workers answer its first polls.
+const TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Guards against waits that are each in bounds and leave the pools without a holder for too long in sum.
+#[test]
+fn all_waits_together_are_in_time() {
+    let timing = settings::TenureTiming::default();
+    assert!(vacancy::longest_vacancy(&timing) + TAKEOVER_TIME <= WORK_GOES_ON_WITHIN);
+}
+
+/// Guards against a wait that doubles for longer than any other instance needs to acquire the tenure.
+#[test]
+fn the_wait_after_unserved_tenures_is_bounded_by_the_slowest_takeover() {
+    let timing = settings::TenureTiming::default();
+    let waits = (0..40).map(|it| vacancy::unserved_delay(&timing, it)).collect::<Vec<_>>();
+    assert_eq!(waits[0], Duration::ZERO);
+    assert!(waits.is_sorted());
+    assert_eq!(waits[39], vacancy::longest_takeover(&timing));
+}
+
 fn state() -> tenure_status::TenureState {
     let times = settings::TenureTiming { term: TERM, ..settings::TenureTiming::default() };
     tenure_status::TenureState::new(times, Duration::from_secs(100))
