Tenure: ask for better instances only once the tenure is free

Cause: an instance that the row names asked its peers for a sign of life at each look at the row, also while a holder in its first second renewed it: calls for nothing, eight of them at a time in a large fleet. Change: it asks once the tenure is free, and reads the row at that moment.

--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -103,7 +103,11 @@
     if is_held && is_renewed && !state.is_early_contender() {
         return rare_interval;
     }
-    // Reads the row as soon as the tenure may be acquired, if that is before the next regular read.
+    // Reads the row as soon as the tenure is free or may be acquired, if that is before the next regular read.
+    let free_at = seen.free_at(&state.settings.peer_address, state.settings.tenure.term);
+    if left_to == BetterInstance::Up && now < free_at {
+        return interval.min(free_at - now);
+    }
     time_until_free(state, seen, left_to).map_or(interval, |it| it.min(interval))
 }
 
@@ -298,7 +302,7 @@
 /// Whether another instance is up that has failed to serve fewer of the last tenures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BetterInstance {
-    /// One is up, or it is not known yet which instances there are.
+    /// One is up, or it is not known yet: the tenure is not free, or the instances have not been read.
     Up,
     /// None is up, or this instance has served its tenures.
     NoneUp,
@@ -316,7 +320,11 @@
     if seen.n_unserved_beside(&settings.peer_address, &settings.instance) == 0 {
         return BetterInstance::NoneUp;
     }
-    let Some(members) = state.other_members() else { return BetterInstance::Up };
+    let is_free =
+        seen.free_at(&settings.peer_address, settings.tenure.term) <= state.adapters.clock().now();
+    let Some(members) = state.other_members().filter(|_| is_free) else {
+        return BetterInstance::Up;
+    };
     let n_own = seen.n_named_at(&settings.peer_address);
     let better = members.into_iter().filter(|it| seen.n_named_at(it) < n_own);
     let have = state.document.version();
