--- a/crates/pool/tests/pool/feeds.rs
+++ b/crates/pool/tests/pool/feeds.rs
@@ -100,3 +100,45 @@
         assert_eq!(bench.fleet.records().len(), 1);
     });
 }
+
+/// Number of feeds that an instance follows.
+fn n_feeds(instance: &support::BenchInstance) -> u64 {
+    if instance.state.leader().is_some() { 3 } else { 1 }
+}
+
+/// Open reads of all feeds go silent, and the next `n_lost_calls` of each kind with them; a configuration that is
+/// written then is in force everywhere within `limit`.
+fn check_silent_feeds(n_lost_calls: u64, limit: Duration) {
+    support::run(async {
+        let bench = support::PoolBench::start(3, 2).await;
+        // Each instance has just begun a read of the configuration.
+        bench.set_document(6).await;
+        time::sleep(Duration::from_millis(30)).await;
+        for instance in &bench.instances {
+            let faults = &instance.store_faults;
+            let lost = fault::Fault::RequestLost;
+            (1..=n_feeds(instance)).for_each(|it| faults.inject_nth(table::FOLLOW_STEP, it, lost));
+            for step in [model::TableGet::PATH, model::TableTransaction::PATH] {
+                (1..=n_lost_calls).for_each(|it| faults.inject_nth(step, it, lost));
+            }
+        }
+        time::sleep(Duration::from_millis(20)).await;
+        bench.set_document(7).await;
+        time::sleep(limit).await;
+        let versions = bench.instances.iter().map(|it| it.state.document.version());
+        assert_eq!(versions.collect::<Vec<_>>(), [7, 7, 7]);
+    });
+}
+
+/// Guards against an older configuration that stays in force while the read of the newest hangs on a silent connection,
+/// although another call has shown the silence.
+#[test]
+fn a_call_without_answer_ends_the_wait_of_a_silent_feed() {
+    check_silent_feeds(1, Duration::from_millis(2_000));
+}
+
+/// Guards against the same where no other call of the instance is open.
+#[test]
+fn a_silent_feed_is_read_again_within_the_time_of_a_lost_contact() {
+    check_silent_feeds(0, Duration::from_millis(2_900));
+}
