--- a/crates/pool/src/contender.rs
+++ b/crates/pool/src/contender.rs
@@ -8,7 +8,6 @@
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_schema::model;
-
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time;
 
