--- a/crates/pool/src/document_follower.rs
+++ b/crates/pool/src/document_follower.rs
@@ -15,9 +15,9 @@
 use crate::store_call;
 
 /// Longest time for which the store may hold a read open until a change occurs. It bounds how late the
-/// instance notices a store that rejects it, or a connection that has gone silent: 3 s after that the users
-/// expect the configuration in force. They allow 7 s until what peers know is in force here.
-const FEED_WAIT: Duration = Duration::from_millis(2_200);
+/// instance notices a store that rejects it or a connection that has gone silent. The users allow 7 s
+/// until what peers know is in force here.
+const FEED_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Wait before the store is read again after a failure and the round of peers that follows it.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/pool/src/state.rs
+++ b/crates/pool/src/state.rs
@@ -91,8 +91,6 @@
     is_early_contender: AtomicBool,
     /// Notified when the holder of the tenure may be another than the known one.
     pub(crate) holder_doubted: Notify,
-    /// Notified when a call to the store had no answer in time: its connections may have gone silent.
-    pub(crate) store_silence: Notify,
     /// Stronger instances to which this one has offered the tenure.
     offered_instances: Mutex<hand_over::OfferedInstances>,
     /// Entries of the list of workers that are invalid and not used.
@@ -132,7 +130,6 @@
             members: Mutex::default(),
             is_early_contender: AtomicBool::new(true),
             holder_doubted: Notify::new(),
-            store_silence: Notify::new(),
             offered_instances: Mutex::default(),
             faulty_entries: Mutex::default(),
         }
--- a/crates/pool/src/store_call.rs
+++ b/crates/pool/src/store_call.rs
@@ -69,18 +69,13 @@
     }
 }
 
-/// Records the answer or the failure of a call in the outages that this instance sees, and tells the reads of
-/// feeds of a call without an answer. An outage that the call reveals began at `since`.
+/// Records the answer or the failure of a call in the outages that this instance sees. An outage that the
+/// call reveals began at `since`.
 fn observe<S: state::PoolAdapters, T>(
     state: &state::PoolState<S>,
     since: Instant,
     answer: &Result<T, error::CallError>,
 ) {
-    if let Err(error) = answer
-        && matches!(error.fault, error::CallFault::TimedOut(_))
-    {
-        state.store_silence.notify_waiters();
-    }
     if !state.settings.scheduling.adaptive_retry {
         return;
     }
@@ -160,23 +155,17 @@
     answer
 }
 
-/// Reads the changes of a table, for which the store may hold the read open for `wait`. If the connection goes
-/// silent meanwhile, as the deadline or another call to the store shows, the changes are read on another one.
 pub(crate) async fn follow<S: state::PoolAdapters>(
     state: &state::PoolState<S>,
     table: &str,
     after: ids::RowVersion,
     wait: Duration,
 ) -> Result<row_feed::FeedRows, row_feed::FeedFault> {
-    let first = tokio::select! {
-        biased;
-        answer = follow_once(state, table, after, wait) => Some(answer),
-        () = state.store_silence.notified() => None,
-    };
-    let answer = match first {
-        Some(answer) if !is_timeout(&answer) => answer,
-        _ => follow_once(state, table, after, Duration::ZERO).await,
-    };
+    let deadline = wait + FEED_SLACK;
+    let following = state.adapters.store().follow(table, after, wait);
+    let answer = time::timeout(deadline, following)
+        .await
+        .unwrap_or_else(|_| Err(timed_out(model::TableScan::PATH, deadline).into()));
     match &answer {
         Err(row_feed::FeedFault::Call(error)) => {
             observe::<_, ()>(state, Instant::now(), &Err(error.clone()));
@@ -186,23 +175,6 @@
     answer
 }
 
-async fn follow_once<S: state::PoolAdapters>(
-    state: &state::PoolState<S>,
-    table: &str,
-    after: ids::RowVersion,
-    wait: Duration,
-) -> Result<row_feed::FeedRows, row_feed::FeedFault> {
-    let deadline = wait + FEED_SLACK;
-    let following = state.adapters.store().follow(table, after, wait);
-    let answer = time::timeout(deadline, following).await;
-    answer.unwrap_or_else(|_| Err(timed_out(model::TableScan::PATH, deadline).into()))
-}
-
-fn is_timeout(answer: &Result<row_feed::FeedRows, row_feed::FeedFault>) -> bool {
-    let Err(row_feed::FeedFault::Call(error)) = answer else { return false };
-    matches!(error.fault, error::CallFault::TimedOut(_))
-}
-
 async fn within<T>(
     step: &'static str,
     deadline: Duration,
