Log how far past its term a lost tenure gave orders, and when a lost worker's lease lapsed

The record of the incident could not tell a holder that acts beside its successor from one that was paused: 'tenure was lost' did not say whether orders had been given since the term was over, and 'worker is lost' did not say when the lease had lapsed by the holder's count.

Fields past_term_ms and ordered_past_term_ms, and lapsed_ms. No decision changes.

--- a/crates/graph/src/losses.rs
+++ b/crates/graph/src/losses.rs
@@ -349,11 +349,14 @@
         let tasks = named.collect::<Vec<_>>().join(", ");
         let record = self.workers.get(worker);
         let silent_ms = record.map(|it| now.saturating_sub(it.last_contact_at).as_millis() as u64);
+        let lapsed_ms =
+            record.map(|it| now.saturating_sub(it.clock.lapses_at()).as_millis() as u64);
         tracing::info!(
             worker,
             sign = evidence.name(),
             n_runs = runs.len(),
             silent_ms,
+            lapsed_ms,
             leaves = record.is_some_and(|it| it.leaves_at.is_some()),
             tasks,
             "worker is lost"
--- a/crates/pool/src/tenure_status.rs
+++ b/crates/pool/src/tenure_status.rs
@@ -73,6 +73,11 @@
         TenureStatus::Stale
     }
 
+    /// Time until which no other instance can hold the tenure.
+    pub fn exclusive_until(&self) -> Duration {
+        self.exclusive_until
+    }
+
     /// Whether orders may be given at `now`.
     pub fn may_order(&self, now: Duration) -> bool {
         matches!(self.status(now), TenureStatus::Firm | TenureStatus::Detached)
--- a/crates/pool/src/writer.rs
+++ b/crates/pool/src/writer.rs
@@ -266,7 +266,7 @@
         let is_ours =
             tenure.holder == self.state.settings.instance && tenure.epoch == self.leader.epoch;
         if !is_ours {
-            tracing::warn!(holder = tenure.holder, epoch = tenure.epoch, "tenure was lost");
+            self.log_lost_tenure(&tenure);
             return ConflictKind::Lost;
         }
         // An earlier attempt of this write succeeded and its answer was lost.
@@ -275,6 +275,20 @@
         }
         ConflictKind::Outdated(row.version)
     }
+
+    fn log_lost_tenure(&self, successor: &model::PoolTenure) {
+        let now = self.state.adapters.clock().now();
+        let exclusive_until = self.leader.tenure().exclusive_until();
+        let ordered_at = self.leader.ordered_at();
+        let ordered_past_term = ordered_at.map(|it| it.saturating_sub(exclusive_until));
+        tracing::warn!(
+            holder = successor.holder,
+            epoch = successor.epoch,
+            past_term_ms = now.saturating_sub(exclusive_until).as_millis() as u64,
+            ordered_past_term_ms = ordered_past_term.map(|it| it.as_millis() as u64),
+            "tenure was lost"
+        );
+    }
 }
 
 enum ConflictKind {
