Test: partitions between one instance and some of the workers

The stand-ins cut a worker off from all instances, or an instance from all workers; no test played a holder without the store that doesn't reach the workers its successor reaches. A handle of the fake fleet now also has a fault plan for each worker, and the bench's instance gives access to it.

--- a/crates/pool/tests/pool/support.rs
+++ b/crates/pool/tests/pool/support.rs
@@ -260,10 +260,19 @@
     pub(crate) address: String,
     pub(crate) store_faults: fault::FaultPlan,
     pub(crate) worker_faults: fault::FaultPlan,
+    /// The workers as this instance reaches them.
+    fleet: pool_fleet::PoolFleet,
     pub(crate) panics: PanicPlan,
     running: JoinHandle<()>,
 }
 
+impl BenchInstance {
+    /// Fault plan of the calls from this instance to one worker.
+    pub(crate) fn path_faults(&self, worker: &str) -> fault::FaultPlan {
+        self.fleet.path_faults(worker)
+    }
+}
+
 impl PoolBench {
     /// Starts `n_instances` instances and `n_workers` workers, and waits until the tenure has settled.
     pub(crate) async fn start(n_instances: usize, n_workers: usize) -> PoolBench {
@@ -314,13 +323,11 @@
     ) -> usize {
         self.n_started += 1;
         let (store_faults, worker_faults) = (fault::FaultPlan::new(), fault::FaultPlan::new());
+        let fleet = self.fleet.with_path_faults(worker_faults.clone());
         let panics = PanicPlan::default();
         let site = BenchAdapters {
             store: self.store.with_path_faults(store_faults.clone()),
-            control: BenchControl {
-                fleet: self.fleet.with_path_faults(worker_faults.clone()),
-                panics: panics.clone(),
-            },
+            control: BenchControl { fleet: fleet.clone(), panics: panics.clone() },
             peers: self.net.link(address),
             clock: self.clock,
         };
@@ -338,7 +345,7 @@
         let running = tokio::spawn(instance::run(Arc::clone(&state)));
         let address = address.to_owned();
         let instance =
-            BenchInstance { state, address, store_faults, worker_faults, panics, running };
+            BenchInstance { state, address, store_faults, worker_faults, fleet, panics, running };
         self.instances.push(instance);
         self.instances.len() - 1
     }
--- a/crates/standin/src/pool_fleet.rs
+++ b/crates/standin/src/pool_fleet.rs
@@ -39,6 +39,8 @@
     state: Arc<Mutex<FleetState>>,
     /// Faults of the calls of one instance, to whichever worker.
     caller_faults: fault::FaultPlan,
+    /// Faults of the calls of one instance, by worker.
+    path_faults: Arc<Mutex<BTreeMap<ids::WorkerId, fault::FaultPlan>>>,
 }
 
 #[derive(Debug, Default)]
@@ -108,7 +110,13 @@
 
     /// A handle to the same workers whose calls are also subject to `caller_faults`.
     pub fn with_path_faults(&self, caller_faults: fault::FaultPlan) -> PoolFleet {
-        PoolFleet { caller_faults, ..self.clone() }
+        PoolFleet { state: Arc::clone(&self.state), caller_faults, path_faults: Arc::default() }
+    }
+
+    /// Fault plan of the calls that this handle makes to one worker. Changes to the returned plan apply to later
+    /// calls.
+    pub fn path_faults(&self, worker: &str) -> fault::FaultPlan {
+        state::lock(&self.path_faults).entry(worker.to_owned()).or_default().clone()
     }
 
     /// Adds a worker, or a new incarnation of a worker that has crashed.
@@ -288,7 +296,7 @@
         effect: impl FnOnce(&mut pool_worker::PoolWorker, resources::Resources) -> T + Send + 'static,
     ) -> Result<T, control::ControlFault> {
         let worker = &target.worker;
-        let worker_faults = self.faults(worker);
+        let (path_faults, worker_faults) = (self.path_faults(worker), self.faults(worker));
         let shared_state = Arc::clone(&self.state);
         let intended = target.clone();
         let incarnation_at_send =
@@ -309,7 +317,7 @@
             let reached = state.workers.get_mut(&intended.worker).filter(is_reachable);
             reached.map_or(ReachedWorker::None, |it| ReachedWorker::Intended(effect(it, resources)))
         };
-        let fault_plans = [&self.caller_faults, &worker_faults];
+        let fault_plans = [&self.caller_faults, &path_faults, &worker_faults];
         let outcome = fault::call_through(&fault_plans, worker, step, effect);
         let result = time::timeout(limit, outcome).await;
         let result = result.unwrap_or_else(|_| {
