Test: drawn storms of partitions

Plays what the tests of partitions script: instances and workers fall apart into two sides for 1 to 12 s, the holder often on the side without the store, with drawn offsets between the cuts of the store, the peers and each worker; sometimes a second partition follows, a worker restarts under its id, or a new one comes. Jobs are submitted and looked up at instances on both sides. The oracle is that of the other storms; its last checks move from the paired faults into storm_oracle, unchanged, and starts without room are a rule of their own in this kind.

--- a/crates/pool/tests/pool/main.rs
+++ b/crates/pool/tests/pool/main.rs
@@ -17,6 +17,7 @@
 mod outages;
 mod paired_faults;
 mod panics;
+mod partition_storms;
 mod partitions;
 mod queue_counts;
 mod resource_changes;
--- a/crates/pool/tests/pool/paired_faults.rs
+++ b/crates/pool/tests/pool/paired_faults.rs
@@ -110,7 +110,7 @@
     }
     storm.plan.keep_recoveries();
     storm.run_for(SETTLING_TIME).await;
-    storm.final_violations().await
+    storm_oracle::final_violations(&storm.bench).await
 }
 
 impl PairedStorm {
@@ -320,29 +320,6 @@
             self.n_workers += 1;
         }
     }
-
-    async fn final_violations(&self) -> Vec<storm_oracle::RuleViolation> {
-        let lost =
-            |detail| storm_oracle::RuleViolation { rule: storm_oracle::BrokenRule::Lost, detail };
-        let mut violations = Vec::new();
-        for (graph, calls) in self.bench.history.jobs() {
-            let shown = self.bench.lookup(0, graph).await;
-            let has_ended = match shown {
-                model::LookOutcome::Known(state) => {
-                    state != model::GraphState::Pending && state != model::GraphState::Running
-                }
-                _ => false,
-            };
-            if calls.accepted_at().is_some() && !has_ended {
-                violations.push(lost(format!("accepted job {graph} has not ended: {shown:?}")));
-            }
-        }
-        for (worker, task) in self.bench.fleet.running() {
-            violations.push(lost(format!("{task} still runs on {worker}")));
-        }
-        violations.extend(storm_oracle::violations(&self.bench));
-        violations
-    }
 }
 
 fn address(index: usize) -> String {
--- a/crates/pool/tests/pool/storm_oracle.rs
+++ b/crates/pool/tests/pool/storm_oracle.rs
@@ -40,6 +40,8 @@
     Order,
     /// A job is shown as completed before all its tasks have succeeded.
     Mixed,
+    /// A start exceeds the resources of its worker.
+    Limit,
 }
 
 /// A violation of a rule, with what was seen.
@@ -95,6 +97,29 @@
     violations
 }
 
+/// All violations of the rules by a time at which each job has to have ended.
+pub(crate) async fn final_violations(bench: &support::PoolBench) -> Vec<RuleViolation> {
+    let lost = |detail| RuleViolation { rule: BrokenRule::Lost, detail };
+    let mut violations = Vec::new();
+    for (graph, calls) in bench.history.jobs() {
+        let shown = bench.lookup(0, graph).await;
+        let has_ended = match shown {
+            model::LookOutcome::Known(state) => {
+                state != model::GraphState::Pending && state != model::GraphState::Running
+            }
+            _ => false,
+        };
+        if calls.accepted_at().is_some() && !has_ended {
+            violations.push(lost(format!("accepted job {graph} has not ended: {shown:?}")));
+        }
+    }
+    for (worker, task) in bench.fleet.running() {
+        violations.push(lost(format!("{task} still runs on {worker}")));
+    }
+    violations.extend(self::violations(bench));
+    violations
+}
+
 impl StormEvidence {
     fn of(bench: &support::PoolBench) -> StormEvidence {
         let mut runs = bench.fleet.records();
