Count a lease as over only where no successor can have extended it

What callers saw: work that must run once ran twice, and started again after it had succeeded.

Cause: a holder without the store goes on for 5 s past its term, while another instance may have taken over. It counted the lease of a worker that it does not reach as over by its own deadlines, and started the runs again on a worker that its successor had not reached. But the successor reaches the first worker, and extends the lease there, or has acknowledged the ends.

Change: the core knows until when the tenure is exclusive, and takes a lease, or the time by which an unconfirmed run is over, for past only if it was past by then. Why it holds: a later scheduler can have written the tenure's row only after that time, so that nobody can have extended a lease that was over before. A renewal that succeeds proves that nobody has taken over, and the runs are released at once.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -76,6 +76,8 @@
     pub(crate) within_guarantee: BTreeSet<ids::AccountId>,
     /// Until this time, tasks of inherited jobs may run on workers that have not answered yet.
     pub(crate) settles_at: Duration,
+    /// Until this time, no later scheduler can have given orders.
+    pub(crate) exclusive_until: Duration,
     /// What earlier schedulers have reported of workers that do not answer.
     pub(crate) silence_reports: silent_workers::SilenceReports,
     /// Ends that earlier schedulers have reported and that are not durable yet.
@@ -170,6 +172,7 @@
             fair_share: fair_share::FairShare::default(),
             within_guarantee: BTreeSet::new(),
             settles_at: start.settles_at,
+            exclusive_until: Duration::MAX,
             silence_reports: silent_workers::SilenceReports::default(),
             reported_ends: reported_ends::ReportedEnds::default(),
             inherited_starts: BTreeMap::new(),
@@ -197,6 +200,12 @@
         }
     }
 
+    /// Latest time up to `now` for which it is known that no later scheduler has given orders. From then on one may
+    /// have extended the leases of workers that do not answer this scheduler.
+    pub(crate) fn known_until(&self, now: Duration) -> Duration {
+        now.min(self.exclusive_until)
+    }
+
     /// Returns for how much longer orders of earlier schedulers may still run on workers that do not answer.
     pub fn settles_in(&self, now: Duration) -> Duration {
         self.settles_at.saturating_sub(now)
@@ -208,6 +217,12 @@
         self.settles_at = self.settles_at.min(at);
     }
 
+    /// Sets the time until which no later scheduler can have given orders: the end of the tenure's term as last
+    /// renewed. Without it the tenure counts as exclusive.
+    pub fn set_exclusive_until(&mut self, time: Duration) {
+        self.exclusive_until = time;
+    }
+
     /// Replaces the configuration of classes and accounts.
     pub fn set_catalog(&mut self, catalog: Arc<catalog::PoolCatalog>) {
         self.catalog = catalog;
--- a/crates/graph/src/maintenance.rs
+++ b/crates/graph/src/maintenance.rs
@@ -54,17 +54,19 @@
     /// Releases the runs on workers whose lease has surely lapsed, and removes such workers if they
     /// are not listed any more.
     fn release_lapsed(&mut self, now: Duration) {
+        let known_until = self.known_until(now);
         let silent = self.workers.iter().filter(|(_, it)| {
             it.n_missed_calls > 0
-                && now >= it.clock.lapses_at()
-                && (it.fenced || now >= self.settles_at)
+                && known_until >= it.clock.lapses_at()
+                && (it.fenced || known_until >= self.settles_at)
         });
         let silent = silent.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         for worker in silent {
             let Some(record) = self.workers.get(&worker) else { continue };
             let listed = record.listed;
             let (lapsed, remaining) = record.runs.iter().copied().partition::<Vec<_>, _>(|key| {
-                self.is_bound_to_known_incarnation(*key) || self.has_surely_lapsed(*key, now)
+                self.is_bound_to_known_incarnation(*key)
+                    || self.has_surely_lapsed(*key, known_until)
             });
             if !lapsed.is_empty() {
                 let loss_sign = if listed {
--- a/crates/graph/tests/pool/main.rs
+++ b/crates/graph/tests/pool/main.rs
@@ -32,6 +32,7 @@
 mod stuck_states;
 mod support;
 mod suspicions;
+mod tenure_terms;
 mod uneven_workers;
 mod urgent;
 mod waits;
--- /dev/null
+++ b/crates/graph/tests/pool/tenure_terms.rs
@@ -0,0 +1,62 @@
+//! What a scheduler may conclude once its tenure is no longer exclusive.
+
+use std::time::Duration;
+
+use almondpass_graph::order;
+
+use crate::support;
+
+/// A task runs on a worker that stops answering right after the start. Returns the bench and the start.
+fn bench_with_silent_worker() -> (support::PoolBench, order::StartOrder) {
+    let mut bench = support::PoolBench::new(2);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    let start = bench.run_round_and_start().remove(0);
+    bench.core.poll_missed(&start.worker);
+    (bench, start)
+}
+
+/// Starts of the next round, in which the other worker answers.
+fn next_starts(
+    bench: &mut support::PoolBench,
+    start: &order::StartOrder,
+) -> Vec<order::StartOrder> {
+    bench.answer_poll(1 - support::index_of(&start.worker), &[], &[]);
+    support::starts(&bench.run_round())
+}
+
+/// Guards against two runs at once: a successor has extended a lease that lapsed by the count of its predecessor,
+/// who reaches neither the store nor the worker.
+#[test]
+fn a_lease_that_a_successor_may_have_extended_is_not_over() {
+    let (mut bench, start) = bench_with_silent_worker();
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(60_000);
+
+    assert_eq!(next_starts(&mut bench, &start), []);
+    assert_eq!(bench.core.take_loss_counts().evidence, []);
+}
+
+/// Guards against a task that never starts again: the tenure was renewed, so nobody has extended the lease.
+#[test]
+fn a_lapsed_lease_is_over_once_the_tenure_is_renewed() {
+    let (mut bench, start) = bench_with_silent_worker();
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(60_000);
+    assert_eq!(next_starts(&mut bench, &start), []);
+
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(100);
+
+    assert_eq!(next_starts(&mut bench, &start).len(), 1);
+}
+
+/// Guards against work that stands still through an outage of the store, although its lease had lapsed before any
+/// successor could have extended it.
+#[test]
+fn a_lease_that_lapsed_within_the_term_is_over_after_the_term() {
+    let (mut bench, start) = bench_with_silent_worker();
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(8));
+    bench.advance(9_000);
+
+    assert_eq!(next_starts(&mut bench, &start).len(), 1);
+}
--- a/crates/pool/src/scheduling_loop.rs
+++ b/crates/pool/src/scheduling_loop.rs
@@ -166,6 +166,7 @@
     }
     let mut core = leader.core();
     core.set_wall_time(state.adapters.clock().wall());
+    core.set_exclusive_until(leader.tenure().exclusive_until());
     core.run_round(state.adapters.clock().now());
     let orders = core.take_orders();
     core.take_finished().iter().for_each(record_finished);
