Settle inherited jobs by time only where no successor can have extended a run

The same cause as that of the leases, found by reading: a holder that has not reached a worker of its predecessor takes the predecessor's runs there for over at a computed time. Without the store that time may lie past the end of its term; a successor that reaches the worker continues the run, and the holder starts the task again.

Change: SettledJobs compares with the time until which the tenure is exclusive. Evidence: tenure_terms::an_inherited_job_does_not_settle_by_time_beside_a_successor failed before (the task started), and passes.

Worse for whom: jobs of a predecessor with an unreached worker wait for the first renewal if the store is lost by a new holder before they are settled.

--- a/crates/graph/src/takeover.rs
+++ b/crates/graph/src/takeover.rs
@@ -37,14 +37,16 @@
 
 impl SettledJobs {
     pub(crate) fn of(core: &core::PoolCore, now: Duration) -> SettledJobs {
-        if now >= core.settles_at {
+        // A later scheduler may extend the leases of runs on workers that have not answered this one.
+        let known_until = core.known_until(now);
+        if known_until >= core.settles_at {
             return SettledJobs::All;
         }
         if core.has_unreadable_roster {
             return SettledJobs::NoneInherited;
         }
         let may_hide_runs = |id: &ids::WorkerId, it: &worker::WorkerRecord| {
-            it.inherited && now < core.earlier_runs_end_at(id, it)
+            it.inherited && known_until < core.earlier_runs_end_at(id, it)
         };
         let unanswered = core.workers.iter().filter(|(id, it)| may_hide_runs(id, it));
         let mut unanswered = unanswered.peekable();
--- a/crates/graph/tests/pool/tenure_terms.rs
+++ b/crates/graph/tests/pool/tenure_terms.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use almondpass_graph::order;
+use almondpass_schema::model;
 
 use crate::support;
 
@@ -60,3 +61,30 @@
 
     assert_eq!(next_starts(&mut bench, &start).len(), 1);
 }
+
+/// Guards against two runs at once: a successor continues the run of an earlier scheduler on a worker that this one has
+/// never reached.
+#[test]
+fn an_inherited_job_does_not_settle_by_time_beside_a_successor() {
+    let mut bench = support::PoolBench::with_unanswered_workers(1, Duration::from_secs(1_010));
+    let unreached = support::worker_entry(1);
+    let saved = model::RosterEntry {
+        worker: support::worker_id(1),
+        address: unreached.address.clone(),
+        upstream: unreached.upstream.clone(),
+        on_record: false,
+    };
+    bench.core.inherit_worker(saved, 0);
+    bench.core.update_worker(support::worker_id(1), unreached, bench.now);
+    bench.save();
+    bench.inherit(1, support::job(1, support::tasks(1)), None);
+    bench.answer_poll(0, &[], &[]);
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(20_000);
+    bench.answer_poll(0, &[], &[]);
+    assert_eq!(support::starts(&bench.run_round()), []);
+
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+
+    assert_eq!(support::starts(&bench.run_round()).len(), 1);
+}
