Start nothing on a worker that has restarted since the tenure was last exclusive

A holder without the store relies on the fencing token of its successor, which reaches each worker before the successor starts anything elsewhere. A worker that restarts under its id has not seen that token: both may start a waiting task, the holder there and the successor elsewhere. Found by reading.

Change: a worker whose incarnation was found after the end of the exclusive time gets no tasks until the tenure is renewed. Evidence: tenure_terms::nothing_starts_on_a_worker_that_has_restarted_beside_a_successor failed before (the task started), and passes. No run of the whole system showed this path.

Worse for whom: a worker that restarts during an outage of the store for all stays empty until the first renewal; before, a holder that could still read the new entry used it.

--- a/crates/graph/src/exclusion_reason.rs
+++ b/crates/graph/src/exclusion_reason.rs
@@ -22,7 +22,8 @@
     OffRoster,
     /// The worker has not answered under this tenure, or not recently.
     Silent,
-    /// The list has the entry of another incarnation of the worker.
+    /// The list has the entry of another incarnation of the worker, or the worker has restarted since the tenure was
+    /// last known to be exclusive.
     OtherIncarnation,
     /// The worker is about to shut down.
     Leaving,
@@ -83,6 +84,10 @@
         if !worker.is_listed_incarnation() {
             return Some(ExclusionReason::OtherIncarnation);
         }
+        // Such an incarnation has not seen the fencing token of a later scheduler that may be at work by now.
+        if worker.incarnation_since > self.known_until(now) {
+            return Some(ExclusionReason::OtherIncarnation);
+        }
         if self.is_evacuated(worker) {
             return Some(ExclusionReason::Evacuated);
         }
--- a/crates/graph/tests/pool/tenure_terms.rs
+++ b/crates/graph/tests/pool/tenure_terms.rs
@@ -88,3 +88,20 @@
 
     assert_eq!(support::starts(&bench.run_round()).len(), 1);
 }
+
+/// Guards against two runs at once: a worker that has restarted has not seen the fencing token of the successor, which
+/// has started the task elsewhere.
+#[test]
+fn nothing_starts_on_a_worker_that_has_restarted_beside_a_successor() {
+    let mut bench = support::PoolBench::new(1);
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(3_000);
+    let restarted = order::PollReply { clock_ms: 1, complete: true, ..order::PollReply::default() };
+    bench.core.poll_answered(&support::worker_id(0), restarted, bench.now, bench.now);
+    bench.admit(1, support::job(1, support::tasks(1)));
+    assert_eq!(support::starts(&bench.run_round()), []);
+
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+
+    assert_eq!(support::starts(&bench.run_round()).len(), 1);
+}
