Start nothing again whose end a successor may know

Its successor may have reached the worker before, and acknowledged the run's success. The holder started the task again on a worker out of its successor's reach.

Change: a run that is released without a listed end after the exclusive time marks its task; the task starts again once the tenure is renewed, which shows that there is no successor. Evidence: both new tests of tenure_terms.rs failed before (the task started again), and pass.

Worse for whom: during an outage of the store for all, tasks whose worker has restarted or was replaced wait for the first renewal.

--- a/crates/graph/src/core.rs
+++ b/crates/graph/src/core.rs
@@ -391,6 +391,23 @@
         self.finished.push(finished_job(job, took));
     }
 
+    /// Releases a run that is over, whose end no answer to this scheduler has listed.
+    pub(crate) fn release_run_without_end(&mut self, key: task_key::TaskKey, now: Duration) {
+        if now > self.exclusive_until
+            && let Some(task) = self.task_record_mut(key)
+        {
+            task.end_uncertain_at = now;
+        }
+        self.release_run(key, now);
+    }
+
+    /// Whether a later scheduler may know the end of a task of the unit, which this one has not learned. A renewal of
+    /// the tenure shows that there is no later scheduler.
+    pub(crate) fn is_end_uncertain(&self, unit: task_key::UnitKey, now: Duration) -> bool {
+        let known_until = self.known_until(now);
+        self.task_records(unit).iter().any(|it| it.end_uncertain_at > known_until)
+    }
+
     /// Removes the run of a task from its worker and frees its resources.
     pub(crate) fn release_run(&mut self, key: task_key::TaskKey, now: Duration) {
         let Some(job) = self.jobs.get_mut(&key.graph) else { return };
--- a/crates/graph/src/dispatch.rs
+++ b/crates/graph/src/dispatch.rs
@@ -81,7 +81,7 @@
             if !self.start_window.admits(1) {
                 break;
             }
-            if !self.is_evidence_complete(unit, now) {
+            if self.is_end_uncertain(unit, now) || !self.is_evidence_complete(unit, now) {
                 continue;
             }
             self.start_isolation_wait(unit, now);
--- a/crates/graph/src/intake.rs
+++ b/crates/graph/src/intake.rs
@@ -237,7 +237,7 @@
         let runs = record.runs.iter().copied().collect::<Vec<_>>();
         self.incarnation_ended(worker, losses::LossEvidence::Replaced, &runs, now);
         for key in runs {
-            self.release_run(key, now);
+            self.release_run_without_end(key, now);
         }
         self.workers.remove(worker);
     }
--- a/crates/graph/src/job.rs
+++ b/crates/graph/src/job.rs
@@ -113,6 +113,9 @@
     /// The task does not start before this time: by then it is clearer whether the worker of its
     /// last run is lost.
     pub held_until: Duration,
+    /// When a run was last released without a listed end, on a worker that a later scheduler may have reached before:
+    /// the end may be known to that scheduler alone.
+    pub end_uncertain_at: Duration,
     /// When the task last became ready for an isolated run, with nothing missing but free
     /// resources. Earlier than `waiting_since` if it has not become ready during the current wait.
     pub isolatable_since: Duration,
--- a/crates/graph/src/poll_answers.rs
+++ b/crates/graph/src/poll_answers.rs
@@ -355,7 +355,7 @@
             job::RunPhase::Stopping { stop_acked_at: Some(stop_acked_at), .. }
                 if sent_at > stop_acked_at =>
             {
-                self.release_run(key, now);
+                self.release_run_without_end(key, now);
             }
             job::RunPhase::Running { confirmed_at } if sent_at > confirmed_at => {
                 let worker = run.worker.clone();
@@ -369,7 +369,7 @@
                     acknowledged = record.map(|it| it.acknowledged),
                     "run is gone without an end"
                 );
-                self.release_run(key, now);
+                self.release_run_without_end(key, now);
             }
             // The answer to the start, or a poll sent after the run was confirmed, is still to
             // come.
@@ -383,7 +383,7 @@
                     belief = run.phase.name(),
                     "start did not take effect by its deadline"
                 );
-                self.release_run(key, now);
+                self.release_run_without_end(key, now);
             }
             // The start may still arrive after this answer: a stop makes the worker refuse it.
             job::RunPhase::Unclear { since } if sent_at > since => {
--- a/crates/graph/tests/pool/tenure_terms.rs
+++ b/crates/graph/tests/pool/tenure_terms.rs
@@ -105,3 +105,42 @@
 
     assert_eq!(support::starts(&bench.run_round()).len(), 1);
 }
+
+/// Guards against a start after a noted success: the run has ended under a successor before its worker restarted, and
+/// only the later incarnation answers this scheduler.
+#[test]
+fn a_run_that_a_restarted_worker_does_not_list_may_be_done_under_a_successor() {
+    let (mut bench, start) = bench_with_silent_worker();
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(4_000);
+    let restarted = order::PollReply { clock_ms: 1, complete: true, ..order::PollReply::default() };
+    bench.core.poll_answered(&start.worker, restarted.clone(), bench.now, bench.now);
+    bench.advance(100);
+    let later = order::PollReply { clock_ms: 101, ..restarted };
+    bench.core.poll_answered(&start.worker, later, bench.now, bench.now);
+    bench.save();
+
+    assert_eq!(next_starts_saved(&mut bench, &start), []);
+}
+
+/// Guards against a start after a noted success: the run has ended under a successor before another worker took the
+/// address of its worker.
+#[test]
+fn a_run_on_a_replaced_worker_may_be_done_under_a_successor() {
+    let (mut bench, start) = bench_with_silent_worker();
+    bench.core.set_exclusive_until(bench.now + Duration::from_secs(2));
+    bench.advance(4_000);
+    support::replace_worker(&mut bench, support::index_of(&start.worker));
+
+    assert_eq!(next_starts_saved(&mut bench, &start), []);
+}
+
+/// Starts of the next rounds, in which the other worker answers and all rows are saved.
+fn next_starts_saved(
+    bench: &mut support::PoolBench,
+    start: &order::StartOrder,
+) -> Vec<order::StartOrder> {
+    let first = next_starts(bench, start);
+    bench.save();
+    first.into_iter().chain(next_starts(bench, start)).collect()
+}
