--- a/crates/pool/src/tenure_status.rs
+++ b/crates/pool/src/tenure_status.rs
@@ -13,8 +13,9 @@
 pub enum TenureStatus {
     /// No other instance can hold the tenure.
     Firm,
-    /// The term has run out while the store gave no answers: scheduling of known jobs goes on. Another holder
-    /// does no harm: its fencing token reaches each worker before it starts anything elsewhere.
+    /// The term has run out while the store gave no answers: scheduling of known jobs goes on. The fencing token
+    /// of another holder reaches each worker before that holder starts anything elsewhere. But it may extend the
+    /// leases of workers that this holder does not reach, so these count as over only if they lapsed within the term.
     Detached,
     /// The term has run out for an unknown reason: this process may have been suspended. No order is given
     /// until a renewal was tried.
