Listeners: receive buffers of 16 KiB

Callers saw a process that the platform ends for its memory though little of it is its own: what was received and not read counts as the process's memory, and each connection that is not read takes 80 to 120 KB by the system's defaults, more on machines that tune it up. Cause: the listeners were opened with the system's receive buffers. Why it works: connections inherit the size from the listener, and the kernel tells the client to wait. Worse for: a client that sends a large body over a path of many milliseconds, as 16 to 32 KiB are under way at a time.

--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -2,6 +2,8 @@
 
 use std::error::Error;
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +15,7 @@
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time;
 
@@ -54,6 +56,28 @@
 /// Delay after a failed accept, which usually means that the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Receive buffer of a connection, in bytes; the kernel takes twice as much. What was received and not read
+/// counts as the process's memory, and a client that isn't read would fill megabytes by default.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
+/// Connections that the kernel keeps until they are accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Opens a listener at `address` whose connections have small receive buffers.
+///
+/// # Errors
+///
+/// Fails if the address is malformed or in use.
+pub fn bind(address: &str) -> io::Result<TcpListener> {
+    let address = address.parse::<SocketAddr>().map_err(io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Connections inherit the size. A failure only leaves the default in force.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves requests on `listener` until `shutdown` resolves, then stops accepting connections, finishes
 /// the requests in flight and returns.
 pub async fn serve<H: RequestHandler>(
