Read bodies within a limit of memory, and let the largest unfinished one give way

Callers saw the process end: each of 1,000 connections could hold a body of 256 KiB (8 MiB and 4,096 on the port of the peers), and nothing bounded their sum. Clients that send all but the last byte held it for 2 s (10 s), and came again. Cause: each body was bounded by itself. In chunks it was not even that: the pieces were kept as the HTTP library gave them, 32 bytes of bookkeeping each, and with the buffers that they were received in. Each test failed, in both profiles. Why it works: a body is copied together in one buffer, which stands in the table of the listener's connections. All bodies of a listener take an eighth of memory-mb at most; the buffer that gives way is freed at once, whatever its client does. The largest gives way, so that small requests don't pay for large ones; of equal ones the one that stands still. A request that was read whole keeps what it has. One that gives way is told 503 before anything is done for it, so that not having run is true. A single body may take more, as before. Worse for: a client whose large body arrives beside a crowd of large ones; it is refused where it was served, or where the process died. A chunked body is copied once more. Log limit and stall guard moved from pool and entry, unchanged, as all listeners use them now.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,7 +32,6 @@
 pub mod settings;
 pub mod shape_check;
 pub mod slot_search;
-pub mod stall_guard;
 pub mod stream_gate;
 pub mod upload_body;
 pub mod upstream_pool;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use almondpass_peer::link::HallLink;
+use almondpass_peer::stall_guard;
 use almondpass_ports::table::TableService;
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
@@ -22,7 +23,6 @@
 use crate::acceptor;
 use crate::last_word;
 use crate::service;
-use crate::stall_guard;
 
 /// Connections beyond the limit that are still told to come back later.
 const REFUSED_CONNECTIONS: usize = 64;
--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -1,7 +1,9 @@
 //! Serves HTTP/1.1 on a listener until shutdown, then finishes the requests in flight.
+//!
+//! Clients that misbehave take no more than the limits of the listener's table of connections.
 
 use std::error::Error;
-use std::future::Future;
+use std::future::{self, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,10 +18,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time;
 
+use crate::connection_table;
 use crate::meter;
+use crate::stall_guard;
 
 /// Limits and timeouts of a server's connections.
 #[derive(Clone, Copy, Debug)]
@@ -28,8 +31,10 @@
     pub header_timeout: Duration,
     /// Largest request line and headers; a limit below 8 KiB is raised to 8 KiB.
     pub max_head_bytes: usize,
-    /// Most connections that are open at the same time; further ones wait to be accepted.
-    pub max_connections: usize,
+    /// Longest time for which a client may read nothing of its answers.
+    pub write_timeout: Duration,
+    /// Places and memory of the connections.
+    pub limits: connection_table::TableLimits,
     /// Label `side` of the byte counters and log lines of these connections.
     pub side: &'static str,
 }
@@ -39,7 +44,7 @@
     /// An error that makes the server close the connection without an answer.
     type Error: Error + Send + Sync + 'static;
 
-    /// Answers one request. The future runs to completion even if the client disconnects; otherwise a
+    /// Answers one request; [`body_reader::read`](crate::body_reader::read) reads its body. The future runs to completion even if the client disconnects; otherwise a
     /// request that has begun to take effect would stop half-way.
     fn handle(
         self: Arc<Self>,
@@ -86,15 +91,15 @@
     config: HttpServerConfig,
     shutdown: impl Future<Output = ()>,
 ) {
-    let permits = Arc::new(Semaphore::new(config.max_connections));
+    let table = connection_table::ConnectionTable::new(config.limits, config.side);
     let graceful = GracefulShutdown::new();
     let mut shutdown = std::pin::pin!(shutdown);
     loop {
         let accept = async {
-            let permit = Arc::clone(&permits).acquire_owned().await;
-            (listener.accept().await, permit)
+            let accepted = listener.accept().await;
+            (accepted, table.admit().await)
         };
-        let (accepted, permit) = tokio::select! {
+        let (accepted, slot) = tokio::select! {
             biased;
             () = &mut shutdown => break,
             accepted = accept => accepted,
@@ -107,10 +112,14 @@
                 continue;
             }
         };
-        let connection = graceful.watch(connection(stream, Arc::clone(&handler), config));
+        let connection = connection(stream, Arc::clone(&handler), slot.clone(), config);
+        let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            let _permit = permit;
-            if let Err(error) = connection.await {
+            let ended = tokio::select! {
+                ended = connection => ended,
+                () = slot.closed() => return,
+            };
+            if let Err(error) = ended {
                 tracing::debug!(%error, side = config.side, "connection ended");
             }
         });
@@ -122,6 +131,7 @@
 fn connection<H: RequestHandler>(
     stream: TcpStream,
     handler: Arc<H>,
+    slot: connection_table::ConnectionSlot,
     config: HttpServerConfig,
 ) -> impl GracefulConnection<Error = hyper::Error> + Send + 'static {
     // A failure only delays small answers, so it is ignored.
@@ -130,16 +140,29 @@
     builder.timer(TokioTimer::new());
     builder.header_read_timeout(config.header_timeout);
     builder.max_buf_size(config.max_head_bytes.max(MIN_BUFFER_BYTES));
-    let service = service::service_fn(move |request| {
+    let service = service::service_fn(move |mut request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
-        let handled = tokio::spawn(Arc::clone(&handler).handle(request));
+        let guard = slot.begin_request();
+        request.extensions_mut().insert(slot.clone());
         async move {
+            let Some(guard) = guard else {
+                // The connection is being closed; the request hasn't been looked at.
+                return future::pending().await;
+            };
+            let handled = tokio::spawn({
+                let handler = Arc::clone(&handler);
+                async move {
+                    let _guard = guard;
+                    handler.handle(request).await
+                }
+            });
             handled.await.unwrap_or_else(|error| {
                 tracing::error!(%error, side = config.side, "request handler failed");
                 handler.after_panic()
             })
         }
     });
+    let stream = stall_guard::StallGuard::new(stream, config.write_timeout);
     let stream = TokioIo::new(meter::MeteredStream::new(stream, config.side));
     builder.serve_connection(stream, service)
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -6,18 +6,24 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::time;
+use tokio::time::Instant;
 
+use crate::body_reader;
+use crate::connection_table;
 use crate::error;
 use crate::http_server;
 use crate::key;
 use crate::link;
 use crate::wire;
 
+/// Memory that a call takes while it is handled, in lengths of its body: the decoded message, and copies of it
+/// on its way to the platform.
+const CALL_COPIES: usize = 4;
+
 /// Key, size limits and timeouts of a server.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
@@ -31,8 +37,8 @@
     pub header_timeout: Duration,
     /// Longest time for a caller to send the body.
     pub body_timeout: Duration,
-    /// Most connections that are open at the same time; further ones wait to be accepted.
-    pub max_connections: usize,
+    /// Places and memory of the connections.
+    pub limits: connection_table::TableLimits,
 }
 
 impl Default for ServerConfig {
@@ -43,7 +49,10 @@
             max_head_bytes: 8 << 10,
             header_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(10),
-            max_connections: 4096,
+            limits: connection_table::TableLimits {
+                max_connections: 4_096,
+                max_body_memory: 64 << 20,
+            },
         }
     }
 }
@@ -64,7 +73,8 @@
     let http_config = http_server::HttpServerConfig {
         header_timeout: config.header_timeout,
         max_head_bytes: config.max_head_bytes,
-        max_connections: config.max_connections,
+        write_timeout: config.header_timeout,
+        limits: config.limits,
         side: "server",
     };
     let handler = Arc::new(CallHandler { service, config });
@@ -100,7 +110,7 @@
         return Ok(refusal);
     }
     let path = request.uri().path().to_owned();
-    let body = match read_body(request.into_body(), config).await {
+    let body = match read_body(request, config).await {
         Ok(body) => body,
         Err(refusal) => return Ok(refusal),
     };
@@ -137,18 +147,24 @@
     None
 }
 
-async fn read_body(body: Incoming, config: &ServerConfig) -> Result<Bytes, Response<Full<Bytes>>> {
-    let limited = Limited::new(body, config.max_body_bytes);
-    let Ok(body) = time::timeout(config.body_timeout, limited.collect()).await else {
-        let detail = format!("expected the body within {:?}", config.body_timeout);
-        return Err(refusal(StatusCode::REQUEST_TIMEOUT, detail));
+async fn read_body(
+    request: Request<Incoming>,
+    config: &ServerConfig,
+) -> Result<Bytes, Response<Full<Bytes>>> {
+    let deadline = Instant::now() + config.body_timeout;
+    let read = async {
+        let body = body_reader::read(request, config.max_body_bytes, deadline).await?;
+        body.hold(body.data.len() * CALL_COPIES)?;
+        Ok(body.data)
     };
-    body.map(|it| it.to_bytes()).map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            let detail = format!("expected at most {} bytes", config.max_body_bytes);
-            return refusal(StatusCode::PAYLOAD_TOO_LARGE, detail);
-        }
-        refusal(StatusCode::BAD_REQUEST, format!("expected a whole body, found {error}"))
+    read.await.map_err(|fault: body_reader::BodyFault| {
+        let status = match fault {
+            body_reader::BodyFault::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            body_reader::BodyFault::Late => StatusCode::REQUEST_TIMEOUT,
+            body_reader::BodyFault::GaveWay(_) => StatusCode::SERVICE_UNAVAILABLE,
+            body_reader::BodyFault::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        refusal(status, fault.to_string())
     })
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,7 +31,6 @@
 mod hand_over;
 mod leader;
 mod load_view;
-mod log_limit;
 mod member_list;
 mod missed_job;
 mod nudge;
--- a/crates/pool/src/load_view.rs
+++ b/crates/pool/src/load_view.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use almondpass_graph::admission;
+use almondpass_peer::log_limit;
 use almondpass_ports::boot_clock::BootClock;
 use almondpass_ports::keys;
 use almondpass_schema::{ids, model};
@@ -11,7 +12,6 @@
 
 use crate::call_times;
 use crate::job_query;
-use crate::log_limit;
 use crate::retry_time;
 use crate::state;
 
--- a/crates/pool/src/store_outage.rs
+++ b/crates/pool/src/store_outage.rs
@@ -3,12 +3,11 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use almondpass_peer::error;
+use almondpass_peer::{error, log_limit};
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
 use crate::call_times;
-use crate::log_limit;
 use crate::relay;
 use crate::retry_time;
 use crate::state;
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -147,7 +147,7 @@
             }
         }
         let (listener, address) = listen().await?;
-        let max_connections = server::ServerConfig::default().max_connections;
+        let max_connections = server::ServerConfig::default().limits.max_connections;
         listeners.spawn(serve(listener, fakes.platform.clone(), max_connections));
         fakes.platform.instances.set_lag(lag);
         Ok(SiteServer { fakes, address, _listeners: listeners })
@@ -161,6 +161,7 @@
 }
 
 async fn serve<S: link::PeerService>(listener: TcpListener, service: S, max_connections: usize) {
-    let config = server::ServerConfig { max_connections, ..server::ServerConfig::default() };
+    let mut config = server::ServerConfig::default();
+    config.limits.max_connections = max_connections;
     server::serve(listener, service, config, future::pending()).await;
 }
