--- a/crates/graph/src/graph_check.rs
+++ b/crates/graph/src/graph_check.rs
@@ -7,7 +7,7 @@
 const MAX_TASKS: u64 = 19_000;
 
 /// Most steps of one job graph; far above the 3 steps seen in practice.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 
 /// Longest body of a job graph, in bytes.
 const MAX_BODY_LEN: usize = 4_000;
