Count the memory of a job until its submission is answered

Callers saw the process end while the store did not answer: large jobs of legal size that had been read whole waited for it, with their row, its encoding and copies of both on the way. Cause: nothing bounded what requests take that are handled; a connection to the store each comes on top. Why it works: a job counts for four times what it takes decoded, in place of its body, until it is answered.

--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -30,6 +30,10 @@
 /// Wait before a failed write of the row is repeated.
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(80);
 
+/// Copies of a row that exist while it is stored: the row, its encoding, and both on their way to the store or to
+/// a peer.
+const ROW_COPIES: usize = 4;
+
 /// Answer to a submission. Peers exchange only the outcome; the load decides before a submission is relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitAnswer {
@@ -42,6 +46,18 @@
     },
 }
 
+/// Memory that the submission of a job takes until it is answered, in bytes.
+pub fn handling_memory(row: &model::GraphRow) -> usize {
+    let text_bytes = |it: &Option<String>| it.as_ref().map_or(0, String::len);
+    let steps = row.graph.steps.iter().map(|it| {
+        size_of_val(it)
+            + size_of_val(it.after.as_slice())
+            + text_bytes(&it.label)
+            + text_bytes(&it.rack)
+    });
+    ROW_COPIES * (size_of_val(row) + row.graph.body.len() + steps.sum::<usize>())
+}
+
 /// Stores a job graph under its id, unless it is stored already: directly in the store, or through a peer
 /// where the store does not answer this instance. Returns `Unknown` where the row may have been stored.
 pub async fn submit<S: state::PoolAdapters>(
