--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -65,8 +65,8 @@
 /// counts as the process's memory, and a client that isn't read would fill megabytes by default.
 const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 
-/// Connections that the kernel keeps until they are accepted.
-const BACKLOG: u32 = 1_024;
+/// Connections that the kernel keeps until they are accepted; what they have sent counts as the process's memory.
+const BACKLOG: u32 = 256;
 
 /// Opens a listener at `address` whose connections have small receive buffers.
 ///
