Operators' listener: bound the memory of forms, and the time to send one

Operators saw the process end: anybody who reaches the listener, signed in or not, could send forms of 2 MiB up to their last byte on 256 connections, and keep them for as long as he liked. Cause: a body was bounded by itself, and had no time limit; beyond 256 connections the newest was dropped, whatever the others did. Why it works: the listener has a table of connections like those of the users' platform: 32 MiB for all forms, the largest unfinished one gives way; a form has 10 s (408); what gives way is told 503 and that nothing was done. Readers of answers have 20 s. Worse for: an operator whose large draft arrives beside such a crowd, and one who needs over 10 s to send a draft.

--- a/crates/console/src/api.rs
+++ b/crates/console/src/api.rs
@@ -104,7 +104,7 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let text = body::read_text(request.into_body()).await?;
+    let text = body::read_text(request).await?;
     let value = almondpass_config::schema_check::parse("the body", &text)?;
     Ok(almondpass_config::schema_check::check("the body", definition, &value)?)
 }
--- a/crates/console/src/api/config.rs
+++ b/crates/console/src/api/config.rs
@@ -58,7 +58,7 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let text = body::read_text(request.into_body()).await?;
+    let text = body::read_text(request).await?;
     document::check("the body", &text)?;
     Ok(reply::json(StatusCode::OK, &model::ConfigFaults { faults: Vec::new() }))
 }
@@ -76,7 +76,7 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let text = body::read_text(request.into_body()).await?;
+    let text = body::read_text(request).await?;
     let value = schema_check::parse("the proposal", &text)?;
     // The document by itself first: paths of its faults are then those of the document.
     if let Some(document) = value.get("document") {
--- a/crates/console/src/fault.rs
+++ b/crates/console/src/fault.rs
@@ -1,5 +1,7 @@
 //! What an operator's request can meet.
 
+use std::time::Duration;
+
 use almondpass_config::{fault, proposal, store};
 use almondpass_peer::error;
 use almondpass_schema::{model, time};
@@ -33,6 +35,15 @@
         /// The limit.
         limit: usize,
     },
+    /// The body did not arrive in time.
+    #[error("expected the whole body within {limit:?}")]
+    SlowBody {
+        /// The limit.
+        limit: Duration,
+    },
+    /// Other requests have the memory; nothing was done.
+    #[error("expected room for the request, found too many others; nothing was done")]
+    Full,
     /// The body or the path cannot be read.
     #[error("expected a readable request, found {0}")]
     Unreadable(String),
@@ -61,6 +72,7 @@
             ConsoleFault::NotFound { .. } => StatusCode::NOT_FOUND,
             ConsoleFault::Method { .. } => StatusCode::METHOD_NOT_ALLOWED,
             ConsoleFault::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ConsoleFault::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
             ConsoleFault::Unreadable(_) => StatusCode::BAD_REQUEST,
             ConsoleFault::ForeignForm => StatusCode::FORBIDDEN,
             ConsoleFault::Faults(_)
@@ -68,9 +80,10 @@
                 StatusCode::UNPROCESSABLE_ENTITY
             }
             ConsoleFault::Proposal(proposal::ProposalError::Conflict(_)) => StatusCode::CONFLICT,
-            ConsoleFault::Proposal(_) | ConsoleFault::Store(_) | ConsoleFault::Call(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            ConsoleFault::Full
+            | ConsoleFault::Proposal(_)
+            | ConsoleFault::Store(_)
+            | ConsoleFault::Call(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/crates/console/src/pages.rs
+++ b/crates/console/src/pages.rs
@@ -9,6 +9,7 @@
 use almondpass_ports::table;
 use almondpass_schema::model;
 use bytes::Bytes;
+use http::request::Parts;
 use http::{Method, Request, StatusCode, Uri};
 use hyper::body::Body;
 use tokio::time::{self, Duration};
@@ -52,7 +53,7 @@
 {
     let state = console.state.as_ref();
     let (head, body) = request.into_parts();
-    let form = match read_form(&head.method, body).await {
+    let form = match read_form(&head, body).await {
         Ok(form) => form,
         Err(fault) => return outside(&fault),
     };
@@ -111,15 +112,16 @@
     }
 }
 
-async fn read_form<B>(method: &Method, body: B) -> Result<form::FormFields, fault::ConsoleFault>
+async fn read_form<B>(head: &Parts, body: B) -> Result<form::FormFields, fault::ConsoleFault>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    if method != Method::POST {
+    if head.method != Method::POST {
         return Ok(form::FormFields::default());
     }
-    Ok(form::FormFields::parse(&body::read(body).await?))
+    let request = Request::from_parts(head.clone(), body);
+    Ok(form::FormFields::parse(&body::read(request).await?))
 }
 
 /// Signs an operator in. The form of a draft that met the end of its session comes along and
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -1,11 +1,11 @@
 //! The operators' listener: health, metrics, and whatever the console serves.
 
 use std::convert::Infallible;
-use std::future::Future;
-use std::sync::Arc;
+use std::future::{self, Future};
 use std::time::Duration;
 
 use almondpass_entry::acceptor::StreamAcceptor;
+use almondpass_peer::{connection_table, stall_guard};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -13,9 +13,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 use tracing::{debug, warn};
 
@@ -24,8 +23,12 @@
 use crate::tls;
 use crate::wiring;
 
-/// Connections of operators and of what scrapes the metrics, at a time.
-const CONNECTIONS: usize = 256;
+/// Connections of operators and of what scrapes the metrics, at a time, and the memory of their forms: 16 of the
+/// largest.
+const LIMITS: connection_table::TableLimits =
+    connection_table::TableLimits { max_connections: 256, max_body_memory: 32 << 20 };
+/// For a client that reads nothing of its answer.
+const WRITE_TIME: Duration = Duration::from_secs(20);
 /// For a client to finish its handshake, and to send its head.
 const HEAD_TIME: Duration = Duration::from_secs(5);
 /// Largest head; the library takes no less.
@@ -58,14 +61,18 @@
         acceptor: tls::ListenerAcceptor,
         shutdown: impl Future<Output = ()>,
     ) {
-        let places = Arc::new(Semaphore::new(CONNECTIONS));
+        let table = connection_table::ConnectionTable::new(LIMITS, "operators");
         let graceful = GracefulShutdown::new();
         let mut shutdown = std::pin::pin!(shutdown);
         loop {
-            let accepted = tokio::select! {
+            let accept = async {
+                let accepted = listener.accept().await;
+                (accepted, table.admit().await)
+            };
+            let (accepted, slot) = tokio::select! {
                 biased;
                 () = &mut shutdown => break,
-                accepted = listener.accept() => accepted,
+                accepted = accept => accepted,
             };
             let stream = match accepted {
                 Ok((stream, _)) => stream,
@@ -75,27 +82,12 @@
                     continue;
                 }
             };
-            // Beyond the limit a connection is dropped, so that a flood fills no memory.
-            let Ok(place) = places.clone().try_acquire_owned() else { continue };
-            let service = self.clone();
-            let acceptor = acceptor.clone();
-            let watcher = graceful.watcher();
+            let connection =
+                self.clone().connection(stream, acceptor.clone(), slot.clone(), graceful.watcher());
             tokio::spawn(async move {
-                let _place = place;
-                match time::timeout(HEAD_TIME, acceptor.accept(stream)).await {
-                    Ok(Ok(stream)) => {
-                        let answer = service_fn(move |request| service.clone().route(request));
-                        let connection = http1::Builder::new()
-                            .timer(TokioTimer::new())
-                            .header_read_timeout(HEAD_TIME)
-                            .max_buf_size(MAX_HEAD_BYTES)
-                            .serve_connection(TokioIo::new(stream), answer);
-                        if let Err(error) = watcher.watch(connection).await {
-                            debug!(%error, step = "operator", "a connection ended");
-                        }
-                    }
-                    Ok(Err(error)) => debug!(%error, step = "operator", "a handshake failed"),
-                    Err(_) => debug!(step = "operator", "a handshake took too long"),
+                tokio::select! {
+                    () = connection => {}
+                    () = slot.closed() => {}
                 }
             });
         }
@@ -103,6 +95,39 @@
         let _ = time::timeout(CLOSE_TIME, graceful.shutdown()).await;
     }
 
+    async fn connection(
+        self,
+        stream: TcpStream,
+        acceptor: tls::ListenerAcceptor,
+        slot: connection_table::ConnectionSlot,
+        watcher: Watcher,
+    ) {
+        let stream = match time::timeout(HEAD_TIME, acceptor.accept(stream)).await {
+            Ok(Ok(stream)) => stall_guard::StallGuard::new(stream, WRITE_TIME),
+            Ok(Err(error)) => return debug!(%error, step = "operator", "a handshake failed"),
+            Err(_) => return debug!(step = "operator", "a handshake took too long"),
+        };
+        let answer = service_fn(move |mut request| {
+            let guard = slot.begin(&mut request);
+            let service = self.clone();
+            async move {
+                let Some(_guard) = guard else {
+                    // The connection is being closed; the request hasn't been looked at.
+                    return future::pending().await;
+                };
+                service.route(request).await
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), answer);
+        if let Err(error) = watcher.watch(connection).await {
+            debug!(%error, step = "operator", "a connection ended");
+        }
+    }
+
     async fn route(self, request: Request<Incoming>) -> Result<OperatorResponse, Infallible> {
         let reads = matches!(*request.method(), Method::GET | Method::HEAD);
         let response = match request.uri().path() {
--- a/crates/peer/src/body_reader.rs
+++ b/crates/peer/src/body_reader.rs
@@ -1,9 +1,11 @@
 //! Reads the bodies of requests whole, within the memory that the listener has for them.
 
+use std::error::Error;
+
 use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use thiserror::Error;
 use tokio::time::{self, Instant};
 
@@ -26,7 +28,7 @@
     GaveWay(#[from] connection_table::GaveWay),
     /// It was cut off or is malformed.
     #[error("expected a whole body, found {0}")]
-    Broken(#[from] hyper::Error),
+    Broken(Box<dyn Error + Send + Sync>),
 }
 
 /// A body that was read whole; its memory counts until the request ends.
@@ -48,7 +50,9 @@
     }
 }
 
-/// Reads the body of `request`, which a server of this crate has received.
+/// Reads the body of `request`. Its memory counts in the table whose slot
+/// [`ConnectionSlot::begin`](connection_table::ConnectionSlot::begin) has added to the request; without one nothing
+/// limits it but `max_bytes`.
 ///
 /// The data is copied together as it arrives. The pieces that the HTTP library returns keep the buffers alive
 /// that they were received in, however small they are.
@@ -57,13 +61,17 @@
 ///
 /// Fails if the body is longer than `max_bytes`, not whole at `deadline`, or has to give way. The connection
 /// can't be used for another request then.
-pub async fn read(
-    request: Request<Incoming>,
+pub async fn read<B>(
+    request: Request<B>,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<RequestBody, BodyFault> {
+) -> Result<RequestBody, BodyFault>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let slot = request.extensions().get::<connection_table::ConnectionSlot>().cloned();
-    let slot = slot.ok_or(connection_table::GaveWay)?;
+    let slot = slot.unwrap_or_else(connection_table::ConnectionSlot::unlimited);
     let body = request.into_body();
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyFault::TooLong { max_bytes });
@@ -79,16 +87,22 @@
     Ok(RequestBody { data: data?, slot })
 }
 
-async fn collect(
-    mut body: Incoming,
+async fn collect<B>(
+    body: B,
     slot: &connection_table::ConnectionSlot,
     max_bytes: usize,
-) -> Result<Bytes, BodyFault> {
+) -> Result<Bytes, BodyFault>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = std::pin::pin!(body);
     let announced = body.size_hint().exact().map(|it| it as usize);
     let mut n_bytes = 0;
     while let Some(frame) = body.frame().await {
         // Trailers say nothing that is used.
-        let Ok(data) = frame?.into_data() else { continue };
+        let frame = frame.map_err(|it| BodyFault::Broken(it.into()))?;
+        let Ok(data) = frame.into_data() else { continue };
         n_bytes += data.len();
         if n_bytes > max_bytes {
             return Err(BodyFault::TooLong { max_bytes });
--- a/crates/peer/src/connection_table.rs
+++ b/crates/peer/src/connection_table.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use http::Request;
 use thiserror::Error;
 use tokio::sync::Notify;
 
@@ -146,10 +147,13 @@
     }
 
     fn try_admit(self: &Arc<ConnectionTable>) -> Option<ConnectionSlot> {
+        // The task that admits connections is the only one that adds any.
+        let has_place = self.lock().connections.len() < self.limits.max_connections;
+        has_place.then(|| self.insert_connection())
+    }
+
+    fn insert_connection(self: &Arc<ConnectionTable>) -> ConnectionSlot {
         let mut state = self.lock();
-        if state.connections.len() >= self.limits.max_connections {
-            return None;
-        }
         let id = state.next_change();
         let signals = Arc::<ConnectionSignals>::default();
         let connection = Connection {
@@ -163,7 +167,7 @@
         state.connections.insert(id, connection);
         state.waiting.insert(id, id);
         let place = ConnectionPlace { table: Arc::clone(self), id, signals };
-        Some(ConnectionSlot { place: Arc::new(place) })
+        ConnectionSlot { place: Arc::new(place) }
     }
 
     /// Number of requests that memory counts for at present.
@@ -288,6 +292,19 @@
 }
 
 impl ConnectionSlot {
+    /// The slot of a request that came over no connection of a listener; nothing limits it.
+    pub fn unlimited() -> ConnectionSlot {
+        let limits = TableLimits { max_connections: usize::MAX, max_body_memory: usize::MAX };
+        ConnectionTable::new(limits, "none").insert_connection()
+    }
+
+    /// Begins `request`, and adds the slot to it for [`body_reader::read`](crate::body_reader::read). Returns
+    /// `None` if the connection was closed in the meantime; the request must not be looked at then.
+    pub fn begin<B>(&self, request: &mut Request<B>) -> Option<RequestGuard> {
+        request.extensions_mut().insert(self.clone());
+        self.begin_request()
+    }
+
     /// Begins a request. Returns `None` if the connection was closed in the meantime.
     pub fn begin_request(&self) -> Option<RequestGuard> {
         let mut state = self.lock();
--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -142,8 +142,7 @@
     builder.max_buf_size(config.max_head_bytes.max(MIN_BUFFER_BYTES));
     let service = service::service_fn(move |mut request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
-        let guard = slot.begin_request();
-        request.extensions_mut().insert(slot.clone());
+        let guard = slot.begin(&mut request);
         async move {
             let Some(guard) = guard else {
                 // The connection is being closed; the request hasn't been looked at.
