Callers' interface: let connections that have had no request give way

Callers got no answer: connections on which nothing was sent took all of limits.connections, then the 64 that are told to come back, and a new one was dropped without a word, for 5 s at a time and as often as they came. Cause: places went to whoever came first. Why it works: both kinds of places are tables of connections; one that has had no request yet gives way to a new one. One that has had a request keeps its place until it ends, as its answers stream on behind the request, and connections_beyond_the_limit_are_told_to_come_back holds unchanged. Worse for: a caller that opens connections ahead of need beyond the limit; the oldest is closed. Not mended: callers that send one request each and then stay open still fill the places; others are told to come back (503).

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,12 +1,13 @@
 //! Serves callers' connections until the instance shuts down.
 
-use std::future::poll_fn;
+use std::future::{self, poll_fn};
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::Duration;
 
+use almondpass_peer::connection_table::{self, ConnectionSlot, ConnectionTable};
 use almondpass_peer::link::HallLink;
 use almondpass_peer::stall_guard;
 use almondpass_ports::table::TableService;
@@ -16,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout};
 
@@ -82,7 +83,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => connections.add(stream),
+                    Ok((stream, _)) => connections.add(stream).await,
                     Err(error) => pause(&error).await,
                 },
                 Some(_) = connections.tasks.join_next() => {}
@@ -92,7 +93,7 @@
         // Connections that the kernel accepted for us would be reset with the listener, though
         // their callers may have sent a request already.
         while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            connections.add(stream);
+            connections.add(stream).await;
         }
         drop(listener);
         while connections.tasks.join_next().await.is_some() {}
@@ -125,8 +126,8 @@
     service: service::EntryService<L, T>,
     acceptor: A,
     phase: watch::Receiver<ServePhase>,
-    served: Arc<Semaphore>,
-    refused: Arc<Semaphore>,
+    served: Arc<ConnectionTable>,
+    refused: Arc<ConnectionTable>,
     tasks: JoinSet<()>,
 }
 
@@ -146,52 +147,64 @@
             service,
             acceptor,
             phase,
-            served: Arc::new(Semaphore::new(n_connections)),
-            refused: Arc::new(Semaphore::new(REFUSED_CONNECTIONS)),
+            served: table(n_connections, "callers"),
+            refused: table(REFUSED_CONNECTIONS, "refused callers"),
             tasks: JoinSet::new(),
         }
     }
 
-    /// Serves the connection, refuses its request, or at last drops it, so that a flood of
-    /// connections fills no memory.
-    fn add(&mut self, stream: TcpStream) {
-        let (permit, refuse) = match Arc::clone(&self.served).try_acquire_owned() {
-            Ok(permit) => (permit, false),
-            Err(_) => match Arc::clone(&self.refused).try_acquire_owned() {
-                Ok(permit) => (permit, true),
-                Err(_) => return,
+    /// Serves the connection, or refuses its request, or at last drops it, so that a flood of connections fills no
+    /// memory. A connection without a request gives way.
+    async fn add(&mut self, stream: TcpStream) {
+        let (slot, refuse) = match self.served.admit_if_possible().await {
+            Some(slot) => (slot, false),
+            None => match self.refused.admit_if_possible().await {
+                Some(slot) => (slot, true),
+                None => return,
             },
         };
-        let connection = CallerConnection {
-            service: self.service.clone(),
-            phase: self.phase.clone(),
-            refuse,
-            _permit: permit,
-        };
-        self.tasks.spawn(connection.run(self.acceptor.clone(), stream));
+        let connection =
+            CallerConnection { service: self.service.clone(), phase: self.phase.clone(), refuse };
+        let acceptor = self.acceptor.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = connection.run(acceptor, stream, slot.clone()) => {}
+                () = slot.closed() => {}
+            }
+        });
     }
 }
 
+/// A table of connections that give way until their first request. Their requests have limits of their own.
+fn table(max_connections: usize, side: &'static str) -> Arc<ConnectionTable> {
+    let limits = connection_table::TableLimits { max_connections, max_body_memory: usize::MAX };
+    ConnectionTable::new(limits, side)
+}
+
 struct CallerConnection<L, T> {
     service: service::EntryService<L, T>,
     phase: watch::Receiver<ServePhase>,
     refuse: bool,
-    _permit: OwnedSemaphorePermit,
 }
 
 impl<L: HallLink, T: TableService> CallerConnection<L, T> {
-    async fn run<A: acceptor::StreamAcceptor>(self, acceptor: A, stream: TcpStream) {
+    async fn run<A: acceptor::StreamAcceptor>(
+        self,
+        acceptor: A,
+        stream: TcpStream,
+        slot: ConnectionSlot,
+    ) {
         // Small answers would otherwise wait for the caller's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let head_time = self.service.core().settings.limits.header_timeout.0;
         match timeout(head_time, acceptor.accept(stream)).await {
-            Ok(Ok(stream)) => self.serve(stream).await,
+            Ok(Ok(stream)) => self.serve(stream, slot).await,
             Ok(Err(error)) => tracing::debug!(%error, "a caller's handshake failed"),
             Err(_) => tracing::debug!("a caller's handshake took too long"),
         }
     }
 
-    async fn serve<S>(mut self, stream: S)
+    async fn serve<S>(mut self, stream: S, slot: ConnectionSlot)
     where
         S: tokio::io::AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
@@ -201,9 +214,17 @@
         // The library's own refusal of a large head has no body; ours comes first.
         let n_buffer = LEAST_BUFFER.max(2 * limits.header_bytes as usize);
         let (service, phase, refuse) = (self.service.clone(), self.phase.clone(), self.refuse);
+        // Kept to the end of the connection: an answer streams on behind its request.
+        let first_request = OnceLock::new();
         let answer = service_fn(move |request| {
             let (service, phase) = (service.clone(), phase.clone());
+            let is_open = first_request.get().is_some()
+                || slot.begin_request().is_some_and(|it| first_request.set(it).is_ok());
             Box::pin(async move {
+                if !is_open {
+                    // The connection is being closed; the request hasn't been looked at.
+                    return future::pending().await;
+                }
                 let mut answer = match refuse {
                     true => Ok(service.refuse(&request)),
                     false => service.answer(request).await,
--- a/crates/peer/src/connection_table.rs
+++ b/crates/peer/src/connection_table.rs
@@ -133,10 +133,22 @@
     /// waits for one to end.
     pub async fn admit(self: &Arc<ConnectionTable>) -> ConnectionSlot {
         loop {
-            if let Some(slot) = self.try_admit() {
+            if let Some(slot) = self.admit_if_possible().await {
                 return slot;
             }
-            self.free_place();
+            self.changed.notified().await;
+        }
+    }
+
+    /// The same, but returns `None` at once where no connection can give way.
+    pub async fn admit_if_possible(self: &Arc<ConnectionTable>) -> Option<ConnectionSlot> {
+        loop {
+            if let Some(slot) = self.try_admit() {
+                return Some(slot);
+            }
+            if !self.free_place() {
+                return None;
+            }
             self.changed.notified().await;
         }
     }
@@ -175,21 +187,23 @@
         self.lock().connections.values().filter(|it| it.n_bytes > 0).count()
     }
 
-    /// Makes a connection give way to a new one, unless one is being closed already or none can.
-    fn free_place(&self) {
+    /// Makes a connection give way to a new one, unless one is being closed already. Returns false if none can.
+    fn free_place(&self) -> bool {
         let mut state = self.lock();
         if state.n_closing > 0 {
-            return;
+            return true;
         }
         if let Some((_, id)) = state.waiting.first_key_value() {
             let id = *id;
             self.count(&mut state, "almondpass_connections_closed_total", "places");
             state.close(id);
-        } else if let Some((_, id)) = state.receiving.first_key_value() {
-            let id = *id;
-            self.count(&mut state, "almondpass_requests_given_way_total", "places");
-            state.refuse(id);
+            return true;
         }
+        let Some((_, id)) = state.receiving.first_key_value() else { return false };
+        let id = *id;
+        self.count(&mut state, "almondpass_requests_given_way_total", "places");
+        state.refuse(id);
+        true
     }
 
     /// Sets the memory that counts for the request of a connection. Makes bodies that aren't whole give way
