--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use almondpass_entry::acceptor::StreamAcceptor;
-use almondpass_peer::{connection_table, stall_guard};
+use almondpass_peer::{connection_slot, connection_table, stall_guard};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -99,7 +99,7 @@
         self,
         stream: TcpStream,
         acceptor: tls::ListenerAcceptor,
-        slot: connection_table::ConnectionSlot,
+        slot: connection_slot::ConnectionSlot,
         watcher: Watcher,
     ) {
         let stream = match time::timeout(HEAD_TIME, acceptor.accept(stream)).await {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,7 +7,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use almondpass_peer::connection_table::{self, ConnectionSlot, ConnectionTable};
+use almondpass_peer::connection_slot::ConnectionSlot;
+use almondpass_peer::connection_table::{self, ConnectionTable};
 use almondpass_peer::link::HallLink;
 use almondpass_peer::stall_guard;
 use almondpass_ports::table::TableService;
--- a/crates/peer/src/body_reader.rs
+++ b/crates/peer/src/body_reader.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 use tokio::time::{self, Instant};
 
+use crate::connection_slot;
 use crate::connection_table;
 
 /// Why a body was not read whole.
@@ -36,7 +37,7 @@
 pub struct RequestBody {
     /// The data.
     pub data: Bytes,
-    slot: connection_table::ConnectionSlot,
+    slot: connection_slot::ConnectionSlot,
 }
 
 impl RequestBody {
@@ -51,7 +52,7 @@
 }
 
 /// Reads the body of `request`. Its memory counts in the table whose slot
-/// [`ConnectionSlot::begin`](connection_table::ConnectionSlot::begin) has added to the request; without one nothing
+/// [`ConnectionSlot::begin`](connection_slot::ConnectionSlot::begin) has added to the request; without one nothing
 /// limits it but `max_bytes`.
 ///
 /// The data is copied together as it arrives. The pieces that the HTTP library returns keep the buffers alive
@@ -70,8 +71,8 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let slot = request.extensions().get::<connection_table::ConnectionSlot>().cloned();
-    let slot = slot.unwrap_or_else(connection_table::ConnectionSlot::unlimited);
+    let slot = request.extensions().get::<connection_slot::ConnectionSlot>().cloned();
+    let slot = slot.unwrap_or_else(connection_slot::ConnectionSlot::unlimited);
     let body = request.into_body();
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyFault::TooLong { max_bytes });
@@ -89,7 +90,7 @@
 
 async fn collect<B>(
     body: B,
-    slot: &connection_table::ConnectionSlot,
+    slot: &connection_slot::ConnectionSlot,
     max_bytes: usize,
 ) -> Result<Bytes, BodyFault>
 where
--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
+use crate::connection_slot;
 use crate::connection_table;
 use crate::meter;
 use crate::stall_guard;
@@ -44,8 +45,9 @@
     /// An error that makes the server close the connection without an answer.
     type Error: Error + Send + Sync + 'static;
 
-    /// Answers one request; [`body_reader::read`](crate::body_reader::read) reads its body. The future runs to completion even if the client disconnects; otherwise a
-    /// request that has begun to take effect would stop half-way.
+    /// Answers one request; [`body_reader::read`](crate::body_reader::read) reads its body. The future runs to
+    /// completion even if the client disconnects; otherwise a request that has begun to take effect would stop
+    /// half-way.
     fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -131,7 +133,7 @@
 fn connection<H: RequestHandler>(
     stream: TcpStream,
     handler: Arc<H>,
-    slot: connection_table::ConnectionSlot,
+    slot: connection_slot::ConnectionSlot,
     config: HttpServerConfig,
 ) -> impl GracefulConnection<Error = hyper::Error> + Send + 'static {
     // A failure only delays small answers, so it is ignored.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod client;
 pub mod codec;
+pub mod connection_slot;
 pub mod connection_table;
 pub mod dispatch;
 pub mod error;
@@ -18,4 +19,5 @@
 
 mod meter;
 mod pool;
+mod table_state;
 mod wire;
--- a/crates/peer/tests/connection_table.rs
+++ b/crates/peer/tests/connection_table.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use almondpass_peer::connection_table::{self, ConnectionSlot, ConnectionTable, GaveWay};
+use almondpass_peer::connection_slot::{ConnectionSlot, RequestGuard};
+use almondpass_peer::connection_table::{self, ConnectionTable, GaveWay};
 use futures_util::FutureExt;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -23,7 +24,7 @@
 /// A request of which `n_bytes` have arrived.
 struct PartialRequest {
     slot: ConnectionSlot,
-    _guard: connection_table::RequestGuard,
+    _guard: RequestGuard,
 }
 
 impl PartialRequest {
