Run a connection until it ends or gives way in one place; free a body in one place

The accept loops of peers and clients, callers and operators each had the same select of a connection against its close, and two functions of the table's state freed a body with the same lines. ConnectionSlot::run and free_body serve them.

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -84,12 +84,7 @@
             };
             let connection =
                 self.clone().connection(stream, acceptor.clone(), slot.clone(), graceful.watcher());
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = connection => {}
-                    () = slot.closed() => {}
-                }
-            });
+            tokio::spawn(async move { slot.run(connection).await });
         }
         drop(listener);
         let _ = time::timeout(CLOSE_TIME, graceful.shutdown()).await;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -168,10 +168,7 @@
             CallerConnection { service: self.service.clone(), phase: self.phase.clone(), refuse };
         let acceptor = self.acceptor.clone();
         self.tasks.spawn(async move {
-            tokio::select! {
-                () = connection.run(acceptor, stream, slot.clone()) => {}
-                () = slot.closed() => {}
-            }
+            slot.run(connection.run(acceptor, stream, slot.clone())).await;
         });
     }
 }
--- a/crates/peer/src/connection_slot.rs
+++ b/crates/peer/src/connection_slot.rs
@@ -43,6 +43,14 @@
         ConnectionSlot::new(&ConnectionTable::new(limits, "none"))
     }
 
+    /// Runs `connection` until it ends. Returns `None` if it had to give way while it waited for a request.
+    pub async fn run<F: Future>(&self, connection: F) -> Option<F::Output> {
+        tokio::select! {
+            output = connection => Some(output),
+            () = self.closed() => None,
+        }
+    }
+
     /// Begins `request`, and adds the slot to it for [`body_reader::read`](crate::body_reader::read). Returns
     /// `None` if the connection was closed in the meantime; the request must not be looked at then.
     pub fn begin<B>(&self, request: &mut Request<B>) -> Option<RequestGuard> {
--- a/crates/peer/src/http_server.rs
+++ b/crates/peer/src/http_server.rs
@@ -117,11 +117,7 @@
         let connection = connection(stream, Arc::clone(&handler), slot.clone(), config);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            let ended = tokio::select! {
-                ended = connection => ended,
-                () = slot.closed() => return,
-            };
-            if let Err(error) = ended {
+            if let Some(Err(error)) = slot.run(connection).await {
                 tracing::debug!(%error, side = config.side, "connection ended");
             }
         });
--- a/crates/peer/src/table_state.rs
+++ b/crates/peer/src/table_state.rs
@@ -104,10 +104,7 @@
     /// Ends the request of a connection and frees its memory.
     pub(crate) fn end_request(&mut self, id: ConnectionId) {
         self.enter(id, Phase::Waiting);
-        self.set_memory(id, 0);
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.body = Vec::new();
-        }
+        self.free_body(id);
     }
 
     /// Moves a connection into another phase.
@@ -153,10 +150,16 @@
     /// Frees the memory of a body that isn't whole, and makes its request be refused.
     pub(crate) fn refuse(&mut self, id: ConnectionId) {
         self.enter(id, Phase::Refused);
+        self.free_body(id);
+        if let Some(connection) = self.connections.get(&id) {
+            connection.signals.refused.notify_one();
+        }
+    }
+
+    fn free_body(&mut self, id: ConnectionId) {
         self.set_memory(id, 0);
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.body = Vec::new();
-            connection.signals.refused.notify_one();
         }
     }
 }
